--- /dev/null
+++ b/packages/ownership/planner.h
@@ -0,0 +1,186 @@
+// ownership/planner.h: what this daemon claims, refreshes, hands over and releases, and what it may act on. No I/O.
+//
+// Index
+//   PlacedThing, Holding, Plan   what goes in and comes out
+//   Evidence                     proof that the holder of an earlier epoch is gone
+//   OwnershipPlanner             events: members, things, log; tick() -> Plan; mayAct(), owner(), evidence()
+//
+//   planner.setThings(things);                        // at each change of the host list
+//   planner.setMembers(membership.members());         // at each change of the membership
+//   planner.onRecords(first, next, records);          // after each read of claims-REGION, also an empty one
+//   Plan plan = planner.tick(now);                    // every 200 ms or so
+//     for each append: log.append(toJson(record)); then onAppended(id), onAppendRefused(id) or onAppendUnknown(id)
+//     for each handover: take no new work for it, and onDrained(thing) when nothing runs under the epoch any more
+//     for each lost: stop acting at once, drop what it held, then onDrained(thing) as well
+//   if (planner.mayAct(thing, epoch, now)) { ... }    // before each load, evict and permit
+//
+// Suspicion moves new work (isUsable()), never ownership. A successor claims when the owner released, is dead in the membership,
+// came back as a newer incarnation, or is gone from the platform's list. Evicting what an earlier owner left on an engine that
+// checks no fencing numbers needs more: evidence(); a time-out is none.
+// In an outage of the log owners stay owners and nothing is claimed; afterwards nothing is until the stream is read to its end.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <core/types.h>
+#include <ownership/claims.h>
+#include <peers/membership.h>
+#include <settings/settings.h>
+
+namespace baobabstall::ownership {
+
+using core::Instant;
+using core::Milliseconds;
+using core::ZoneId;
+
+struct PlacedThing {
+    Thing thing;
+    ZoneId zone; // its owner is chosen from this zone while a daemon lives there; empty: from the region
+
+    friend bool operator==(const PlacedThing &, const PlacedThing &) = default;
+};
+
+/// A thing under one epoch of this daemon.
+struct Holding {
+    Thing thing;
+    Epoch epoch;
+
+    friend bool operator==(const Holding &, const Holding &) = default;
+};
+
+/// What tick() wants done. Each entry is given once.
+struct Plan {
+    std::vector<ClaimRecord> appends; // in this order; at most one in flight for a thing
+    std::vector<Holding> gained;      // this daemon owns it from now on
+    std::vector<Holding> handovers;   // drain, then onDrained()
+    std::vector<Holding> lost;        // owned by another now, or expired; stop, drop, then onDrained()
+};
+
+/// Why an earlier epoch's names on an engine may be evicted. None: they may not.
+enum class Evidence : std::uint8_t {
+    None,
+    Released,         // the holder said that it will not act under the epoch again
+    NewerIncarnation, // the holder's process ended: its host runs a later one
+    HostGone,         // the platform took the host away
+};
+
+/// One record of a read.
+struct StreamRecord {
+    Offset offset;
+    std::int64_t recordedAt = 0;      // the log's time_ms
+    std::optional<ClaimRecord> claim; // nothing: not understood; counted and passed over
+};
+
+class OwnershipPlanner
+{
+public:
+    struct Self {
+        HostId host;
+        ZoneId zone;
+        Incarnation incarnation;
+    };
+
+    OwnershipPlanner(Self self, settings::Ownership settings, Milliseconds retention); // retention: settings.platform.retention
+
+    // What there is.
+    void setThings(std::vector<PlacedThing> things);                  // all things of the region; the engines change, partitions and "loads" are constant
+    void setMembers(const std::vector<peers::Member> &members);       // all, as the membership gives them
+    void setHostListTime(std::int64_t asOf) { hostListTime_ = asOf; } // as_of_ms of the newest host list
+
+    // What the log said.
+    void onRecords(Offset first,
+                   Offset next,
+                   const std::vector<StreamRecord> &records); // a read of the claims stream from readTo() + 1 that reached its end when it left none
+    void onLogDown();                                         // a read or append failed; ends at the next onRecords()
+    void onAppended(const std::string &id);                   // taken; counts once it is read back
+    void onAppendRefused(const std::string &id);              // certainly not taken: 429 or 503
+    void onAppendUnknown(const std::string &id);              // no answer; the stream is read before it is tried again
+
+    // What this daemon did.
+    void onDrained(const Thing &thing); // nothing runs under the handed over or lost epoch any more
+    void stop();                        // hands over everything at once and claims nothing from now on
+
+    [[nodiscard]] Plan tick(Instant now);
+
+    // Questions.
+    [[nodiscard]] bool mayAct(const Thing &thing, Epoch epoch, Instant now) const; // false also after a pause, until the stream was read again
+    [[nodiscard]] bool isDraining(const Thing &thing) const;                       // ours, but takes no new work
+    [[nodiscard]] std::optional<Owner> ownerOf(const Thing &thing) const { return table_.ownerOf(thing); } // whoever it is, alive or not
+    [[nodiscard]] bool isUsable(const Owner &owner) const;                  // worth sending work to: not suspect, dead, released or restarted
+    [[nodiscard]] HostId preferredOwner(const Thing &thing) const;          // by rendezvous; empty when no daemon lives
+    [[nodiscard]] Evidence evidence(const Thing &thing, Epoch epoch) const; // about an epoch that is not in force; None for the one in force
+    [[nodiscard]] std::vector<Holding> holdings() const;                    // ours, also draining ones
+    [[nodiscard]] Offset readTo() const { return table_.readTo(); }         // where the next read begins: readTo().next()
+    [[nodiscard]] bool isCaughtUp() const { return caughtUp_; }             // read to the end since the last outage or pause
+    [[nodiscard]] const ClaimTable &table() const { return table_; }
+
+    static constexpr int appendsPerSecond = 100; // the log takes several hundred, for all daemons together
+    static constexpr int appendBurst = 20;
+    static constexpr Milliseconds pauseLimit{2'000};   // between two calls of tick(); a longer gap counts as a pause of the process
+    static constexpr std::int64_t listLagMs = 600'000; // a list this much newer than a claim would show the claim's host
+
+private:
+    using Weight = std::uint64_t;
+    struct State {
+        ZoneId zone;
+        HostId preferred;
+        Weight weight = 0;
+        std::optional<Instant> otherPreferredSince; // an owner's wait before a handover
+        bool draining = false;
+        bool drained = false;
+        std::optional<Epoch> held;          // ours, as last told by a Plan
+        std::optional<Epoch> dropping;      // lost and not drained yet
+        std::optional<Epoch> retired;       // drained after a loss; to be released
+        std::optional<Instant> refreshedAt; // when the newest record for our epoch was seen
+        Offset refreshedBy;                 // that record
+    };
+    struct Pending {
+        ClaimRecord record;
+        bool unknown = false;   // the answer was lost
+        bool readSince = false; // the stream was read to its end after that
+    };
+    struct Candidate {
+        ZoneId zone;
+    };
+
+    [[nodiscard]] bool isOurs(const std::optional<Owner> &owner) const;
+    [[nodiscard]] bool isReplaceable(const Owner &owner) const;
+    [[nodiscard]] const peers::Member *memberOf(const HostId &host) const;
+    [[nodiscard]] bool isCandidate(const peers::Member &member) const;
+    [[nodiscard]] bool hasCandidateIn(const ZoneId &zone) const;
+    void choosePreferred(const Thing &thing, State &state) const;
+    void noteCandidate(const Thing &thing, State &state, const HostId &host, const ZoneId &zone) const;
+    void refill(Instant now);
+    void notePause(Instant now);
+    void settleAppends(Plan &plan);
+    void noteOwnership(const Thing &thing, State &state, Plan &plan, Instant now);
+    void planThing(const Thing &thing, State &state, Plan &plan, Instant now);
+    void planOwned(const Thing &thing, State &state, const Owner &owner, Plan &plan, Instant now);
+    bool append(ClaimKind kind, const Thing &thing, Epoch epoch, Plan &plan);
+
+    Self self_;
+    settings::Ownership settings_;
+    Milliseconds retention_;
+    ClaimTable table_;
+    std::map<Thing, State> states_;
+    std::map<HostId, peers::Member> members_;
+    std::map<HostId, Candidate> candidates_;
+    std::map<ZoneId, int> candidatesIn_;
+    std::unordered_map<std::string, Pending> pending_; // by record id
+    std::unordered_map<Thing, std::string> pendingFor_;
+    std::int64_t hostListTime_ = 0;
+    std::uint64_t nextId_ = 1;
+    std::int64_t budgetMilli_ = 0; // thousandths of an append
+    std::optional<Instant> lastTick_;
+    std::optional<Instant> readySince_; // members known and stream read
+    bool caughtUp_ = false;
+    bool logDown_ = false;
+    bool stopping_ = false;
+};
+
+} // namespace baobabstall::ownership
