Decide ownership by claims in the region's stream, on a fake clock

The claim table reaches one verdict for every reader: a claim names how far its writer had read, so that of two racing claims the first wins and one that lands late is void; a refresh or release corrects readers who start behind the claim. The planner claims, refreshes, hands over and releases, at most one append for a thing in flight and at a pace.

--- /dev/null
+++ b/packages/ownership/claims.cpp
@@ -0,0 +1,398 @@
+#include <ownership/claims.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace baobabstall::ownership {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view enginePrefix = "engine/";
+constexpr std::string_view callsPrefix = "calls/";
+
+std::string_view kindName(ClaimKind kind)
+{
+    switch (kind) {
+    case ClaimKind::Claim:
+        return "claim";
+    case ClaimKind::Refresh:
+        return "refresh";
+    case ClaimKind::Release:
+        return "release";
+    case ClaimKind::Retire:
+        return "retire";
+    }
+    return "";
+}
+
+std::optional<ClaimKind> kindOfName(std::string_view name)
+{
+    for (auto kind : {ClaimKind::Claim, ClaimKind::Refresh, ClaimKind::Release, ClaimKind::Retire}) {
+        if (kindName(kind) == name) {
+            return kind;
+        }
+    }
+    return {};
+}
+
+bool readText(const json &from, const char *key, std::string &to)
+{
+    auto found = from.find(key);
+    if (found == from.end() || !found->is_string()) {
+        return false;
+    }
+    to = found->get<std::string>();
+    return !to.empty();
+}
+
+std::optional<std::uint64_t> readNumber(const json &from, const char *key)
+{
+    auto found = from.find(key);
+    if (found == from.end() || !found->is_number_unsigned()) {
+        return {};
+    }
+    return found->get<std::uint64_t>();
+}
+
+std::optional<Holder> readHolder(const json &from)
+{
+    if (!from.is_array() || from.size() != 3 || !from[0].is_number_unsigned() || !from[1].is_string() || !from[2].is_number_unsigned()) {
+        return {};
+    }
+    return Holder{Epoch(from[0].get<std::uint64_t>()), HostId(from[1].get<std::string>()), Incarnation(from[2].get<std::uint64_t>())};
+}
+
+bool readFormer(const json &from, std::vector<Holder> &to)
+{
+    auto found = from.find("former");
+    if (found == from.end()) {
+        return true;
+    }
+    if (!found->is_array() || found->size() > ClaimRecord::maxFormer) {
+        return false;
+    }
+    for (const auto &item : *found) {
+        auto holder = readHolder(item);
+        if (!holder) {
+            return false;
+        }
+        to.push_back(*holder);
+    }
+    return true;
+}
+
+bool readIds(const json &from, ClaimRecord &to)
+{
+    std::string kind;
+    std::string thing;
+    std::string host;
+    if (!readText(from, "id", to.id) || !readText(from, "kind", kind) || !readText(from, "thing", thing) || !readText(from, "host", host)) {
+        return false;
+    }
+    auto known = kindOfName(kind);
+    if (!known) {
+        return false;
+    }
+    to.kind = *known;
+    to.thing = Thing(std::move(thing));
+    to.host = HostId(std::move(host));
+    return true;
+}
+
+bool readNumbers(const json &from, ClaimRecord &to)
+{
+    auto incarnation = readNumber(from, "incarnation");
+    auto epoch = readNumber(from, "epoch");
+    auto readTo = readNumber(from, "read_to");
+    if (!incarnation || !epoch || !readTo) {
+        return false;
+    }
+    to.incarnation = Incarnation(*incarnation);
+    to.epoch = Epoch(*epoch);
+    to.readTo = Offset(*readTo);
+    return (to.kind == ClaimKind::Claim) == (*epoch == 0);
+}
+
+} // namespace
+
+Thing engineThing(const core::UpstreamId &engine)
+{
+    return Thing(std::string(enginePrefix) + engine.value());
+}
+
+Thing callsThing(int partition)
+{
+    return Thing(std::string(callsPrefix) + std::to_string(partition));
+}
+
+Thing loadsThing()
+{
+    return Thing("loads");
+}
+
+std::optional<core::UpstreamId> engineOf(const Thing &thing)
+{
+    if (!thing.value().starts_with(enginePrefix) || thing.value().size() == enginePrefix.size()) {
+        return {};
+    }
+    return core::UpstreamId(thing.value().substr(enginePrefix.size()));
+}
+
+std::optional<int> partitionOf(const Thing &thing)
+{
+    const auto &text = thing.value();
+    if (!text.starts_with(callsPrefix)) {
+        return {};
+    }
+    int partition = 0;
+    const char *end = text.data() + text.size();
+    auto [stop, error] = std::from_chars(text.data() + callsPrefix.size(), end, partition);
+    if (error != std::errc() || stop != end || partition < 0) {
+        return {};
+    }
+    return partition;
+}
+
+std::string toJson(const ClaimRecord &record)
+{
+    json to{{"id", record.id},
+            {"kind", kindName(record.kind)},
+            {"thing", record.thing.value()},
+            {"host", record.host.value()},
+            {"incarnation", record.incarnation.value()},
+            {"epoch", record.epoch.value()},
+            {"read_to", record.readTo.value()}};
+    for (const auto &holder : record.former) {
+        to["former"].push_back(json::array({holder.epoch.value(), holder.host.value(), holder.incarnation.value()}));
+    }
+    return to.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<ClaimRecord> claimFromJson(std::string_view text, core::Error &why)
+{
+    auto from = json::parse(text, nullptr, false);
+    ClaimRecord record;
+    if (!from.is_object() || !readIds(from, record) || !readNumbers(from, record) || !readFormer(from, record.former)) {
+        why = {core::Step::Log, "", "not a claim record", core::Refusal::Internal, core::Outcome::NotRun, {}};
+        return {};
+    }
+    return record;
+}
+
+bool ClaimTable::apply(Offset offset, const ClaimRecord &record, std::int64_t recordedAt)
+{
+    if (offset <= readTo_) {
+        return false;
+    }
+    readTo_ = offset;
+    if (!seen_.try_emplace(record.id, offset).second) {
+        return false;
+    }
+    seenAt_.emplace(offset, record.id);
+    auto &row = rows_[record.thing];
+    auto before = row.owner;
+    if (record.kind == ClaimKind::Claim) {
+        applyClaim(row, offset, record, recordedAt);
+    } else {
+        applyStatement(row, offset, record, recordedAt);
+    }
+    auto &known = incarnations_[record.host];
+    known.incarnation = std::max(known.incarnation, record.incarnation);
+    known.seen = offset;
+    return row.owner != before;
+}
+
+void ClaimTable::applyClaim(Row &row, Offset offset, const ClaimRecord &record, std::int64_t recordedAt)
+{
+    auto before = row.lastClaim;
+    row.lastClaim = offset;
+    bool raced = record.readTo < before;
+    bool outdated = record.incarnation < newestIncarnation(record.host);
+    if (raced || outdated) {
+        return;
+    }
+    noteFormer(row, record, recordedAt);
+    row.owner = Owner{record.host, record.incarnation, Epoch(offset.value()), false};
+    row.support = offset;
+    noteHolder(row, {row.owner->epoch, record.host, record.incarnation}, recordedAt);
+}
+
+void ClaimTable::applyStatement(Row &row, Offset offset, const ClaimRecord &record, std::int64_t recordedAt)
+{
+    Holder holder{record.epoch, record.host, record.incarnation};
+    noteHolder(row, holder, recordedAt);
+    noteFormer(row, record, recordedAt);
+    auto &past = row.holders.at(record.epoch);
+    if (past.holder != holder) {
+        return;
+    }
+    past.released |= record.kind != ClaimKind::Refresh;
+    if (record.kind != ClaimKind::Retire) {
+        applyOwnersWord(row, offset, record);
+    }
+}
+
+/// The writer owned the thing at `readTo`: a reader that holds an earlier epoch, or a later claim that the writer knew, is corrected.
+void ClaimTable::applyOwnersWord(Row &row, Offset offset, const ClaimRecord &record)
+{
+    auto inForce = row.owner ? row.owner->epoch : Epoch();
+    bool behind = inForce < record.epoch;
+    bool voided = inForce > record.epoch && inForce.value() <= record.readTo.value();
+    if (voided) {
+        row.holders.erase(inForce);
+    }
+    if (behind || voided) {
+        row.owner = Owner{record.host, record.incarnation, record.epoch, false};
+    }
+    if (row.owner->epoch == record.epoch) {
+        row.owner->released = row.holders.at(record.epoch).released;
+        row.support = offset;
+    }
+}
+
+void ClaimTable::noteHolder(Row &row, const Holder &holder, std::int64_t recordedAt)
+{
+    auto [found, added] = row.holders.try_emplace(holder.epoch, PastHolder{holder, false, recordedAt});
+    if (!added && found->second.holder == holder) {
+        found->second.knownSince = recordedAt;
+    }
+}
+
+void ClaimTable::noteFormer(Row &row, const ClaimRecord &record, std::int64_t recordedAt)
+{
+    for (const auto &holder : record.former) {
+        row.holders.try_emplace(holder.epoch, PastHolder{holder, false, recordedAt});
+    }
+}
+
+void ClaimTable::skip(Offset offset)
+{
+    readTo_ = std::max(readTo_, offset);
+}
+
+std::vector<Thing> ClaimTable::trim(Offset first)
+{
+    std::vector<Thing> orphans;
+    if (first <= kept_) {
+        return orphans;
+    }
+    kept_ = first;
+    while (!seenAt_.empty() && seenAt_.begin()->first < first) {
+        seen_.erase(seenAt_.begin()->second);
+        seenAt_.erase(seenAt_.begin());
+    }
+    std::erase_if(incarnations_, [first](const auto &item) { return item.second.seen < first; });
+    for (auto row = rows_.begin(); row != rows_.end();) {
+        if (row->second.owner && row->second.support < first) {
+            row->second.owner.reset();
+            orphans.push_back(row->first);
+        }
+        trimHolders(row->second, first);
+        bool empty = !row->second.owner && row->second.lastClaim < first && row->second.holders.empty();
+        row = empty ? rows_.erase(row) : std::next(row);
+    }
+    return orphans;
+}
+
+void ClaimTable::trimHolders(Row &row, Offset first)
+{
+    auto inForce = row.owner ? row.owner->epoch : Epoch();
+    std::erase_if(row.holders, [&](const auto &item) {
+        bool expired = item.first.value() < first.value();
+        return expired && item.second.released && item.first != inForce;
+    });
+    while (row.holders.size() > ClaimRecord::maxFormer + 1 && row.holders.begin()->first.value() < first.value()) {
+        row.holders.erase(row.holders.begin());
+    }
+}
+
+std::optional<Owner> ClaimTable::ownerOf(const Thing &thing) const
+{
+    auto row = rows_.find(thing);
+    return row == rows_.end() ? std::nullopt : row->second.owner;
+}
+
+Offset ClaimTable::supportOf(const Thing &thing) const
+{
+    auto row = rows_.find(thing);
+    return row == rows_.end() ? Offset() : row->second.support;
+}
+
+std::optional<PastHolder> ClaimTable::holderOf(const Thing &thing, Epoch epoch) const
+{
+    auto row = rows_.find(thing);
+    if (row == rows_.end()) {
+        return {};
+    }
+    auto holder = row->second.holders.find(epoch);
+    if (holder == row->second.holders.end()) {
+        return {};
+    }
+    return holder->second;
+}
+
+std::vector<Holder> ClaimTable::unreleasedBefore(const Thing &thing, Epoch epoch) const
+{
+    std::vector<Holder> found;
+    auto row = rows_.find(thing);
+    if (row == rows_.end()) {
+        return found;
+    }
+    for (const auto &[at, past] : row->second.holders) {
+        if (at < epoch && !past.released) {
+            found.push_back(past.holder);
+        }
+    }
+    if (found.size() > ClaimRecord::maxFormer) {
+        found.erase(found.begin(), found.end() - ClaimRecord::maxFormer);
+    }
+    return found;
+}
+
+Incarnation ClaimTable::newestIncarnation(const HostId &host) const
+{
+    auto found = incarnations_.find(host);
+    return found == incarnations_.end() ? Incarnation() : found->second.incarnation;
+}
+
+bool ClaimTable::sawRecord(const std::string &id) const
+{
+    return seen_.contains(id);
+}
+
+std::vector<Thing> ClaimTable::things() const
+{
+    std::vector<Thing> found;
+    for (const auto &[thing, row] : rows_) {
+        if (row.owner) {
+            found.push_back(thing);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+std::size_t ClaimTable::approximateBytes() const
+{
+    constexpr std::size_t node = 48; // pointers and hash of one node of a container
+    std::size_t bytes = sizeof(*this);
+    for (const auto &[thing, row] : rows_) {
+        bytes += node + sizeof(Thing) + thing.value().capacity() + sizeof(Row);
+        for (const auto &[epoch, past] : row.holders) {
+            bytes += node + sizeof(Epoch) + sizeof(PastHolder) + past.holder.host.value().capacity();
+        }
+    }
+    for (const auto &[id, offset] : seen_) {
+        bytes += 2 * (node + sizeof(std::string) + id.capacity() + sizeof(Offset));
+    }
+    for (const auto &[host, known] : incarnations_) {
+        bytes += node + sizeof(HostId) + host.value().capacity() + sizeof(HostRun);
+    }
+    return bytes;
+}
+
+} // namespace baobabstall::ownership
--- a/packages/ownership/claims.h
+++ b/packages/ownership/claims.h
@@ -12,9 +12,9 @@
 //      between that offset and its own: of two that race the first wins, and one that lands late changes nothing.
 //   3. A claim is void when a higher incarnation of its host was seen before it.
 //   4. A record whose id was seen before counts as not there.
-//   5. A release or refresh counts only for the epoch that it names, from the holder of that epoch.
-//   6. Records expire. An owner appends a refresh before half of the retention has passed; it keeps the epoch. A refresh also
-//      tells that no claim between its epoch and its `readTo` was valid, so a reader who starts behind the claim reaches the same
+//   5. A refresh, release or retirement counts only for the epoch that it names, from the holder of that epoch.
+//   6. Records expire. An owner appends a refresh before half of the retention has passed; it keeps the epoch. A refresh or
+//      release also tells that no claim between its epoch and its `readTo` was valid, so a reader who starts behind the claim reaches the same
 //      verdict. An owner whose last record expired owns nothing.
 // Limit: when nobody was there to refresh for a whole retention, two readers who started at different times can name different dead
 // owners; the next claim brings them together, since its validity rests on the few records before it only.
@@ -58,7 +58,8 @@
 enum class ClaimKind : std::uint8_t {
     Claim,   // the writer wants to own the thing from here on
     Refresh, // the owner still owns it
-    Release, // the holder of `epoch` will never act under that epoch again
+    Release, // the owner will never act under its epoch again; a successor may claim
+    Retire,  // the same, from a holder that was superseded or expired meanwhile
 };
 
 /// One record of the stream `claims-REGION`.
@@ -94,7 +95,7 @@
 struct PastHolder {
     Holder holder;
     bool released = false;
-    std::int64_t knownSince = 0; // civil milliseconds of the newest record that named the holder, by the log's clock
+    std::int64_t knownSince = 0; // civil milliseconds of the newest record of the holder, or the first that named it as former, by the log's clock
 };
 
 class ClaimTable
@@ -125,16 +126,24 @@
         std::map<Epoch, PastHolder> holders;
     };
 
-    bool applyClaim(Row &row, Offset offset, const ClaimRecord &record, std::int64_t recordedAt);
-    bool applyStatement(Row &row, Offset offset, const ClaimRecord &record, std::int64_t recordedAt);
-    void noteHolder(Row &row, const Holder &holder, std::int64_t recordedAt);
-    void noteFormer(Row &row, const ClaimRecord &record, std::int64_t recordedAt);
+    struct HostRun {
+        Incarnation incarnation; // the highest seen
+        Offset seen;             // newest record of the host
+    };
+
+    static void noteHolder(Row &row, const Holder &holder, std::int64_t recordedAt);
+    static void noteFormer(Row &row, const ClaimRecord &record, std::int64_t recordedAt);
+    static void trimHolders(Row &row, Offset first);
+    void applyClaim(Row &row, Offset offset, const ClaimRecord &record, std::int64_t recordedAt);
+    static void applyOwnersWord(Row &row, Offset offset, const ClaimRecord &record);
+    static void applyStatement(Row &row, Offset offset, const ClaimRecord &record, std::int64_t recordedAt);
 
     std::unordered_map<Thing, Row> rows_;
-    std::unordered_map<HostId, Incarnation> incarnations_;
+    std::unordered_map<HostId, HostRun> incarnations_;
     std::unordered_map<std::string, Offset> seen_; // ids of records still kept
     std::map<Offset, std::string> seenAt_;         // the same by offset, to forget them
     Offset readTo_;
+    Offset kept_; // oldest offset of the log, as last told
 };
 
 } // namespace baobabstall::ownership
--- a/packages/ownership/planner.h
+++ b/packages/ownership/planner.h
@@ -7,22 +7,26 @@
 //
 //   planner.setThings(things);                        // at each change of the host list
 //   planner.setMembers(membership.members());         // at each change of the membership
-//   planner.onRecords(first, next, records);          // after each read of claims-REGION, also an empty one
+//   planner.onRecords(first, next, records);          // after each read of claims-REGION, also an empty one;
+//                                                     read without waiting while !isCaughtUp()
 //   Plan plan = planner.tick(now);                    // every 200 ms or so
 //     for each append: log.append(toJson(record)); then onAppended(id), onAppendRefused(id) or onAppendUnknown(id)
-//     for each handover: take no new work for it, and onDrained(thing) when nothing runs under the epoch any more
-//     for each lost: stop acting at once, drop what it held, then onDrained(thing) as well
+//     for each handover: take no new work for it, and onDrained(holding) when nothing runs under the epoch any more
+//     for each lost: stop acting at once, drop what it held, then onDrained(holding) as well
 //   if (planner.mayAct(thing, epoch, now)) { ... }    // before each load, evict and permit
 //
 // Suspicion moves new work (isUsable()), never ownership. A successor claims when the owner released, is dead in the membership,
 // came back as a newer incarnation, or is gone from the platform's list. Evicting what an earlier owner left on an engine that
 // checks no fencing numbers needs more: evidence(); a time-out is none.
+// A host that nobody reached counts as dead only to a daemon that itself reaches most of the listed ones (at a tie: the half with the
+// lowest host), so a daemon or zone cut off from its peers but not from the log claims nothing.
 // In an outage of the log owners stay owners and nothing is claimed; afterwards nothing is until the stream is read to its end.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -102,8 +106,8 @@
     void onAppendUnknown(const std::string &id);              // no answer; the stream is read before it is tried again
 
     // What this daemon did.
-    void onDrained(const Thing &thing); // nothing runs under the handed over or lost epoch any more
-    void stop();                        // hands over everything at once and claims nothing from now on
+    void onDrained(const Holding &holding); // nothing runs under the handed over or lost epoch any more
+    void stop();                            // hands over everything at once and claims nothing from now on
 
     [[nodiscard]] Plan tick(Instant now);
 
@@ -121,47 +125,58 @@
 
     static constexpr int appendsPerSecond = 100; // the log takes several hundred, for all daemons together
     static constexpr int appendBurst = 20;
-    static constexpr Milliseconds pauseLimit{2'000};   // between two calls of tick(); a longer gap counts as a pause of the process
-    static constexpr std::int64_t listLagMs = 600'000; // a list this much newer than a claim would show the claim's host
+    static constexpr int endReadsNeeded = 2;                 // the first may have been in flight before a pause or a lost answer
+    static constexpr Milliseconds pauseLimit{2'000};         // between two calls of tick(); a longer gap counts as a pause of the process
+    static constexpr Milliseconds unknownOwnerDelay{30'000}; // how long an owner may be unknown to the membership before it counts as dead
+    static constexpr std::int64_t listLagMs = 600'000;       // a list this much newer than a claim would show the claim's host
 
 private:
     using Weight = std::uint64_t;
     struct State {
         ZoneId zone;
-        HostId preferred;
-        Weight weight = 0;
-        std::optional<Instant> otherPreferredSince; // an owner's wait before a handover
-        bool draining = false;
-        bool drained = false;
-        std::optional<Epoch> held;          // ours, as last told by a Plan
-        std::optional<Epoch> dropping;      // lost and not drained yet
-        std::optional<Epoch> retired;       // drained after a loss; to be released
-        std::optional<Instant> refreshedAt; // when the newest record for our epoch was seen
-        Offset refreshedBy;                 // that record
+        HostId preferred;          // by rendezvous
+        Weight weight = 0;         // of the preferred one
+        HostId notedPreferred;     // as of the last tick
+        Instant preferredSince;    // when a tick saw it first
+        Epoch notedEpoch;          // in force as of the last tick
+        Instant ownerSince;        // when a tick saw it first
+        std::optional<Epoch> held; // ours, as last told by a Plan
+        bool draining = false;     // handed over, work runs
+        bool drained = false;      // no work runs; to be released
+        std::set<Epoch> dropping;  // lost and not drained yet
+        std::set<Epoch> retired;   // drained after a loss; to be released
+        Instant refreshedAt;       // when the newest record for our epoch was seen
+        Offset refreshedBy;        // that record
     };
     struct Pending {
         ClaimRecord record;
-        bool unknown = false;   // the answer was lost
-        bool readSince = false; // the stream was read to its end after that
-    };
-    struct Candidate {
-        ZoneId zone;
+        bool unknown = false; // the answer was lost
+        int reads = 0;        // to the end of the stream since then
     };
 
-    [[nodiscard]] bool isOurs(const std::optional<Owner> &owner) const;
-    [[nodiscard]] bool isReplaceable(const Owner &owner) const;
+    [[nodiscard]] bool isOurs(const Owner &owner) const;
+    [[nodiscard]] bool isReplaceable(const Owner &owner, const State &state, Instant now) const;
+    [[nodiscard]] bool seesMajority() const;
+    [[nodiscard]] bool mayAppend(const Thing &thing) const;
+    [[nodiscard]] bool wantsClaim(const Thing &thing, const State &state, Instant now) const;
+    [[nodiscard]] bool wantsHandover(const State &state, Instant now) const;
+    [[nodiscard]] bool isRefreshDue(const State &state, Instant now) const;
+    [[nodiscard]] Incarnation newestIncarnation(const HostId &host) const;
     [[nodiscard]] const peers::Member *memberOf(const HostId &host) const;
-    [[nodiscard]] bool isCandidate(const peers::Member &member) const;
-    [[nodiscard]] bool hasCandidateIn(const ZoneId &zone) const;
+    [[nodiscard]] std::map<HostId, ZoneId> candidatesAmong(const std::map<HostId, peers::Member> &members) const;
+    [[nodiscard]] bool isEligible(const State &state, const ZoneId &zone) const;
+    void setCandidates(std::map<HostId, ZoneId> candidates);
     void choosePreferred(const Thing &thing, State &state) const;
-    void noteCandidate(const Thing &thing, State &state, const HostId &host, const ZoneId &zone) const;
-    void refill(Instant now);
-    void notePause(Instant now);
-    void settleAppends(Plan &plan);
+    void updatePreferred(const Thing &thing, State &state, const std::map<HostId, ZoneId> &added, const std::map<HostId, ZoneId> &removed) const;
+    void refill(Milliseconds passed);
+    void noteTick(Instant now);
+    void retryAppends(Plan &plan, Instant now);
     void noteOwnership(const Thing &thing, State &state, Plan &plan, Instant now);
+    void noteLoss(const Thing &thing, State &state, Plan &plan);
     void planThing(const Thing &thing, State &state, Plan &plan, Instant now);
-    void planOwned(const Thing &thing, State &state, const Owner &owner, Plan &plan, Instant now);
-    bool append(ClaimKind kind, const Thing &thing, Epoch epoch, Plan &plan);
+    void planOwned(const Thing &thing, State &state, Epoch epoch, Plan &plan, Instant now);
+    void append(ClaimKind kind, const Thing &thing, Epoch epoch, Plan &plan);
+    void forget(const std::string &id);
 
     Self self_;
     settings::Ownership settings_;
@@ -169,7 +184,7 @@
     ClaimTable table_;
     std::map<Thing, State> states_;
     std::map<HostId, peers::Member> members_;
-    std::map<HostId, Candidate> candidates_;
+    std::map<HostId, ZoneId> candidates_; // alive, for rendezvous
     std::map<ZoneId, int> candidatesIn_;
     std::unordered_map<std::string, Pending> pending_; // by record id
     std::unordered_map<Thing, std::string> pendingFor_;
@@ -179,6 +194,8 @@
     std::optional<Instant> lastTick_;
     std::optional<Instant> readySince_; // members known and stream read
     bool caughtUp_ = false;
+    int endReads_ = 0;              // since the start, the last outage or the last pause
+    std::vector<Holding> vanished_; // held things that are no things any more
     bool logDown_ = false;
     bool stopping_ = false;
 };
--- /dev/null
+++ b/packages/ownership/tests/plannertest.cpp
@@ -0,0 +1,599 @@
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include <core/clock.h>
+#include <ownership/planner.h>
+
+using namespace baobabstall::ownership;
+using baobabstall::core::FakeClock;
+using baobabstall::core::UpstreamId;
+using baobabstall::peers::Listing;
+using baobabstall::peers::Member;
+using baobabstall::peers::MemberState;
+namespace settings = baobabstall::settings;
+
+namespace {
+
+constexpr Milliseconds step{100};
+constexpr Milliseconds retention{86'400'000};
+
+/// The log as the planner's caller sees it.
+struct Log {
+    std::vector<std::pair<std::int64_t, ClaimRecord>> records;
+    bool down = false;
+};
+
+enum class AppendEnd { Taken, Refused, Lost, LostButTaken };
+
+/// One daemon's loop around its planner.
+struct Daemon {
+    Daemon(const std::string &host, const std::string &zone, std::uint64_t incarnation)
+        : self{HostId(host), ZoneId(zone), Incarnation(incarnation)}
+        , planner(self, settings::Ownership{}, retention)
+    { }
+
+    void read(const Log &log)
+    {
+        if (log.down) {
+            planner.onLogDown();
+            return;
+        }
+        std::vector<StreamRecord> news;
+        for (auto at = planner.readTo().value(); at < log.records.size(); ++at) {
+            news.push_back({Offset(at + 1), log.records[at].first, log.records[at].second});
+        }
+        planner.onRecords(Offset(1), Offset(log.records.size() + 1), news);
+    }
+
+    void act(Log &log, Instant now)
+    {
+        auto plan = planner.tick(now);
+        for (const auto &record : plan.appends) {
+            ++appends;
+            append(log, record, now);
+        }
+        for (const auto &list : {plan.handovers, plan.lost}) {
+            for (const auto &holding : list) {
+                planner.onDrained(holding);
+            }
+        }
+        handovers += plan.handovers.size();
+        lost += plan.lost.size();
+        gained += plan.gained.size();
+    }
+
+    void append(Log &log, const ClaimRecord &record, Instant now)
+    {
+        auto end = log.down ? AppendEnd::Refused : nextEnd();
+        if (end == AppendEnd::Taken || end == AppendEnd::LostButTaken) {
+            log.records.emplace_back(now.sinceOrigin(), record);
+        }
+        if (end == AppendEnd::Taken) {
+            planner.onAppended(record.id);
+        } else if (end == AppendEnd::Refused) {
+            planner.onAppendRefused(record.id);
+        } else {
+            planner.onAppendUnknown(record.id);
+        }
+    }
+
+    OwnershipPlanner::Self self;
+    OwnershipPlanner planner;
+    std::function<AppendEnd()> nextEnd = [] { return AppendEnd::Taken; };
+    bool frozen = false;
+    std::size_t appends = 0;
+    std::size_t handovers = 0;
+    std::size_t lost = 0;
+    std::size_t gained = 0;
+};
+
+struct Region : testing::Test {
+    Daemon &start(const std::string &host, const std::string &zone, std::uint64_t incarnation = 1)
+    {
+        daemons.erase(host);
+        auto &daemon = *daemons.emplace(host, std::make_unique<Daemon>(host, zone, incarnation)).first->second;
+        members[HostId(host)] = {HostId(host), ZoneId(zone), Incarnation(incarnation), 0, MemberState::Alive, Listing::Listed};
+        daemon.planner.setThings(things);
+        tell();
+        return daemon;
+    }
+
+    void startAll(int hosts, int zones, int engines)
+    {
+        for (int at = 0; at < engines; ++at) {
+            things.push_back({engineThing(UpstreamId("e" + std::to_string(at))), ZoneId("z" + std::to_string(at % zones))});
+        }
+        things.push_back({loadsThing(), ZoneId()});
+        for (int at = 0; at < hosts; ++at) {
+            start("h" + std::to_string(at), "z" + std::to_string(at % zones));
+        }
+        run(Milliseconds(10'000));
+    }
+
+    void kill(const std::string &host)
+    {
+        daemons.erase(host);
+        setState(host, MemberState::Dead);
+    }
+
+    void setState(const std::string &host, MemberState state)
+    {
+        members[HostId(host)].state = state;
+        tell();
+    }
+
+    void tell()
+    {
+        std::vector<Member> all;
+        for (const auto &[host, member] : members) {
+            all.push_back(member);
+        }
+        for (auto &[host, daemon] : daemons) {
+            daemon->planner.setMembers(all);
+        }
+    }
+
+    void run(Milliseconds length)
+    {
+        for (auto end = clock.now() + length; clock.now() < end; clock.advance(step)) {
+            for (auto &[host, daemon] : daemons) {
+                if (!daemon->frozen) {
+                    daemon->read(log);
+                    daemon->act(log, clock.now());
+                }
+            }
+            expectOneActor();
+        }
+    }
+
+    /// Never two daemons on one epoch; and among daemons that run and can read the log, never two on one thing.
+    void expectOneActor()
+    {
+        for (const auto &placed : things) {
+            std::set<Epoch> epochs;
+            int running = 0;
+            for (auto &[host, daemon] : daemons) {
+                auto owner = daemon->planner.ownerOf(placed.thing);
+                bool acts = owner && daemon->planner.mayAct(placed.thing, owner->epoch, clock.now());
+                ASSERT_TRUE(!acts || epochs.insert(owner->epoch).second) << placed.thing.value();
+                running += acts && !daemon->frozen && !log.down ? 1 : 0;
+            }
+            ASSERT_LE(running, 1) << placed.thing.value();
+        }
+    }
+
+    /// How many things are owned by a daemon that runs, and acts on them.
+    std::size_t served()
+    {
+        std::size_t count = 0;
+        for (auto &[host, daemon] : daemons) {
+            for (const auto &holding : daemon->planner.holdings()) {
+                count += daemon->planner.mayAct(holding.thing, holding.epoch, clock.now()) ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    std::map<Thing, Owner> owners()
+    {
+        std::map<Thing, Owner> all;
+        for (const auto &placed : things) {
+            auto owner = daemons.begin()->second->planner.ownerOf(placed.thing);
+            all[placed.thing] = owner.value_or(Owner{});
+        }
+        return all;
+    }
+
+    Thing ownedBy(const std::string &host) { return daemons.at(host)->planner.holdings().at(0).thing; }
+
+    FakeClock clock;
+    Log log;
+    std::vector<PlacedThing> things;
+    std::map<HostId, Member> members;
+    std::map<std::string, std::unique_ptr<Daemon>> daemons;
+};
+
+using Planner = Region;
+
+} // namespace
+
+TEST_F(Planner, EachThingGetsOneOwnerInItsZone)
+{
+    startAll(8, 4, 22);
+    EXPECT_EQ(served(), things.size());
+    EXPECT_EQ(log.records.size(), things.size()) << "one append each";
+    for (const auto &placed : things) {
+        auto owner = owners()[placed.thing];
+        EXPECT_TRUE(placed.zone.empty() || members[owner.host].zone == placed.zone);
+    }
+}
+
+TEST_F(Planner, ADeadOwnersThingsMoveAndNoOthers)
+{
+    startAll(8, 4, 22);
+    auto before = owners();
+    kill("h3");
+    run(Milliseconds(3'000));
+    auto after = owners();
+    for (const auto &[thing, owner] : before) {
+        EXPECT_EQ(owner.host != HostId("h3"), after[thing] == owner) << thing.value();
+    }
+    EXPECT_EQ(served(), things.size());
+}
+
+TEST_F(Planner, SuspicionMovesNewWorkButNoOwnership)
+{
+    startAll(8, 4, 22);
+    auto before = owners();
+    auto thing = ownedBy("h3");
+    setState("h3", MemberState::Suspect);
+    EXPECT_FALSE(daemons.at("h0")->planner.isUsable(before[thing]));
+    run(Milliseconds(60'000));
+    EXPECT_EQ(owners(), before);
+    setState("h3", MemberState::Alive);
+    EXPECT_TRUE(daemons.at("h0")->planner.isUsable(before[thing]));
+}
+
+TEST_F(Planner, ARollingRestartMovesFewThings)
+{
+    startAll(8, 1, 160);
+    auto most = 2 * things.size() / daemons.size(); // twice the fair share of one daemon
+    for (std::uint64_t at = 0; at < 8; ++at) {
+        auto host = "h" + std::to_string(at);
+        auto appendsBefore = log.records.size();
+        setState(host, MemberState::Leaving);
+        daemons.at(host)->planner.stop();
+        run(Milliseconds(2'000));
+        EXPECT_TRUE(daemons.at(host)->planner.holdings().empty()) << "handed over before it ends";
+        daemons.erase(host);
+        run(Milliseconds(2'000));
+        EXPECT_EQ(served(), things.size());
+        start(host, "z0", 2);
+        run(Milliseconds(8'000));
+        EXPECT_EQ(served(), things.size());
+        EXPECT_LE(log.records.size() - appendsBefore, 4 * most) << "release and claim, away and back";
+    }
+}
+
+TEST_F(Planner, AHandoverWaitsUntilThePreferredOwnerStaysTheSame)
+{
+    startAll(4, 1, 40);
+    auto before = log.records.size();
+    for (int flap = 0; flap < 10; ++flap) {
+        start("h9", "z0", 1);
+        run(Milliseconds(2'000));
+        kill("h9");
+        run(Milliseconds(500));
+    }
+    EXPECT_EQ(log.records.size(), before) << "a daemon that comes and goes within the delay moves nothing";
+    start("h9", "z0", 2);
+    run(Milliseconds(6'000));
+    EXPECT_FALSE(daemons.at("h9")->planner.holdings().empty());
+    EXPECT_EQ(served(), things.size());
+}
+
+TEST_F(Planner, AnAppendWhoseAnswerIsLostIsReadBackOrTriedAgain)
+{
+    for (auto end : {AppendEnd::Lost, AppendEnd::LostButTaken}) {
+        things.clear();
+        daemons.clear();
+        log = {};
+        startAll(1, 1, 5);
+        auto &daemon = start("h0", "z0", 2);
+        bool first = true;
+        daemon.nextEnd = [&] { return std::exchange(first, false) ? end : AppendEnd::Taken; };
+        run(Milliseconds(10'000));
+        EXPECT_EQ(served(), things.size());
+        EXPECT_EQ(daemon.appends, things.size() + (end == AppendEnd::Lost ? 1 : 0));
+    }
+}
+
+TEST_F(Planner, AFrozenOwnerThatWakesActsOnNothingBeforeItReadsOfItsSuccessor)
+{
+    startAll(8, 4, 22);
+    auto thing = ownedBy("h3");
+    auto &sleeper = *daemons.at("h3");
+    auto epoch = sleeper.planner.ownerOf(thing)->epoch;
+    sleeper.frozen = true;
+    setState("h3", MemberState::Dead);
+    run(Milliseconds(5'000));
+    sleeper.frozen = false;
+    EXPECT_FALSE(sleeper.planner.mayAct(thing, epoch, clock.now())) << "before any event";
+    sleeper.act(log, clock.now());
+    EXPECT_FALSE(sleeper.planner.mayAct(thing, epoch, clock.now())) << "before a read";
+    sleeper.planner.onRecords(Offset(1), sleeper.planner.readTo().next(), {});
+    EXPECT_FALSE(sleeper.planner.mayAct(thing, epoch, clock.now())) << "a read that was in flight when it froze";
+    setState("h3", MemberState::Alive);
+    EXPECT_EQ(daemons.at("h0")->planner.evidence(thing, epoch), Evidence::None) << "a time-out is none";
+    run(Milliseconds(1'000));
+    EXPECT_GT(sleeper.lost, 0U);
+    EXPECT_EQ(daemons.at("h0")->planner.evidence(thing, epoch), Evidence::Released) << "it drained and said so";
+}
+
+TEST_F(Planner, EvidenceIsAReleaseANewerRunOrTheHostListAndNeverATimeOut)
+{
+    startAll(8, 4, 22);
+    auto thing = ownedBy("h3");
+    auto &judge = daemons.at("h0")->planner;
+    auto epoch = judge.ownerOf(thing)->epoch;
+    kill("h3");
+    run(Milliseconds(3'600'000));
+    EXPECT_EQ(judge.evidence(thing, epoch), Evidence::None);
+    members[HostId("h3")].listing = Listing::Gone;
+    tell();
+    EXPECT_EQ(judge.evidence(thing, epoch), Evidence::HostGone);
+    setState("h3", MemberState::Alive);
+    EXPECT_EQ(judge.evidence(thing, epoch), Evidence::None) << "it answers, whatever the list says";
+    members[HostId("h3")].incarnation = Incarnation(2);
+    tell();
+    EXPECT_EQ(judge.evidence(thing, epoch), Evidence::NewerIncarnation);
+    EXPECT_EQ(judge.evidence(thing, judge.ownerOf(thing)->epoch), Evidence::None) << "the epoch in force";
+}
+
+TEST_F(Planner, ADaemonThatNeverSawTheHostTakesAMuchNewerHostListAsEvidence)
+{
+    startAll(8, 4, 22);
+    auto thing = ownedBy("h3");
+    auto epoch = daemons.at("h0")->planner.ownerOf(thing)->epoch;
+    kill("h3");
+    run(Milliseconds(3'000));
+    members.erase(HostId("h3"));
+    auto &late = start("h9", "z3");
+    run(Milliseconds(3'000));
+    late.planner.setHostListTime(clock.now().sinceOrigin());
+    EXPECT_EQ(late.planner.evidence(thing, epoch), Evidence::None) << "the list may lag";
+    late.planner.setHostListTime(clock.now().sinceOrigin() + OwnershipPlanner::listLagMs);
+    EXPECT_EQ(late.planner.evidence(thing, epoch), Evidence::HostGone);
+}
+
+TEST_F(Planner, ALogOutageDuringAnOwnersDeathMovesNothingUntilTheLogIsBack)
+{
+    startAll(8, 4, 22);
+    auto before = owners();
+    auto thing = ownedBy("h3");
+    auto records = log.records.size();
+    log.down = true;
+    kill("h3");
+    run(Milliseconds(60'000));
+    EXPECT_EQ(log.records.size(), records);
+    std::size_t own = 0;
+    for (const auto &[name, owner] : before) {
+        own += owner.host != HostId("h3") ? 1 : 0;
+    }
+    EXPECT_EQ(served(), own) << "the others stay owners and act";
+    log.down = false;
+    run(Milliseconds(3'000));
+    EXPECT_EQ(served(), things.size());
+    EXPECT_NE(owners()[thing].host, HostId("h3"));
+}
+
+TEST_F(Planner, NothingIsClaimedBeforeTheStreamIsReadToItsEnd)
+{
+    startAll(4, 1, 10);
+    kill("h2");
+    auto &slow = *daemons.at("h1");
+    auto next = Offset(log.records.size() + 100); // 99 more records stand that it has not read
+    slow.planner.onLogDown();
+    for (int round = 0; round < 5; ++round) {
+        auto at = slow.planner.readTo().next();
+        slow.planner.onRecords(Offset(1), next, {{at, 0, std::nullopt}});
+        EXPECT_TRUE(slow.planner.tick(clock.now()).appends.empty());
+    }
+    EXPECT_FALSE(slow.planner.isCaughtUp());
+}
+
+TEST_F(Planner, ALostZonesThingsAreClaimedAtAPace)
+{
+    startAll(42, 3, 270);
+    auto before = log.records.size();
+    for (int at = 0; at < 42; at += 3) {
+        kill("h" + std::to_string(at));
+    }
+    auto zoneThings = things.size() - served();
+    EXPECT_GE(zoneThings, 90U);
+    run(step);
+    EXPECT_LE(log.records.size() - before, 28U * OwnershipPlanner::appendBurst);
+    run(Milliseconds(2'000));
+    EXPECT_EQ(served(), things.size());
+    EXPECT_EQ(log.records.size() - before, zoneThings) << "one append each";
+}
+
+TEST_F(Planner, OneDaemonClaimsNoFasterThanItsPace)
+{
+    startAll(1, 1, 400);
+    start("h0", "z0", 2);
+    auto before = log.records.size();
+    run(Milliseconds(3'000) + step * 2); // the wait after a start
+    for (int round = 0; round < 20; ++round) {
+        auto most = OwnershipPlanner::appendBurst + OwnershipPlanner::appendsPerSecond * (round + 3) * step.count() / 1'000;
+        EXPECT_LE(log.records.size() - before, most);
+        run(step);
+    }
+    run(Milliseconds(5'000));
+    EXPECT_EQ(log.records.size() - before, things.size());
+}
+
+TEST_F(Planner, ADaemonCutOffFromItsPeersButNotFromTheLogClaimsNothing)
+{
+    startAll(8, 4, 22);
+    auto before = owners();
+    auto &cut = daemons.at("h5")->planner;
+    std::vector<Member> view;
+    for (auto [host, member] : members) {
+        member.state = host == HostId("h5") ? MemberState::Alive : MemberState::Dead;
+        view.push_back(member);
+    }
+    cut.setMembers(view);
+    run(Milliseconds(30'000));
+    EXPECT_EQ(owners(), before);
+}
+
+TEST_F(Planner, OfTwoEvenHalvesOnlyTheOneWithTheLowestHostClaims)
+{
+    startAll(4, 1, 30);
+    for (auto &[name, daemon] : daemons) {
+        std::vector<Member> view;
+        bool low = name < "h2";
+        for (auto [host, member] : members) {
+            member.state = (host < HostId("h2")) == low ? MemberState::Alive : MemberState::Dead;
+            view.push_back(member);
+        }
+        daemon->planner.setMembers(view);
+    }
+    run(Milliseconds(10'000));
+    EXPECT_EQ(served(), things.size());
+    for (const auto &[thing, owner] : owners()) {
+        EXPECT_LT(owner.host, HostId("h2"));
+    }
+}
+
+TEST_F(Planner, AnOwnerThatTheMembershipDoesNotKnowYetIsNotReplaced)
+{
+    startAll(4, 1, 30);
+    auto before = owners();
+    members.erase(HostId("h3")); // as a daemon sees it to which the news of h3 has not come
+    tell();
+    run(Milliseconds(10'000));
+    EXPECT_EQ(owners(), before);
+    members[HostId("h3")] = {HostId("h3"), ZoneId("z0"), Incarnation(), 0, MemberState::Dead, Listing::Listed};
+    tell();
+    run(Milliseconds(10'000));
+    EXPECT_EQ(owners(), before) << "what is known of an earlier run says nothing of this one";
+}
+
+TEST_F(Planner, RegionsThatLoseEachOtherMoveNothing)
+{
+    startAll(4, 2, 20); // the stream, the host list and the membership hold one region only, so a split of regions is no event here
+    auto before = owners();
+    auto records = log.records.size();
+    run(Milliseconds(3'600'000));
+    EXPECT_EQ(owners(), before);
+    EXPECT_EQ(log.records.size(), records);
+}
+
+TEST_F(Planner, OwnersRefreshBeforeHalfOfTheRetention)
+{
+    startAll(1, 1, 3);
+    auto &daemon = *daemons.at("h0");
+    auto before = owners();
+    auto claimed = clock.now();
+    while (log.records.size() < 2 * things.size() && clock.now() < claimed + retention) {
+        clock.advance(Milliseconds(1'000));
+        daemon.read(log);
+        daemon.act(log, clock.now());
+    }
+    EXPECT_LT(clock.now() - claimed, retention / 2);
+    EXPECT_EQ(owners(), before) << "under the same epochs";
+    daemon.read(log);
+    daemon.planner.onRecords(Offset(things.size() + 1), daemon.planner.readTo().next(), {});
+    EXPECT_EQ(owners(), before) << "the claims themselves expired";
+}
+
+TEST_F(Planner, ARestartedDaemonClaimsWhatItsEarlierRunOwned)
+{
+    startAll(1, 1, 3);
+    auto thing = things[0].thing;
+    auto epoch = owners()[thing].epoch;
+    auto &daemon = start("h0", "z0", 2);
+    run(Milliseconds(5'000));
+    EXPECT_EQ(served(), things.size());
+    EXPECT_EQ(daemon.planner.evidence(thing, epoch), Evidence::NewerIncarnation);
+}
+
+TEST_F(Planner, AnOlderRunOfTheSameHostClaimsNothing)
+{
+    startAll(2, 1, 10);
+    auto &old = *daemons.at("h1");
+    members[HostId("h1")].incarnation = Incarnation(2);
+    tell();
+    auto records = log.records.size();
+    kill("h0");
+    members[HostId("h1")].state = MemberState::Alive;
+    members[HostId("h0")].listing = Listing::Gone;
+    old.planner.setMembers({members[HostId("h0")], members[HostId("h1")]});
+    run(Milliseconds(10'000));
+    EXPECT_EQ(log.records.size(), records);
+}
+
+TEST_F(Planner, AThingThatIsTakenAwayIsToldAsLost)
+{
+    startAll(1, 1, 3);
+    auto &daemon = *daemons.at("h0");
+    auto gone = things.front();
+    daemon.planner.setThings({things.begin() + 1, things.end()});
+    run(step);
+    EXPECT_EQ(daemon.lost, 1U);
+    EXPECT_EQ(daemon.planner.holdings().size(), things.size() - 1);
+}
+
+/// Kills, freezes, restarts, lost answers, false news and log outages in any order: never two actors on one epoch (checked after each
+/// step), and everything is served again once the faults end.
+TEST_F(Planner, RandomFaultsNeverMakeTwoActorsAndAlwaysHeal)
+{
+    for (unsigned seed = 1; seed <= 30; ++seed) {
+        std::mt19937 random(seed);
+        things.clear();
+        daemons.clear();
+        members.clear();
+        log = {};
+        startAll(6, 3, 12);
+        std::uint64_t incarnation = 1;
+        for (int round = 0; round < 60; ++round) {
+            auto host = "h" + std::to_string(random() % 6);
+            bool runs = daemons.contains(host);
+            switch (random() % 7) {
+            case 0:
+                kill(host);
+                break;
+            case 1:
+                start(host, members[HostId(host)].zone.value(), ++incarnation);
+                break;
+            case 2:
+                log.down = !log.down;
+                break;
+            case 3:
+                setState(host, static_cast<MemberState>(random() % 3));
+                break;
+            case 4:
+                if (runs) {
+                    daemons.at(host)->frozen = !daemons.at(host)->frozen;
+                }
+                break;
+            case 5:
+                if (runs) {
+                    daemons.at(host)->nextEnd = [&random] { return static_cast<AppendEnd>(random() % 4); };
+                }
+                break;
+            default:
+                break;
+            }
+            run(Milliseconds(500 + random() % 3'000));
+            ASSERT_FALSE(HasFatalFailure()) << "seed " << seed;
+        }
+        log.down = false;
+        for (int at = 0; at < 6; ++at) {
+            auto host = "h" + std::to_string(at);
+            if (!daemons.contains(host)) {
+                start(host, members[HostId(host)].zone.value(), ++incarnation);
+            }
+            daemons.at(host)->frozen = false;
+            daemons.at(host)->nextEnd = [] { return AppendEnd::Taken; };
+            setState(host, MemberState::Alive);
+        }
+        run(Milliseconds(45'000));
+        EXPECT_EQ(served(), things.size()) << "seed " << seed;
+        auto verdict = owners();
+        ClaimTable late; // a reader that starts now
+        for (std::size_t at = 0; at < log.records.size(); ++at) {
+            late.apply(Offset(at + 1), log.records[at].second, 0);
+        }
+        for (const auto &[thing, owner] : verdict) {
+            EXPECT_EQ(late.ownerOf(thing), owner) << "seed " << seed;
+        }
+    }
+}
