Add a bounded queue that serves plans by their shares

Start-time fair queueing: a plan is charged when an item is served. When the queue is full, the newest item of the plan most over its share is refused, be it the newcomer or a queued item that makes room.

--- /dev/null
+++ b/packages/admission/fairqueue.h
@@ -0,0 +1,297 @@
+// admission/fairqueue.h: a bounded queue that serves plans in proportion to their shares (start-time fair queueing).
+//
+// Index
+//   FairQueue        push, pop, popIf, remove, look inside
+//   Pushed           what became of a push: a ticket, and whoever has to be refused for it
+//
+//   FairQueue<Waiting> queue(64);
+//   auto pushed = queue.push(plan, share, waiting);
+//   if (pushed.refused) { refuse(*pushed.refused); } // the newcomer, or a queued item of the plan most over its share
+//   while (hasFreeSlot()) { start(queue.popIf([&](const Waiting &item) { return isResident(item.adapter); })); }
+//
+// How it orders. Each plan with waiting items has a start tag in virtual time. The plan with the lowest tag is served next
+// and its tag rises by cost / share, so over any busy period plans are served in proportion to their shares. Within a plan
+// items are served first in, first out. A plan is charged when an item is served, not when it is pushed: items that are
+// removed or displaced cost their plan nothing. A plan that comes back after a pause begins at the present virtual time; it
+// neither saves up service nor owes any.
+//
+// Who is refused when it is full. The plan with the most waiting items for each unit of share is the one most over its share.
+// If that is the newcomer's plan, the newcomer is refused. If not, the newest item of the most-over plan makes room, and
+// is handed back so that its caller is told at once: refusing the newcomer instead would let the plan that filled the
+// queue first keep all others out, and displacing its newest item keeps what has waited longest.
+//
+// Limits. Shares are relative to each other, so they may be of any scale; keep one scale within a queue. The queue does not
+// preempt: what has been popped runs. It looks at no clock; deadlines are the caller's business (removeIf).
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <core/types.h>
+
+namespace baobabstall::admission {
+
+using Ticket = core::Ordinal<struct TicketTag>; // names one waiting item; unique within a queue, never used twice
+
+/// The result of a push.
+template<typename T>
+struct Pushed {
+    std::optional<Ticket> ticket; // none: the newcomer itself was refused
+    std::optional<T> refused;     // to be refused now: the newcomer, or the item that made room for it
+};
+
+/// Weighted fair queue among plans. Push, pop and remove take O(log n) in the number of plans; popIf and a push to a full queue
+/// look at more, see there. Not thread-safe.
+template<typename T>
+class FairQueue
+{
+public:
+    explicit FairQueue(std::size_t capacity) // items of all plans together
+        : capacity_(capacity)
+    { }
+    FairQueue(const FairQueue &) = delete; // plans are referred to by address
+    FairQueue &operator=(const FairQueue &) = delete;
+
+    /// Adds an item. `share` must be above 0; a new value holds for the plan from its next service on. `cost` is the service the item
+    /// takes, relative to other items. O(plans) when the queue is full.
+    Pushed<T> push(const core::PlanId &plan, double share, T item, double cost = 1);
+
+    /// The next item in fair order; nothing when the queue is empty.
+    std::optional<T> pop();
+    /// The first item in fair order that `matches`; plans that are passed over keep their tags, so they come first once they match.
+    /// O(n) when few match.
+    template<typename Predicate>
+    std::optional<T> popIf(Predicate matches);
+
+    /// Takes out one item without serving it; nothing when it has been served or removed.
+    std::optional<T> remove(Ticket ticket);
+    /// Takes out all that match, in fair order of plans: passed deadlines, callers that went away. O(n).
+    template<typename Predicate>
+    std::vector<T> removeIf(Predicate matches);
+
+    /// How many items would be served before a newcomer of this plan, if nothing else came. O(plans). For the expected wait.
+    [[nodiscard]] double itemsAhead(const core::PlanId &plan, double share) const;
+    [[nodiscard]] std::size_t size() const { return places_.size(); }
+    [[nodiscard]] std::size_t size(const core::PlanId &plan) const; // waiting items of one plan
+    [[nodiscard]] std::size_t capacity() const { return capacity_; }
+    [[nodiscard]] bool empty() const { return places_.empty(); }
+    /// Calls visit(plan, share, item) for each waiting item, plans in fair order.
+    template<typename Visit>
+    void forEach(Visit visit) const;
+
+private:
+    struct Entry {
+        Ticket ticket;
+        double cost = 1;
+        T item;
+    };
+    struct Plan {
+        core::PlanId id;
+        double share = 1;
+        double tag = 0;          // start tag of the next service; while idle: where the last one ended
+        std::uint64_t order = 0; // breaks ties of tags by who came first, so that runs can be repeated
+        std::list<Entry> waiting;
+    };
+    struct InFairOrder {
+        bool operator()(const Plan *a, const Plan *b) const { return std::pair(a->tag, a->order) < std::pair(b->tag, b->order); }
+    };
+    struct Place {
+        Plan *plan = nullptr;
+        typename std::list<Entry>::iterator entry;
+    };
+
+    Plan &planOf(const core::PlanId &id, double share);
+    void append(Plan &plan, T item, double cost);
+    Plan *mostOverShare();
+    void charge(Plan &plan, double cost);
+    T take(Plan &plan, typename std::list<Entry>::iterator entry);
+    void forgetIdle();
+    static double load(const Plan &plan, std::size_t more) { return static_cast<double>(plan.waiting.size() + more) / plan.share; }
+
+    std::size_t capacity_;
+    double virtualTime_ = 0;
+    Ticket lastTicket_;
+    std::uint64_t lastOrder_ = 0;
+    std::map<core::PlanId, Plan> plans_;
+    std::set<Plan *, InFairOrder> backlogged_; // plans with waiting items
+    std::unordered_map<Ticket, Place> places_;
+};
+
+template<typename T>
+Pushed<T> FairQueue<T>::push(const core::PlanId &id, double share, T item, double cost)
+{
+    Plan &plan = planOf(id, share);
+    Pushed<T> result;
+    if (size() >= capacity_) {
+        Plan *over = mostOverShare();
+        if (over == nullptr || load(*over, 0) <= load(plan, 1)) {
+            result.refused = std::move(item);
+            return result;
+        }
+        result.refused = take(*over, std::prev(over->waiting.end()));
+    }
+    append(plan, std::move(item), cost);
+    result.ticket = lastTicket_;
+    return result;
+}
+
+template<typename T>
+std::optional<T> FairQueue<T>::pop()
+{
+    return popIf([](const T &) { return true; });
+}
+
+template<typename T>
+template<typename Predicate>
+std::optional<T> FairQueue<T>::popIf(Predicate matches)
+{
+    for (Plan *plan : backlogged_) {
+        const auto entry = std::find_if(plan->waiting.begin(), plan->waiting.end(), [&](const Entry &each) { return matches(each.item); });
+        if (entry != plan->waiting.end()) {
+            charge(*plan, entry->cost);
+            std::optional<T> item = take(*plan, entry);
+            forgetIdle();
+            return item;
+        }
+    }
+    return std::nullopt;
+}
+
+template<typename T>
+std::optional<T> FairQueue<T>::remove(Ticket ticket)
+{
+    const auto found = places_.find(ticket);
+    if (found == places_.end()) {
+        return std::nullopt;
+    }
+    const Place place = found->second;
+    std::optional<T> item = take(*place.plan, place.entry);
+    forgetIdle();
+    return item;
+}
+
+template<typename T>
+template<typename Predicate>
+std::vector<T> FairQueue<T>::removeIf(Predicate matches)
+{
+    std::vector<Ticket> gone;
+    for (const Plan *plan : backlogged_) {
+        for (const Entry &entry : plan->waiting) {
+            if (matches(entry.item)) {
+                gone.push_back(entry.ticket);
+            }
+        }
+    }
+    std::vector<T> items;
+    items.reserve(gone.size());
+    for (const Ticket ticket : gone) {
+        items.push_back(*remove(ticket));
+    }
+    return items;
+}
+
+template<typename T>
+double FairQueue<T>::itemsAhead(const core::PlanId &id, double share) const
+{
+    const auto own = static_cast<double>(size(id));
+    double ahead = own;
+    for (const Plan *plan : backlogged_) {
+        if (plan->id != id) {
+            const double servedMeanwhile = (own + 1) * plan->share / share;
+            ahead += std::min(static_cast<double>(plan->waiting.size()), servedMeanwhile);
+        }
+    }
+    return ahead;
+}
+
+template<typename T>
+std::size_t FairQueue<T>::size(const core::PlanId &plan) const
+{
+    const auto found = plans_.find(plan);
+    return found == plans_.end() ? 0 : found->second.waiting.size();
+}
+
+template<typename T>
+template<typename Visit>
+void FairQueue<T>::forEach(Visit visit) const
+{
+    for (const Plan *plan : backlogged_) {
+        for (const Entry &entry : plan->waiting) {
+            visit(plan->id, plan->share, entry.item);
+        }
+    }
+}
+
+template<typename T>
+typename FairQueue<T>::Plan &FairQueue<T>::planOf(const core::PlanId &id, double share)
+{
+    Plan &plan = plans_[id];
+    if (plan.id.empty()) {
+        plan.id = id;
+    }
+    plan.share = share;
+    return plan;
+}
+
+template<typename T>
+void FairQueue<T>::append(Plan &plan, T item, double cost)
+{
+    lastTicket_ = lastTicket_.next();
+    const bool wasIdle = plan.waiting.empty();
+    plan.waiting.push_back(Entry{lastTicket_, cost, std::move(item)});
+    places_[lastTicket_] = Place{&plan, std::prev(plan.waiting.end())};
+    if (wasIdle) {
+        plan.tag = std::max(plan.tag, virtualTime_);
+        plan.order = ++lastOrder_;
+        backlogged_.insert(&plan);
+    }
+}
+
+template<typename T>
+typename FairQueue<T>::Plan *FairQueue<T>::mostOverShare()
+{
+    const auto lessOver = [](const Plan *a, const Plan *b) { return load(*a, 0) < load(*b, 0); };
+    const auto most = std::max_element(backlogged_.begin(), backlogged_.end(), lessOver);
+    return most == backlogged_.end() ? nullptr : *most;
+}
+
+template<typename T>
+void FairQueue<T>::charge(Plan &plan, double cost)
+{
+    backlogged_.erase(&plan);
+    virtualTime_ = std::max(virtualTime_, plan.tag);
+    plan.tag += cost / plan.share;
+    backlogged_.insert(&plan);
+}
+
+template<typename T>
+T FairQueue<T>::take(Plan &plan, typename std::list<Entry>::iterator entry)
+{
+    T item = std::move(entry->item);
+    places_.erase(entry->ticket);
+    plan.waiting.erase(entry);
+    if (plan.waiting.empty()) {
+        backlogged_.erase(&plan);
+    }
+    return item;
+}
+
+/// An empty queue has no one to be fair to: it begins anew, so that plans which no longer exist leave nothing behind.
+template<typename T>
+void FairQueue<T>::forgetIdle()
+{
+    if (places_.empty()) {
+        plans_.clear();
+        virtualTime_ = 0;
+    }
+}
+
+} // namespace baobabstall::admission
