Add limits by plan, the retry budget and early refusal under overload

Retry-After comes from the drain rate measured while something waits; callers of one plan are put in line one service time apart. Time without a backlog does not count, so a light load does not look like a slow drain.

--- /dev/null
+++ b/packages/admission/rates.cpp
@@ -0,0 +1,102 @@
+#include <admission/rates.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace baobabstall::admission {
+
+namespace {
+
+constexpr double msPerSecond = 1'000;
+constexpr double drainHalfLifeMs = 5'000; // of backlogged time
+constexpr double priorMs = 1'000;         // backlogged time at which measured and expected drain weigh the same
+constexpr double serviceWeight = 0.05;    // of the newest item in the mean time of service
+constexpr double unknownPerSecond = 1;    // before anything has been measured
+constexpr double slowestPerSecond = 0.01; // a stopped queue still gets a finite wait
+
+double halved(double value, double elapsedMs, double halfLifeMs)
+{
+    return value * std::exp2(-elapsedMs / halfLifeMs);
+}
+
+double toMs(Milliseconds time)
+{
+    return static_cast<double>(time.count());
+}
+
+} // namespace
+
+void DecayingCount::add(Instant now, double amount)
+{
+    value_ = value(now) + amount;
+    at_ = now;
+}
+
+void DecayingCount::raiseTo(Instant now, double least)
+{
+    value_ = std::max(value(now), least);
+    at_ = now;
+}
+
+double DecayingCount::value(Instant now) const
+{
+    return halved(value_, toMs(now - at_), toMs(halfLife_));
+}
+
+DrainRate::DrainRate(int concurrency)
+    : concurrency_(concurrency)
+{ }
+
+void DrainRate::setBacklogged(Instant now, bool backlogged)
+{
+    age(now);
+    backlogged_ = backlogged;
+}
+
+void DrainRate::onFinish(Instant now, Milliseconds took)
+{
+    age(now);
+    if (backlogged_) {
+        finished_ += 1;
+    }
+    serviceMs_ = serviceMs_ == 0 ? toMs(took) : serviceMs_ + serviceWeight * (toMs(took) - serviceMs_);
+}
+
+double DrainRate::perSecond(Instant now) const
+{
+    const double expected = serviceMs_ > 0 ? concurrency_ * msPerSecond / serviceMs_ : unknownPerSecond;
+    const double fresh = backlogged_ ? toMs(now - since_) : 0;
+    const double finished = halved(finished_, fresh, drainHalfLifeMs);
+    const double rate = (finished * msPerSecond + expected * priorMs) / (backloggedMs(now) + priorMs);
+    return std::max(rate, slowestPerSecond);
+}
+
+Milliseconds DrainRate::timeFor(double items, Instant now) const
+{
+    return Milliseconds(std::llround(std::ceil(items * msPerSecond / perSecond(now))));
+}
+
+double DrainRate::backloggedMs(Instant now) const
+{
+    const double fresh = backlogged_ ? toMs(now - since_) : 0;
+    return halved(backloggedMs_, fresh, drainHalfLifeMs) + fresh;
+}
+
+void DrainRate::age(Instant now)
+{
+    const double fresh = backlogged_ ? toMs(now - since_) : 0;
+    finished_ = halved(finished_, fresh, drainHalfLifeMs);
+    backloggedMs_ = halved(backloggedMs_, fresh, drainHalfLifeMs) + fresh;
+    since_ = now;
+}
+
+Milliseconds ReturnLine::place(Instant now, Milliseconds untilRoom, double perSecond)
+{
+    const auto nowMs = static_cast<double>(now.sinceOrigin());
+    const double earliest = nowMs + toMs(untilRoom);
+    const double latest = nowMs + toMs(longest);
+    lastMs_ = std::clamp(lastMs_ + msPerSecond / perSecond, std::min(earliest, latest), latest);
+    return Milliseconds(std::llround(std::ceil(lastMs_ - nowMs)));
+}
+
+} // namespace baobabstall::admission
--- /dev/null
+++ b/packages/admission/tests/limitstest.cpp
@@ -0,0 +1,258 @@
+#include <gtest/gtest.h>
+
+#include <admission/overload.h>
+#include <admission/planlimiter.h>
+#include <admission/rates.h>
+#include <admission/retrybudget.h>
+#include <core/clock.h>
+
+namespace baobabstall::admission {
+
+namespace {
+
+using core::PlanId;
+
+const PlanId gold("gold");
+const PlanId basic("basic");
+constexpr Milliseconds second{1'000};
+
+int acquireMany(PlanLimiter &limiter, const PlanId &plan, int count, Instant now)
+{
+    int got = 0;
+    core::Error why;
+    for (int i = 0; i < count; ++i) {
+        got += limiter.acquire(plan, now, why) ? 1 : 0;
+    }
+    return got;
+}
+
+settings::Admission hundredSlots()
+{
+    settings::Admission options;
+    options.maxInFlight = 100;
+    options.planBurst = 2;
+    return options;
+}
+
+} // namespace
+
+TEST(DecayingCount, halves_every_half_life)
+{
+    core::FakeClock clock;
+    DecayingCount count(second);
+    count.add(clock.now(), 8);
+    clock.advance(second * 2);
+    EXPECT_DOUBLE_EQ(count.value(clock.now()), 2);
+    count.raiseTo(clock.now(), 1);
+    EXPECT_DOUBLE_EQ(count.value(clock.now()), 2);
+    count.raiseTo(clock.now(), 5);
+    EXPECT_DOUBLE_EQ(count.value(clock.now()), 5);
+}
+
+TEST(DrainRate, measures_what_leaves_a_backlogged_queue)
+{
+    core::FakeClock clock;
+    DrainRate drain(16);
+    drain.setBacklogged(clock.now(), true);
+    for (int i = 0; i < 200; ++i) {
+        clock.advance(Milliseconds(100));
+        drain.onFinish(clock.now(), second);
+    }
+    EXPECT_NEAR(drain.perSecond(clock.now()), 10, 1);
+    EXPECT_NEAR(static_cast<double>(drain.timeFor(20, clock.now()).count()), 2'000, 200);
+}
+
+TEST(DrainRate, a_light_load_is_not_a_slow_drain)
+{
+    core::FakeClock clock;
+    DrainRate drain(16);
+    for (int i = 0; i < 20; ++i) {
+        clock.advance(second * 10);
+        drain.onFinish(clock.now(), second);
+    }
+    EXPECT_NEAR(drain.perSecond(clock.now()), 16, 0.1) << "16 at once, one second each";
+}
+
+TEST(DrainRate, falls_when_an_upstream_stops)
+{
+    core::FakeClock clock;
+    DrainRate drain(16);
+    drain.onFinish(clock.now(), second);
+    drain.setBacklogged(clock.now(), true);
+    clock.advance(second * 30);
+    EXPECT_LT(drain.perSecond(clock.now()), 2);
+    EXPECT_GT(drain.perSecond(clock.now()), 0);
+}
+
+TEST(ReturnLine, sends_callers_back_one_service_time_apart)
+{
+    core::FakeClock clock;
+    clock.advance(second * 1'000);
+    ReturnLine line;
+    const double perSecond = 4;
+    EXPECT_EQ(line.place(clock.now(), second, perSecond), second);
+    EXPECT_EQ(line.place(clock.now(), second, perSecond), Milliseconds(1'250));
+    EXPECT_EQ(line.place(clock.now(), second, perSecond), Milliseconds(1'500));
+    clock.advance(second * 5);
+    EXPECT_EQ(line.place(clock.now(), second, perSecond), second) << "a line that has passed is forgotten";
+}
+
+TEST(ReturnLine, never_sends_anyone_away_for_longer_than_the_limit)
+{
+    core::FakeClock clock;
+    ReturnLine line;
+    for (int i = 0; i < 100; ++i) {
+        EXPECT_LE(line.place(clock.now(), second * 100, 1), ReturnLine::longest);
+    }
+}
+
+TEST(RetryBudget, retries_are_paid_by_successes)
+{
+    core::FakeClock clock;
+    RetryBudget budget(settings::Retries{.maxAttempts = 3, .budgetShare = 0.1, .budgetReserve = 0});
+    EXPECT_FALSE(budget.spend(1, clock.now()));
+    for (int i = 0; i < 20; ++i) {
+        budget.onSuccess(clock.now());
+    }
+    EXPECT_TRUE(budget.spend(1, clock.now()));
+    EXPECT_TRUE(budget.spend(2, clock.now()));
+    EXPECT_FALSE(budget.spend(1, clock.now()));
+}
+
+TEST(RetryBudget, the_reserve_allows_a_few_and_comes_back)
+{
+    core::FakeClock clock;
+    RetryBudget budget(settings::Retries{.maxAttempts = 3, .budgetShare = 0.1, .budgetReserve = 2});
+    EXPECT_TRUE(budget.spend(1, clock.now()));
+    EXPECT_TRUE(budget.spend(1, clock.now()));
+    EXPECT_FALSE(budget.spend(1, clock.now()));
+    clock.advance(RetryBudget::halfLife);
+    EXPECT_TRUE(budget.spend(1, clock.now()));
+}
+
+TEST(RetryBudget, a_request_has_its_own_limit)
+{
+    core::FakeClock clock;
+    RetryBudget budget(settings::Retries{.maxAttempts = 2, .budgetShare = 0.1, .budgetReserve = 100});
+    EXPECT_TRUE(budget.spend(1, clock.now()));
+    EXPECT_FALSE(budget.spend(2, clock.now()));
+}
+
+TEST(PlanLimiter, a_plan_may_burst_while_others_leave_room)
+{
+    PlanLimiter limiter(hundredSlots());
+    limiter.setPlans({{gold, {.share = 3}}, {basic, {.share = 1}}});
+    EXPECT_EQ(acquireMany(limiter, basic, 100, Instant(0)), 50) << "twice its share of 25";
+    EXPECT_EQ(limiter.inFlight(), 50);
+}
+
+TEST(PlanLimiter, what_others_recently_used_stays_free_for_them)
+{
+    PlanLimiter limiter(hundredSlots());
+    limiter.setPlans({{gold, {.share = 3}}, {basic, {.share = 1}}});
+    core::Error why;
+    std::vector<PlanSlot> slots;
+    for (int i = 0; i < 70; ++i) {
+        slots.push_back(*limiter.acquire(gold, Instant(0), why));
+    }
+    for (const PlanSlot &slot : slots) {
+        limiter.release(slot, Instant(1'000));
+    }
+    const int basicGot = acquireMany(limiter, basic, 100, Instant(1'000));
+    EXPECT_GE(basicGot, 25) << "its share";
+    EXPECT_LE(basicGot, 30) << "gold used 70 a second ago";
+    EXPECT_GE(acquireMany(limiter, gold, 100, Instant(1'000)), 70);
+    EXPECT_LE(limiter.inFlight(), 100);
+}
+
+TEST(PlanLimiter, a_plan_that_wakes_up_finds_room)
+{
+    PlanLimiter limiter(hundredSlots());
+    limiter.setPlans({{gold, {.share = 1}}, {basic, {.share = 1}}});
+    EXPECT_EQ(acquireMany(limiter, basic, 1'000, Instant(0)), 93) << "all but the part kept for plans that wake up";
+    EXPECT_EQ(acquireMany(limiter, gold, 1'000, Instant(0)), 7);
+}
+
+TEST(PlanLimiter, refusals_say_why_and_when_to_come_back)
+{
+    PlanLimiter limiter(hundredSlots());
+    limiter.setPlans({{gold, {.share = 1, .maxInFlight = 2}}});
+    core::Error why;
+    acquireMany(limiter, gold, 2, Instant(0));
+    EXPECT_FALSE(limiter.acquire(gold, Instant(0), why));
+    EXPECT_EQ(why.step, core::Step::Limit);
+    EXPECT_EQ(why.refusal, core::Refusal::TooMany);
+    EXPECT_EQ(why.outcome, core::Outcome::NotRun);
+    ASSERT_TRUE(why.retryAfter);
+    EXPECT_GT(*why.retryAfter, Milliseconds(0));
+    EXPECT_FALSE(limiter.acquire(basic, Instant(0), why));
+    EXPECT_EQ(why.refusal, core::Refusal::Forbidden);
+}
+
+TEST(PlanLimiter, a_full_host_refuses_all)
+{
+    settings::Admission options = hundredSlots();
+    options.maxInFlight = 2;
+    PlanLimiter limiter(options);
+    limiter.setPlans({{gold, {.share = 1}}, {basic, {.share = 1}}, {PlanId("trial"), {.share = 1}}});
+    core::Error why;
+    EXPECT_TRUE(limiter.acquire(gold, Instant(0), why));
+    EXPECT_TRUE(limiter.acquire(basic, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(PlanId("trial"), Instant(0), why));
+    EXPECT_EQ(why.refusal, core::Refusal::Unavailable);
+    EXPECT_TRUE(why.retryAfter);
+}
+
+TEST(PlanLimiter, a_new_list_keeps_what_is_in_flight)
+{
+    PlanLimiter limiter(hundredSlots());
+    limiter.setPlans({{gold, {.share = 1}}});
+    core::Error why;
+    const auto slot = limiter.acquire(gold, Instant(0), why);
+    ASSERT_TRUE(slot);
+    limiter.setPlans({{basic, {.share = 1}}});
+    EXPECT_EQ(limiter.inFlight(), 1);
+    EXPECT_FALSE(limiter.acquire(gold, Instant(0), why));
+    limiter.release(*slot, Instant(10));
+    EXPECT_EQ(limiter.inFlight(), 0);
+    limiter.release(*slot, Instant(10));
+    EXPECT_EQ(limiter.inFlight(), 0) << "a second release changes nothing";
+}
+
+TEST(OverloadGate, refuses_at_once_what_would_wait_too_long)
+{
+    OverloadGate gate(settings::Admission{.engineConcurrency = 10, .maxQueueWait = Milliseconds(5'000)});
+    gate.onFinish(Instant(0), second);
+    core::Error why;
+    EXPECT_EQ(gate.admit(gold, {.itemsAhead = 500, .freeSlot = true}, Instant(0), why), Milliseconds(0));
+    EXPECT_EQ(gate.admit(gold, {.itemsAhead = 19}, Instant(0), why), second * 2);
+    EXPECT_FALSE(gate.admit(gold, {.itemsAhead = 79}, Instant(0), why));
+    EXPECT_EQ(why.step, core::Step::Admit);
+    EXPECT_EQ(why.refusal, core::Refusal::Unavailable);
+    EXPECT_EQ(why.outcome, core::Outcome::NotRun);
+    EXPECT_EQ(why.retryAfter, second * 3) << "8 s to drain, of which 5 s may be waited";
+}
+
+TEST(OverloadGate, refuses_what_would_miss_its_deadline)
+{
+    OverloadGate gate(settings::Admission{.engineConcurrency = 10});
+    gate.onFinish(Instant(0), second);
+    core::Error why;
+    EXPECT_TRUE(gate.admit(gold, {.itemsAhead = 9, .deadline = Instant(2'000)}, Instant(0), why));
+    EXPECT_FALSE(gate.admit(gold, {.itemsAhead = 9, .deadline = Instant(1'900)}, Instant(0), why));
+    EXPECT_TRUE(why.retryAfter);
+    EXPECT_FALSE(gate.admit(gold, {.loadWait = Milliseconds(1'500), .deadline = Instant(2'400)}, Instant(0), why));
+    EXPECT_FALSE(gate.admit(gold, {.freeSlot = true, .deadline = Instant(900)}, Instant(0), why));
+    EXPECT_FALSE(why.retryAfter) << "a later try with so near a deadline fares no better";
+}
+
+TEST(OverloadGate, what_is_displaced_is_over_its_plans_share)
+{
+    OverloadGate gate(settings::Admission{.engineConcurrency = 10});
+    gate.onFinish(Instant(0), second);
+    const core::Error why = gate.refusalOfDisplaced(basic, 64, Instant(0));
+    EXPECT_EQ(why.refusal, core::Refusal::TooMany);
+    EXPECT_EQ(why.retryAfter, Milliseconds(3'200));
+}
+
+} // namespace baobabstall::admission
