--- a/packages/admission/tests/limitstest.cpp
+++ b/packages/admission/tests/limitstest.cpp
@@ -152,6 +152,7 @@
     limiter.setPlans({{gold, {.share = 3}}, {basic, {.share = 1}}});
     core::Error why;
     std::vector<PlanSlot> slots;
+    slots.reserve(70);
     for (int i = 0; i < 70; ++i) {
         slots.push_back(*limiter.acquire(gold, Instant(0), why));
     }
