--- /dev/null
+++ b/packages/net/httpserver.cpp
@@ -0,0 +1,441 @@
+#include <net/http.h>
+
+#include <array>
+#include <set>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace baobabstall::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto tuple = asio::as_tuple(asio::use_awaitable);
+constexpr core::Milliseconds acceptPause{50};    // after a failed accept, such as no free descriptor
+constexpr core::Milliseconds lingerTimeout{500}; // for a refused caller to read its answer before the close
+
+std::chrono::milliseconds chronoOf(core::Milliseconds time)
+{
+    return std::chrono::milliseconds(time.count());
+}
+
+/// The answer to a request that could not be read. Nothing: the connection just ended.
+std::optional<HttpResponse> answerToReadError(error_code failed)
+{
+    const auto error = [](int status, std::string_view type, std::string_view message) {
+        return HttpResponse::json(status,
+                                  std::string(R"({"error":{"type":")") + std::string(type) + R"(","message":")" + std::string(message)
+                                      + R"(","step":"receive","outcome":"not_run"}})");
+    };
+    if (failed == beast::error::timeout) {
+        return error(408, "timeout", "the request did not arrive in time; send it faster");
+    }
+    if (failed == http::error::body_limit) {
+        return error(413, "too_large", "the body is over the limit; send a shorter one");
+    }
+    if (failed == http::error::header_limit) {
+        return error(431, "too_large", "the headers are over the limit; send fewer or shorter ones");
+    }
+    if (failed.category() == http::make_error_code(http::error::bad_value).category() && failed != http::error::end_of_stream
+        && failed != http::error::partial_message) {
+        return error(400, "bad_request", "this is not HTTP/1.1");
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+class Connection;
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+    State(asio::io_context &context, ServerLimits serverLimits, Handler requestHandler)
+        : io(context)
+        , limits(serverLimits)
+        , handler(std::move(requestHandler))
+        , acceptor(context)
+    { }
+
+    Task<void> acceptLoop();
+    void closeIdle();
+
+    asio::io_context &io;
+    ServerLimits limits;
+    Handler handler;
+    tcp::acceptor acceptor;
+    std::set<Connection *> connections;
+    std::size_t openExchanges = 0;
+    bool isStopping = false;
+};
+
+/// One accepted connection; serves its requests one after the other.
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<HttpServer::State> server, tcp::socket socket)
+        : server_(std::move(server))
+        , stream_(std::move(socket))
+        , readTimer_(server_->io)
+    {
+        error_code failed;
+        const auto endpoint = stream_.socket().remote_endpoint(failed);
+        peer_ = failed ? std::string("unknown") : Address{endpoint.address().to_string(), endpoint.port()}.text();
+        stream_.socket().set_option(tcp::no_delay(true), failed);
+        server_->connections.insert(this);
+    }
+
+    ~Connection() { server_->connections.erase(this); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    Task<void> serve()
+    {
+        while (co_await serveOne()) { }
+        error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        stream_.close();
+    }
+
+    void closeIfIdle()
+    {
+        if (isIdle_) {
+            stream_.cancel();
+        }
+    }
+
+    /// Watches for the caller closing its side while its request is being answered.
+    void watchPeer(std::function<void()> callback)
+    {
+        onGone_ = std::move(callback);
+        stream_.socket().async_wait(tcp::socket::wait_read, [self = weak_from_this(), generation = exchangeCount_](error_code failed) {
+            if (const auto connection = self.lock(); connection && connection->exchangeCount_ == generation && !failed) {
+                connection->checkPeer();
+            }
+        });
+    }
+
+    Task<bool> send(std::string data)
+    {
+        if (isPeerGone_) {
+            co_return false;
+        }
+        stream_.expires_after(chronoOf(server_->limits.sendTimeout));
+        const auto [failed, count] = co_await asio::async_write(stream_, asio::buffer(data), tuple);
+        isPeerGone_ = isPeerGone_ || failed;
+        co_return !failed;
+    }
+
+    [[nodiscard]] const std::string &peer() const { return peer_; }
+    [[nodiscard]] bool keepsAlive() const { return keepAlive_ && !server_->isStopping; }
+
+private:
+    Task<bool> serveOne();
+    Task<error_code> receive(http::request_parser<http::string_body> &parser);
+    Task<error_code> receiveMessage(http::request_parser<http::string_body> &parser);
+    void cancelReadsAfter(core::Milliseconds time);
+    Task<void> refuse(HttpResponse response);
+    void checkPeer();
+
+    std::shared_ptr<HttpServer::State> server_;
+    beast::tcp_stream stream_;
+    asio::steady_timer readTimer_; // a time-out of tcp_stream would close the socket before the 408 is sent
+    beast::flat_buffer buffer_;
+    std::string peer_;
+    std::function<void()> onGone_;
+    std::uint64_t exchangeCount_ = 0; // tells a late wait of an earlier exchange from the current one
+    bool isIdle_ = false;
+    bool isLate_ = false;
+    bool isPeerGone_ = false;
+    bool keepAlive_ = true;
+};
+
+namespace {
+
+std::string headText(int status, const Headers &headers, bool keepAlive, std::optional<std::size_t> length)
+{
+    http::response<http::empty_body> head{static_cast<http::status>(status), 11};
+    for (const auto &[name, value] : headers.all()) {
+        head.set(name, value);
+    }
+    head.keep_alive(keepAlive);
+    if (length) {
+        head.content_length(*length);
+    } else {
+        head.chunked(true);
+    }
+    std::ostringstream text;
+    text << head.base();
+    return text.str();
+}
+
+class ServerExchange final : public Exchange
+{
+public:
+    ServerExchange(Connection &connection, HttpRequest request)
+        : connection_(connection)
+        , request_(std::move(request))
+    { }
+
+    [[nodiscard]] const HttpRequest &request() const override { return request_; }
+    [[nodiscard]] std::string peer() const override { return connection_.peer(); }
+    [[nodiscard]] bool answered() const override { return answered_; }
+    [[nodiscard]] bool isComplete() const { return complete_; }
+
+    Task<bool> respond(HttpResponse response) override
+    {
+        answered_ = true;
+        complete_ = true;
+        std::string text = headText(response.status, response.headers, connection_.keepsAlive(), response.body.size());
+        if (request_.method != "HEAD") {
+            text += response.body;
+        }
+        co_return co_await connection_.send(std::move(text));
+    }
+
+    Task<bool> begin(int status, Headers headers) override
+    {
+        answered_ = true;
+        co_return co_await connection_.send(headText(status, headers, connection_.keepsAlive(), std::nullopt));
+    }
+
+    Task<bool> write(std::string data) override
+    {
+        if (data.empty()) {
+            co_return true;
+        }
+        std::ostringstream chunk;
+        chunk << std::hex << data.size() << "\r\n" << data << "\r\n";
+        co_return co_await connection_.send(chunk.str());
+    }
+
+    Task<bool> finish() override
+    {
+        complete_ = true;
+        co_return co_await connection_.send("0\r\n\r\n");
+    }
+
+    void onPeerGone(std::function<void()> callback) override { connection_.watchPeer(std::move(callback)); }
+
+private:
+    Connection &connection_;
+    HttpRequest request_;
+    bool answered_ = false;
+    bool complete_ = false;
+};
+
+HttpRequest requestOf(http::request<http::string_body> &&message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.set(std::string(field.name_string()), std::string(field.value()));
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace
+
+Task<error_code> Connection::receive(http::request_parser<http::string_body> &parser)
+{
+    if (buffer_.size() == 0) {
+        constexpr std::size_t firstRead = 4096; // bytes
+        isIdle_ = true;
+        stream_.expires_after(chronoOf(server_->limits.idleTimeout));
+        const auto [failed, count] = co_await stream_.async_read_some(buffer_.prepare(firstRead), tuple);
+        isIdle_ = false;
+        if (failed) {
+            co_return http::make_error_code(http::error::end_of_stream);
+        }
+        buffer_.commit(count);
+    }
+    cancelReadsAfter(server_->limits.receiveTimeout);
+    const error_code failed = co_await receiveMessage(parser);
+    readTimer_.cancel();
+    co_return isLate_ ? make_error_code(beast::error::timeout) : failed;
+}
+
+void Connection::cancelReadsAfter(core::Milliseconds time)
+{
+    stream_.expires_never();
+    readTimer_.expires_after(chronoOf(time));
+    readTimer_.async_wait([self = weak_from_this()](error_code cancelled) {
+        if (const auto connection = self.lock(); connection && !cancelled) {
+            connection->isLate_ = true;
+            connection->stream_.cancel();
+        }
+    });
+}
+
+Task<error_code> Connection::receiveMessage(http::request_parser<http::string_body> &parser)
+{
+    const auto [failedHeader, headerCount] = co_await http::async_read_header(stream_, buffer_, parser, tuple);
+    if (failedHeader) {
+        co_return failedHeader;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !co_await send("HTTP/1.1 100 Continue\r\n\r\n")) {
+        co_return http::make_error_code(http::error::end_of_stream);
+    }
+    stream_.expires_never();
+    const auto [failedBody, bodyCount] = co_await http::async_read(stream_, buffer_, parser, tuple);
+    co_return failedBody;
+}
+
+Task<void> Connection::refuse(HttpResponse response)
+{
+    keepAlive_ = false;
+    const std::string text = headText(response.status, response.headers, false, response.body.size()) + response.body;
+    if (!co_await send(text)) {
+        co_return;
+    }
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.expires_after(chronoOf(lingerTimeout));
+    std::array<char, 4096> rest{};
+    for (;;) {
+        const auto [failed, count] = co_await stream_.async_read_some(asio::buffer(rest), tuple);
+        if (failed) {
+            co_return;
+        }
+    }
+}
+
+Task<bool> Connection::serveOne()
+{
+    const auto self = shared_from_this();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(server_->limits.maxHeaderBytes));
+    parser.body_limit(server_->limits.maxBodyBytes);
+    const error_code failed = co_await receive(parser);
+    if (failed) {
+        if (auto answer = answerToReadError(failed)) {
+            co_await refuse(std::move(*answer));
+        }
+        co_return false;
+    }
+    auto message = parser.release();
+    keepAlive_ = message.keep_alive();
+    stream_.expires_never();
+    ServerExchange exchange(*this, requestOf(std::move(message)));
+    ++server_->openExchanges;
+    bool isFault = false;
+    try {
+        co_await server_->handler(exchange);
+    } catch (const std::exception &) {
+        isFault = true;
+    }
+    if (!exchange.answered()) {
+        co_await exchange.respond(HttpResponse::json(500, R"({"error":{"type":"internal","message":"the request could not be handled","outcome":"unknown"}})"));
+    }
+    --server_->openExchanges;
+    ++exchangeCount_;
+    onGone_ = nullptr;
+    stream_.cancel();
+    co_return exchange.isComplete() && !isFault && !isPeerGone_ && keepsAlive();
+}
+
+void Connection::checkPeer()
+{
+    char next = 0;
+    error_code failed;
+    stream_.socket().non_blocking(true, failed);
+    const std::size_t count = stream_.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, failed);
+    if (failed == asio::error::would_block || count > 0) {
+        return; // a further request on this connection; it is read after the current one
+    }
+    isPeerGone_ = true;
+    if (const auto callback = std::exchange(onGone_, nullptr)) {
+        callback();
+    }
+}
+
+Task<void> HttpServer::State::acceptLoop()
+{
+    const auto self = shared_from_this();
+    while (acceptor.is_open()) {
+        auto [failed, socket] = co_await acceptor.async_accept(tuple);
+        if (failed == asio::error::operation_aborted || !acceptor.is_open()) {
+            co_return;
+        }
+        if (failed) {
+            asio::steady_timer pause(io, chronoOf(acceptPause));
+            co_await pause.async_wait(tuple);
+            continue;
+        }
+        if (connections.size() >= limits.maxConnections) {
+            socket.close(failed);
+            continue;
+        }
+        const auto connection = std::make_shared<Connection>(self, std::move(socket));
+        asio::co_spawn(
+            io, [connection] { return connection->serve(); }, [connection](std::exception_ptr) {});
+    }
+}
+
+void HttpServer::State::closeIdle()
+{
+    for (Connection *connection : connections) {
+        connection->closeIfIdle();
+    }
+}
+
+HttpServer::HttpServer(asio::io_context &io, ServerLimits limits, Handler handler)
+    : state_(std::make_shared<State>(io, limits, std::move(handler)))
+{ }
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+std::optional<Address> HttpServer::listen(const Address &address, core::Error &why)
+{
+    error_code failed;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+    auto &acceptor = state_->acceptor;
+    acceptor.open(endpoint.protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    }
+    if (!failed) {
+        acceptor.bind(endpoint, failed);
+    }
+    if (!failed) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        why = core::Error{.step = core::Step::Connect, .peer = address.text(), .reason = "can't listen: " + failed.message()};
+        return std::nullopt;
+    }
+    asio::co_spawn(
+        state_->io, [state = state_] { return state->acceptLoop(); }, asio::detached);
+    return Address{address.ip, acceptor.local_endpoint().port()};
+}
+
+void HttpServer::stopAccepting()
+{
+    error_code ignored;
+    state_->isStopping = true;
+    state_->acceptor.close(ignored);
+    state_->closeIdle();
+}
+
+std::size_t HttpServer::openExchanges() const
+{
+    return state_->openExchanges;
+}
+
+} // namespace baobabstall::net
--- /dev/null
+++ b/packages/net/tests/httptest.cpp
@@ -0,0 +1,208 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <net/http.h>
+
+namespace baobabstall::net {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// A server on a port of the kernel's choice and a client, run on one io_context.
+class HttpTest : public testing::Test
+{
+protected:
+    Address serve(Handler handler, ServerLimits limits = {})
+    {
+        server_ = std::make_unique<HttpServer>(io_, limits, std::move(handler));
+        core::Error why;
+        const auto address = server_->listen({"127.0.0.1", 0}, why);
+        EXPECT_TRUE(address) << why.text();
+        return address.value_or(Address{});
+    }
+
+    template<typename T>
+    T run(Task<T> task)
+    {
+        std::optional<T> result;
+        asio::co_spawn(io_, std::move(task), [&](std::exception_ptr failed, T value) {
+            EXPECT_FALSE(failed);
+            result.emplace(std::move(value));
+            io_.stop();
+        });
+        io_.run();
+        io_.restart();
+        return std::move(*result);
+    }
+
+    /// Sends raw bytes and reads until the server closes.
+    std::string rawExchange(const Address &address, const std::string &text)
+    {
+        asio::ip::tcp::socket socket(io_);
+        socket.connect({asio::ip::make_address(address.ip), address.port});
+        asio::write(socket, asio::buffer(text));
+        std::string answer;
+        asio::async_read(socket, asio::dynamic_buffer(answer), [this](boost::system::error_code, std::size_t) { io_.stop(); });
+        io_.run();
+        io_.restart();
+        return answer;
+    }
+
+    asio::io_context io_;
+    std::unique_ptr<HttpServer> server_;
+    HttpClient client_{io_};
+    core::Error why_;
+};
+
+Task<void> echo(Exchange &exchange)
+{
+    co_await exchange.respond(HttpResponse::json(200, exchange.request().body));
+}
+
+} // namespace
+
+TEST(Address, takes_numbers_only)
+{
+    EXPECT_EQ(Address::parse("127.0.0.1:80")->text(), "127.0.0.1:80");
+    EXPECT_EQ(Address::parse("[::1]:80")->text(), "[::1]:80");
+    for (const auto *text : {"", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:70000"}) {
+        EXPECT_FALSE(Address::parse(text)) << text;
+    }
+}
+
+TEST(HttpRequest, reads_its_query)
+{
+    HttpRequest request;
+    request.target = "/log/lists?from=12&name=a%20b+c";
+    EXPECT_EQ(request.path(), "/log/lists");
+    EXPECT_EQ(request.query("from"), "12");
+    EXPECT_EQ(request.query("name"), "a b c");
+    EXPECT_FALSE(request.query("limit"));
+}
+
+TEST_F(HttpTest, answers_several_calls_on_one_connection)
+{
+    const auto address = serve(echo);
+    for (const auto *body : {"one", "two"}) {
+        HttpRequest request{.method = "POST", .body = body};
+        const auto response = run(client_.call(address, request, {}, why_));
+        ASSERT_TRUE(response) << why_.text();
+        EXPECT_EQ(response->body, body);
+    }
+}
+
+TEST_F(HttpTest, streams_piece_by_piece)
+{
+    const auto address = serve([](Exchange &exchange) -> Task<void> {
+        co_await exchange.begin(200, {});
+        co_await exchange.write("first ");
+        co_await exchange.write("second");
+        co_await exchange.finish();
+    });
+    std::string whole;
+    const auto response = run(client_.stream(
+        address,
+        {},
+        {},
+        [&](std::string_view piece) -> Task<bool> {
+            whole += piece;
+            co_return true;
+        },
+        why_));
+    ASSERT_TRUE(response) << why_.text();
+    EXPECT_EQ(whole, "first second");
+}
+
+TEST_F(HttpTest, a_stream_cut_before_its_end_is_an_error)
+{
+    const auto address = serve([](Exchange &exchange) -> Task<void> {
+        co_await exchange.begin(200, {});
+        co_await exchange.write("first");
+    });
+    const auto onChunk = [](std::string_view) -> Task<bool> { co_return true; };
+    const auto response = run(client_.stream(address, {}, {}, onChunk, why_));
+    EXPECT_FALSE(response);
+    EXPECT_EQ(why_.step, core::Step::Receive);
+    EXPECT_EQ(why_.outcome, core::Outcome::Unknown);
+}
+
+TEST_F(HttpTest, tells_the_handler_when_the_caller_is_gone)
+{
+    bool isGone = false;
+    const auto address = serve([&](Exchange &exchange) -> Task<void> {
+        exchange.onPeerGone([&] {
+            isGone = true;
+            io_.stop();
+        });
+        co_await exchange.begin(200, {});
+        co_await exchange.write("first");
+        for (int i = 0; i < 1'000'000 && !isGone; ++i) {
+            co_await asio::post(io_, asio::use_awaitable);
+        }
+    });
+    const auto onChunk = [](std::string_view) -> Task<bool> { co_return false; };
+    const auto response = run(client_.stream(address, {}, {}, onChunk, why_));
+    EXPECT_TRUE(response);
+    if (!isGone) {
+        io_.run();
+    }
+    EXPECT_TRUE(isGone);
+}
+
+TEST_F(HttpTest, nobody_listening_means_not_run)
+{
+    const auto address = serve(echo);
+    server_->stopAccepting();
+    const auto response = run(client_.call(address, {}, {}, why_));
+    EXPECT_FALSE(response);
+    EXPECT_EQ(why_.step, core::Step::Connect);
+    EXPECT_EQ(why_.outcome, core::Outcome::NotRun);
+}
+
+TEST_F(HttpTest, refuses_a_body_over_the_limit)
+{
+    const auto address = serve(echo, {.maxBodyBytes = 10});
+    const auto response = run(client_.call(address, {.method = "POST", .body = "more than ten bytes"}, {}, why_));
+    ASSERT_TRUE(response) << why_.text();
+    EXPECT_EQ(response->status, 413);
+}
+
+TEST_F(HttpTest, refuses_headers_over_the_limit)
+{
+    const auto address = serve(echo, {.maxHeaderBytes = 512});
+    const auto answer = rawExchange(address, "GET / HTTP/1.1\r\nX-Long: " + std::string(2000, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 431")) << answer;
+}
+
+TEST_F(HttpTest, refuses_what_is_not_http)
+{
+    const auto answer = rawExchange(serve(echo), "NOT A REQUEST\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+}
+
+TEST_F(HttpTest, a_slow_sender_is_told_so)
+{
+    const auto answer = rawExchange(serve(echo, {.receiveTimeout = core::Milliseconds(20)}), "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 408")) << answer;
+}
+
+TEST_F(HttpTest, a_handler_that_throws_ends_only_its_request)
+{
+    const auto address = serve([](Exchange &exchange) -> Task<void> {
+        if (exchange.request().path() == "/throw") {
+            throw std::runtime_error("fault");
+        }
+        co_await echo(exchange);
+    });
+    EXPECT_EQ(run(client_.call(address, {.target = "/throw"}, {}, why_))->status, 500);
+    EXPECT_EQ(run(client_.call(address, {.target = "/"}, {}, why_))->status, 200);
+}
+
+} // namespace baobabstall::net
