--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -77,12 +77,12 @@
 
 /// What a caller may use up. Whoever goes over is answered (408, 413, 431) or cut off; others do not notice.
 struct ServerLimits {
-    std::size_t maxHeaderBytes = 16 * 1024; // over it: 431
-    std::size_t maxBodyBytes = 1024 * 1024; // over it: 413
-    std::size_t maxConnections = 1024; // over it: closed at accept
-    core::Milliseconds idleTimeout {60'000}; // between requests of one connection
-    core::Milliseconds receiveTimeout {10'000}; // for one whole request; over it: 408
-    core::Milliseconds sendTimeout {10'000}; // for one write that the caller does not read; over it: cut off
+    std::size_t maxHeaderBytes = 16 * 1024;    // over it: 431
+    std::size_t maxBodyBytes = 1024 * 1024;    // over it: 413
+    std::size_t maxConnections = 1024;         // over it: closed at accept
+    core::Milliseconds idleTimeout{60'000};    // between requests of one connection
+    core::Milliseconds receiveTimeout{10'000}; // for one whole request; over it: 408
+    core::Milliseconds sendTimeout{10'000};    // for one write that the caller does not read; over it: cut off
 };
 
 /// One request and its answer. Lives as long as the handler that was given it.
@@ -133,8 +133,8 @@
 using ChunkHandler = std::function<Task<bool>(std::string_view chunk)>;
 
 struct CallOptions {
-    core::Milliseconds connectTimeout {1'000}; // to open a connection
-    core::Milliseconds timeout {30'000}; // whole call; for a stream: longest silence
+    core::Milliseconds connectTimeout{1'000};    // to open a connection
+    core::Milliseconds timeout{30'000};          // whole call; for a stream: longest silence
     std::size_t maxBodyBytes = 64 * 1024 * 1024; // over it the call fails
 };
 
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -26,104 +26,104 @@
 
 /// Where the daemon listens. Required.
 struct Listen {
-    std::string callers; // ip:port for callers
-    std::string peers; // ip:port for other daemons
+    std::string callers;   // ip:port for callers
+    std::string peers;     // ip:port for other daemons
     std::string operators; // ip:port for /metrics, /healthz, /readyz and the command line; keep it off the callers' network
 };
 
 /// The platform's services.
 struct Platform {
-    std::string address; // ip:port of log and host list; required
-    Milliseconds hostsPoll {1'000}; // between reads of the host list
-    Milliseconds logWait {2'000}; // how long one read of a stream waits for news
-    Milliseconds timeout {3'000}; // for one call
-    Milliseconds retention {86'400'000}; // how long the log keeps records; lists in force are appended again at half of it
+    std::string address;                // ip:port of log and host list; required
+    Milliseconds hostsPoll{1'000};      // between reads of the host list
+    Milliseconds logWait{2'000};        // how long one read of a stream waits for news
+    Milliseconds timeout{3'000};        // for one call
+    Milliseconds retention{86'400'000}; // how long the log keeps records; lists in force are appended again at half of it
 };
 
 /// What one caller may use up.
 struct Callers {
     std::size_t maxHeaderBytes = 16 * 1024; // over it: 431
     std::size_t maxBodyBytes = 1024 * 1024; // over it: 413
-    std::size_t maxConnections = 2'048; // over it: closed at accept
-    Milliseconds receiveTimeout {10'000}; // for one whole request; over it: 408
-    Milliseconds sendTimeout {10'000}; // for one write the caller does not read; over it: cut off
-    Milliseconds requestTimeout {120'000}; // longest answer allowed; a stop waits at most this long
+    std::size_t maxConnections = 2'048;     // over it: closed at accept
+    Milliseconds receiveTimeout{10'000};    // for one whole request; over it: 408
+    Milliseconds sendTimeout{10'000};       // for one write the caller does not read; over it: cut off
+    Milliseconds requestTimeout{120'000};   // longest answer allowed; a stop waits at most this long
 };
 
 /// Membership among daemons.
 struct Membership {
-    Milliseconds probeInterval {500}; // one peer is probed each interval
-    Milliseconds probeTimeout {250}; // without an answer, others are asked to probe
-    Milliseconds suspicion {2'000}; // how long a suspect may object before it counts as dead
-    int indirectProbes = 3; // peers asked to probe for us
-    int maxUpdates = 8; // updates carried by one message
+    Milliseconds probeInterval{500}; // one peer is probed each interval
+    Milliseconds probeTimeout{250};  // without an answer, others are asked to probe
+    Milliseconds suspicion{2'000};   // how long a suspect may object before it counts as dead
+    int indirectProbes = 3;          // peers asked to probe for us
+    int maxUpdates = 8;              // updates carried by one message
 };
 
 /// Ownership of engines, partitions and the load budget.
 struct Ownership {
-    Milliseconds handoverDelay {3'000}; // how long the preferred owner must stay the same before a live owner hands over
-    int callPartitions = 64; // partitions of the at-most-once records; the same on every daemon of a deployment
+    Milliseconds handoverDelay{3'000}; // how long the preferred owner must stay the same before a live owner hands over
+    int callPartitions = 64;           // partitions of the at-most-once records; the same on every daemon of a deployment
 };
 
 /// Choosing a replica. The weights are in milliseconds of expected wait.
 struct Placement {
-    std::string profile = "stalls"; // "stalls" (rare load stalls first) or "batches" (full batches first)
-    int candidates = 2; // replicas tried for a cold adapter
-    int maxCandidates = 8; // replicas of the hottest adapter
-    double widenAt = 0.7; // share of a replica's batch an adapter may fill before it gets one replica more
-    Milliseconds popularityHalfLife {60'000}; // of the request rate that decides width and eviction
+    std::string profile = "stalls";          // "stalls" (rare load stalls first) or "batches" (full batches first)
+    int candidates = 2;                      // replicas tried for a cold adapter
+    int maxCandidates = 8;                   // replicas of the hottest adapter
+    double widenAt = 0.7;                    // share of a replica's batch an adapter may fill before it gets one replica more
+    Milliseconds popularityHalfLife{60'000}; // of the request rate that decides width and eviction
 };
 
 /// Loads and evictions of adapters.
 struct Loads {
-    double perSecond = 3; // what the weight store allows the whole region
-    int concurrent = 2; // loads in flight in the region at full speed
-    Milliseconds typical {250}; // one load at full speed
-    Milliseconds timeout {10'000}; // after it a load order counts as unknown and the engine is asked what it holds
-    int spareSlots = 0; // slots of an engine kept free of adapters
+    double perSecond = 3;         // what the weight store allows the whole region
+    int concurrent = 2;           // loads in flight in the region at full speed
+    Milliseconds typical{250};    // one load at full speed
+    Milliseconds timeout{10'000}; // after it a load order counts as unknown and the engine is asked what it holds
+    int spareSlots = 0;           // slots of an engine kept free of adapters
 };
 
 /// Queues and limits.
 struct Admission {
-    int engineConcurrency = 16; // requests at once on one engine
-    int maxQueue = 64; // waiting at one engine; over it: refused
-    Milliseconds maxQueueWait {5'000}; // expected wait over which a request is refused at once
-    int maxInFlight = 512; // requests at once on one daemon
-    double planBurst = 2; // multiple of its share a plan may use while others leave room
+    int engineConcurrency = 16;       // requests at once on one engine
+    int maxQueue = 64;                // waiting at one engine; over it: refused
+    Milliseconds maxQueueWait{5'000}; // expected wait over which a request is refused at once
+    int maxInFlight = 512;            // requests at once on one daemon
+    double planBurst = 2;             // multiple of its share a plan may use while others leave room
 };
 
 /// Tries after the first.
 struct Retries {
-    int maxAttempts = 3; // for one request
+    int maxAttempts = 3;      // for one request
     double budgetShare = 0.1; // retries as a share of recent successes
     double budgetReserve = 5; // retries allowed with no recent success
 };
 
 /// Calls of plain services.
 struct Services {
-    Milliseconds timeout {10'000}; // for one call
+    Milliseconds timeout{10'000};             // for one call
     std::size_t maxAnswerBytes = 1024 * 1024; // over it: an error, not a cut answer
-    std::size_t maxRecordedBytes = 4 * 1024; // a longer result is not kept: a repeat is told "ran" without it
+    std::size_t maxRecordedBytes = 4 * 1024;  // a longer result is not kept: a repeat is told "ran" without it
 };
 
 /// Stopping.
 struct Stop {
-    Milliseconds drainTimeout {150'000}; // longest wait for requests in flight; longer than callers.request_timeout_ms
-    Milliseconds notReadyFirst {500}; // time for the balancer to see /readyz fail before new requests are refused
+    Milliseconds drainTimeout{150'000}; // longest wait for requests in flight; longer than callers.request_timeout_ms
+    Milliseconds notReadyFirst{500};    // time for the balancer to see /readyz fail before new requests are refused
 };
 
 /// Logging.
 struct Logging {
     std::string level = "info"; // "debug", "info", "warn", "error"
-    std::string file; // empty: standard error
+    std::string file;           // empty: standard error
 };
 
 struct Settings {
-    core::HostId host; // required, unique within the deployment
-    core::ZoneId zone; // required
+    core::HostId host;     // required, unique within the deployment
+    core::ZoneId zone;     // required
     core::RegionId region; // required
-    std::string keyFile; // file with the deployment's key; this or key_env is required
-    std::string keyEnv; // environment variable with the key
+    std::string keyFile;   // file with the deployment's key; this or key_env is required
+    std::string keyEnv;    // environment variable with the key
     Listen listen;
     Platform platform;
     Callers callers;
