Decide who lives by a SWIM-like membership on a fake clock

Probes, indirect probes, suspicion with refutation within one incarnation, leaving, comparison of whole views, and the platform's host list beside it. Messages encode themselves to CBOR; bounds are checked before the library's reader recurses.

In trials on an in-test fabric a false suspicion in a region of 210 daemons made up to 35 views wrongly dead with a fixed suspicion time of 2 s: the objection needs about 4 s to reach all. The time now grows with the logarithm of the region, an objection starts at several peers, and a suspect is probed once more when half of its time is over.

--- a/packages/peers/membership.h
+++ b/packages/peers/membership.h
@@ -12,6 +12,8 @@
 //   for (auto &out : membership.onMessage(from, message, now)) { send(out); }
 //   for (auto &out : membership.tick(now)) { send(out); }         // at nextTick() or earlier
 //
+// After a pause of the process, open probes and suspicions begin anew: silence that was our own says nothing about others.
+//
 // Limits. One view covers one region. The state of a member is a belief, not a fact: Dead says that nobody reached it for
 // the suspicion time. Two halves of a cut region each hold the other for dead until the cut heals.
 #pragma once
@@ -115,8 +117,10 @@
 
 struct Message {
     std::variant<Ping, Ack, PingRequest, SyncRequest, Sync> body;
+    Incarnation incarnation;           // of the sender; a message is the best proof that its sender lives
+    std::uint32_t refutation = 0;      // of the sender
     ListVersions lists;                // of the sender
-    std::vector<MemberUpdate> updates; // at most Membership::maxUpdates, but whole in a Sync
+    std::vector<MemberUpdate> updates; // at most settings.membership.maxUpdates and one on the receiver; in a Sync all
 
     friend bool operator==(const Message &, const Message &) = default;
 };
@@ -126,7 +130,13 @@
     Message message;
 };
 
-/// The encoded form: a CBOR array. About 20 bytes, and 25 to 40 for each update.
+constexpr std::size_t maxUpdatesDecoded = 10'000; // a message with more is malformed
+
+/// Whether CBOR text nests no deeper and has no longer arrays or objects than told. To be asked before json::from_cbor() of bytes from
+/// the network: that one recurses without a limit and throws on absurd lengths.
+[[nodiscard]] bool isBoundedCbor(std::span<const std::uint8_t> bytes, std::size_t maxDepth, std::size_t maxItems);
+
+/// The encoded form: a CBOR array.
 [[nodiscard]] std::vector<std::uint8_t> toCbor(const Message &message);
 /// Nothing, and an Error of step Peer, on anything that toCbor() can't have written. Never throws.
 [[nodiscard]] std::optional<Message> fromCbor(std::span<const std::uint8_t> bytes, core::Error &why);
@@ -166,16 +176,24 @@
     [[nodiscard]] std::map<HostId, ListVersions> listVersions() const;          // as last told by each peer
     [[nodiscard]] std::vector<Member> takeChanges();                            // members changed since the last call, each once, as they are now
 
+    [[nodiscard]] bool isOutdated() const { return outdated_; } // a later run of this host is known: this process is to end
+
     static constexpr int deadProbeEvery = 5;                  // every so many probes go to a listed member believed dead, so that a healed cut is noticed
-    static constexpr core::Milliseconds syncInterval{30'000}; // between two comparisons of whole views with a peer
+    static constexpr core::Milliseconds syncInterval{30'000}; // between two comparisons of whole views with a peer; shorter after a start
+    static constexpr std::size_t ownNewsPeers = 8;            // peers told at once of a planned stop, or of an objection to a suspicion
+    static constexpr std::int64_t suspicionRounds = 4; // settings.membership.suspicion is for regions below 2^this members; it grows with their logarithm
     static constexpr core::Milliseconds forgetAfter{600'000}; // a dead member that is on no list is forgotten
 
 private:
+    using Body = std::variant<Ping, Ack, PingRequest, SyncRequest, Sync>;
+    using Messages = std::vector<Outgoing>;
     struct Entry {
         Member member;
-        Instant since; // of the state
-        ListVersions lists;
+        Instant since;                       // of the state
+        std::optional<Instant> checkedSince; // `since` of the suspicion that was checked once more
+        bool listedLeaving = false;
         bool changed = false; // since takeChanges()
+        ListVersions lists;
     };
     struct Rumour {
         MemberUpdate update;
@@ -189,39 +207,52 @@
         bool indirect = false;           // others were asked
     };
 
-    [[nodiscard]] Message wrap(std::variant<Ping, Ack, PingRequest, SyncRequest, Sync> body, const HostId &to);
+    [[nodiscard]] Message wrap(Body body, const HostId &to);
     [[nodiscard]] std::vector<MemberUpdate> takeRumours(const HostId &to);
-    [[nodiscard]] MemberUpdate updateOf(const Entry &entry) const;
     [[nodiscard]] int transmissions() const;
     [[nodiscard]] std::uint64_t digest() const;
-    void spread(const MemberUpdate &update);
-    void learn(const MemberUpdate &update, Instant now);
-    void refute(const MemberUpdate &update, Instant now);
-    void setState(Entry &entry, MemberState state, Instant now);
+    [[nodiscard]] Member viewOf(const Entry &entry) const;
+    [[nodiscard]] Entry &self() { return entries_.at(self_.host); }
+    void spread(const Member &member);
+    void learn(const MemberUpdate &update, bool isRumour, Instant now);
+    void learnSender(const HostId &from, const Message &message, Instant now);
+    void refute(const MemberUpdate &update);
     void suspect(const HostId &host, Instant now);
-    void answered(const HostId &host, Instant now);
-    void onAck(const Ack &ack, Instant now, std::vector<Outgoing> &out);
-    void checkProbes(Instant now, std::vector<Outgoing> &out);
-    void askOthers(std::uint64_t sequence, Probe &probe, Instant now, std::vector<Outgoing> &out);
-    void expireSuspects(Instant now);
-    void startProbe(Instant now, std::vector<Outgoing> &out);
-    void startSync(Instant now, std::vector<Outgoing> &out);
+    void answer(const HostId &from, const Ping &ping, Instant now, Messages &out);
+    void answer(const HostId &from, const Ack &ack, Instant now, Messages &out);
+    void answer(const HostId &from, const PingRequest &request, Instant now, Messages &out);
+    void answer(const HostId &from, const SyncRequest &request, Instant now, Messages &out);
+    void answer(const HostId &from, const Sync &sync, Instant now, Messages &out);
+    void notePause(Instant now);
+    void checkProbes(Instant now, Messages &out);
+    void askOthers(std::uint64_t sequence, Probe &probe, Instant now, Messages &out);
+    void expireMembers(Instant now);
+    void startProbe(Instant now, Messages &out);
+    void tellSome(Instant now, Messages &out);
+    [[nodiscard]] core::Milliseconds suspicionTime() const;
+    void startSync(Messages &out);
+    void sendPing(Probe probe, Instant now, Messages &out);
     [[nodiscard]] std::optional<HostId> nextSubject();
-    [[nodiscard]] std::vector<HostId> pick(int count, const HostId &except);
-    void sendPing(const HostId &subject, Probe probe, Instant now, std::vector<Outgoing> &out);
+    [[nodiscard]] std::optional<HostId> suspectSubject(Instant now);
+    [[nodiscard]] std::optional<HostId> deadSubject();
+    [[nodiscard]] std::vector<HostId> pick(std::size_t count, const HostId &except, bool onlyAnswering);
 
     Self self_;
     settings::Membership settings_;
     std::mt19937_64 random_;
     ListVersions lists_;
     std::map<HostId, Entry> entries_; // with this daemon
-    std::vector<Rumour> rumours_;
+    std::map<HostId, Rumour> rumours_;
     std::map<std::uint64_t, Probe> probes_; // by our sequence
     std::vector<HostId> order_;             // of the present round, taken from the back
     std::uint64_t nextSequence_ = 1;
     std::uint64_t probeCount_ = 0;
     Instant nextProbe_;
     Instant nextSync_;
+    std::optional<Instant> lastTick_;
+    core::Milliseconds syncWait_;
+    bool objected_ = false; // since the last message
+    bool outdated_ = false;
     bool synced_ = false; // a whole view was received
 };
 
