Add links between daemons: proof of the key, calls with replies, notices

Each side proves the deployment's key by HMAC over both introductions before any frame counts. websocketpp 0.8.2 needs asio's deprecated names, so BOOST_ASIO_NO_DEPRECATED is no longer defined.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -11,7 +11,7 @@
 add_library(baobab_flags INTERFACE)
 target_include_directories(baobab_flags INTERFACE ${CMAKE_SOURCE_DIR}/packages)
 target_compile_options(baobab_flags INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-deprecated-declarations)
-target_compile_definitions(baobab_flags INTERFACE BOOST_ASIO_NO_DEPRECATED BAOBABSTALL_VERSION="${PROJECT_VERSION}")
+target_compile_definitions(baobab_flags INTERFACE BAOBABSTALL_VERSION="${PROJECT_VERSION}")
 target_link_libraries(baobab_flags INTERFACE Threads::Threads Boost::headers)
 target_link_options(baobab_flags INTERFACE -fuse-ld=lld)
 # Debug information of line tables only: the heavy headers would else double link time and cache size.
--- /dev/null
+++ b/packages/peers/link.cpp
@@ -0,0 +1,686 @@
+#include <peers/link.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace baobabstall::peers {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using websocketpp::connection_hdl;
+
+namespace {
+
+constexpr auto tuple = asio::as_tuple(asio::use_awaitable);
+constexpr core::Milliseconds reconnectPause{100}; // after a link could not be opened
+constexpr std::size_t maxPendingFrames = 1'024;   // waiting for the proof of one link
+
+std::chrono::milliseconds chronoOf(core::Milliseconds time)
+{
+    return std::chrono::milliseconds(time.count());
+}
+
+core::Error linkError(const HostId &host, std::string reason, core::Outcome outcome)
+{
+    return core::Error{.step = core::Step::Peer, .peer = host.value(), .reason = std::move(reason), .refusal = core::Refusal::Unavailable, .outcome = outcome};
+}
+
+/// The replies of one call, between the link that brings them and the coroutine that awaits them.
+struct CallState {
+    explicit CallState(asio::io_context &io)
+        : signal(io)
+    { }
+
+    void push(ReplyBody reply)
+    {
+        if (isOver) {
+            return;
+        }
+        if (replies.size() >= Links::maxWaitingReplies) {
+            fail(linkError(host, "more replies than this daemon can hold", core::Outcome::Unknown));
+            return;
+        }
+        isOver = isLast(reply);
+        replies.push_back(std::move(reply));
+        signal.cancel();
+    }
+
+    void fail(core::Error error)
+    {
+        if (!isOver) {
+            isOver = true;
+            failure = std::move(error);
+            signal.cancel();
+        }
+    }
+
+    HostId host; // the peer
+    std::deque<ReplyBody> replies;
+    std::optional<core::Error> failure;
+    bool isOver = false; // no more replies come
+    bool isSent = false; // the peer may have read the call
+    asio::steady_timer signal;
+    std::function<void()> tellCancel; // empty when the call is over
+};
+
+class AwaitedCall final : public OutgoingCall
+{
+public:
+    explicit AwaitedCall(std::shared_ptr<CallState> state)
+        : state_(std::move(state))
+    { }
+    ~AwaitedCall() override { AwaitedCall::cancel(); }
+    AwaitedCall(const AwaitedCall &) = delete;
+    AwaitedCall &operator=(const AwaitedCall &) = delete;
+
+    net::Task<std::optional<ReplyBody>> next(core::Milliseconds timeout, core::Error &why) override
+    {
+        const auto state = state_;
+        const auto deadline = std::chrono::steady_clock::now() + chronoOf(timeout);
+        while (state->replies.empty() && !state->failure) {
+            if (std::chrono::steady_clock::now() >= deadline) {
+                why = linkError(state->host, "no reply in time", state->isSent ? core::Outcome::Unknown : core::Outcome::NotRun);
+                co_return std::nullopt;
+            }
+            state->signal.expires_at(deadline);
+            co_await state->signal.async_wait(tuple);
+        }
+        if (state->replies.empty()) {
+            why = *state->failure;
+            co_return std::nullopt;
+        }
+        ReplyBody reply = std::move(state->replies.front());
+        state->replies.pop_front();
+        co_return reply;
+    }
+
+    void cancel() override
+    {
+        if (const auto tell = std::exchange(state_->tellCancel, nullptr); tell && !state_->isOver) {
+            tell();
+        }
+        state_->fail(linkError(state_->host, "cancelled by this daemon", core::Outcome::Unknown));
+    }
+
+private:
+    std::shared_ptr<CallState> state_;
+};
+
+class ServedCall final : public IncomingCall
+{
+public:
+    ServedCall(HostId from, Incarnation incarnation, CallBody body, std::function<bool(ReplyBody)> sender)
+        : from_(std::move(from))
+        , incarnation_(incarnation)
+        , body_(std::move(body))
+        , sender_(std::move(sender))
+    { }
+
+    [[nodiscard]] const HostId &from() const override { return from_; }
+    [[nodiscard]] Incarnation incarnation() const override { return incarnation_; }
+    [[nodiscard]] const CallBody &body() const override { return body_; }
+    [[nodiscard]] bool isCancelled() const override { return isCancelled_; }
+    [[nodiscard]] bool isLinkLost() const override { return isLinkLost_; }
+    bool send(ReplyBody reply) override { return !isCancelled_ && sender_(std::move(reply)); }
+
+    void onCancel(std::function<void()> callback) override
+    {
+        if (isCancelled_) {
+            callback();
+        } else {
+            callback_ = std::move(callback);
+        }
+    }
+
+    void cancel(bool isLinkLost)
+    {
+        isCancelled_ = true;
+        isLinkLost_ = isLinkLost;
+        if (const auto callback = std::exchange(callback_, nullptr)) {
+            callback();
+        }
+    }
+
+private:
+    HostId from_;
+    Incarnation incarnation_;
+    CallBody body_;
+    std::function<bool(ReplyBody)> sender_;
+    std::function<void()> callback_;
+    bool isCancelled_ = false;
+    bool isLinkLost_ = false;
+};
+
+/// The websocket under a link, whichever side opened it.
+struct Socket {
+    std::function<bool(const std::string &bytes)> send; // false: nothing was queued
+    std::function<void(const std::string &reason)> close;
+};
+
+template<typename ConnectionPointer>
+Socket socketOf(ConnectionPointer connection)
+{
+    return {.send =
+                [connection](const std::string &bytes) {
+                    return connection->get_buffered_amount() + bytes.size() <= Links::maxQueuedBytes
+                        && !connection->send(bytes, websocketpp::frame::opcode::binary);
+                },
+            .close =
+                [connection](const std::string &reason) {
+                    websocketpp::lib::error_code ignored;
+                    connection->close(websocketpp::close::status::policy_violation, reason, ignored);
+                }};
+}
+
+} // namespace
+
+class Link;
+
+struct Links::State : std::enable_shared_from_this<Links::State> {
+    State(asio::io_context &context, Self own, std::string deploymentKey, LinkHandlers linkHandlers)
+        : io(context)
+        , self(std::move(own))
+        , key(std::move(deploymentKey))
+        , handlers(std::move(linkHandlers))
+    { }
+
+    void setUp();
+    std::shared_ptr<Link> linkTo(const HostId &host);
+    void connect(const HostId &host, const std::shared_ptr<Link> &link);
+    void serve(const std::shared_ptr<ServedCall> &call);
+    std::unique_ptr<OutgoingCall> callLocally(CallBody body);
+
+    asio::io_context &io;
+    Self self;
+    std::string key;
+    LinkHandlers handlers;
+    Server server;
+    Client client;
+    std::map<HostId, net::Address> addresses;
+    std::map<HostId, std::shared_ptr<Link>> outgoing; // links this daemon opened
+    std::map<HostId, std::chrono::steady_clock::time_point> retryAt;
+    std::map<connection_hdl, std::shared_ptr<Link>, std::owner_less<connection_hdl>> incoming;
+    std::uint64_t gossipBytes = 0;
+    bool isListening = false;
+    bool isClosed = false;
+};
+
+/// One link: the proof, then frames both ways.
+class Link : public std::enable_shared_from_this<Link>
+{
+public:
+    Link(std::shared_ptr<Links::State> links, HostId expected)
+        : links_(std::move(links))
+        , proofTimer_(links_->io)
+        , expected_(std::move(expected))
+    { }
+
+    /// Begins the time-out of the proof; the socket may still be opening.
+    void start()
+    {
+        proofTimer_.expires_after(chronoOf(Links::proofTimeout));
+        proofTimer_.async_wait([self = weak_from_this()](error_code cancelled) {
+            if (const auto link = self.lock(); link && !cancelled) {
+                link->reject("no proof of the deployment's key in time");
+            }
+        });
+    }
+
+    void opened(Socket socket)
+    {
+        socket_ = std::move(socket);
+        const auto nonce = makeNonce();
+        if (!nonce) {
+            reject("no random bytes for a nonce");
+            return;
+        }
+        own_ = Hello{links_->self.host, links_->self.incarnation, links_->self.region, *nonce};
+        socket_.send(encode(own_));
+    }
+
+    void received(const std::string &bytes);
+    void lost(const std::string &reason);
+
+    void post(const Message &message)
+    {
+        const std::string bytes = encode(Gossip{message});
+        links_->gossipBytes += bytes.size();
+        transmit(bytes);
+    }
+
+    void notify(Notice notice) { transmit(encode(std::move(notice))); }
+
+    void open(const std::shared_ptr<CallState> &state, CallBody body)
+    {
+        const std::uint64_t id = nextCall_++;
+        calls_[id] = state;
+        state->tellCancel = [self = weak_from_this(), id] {
+            if (const auto link = self.lock()) {
+                link->calls_.erase(id);
+                link->transmit(encode(Cancel{id}));
+            }
+        };
+        state->isSent = isProved_;
+        if (!transmit(encode(Call{id, std::move(body)}))) {
+            calls_.erase(id);
+            state->fail(linkError(expected_, "the link's queue is full", core::Outcome::NotRun));
+        }
+    }
+
+    [[nodiscard]] bool isLost() const { return isLost_; }
+    [[nodiscard]] bool isProved() const { return isProved_; }
+    void close(const std::string &reason)
+    {
+        if (socket_.close) {
+            socket_.close(reason);
+        }
+        lost(reason);
+    }
+
+private:
+    bool transmit(const std::string &bytes)
+    {
+        if (isLost_) {
+            return false;
+        }
+        if (!isProved_) {
+            if (pending_.size() >= maxPendingFrames) {
+                return false;
+            }
+            pending_.push_back(bytes);
+            return true;
+        }
+        return socket_.send(bytes);
+    }
+
+    void reject(const std::string &reason)
+    {
+        if (links_->handlers.onRejected && !isLost_) {
+            links_->handlers.onRejected(peerName(), core::Error{.step = core::Step::Peer, .peer = peerName(), .reason = reason});
+        }
+        close(reason);
+    }
+
+    [[nodiscard]] std::string peerName() const { return other_ ? other_->host.value() : expected_.value(); }
+
+    void take(const Hello &hello);
+    void take(const Proof &proof);
+    void take(const Gossip &gossip);
+    void take(Call &call);
+    void take(Reply &reply);
+    void take(const Cancel &cancel);
+    void take(const Notice &notice);
+
+    std::shared_ptr<Links::State> links_;
+    asio::steady_timer proofTimer_;
+    HostId expected_; // empty on links that a peer opened
+    Socket socket_;
+    Hello own_;
+    std::optional<Hello> other_;
+    bool isProved_ = false;
+    bool isLost_ = false;
+    std::deque<std::string> pending_;
+    std::uint64_t nextCall_ = 1;
+    std::unordered_map<std::uint64_t, std::weak_ptr<CallState>> calls_;
+    std::unordered_map<std::uint64_t, std::weak_ptr<ServedCall>> served_;
+};
+
+void Link::received(const std::string &bytes)
+{
+    const auto self = shared_from_this();
+    core::Error why;
+    auto frame = decode(bytes, why);
+    if (!frame) {
+        reject(why.reason);
+        return;
+    }
+    const bool isIntroduction = std::holds_alternative<Hello>(*frame) || std::holds_alternative<Proof>(*frame);
+    if (isIntroduction == isProved_) {
+        reject(isProved_ ? "a second introduction" : "a message before the proof");
+        return;
+    }
+    if (std::holds_alternative<Gossip>(*frame)) {
+        links_->gossipBytes += bytes.size();
+    }
+    std::visit([this](auto &message) { take(message); }, *frame);
+}
+
+void Link::take(const Hello &hello)
+{
+    if (other_) {
+        reject("a second introduction");
+        return;
+    }
+    if (hello.region != links_->self.region) {
+        reject("a daemon of another region");
+        return;
+    }
+    if (hello.host == links_->self.host || hello.nonce == own_.nonce) {
+        reject("introduced itself as this daemon");
+        return;
+    }
+    if (!expected_.empty() && hello.host != expected_) {
+        reject("another host than the one called");
+        return;
+    }
+    other_ = hello;
+    socket_.send(encode(Proof{proofOf(links_->key, own_, hello)}));
+}
+
+void Link::take(const Proof &proof)
+{
+    if (!other_ || !isSameProof(proof.mac, proofOf(links_->key, *other_, own_))) {
+        reject("does not hold the deployment's key");
+        return;
+    }
+    isProved_ = true;
+    proofTimer_.cancel();
+    if (links_->handlers.onProved) {
+        links_->handlers.onProved(other_->host, other_->incarnation);
+    }
+    for (const auto &[id, call] : calls_) {
+        if (const auto state = call.lock()) {
+            state->isSent = true;
+        }
+    }
+    for (const std::string &bytes : std::exchange(pending_, {})) {
+        socket_.send(bytes);
+    }
+}
+
+void Link::take(const Gossip &gossip)
+{
+    if (links_->handlers.onGossip) {
+        links_->handlers.onGossip(other_->host, gossip.message);
+    }
+}
+
+void Link::take(Call &call)
+{
+    const std::uint64_t id = call.id;
+    auto sender = [self = weak_from_this(), id](ReplyBody reply) {
+        const auto link = self.lock();
+        if (!link) {
+            return false;
+        }
+        if (isLast(reply)) {
+            link->served_.erase(id);
+        }
+        return link->transmit(encode(Reply{id, std::move(reply)}));
+    };
+    const auto served = std::make_shared<ServedCall>(other_->host, other_->incarnation, std::move(call.body), std::move(sender));
+    served_[id] = served;
+    links_->serve(served);
+}
+
+void Link::take(Reply &reply)
+{
+    const auto found = calls_.find(reply.id);
+    if (found == calls_.end()) {
+        return; // cancelled meanwhile
+    }
+    const auto state = found->second.lock();
+    if (!state || isLast(reply.body)) {
+        calls_.erase(found);
+    }
+    if (state) {
+        state->push(std::move(reply.body));
+    }
+}
+
+void Link::take(const Cancel &cancel)
+{
+    const auto found = served_.find(cancel.id);
+    if (found == served_.end()) {
+        return; // ended meanwhile
+    }
+    const auto call = found->second.lock();
+    served_.erase(found);
+    if (call) {
+        call->cancel(false);
+    }
+}
+
+void Link::take(const Notice &notice)
+{
+    if (links_->handlers.onNotice) {
+        links_->handlers.onNotice(other_->host, notice);
+    }
+}
+
+void Link::lost(const std::string &reason)
+{
+    if (std::exchange(isLost_, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    proofTimer_.cancel();
+    for (const auto &[id, call] : std::exchange(calls_, {})) {
+        if (const auto state = call.lock()) {
+            state->fail(linkError(state->host, "link lost: " + reason, state->isSent ? core::Outcome::Unknown : core::Outcome::NotRun));
+        }
+    }
+    for (const auto &[id, call] : std::exchange(served_, {})) {
+        if (const auto served = call.lock()) {
+            served->cancel(true);
+        }
+    }
+    if (!expected_.empty()) {
+        links_->retryAt[expected_] = std::chrono::steady_clock::now() + chronoOf(reconnectPause);
+        links_->outgoing.erase(expected_);
+    }
+}
+
+void Links::State::setUp()
+{
+    server.clear_access_channels(websocketpp::log::alevel::all);
+    server.clear_error_channels(websocketpp::log::elevel::all);
+    client.clear_access_channels(websocketpp::log::alevel::all);
+    client.clear_error_channels(websocketpp::log::elevel::all);
+    server.init_asio(&io);
+    client.init_asio(&io);
+    server.set_reuse_addr(true);
+    server.set_max_message_size(maxFrameBytes);
+    client.set_max_message_size(maxFrameBytes);
+    server.set_open_handler([this](const connection_hdl &handle) {
+        const auto link = std::make_shared<Link>(shared_from_this(), HostId());
+        incoming[handle] = link;
+        link->start();
+        link->opened(socketOf(server.get_con_from_hdl(handle)));
+    });
+    server.set_message_handler([this](const connection_hdl &handle, const Server::message_ptr &message) {
+        if (const auto found = incoming.find(handle); found != incoming.end()) {
+            const auto link = found->second;
+            link->received(message->get_payload());
+        }
+    });
+    server.set_close_handler([this](const connection_hdl &handle) {
+        if (const auto node = incoming.extract(handle)) {
+            node.mapped()->lost("closed");
+        }
+    });
+}
+
+std::shared_ptr<Link> Links::State::linkTo(const HostId &host)
+{
+    if (const auto found = outgoing.find(host); found != outgoing.end()) {
+        return found->second;
+    }
+    const auto waiting = retryAt.find(host);
+    const bool isTooSoon = waiting != retryAt.end() && std::chrono::steady_clock::now() < waiting->second;
+    if (isClosed || isTooSoon || !addresses.contains(host)) {
+        return nullptr;
+    }
+    const auto link = std::make_shared<Link>(shared_from_this(), host);
+    outgoing[host] = link;
+    link->start();
+    connect(host, link);
+    return link;
+}
+
+void Links::State::connect(const HostId &host, const std::shared_ptr<Link> &link)
+{
+    websocketpp::lib::error_code failed;
+    const auto connection = client.get_connection("ws://" + addresses.at(host).text() + "/", failed);
+    if (failed) {
+        asio::post(io, [link, failed] { link->lost(failed.message()); });
+        return;
+    }
+    const std::weak_ptr<Client::connection_type> weak = connection;
+    connection->set_open_handler([link, weak](const connection_hdl &) {
+        if (const auto open = weak.lock()) {
+            link->opened(socketOf(open));
+        }
+    });
+    connection->set_message_handler([link](const connection_hdl &, const Client::message_ptr &message) { link->received(message->get_payload()); });
+    connection->set_close_handler([link](const connection_hdl &) { link->lost("closed"); });
+    connection->set_fail_handler([link, weak](const connection_hdl &) {
+        const auto failing = weak.lock();
+        link->lost(failing ? failing->get_ec().message() : std::string("could not connect"));
+    });
+    client.connect(connection);
+}
+
+void Links::State::serve(const std::shared_ptr<ServedCall> &call)
+{
+    asio::co_spawn(
+        io,
+        [self = shared_from_this(), call] { return self->handlers.onCall(call); },
+        [call](const std::exception_ptr &failed) {
+            if (failed) {
+                call->send(FailReply{core::Error{.step = core::Step::Peer, .reason = "a fault in the peer", .outcome = core::Outcome::Unknown}});
+            }
+        });
+}
+
+std::unique_ptr<OutgoingCall> Links::State::callLocally(CallBody body)
+{
+    const auto state = std::make_shared<CallState>(io);
+    state->host = self.host;
+    state->isSent = true;
+    auto sender = [weak = std::weak_ptr(state)](ReplyBody reply) {
+        const auto awaited = weak.lock();
+        if (awaited) {
+            awaited->push(std::move(reply));
+        }
+        return awaited != nullptr;
+    };
+    const auto served = std::make_shared<ServedCall>(self.host, self.incarnation, std::move(body), std::move(sender));
+    state->tellCancel = [served] { served->cancel(false); };
+    serve(served);
+    return std::make_unique<AwaitedCall>(state);
+}
+
+Links::Links(asio::io_context &io, Self self, std::string key, LinkHandlers handlers)
+    : state_(std::make_shared<State>(io, std::move(self), std::move(key), std::move(handlers)))
+{
+    state_->setUp();
+}
+
+Links::~Links()
+{
+    close();
+}
+
+std::optional<net::Address> Links::listen(const net::Address &address, core::Error &why)
+{
+    websocketpp::lib::error_code failed;
+    state_->server.listen(asio::ip::tcp::endpoint(asio::ip::make_address(address.ip), address.port), failed);
+    if (!failed) {
+        state_->server.start_accept(failed);
+    }
+    if (failed) {
+        why = core::Error{.step = core::Step::Peer, .peer = address.text(), .reason = "can't listen: " + failed.message()};
+        return std::nullopt;
+    }
+    state_->isListening = true;
+    error_code unknown;
+    return net::Address{address.ip, state_->server.get_local_endpoint(unknown).port()};
+}
+
+void Links::setAddress(const HostId &host, const net::Address &address)
+{
+    const auto known = state_->addresses.find(host);
+    const bool isMoved = known != state_->addresses.end() && known->second != address;
+    state_->addresses[host] = address;
+    if (isMoved) {
+        if (const auto link = state_->outgoing.find(host); link != state_->outgoing.end()) {
+            const auto old = link->second;
+            old->close("the host has another address");
+        }
+    }
+}
+
+void Links::post(const HostId &to, Message message)
+{
+    if (const auto link = state_->linkTo(to)) {
+        link->post(message);
+    }
+}
+
+void Links::notify(const HostId &to, Notice notice)
+{
+    if (to == state_->self.host) {
+        state_->handlers.onNotice(to, notice);
+    } else if (const auto link = state_->linkTo(to)) {
+        link->notify(std::move(notice));
+    }
+}
+
+std::unique_ptr<OutgoingCall> Links::call(const HostId &to, CallBody body)
+{
+    if (to == state_->self.host) {
+        return state_->callLocally(std::move(body));
+    }
+    const auto state = std::make_shared<CallState>(state_->io);
+    state->host = to;
+    if (const auto link = state_->linkTo(to)) {
+        link->open(state, std::move(body));
+    } else {
+        state->fail(linkError(to, "no link to this host", core::Outcome::NotRun));
+    }
+    return std::make_unique<AwaitedCall>(state);
+}
+
+void Links::close()
+{
+    if (std::exchange(state_->isClosed, true)) {
+        return;
+    }
+    websocketpp::lib::error_code ignored;
+    if (state_->isListening) {
+        state_->server.stop_listening(ignored);
+    }
+    for (const auto &[host, link] : std::exchange(state_->outgoing, {})) {
+        link->close("stopping");
+    }
+    for (const auto &[handle, link] : std::exchange(state_->incoming, {})) {
+        link->close("stopping");
+    }
+}
+
+std::uint64_t Links::gossipBytes() const
+{
+    return state_->gossipBytes;
+}
+
+std::size_t Links::openLinks() const
+{
+    return state_->outgoing.size() + state_->incoming.size();
+}
+
+} // namespace baobabstall::peers
--- /dev/null
+++ b/packages/peers/messages.cpp
@@ -0,0 +1,272 @@
+#include <peers/messages.h>
+
+#include <array>
+#include <span>
+
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+namespace nlohmann {
+
+template<typename Tag>
+struct adl_serializer<baobabstall::core::Id<Tag>> {
+    static void to_json(json &to, const baobabstall::core::Id<Tag> &from) { to = from.value(); }
+    static void from_json(const json &from, baobabstall::core::Id<Tag> &to) { to = baobabstall::core::Id<Tag>(from.get<std::string>()); }
+};
+
+template<typename Tag>
+struct adl_serializer<baobabstall::core::Ordinal<Tag>> {
+    static void to_json(json &to, const baobabstall::core::Ordinal<Tag> &from) { to = from.value(); }
+    static void from_json(const json &from, baobabstall::core::Ordinal<Tag> &to) { to = baobabstall::core::Ordinal<Tag>(from.get<std::uint64_t>()); }
+};
+
+template<>
+struct adl_serializer<baobabstall::core::Error> {
+    static void to_json(json &to, const baobabstall::core::Error &from)
+    {
+        to = {{"step", stepName(from.step)},
+              {"peer", from.peer},
+              {"reason", from.reason},
+              {"type", refusalName(from.refusal)},
+              {"outcome", outcomeName(from.outcome)}};
+        if (from.retryAfter) {
+            to["retry_after_ms"] = from.retryAfter->count();
+        }
+    }
+    static void from_json(const json &from, baobabstall::core::Error &to)
+    {
+        using namespace baobabstall::core;
+        to.step = stepOfName(from.at("step").get<std::string>()).value_or(Step::Peer);
+        to.peer = from.at("peer").get<std::string>();
+        to.reason = from.at("reason").get<std::string>();
+        to.refusal = refusalOfName(from.at("type").get<std::string>()).value_or(Refusal::Internal);
+        to.outcome = outcomeOfName(from.at("outcome").get<std::string>()).value_or(Outcome::Unknown);
+        if (from.contains("retry_after_ms")) {
+            to.retryAfter = Milliseconds(from.at("retry_after_ms").get<std::int64_t>());
+        }
+    }
+};
+
+} // namespace nlohmann
+
+namespace baobabstall::peers {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Hello, host, incarnation, region, nonce)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Proof, mac)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProbeCall, engine, adapter)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunCall, request, engine, adapter, plan, share, path, body, timeoutMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitCall, engine, adapter, waiting, victimRate)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceCall, request, customer, key, partition, service, method, target, contentType, body, timeoutMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HintReply, residency, waitMs, fill, queue, freeSlots, accepting)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StartedReply, ranAs, queueMs, stallMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DataReply, data)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GrantReply, permit)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WholeReply, status, contentType, body, isReplay)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ListsReply, snapshot)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FailReply, error)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Cancel, id)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WidthNotice, adapter, width, validMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefetchNotice, engine, adapter)
+
+namespace {
+
+using nlohmann::json;
+
+void to_json(json &to, const ListsCall & /*call*/) // NOLINT(readability-identifier-naming): the library's name
+{
+    to = json::object();
+}
+
+void from_json(const json & /*from*/, ListsCall & /*call*/) // NOLINT(readability-identifier-naming): the library's name
+{ }
+
+void to_json(json &to, const EndReply & /*reply*/) // NOLINT(readability-identifier-naming): the library's name
+{
+    to = json::object();
+}
+
+void from_json(const json & /*from*/, EndReply & /*reply*/) // NOLINT(readability-identifier-naming): the library's name
+{ }
+
+/// A variant as [index, value].
+template<typename Variant>
+json variantToJson(const Variant &variant)
+{
+    json value;
+    std::visit([&](const auto &alternative) { to_json(value, alternative); }, variant);
+    return json::array({variant.index(), std::move(value)});
+}
+
+template<typename Variant, std::size_t index = 0>
+Variant variantFromJson(std::size_t wanted, const json &value)
+{
+    if constexpr (index < std::variant_size_v<Variant>) {
+        if (wanted == index) {
+            std::variant_alternative_t<index, Variant> alternative;
+            from_json(value, alternative);
+            return alternative;
+        }
+        return variantFromJson<Variant, index + 1>(wanted, value);
+    } else {
+        throw std::out_of_range("no such kind of message");
+    }
+}
+
+template<typename Variant>
+Variant variantFromJson(const json &pair)
+{
+    return variantFromJson<Variant>(pair.at(0).get<std::size_t>(), pair.at(1));
+}
+
+json payloadOf(const Hello &hello)
+{
+    return hello;
+}
+
+json payloadOf(const Proof &proof)
+{
+    return proof;
+}
+
+json payloadOf(const Call &call)
+{
+    return json::array({call.id, variantToJson(call.body)});
+}
+
+json payloadOf(const Reply &reply)
+{
+    return json::array({reply.id, variantToJson(reply.body)});
+}
+
+json payloadOf(const Cancel &cancel)
+{
+    return cancel;
+}
+
+json payloadOf(const Notice &notice)
+{
+    return variantToJson(notice.body);
+}
+
+std::string bytesOf(const std::vector<std::uint8_t> &bytes)
+{
+    return {bytes.begin(), bytes.end()};
+}
+
+Frame frameOf(std::size_t kind, const json &payload)
+{
+    switch (kind) {
+    case 0:
+        return payload.get<Hello>();
+    case 1:
+        return payload.get<Proof>();
+    case 3:
+        return Call{payload.at(0).get<std::uint64_t>(), variantFromJson<CallBody>(payload.at(1))};
+    case 4:
+        return Reply{payload.at(0).get<std::uint64_t>(), variantFromJson<ReplyBody>(payload.at(1))};
+    case 5:
+        return payload.get<Cancel>();
+    case 6:
+        return Notice{variantFromJson<decltype(Notice::body)>(payload)};
+    default:
+        throw std::out_of_range("no such kind of frame");
+    }
+}
+
+constexpr std::size_t gossipKind = 2;
+
+std::string hexOf(std::span<const unsigned char> bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (const unsigned char byte : bytes) {
+        text += digits[byte / 16];
+        text += digits[byte % 16];
+    }
+    return text;
+}
+
+/// The parts with their lengths, so that no two different lists of parts give the same text.
+std::string proofText(const Hello &own, const Hello &other)
+{
+    std::string text = "baobabstall link 1";
+    for (const Hello *hello : {&own, &other}) {
+        for (const std::string &part : {hello->host.value(), std::to_string(hello->incarnation.value()), hello->region.value(), hello->nonce}) {
+            text += std::to_string(part.size()) + ':' + part;
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+std::string encode(const Frame &frame)
+{
+    std::string bytes(1, static_cast<char>(frame.index()));
+    std::visit(
+        [&](const auto &alternative) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(alternative)>, Gossip>) {
+                bytes += bytesOf(toCbor(alternative.message));
+            } else {
+                bytes += bytesOf(json::to_cbor(payloadOf(alternative)));
+            }
+        },
+        frame);
+    return bytes;
+}
+
+std::optional<Frame> decode(std::string_view bytes, core::Error &why)
+{
+    why = core::Error{.step = core::Step::Peer, .reason = "malformed frame"};
+    if (bytes.empty()) {
+        return std::nullopt;
+    }
+    const auto kind = static_cast<std::size_t>(static_cast<unsigned char>(bytes.front()));
+    const std::span payload(reinterpret_cast<const std::uint8_t *>(bytes.data()) + 1, bytes.size() - 1);
+    if (kind == gossipKind) {
+        auto message = fromCbor(payload, why);
+        return message ? std::optional<Frame>(Gossip{std::move(*message)}) : std::nullopt;
+    }
+    const json value = json::from_cbor(payload.begin(), payload.end(), true, false);
+    if (value.is_discarded()) {
+        return std::nullopt;
+    }
+    try {
+        return frameOf(kind, value);
+    } catch (const std::exception &) {
+        return std::nullopt; // a field is missing, of another type, or a kind unknown
+    }
+}
+
+bool isLast(const ReplyBody &body)
+{
+    return !std::holds_alternative<StartedReply>(body) && !std::holds_alternative<DataReply>(body) && !std::holds_alternative<GrantReply>(body);
+}
+
+std::optional<std::string> makeNonce()
+{
+    std::array<unsigned char, nonceBytes> bytes{};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+        return std::nullopt;
+    }
+    return hexOf(bytes);
+}
+
+std::string proofOf(std::string_view key, const Hello &own, const Hello &other)
+{
+    const std::string text = proofText(own, other);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> mac{};
+    unsigned int length = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char *>(text.data()), text.size(), mac.data(), &length);
+    return hexOf(std::span(mac).first(length));
+}
+
+bool isSameProof(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+} // namespace baobabstall::peers
