--- /dev/null
+++ b/packages/engines/enginetable.cpp
@@ -0,0 +1,32 @@
+#include <engines/enginetable.h>
+
+#include <charconv>
+
+#include <engines/enginetableimpl.h>
+
+namespace baobabstall::engines {
+
+std::string EngineName::text() const
+{
+    return adapter.text() + '#' + std::to_string(epoch.value());
+}
+
+std::optional<EngineName> EngineName::parse(std::string_view text)
+{
+    const std::size_t mark = text.rfind('#');
+    if (mark == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = text.substr(mark + 1);
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    auto adapter = AdapterRef::parse(text.substr(0, mark));
+    if (!adapter || failure != std::errc() || end != digits.data() + digits.size() || number == 0) {
+        return std::nullopt;
+    }
+    return EngineName{std::move(*adapter), Epoch(number)};
+}
+
+template class BasicEngineTable<DecayedFrequency>;
+
+} // namespace baobabstall::engines
--- /dev/null
+++ b/packages/engines/enginetableimpl.h
@@ -0,0 +1,989 @@
+// engines/enginetableimpl.h: the bodies of BasicEngineTable. Include it only to build a table with another eviction policy.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include <engines/enginetable.h>
+
+namespace baobabstall::engines {
+
+namespace detail {
+
+constexpr double meanWeight = 0.1;         // of a new sample in a running mean
+constexpr double permitFadeMs = 2'000;     // time constant by which an old permit wait is forgotten
+constexpr double worthChange = 1.5;        // factor of change that is worth a message to the budget's owner
+constexpr Milliseconds aheadFor{2'000};    // how long a load ahead is still of use
+constexpr int maxBounces = 2;              // "unknown name" answers before a request is refused
+constexpr double typicalServiceMs = 1'000; // until requests were measured
+
+inline Milliseconds wholeMs(double ms)
+{
+    return Milliseconds(static_cast<std::int64_t>(std::llround(std::max(0.0, ms))));
+}
+
+inline void sample(double &mean, Milliseconds value)
+{
+    mean += meanWeight * (static_cast<double>(value.count()) - mean);
+}
+
+} // namespace detail
+
+template<EvictionPolicyLike Eviction>
+BasicEngineTable<Eviction>::BasicEngineTable(EngineInfo engine,
+                                             Epoch epoch,
+                                             const settings::Loads &loads,
+                                             const settings::Admission &admission,
+                                             Eviction eviction)
+    : engine_(std::move(engine))
+    , epoch_(epoch)
+    , loads_(loads)
+    , admission_(admission)
+    , eviction_(std::move(eviction))
+    , serviceMs_(detail::typicalServiceMs)
+    , loadMs_(static_cast<double>(loads.typical.count()))
+{ }
+
+// Requests
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::enqueue(Request request, Instant now)
+{
+    if (ended_) {
+        refuse(request.id, refusal(*ended_, Milliseconds(0)));
+        return;
+    }
+    eviction_.used(request.adapter, request.share, now);
+    if (auto late = lateness(request, Milliseconds(0), now)) {
+        refuse(request.id, std::move(*late));
+        return;
+    }
+    const bool startsNow = servedName(request.adapter) && batchUsed() < admission_.engineConcurrency;
+    if (!startsNow && !makeRoom(request)) {
+        const Milliseconds wait = expectedWait(request.adapter, startableAhead(request.plan, request.share), now);
+        refuse(request.id, refusal("queue full", std::max(wait, sweepPause)));
+        return;
+    }
+    waiting_.push_back({std::move(request), now, 0});
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::finished(const RequestId &id, RequestEnd end, Instant now)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return;
+    }
+    if (end == RequestEnd::Complete) {
+        detail::sample(serviceMs_, now - found->second.since);
+    } else {
+        wantListing(now + relistPause);
+    }
+    unpin(found->second, end);
+    running_.erase(found);
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::cancel(const RequestId &id, Instant)
+{
+    std::erase_if(waiting_, [&](const Waiting &waiting) { return waiting.request.id == id; });
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::unknownName(const RequestId &id, Instant)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return;
+    }
+    Running running = std::move(found->second);
+    running_.erase(found);
+    unpin(running, RequestEnd::Complete);
+    doubt();
+    if (ended_) {
+        refuse(id, refusal(*ended_, Milliseconds(0)));
+    } else if (++running.waited.bounces > detail::maxBounces) {
+        refuse(id, refusal("the engine lists the adapter but does not run it", relistPause));
+    } else {
+        waiting_.push_front(std::move(running.waited));
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::prefetch(const AdapterRef &adapter, Instant now)
+{
+    if (ended_ || servedName(adapter) || loadingSlot(adapter) != nullptr) {
+        return;
+    }
+    Want &want = wants_[adapter];
+    want.ahead = true;
+    want.aheadUntil = now + detail::aheadFor;
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::start(std::size_t index, Instant now)
+{
+    Waiting waiting = std::move(waiting_[index]);
+    waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(index));
+    const EngineName name = *servedName(waiting.request.adapter);
+    Slot &slot = slots_.at(name);
+    ++slot.pins;
+    touch(slot);
+    double &pass = passes_[waiting.request.plan];
+    passNow_ = std::max(pass, passNow_);
+    pass = passNow_ + 1 / waiting.request.share;
+    actions_.push_back(StartRequest{waiting.request.id, name});
+    const RequestId id = waiting.request.id;
+    running_.emplace(id, Running{std::move(waiting), name, now});
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::unpin(const Running &running, RequestEnd end)
+{
+    const auto found = slots_.find(running.name);
+    if (found == slots_.end()) {
+        return;
+    }
+    Slot &slot = found->second;
+    --slot.pins;
+    touch(slot);
+    if (end == RequestEnd::Lost) {
+        ++slot.elsewhere;
+        slot.lostAt = events_;
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::refuse(const RequestId &id, core::Error error)
+{
+    actions_.push_back(RefuseRequest{id, std::move(error)});
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::refuseAdapter(const AdapterRef &adapter, const core::Error &error)
+{
+    std::erase_if(waiting_, [&](const Waiting &waiting) {
+        const bool isOfAdapter = waiting.request.adapter == adapter;
+        if (isOfAdapter) {
+            refuse(waiting.request.id, error);
+        }
+        return isOfAdapter;
+    });
+}
+
+/// When the queue is full, the newest request of the plan that is most over its share makes room, if that plan is another one.
+template<EvictionPolicyLike Eviction>
+bool BasicEngineTable<Eviction>::makeRoom(const Request &request)
+{
+    if (waiting_.size() < static_cast<std::size_t>(admission_.maxQueue)) {
+        return true;
+    }
+    std::map<PlanId, double> load;
+    for (const Waiting &waiting : waiting_) {
+        load[waiting.request.plan] += 1 / waiting.request.share;
+    }
+    const auto most = std::max_element(load.begin(), load.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    if (most == load.end() || most->first == request.plan || most->second <= load[request.plan] + 1 / request.share) {
+        return false;
+    }
+    const auto newest = std::find_if(waiting_.rbegin(), waiting_.rend(), [&](const Waiting &waiting) { return waiting.request.plan == most->first; });
+    refuse(newest->request.id, refusal("queue full, the plan is over its share", detail::wholeMs(serviceMs_)));
+    waiting_.erase(std::next(newest).base());
+    return true;
+}
+
+template<EvictionPolicyLike Eviction>
+std::optional<std::size_t> BasicEngineTable<Eviction>::nextStartable() const
+{
+    std::optional<std::size_t> best;
+    double bestPass = std::numeric_limits<double>::max();
+    for (std::size_t index = 0; index < waiting_.size(); ++index) {
+        const Request &request = waiting_[index].request;
+        const auto pass = passes_.find(request.plan);
+        const double at = std::max(passNow_, pass == passes_.end() ? 0 : pass->second);
+        if (at < bestPass && servedName(request.adapter)) {
+            best = index;
+            bestPass = at;
+        }
+    }
+    return best;
+}
+
+/// The refusal of a request that will not start in time; nothing while it may.
+template<EvictionPolicyLike Eviction>
+std::optional<core::Error> BasicEngineTable<Eviction>::lateness(const Request &request, Milliseconds waited, Instant now) const
+{
+    if (request.deadline <= now) {
+        core::Error error = refusal("deadline passed before a start", std::nullopt);
+        error.refusal = core::Refusal::Timeout;
+        return error;
+    }
+    if (waited >= admission_.maxQueueWait) {
+        return refusal("waited too long", loadWait(request.adapter, now));
+    }
+    const Milliseconds wait = expectedWait(request.adapter, startableAhead(request.plan, request.share), now);
+    if (wait > admission_.maxQueueWait) {
+        return refusal("expected wait of " + std::to_string(wait.count()) + " ms is over the limit", wait);
+    }
+    if (now + wait > request.deadline) {
+        return refusal("expected wait of " + std::to_string(wait.count()) + " ms is over the deadline", wait);
+    }
+    return std::nullopt;
+}
+
+template<EvictionPolicyLike Eviction>
+Milliseconds BasicEngineTable<Eviction>::expectedWait(const AdapterRef &adapter, double ahead, Instant now) const
+{
+    const double over = batchUsed() + ahead + 1 - admission_.engineConcurrency;
+    const double drain = std::max(0.0, over) * serviceMs_ / admission_.engineConcurrency;
+    const Milliseconds load = servedName(adapter) ? Milliseconds(0) : loadWait(adapter, now);
+    return std::max(detail::wholeMs(drain), load);
+}
+
+template<EvictionPolicyLike Eviction>
+Milliseconds BasicEngineTable<Eviction>::loadWait(const AdapterRef &adapter, Instant now) const
+{
+    if (const Slot *slot = loadingSlot(adapter)) {
+        const auto elapsed = static_cast<double>((now - slot->since).count());
+        return detail::wholeMs(std::max(loadMs_ - elapsed, loadMs_ / 4));
+    }
+    double wait = loadMs_;
+    const auto want = wants_.find(adapter);
+    const WantState state = want == wants_.end() ? WantState::Idle : want->second.state;
+    if (state == WantState::Asked) {
+        const auto elapsed = static_cast<double>((now - want->second.since).count());
+        wait += std::max(permitWait(now) - elapsed, 0.0);
+    } else if (state == WantState::Idle) {
+        wait += permitWait(now);
+        wait += freeSlots() + evictableSlots() > 0 ? 0 : serviceMs_ / 2;
+    }
+    const auto blocked = quarantine_.find(adapter);
+    if (blocked != quarantine_.end()) {
+        wait = std::max(wait, static_cast<double>((blocked->second - now).count()) + loadMs_);
+    }
+    return detail::wholeMs(wait);
+}
+
+/// Requests that start before a new one of this plan under the fair order: of each other plan no more than its share allows.
+template<EvictionPolicyLike Eviction>
+double BasicEngineTable<Eviction>::startableAhead(const PlanId &plan, double share) const
+{
+    struct Queue {
+        double count = 0;
+        double share = 1;
+    };
+    std::map<PlanId, Queue> queues;
+    for (const Waiting &waiting : waiting_) {
+        if (servedName(waiting.request.adapter)) {
+            Queue &queue = queues[waiting.request.plan];
+            ++queue.count;
+            queue.share = waiting.request.share;
+        }
+    }
+    const double own = queues[plan].count;
+    double ahead = own;
+    for (const auto &[other, queue] : queues) {
+        ahead += other == plan ? 0 : std::min(queue.count, (own + 1) * queue.share / share);
+    }
+    return ahead;
+}
+
+template<EvictionPolicyLike Eviction>
+double BasicEngineTable<Eviction>::permitWait(Instant now) const
+{
+    const auto age = static_cast<double>((now - permitMeasuredAt_).count());
+    return permitMs_ * std::exp(-age / detail::permitFadeMs);
+}
+
+template<EvictionPolicyLike Eviction>
+core::Error BasicEngineTable<Eviction>::refusal(std::string reason, std::optional<Milliseconds> retryAfter) const
+{
+    return {.step = core::Step::Admit,
+            .peer = engine_.id.value(),
+            .reason = std::move(reason),
+            .refusal = core::Refusal::Unavailable,
+            .outcome = core::Outcome::NotRun,
+            .retryAfter = retryAfter};
+}
+
+template<EvictionPolicyLike Eviction>
+int BasicEngineTable<Eviction>::batchUsed() const
+{
+    int used = static_cast<int>(running_.size());
+    for (const auto &[name, slot] : slots_) {
+        used += slot.elsewhere;
+    }
+    return used;
+}
+
+template<EvictionPolicyLike Eviction>
+std::map<AdapterRef, double> BasicEngineTable<Eviction>::demand() const
+{
+    std::map<AdapterRef, double> weights;
+    for (const Waiting &waiting : waiting_) {
+        if (!servedName(waiting.request.adapter)) {
+            weights[waiting.request.adapter] += waiting.request.share;
+        }
+    }
+    return weights;
+}
+
+// Permits
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::permitGranted(const AdapterRef &adapter, PermitId permit, Instant now)
+{
+    const auto found = wants_.find(adapter);
+    if (found == wants_.end() || found->second.state == WantState::Granted) {
+        actions_.push_back(ReturnPermit{permit});
+        return;
+    }
+    Want &want = found->second;
+    if (want.state == WantState::Asked) {
+        permitMs_ = permitWait(now);
+        detail::sample(permitMs_, now - want.since);
+        permitMeasuredAt_ = now;
+    }
+    want.state = WantState::Granted;
+    want.permit = permit;
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::permitRefused(const AdapterRef &adapter, Instant now)
+{
+    const auto found = wants_.find(adapter);
+    if (found != wants_.end() && found->second.state == WantState::Asked) {
+        found->second.state = WantState::Idle;
+        found->second.notBefore = now + loads_.typical;
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::permitsLost(Instant)
+{
+    for (auto &[adapter, want] : wants_) {
+        if (want.state == WantState::Asked) {
+            want.state = WantState::Idle;
+        }
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::returnPermit(std::optional<PermitId> &permit)
+{
+    if (permit) {
+        actions_.push_back(ReturnPermit{*permit});
+        permit.reset();
+    }
+}
+
+// Answers of the engine
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::loadEnded(const EngineName &name, LoadOutcome outcome, Instant now)
+{
+    const auto found = slots_.find(name);
+    if (found == slots_.end() || found->second.state != SlotState::Loading) {
+        return;
+    }
+    Slot &slot = found->second;
+    const bool sameRun = slot.orderedUnder == start_;
+    slot.answered = true;
+    touch(slot);
+    if (outcome == LoadOutcome::Unknown || (outcome == LoadOutcome::Loaded && !sameRun)) {
+        slot.state = SlotState::Uncertain;
+        doubt();
+        return;
+    }
+    returnPermit(slot.permit);
+    if (outcome == LoadOutcome::Loaded) {
+        slot.state = SlotState::Resident;
+        detail::sample(loadMs_, now - slot.since);
+        fenceTaken_ = true;
+        wants_.erase(name.adapter);
+        return;
+    }
+    slots_.erase(found);
+    loadFailed(name, outcome, now);
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::loadFailed(const EngineName &name, LoadOutcome outcome, Instant now)
+{
+    if (outcome == LoadOutcome::StaleFencing) {
+        endOwnership("the engine has a later owner");
+        return;
+    }
+    Want &want = wants_[name.adapter];
+    want.notBefore = now + loads_.typical;
+    if (outcome == LoadOutcome::Full) {
+        wantListing(now);
+        return;
+    }
+    if (++want.failures >= maxLoadTries) {
+        core::Error error = refusal("the adapter could not be loaded", loads_.typical * maxLoadTries * 2);
+        error.step = core::Step::Load;
+        refuseAdapter(name.adapter, error);
+        wants_.erase(name.adapter);
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::unloadEnded(const EngineName &name, UnloadOutcome outcome, Instant now)
+{
+    if (outcome == UnloadOutcome::StaleFencing) {
+        endOwnership("the engine has a later owner");
+    }
+    const bool taken = outcome == UnloadOutcome::Unloaded || outcome == UnloadOutcome::NotHeld;
+    fenceTaken_ = fenceTaken_ || taken;
+    if (fenceProbe_ == name) {
+        fenceProbe_.reset();
+        fenceNotBefore_ = now + relistPause;
+    }
+    const auto found = slots_.find(name);
+    if (found == slots_.end() || found->second.state != SlotState::Unloading) {
+        return;
+    }
+    Slot &slot = found->second;
+    slot.answered = true;
+    touch(slot);
+    if (taken) {
+        forgetUnloaded(found, now);
+    } else if (outcome == UnloadOutcome::Unknown) {
+        slot.lostAnswer = true;
+        wantListing(now);
+    }
+}
+
+/// An earlier order with a lost answer may still reach the engine, so the name stays blocked for a while.
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::forgetUnloaded(typename Slots::iterator slot, Instant now)
+{
+    if (slot->second.lostAnswer && slot->first.epoch == epoch_) {
+        quarantine_[slot->first.adapter] = now + loads_.timeout;
+    }
+    slots_.erase(slot);
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::listed(const Listing &listing, Instant now)
+{
+    if (!listingAsked_) {
+        return;
+    }
+    listingAsked_ = false;
+    if (start_ != listing.start) {
+        if (start_ != EngineStart()) {
+            restarted(now);
+        }
+        start_ = listing.start;
+    }
+    engine_.slots = listing.slots > 0 ? listing.slots : engine_.slots;
+    unreadable_ = 0;
+    std::set<EngineName> names;
+    for (const ListedName &entry : listing.names) {
+        const auto name = EngineName::parse(entry.name);
+        if (!name) {
+            ++unreadable_;
+            continue;
+        }
+        names.insert(*name);
+        applyListed(*name, entry.running, now);
+    }
+    applyMissing(names, now);
+    if (doubtAt_ > listingAskedAt_) {
+        wantListing(now);
+        return;
+    }
+    believed_ = true;
+    listingWanted_ = false;
+    if (isUncertain()) {
+        wantListing(now + relistPause);
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::listingFailed(Instant now)
+{
+    listingAsked_ = false;
+    wantListing(now + relistPause);
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::restarted(Instant)
+{
+    for (auto &[id, running] : running_) {
+        core::Error error = refusal("the engine restarted while it ran the request", loads_.typical);
+        error.step = core::Step::Upstream;
+        error.refusal = core::Refusal::BadAnswer;
+        error.outcome = core::Outcome::Unknown;
+        actions_.push_back(AbortRequest{id, std::move(error)});
+    }
+    running_.clear();
+    for (auto &[name, slot] : slots_) {
+        if (slot.answered) {
+            returnPermit(slot.permit);
+        }
+        slot.pins = 0;
+        slot.elsewhere = 0;
+    }
+    std::erase_if(slots_, [](const auto &entry) { return entry.second.answered; });
+    quarantine_.clear();
+    fenceTaken_ = false;
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::applyListed(const EngineName &name, int running, Instant now)
+{
+    if (name.epoch > epoch_) {
+        endOwnership("the engine holds names of a later owner");
+    }
+    const auto [entry, isNew] = slots_.try_emplace(name);
+    Slot &slot = entry->second;
+    if (isNew) {
+        slot.orderedUnder = start_;
+        slot.since = now;
+    }
+    const auto gone = gone_.find(name.epoch);
+    slot.seenAfterGone = gone != gone_.end() && gone->second <= listingAskedAt_;
+    if (slot.changedAt > listingAskedAt_) {
+        if (slot.lostAt <= listingAskedAt_) {
+            slot.elsewhere = std::min(slot.elsewhere, running);
+        }
+        return;
+    }
+    slot.elsewhere = std::max(0, running - slot.pins);
+    if (slot.state == SlotState::Uncertain) {
+        slot.state = SlotState::Resident;
+        returnPermit(slot.permit);
+        wants_.erase(name.adapter);
+    } else if (slot.state == SlotState::Unloading && slot.answered && running == 0 && !ended_) {
+        orderUnload(name, slot);
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::applyMissing(const std::set<EngineName> &listed, Instant now)
+{
+    for (auto entry = slots_.begin(); entry != slots_.end();) {
+        const auto current = entry++;
+        Slot &slot = current->second;
+        if (listed.contains(current->first) || !slot.answered || slot.changedAt > listingAskedAt_) {
+            continue;
+        }
+        returnPermit(slot.permit);
+        forgetUnloaded(current, now);
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+bool BasicEngineTable<Eviction>::isUncertain() const
+{
+    return std::any_of(slots_.begin(), slots_.end(), [&](const auto &entry) {
+        const auto &[name, slot] = entry;
+        const bool awaitsEvidence = gone_.contains(name.epoch) && !slot.seenAfterGone;
+        const bool unsettled = slot.answered && (slot.state == SlotState::Uncertain || slot.state == SlotState::Unloading);
+        return slot.elsewhere > 0 || awaitsEvidence || unsettled;
+    });
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::doubt()
+{
+    believed_ = false;
+    doubtAt_ = ++events_;
+    listingWanted_ = true;
+    listingNotBefore_ = Instant(std::numeric_limits<std::int64_t>::min());
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::wantListing(Instant notBefore)
+{
+    listingNotBefore_ = listingWanted_ ? std::min(listingNotBefore_, notBefore) : notBefore;
+    listingWanted_ = true;
+}
+
+// Ownership
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::ownerGone(Epoch old)
+{
+    if (old >= epoch_ || !gone_.try_emplace(old, ++events_).second) {
+        return;
+    }
+    const bool holdsSome = std::any_of(slots_.begin(), slots_.end(), [&](const auto &entry) { return entry.first.epoch == old; });
+    if (holdsSome) {
+        wantListing(Instant(std::numeric_limits<std::int64_t>::min()));
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::superseded(Instant)
+{
+    endOwnership("the engine has a later owner");
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::drain(Instant)
+{
+    endOwnership("the engine is being handed over");
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::endOwnership(std::string reason)
+{
+    if (ended_) {
+        return;
+    }
+    ended_ = std::move(reason);
+    for (const Waiting &waiting : waiting_) {
+        refuse(waiting.request.id, refusal(*ended_, Milliseconds(0)));
+    }
+    waiting_.clear();
+    for (auto &[adapter, want] : wants_) {
+        if (want.state == WantState::Asked) {
+            actions_.push_back(WithdrawPermit{adapter});
+        }
+        returnPermit(want.permit);
+    }
+    wants_.clear();
+}
+
+template<EvictionPolicyLike Eviction>
+bool BasicEngineTable<Eviction>::ordersOpen() const
+{
+    const bool slotOrders = std::any_of(slots_.begin(), slots_.end(), [](const auto &entry) { return !entry.second.answered; });
+    return slotOrders || fenceProbe_.has_value();
+}
+
+// Decisions
+
+template<EvictionPolicyLike Eviction>
+std::vector<Action> BasicEngineTable<Eviction>::takeActions(Instant now)
+{
+    if (!ended_) {
+        std::erase_if(quarantine_, [&](const auto &entry) { return entry.second <= now; });
+        startWaiting(now);
+        refuseLate(now);
+        updateWants(now);
+        if (believed_) {
+            proveFencing(now);
+            useGrants(now);
+            askPermits(now);
+        }
+    }
+    askListing(now);
+    return std::exchange(actions_, {});
+}
+
+template<EvictionPolicyLike Eviction>
+std::optional<Instant> BasicEngineTable<Eviction>::nextDeadline(Instant now) const
+{
+    std::optional<Instant> next;
+    const auto consider = [&](Instant at) { next = next ? std::min(*next, at) : at; };
+    if (listingWanted_ && !listingAsked_) {
+        consider(std::max(now, listingNotBefore_));
+    }
+    if (!waiting_.empty()) {
+        consider(sweptAt_ + sweepPause);
+    }
+    for (const auto &[adapter, want] : wants_) {
+        if (want.state == WantState::Idle && want.notBefore > now) {
+            consider(want.notBefore);
+        }
+        if (want.ahead) {
+            consider(want.aheadUntil);
+        }
+    }
+    if (engine_.checksFencing && !fenceTaken_ && fenceNotBefore_ > now) {
+        consider(fenceNotBefore_);
+    }
+    return next;
+}
+
+template<EvictionPolicyLike Eviction>
+Hint BasicEngineTable<Eviction>::probe(const AdapterRef &adapter, Instant now) const
+{
+    Hint hint;
+    hint.accepting = !ended_ && believed_;
+    hint.queue = static_cast<int>(waiting_.size());
+    hint.batchFill = std::min(1.0, static_cast<double>(batchUsed()) / admission_.engineConcurrency);
+    hint.freeSlots = freeSlots() + evictableSlots();
+    hint.expectedWait = expectedWait(adapter, startableAhead(PlanId(), 1), now);
+    if (servedName(adapter)) {
+        hint.residency = Residency::Resident;
+    } else if (loadingSlot(adapter) != nullptr || wants_.contains(adapter)) {
+        hint.residency = Residency::Loading;
+    }
+    return hint;
+}
+
+template<EvictionPolicyLike Eviction>
+std::vector<EngineName> BasicEngineTable<Eviction>::resident() const
+{
+    std::vector<EngineName> names;
+    for (const auto &[name, slot] : slots_) {
+        if (servable(name, slot)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::refuseLate(Instant now)
+{
+    if (now - sweptAt_ < sweepPause) {
+        return;
+    }
+    sweptAt_ = now;
+    std::erase_if(waiting_, [&](const Waiting &waiting) {
+        auto late = lateness(waiting.request, now - waiting.since, now);
+        if (late) {
+            refuse(waiting.request.id, std::move(*late));
+        }
+        return late.has_value();
+    });
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::startWaiting(Instant now)
+{
+    while (batchUsed() < admission_.engineConcurrency) {
+        const auto index = nextStartable();
+        if (!index) {
+            return;
+        }
+        start(*index, now);
+    }
+}
+
+/// Keeps one want for each adapter that requests wait for, or that is to be loaded ahead.
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::updateWants(Instant now)
+{
+    const auto weights = demand();
+    for (const auto &[adapter, weight] : weights) {
+        wants_.try_emplace(adapter);
+    }
+    for (auto entry = wants_.begin(); entry != wants_.end();) {
+        const auto current = entry++;
+        Want &want = current->second;
+        if (weights.contains(current->first) || (want.ahead && now < want.aheadUntil)) {
+            continue;
+        }
+        if (want.state == WantState::Asked) {
+            actions_.push_back(WithdrawPermit{current->first});
+        }
+        returnPermit(want.permit);
+        wants_.erase(current);
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::useGrants(Instant now)
+{
+    int free = freeSlots();
+    int coming = countSlots(SlotState::Unloading);
+    for (auto &[adapter, want] : wants_) {
+        if (want.state != WantState::Granted) {
+            continue;
+        }
+        if (free > 0) {
+            --free;
+            orderLoad(adapter, want, now);
+            continue;
+        }
+        if (coming > 0) {
+            --coming;
+            continue;
+        }
+        const auto evicted = victim(now);
+        if (evicted == slots_.end()) {
+            returnPermit(want.permit);
+            want.state = WantState::Idle;
+            want.notBefore = now + loads_.typical;
+            continue;
+        }
+        orderUnload(evicted->first, evicted->second);
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::askPermits(Instant now)
+{
+    const auto weights = demand();
+    int room = freeSlots() + countSlots(SlotState::Unloading) + evictableSlots();
+    for (const auto &[adapter, want] : wants_) {
+        room -= want.state == WantState::Idle ? 0 : 1;
+    }
+    double victimRate = 0;
+    if (freeSlots() <= 0) {
+        const auto evicted = victim(now);
+        victimRate = evicted == slots_.end() ? 0 : eviction_.ratePerSecond(evicted->first.adapter, now);
+    }
+    for (auto &[adapter, want] : wants_) {
+        const auto weight = weights.find(adapter);
+        const Worth worth{weight == weights.end() ? 0 : weight->second, victimRate};
+        if (want.state == WantState::Asked) {
+            const double before = want.asked.waiting;
+            if (worth.waiting > before * detail::worthChange || worth.waiting * detail::worthChange < before) {
+                want.asked = worth;
+                actions_.push_back(AskPermit{adapter, worth});
+            }
+            continue;
+        }
+        const bool blocked = quarantine_.contains(adapter) || loadingSlot(adapter) != nullptr || now < want.notBefore;
+        if (want.state == WantState::Granted || blocked || room <= 0) {
+            continue;
+        }
+        --room;
+        want.state = WantState::Asked;
+        want.asked = worth;
+        want.since = now;
+        actions_.push_back(AskPermit{adapter, worth});
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::askListing(Instant now)
+{
+    if (!listingWanted_ || listingAsked_ || now < listingNotBefore_) {
+        return;
+    }
+    listingAsked_ = true;
+    listingWanted_ = false;
+    listingAskedAt_ = events_;
+    actions_.push_back(AskListing{});
+}
+
+/// Earlier owners' names are served once the engine has taken an order with our number. A name that nobody holds makes a harmless one.
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::proveFencing(Instant now)
+{
+    if (!engine_.checksFencing || fenceTaken_ || fenceProbe_ || now < fenceNotBefore_) {
+        return;
+    }
+    for (const auto &[name, slot] : slots_) {
+        const EngineName probe{name.adapter, epoch_};
+        if (name.epoch < epoch_ && !slots_.contains(probe)) {
+            fenceProbe_ = probe;
+            actions_.push_back(OrderUnload{probe});
+            return;
+        }
+    }
+}
+
+// Slots
+
+template<EvictionPolicyLike Eviction>
+bool BasicEngineTable<Eviction>::servable(const EngineName &name, const Slot &slot) const
+{
+    const bool isAdopted = engine_.checksFencing && fenceTaken_ && name.epoch < epoch_;
+    return believed_ && !ended_ && slot.state == SlotState::Resident && (name.epoch == epoch_ || isAdopted);
+}
+
+template<EvictionPolicyLike Eviction>
+bool BasicEngineTable<Eviction>::evictable(const EngineName &name, const Slot &slot) const
+{
+    const bool isIdle = slot.state == SlotState::Resident && slot.pins == 0 && slot.elsewhere == 0;
+    const bool isOurs = name.epoch == epoch_ || (gone_.contains(name.epoch) && slot.seenAfterGone);
+    return believed_ && !ended_ && isIdle && isOurs && !isWanted(name.adapter);
+}
+
+template<EvictionPolicyLike Eviction>
+bool BasicEngineTable<Eviction>::isWanted(const AdapterRef &adapter) const
+{
+    return std::any_of(waiting_.begin(), waiting_.end(), [&](const Waiting &waiting) { return waiting.request.adapter == adapter; });
+}
+
+template<EvictionPolicyLike Eviction>
+std::optional<EngineName> BasicEngineTable<Eviction>::servedName(const AdapterRef &adapter) const
+{
+    const auto begin = slots_.lower_bound(EngineName{adapter, Epoch()});
+    std::optional<EngineName> best;
+    for (auto entry = begin; entry != slots_.end() && entry->first.adapter == adapter; ++entry) {
+        if (servable(entry->first, entry->second)) {
+            best = entry->first;
+        }
+    }
+    return best;
+}
+
+template<EvictionPolicyLike Eviction>
+typename BasicEngineTable<Eviction>::Slots::iterator BasicEngineTable<Eviction>::victim(Instant now)
+{
+    auto best = slots_.end();
+    double least = std::numeric_limits<double>::max();
+    for (auto entry = slots_.begin(); entry != slots_.end(); ++entry) {
+        if (!evictable(entry->first, entry->second)) {
+            continue;
+        }
+        const double value = eviction_.value(entry->first.adapter, now);
+        if (value < least) {
+            least = value;
+            best = entry;
+        }
+    }
+    return best;
+}
+
+template<EvictionPolicyLike Eviction>
+const typename BasicEngineTable<Eviction>::Slot *BasicEngineTable<Eviction>::loadingSlot(const AdapterRef &adapter) const
+{
+    const auto found = slots_.find(EngineName{adapter, epoch_});
+    const bool isLoading = found != slots_.end() && (found->second.state == SlotState::Loading || found->second.state == SlotState::Uncertain);
+    return isLoading ? &found->second : nullptr;
+}
+
+template<EvictionPolicyLike Eviction>
+int BasicEngineTable<Eviction>::countSlots(SlotState state) const
+{
+    return static_cast<int>(std::count_if(slots_.begin(), slots_.end(), [&](const auto &entry) { return entry.second.state == state; }));
+}
+
+template<EvictionPolicyLike Eviction>
+int BasicEngineTable<Eviction>::freeSlots() const
+{
+    return std::max(0, engine_.slots - loads_.spareSlots - unreadable_ - static_cast<int>(slots_.size()));
+}
+
+template<EvictionPolicyLike Eviction>
+int BasicEngineTable<Eviction>::evictableSlots() const
+{
+    return static_cast<int>(std::count_if(slots_.begin(), slots_.end(), [&](const auto &entry) { return evictable(entry.first, entry.second); }));
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::touch(Slot &slot)
+{
+    slot.changedAt = ++events_;
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::orderLoad(const AdapterRef &adapter, Want &want, Instant now)
+{
+    const EngineName name{adapter, epoch_};
+    Slot &slot = slots_[name];
+    slot.state = SlotState::Loading;
+    slot.answered = false;
+    slot.orderedUnder = start_;
+    slot.permit = want.permit;
+    slot.since = now;
+    touch(slot);
+    want.state = WantState::Idle;
+    want.permit.reset();
+    actions_.push_back(OrderLoad{name, *slot.permit});
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::orderUnload(const EngineName &name, Slot &slot)
+{
+    slot.state = SlotState::Unloading;
+    slot.answered = false;
+    touch(slot);
+    actions_.push_back(OrderUnload{name});
+}
+
+} // namespace baobabstall::engines
--- /dev/null
+++ b/packages/engines/evictionpolicy.h
@@ -0,0 +1,62 @@
+// engines/evictionpolicy.h: which resident adapter is worth least. Decides value only; pins are the engine table's job.
+//
+// Index
+//   EvictionPolicyLike   what an engine table asks of a policy
+//   DecayedFrequency     the policy in use: request rate with a half life
+//
+// Plain LRU forgets a hot adapter after as many cold ones as there are slots, so a scan by the long tail washes it out.
+// A decayed rate needs many requests to rise and a half life to fall: one cold request can't displace a hot adapter.
+#pragma once
+
+#include <concepts>
+#include <cstddef>
+#include <unordered_map>
+
+#include <core/types.h>
+
+namespace baobabstall::engines {
+
+using core::AdapterRef;
+using core::Instant;
+using core::Milliseconds;
+
+template<typename Policy>
+concept EvictionPolicyLike = requires(Policy policy, const Policy &constPolicy, const AdapterRef &adapter, Instant now)
+{
+    policy.used(adapter, 1.0, now); // a request of this weight named the adapter
+    {
+        constPolicy.ratePerSecond(adapter, now)
+        } -> std::same_as<double>; // expected weighted requests; what an eviction costs
+    {
+        constPolicy.value(adapter, now)
+        } -> std::same_as<double>; // the lowest goes first
+};
+
+class DecayedFrequency
+{
+public:
+    explicit DecayedFrequency(Milliseconds halfLife); // a burst counts half after this time
+
+    void used(const AdapterRef &adapter, double weight, Instant now);
+    [[nodiscard]] double ratePerSecond(const AdapterRef &adapter, Instant now) const; // 0 for an adapter never seen
+    [[nodiscard]] double value(const AdapterRef &adapter, Instant now) const { return ratePerSecond(adapter, now); }
+    [[nodiscard]] std::size_t size() const { return counts_.size(); }
+
+    static constexpr std::size_t maxAdapters = 4'096; // remembered, resident or not; over it the coldest half is forgotten
+
+private:
+    struct Count {
+        double weight = 0; // decayed to `at`
+        Instant at;
+    };
+
+    [[nodiscard]] double decayed(const Count &count, Instant now) const;
+    void forgetColdest(Instant now);
+
+    double halfLifeMs_;
+    std::unordered_map<AdapterRef, Count> counts_;
+};
+
+static_assert(EvictionPolicyLike<DecayedFrequency>);
+
+} // namespace baobabstall::engines
--- /dev/null
+++ b/packages/engines/tests/loadbudgettest.cpp
@@ -0,0 +1,137 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include <engines/loadbudget.h>
+
+namespace baobabstall::engines {
+
+namespace {
+
+const HostId host("entry-1");
+const UpstreamId engine("engine-1");
+const settings::Loads loads{.perSecond = 3, .concurrent = 2};
+
+AdapterRef adapterNumber(int number)
+{
+    return *AdapterRef::parse("c/a" + std::to_string(number) + "@v1");
+}
+
+std::vector<PermitId> permitsOf(const std::vector<Grant> &grants)
+{
+    std::vector<PermitId> permits;
+    for (const Grant &grant : grants) {
+        permits.push_back(grant.permit);
+    }
+    return permits;
+}
+
+} // namespace
+
+TEST(LoadBudget, grants_the_most_worth_first_and_loads_ahead_last)
+{
+    LoadBudget budget(Epoch(7), {.perSecond = 10, .concurrent = 1}, Instant(0));
+    budget.ask(host, engine, adapterNumber(1), {.waiting = 0}, Instant(0));
+    budget.ask(host, engine, adapterNumber(2), {.waiting = 1}, Instant(0));
+    budget.ask(host, engine, adapterNumber(3), {.waiting = 5}, Instant(0));
+    budget.ask(host, engine, adapterNumber(4), {.waiting = 2, .victimRate = 20}, Instant(0));
+    std::vector<AdapterRef> order;
+    for (Instant now(2'000); order.size() < 4; now = now + Milliseconds(200)) {
+        for (const Grant &grant : budget.takeGrants(now)) {
+            order.push_back(grant.adapter);
+            budget.done(grant.permit, now);
+        }
+    }
+    EXPECT_EQ(order, (std::vector{adapterNumber(3), adapterNumber(2), adapterNumber(4), adapterNumber(1)}));
+}
+
+TEST(LoadBudget, an_old_small_ask_overtakes_new_large_ones)
+{
+    LoadBudget budget(Epoch(7), loads, Instant(0));
+    budget.ask(host, engine, adapterNumber(1), {.waiting = 1}, Instant(0));
+    budget.ask(host, engine, adapterNumber(2), {.waiting = 3}, Instant(4'000));
+    EXPECT_EQ(budget.takeGrants(Instant(4'000)).front().adapter, adapterNumber(1));
+}
+
+TEST(LoadBudget, never_gives_more_at_once_than_load_at_full_speed)
+{
+    LoadBudget budget(Epoch(7), loads, Instant(0));
+    for (int number = 0; number < 5; ++number) {
+        budget.ask(host, engine, adapterNumber(number), {.waiting = 1}, Instant(0));
+    }
+    const auto grants = budget.takeGrants(Instant(1'000));
+    EXPECT_EQ(grants.size(), 2U);
+    EXPECT_TRUE(budget.takeGrants(Instant(3'000)).empty());
+    budget.done(grants[0].permit, Instant(3'000));
+    EXPECT_EQ(budget.takeGrants(Instant(3'000)).size(), 1U);
+    EXPECT_EQ(budget.takeGrants(Instant(3'000) + loads.timeout).size(), 2U) << "permits run out by time";
+}
+
+TEST(LoadBudget, no_second_has_more_loads_than_the_store_allows)
+{
+    LoadBudget budget(Epoch(7), loads, Instant(0));
+    std::mt19937_64 random(5);
+    std::deque<Instant> granted;
+    int asked = 0;
+    for (Instant now(0); now < Instant(60'000); now = now + Milliseconds(10)) {
+        if (random() % 4 == 0) {
+            budget.ask(host, engine, adapterNumber(asked++), {.waiting = static_cast<double>(random() % 9)}, now);
+        }
+        for (const PermitId permit : permitsOf(budget.takeGrants(now))) {
+            granted.push_back(now);
+            budget.done(permit, now);
+        }
+        while (!granted.empty() && granted.front() + Milliseconds(1'000) <= now) {
+            granted.pop_front();
+        }
+        ASSERT_LE(granted.size(), 3U) << now.sinceOrigin();
+    }
+}
+
+TEST(LoadBudget, a_new_owner_counts_permits_of_the_last_one)
+{
+    LoadBudget budget(Epoch(9), loads, Instant(0));
+    budget.ask(host, engine, adapterNumber(1), {.waiting = 1}, Instant(0));
+    EXPECT_TRUE(budget.takeGrants(Instant(500)).empty()) << "the last owner may have used this window";
+    budget.held(host, PermitId(3), Instant(500));
+    budget.held(host, PermitId(4), Instant(500));
+    EXPECT_TRUE(budget.takeGrants(Instant(2'000)).empty());
+    budget.done(PermitId(4), Instant(2'000));
+    EXPECT_EQ(budget.takeGrants(Instant(2'000)).size(), 1U);
+}
+
+TEST(LoadBudget, forgets_the_asks_of_a_host_that_is_gone)
+{
+    LoadBudget budget(Epoch(9), loads, Instant(0));
+    budget.ask(host, engine, adapterNumber(1), {.waiting = 1}, Instant(0));
+    budget.hostGone(host);
+    EXPECT_TRUE(budget.takeGrants(Instant(2'000)).empty());
+    EXPECT_FALSE(budget.nextDeadline(Instant(2'000)));
+}
+
+TEST(FallbackBudget, owners_together_stay_within_the_stated_bound)
+{
+    constexpr int owners = 8;
+    std::vector<FallbackBudget> budgets(owners, FallbackBudget(loads, Instant(0)));
+    std::vector<Instant> taken;
+    for (Instant now(0); now < Instant(60'000); now = now + Milliseconds(10)) {
+        for (FallbackBudget &budget : budgets) {
+            if (const auto permit = budget.take(owners, now)) {
+                taken.push_back(now);
+                budget.done(*permit);
+                EXPECT_TRUE(FallbackBudget::isOwn(*permit));
+            }
+        }
+    }
+    for (std::size_t first = 0; first < taken.size(); ++first) {
+        for (std::size_t last = first; last < taken.size(); ++last) {
+            const double seconds = static_cast<double>((taken[last] - taken[first]).count()) / 1'000;
+            ASSERT_LE(static_cast<double>(last - first + 1), loads.perSecond * seconds + owners + 1e-6);
+        }
+    }
+    EXPECT_GT(taken.size(), 150U);
+}
+
+} // namespace baobabstall::engines
