--- a/packages/engines/enginetable.h
+++ b/packages/engines/enginetable.h
@@ -9,6 +9,8 @@
 //
 // Use: after each event, and at nextDeadline(), call takeActions() and carry the actions out in their order.
 //
+// A table stays where it is made: neither copied nor moved. Requests that wait are ordered by admission::FairQueue.
+//
 //   EngineTable table(info, epoch, settings.loads, settings.admission);
 //   table.enqueue(request, now);
 //   for (const Action &action : table.takeActions(now)) { ... }
@@ -26,7 +28,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -36,6 +37,7 @@
 #include <variant>
 #include <vector>
 
+#include <admission/fairqueue.h>
 #include <core/error.h>
 #include <core/types.h>
 #include <engines/evictionpolicy.h>
@@ -225,13 +227,14 @@
     void askListing(Instant now);
     void proveFencing(Instant now);
 
+    void act(Action action) { actions_.push_back(std::move(action)); }
+
     // Requests
-    void start(std::size_t index, Instant now);
+    void start(Waiting waiting, Instant now);
     void unpin(const Running &running, RequestEnd end);
     void refuse(const RequestId &id, core::Error error);
     void refuseAdapter(const AdapterRef &adapter, const core::Error &error);
-    [[nodiscard]] bool makeRoom(const Request &request);
-    [[nodiscard]] std::optional<std::size_t> nextStartable() const;
+    void queue(Waiting waiting, Instant now);
     [[nodiscard]] std::optional<core::Error> lateness(const Request &request, Milliseconds waited, Instant now) const;
     [[nodiscard]] Milliseconds expectedWait(const AdapterRef &adapter, double ahead, Instant now) const;
     [[nodiscard]] Milliseconds loadWait(const AdapterRef &adapter, Instant now) const;
@@ -289,12 +292,10 @@
     Instant fenceNotBefore_;
     std::optional<std::string> ended_; // why we no longer serve
 
-    std::deque<Waiting> waiting_; // in order of arrival
+    admission::FairQueue<Waiting> waiting_;
     std::unordered_map<RequestId, Running> running_;
     std::map<AdapterRef, Want> wants_;
     std::map<AdapterRef, Instant> quarantine_; // not loaded again before; see Limit above
-    std::map<PlanId, double> passes_;          // virtual time of each plan; the least goes first
-    double passNow_ = 0;
     Instant sweptAt_;
 
     double serviceMs_;    // mean time of a request on the engine
--- a/packages/engines/enginetableimpl.h
+++ b/packages/engines/enginetableimpl.h
@@ -41,6 +41,7 @@
     , loads_(loads)
     , admission_(admission)
     , eviction_(std::move(eviction))
+    , waiting_(static_cast<std::size_t>(admission.maxQueue))
     , serviceMs_(detail::typicalServiceMs)
     , loadMs_(static_cast<double>(loads.typical.count()))
 { }
@@ -59,13 +60,25 @@
         refuse(request.id, std::move(*late));
         return;
     }
-    const bool startsNow = servedName(request.adapter) && batchUsed() < admission_.engineConcurrency;
-    if (!startsNow && !makeRoom(request)) {
-        const Milliseconds wait = expectedWait(request.adapter, startableAhead(request.plan, request.share), now);
-        refuse(request.id, refusal("queue full", std::max(wait, sweepPause)));
-        return;
+    startWaiting(now);
+    if (servedName(request.adapter) && batchUsed() < admission_.engineConcurrency) {
+        start({std::move(request), now, 0}, now);
+    } else {
+        queue({std::move(request), now, 0}, now);
+    }
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::queue(Waiting waiting, Instant now)
+{
+    const PlanId plan = waiting.request.plan;
+    const double share = waiting.request.share;
+    const auto pushed = waiting_.push(plan, share, std::move(waiting));
+    if (pushed.refused) {
+        const Request &refused = pushed.refused->request;
+        const Milliseconds wait = expectedWait(refused.adapter, startableAhead(refused.plan, refused.share), now);
+        refuse(refused.id, refusal("queue full, the plan is over its share", std::max(wait, sweepPause)));
     }
-    waiting_.push_back({std::move(request), now, 0});
 }
 
 template<EvictionPolicyLike Eviction>
@@ -87,11 +100,11 @@
 template<EvictionPolicyLike Eviction>
 void BasicEngineTable<Eviction>::cancel(const RequestId &id, Instant)
 {
-    std::erase_if(waiting_, [&](const Waiting &waiting) { return waiting.request.id == id; });
+    waiting_.removeIf([&](const Waiting &waiting) { return waiting.request.id == id; });
 }
 
 template<EvictionPolicyLike Eviction>
-void BasicEngineTable<Eviction>::unknownName(const RequestId &id, Instant)
+void BasicEngineTable<Eviction>::unknownName(const RequestId &id, Instant now)
 {
     const auto found = running_.find(id);
     if (found == running_.end()) {
@@ -106,7 +119,7 @@
     } else if (++running.waited.bounces > detail::maxBounces) {
         refuse(id, refusal("the engine lists the adapter but does not run it", relistPause));
     } else {
-        waiting_.push_front(std::move(running.waited));
+        queue(std::move(running.waited), now);
     }
 }
 
@@ -122,19 +135,14 @@
 }
 
 template<EvictionPolicyLike Eviction>
-void BasicEngineTable<Eviction>::start(std::size_t index, Instant now)
+void BasicEngineTable<Eviction>::start(Waiting waiting, Instant now)
 {
-    Waiting waiting = std::move(waiting_[index]);
-    waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(index));
     const EngineName name = *servedName(waiting.request.adapter);
     Slot &slot = slots_.at(name);
     ++slot.pins;
     touch(slot);
-    double &pass = passes_[waiting.request.plan];
-    passNow_ = std::max(pass, passNow_);
-    pass = passNow_ + 1 / waiting.request.share;
-    actions_.push_back(StartRequest{waiting.request.id, name});
     const RequestId id = waiting.request.id;
+    act(StartRequest{id, name});
     running_.emplace(id, Running{std::move(waiting), name, now});
 }
 
@@ -157,57 +165,15 @@
 template<EvictionPolicyLike Eviction>
 void BasicEngineTable<Eviction>::refuse(const RequestId &id, core::Error error)
 {
-    actions_.push_back(RefuseRequest{id, std::move(error)});
+    act(RefuseRequest{id, std::move(error)});
 }
 
 template<EvictionPolicyLike Eviction>
 void BasicEngineTable<Eviction>::refuseAdapter(const AdapterRef &adapter, const core::Error &error)
 {
-    std::erase_if(waiting_, [&](const Waiting &waiting) {
-        const bool isOfAdapter = waiting.request.adapter == adapter;
-        if (isOfAdapter) {
-            refuse(waiting.request.id, error);
-        }
-        return isOfAdapter;
-    });
-}
-
-/// When the queue is full, the newest request of the plan that is most over its share makes room, if that plan is another one.
-template<EvictionPolicyLike Eviction>
-bool BasicEngineTable<Eviction>::makeRoom(const Request &request)
-{
-    if (waiting_.size() < static_cast<std::size_t>(admission_.maxQueue)) {
-        return true;
+    for (const Waiting &waiting : waiting_.removeIf([&](const Waiting &each) { return each.request.adapter == adapter; })) {
+        refuse(waiting.request.id, error);
     }
-    std::map<PlanId, double> load;
-    for (const Waiting &waiting : waiting_) {
-        load[waiting.request.plan] += 1 / waiting.request.share;
-    }
-    const auto most = std::max_element(load.begin(), load.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-    if (most == load.end() || most->first == request.plan || most->second <= load[request.plan] + 1 / request.share) {
-        return false;
-    }
-    const auto newest = std::find_if(waiting_.rbegin(), waiting_.rend(), [&](const Waiting &waiting) { return waiting.request.plan == most->first; });
-    refuse(newest->request.id, refusal("queue full, the plan is over its share", detail::wholeMs(serviceMs_)));
-    waiting_.erase(std::next(newest).base());
-    return true;
-}
-
-template<EvictionPolicyLike Eviction>
-std::optional<std::size_t> BasicEngineTable<Eviction>::nextStartable() const
-{
-    std::optional<std::size_t> best;
-    double bestPass = std::numeric_limits<double>::max();
-    for (std::size_t index = 0; index < waiting_.size(); ++index) {
-        const Request &request = waiting_[index].request;
-        const auto pass = passes_.find(request.plan);
-        const double at = std::max(passNow_, pass == passes_.end() ? 0 : pass->second);
-        if (at < bestPass && servedName(request.adapter)) {
-            best = index;
-            bestPass = at;
-        }
-    }
-    return best;
 }
 
 /// The refusal of a request that will not start in time; nothing while it may.
@@ -274,13 +240,13 @@
         double share = 1;
     };
     std::map<PlanId, Queue> queues;
-    for (const Waiting &waiting : waiting_) {
+    waiting_.forEach([&](const PlanId &other, double otherShare, const Waiting &waiting) {
         if (servedName(waiting.request.adapter)) {
-            Queue &queue = queues[waiting.request.plan];
+            Queue &queue = queues[other];
             ++queue.count;
-            queue.share = waiting.request.share;
+            queue.share = otherShare;
         }
-    }
+    });
     const double own = queues[plan].count;
     double ahead = own;
     for (const auto &[other, queue] : queues) {
@@ -321,11 +287,11 @@
 std::map<AdapterRef, double> BasicEngineTable<Eviction>::demand() const
 {
     std::map<AdapterRef, double> weights;
-    for (const Waiting &waiting : waiting_) {
+    waiting_.forEach([&](const PlanId &, double share, const Waiting &waiting) {
         if (!servedName(waiting.request.adapter)) {
-            weights[waiting.request.adapter] += waiting.request.share;
+            weights[waiting.request.adapter] += share;
         }
-    }
+    });
     return weights;
 }
 
@@ -336,7 +302,7 @@
 {
     const auto found = wants_.find(adapter);
     if (found == wants_.end() || found->second.state == WantState::Granted) {
-        actions_.push_back(ReturnPermit{permit});
+        act(ReturnPermit{permit});
         return;
     }
     Want &want = found->second;
@@ -373,7 +339,7 @@
 void BasicEngineTable<Eviction>::returnPermit(std::optional<PermitId> &permit)
 {
     if (permit) {
-        actions_.push_back(ReturnPermit{*permit});
+        act(ReturnPermit{*permit});
         permit.reset();
     }
 }
@@ -518,7 +484,7 @@
         error.step = core::Step::Upstream;
         error.refusal = core::Refusal::BadAnswer;
         error.outcome = core::Outcome::Unknown;
-        actions_.push_back(AbortRequest{id, std::move(error)});
+        act(AbortRequest{id, std::move(error)});
     }
     running_.clear();
     for (auto &[name, slot] : slots_) {
@@ -637,13 +603,12 @@
         return;
     }
     ended_ = std::move(reason);
-    for (const Waiting &waiting : waiting_) {
+    for (const Waiting &waiting : waiting_.removeIf([](const Waiting &) { return true; })) {
         refuse(waiting.request.id, refusal(*ended_, Milliseconds(0)));
     }
-    waiting_.clear();
     for (auto &[adapter, want] : wants_) {
         if (want.state == WantState::Asked) {
-            actions_.push_back(WithdrawPermit{adapter});
+            act(WithdrawPermit{adapter});
         }
         returnPermit(want.permit);
     }
@@ -738,24 +703,26 @@
         return;
     }
     sweptAt_ = now;
-    std::erase_if(waiting_, [&](const Waiting &waiting) {
+    std::vector<RefuseRequest> refused;
+    waiting_.removeIf([&](const Waiting &waiting) {
         auto late = lateness(waiting.request, now - waiting.since, now);
         if (late) {
-            refuse(waiting.request.id, std::move(*late));
+            refused.push_back({waiting.request.id, std::move(*late)});
         }
         return late.has_value();
     });
+    actions_.insert(actions_.end(), refused.begin(), refused.end());
 }
 
 template<EvictionPolicyLike Eviction>
 void BasicEngineTable<Eviction>::startWaiting(Instant now)
 {
     while (batchUsed() < admission_.engineConcurrency) {
-        const auto index = nextStartable();
-        if (!index) {
+        auto next = waiting_.popIf([&](const Waiting &waiting) { return servedName(waiting.request.adapter).has_value(); });
+        if (!next) {
             return;
         }
-        start(*index, now);
+        start(std::move(*next), now);
     }
 }
 
@@ -774,7 +741,7 @@
             continue;
         }
         if (want.state == WantState::Asked) {
-            actions_.push_back(WithdrawPermit{current->first});
+            act(WithdrawPermit{current->first});
         }
         returnPermit(want.permit);
         wants_.erase(current);
@@ -830,7 +797,7 @@
             const double before = want.asked.waiting;
             if (worth.waiting > before * detail::worthChange || worth.waiting * detail::worthChange < before) {
                 want.asked = worth;
-                actions_.push_back(AskPermit{adapter, worth});
+                act(AskPermit{adapter, worth});
             }
             continue;
         }
@@ -842,7 +809,7 @@
         want.state = WantState::Asked;
         want.asked = worth;
         want.since = now;
-        actions_.push_back(AskPermit{adapter, worth});
+        act(AskPermit{adapter, worth});
     }
 }
 
@@ -855,7 +822,7 @@
     listingAsked_ = true;
     listingWanted_ = false;
     listingAskedAt_ = events_;
-    actions_.push_back(AskListing{});
+    act(AskListing{});
 }
 
 /// Earlier owners' names are served once the engine has taken an order with our number. A name that nobody holds makes a harmless one.
@@ -869,7 +836,7 @@
         const EngineName probe{name.adapter, epoch_};
         if (name.epoch < epoch_ && !slots_.contains(probe)) {
             fenceProbe_ = probe;
-            actions_.push_back(OrderUnload{probe});
+            act(OrderUnload{probe});
             return;
         }
     }
@@ -895,7 +862,9 @@
 template<EvictionPolicyLike Eviction>
 bool BasicEngineTable<Eviction>::isWanted(const AdapterRef &adapter) const
 {
-    return std::any_of(waiting_.begin(), waiting_.end(), [&](const Waiting &waiting) { return waiting.request.adapter == adapter; });
+    bool wanted = false;
+    waiting_.forEach([&](const PlanId &, double, const Waiting &waiting) { wanted = wanted || waiting.request.adapter == adapter; });
+    return wanted;
 }
 
 template<EvictionPolicyLike Eviction>
@@ -974,7 +943,7 @@
     touch(slot);
     want.state = WantState::Idle;
     want.permit.reset();
-    actions_.push_back(OrderLoad{name, *slot.permit});
+    act(OrderLoad{name, *slot.permit});
 }
 
 template<EvictionPolicyLike Eviction>
@@ -983,7 +952,7 @@
     slot.state = SlotState::Unloading;
     slot.answered = false;
     touch(slot);
-    actions_.push_back(OrderUnload{name});
+    act(OrderUnload{name});
 }
 
 } // namespace baobabstall::engines
--- a/packages/engines/tests/loadbudgettest.cpp
+++ b/packages/engines/tests/loadbudgettest.cpp
@@ -22,6 +22,7 @@
 std::vector<PermitId> permitsOf(const std::vector<Grant> &grants)
 {
     std::vector<PermitId> permits;
+    permits.reserve(grants.size());
     for (const Grant &grant : grants) {
         permits.push_back(grant.permit);
     }
--- a/packages/placement/tests/placementtest.cpp
+++ b/packages/placement/tests/placementtest.cpp
@@ -19,6 +19,7 @@
 std::vector<Replica> replicasInZones(int count, int zones)
 {
     std::vector<Replica> replicas;
+    replicas.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         replicas.push_back({UpstreamId("engine-" + std::to_string(number)), model, ZoneId("zone-" + std::to_string(number % zones))});
     }
@@ -33,6 +34,7 @@
 std::vector<UpstreamId> idsOf(const CandidateList &list)
 {
     std::vector<UpstreamId> ids;
+    ids.reserve(list.size());
     for (const Replica *replica : list) {
         ids.push_back(replica->id);
     }
