--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -124,8 +124,9 @@
     /// Exchanges whose handler has not returned.
     [[nodiscard]] std::size_t openExchanges() const;
 
+    struct State; // in httpserver.cpp
+
 private:
-    struct State;
     std::shared_ptr<State> state_;
 };
 
@@ -136,6 +137,7 @@
     core::Milliseconds connectTimeout{1'000};    // to open a connection
     core::Milliseconds timeout{30'000};          // whole call; for a stream: longest silence
     std::size_t maxBodyBytes = 64 * 1024 * 1024; // over it the call fails
+    bool freshConnection = false;                // for what may not run twice: a reused connection may close under the call, outcome unknown
 };
 
 /// Calls servers by address; keeps idle connections for reuse. Errors: step Connect (nothing was sent, outcome NotRun),
