--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -293,6 +293,36 @@
     }
 }
 
+TEST_F(Planner, AnAppendOfUnknownEndWaitsForTwoReadsBeforeItIsTriedAgain)
+{
+    startAll(1, 1, 0);
+    auto &daemon = start("h0", "z0", 2);
+    daemon.nextEnd = [] { return AppendEnd::Lost; };
+    while (daemon.appends == 0) {
+        run(step);
+    }
+    auto &planner = daemon.planner;
+    EXPECT_TRUE(planner.tick(clock.now()).appends.empty());
+    daemon.read(log);
+    EXPECT_TRUE(planner.tick(clock.now()).appends.empty()) << "that read may have been in flight before";
+    daemon.read(log);
+    EXPECT_EQ(planner.tick(clock.now()).appends.size(), 1U);
+}
+
+TEST_F(Planner, WhatIsDrainedIsNotActedOnAnyMore)
+{
+    startAll(2, 1, 10);
+    auto &planner = daemons.at("h0")->planner;
+    planner.stop();
+    auto plan = planner.tick(clock.now());
+    ASSERT_FALSE(plan.handovers.empty());
+    auto holding = plan.handovers.front();
+    EXPECT_TRUE(planner.isDraining(holding.thing));
+    EXPECT_TRUE(planner.mayAct(holding.thing, holding.epoch, clock.now())) << "work in flight ends as usual";
+    planner.onDrained(holding);
+    EXPECT_FALSE(planner.mayAct(holding.thing, holding.epoch, clock.now())) << "before the release is even written";
+}
+
 TEST_F(Planner, AFrozenOwnerThatWakesActsOnNothingBeforeItReadsOfItsSuccessor)
 {
     startAll(8, 4, 22);
--- a/packages/peers/tests/membershiptest.cpp
+++ b/packages/peers/tests/membershiptest.cpp
@@ -270,6 +270,23 @@
     EXPECT_EQ(at(0).memberOf(host(2))->incarnation, Incarnation(1)) << "the same run of the process";
 }
 
+TEST_F(MembershipTest, ADaemonThatWakesBlamesNobodyForItsOwnSilence)
+{
+    startAll(8);
+    for (int round = 0; round < 30; ++round) {
+        daemons.at(host(2)).frozen = true;
+        run(Milliseconds(3'000 + 370 * round));
+        daemons.at(host(2)).frozen = false;
+        for (int tick = 0; tick < 100; ++tick) {
+            run(step);
+            for (int other = 0; other < 8; ++other) {
+                EXPECT_EQ(at(2).stateOf(host(other)), MemberState::Alive) << "round " << round << " tick " << tick;
+            }
+        }
+        run(Milliseconds(6'000 + 130 * round));
+    }
+}
+
 TEST_F(MembershipTest, AFalseSuspicionIsRefuted)
 {
     startAll(8);
