--- /dev/null
+++ b/packages/gateway/daemon.cpp
@@ -0,0 +1,521 @@
+#include <gateway/daemon.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace baobabstall::gateway {
+
+using core::Error;
+using core::Milliseconds;
+using core::Refusal;
+using core::Step;
+
+namespace {
+
+constexpr Milliseconds tickInterval{100};       // of membership and ownership
+constexpr Milliseconds evidenceInterval{1'000}; // between looks for evidence about earlier owners
+constexpr Milliseconds snapshotInterval{5'000}; // between looks whether a list must be appended again
+constexpr Milliseconds logPause{200};           // after a read of the log that failed
+constexpr Milliseconds peerPause{500};          // between attempts to get the lists from a peer
+constexpr Milliseconds listsTimeout{2'000};     // for a peer to send its lists
+constexpr Milliseconds drainCheck{20};          // while stopping
+
+net::ServerLimits limitsOf(const settings::Callers &callers)
+{
+    net::ServerLimits limits;
+    limits.maxHeaderBytes = callers.maxHeaderBytes;
+    limits.maxBodyBytes = callers.maxBodyBytes;
+    limits.maxConnections = callers.maxConnections;
+    limits.receiveTimeout = callers.receiveTimeout;
+    limits.sendTimeout = callers.sendTimeout;
+    return limits;
+}
+
+peers::FailReply notOwner(const std::string &host)
+{
+    return {Error{.step = Step::Admit, .peer = host, .reason = "this daemon does not own what the call is for", .refusal = Refusal::Unavailable}};
+}
+
+std::string claimsStream(const settings::Settings &settings)
+{
+    return "claims-" + settings.region.value();
+}
+
+} // namespace
+
+Daemon::Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation)
+    : node_(io, settings, incarnation)
+    , log_(node_.http, *net::Address::parse(settings.platform.address), settings.platform)
+    , hosts_(node_.http, *net::Address::parse(settings.platform.address), settings.platform)
+    , permits_(node_)
+    , services_(node_)
+    , callers_(node_, services_)
+    , callersServer_(io, limitsOf(settings.callers), [this](net::Exchange &exchange) { return callers_.handle(exchange); })
+    , operatorsServer_(io, {}, [this](net::Exchange &exchange) { return handleOperators(exchange); })
+{
+    const peers::Links::Self self{settings.host, incarnation, settings.region};
+    node_.links = std::make_unique<peers::Links>(io, self, std::move(key), linkHandlers());
+}
+
+Daemon::~Daemon() = default;
+
+std::optional<Addresses> Daemon::start(Error &why)
+{
+    const auto &listen = node_.settings.listen;
+    const auto callers = callersServer_.listen(*net::Address::parse(listen.callers), why);
+    const auto peers = callers ? node_.links->listen(*net::Address::parse(listen.peers), why) : std::nullopt;
+    const auto operators = peers ? operatorsServer_.listen(*net::Address::parse(listen.operators), why) : std::nullopt;
+    if (!operators) {
+        return std::nullopt;
+    }
+    isRunning_ = true;
+    asio::co_spawn(
+        node_.io, [this] { return tickLoop(); }, asio::detached);
+    asio::co_spawn(
+        node_.io, [this] { return hostsLoop(); }, asio::detached);
+    asio::co_spawn(
+        node_.io, [this] { return claimsLoop(); }, asio::detached);
+    asio::co_spawn(
+        node_.io, [this] { return listsLoop(); }, asio::detached);
+    asio::co_spawn(
+        node_.io, [this] { return askPeersForLists(); }, asio::detached);
+    return Addresses{*callers, *peers, *operators};
+}
+
+bool Daemon::isReady() const
+{
+    return isRunning_ && !node_.isStopping && hasHosts_ && node_.lists.ready();
+}
+
+net::Task<bool> Daemon::stop()
+{
+    const auto limit = node_.now() + node_.settings.stop.drainTimeout;
+    node_.isStopping = true;
+    send(node_.membership.leave(node_.now()));
+    node_.planner.stop();
+    co_await pause(node_.settings.stop.notReadyFirst);
+    const auto isDone = [this] { return callersServer_.openExchanges() == 0 && node_.planner.holdings().empty() && owned_.empty(); };
+    while (!isDone() && node_.now() < limit) {
+        co_await pause(drainCheck);
+    }
+    const bool isClean = isDone();
+    isRunning_ = false;
+    callersServer_.stopAccepting();
+    operatorsServer_.stopAccepting();
+    for (const auto &[key, owned] : owned_) {
+        owned.host->close();
+    }
+    node_.links->close();
+    co_return isClean;
+}
+
+net::Task<void> Daemon::pause(Milliseconds time)
+{
+    asio::steady_timer timer(node_.io, std::chrono::milliseconds(time.count()));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void Daemon::note(LoopState &state, const std::string &error)
+{
+    if (state.sinceMs == 0 || state.lastError.empty() != error.empty()) {
+        state.sinceMs = core::civilMilliseconds();
+    }
+    state.lastError = error;
+}
+
+// ---- Membership and ownership ----
+
+net::Task<void> Daemon::tickLoop()
+{
+    auto nextEvidence = node_.now();
+    auto nextSnapshot = node_.now();
+    while (isRunning_) {
+        tick();
+        if (node_.now() >= nextEvidence) {
+            nextEvidence = node_.now() + evidenceInterval;
+            for (const auto &[id, engine] : engines_) {
+                engine->checkEvidence();
+            }
+        }
+        if (node_.now() >= nextSnapshot) {
+            nextSnapshot = node_.now() + snapshotInterval;
+            co_await writeSnapshots();
+        }
+        co_await pause(tickInterval);
+    }
+}
+
+void Daemon::tick()
+{
+    const auto now = node_.now();
+    send(node_.membership.tick(now));
+    const bool areMembersChanged = !node_.membership.takeChanges().empty();
+    if (areMembersChanged) {
+        node_.planner.setMembers(node_.membership.members());
+    }
+    carryOut(node_.planner.tick(now));
+    reportDrained();
+    if (areMembersChanged) {
+        node_.updateAvailability();
+    }
+}
+
+void Daemon::send(std::vector<peers::Outgoing> messages)
+{
+    for (auto &out : messages) {
+        node_.links->post(out.to, std::move(out.message));
+    }
+}
+
+void Daemon::carryOut(const ownership::Plan &plan)
+{
+    for (const auto &holding : plan.lost) {
+        lose(holding);
+    }
+    for (const auto &holding : plan.gained) {
+        gain(holding);
+    }
+    for (const auto &holding : plan.handovers) {
+        handOver(holding);
+    }
+    for (const auto &record : plan.appends) {
+        asio::co_spawn(
+            node_.io, [this, record] { return appendClaim(record); }, asio::detached);
+    }
+    if (!plan.gained.empty() || !plan.lost.empty() || !plan.handovers.empty()) {
+        node_.updateAvailability();
+    }
+}
+
+net::Task<void> Daemon::appendClaim(ownership::ClaimRecord record)
+{
+    Error why;
+    const auto offset = co_await log_.appendOnce(claimsStream(node_.settings), ownership::toJson(record), why);
+    if (offset) {
+        node_.planner.onAppended(record.id);
+    } else if (why.outcome == core::Outcome::NotRun) {
+        node_.planner.onAppendRefused(record.id);
+    } else {
+        node_.planner.onAppendUnknown(record.id);
+    }
+}
+
+void Daemon::gain(const ownership::Holding &holding)
+{
+    std::shared_ptr<OwnedHost> host;
+    if (const auto engine = ownership::engineOf(holding.thing)) {
+        const auto record = node_.engines.find(*engine);
+        if (record == node_.engines.end()) {
+            return; // no longer on the host list; the planner gives it up at the next list
+        }
+        engines_[*engine] = std::make_shared<EngineHost>(node_, permits_, record->second, holding.epoch);
+        host = engines_[*engine];
+    } else if (const auto partition = ownership::partitionOf(holding.thing)) {
+        partitions_[*partition] = std::make_shared<PartitionHost>(node_, services_, log_, *partition, holding.epoch);
+        partitions_[*partition]->start();
+        host = partitions_[*partition];
+    } else {
+        budget_ = std::make_shared<BudgetHost>(node_, holding.epoch);
+        host = budget_;
+    }
+    owned_[{holding.thing, holding.epoch}] = {host, false};
+}
+
+void Daemon::handOver(const ownership::Holding &holding)
+{
+    const auto owned = owned_.find({holding.thing, holding.epoch});
+    if (owned == owned_.end()) {
+        node_.planner.onDrained(holding);
+        return;
+    }
+    owned->second.isEnding = true;
+    owned->second.host->drain();
+}
+
+void Daemon::lose(const ownership::Holding &holding)
+{
+    const auto owned = owned_.find({holding.thing, holding.epoch});
+    if (owned == owned_.end()) {
+        node_.planner.onDrained(holding);
+        return;
+    }
+    owned->second.isEnding = true;
+    retire(holding.thing, owned->second.host);
+    owned->second.host->lose();
+}
+
+/// Takes the host out of the tables by which calls find it, unless a later one stands there already.
+void Daemon::retire(const ownership::Thing &thing, const std::shared_ptr<OwnedHost> &host)
+{
+    const auto eraseFrom = [&host](auto &hosts, const auto &key) {
+        if (const auto found = hosts.find(key); found != hosts.end() && found->second == host) {
+            hosts.erase(found);
+        }
+    };
+    if (const auto engine = ownership::engineOf(thing)) {
+        eraseFrom(engines_, *engine);
+    } else if (const auto partition = ownership::partitionOf(thing)) {
+        eraseFrom(partitions_, *partition);
+    } else if (budget_ == host) {
+        budget_.reset();
+    }
+}
+
+void Daemon::reportDrained()
+{
+    for (auto each = owned_.begin(); each != owned_.end();) {
+        const auto [key, owned] = *each;
+        if (!owned.isEnding || !owned.host->isIdle()) {
+            ++each;
+            continue;
+        }
+        each = owned_.erase(each);
+        retire(key.first, owned.host);
+        owned.host->close();
+        node_.planner.onDrained({key.first, key.second});
+    }
+}
+
+net::Task<void> Daemon::claimsLoop()
+{
+    const std::string stream = claimsStream(node_.settings);
+    while (isRunning_) {
+        Error why;
+        const auto page = co_await log_.read(stream, node_.planner.readTo().next(), node_.settings.platform.logWait, why);
+        note(logState_, page ? std::string() : why.text());
+        if (!page) {
+            node_.planner.onLogDown();
+            co_await pause(logPause);
+            continue;
+        }
+        std::vector<ownership::StreamRecord> records;
+        for (const auto &record : page->records) {
+            records.push_back({record.offset, record.timeMs, ownership::claimFromJson(record.data, why)});
+        }
+        node_.planner.onRecords(page->first, page->next, records);
+        const auto budgetOwner = node_.planner.ownerOf(ownership::loadsThing());
+        if (budgetOwner && budgetOwner->epoch != budgetEpoch_) {
+            budgetEpoch_ = budgetOwner->epoch;
+            for (const auto &[id, engine] : engines_) {
+                engine->permitsLost();
+            }
+        }
+        if (!records.empty()) {
+            node_.updateAvailability();
+        }
+    }
+}
+
+// ---- Hosts ----
+
+net::Task<void> Daemon::hostsLoop()
+{
+    while (isRunning_) {
+        Error why;
+        const auto hosts = co_await hosts_.read(why);
+        note(hostsState_, hosts ? std::string() : why.text());
+        if (hosts) {
+            takeHosts(*hosts);
+        }
+        co_await pause(node_.settings.platform.hostsPoll);
+    }
+}
+
+void Daemon::takeHosts(const platform::HostList &hosts)
+{
+    hasHosts_ = true;
+    hostsAsOfMs_ = hosts.asOfMs;
+    node_.planner.setHostListTime(hosts.asOfMs);
+    std::vector<peers::HostEntry> daemons;
+    std::vector<ownership::PlacedThing> things;
+    std::vector<placement::Replica> replicas;
+    std::map<core::UpstreamId, EngineRecord> engines;
+    std::map<core::UpstreamId, ServiceRecord> services;
+    node_.listedDaemons.clear();
+    for (const auto &daemon : hosts.daemons) {
+        if (daemon.region == node_.settings.region) {
+            daemons.push_back({daemon.host, daemon.zone, daemon.isLeaving});
+            node_.listedDaemons.insert(daemon.host);
+            node_.links->setAddress(daemon.host, daemon.peers);
+        }
+    }
+    for (const auto &engine : hosts.engines) {
+        if (engine.region != node_.settings.region) {
+            continue;
+        }
+        const bool isLeaving = engine.isLeaving || node_.leavingByWord.contains(engine.id);
+        engines[engine.id] = {{engine.id, engine.baseModel, engine.slots, engine.checksFencing}, engine.zone, engine.address, isLeaving};
+        things.push_back({ownership::engineThing(engine.id), engine.zone});
+        replicas.push_back({engine.id, engine.baseModel, engine.zone});
+        if (const auto host = engines_.find(engine.id); host != engines_.end()) {
+            host->second->setAddress(engine.address);
+        }
+    }
+    for (const auto &service : hosts.services) {
+        if (service.region == node_.settings.region) {
+            const bool isLeaving = service.isLeaving || node_.leavingByWord.contains(service.id);
+            services[service.id] = {service.id, service.service, service.zone, service.address, isLeaving};
+        }
+    }
+    std::erase_if(node_.leavingByWord, [&](const auto &id) { return !engines.contains(id) && !services.contains(id); });
+    node_.engines = std::move(engines);
+    node_.services = std::move(services);
+    for (int partition = 0; partition < node_.settings.ownership.callPartitions; ++partition) {
+        things.push_back({ownership::callsThing(partition), core::ZoneId()});
+    }
+    things.push_back({ownership::loadsThing(), core::ZoneId()});
+    node_.membership.hostList(daemons, node_.now());
+    node_.planner.setMembers(node_.membership.members());
+    node_.planner.setThings(std::move(things));
+    node_.placement.replicas().assign(std::move(replicas));
+    node_.updateAvailability();
+}
+
+// ---- Lists ----
+
+net::Task<void> Daemon::listsLoop()
+{
+    while (isRunning_) {
+        Error why;
+        const auto page = co_await log_.read(std::string(lists::listsStream), node_.lists.position().next(), node_.settings.platform.logWait, why);
+        if (!page) {
+            co_await pause(logPause);
+            continue;
+        }
+        node_.lists.skipTo(page->first);
+        for (const auto &record : page->records) {
+            node_.lists.apply(record.offset, record.timeMs, record.data);
+        }
+        const bool isAtEnd = page->next <= node_.lists.position().next();
+        if (isAtEnd) {
+            node_.lists.caughtUp();
+        }
+        if (!page->records.empty() || isAtEnd) {
+            takeLists();
+        }
+    }
+}
+
+net::Task<void> Daemon::askPeersForLists()
+{
+    while (isRunning_ && !node_.lists.ready()) {
+        co_await pause(peerPause);
+        for (const auto &member : node_.membership.live()) {
+            if (member.host == node_.settings.host || node_.lists.ready()) {
+                continue;
+            }
+            Error why;
+            const auto call = node_.links->call(member.host, peers::ListsCall{});
+            const auto reply = co_await call->next(listsTimeout, why);
+            const auto *lists = reply ? std::get_if<peers::ListsReply>(&*reply) : nullptr;
+            if (lists && node_.lists.importSnapshot(lists->snapshot, why)) {
+                takeLists();
+            }
+        }
+    }
+}
+
+void Daemon::takeLists()
+{
+    const auto customers = node_.lists.inForce(lists::ListName::Customers);
+    const auto plans = node_.lists.inForce(lists::ListName::Plans);
+    node_.membership.setLists({plans.version.value(), customers.version.value()});
+    std::map<core::PlanId, admission::PlanLimit> limits;
+    for (const auto &[id, plan] : node_.lists.plans()) {
+        limits[id] = {.share = plan.share, .maxInFlight = 0};
+    }
+    node_.limiter.setPlans(limits);
+}
+
+net::Task<void> Daemon::writeSnapshots()
+{
+    const auto live = node_.membership.live();
+    const auto isSelf = [this](const auto &member) { return member.host == node_.settings.host; };
+    const auto rank = static_cast<int>(std::find_if(live.begin(), live.end(), isSelf) - live.begin());
+    for (const auto list : {lists::ListName::Customers, lists::ListName::Plans}) {
+        const auto nowMs = core::civilMilliseconds();
+        if (!node_.lists.snapshotDue(list, nowMs, node_.settings.platform.retention, rank)) {
+            continue;
+        }
+        Error why;
+        const auto group = node_.settings.host.value() + '-' + std::to_string(nowMs);
+        const auto records = node_.lists.snapshotRecords(list, nowMs, group, why);
+        for (const auto &record : records.value_or(std::vector<lists::OutgoingRecord>())) {
+            if (!co_await log_.append(std::string(lists::listsStream), record.id, record.text, why)) {
+                break;
+            }
+        }
+    }
+}
+
+// ---- Peers ----
+
+peers::LinkHandlers Daemon::linkHandlers()
+{
+    peers::LinkHandlers handlers;
+    handlers.onGossip = [this](const core::HostId &from, const peers::Message &message) { send(node_.membership.onMessage(from, message, node_.now())); };
+    handlers.onNotice = [this](const core::HostId &from, const peers::Notice &notice) { take(from, notice); };
+    handlers.onCall = [this](std::shared_ptr<peers::IncomingCall> call) { return serve(std::move(call)); };
+    return handlers;
+}
+
+net::Task<void> Daemon::serve(std::shared_ptr<peers::IncomingCall> call)
+{
+    const auto &body = call->body();
+    if (const auto *probe = std::get_if<peers::ProbeCall>(&body)) {
+        const auto host = engines_.find(probe->engine);
+        const auto adapter = core::AdapterRef::parse(probe->adapter);
+        if (host == engines_.end() || !adapter) {
+            call->send(notOwner(node_.settings.host.value()));
+        } else {
+            call->send(host->second->hint(*adapter));
+        }
+    } else if (const auto *run = std::get_if<peers::RunCall>(&body)) {
+        const auto found = engines_.find(run->engine);
+        if (found == engines_.end()) {
+            call->send(notOwner(node_.settings.host.value()));
+            co_return;
+        }
+        const auto host = found->second;
+        co_await host->serve(call, *run);
+    } else if (const auto *permit = std::get_if<peers::PermitCall>(&body)) {
+        const auto host = budget_;
+        if (!host) {
+            call->send(notOwner(node_.settings.host.value()));
+            co_return;
+        }
+        co_await host->serve(call, *permit);
+    } else if (const auto *service = std::get_if<peers::ServiceCall>(&body)) {
+        const auto found = partitions_.find(service->partition);
+        if (found == partitions_.end()) {
+            call->send(notOwner(node_.settings.host.value()));
+            co_return;
+        }
+        const auto host = found->second;
+        co_await host->serve(call, *service);
+    } else {
+        const auto snapshot = node_.lists.exportSnapshot(core::civilMilliseconds());
+        if (snapshot) {
+            call->send(peers::ListsReply{*snapshot});
+        } else {
+            call->send(peers::FailReply{Error{.step = Step::Lists, .reason = "this daemon has no lists either", .refusal = Refusal::Unavailable}});
+        }
+    }
+}
+
+void Daemon::take(const core::HostId & /*from*/, const peers::Notice &notice)
+{
+    if (const auto *width = std::get_if<peers::WidthNotice>(&notice.body)) {
+        if (const auto adapter = core::AdapterRef::parse(width->adapter)) {
+            node_.placement.widths().apply({*adapter, width->width, Milliseconds(width->validMs)}, node_.now());
+        }
+    } else if (const auto *prefetch = std::get_if<peers::PrefetchNotice>(&notice.body)) {
+        const auto host = engines_.find(prefetch->engine);
+        const auto adapter = core::AdapterRef::parse(prefetch->adapter);
+        if (host != engines_.end() && adapter) {
+            host->second->prefetch(*adapter);
+        }
+    }
+}
+
+} // namespace baobabstall::gateway
--- /dev/null
+++ b/packages/gateway/services.cpp
@@ -0,0 +1,293 @@
+#include <gateway/services.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace baobabstall::gateway {
+
+using core::Error;
+using core::Milliseconds;
+using core::Outcome;
+using core::Refusal;
+using core::Step;
+
+namespace {
+
+constexpr int httpUnavailable = 503;
+constexpr Milliseconds unavailableRetryAfter{1'000};
+
+peers::FailReply failure(Refusal refusal, std::string reason, Outcome outcome, std::optional<Milliseconds> retryAfter = std::nullopt)
+{
+    return {Error{.step = Step::Record, .reason = std::move(reason), .refusal = refusal, .outcome = outcome, .retryAfter = retryAfter}};
+}
+
+bool saysLeaving(const net::HttpResponse &response)
+{
+    return response.status == httpUnavailable && response.body.find("\"leaving\"") != std::string::npos;
+}
+
+} // namespace
+
+// ---- ServiceCaller ----
+
+std::vector<ServiceRecord> ServiceCaller::replicasOf(const core::ServiceName &service)
+{
+    std::vector<ServiceRecord> own; // of this daemon's zone
+    std::vector<ServiceRecord> others;
+    for (const auto &[id, record] : node_.services) {
+        if (record.service == service && !record.isLeaving) {
+            (record.zone == node_.settings.zone ? own : others).push_back(record);
+        }
+    }
+    ++turn_;
+    for (auto *group : {&own, &others}) {
+        if (!group->empty()) {
+            std::rotate(group->begin(), group->begin() + static_cast<std::ptrdiff_t>(turn_ % group->size()), group->end());
+        }
+    }
+    own.insert(own.end(), others.begin(), others.end());
+    return own;
+}
+
+net::Task<std::optional<net::HttpResponse>> ServiceCaller::call(ServiceRequest request, bool mayRepeat, Error &why)
+{
+    why = Error{.step = Step::Choose,
+                .peer = request.service.value(),
+                .reason = "no replica of this service takes work now",
+                .refusal = Refusal::Unavailable,
+                .retryAfter = unavailableRetryAfter};
+    int attempts = 0;
+    Outcome worst = Outcome::NotRun; // over all attempts: one that may have acted is never called "not run" later
+    for (const ServiceRecord &replica : replicasOf(request.service)) {
+        const auto left = request.deadline - node_.now();
+        const bool mayGoOn = attempts == 0 || node_.retries.spend(attempts, node_.now());
+        if (left <= Milliseconds(0) || !mayGoOn) {
+            break;
+        }
+        ++attempts;
+        net::HttpRequest message{.method = request.method, .target = request.target, .body = request.body};
+        message.headers.set("X-Request-Id", request.id.value());
+        if (!request.contentType.empty()) {
+            message.headers.set("Content-Type", request.contentType);
+        }
+        if (!request.idempotencyKey.empty()) {
+            message.headers.set("Idempotency-Key", request.idempotencyKey);
+        }
+        net::CallOptions options;
+        options.timeout = std::min(left, node_.settings.services.timeout);
+        options.maxBodyBytes = node_.settings.services.maxAnswerBytes;
+        options.freshConnection = !mayRepeat;
+        node_.trace(request.id, Step::Upstream, replica.id.value(), "called");
+        auto response = co_await node_.http.call(replica.address, std::move(message), options, why);
+        if (response && !saysLeaving(*response)) {
+            node_.trace(request.id, Step::Upstream, replica.id.value(), "answered with status " + std::to_string(response->status));
+            node_.retries.onSuccess(node_.now());
+            co_return response;
+        }
+        if (response) {
+            node_.noteLeaving(replica.id);
+            why = Error{.reason = "the replica is leaving", .outcome = Outcome::NotRun};
+        }
+        why.step = Step::Upstream;
+        why.peer = replica.id.value();
+        why.refusal = why.outcome == Outcome::NotRun ? Refusal::Unavailable : Refusal::BadAnswer;
+        worst = why.outcome == Outcome::NotRun ? worst : Outcome::Unknown;
+        node_.trace(request.id, Step::Upstream, replica.id.value(), "failed: " + why.reason);
+        if (why.outcome != Outcome::NotRun && !mayRepeat) {
+            break;
+        }
+    }
+    why.outcome = worst;
+    if (worst == Outcome::NotRun) {
+        why.retryAfter = unavailableRetryAfter;
+    }
+    co_return std::nullopt;
+}
+
+// ---- PartitionHost ----
+
+PartitionHost::PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, int partition, core::Epoch epoch)
+    : node_(node)
+    , caller_(caller)
+    , log_(log)
+    , number_(partition)
+    , epoch_(epoch)
+    , partition_(partition, {node.settings.host, node.incarnation})
+{ }
+
+void PartitionHost::start()
+{
+    decide(partition_.own(epoch_));
+    asio::co_spawn(
+        node_.io, [self = shared_from_this()] { return self->follow(); }, asio::detached);
+}
+
+std::string PartitionHost::stream() const
+{
+    return "calls-" + node_.settings.region.value() + '-' + std::to_string(number_);
+}
+
+void PartitionHost::lose()
+{
+    decide(partition_.disown());
+}
+
+net::Task<void> PartitionHost::serve(std::shared_ptr<peers::IncomingCall> call, peers::ServiceCall request)
+{
+    const calls::CallKey key{request.customer, request.key};
+    const auto deadline = node_.now() + Milliseconds(request.timeoutMs);
+    const auto digest = calls::bodyDigest(request.method, request.service.value() + request.target, request.body);
+    const auto first = partition_.begin(key, digest, node_.now());
+    if (!std::holds_alternative<calls::AppendIntent>(first)) {
+        answer(first, call);
+        co_return;
+    }
+    waiting_[key] = Waiting{call, request, deadline};
+    carryOut(calls::Append{std::get<calls::AppendIntent>(first).record});
+    const auto self = shared_from_this();
+    asio::steady_timer timer(node_.io, std::chrono::milliseconds(request.timeoutMs));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (const auto found = waiting_.find(key); found != waiting_.end() && found->second.call == call) {
+        decide(partition_.giveUp(key));
+        if (const auto still = waiting_.extract(key)) {
+            call->send(failure(Refusal::Unavailable, "the intent's record was not confirmed in time", Outcome::Unknown));
+        }
+    }
+}
+
+void PartitionHost::answer(const calls::Answer &answer, const std::shared_ptr<peers::IncomingCall> &call)
+{
+    struct Visitor {
+        peers::ReplyBody operator()(const calls::AppendIntent &) const { return peers::EndReply{}; }
+        peers::ReplyBody operator()(const calls::Replay &replay) const
+        {
+            const auto &result = replay.result;
+            if (result.status == 0) {
+                return failure(Refusal::BadAnswer, "an earlier call under this key ended without an answer", result.outcome);
+            }
+            if (!result.bodyKept) {
+                return failure(Refusal::Conflict, "the call ran before; its answer was too long to be kept", Outcome::Ran);
+            }
+            return peers::WholeReply{result.status, result.contentType, result.body, true};
+        }
+        peers::ReplyBody operator()(const calls::AlreadyRunning &running) const
+        {
+            return failure(Refusal::Conflict, "a call under this key has not ended yet", Outcome::Unknown, running.retryAfter);
+        }
+        peers::ReplyBody operator()(const calls::Conflict &) const
+        {
+            return failure(Refusal::Conflict, "the key was used for another call; use a new one", Outcome::NotRun);
+        }
+        peers::ReplyBody operator()(const calls::WasUnknown &) const
+        {
+            return failure(Refusal::BadAnswer, "a call under this key was begun and its result is lost; it is not run again", Outcome::Unknown);
+        }
+        peers::ReplyBody operator()(const calls::Refuse &refuse) const { return peers::FailReply{refuse.why}; }
+    };
+    call->send(std::visit(Visitor(), answer));
+}
+
+void PartitionHost::decide(std::vector<calls::Decision> decisions)
+{
+    for (const auto &decision : decisions) {
+        std::visit([this](const auto &each) { carryOut(each); }, decision);
+    }
+}
+
+void PartitionHost::carryOut(const calls::Append &append)
+{
+    asio::co_spawn(
+        node_.io, [self = shared_from_this(), record = append.record] { return self->append(record); }, asio::detached);
+}
+
+void PartitionHost::carryOut(const calls::Run &run)
+{
+    auto node = waiting_.extract(run.key);
+    if (!node) {
+        decide(partition_.finished(run.key, {.outcome = Outcome::NotRun}));
+        return;
+    }
+    asio::co_spawn(
+        node_.io, [self = shared_from_this(), key = run.key, waiting = std::move(node.mapped())] { return self->run(key, waiting); }, asio::detached);
+}
+
+void PartitionHost::carryOut(const calls::NotRun &notRun)
+{
+    if (auto node = waiting_.extract(notRun.key)) {
+        node.mapped().call->send(peers::FailReply{notRun.why});
+    }
+}
+
+net::Task<void> PartitionHost::append(calls::CallRecord record)
+{
+    const auto self = shared_from_this();
+    ++appending_;
+    Error why;
+    const auto offset = co_await log_.appendOnce(stream(), calls::toJson(record), why);
+    --appending_;
+    if (offset) {
+        partition_.onAppended(record.id);
+    } else if (why.outcome == Outcome::NotRun) {
+        decide(partition_.onAppendRefused(record.id));
+    } else {
+        partition_.onAppendUnknown(record.id);
+    }
+}
+
+net::Task<void> PartitionHost::run(calls::CallKey key, Waiting waiting)
+{
+    const auto self = shared_from_this();
+    ++running_;
+    ServiceRequest request;
+    request.id = waiting.request.request;
+    request.service = waiting.request.service;
+    request.method = waiting.request.method;
+    request.target = waiting.request.target;
+    request.contentType = waiting.request.contentType;
+    request.idempotencyKey = waiting.request.key;
+    request.body = waiting.request.body;
+    request.deadline = waiting.deadline;
+    Error why;
+    const auto response = co_await caller_.call(std::move(request), false, why);
+    calls::CallResult result;
+    if (response) {
+        result.status = response->status;
+        result.contentType = response->headers.find("Content-Type").value_or("");
+        result.bodyKept = response->body.size() <= node_.settings.services.maxRecordedBytes;
+        result.body = result.bodyKept ? response->body : std::string();
+        waiting.call->send(peers::WholeReply{response->status, result.contentType, response->body, false});
+    } else {
+        result.outcome = why.outcome;
+        waiting.call->send(peers::FailReply{why});
+    }
+    --running_;
+    decide(partition_.finished(key, result));
+}
+
+net::Task<void> PartitionHost::follow()
+{
+    const auto self = shared_from_this();
+    constexpr Milliseconds pause{200}; // after a read that failed
+    while (!isStopped_) {
+        Error why;
+        const auto page = co_await log_.read(stream(), readTo_.next(), node_.settings.platform.logWait, why);
+        if (!page) {
+            partition_.onLogDown();
+            asio::steady_timer timer(node_.io, std::chrono::milliseconds(pause.count()));
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        partition_.trim(page->first);
+        for (const auto &record : page->records) {
+            readTo_ = record.offset;
+            if (const auto read = calls::recordFromJson(record.data, why)) {
+                decide(partition_.onRecord(record.offset, *read));
+            }
+        }
+        if (page->next <= readTo_.next()) {
+            decide(partition_.onReadToEnd());
+        }
+    }
+}
+
+} // namespace baobabstall::gateway
--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -108,6 +108,8 @@
         co_return reply;
     }
 
+    [[nodiscard]] bool isOver() const override { return state_->isOver; }
+
     void cancel() override
     {
         if (const auto tell = std::exchange(state_->tellCancel, nullptr); tell && !state_->isOver) {
@@ -525,7 +527,7 @@
     if (isClosed || isTooSoon || !addresses.contains(host)) {
         return nullptr;
     }
-    const auto link = std::make_shared<Link>(shared_from_this(), host);
+    auto link = std::make_shared<Link>(shared_from_this(), host);
     outgoing[host] = link;
     link->start();
     connect(host, link);
--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -40,6 +40,8 @@
     virtual ~OutgoingCall() = default; // cancels the call when it has not ended
     /// The next reply. Nothing: no reply came in time, or the link was lost (step Peer, with the host as its peer).
     virtual net::Task<std::optional<ReplyBody>> next(core::Milliseconds timeout, core::Error &why) = 0;
+    /// No reply will come after those that have arrived: the last one did, or the link was lost.
+    [[nodiscard]] virtual bool isOver() const = 0;
     /// Tells the peer that no more replies are wanted; next() fails from now on.
     virtual void cancel() = 0;
 };
--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -75,21 +75,19 @@
 
 using nlohmann::json;
 
-void to_json(json &to, const ListsCall & /*call*/) // NOLINT(readability-identifier-naming): the library's name
+void to_json(json &to, const ListsCall & /*call*/)
 {
     to = json::object();
 }
 
-void from_json(const json & /*from*/, ListsCall & /*call*/) // NOLINT(readability-identifier-naming): the library's name
-{ }
+void from_json(const json & /*from*/, ListsCall & /*call*/) { }
 
-void to_json(json &to, const EndReply & /*reply*/) // NOLINT(readability-identifier-naming): the library's name
+void to_json(json &to, const EndReply & /*reply*/)
 {
     to = json::object();
 }
 
-void from_json(const json & /*from*/, EndReply & /*reply*/) // NOLINT(readability-identifier-naming): the library's name
-{ }
+void from_json(const json & /*from*/, EndReply & /*reply*/) { }
 
 /// A variant as [index, value].
 template<typename Variant>
