--- a/packages/lists/records.cpp
+++ b/packages/lists/records.cpp
@@ -80,7 +80,7 @@
             fault(key);
             return {};
         }
-        const auto value = found->get<std::string>();
+        auto value = found->get<std::string>();
         if (settings::printableText(value, maxLength) != value) {
             fault(key);
         }
--- a/packages/lists/tests/liststest.cpp
+++ b/packages/lists/tests/liststest.cpp
@@ -58,7 +58,7 @@
 
 class ListsTest : public testing::Test
 {
-protected:
+public:
     Offset publish(ListName list, const std::string &patch)
     {
         const auto offset = log.change(list, reader.inForce(list).version, patch);
--- a/packages/settings/json.cpp
+++ b/packages/settings/json.cpp
@@ -16,21 +16,23 @@
 class StrictWatch
 {
 public:
-    explicit StrictWatch(int maxDepth)
-        : maxDepth_(maxDepth)
+    explicit StrictWatch(const JsonOptions &options)
+        : options_(options)
     { }
 
     bool operator()(int depth, json::parse_event_t event, const json &value)
     {
-        if (event == json::parse_event_t::object_start) {
+        if (!options_.uniqueKeys) {
+            // No key is looked at.
+        } else if (event == json::parse_event_t::object_start) {
             keys_.emplace_back();
         } else if (event == json::parse_event_t::object_end && !keys_.empty()) {
             keys_.pop_back();
         } else if (event == json::parse_event_t::key) {
             noteKey(value.get_ref<const std::string &>());
         }
-        if (depth > maxDepth_) {
-            complain("nested deeper than " + std::to_string(maxDepth_) + " levels");
+        if (depth > options_.maxDepth) {
+            complain("nested deeper than " + std::to_string(options_.maxDepth) + " levels");
             return false;
         }
         return true;
@@ -53,7 +55,7 @@
         }
     }
 
-    int maxDepth_;
+    JsonOptions options_;
     std::vector<std::set<std::string>> keys_; // of the objects that are open, outermost first
     std::string complaint_;
 };
@@ -76,7 +78,7 @@
 
 std::optional<json> parseJson(std::string_view text, const std::string &name, const JsonOptions &options, core::Error &why)
 {
-    StrictWatch watch(options.maxDepth);
+    StrictWatch watch(options);
     try {
         const auto callback = [&watch](int depth, json::parse_event_t event, json &value) { return watch(depth, event, value); };
         json value = json::parse(text.begin(), text.end(), callback, true, options.comments);
--- a/packages/settings/json.h
+++ b/packages/settings/json.h
@@ -19,11 +19,12 @@
 namespace baobabstall::settings {
 
 struct JsonOptions {
-    bool comments = true; // accept // and /* */; off for what machines write
-    int maxDepth = 32;    // nesting over it is refused: later passes over the value are recursive
+    bool comments = true;   // accept // and /* */; off for what machines write
+    bool uniqueKeys = true; // refuse a key that stands twice in one object
+    int maxDepth = 32;      // nesting over it is refused: later passes over the value are recursive
 };
 
-/// Reads one JSON value. Refuses duplicate keys and text that is not UTF-8. Fills why.reason with "NAME: line 3, column 7: ...";
+/// Reads one JSON value. Refuses text that is not UTF-8. Fills why.reason with "NAME: line 3, column 7: ...";
 /// the caller sets why.step. Never throws on bad text.
 [[nodiscard]] std::optional<nlohmann::json> parseJson(std::string_view text, const std::string &name, const JsonOptions &options, core::Error &why);
 
