--- a/packages/platform/platform.cpp
+++ b/packages/platform/platform.cpp
@@ -1,263 +1,355 @@
 #include <platform/platform.h>
 
+#include <algorithm>
+#include <chrono>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
-namespace baobabstall::platform {
+#include <core/clock.h>
+#include <core/hash.h>
+#include <settings/json.h>
 
-using core::Error;
-using core::Milliseconds;
-using core::Offset;
-using core::Step;
-using nlohmann::json;
+namespace baobabstall::platform {
 
 namespace {
 
-constexpr int httpOk = 200;
+using core::Offset;
 
-Error platformError(Step step, const net::Address &address, std::string reason, core::Outcome outcome)
-{
-    return Error{.step = step, .peer = address.text(), .reason = std::move(reason), .refusal = core::Refusal::Unavailable, .outcome = outcome};
-}
+constexpr int pageLimit = 500; // records of one read
+constexpr int statusOk = 200;
 
-/// Calls `read` and turns the library's exceptions about missing or mistyped fields into nothing.
-template<typename T, typename Read>
-std::optional<T> guarded(Read read)
+/// A wait that stop() ends early.
+class Pause
 {
-    try {
-        return read();
-    } catch (const json::exception &) {
-        return std::nullopt;
+public:
+    explicit Pause(boost::asio::io_context &io)
+        : timer_(io)
+    { }
+
+    net::Task<void> wait(core::Milliseconds length)
+    {
+        boost::system::error_code cancelled;
+        timer_.expires_after(std::chrono::milliseconds(length.count()));
+        co_await timer_.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
     }
-}
 
-std::string textOf(const json &entry, const char *field)
+    void end() { timer_.cancel(); }
+
+private:
+    boost::asio::steady_timer timer_;
+};
+
+Backoff backoffOf(const Endpoint &endpoint, std::uint64_t salt)
 {
-    return entry.at(field).get<std::string>();
+    return {endpoint.firstRetry, endpoint.longestRetry, endpoint.seed ^ salt};
 }
 
-std::optional<net::Address> addressOf(const json &entry, const char *field)
+net::CallOptions callOptions(const Endpoint &endpoint, core::Milliseconds wait)
 {
-    return net::Address::parse(entry.value(field, std::string()));
+    net::CallOptions options;
+    options.connectTimeout = endpoint.timeout;
+    options.timeout = endpoint.timeout + wait;
+    return options;
 }
 
-bool isLeaving(const json &entry)
+core::Error statusError(core::Step step, const net::Address &peer, int status)
 {
-    return textOf(entry, "state") == "leaving";
+    return core::Error{.step = step, .peer = peer.text(), .reason = "answered with status " + std::to_string(status), .refusal = core::Refusal::Unavailable};
 }
 
-std::optional<DaemonHost> daemonOf(const json &entry)
+Offset offsetOfAnswer(const std::string &body)
 {
-    const auto callers = addressOf(entry, "callers");
-    const auto peers = addressOf(entry, "peers");
-    const auto operators = addressOf(entry, "operators");
-    if (!callers || !peers || !operators) {
-        return std::nullopt;
-    }
-    return DaemonHost{core::HostId(textOf(entry, "host")),
-                      core::RegionId(textOf(entry, "region")),
-                      core::ZoneId(textOf(entry, "zone")),
-                      *callers,
-                      *peers,
-                      *operators,
-                      isLeaving(entry)};
+    core::Error why;
+    const auto answer = settings::parseJson(body, "answer to an append", settings::JsonOptions{.comments = false}, why);
+    const bool good = answer && answer->is_object() && answer->contains("offset") && (*answer)["offset"].is_number_integer() && (*answer)["offset"] >= 1;
+    return good ? Offset((*answer)["offset"].get<std::uint64_t>()) : Offset();
 }
 
-std::optional<EngineHost> engineOf(const json &entry)
+} // namespace
+
+// ---- LogClient ----
+
+LogClient::LogClient(boost::asio::io_context &io, net::HttpClient &http, Endpoint endpoint)
+    : io_(io)
+    , http_(http)
+    , endpoint_(std::move(endpoint))
+{ }
+
+net::Task<std::optional<Offset>> LogClient::append(std::string stream, std::string recordId, std::string record, core::Error &why)
 {
-    const auto address = addressOf(entry, "address");
-    if (!address) {
-        return std::nullopt;
+    const auto before = co_await endOf(stream, why);
+    if (!before) {
+        co_return std::nullopt;
+    }
+    AppendCourse course(std::move(recordId), *before, endpoint_.appendTries, backoffOf(endpoint_, ++appends_));
+    Pause pause(io_);
+    while (true) {
+        switch (course.step()) {
+        case AppendCourse::Step::Append:
+            course.onAnswer(co_await sendAppend(stream, record, why));
+            break;
+        case AppendCourse::Step::Look:
+            co_await look(course, stream, why);
+            break;
+        case AppendCourse::Step::Wait:
+            co_await pause.wait(course.waitTime());
+            course.onWaited();
+            break;
+        case AppendCourse::Step::Done:
+            ends_[stream] = std::max(ends_[stream], course.offset().next());
+            co_return course.offset();
+        case AppendCourse::Step::Failed:
+            why = course.error();
+            why.peer = endpoint_.address.text();
+            co_return std::nullopt;
+        }
     }
-    return EngineHost{core::UpstreamId(textOf(entry, "host")),
-                      core::RegionId(textOf(entry, "region")),
-                      core::ZoneId(textOf(entry, "zone")),
-                      *address,
-                      core::BaseModel(textOf(entry, "base_model")),
-                      entry.at("slots").get<int>(),
-                      entry.value("checks_fencing", false),
-                      isLeaving(entry)};
 }
 
-std::optional<ServiceHost> serviceOf(const json &entry)
+net::Task<std::optional<LogPage>> LogClient::read(std::string stream, Offset from, int limit, core::Milliseconds wait, core::Error &why)
 {
-    const auto address = addressOf(entry, "address");
-    if (!address) {
-        return std::nullopt;
+    net::HttpRequest request;
+    request.target
+        = "/log/" + stream + "?from=" + std::to_string(from.value()) + "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(wait.count());
+    const auto answer = co_await http_.call(endpoint_.address, std::move(request), callOptions(endpoint_, wait), why);
+    if (!answer) {
+        why.step = core::Step::Log;
+        co_return std::nullopt;
+    }
+    if (answer->status != statusOk) {
+        why = statusError(core::Step::Log, endpoint_.address, answer->status);
+        co_return std::nullopt;
+    }
+    auto page = parseLogPage(answer->body, why);
+    if (page) {
+        ends_[stream] = std::max(ends_[stream], page->next);
+    } else {
+        why.peer = endpoint_.address.text();
     }
-    return ServiceHost{core::UpstreamId(textOf(entry, "host")),
-                       core::RegionId(textOf(entry, "region")),
-                       core::ZoneId(textOf(entry, "zone")),
-                       *address,
-                       core::ServiceName(textOf(entry, "service")),
-                       isLeaving(entry)};
+    co_return page;
 }
 
-template<typename T, typename Read>
-bool addTo(std::vector<T> &hosts, const json &entry, Read read)
+net::Task<std::optional<Offset>> LogClient::appendOnce(std::string stream, std::string record, core::Error &why)
 {
-    auto host = guarded<T>([&] { return read(entry); });
-    if (host) {
-        hosts.push_back(std::move(*host));
+    const auto answer = co_await sendAppend(std::move(stream), std::move(record), why);
+    if (answer.status == 200) {
+        co_return answer.offset;
+    }
+    const bool isRefused = answer.status != 0 || answer.notSent;
+    why.step = core::Step::Log;
+    why.peer = endpoint_.address.text();
+    why.refusal = core::Refusal::Unavailable;
+    why.outcome = isRefused ? core::Outcome::NotRun : core::Outcome::Unknown;
+    if (answer.status != 0) {
+        why.reason = "append refused with status " + std::to_string(answer.status);
     }
-    return host.has_value();
+    co_return std::nullopt;
 }
 
-bool addHost(HostList &list, const json &entry)
+net::Task<AppendAnswer> LogClient::sendAppend(std::string stream, std::string record, core::Error &why)
 {
-    const auto kind = entry.is_object() ? entry.value("kind", json()) : json();
-    if (kind == "daemon") {
-        return addTo(list.daemons, entry, daemonOf);
-    }
-    if (kind == "engine") {
-        return addTo(list.engines, entry, engineOf);
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/log/" + stream;
+    request.headers.set("Content-Type", "application/json");
+    request.body = std::move(record);
+    const auto answer = co_await http_.call(endpoint_.address, std::move(request), callOptions(endpoint_, core::Milliseconds()), why);
+    if (!answer) {
+        co_return AppendAnswer{0, Offset(), why.outcome == core::Outcome::NotRun};
     }
-    return kind == "service" && addTo(list.services, entry, serviceOf);
+    co_return AppendAnswer{answer->status, answer->status == statusOk ? offsetOfAnswer(answer->body) : Offset(), false};
 }
 
-} // namespace
-
-std::optional<HostList> parseHostList(std::string_view text, Error &why)
+net::Task<void> LogClient::look(AppendCourse &course, std::string stream, core::Error &why)
 {
-    const json value = json::parse(text, nullptr, false);
-    if (!value.is_object() || !value.contains("hosts") || !value["hosts"].is_array() || !value.contains("as_of_ms") || !value["as_of_ms"].is_number_integer()) {
-        why = Error{.step = Step::Hosts, .reason = "not a host list", .refusal = core::Refusal::Unavailable};
-        return std::nullopt;
-    }
-    HostList list;
-    list.asOfMs = value["as_of_ms"].get<std::int64_t>();
-    for (const json &entry : value["hosts"]) {
-        list.unreadable += addHost(list, entry) ? 0 : 1;
+    const auto page = co_await read(std::move(stream), course.lookFrom(), pageLimit, core::Milliseconds(), why);
+    if (page) {
+        course.onPage(*page);
+    } else {
+        course.onReadFailed();
     }
-    return list;
 }
 
-std::optional<LogPage> parseLogPage(std::string_view text, Error &why)
+/// An offset that the stream had not passed before now: what followers saw last, else asked for.
+net::Task<std::optional<Offset>> LogClient::endOf(std::string stream, core::Error &why)
 {
-    const json value = json::parse(text, nullptr, false);
-    auto page = guarded<LogPage>([&] {
-        LogPage read;
-        read.first = Offset(value.at("first").get<std::uint64_t>());
-        read.next = Offset(value.at("next").get<std::uint64_t>());
-        for (const json &record : value.at("records")) {
-            read.records.push_back({Offset(record.at("offset").get<std::uint64_t>()), record.at("time_ms").get<std::int64_t>(), record.at("data").dump()});
-        }
-        return std::optional(std::move(read));
-    });
+    const auto known = ends_.find(stream);
+    if (known != ends_.end()) {
+        co_return known->second;
+    }
+    const auto page = co_await read(std::move(stream), Offset(1), 1, core::Milliseconds(), why);
     if (!page) {
-        why = Error{.step = Step::Log, .reason = "not a page of a stream", .refusal = core::Refusal::Unavailable};
+        why.outcome = core::Outcome::NotRun;
+        co_return std::nullopt;
     }
-    return page;
+    co_return page->next;
 }
 
-LogClient::LogClient(net::HttpClient &http, net::Address address, const settings::Platform &settings)
-    : http_(http)
-    , address_(std::move(address))
-    , settings_(settings)
+// ---- LogFollower ----
+
+struct LogFollower::Timer : Pause {
+    using Pause::Pause;
+};
+
+LogFollower::LogFollower(boost::asio::io_context &io, LogClient &log, Endpoint endpoint, std::string stream, FollowerEvents events, Offset from)
+    : log_(log)
+    , endpoint_(std::move(endpoint))
+    , stream_(std::move(stream))
+    , events_(std::move(events))
+    , cursor_(std::max(from, Offset(1)))
+    , backoff_(backoffOf(endpoint_, core::hashText(stream_, 0)))
+    , timer_(std::make_unique<Timer>(io))
 { }
 
-net::Task<std::optional<LogPage>> LogClient::read(std::string stream, Offset from, Milliseconds wait, Error &why)
+LogFollower::~LogFollower() = default;
+
+net::Task<void> LogFollower::run()
 {
-    net::CallOptions options;
-    options.timeout = settings_.timeout + wait;
-    const std::string target
-        = "/log/" + stream + "?from=" + std::to_string(from.value()) + "&limit=" + std::to_string(maxPageRecords) + "&wait_ms=" + std::to_string(wait.count());
-    const auto response = co_await http_.call(address_, {.target = target}, options, why);
-    if (!response) {
-        why.step = Step::Log;
-        co_return std::nullopt;
-    }
-    if (response->status != httpOk) {
-        why = platformError(Step::Log, address_, "read refused with status " + std::to_string(response->status), core::Outcome::NotRun);
-        co_return std::nullopt;
+    while (!stopped_) {
+        core::Error why;
+        auto page = co_await log_.read(stream_, cursor_.next(), pageLimit, endpoint_.logWait, why);
+        if (stopped_) {
+            break;
+        }
+        if (page) {
+            noteSuccess();
+            take(std::move(*page));
+        } else {
+            noteFailure(why);
+        }
+        if (mustPause_ && !stopped_) {
+            co_await timer_->wait(backoff_.next());
+        }
     }
-    co_return parseLogPage(response->body, why);
 }
 
-net::Task<std::optional<Offset>> LogClient::appendOnce(std::string stream, std::string record, Error &why)
+void LogFollower::stop()
 {
-    net::CallOptions options;
-    options.timeout = settings_.timeout;
-    const auto response = co_await http_.call(address_, {.method = "POST", .target = "/log/" + stream, .body = std::move(record)}, options, why);
-    if (!response) {
-        why.step = Step::Log;
-        co_return std::nullopt;
+    stopped_ = true;
+    timer_->end();
+}
+
+void LogFollower::take(LogPage page)
+{
+    const auto end = page.next;
+    const auto first = page.first;
+    const auto news = cursor_.onPage(std::move(page));
+    mustPause_ = news.stale;
+    if (!news.stale) {
+        backoff_.reset();
     }
-    if (response->status != httpOk) {
-        why = platformError(Step::Log, address_, "append refused with status " + std::to_string(response->status), core::Outcome::NotRun);
-        co_return std::nullopt;
+    if (!news.stale && events_.onKept) {
+        events_.onKept(first);
+    }
+    if (news.gapUntil && events_.onGap) {
+        events_.onGap(*news.gapUntil);
+    }
+    for (const auto &record : news.records) {
+        if (events_.onRecord) {
+            events_.onRecord(record);
+        }
     }
-    const json value = json::parse(response->body, nullptr, false);
-    auto offset = guarded<Offset>([&] { return std::optional(Offset(value.at("offset").get<std::uint64_t>())); });
-    if (!offset) {
-        why = platformError(Step::Log, address_, "the answer to an append has no offset", core::Outcome::Unknown);
+    if (news.caughtUp && events_.onCaughtUp) {
+        events_.onCaughtUp(end);
     }
-    co_return offset;
 }
 
-net::Task<std::optional<std::optional<Offset>>> LogClient::findRecord(std::string stream, Offset from, std::string recordId, Error &why)
+void LogFollower::noteFailure(const core::Error &why)
 {
-    for (;;) {
-        const auto page = co_await read(stream, from, Milliseconds(0), why);
-        if (!page) {
-            co_return std::nullopt;
-        }
-        for (const LogRecord &record : page->records) {
-            const json value = json::parse(record.data, nullptr, false);
-            if (value.is_object() && value.value("id", json()) == recordId) {
-                co_return std::optional(std::optional(record.offset));
-            }
-            from = record.offset.next();
-        }
-        if (page->records.empty()) {
-            co_return std::optional(std::optional<Offset>());
+    mustPause_ = true;
+    if (!outageSince_) {
+        outageSince_ = core::SteadyClock().now();
+        if (events_.onOutage) {
+            events_.onOutage(why);
         }
     }
 }
 
-net::Task<std::optional<Offset>> LogClient::append(std::string stream, std::string recordId, std::string record, Error &why)
+void LogFollower::noteSuccess()
 {
-    const auto before = co_await read(stream, Offset(UINT32_MAX), Milliseconds(0), why);
-    if (!before) {
-        co_return std::nullopt;
-    }
-    const Offset searchFrom = std::max(before->next, Offset(1));
-    for (int tries = 0; tries < maxTries; ++tries) {
-        const auto offset = co_await appendOnce(stream, record, why);
-        if (offset || why.outcome == core::Outcome::NotRun) {
-            co_return offset;
-        }
-        const auto found = co_await findRecord(stream, searchFrom, recordId, why);
-        if (found && *found) {
-            co_return *found;
-        }
-        if (!found) {
-            why.outcome = core::Outcome::Unknown;
-            co_return std::nullopt;
+    if (outageSince_) {
+        const auto out = core::SteadyClock().now() - *outageSince_;
+        outageSince_.reset();
+        if (events_.onRecovery) {
+            events_.onRecovery(out);
         }
     }
-    co_return std::nullopt;
 }
 
-HostsClient::HostsClient(net::HttpClient &http, net::Address address, const settings::Platform &settings)
+// ---- HostListFollower ----
+
+struct HostListFollower::Timer : Pause {
+    using Pause::Pause;
+};
+
+HostListFollower::HostListFollower(boost::asio::io_context &io, net::HttpClient &http, Endpoint endpoint, OnList onList, OnOutage onOutage)
     : http_(http)
-    , address_(std::move(address))
-    , settings_(settings)
+    , endpoint_(std::move(endpoint))
+    , onList_(std::move(onList))
+    , onOutage_(std::move(onOutage))
+    , timer_(std::make_unique<Timer>(io))
 { }
 
-net::Task<std::optional<HostList>> HostsClient::read(Error &why)
+HostListFollower::~HostListFollower() = default;
+
+net::Task<void> HostListFollower::run()
 {
-    net::CallOptions options;
-    options.timeout = settings_.timeout;
-    const auto response = co_await http_.call(address_, {.target = "/hosts"}, options, why);
-    if (!response) {
-        why.step = Step::Hosts;
-        co_return std::nullopt;
+    while (!stopped_) {
+        core::Error why;
+        const bool good = co_await poll(why);
+        if (stopped_) {
+            break;
+        }
+        if (!good && !failing_ && onOutage_) {
+            onOutage_(why);
+        }
+        failing_ = !good;
+        co_await timer_->wait(endpoint_.hostsPoll);
     }
-    if (response->status != httpOk) {
-        why = platformError(Step::Hosts, address_, "refused with status " + std::to_string(response->status), core::Outcome::NotRun);
-        co_return std::nullopt;
+}
+
+void HostListFollower::stop()
+{
+    stopped_ = true;
+    timer_->end();
+}
+
+net::Task<bool> HostListFollower::poll(core::Error &why)
+{
+    net::HttpRequest request;
+    request.target = "/hosts";
+    const auto answer = co_await http_.call(endpoint_.address, std::move(request), callOptions(endpoint_, core::Milliseconds()), why);
+    if (!answer) {
+        why.step = core::Step::Hosts;
+        co_return false;
+    }
+    if (answer->status != statusOk) {
+        why = statusError(core::Step::Hosts, endpoint_.address, answer->status);
+        co_return false;
+    }
+    auto list = parseHostList(answer->body, why);
+    if (!list) {
+        why.peer = endpoint_.address.text();
+        co_return false;
     }
-    co_return parseHostList(response->body, why);
+    if (current_ && list->asOfMs < current_->asOfMs) {
+        why = core::Error{.step = core::Step::Hosts, .peer = endpoint_.address.text(), .reason = "a host list older than the last one"};
+        co_return false;
+    }
+    current_ = std::move(list);
+    readAt_ = core::SteadyClock().now();
+    if (onList_ && !stopped_) {
+        onList_(*current_);
+    }
+    co_return true;
+}
+
+std::optional<core::Milliseconds> HostListFollower::age() const
+{
+    return current_ ? std::optional(core::SteadyClock().now() - readAt_) : std::nullopt;
 }
 
 } // namespace baobabstall::platform
