--- a/packages/engines/enginetable.h
+++ b/packages/engines/enginetable.h
@@ -19,12 +19,15 @@
 //   - A request starts only on a name that the engine said it holds, with no evict order out for it.
 //   - An evict order goes out only when no request uses the name; from then on no request starts on it.
 //   - Names of another epoch are evicted only on evidence that their owner is gone, and when a later listing shows nothing running.
-//     They are served only on engines that check fencing numbers, after an order of our own was taken.
+//     They are served only on engines that check fencing numbers, when a listing shows them after an order of our own was taken.
 //   - After a restart of the engine, or an order of unknown outcome, the engine's own list counts, never memory.
 //   - A request that will not start in time is refused at once, with the time to come back.
 //
-// Limit: an unload order whose answer was lost can take effect late. Its name is then not loaded again for `Loads::timeout`
+// Limits: an unload order whose answer was lost can take effect late. Its name is then not loaded again for `Loads::timeout`
 // after the engine has said that it no longer holds it. An order that the network holds back for longer than that isn't covered.
+// An engine that checks fencing numbers has to keep the highest one over its own restart, or to have no unaware earlier owner
+// then: else that owner's orders are taken again until our next listing sees the restart. A request of an owner that is gone
+// has to reach the engine within `settleTime` of the evidence, else our evict order can meet it there.
 #pragma once
 
 #include <cstdint>
@@ -104,7 +107,7 @@
     RequestId id;
     core::Error error;
 };
-struct AbortRequest { // was running when the engine restarted: outcome unknown; no finished() is due for it
+struct AbortRequest { // was running when the engine restarted: outcome unknown. Cut the call; finished() is still due when it is closed
     RequestId id;
     core::Error error;
 };
@@ -158,10 +161,10 @@
     void listingFailed(Instant now); // asks again after a pause
 
     // Ownership
-    void ownerGone(Epoch old);             // evidence that the owner of that epoch issues no more requests and orders
-    void superseded(Instant now);          // waiting requests are refused at once; running ones finish; no orders any more
-    void drain(Instant now);               // planned handover: as superseded(), then release the claim when ordersOpen() is false
-    [[nodiscard]] bool ordersOpen() const; // a load or unload has been ordered and its answer is missing
+    void ownerGone(Epoch old, Instant now); // evidence that the owner of that epoch issues no more requests and orders
+    void superseded(Instant now);           // waiting requests are refused at once; running ones finish; no orders any more
+    void drain(Instant now);                // planned handover: as superseded(), then release the claim when ordersOpen() is false
+    [[nodiscard]] bool ordersOpen() const;  // a load or unload has been ordered and its answer is missing
 
     // Decisions
     [[nodiscard]] std::vector<Action> takeActions(Instant now);
@@ -178,20 +181,21 @@
     static constexpr Milliseconds defaultHalfLife{60'000}; // of the request rate that decides eviction
     static constexpr Milliseconds relistPause{500};        // between listings while something is uncertain
     static constexpr Milliseconds sweepPause{250};         // between checks of what waits against its deadline
+    static constexpr Milliseconds settleTime{1'000};       // for requests of a gone owner that are still on their way to the engine
     static constexpr int maxLoadTries = 2;                 // failed loads in a row before the waiting requests are refused
 
 private:
     enum class SlotState : std::uint8_t { Loading, Resident, Unloading, Uncertain };
     struct Slot {
         SlotState state = SlotState::Resident;
-        int pins = 0;                // our running requests
-        int elsewhere = 0;           // running on the engine without a pin of ours, by the last listing
-        bool answered = true;        // false: an order is out
-        bool lostAnswer = false;     // an unload order may still take effect
-        bool seenAfterGone = false;  // of an earlier epoch: listed after its owner was known to be gone
-        std::uint64_t changedAt = 0; // event number; a listing asked for earlier says nothing about it
-        std::uint64_t lostAt = 0;    // event number of the last rise of `elsewhere`
-        EngineStart orderedUnder;    // the engine's run when its load was ordered
+        int elsewhere = 0;             // running on the engine without a pin of ours, by the last listing
+        bool answered = true;          // false: an order is out
+        bool lostAnswer = false;       // an unload order may still take effect
+        bool seenAfterGone = false;    // of an earlier epoch: listed after its owner was known to be gone
+        std::uint64_t changedAt = 0;   // event number; a listing asked for earlier says nothing about it
+        std::uint64_t lostAt = 0;      // event number of the last rise of `elsewhere`
+        std::uint64_t confirmedAt = 0; // event number at which the last listing with it was asked for
+        EngineStart orderedUnder;      // the engine's run when its load was ordered
         std::optional<PermitId> permit;
         Instant since;
     };
@@ -204,6 +208,7 @@
         Waiting waited;
         EngineName name;
         Instant since;
+        bool aborted = false; // its caller has been told; pins its name until the call is closed
     };
     enum class WantState : std::uint8_t { Idle, Asked, Granted };
     struct Want {
@@ -242,6 +247,7 @@
     [[nodiscard]] double permitWait(Instant now) const;
     [[nodiscard]] core::Error refusal(std::string reason, std::optional<Milliseconds> retryAfter) const;
     [[nodiscard]] int batchUsed() const;
+    [[nodiscard]] int pins(const EngineName &name) const;      // started requests whose calls are not closed
     [[nodiscard]] std::map<AdapterRef, double> demand() const; // weight of what waits for a load
 
     // Slots
@@ -255,15 +261,18 @@
     [[nodiscard]] int freeSlots() const;
     [[nodiscard]] int evictableSlots() const;
     void touch(Slot &slot);
+    void fenceTaken(Instant now);
     void orderLoad(const AdapterRef &adapter, Want &want, Instant now);
     void orderUnload(const EngineName &name, Slot &slot);
     void returnPermit(std::optional<PermitId> &permit);
     void loadFailed(const EngineName &name, LoadOutcome outcome, Instant now);
     void forgetUnloaded(typename Slots::iterator slot, Instant now);
+    void erase(typename Slots::iterator slot);
 
     // The engine's list and the end of ownership
     void restarted(Instant now);
     void applyListed(const EngineName &name, int running, Instant now);
+    void countElsewhere(const EngineName &name, Slot &slot, int running, bool changedSince);
     void applyMissing(const std::set<EngineName> &listed, Instant now);
     [[nodiscard]] bool isUncertain() const;
     void doubt();
@@ -284,11 +293,13 @@
     std::uint64_t doubtAt_ = 0;
     bool listingWanted_ = true;
     bool listingAsked_ = false;
-    std::uint64_t listingAskedAt_ = 0;
+    std::uint64_t listingAskedAt_ = 0; // event number
+    Instant listingAskedTime_;
     Instant listingNotBefore_;
-    std::map<Epoch, std::uint64_t> gone_;  // owners known to be gone, and since which event
-    bool fenceTaken_ = false;              // the engine has taken an order with our number since its start
-    std::optional<EngineName> fenceProbe_; // harmless unload order that is out
+    std::map<EngineName, std::uint64_t> erased_; // slots given up at that event; a listing asked for earlier may still show them
+    std::map<Epoch, Instant> gone_;              // owners known to be gone, and since when
+    std::optional<std::uint64_t> fenceTakenAt_;  // since which event the engine, in its present run, has taken an order with our number
+    bool fenceProbeOut_ = false;                 // an unload order of a name that is never loaded is out
     Instant fenceNotBefore_;
     std::optional<std::string> ended_; // why we no longer serve
 
--- a/packages/engines/enginetableimpl.h
+++ b/packages/engines/enginetableimpl.h
@@ -18,6 +18,12 @@
 constexpr int maxBounces = 2;              // "unknown name" answers before a request is refused
 constexpr double typicalServiceMs = 1'000; // until requests were measured
 
+/// A name that is never loaded.
+inline EngineName fenceProbe(Epoch epoch)
+{
+    return {{core::CustomerId("_"), core::AdapterName("fence"), core::AdapterVersion("0")}, epoch};
+}
+
 inline Milliseconds wholeMs(double ms)
 {
     return Milliseconds(static_cast<std::int64_t>(std::llround(std::max(0.0, ms))));
@@ -55,6 +61,10 @@
         refuse(request.id, refusal(*ended_, Milliseconds(0)));
         return;
     }
+    if (request.adapter == detail::fenceProbe(epoch_).adapter) {
+        refuse(request.id, refusal("a reserved name", std::nullopt));
+        return;
+    }
     eviction_.used(request.adapter, request.share, now);
     if (auto late = lateness(request, Milliseconds(0), now)) {
         refuse(request.id, std::move(*late));
@@ -88,9 +98,9 @@
     if (found == running_.end()) {
         return;
     }
-    if (end == RequestEnd::Complete) {
+    if (end == RequestEnd::Complete && !found->second.aborted) {
         detail::sample(serviceMs_, now - found->second.since);
-    } else {
+    } else if (end == RequestEnd::Lost) {
         wantListing(now + relistPause);
     }
     unpin(found->second, end);
@@ -113,6 +123,9 @@
     Running running = std::move(found->second);
     running_.erase(found);
     unpin(running, RequestEnd::Complete);
+    if (running.aborted) {
+        return;
+    }
     doubt();
     if (ended_) {
         refuse(id, refusal(*ended_, Milliseconds(0)));
@@ -139,7 +152,6 @@
 {
     const EngineName name = *servedName(waiting.request.adapter);
     Slot &slot = slots_.at(name);
-    ++slot.pins;
     touch(slot);
     const RequestId id = waiting.request.id;
     act(StartRequest{id, name});
@@ -154,7 +166,6 @@
         return;
     }
     Slot &slot = found->second;
-    --slot.pins;
     touch(slot);
     if (end == RequestEnd::Lost) {
         ++slot.elsewhere;
@@ -283,6 +294,12 @@
     return used;
 }
 
+template<EvictionPolicyLike Eviction>
+int BasicEngineTable<Eviction>::pins(const EngineName &name) const
+{
+    return static_cast<int>(std::count_if(running_.begin(), running_.end(), [&](const auto &entry) { return entry.second.name == name; }));
+}
+
 template<EvictionPolicyLike Eviction>
 std::map<AdapterRef, double> BasicEngineTable<Eviction>::demand() const
 {
@@ -366,11 +383,11 @@
     if (outcome == LoadOutcome::Loaded) {
         slot.state = SlotState::Resident;
         detail::sample(loadMs_, now - slot.since);
-        fenceTaken_ = true;
+        fenceTaken(now);
         wants_.erase(name.adapter);
         return;
     }
-    slots_.erase(found);
+    erase(found);
     loadFailed(name, outcome, now);
 }
 
@@ -402,9 +419,11 @@
         endOwnership("the engine has a later owner");
     }
     const bool taken = outcome == UnloadOutcome::Unloaded || outcome == UnloadOutcome::NotHeld;
-    fenceTaken_ = fenceTaken_ || taken;
-    if (fenceProbe_ == name) {
-        fenceProbe_.reset();
+    if (taken) {
+        fenceTaken(now);
+    }
+    if (name == detail::fenceProbe(epoch_)) {
+        fenceProbeOut_ = false;
         fenceNotBefore_ = now + relistPause;
     }
     const auto found = slots_.find(name);
@@ -429,6 +448,13 @@
     if (slot->second.lostAnswer && slot->first.epoch == epoch_) {
         quarantine_[slot->first.adapter] = now + loads_.timeout;
     }
+    erase(slot);
+}
+
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::erase(typename Slots::iterator slot)
+{
+    erased_[slot->first] = ++events_;
     slots_.erase(slot);
 }
 
@@ -439,6 +465,8 @@
         return;
     }
     listingAsked_ = false;
+    listingWanted_ = false;
+    std::erase_if(erased_, [&](const auto &entry) { return entry.second <= listingAskedAt_; });
     if (start_ != listing.start) {
         if (start_ != EngineStart()) {
             restarted(now);
@@ -454,16 +482,19 @@
             ++unreadable_;
             continue;
         }
+        if (erased_.contains(*name)) {
+            wantListing(now + relistPause);
+            continue;
+        }
         names.insert(*name);
         applyListed(*name, entry.running, now);
     }
     applyMissing(names, now);
     if (doubtAt_ > listingAskedAt_) {
-        wantListing(now);
+        wantListing(now); // asked for before the last reason for doubt
         return;
     }
     believed_ = true;
-    listingWanted_ = false;
     if (isUncertain()) {
         wantListing(now + relistPause);
     }
@@ -477,26 +508,27 @@
 }
 
 template<EvictionPolicyLike Eviction>
-void BasicEngineTable<Eviction>::restarted(Instant)
+void BasicEngineTable<Eviction>::restarted(Instant now)
 {
     for (auto &[id, running] : running_) {
+        if (std::exchange(running.aborted, true)) {
+            continue;
+        }
         core::Error error = refusal("the engine restarted while it ran the request", loads_.typical);
         error.step = core::Step::Upstream;
         error.refusal = core::Refusal::BadAnswer;
         error.outcome = core::Outcome::Unknown;
         act(AbortRequest{id, std::move(error)});
     }
-    running_.clear();
-    for (auto &[name, slot] : slots_) {
-        if (slot.answered) {
-            returnPermit(slot.permit);
+    for (auto entry = slots_.begin(); entry != slots_.end();) {
+        const auto current = entry++;
+        current->second.elsewhere = 0;
+        if (current->second.answered) {
+            returnPermit(current->second.permit);
+            forgetUnloaded(current, now);
         }
-        slot.pins = 0;
-        slot.elsewhere = 0;
     }
-    std::erase_if(slots_, [](const auto &entry) { return entry.second.answered; });
-    quarantine_.clear();
-    fenceTaken_ = false;
+    fenceTakenAt_.reset();
 }
 
 template<EvictionPolicyLike Eviction>
@@ -510,16 +542,16 @@
     if (isNew) {
         slot.orderedUnder = start_;
         slot.since = now;
-    }
-    const auto gone = gone_.find(name.epoch);
-    slot.seenAfterGone = gone != gone_.end() && gone->second <= listingAskedAt_;
-    if (slot.changedAt > listingAskedAt_) {
-        if (slot.lostAt <= listingAskedAt_) {
-            slot.elsewhere = std::min(slot.elsewhere, running);
-        }
+        slot.elsewhere = running;
+        slot.lostAnswer = name.epoch == epoch_ && quarantine_.contains(name.adapter);
+        slot.state = slot.lostAnswer ? SlotState::Unloading : SlotState::Resident;
+    }
+    slot.confirmedAt = listingAskedAt_;
+    const bool changedSince = slot.changedAt > listingAskedAt_;
+    countElsewhere(name, slot, running, changedSince);
+    if (changedSince) {
         return;
     }
-    slot.elsewhere = std::max(0, running - slot.pins);
     if (slot.state == SlotState::Uncertain) {
         slot.state = SlotState::Resident;
         returnPermit(slot.permit);
@@ -529,6 +561,24 @@
     }
 }
 
+/// Never too low where an evict order may follow: a pinned request may have ended on the engine already, so pins can't be subtracted.
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::countElsewhere(const EngineName &name, Slot &slot, int running, bool changedSince)
+{
+    const auto gone = gone_.find(name.epoch);
+    const bool settled = gone != gone_.end() && gone->second + settleTime <= listingAskedTime_;
+    const bool firstSettled = settled && !std::exchange(slot.seenAfterGone, settled);
+    if (name.epoch != epoch_ && !settled) {
+        slot.elsewhere = std::max(0, running - pins(name)); // not evictable yet; for the size of the batch only
+    } else if (firstSettled) {
+        slot.elsewhere = running + (changedSince ? slot.elsewhere : 0);
+    } else if (pins(name) == 0 && !changedSince) {
+        slot.elsewhere = running;
+    } else if (slot.lostAt <= listingAskedAt_) { // what was lost before can only have ended since
+        slot.elsewhere = std::min(slot.elsewhere, running);
+    }
+}
+
 template<EvictionPolicyLike Eviction>
 void BasicEngineTable<Eviction>::applyMissing(const std::set<EngineName> &listed, Instant now)
 {
@@ -573,14 +623,14 @@
 // Ownership
 
 template<EvictionPolicyLike Eviction>
-void BasicEngineTable<Eviction>::ownerGone(Epoch old)
+void BasicEngineTable<Eviction>::ownerGone(Epoch old, Instant now)
 {
-    if (old >= epoch_ || !gone_.try_emplace(old, ++events_).second) {
+    if (old >= epoch_ || !gone_.try_emplace(old, now).second) {
         return;
     }
     const bool holdsSome = std::any_of(slots_.begin(), slots_.end(), [&](const auto &entry) { return entry.first.epoch == old; });
     if (holdsSome) {
-        wantListing(Instant(std::numeric_limits<std::int64_t>::min()));
+        wantListing(now + settleTime);
     }
 }
 
@@ -619,7 +669,7 @@
 bool BasicEngineTable<Eviction>::ordersOpen() const
 {
     const bool slotOrders = std::any_of(slots_.begin(), slots_.end(), [](const auto &entry) { return !entry.second.answered; });
-    return slotOrders || fenceProbe_.has_value();
+    return slotOrders || fenceProbeOut_;
 }
 
 // Decisions
@@ -661,7 +711,7 @@
             consider(want.aheadUntil);
         }
     }
-    if (engine_.checksFencing && !fenceTaken_ && fenceNotBefore_ > now) {
+    if (engine_.checksFencing && !fenceTakenAt_ && fenceNotBefore_ > now) {
         consider(fenceNotBefore_);
     }
     return next;
@@ -757,6 +807,11 @@
         if (want.state != WantState::Granted) {
             continue;
         }
+        if (slots_.contains(EngineName{adapter, epoch_})) { // the same name is loading or unloading
+            returnPermit(want.permit);
+            want.state = WantState::Idle;
+            continue;
+        }
         if (free > 0) {
             --free;
             orderLoad(adapter, want, now);
@@ -801,7 +856,8 @@
             }
             continue;
         }
-        const bool blocked = quarantine_.contains(adapter) || loadingSlot(adapter) != nullptr || now < want.notBefore;
+        const bool ordersOut = slots_.contains(EngineName{adapter, epoch_}); // the same name is loading or unloading
+        const bool blocked = quarantine_.contains(adapter) || ordersOut || now < want.notBefore;
         if (want.state == WantState::Granted || blocked || room <= 0) {
             continue;
         }
@@ -822,23 +878,21 @@
     listingAsked_ = true;
     listingWanted_ = false;
     listingAskedAt_ = events_;
+    listingAskedTime_ = now;
     act(AskListing{});
 }
 
-/// Earlier owners' names are served once the engine has taken an order with our number. A name that nobody holds makes a harmless one.
+/// Earlier owners' names are served once the engine has taken an order with our number. A name that is never loaded makes a harmless one.
 template<EvictionPolicyLike Eviction>
 void BasicEngineTable<Eviction>::proveFencing(Instant now)
 {
-    if (!engine_.checksFencing || fenceTaken_ || fenceProbe_ || now < fenceNotBefore_) {
+    if (!engine_.checksFencing || fenceTakenAt_ || fenceProbeOut_ || now < fenceNotBefore_) {
         return;
     }
-    for (const auto &[name, slot] : slots_) {
-        const EngineName probe{name.adapter, epoch_};
-        if (name.epoch < epoch_ && !slots_.contains(probe)) {
-            fenceProbe_ = probe;
-            act(OrderUnload{probe});
-            return;
-        }
+    const bool holdsEarlier = std::any_of(slots_.begin(), slots_.end(), [&](const auto &entry) { return entry.first.epoch < epoch_; });
+    if (holdsEarlier) {
+        fenceProbeOut_ = true;
+        act(OrderUnload{detail::fenceProbe(epoch_)});
     }
 }
 
@@ -847,16 +901,16 @@
 template<EvictionPolicyLike Eviction>
 bool BasicEngineTable<Eviction>::servable(const EngineName &name, const Slot &slot) const
 {
-    const bool isAdopted = engine_.checksFencing && fenceTaken_ && name.epoch < epoch_;
+    const bool isAdopted = engine_.checksFencing && fenceTakenAt_ && slot.confirmedAt >= *fenceTakenAt_ && name.epoch < epoch_;
     return believed_ && !ended_ && slot.state == SlotState::Resident && (name.epoch == epoch_ || isAdopted);
 }
 
 template<EvictionPolicyLike Eviction>
 bool BasicEngineTable<Eviction>::evictable(const EngineName &name, const Slot &slot) const
 {
-    const bool isIdle = slot.state == SlotState::Resident && slot.pins == 0 && slot.elsewhere == 0;
+    const bool isIdle = slot.state == SlotState::Resident && pins(name) == 0 && slot.elsewhere == 0;
     const bool isOurs = name.epoch == epoch_ || (gone_.contains(name.epoch) && slot.seenAfterGone);
-    return believed_ && !ended_ && isIdle && isOurs && !isWanted(name.adapter);
+    return believed_ && !ended_ && isIdle && isOurs && !(servable(name, slot) && isWanted(name.adapter));
 }
 
 template<EvictionPolicyLike Eviction>
@@ -930,6 +984,20 @@
     slot.changedAt = ++events_;
 }
 
+/// From here on orders of earlier owners are refused, so what a listing shows now stays until we evict it.
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::fenceTaken(Instant now)
+{
+    if (!engine_.checksFencing || fenceTakenAt_) {
+        return;
+    }
+    fenceTakenAt_ = ++events_;
+    const bool holdsEarlier = std::any_of(slots_.begin(), slots_.end(), [&](const auto &entry) { return entry.first.epoch < epoch_; });
+    if (holdsEarlier) {
+        wantListing(now);
+    }
+}
+
 template<EvictionPolicyLike Eviction>
 void BasicEngineTable<Eviction>::orderLoad(const AdapterRef &adapter, Want &want, Instant now)
 {
