Measure limits, retries and refusals on virtual time against bounds

What the runs changed: an estimate of the wait from the items that wait now promised too little under overload (requests found past their deadline in the queue after up to 12 s); it now takes plans that wait as going on to wait. The retry reserve comes back with a half-life of its own, else it alone allowed a daemon with little traffic 0.35 retries a second.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,15 @@
 test: build     ## every test
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# Programs under benches/ with bounds, then the cost of single decisions. Each prints its table; a broken bound fails the target.
+BOUNDED_BENCHES = limits_bench
+COST_BENCHES = $(wildcard $(BUILD)/packages/*/*_bench)
+
+bench: build    ## policies on virtual time against their bounds, and the cost of decisions
+	@failed=; for bench in $(BOUNDED_BENCHES); do $(BUILD)/bin/$$bench || failed="$$failed $$bench"; done; \
+	for bench in $(COST_BENCHES); do $$bench --benchmark_min_time=0.1 2>/dev/null || failed="$$failed $$bench"; done; \
+	[ -z "$$failed" ] || { echo "bounds broken:$$failed"; exit 1; }
+
 lint: build     ## clang-tidy over all sources
 	@scripts/lint $(BUILD) $(JOBS)
 
--- a/packages/admission/fairqueue.h
+++ b/packages/admission/fairqueue.h
@@ -77,7 +77,10 @@
     template<typename Predicate>
     std::vector<T> removeIf(Predicate matches);
 
-    /// How many items would be served before a newcomer of this plan, if nothing else came. O(plans). For the expected wait.
+    /// The part of all service that the plan gets while those that wait now go on waiting, itself included. O(plans).
+    [[nodiscard]] double partOfService(const core::PlanId &plan, double share) const;
+    /// How many items are served before a newcomer of this plan, if the other plans that wait keep something waiting: under overload
+    /// they do, and an estimate from their present items alone would promise too short a wait. O(plans).
     [[nodiscard]] double itemsAhead(const core::PlanId &plan, double share) const;
     [[nodiscard]] std::size_t size() const { return places_.size(); }
     [[nodiscard]] std::size_t size(const core::PlanId &plan) const; // waiting items of one plan
@@ -199,17 +202,22 @@
 }
 
 template<typename T>
-double FairQueue<T>::itemsAhead(const core::PlanId &id, double share) const
+double FairQueue<T>::partOfService(const core::PlanId &id, double share) const
 {
-    const auto own = static_cast<double>(size(id));
-    double ahead = own;
+    double total = share;
     for (const Plan *plan : backlogged_) {
         if (plan->id != id) {
-            const double servedMeanwhile = (own + 1) * plan->share / share;
-            ahead += std::min(static_cast<double>(plan->waiting.size()), servedMeanwhile);
+            total += plan->share;
         }
     }
-    return ahead;
+    return share / total;
+}
+
+template<typename T>
+double FairQueue<T>::itemsAhead(const core::PlanId &id, double share) const
+{
+    const auto own = static_cast<double>(size(id));
+    return (own + 1) / partOfService(id, share) - 1;
 }
 
 template<typename T>
--- a/packages/admission/overload.h
+++ b/packages/admission/overload.h
@@ -1,7 +1,8 @@
 // admission/overload.h: early refusal at an engine's owner, before a request waits for what it can't get in time.
 //
 //   OverloadGate gate(settings.admission);
-//   auto wait = gate.admit(plan, {.itemsAhead = queue.itemsAhead(plan, share), .deadline = deadline}, now, why); // before push()
+//   Prospect prospect {.queued = queue.size(plan), .partOfService = queue.partOfService(plan, share), .deadline = deadline};
+//   auto wait = gate.admit(plan, prospect, now, why); // before queue.push()
 //   if (!wait) { refuse(why); return; } // 503 with Retry-After, decided here and final
 //   gate.onQueue(now, queue.size()); // after each push, pop and remove
 //   gate.onFinish(now, took); // after each request that ran
@@ -26,7 +27,8 @@
 
 /// What a newcomer has to wait for.
 struct Prospect {
-    double itemsAhead = 0;           // FairQueue::itemsAhead() of its plan
+    std::size_t queued = 0;          // waiting items of its plan: FairQueue::size(plan)
+    double partOfService = 1;        // FairQueue::partOfService() of its plan
     bool freeSlot = false;           // the engine has room to begin at once
     Milliseconds loadWait{0};        // until its adapter is expected to be resident
     std::optional<Instant> deadline; // none: only maxQueueWait counts
@@ -41,14 +43,18 @@
     /// The wait to expect, or why the request is refused: step Admit, Unavailable, NotRun, Retry-After.
     [[nodiscard]] std::optional<Milliseconds> admit(const core::PlanId &plan, const Prospect &prospect, Instant now, core::Error &why);
     /// The refusal of an item that a full queue handed back (Pushed::refused): step Admit, TooMany, NotRun, Retry-After.
-    [[nodiscard]] core::Error refusalOfDisplaced(const core::PlanId &plan, std::size_t queued, Instant now);
+    [[nodiscard]] core::Error refusalOfDisplaced(const core::PlanId &plan, const Prospect &prospect, Instant now);
+
+    /// Whether a waiting item can no longer be answered in time, even if it began now; give it its refusal at once.
+    [[nodiscard]] bool isHopeless(Instant deadline, Instant now) const { return now + drain_.service() > deadline; }
 
     void onQueue(Instant now, std::size_t queued) { drain_.setBacklogged(now, queued > 0); }
     void onFinish(Instant now, Milliseconds took) { drain_.onFinish(now, took); }
     [[nodiscard]] const DrainRate &drain() const { return drain_; }
 
 private:
-    [[nodiscard]] core::Error refusal(const core::PlanId &plan, const char *reason, Milliseconds untilRoom, Instant now);
+    [[nodiscard]] Milliseconds queueWait(const Prospect &prospect, Instant now) const;
+    [[nodiscard]] core::Error refusal(const core::PlanId &plan, const char *reason, Milliseconds untilRoom, double partOfService, Instant now);
 
     settings::Admission options_;
     DrainRate drain_;
--- a/packages/admission/retrybudget.cpp
+++ b/packages/admission/retrybudget.cpp
@@ -1,19 +1,28 @@
 #include <admission/retrybudget.h>
 
+#include <algorithm>
+
 namespace baobabstall::admission {
 
 bool RetryBudget::spend(int attemptsMade, Instant now)
 {
-    if (attemptsMade >= options_.maxAttempts || left(now) < 1) {
+    if (attemptsMade >= options_.maxAttempts) {
         return false;
     }
-    retries_.add(now);
-    return true;
+    if (earned(now) >= 1) {
+        paid_.add(now);
+        return true;
+    }
+    if (reserve(now) >= 1) {
+        reserved_.add(now);
+        return true;
+    }
+    return false;
 }
 
 double RetryBudget::left(Instant now) const
 {
-    return options_.budgetReserve + options_.budgetShare * successes_.value(now) - retries_.value(now);
+    return std::max(0.0, earned(now)) + std::max(0.0, reserve(now));
 }
 
 } // namespace baobabstall::admission
--- a/packages/admission/retrybudget.h
+++ b/packages/admission/retrybudget.h
@@ -18,7 +18,8 @@
 class RetryBudget
 {
 public:
-    static constexpr Milliseconds halfLife{10'000}; // of successes and of retries; the reserve comes back at the same pace
+    static constexpr Milliseconds halfLife{10'000};        // of successes and of the retries they paid for
+    static constexpr Milliseconds reserveHalfLife{60'000}; // of retries from the reserve: so long until half of it is back
 
     explicit RetryBudget(const settings::Retries &options)
         : options_(options)
@@ -27,12 +28,16 @@
     void onSuccess(Instant now) { successes_.add(now); }
     /// Takes one retry from the budget. `attemptsMade` counts the tries of this request so far, the first included.
     [[nodiscard]] bool spend(int attemptsMade, Instant now);
-    [[nodiscard]] double left(Instant now) const; // retries that may be made now
+    [[nodiscard]] double left(Instant now) const; // retries that recent successes and the reserve allow now
 
 private:
+    [[nodiscard]] double earned(Instant now) const { return options_.budgetShare * successes_.value(now) - paid_.value(now); }
+    [[nodiscard]] double reserve(Instant now) const { return options_.budgetReserve - reserved_.value(now); }
+
     settings::Retries options_;
     DecayingCount successes_{halfLife};
-    DecayingCount retries_{halfLife};
+    DecayingCount paid_{halfLife};            // retries paid by successes
+    DecayingCount reserved_{reserveHalfLife}; // retries from the reserve
 };
 
 } // namespace baobabstall::admission
--- a/packages/admission/tests/limitstest.cpp
+++ b/packages/admission/tests/limitstest.cpp
@@ -126,7 +126,7 @@
     EXPECT_TRUE(budget.spend(1, clock.now()));
     EXPECT_TRUE(budget.spend(1, clock.now()));
     EXPECT_FALSE(budget.spend(1, clock.now()));
-    clock.advance(RetryBudget::halfLife);
+    clock.advance(RetryBudget::reserveHalfLife);
     EXPECT_TRUE(budget.spend(1, clock.now()));
 }
 
@@ -225,22 +225,31 @@
     OverloadGate gate(settings::Admission{.engineConcurrency = 10, .maxQueueWait = Milliseconds(5'000)});
     gate.onFinish(Instant(0), second);
     core::Error why;
-    EXPECT_EQ(gate.admit(gold, {.itemsAhead = 500, .freeSlot = true}, Instant(0), why), Milliseconds(0));
-    EXPECT_EQ(gate.admit(gold, {.itemsAhead = 19}, Instant(0), why), second * 2);
-    EXPECT_FALSE(gate.admit(gold, {.itemsAhead = 79}, Instant(0), why));
+    EXPECT_EQ(gate.admit(gold, {.queued = 500, .freeSlot = true}, Instant(0), why), Milliseconds(0));
+    EXPECT_EQ(gate.admit(gold, {.queued = 19}, Instant(0), why), second * 2);
+    EXPECT_FALSE(gate.admit(gold, {.queued = 79}, Instant(0), why));
     EXPECT_EQ(why.step, core::Step::Admit);
     EXPECT_EQ(why.refusal, core::Refusal::Unavailable);
     EXPECT_EQ(why.outcome, core::Outcome::NotRun);
     EXPECT_EQ(why.retryAfter, second * 3) << "8 s to drain, of which 5 s may be waited";
 }
 
+TEST(OverloadGate, a_plan_waits_by_its_part_of_the_service)
+{
+    OverloadGate gate(settings::Admission{.engineConcurrency = 10, .maxQueueWait = Milliseconds(5'000)});
+    gate.onFinish(Instant(0), second);
+    core::Error why;
+    EXPECT_EQ(gate.admit(gold, {.queued = 9, .partOfService = 0.5}, Instant(0), why), second * 2);
+    EXPECT_FALSE(gate.admit(gold, {.queued = 9, .partOfService = 0.1}, Instant(0), why));
+}
+
 TEST(OverloadGate, refuses_what_would_miss_its_deadline)
 {
     OverloadGate gate(settings::Admission{.engineConcurrency = 10});
     gate.onFinish(Instant(0), second);
     core::Error why;
-    EXPECT_TRUE(gate.admit(gold, {.itemsAhead = 9, .deadline = Instant(2'000)}, Instant(0), why));
-    EXPECT_FALSE(gate.admit(gold, {.itemsAhead = 9, .deadline = Instant(1'900)}, Instant(0), why));
+    EXPECT_TRUE(gate.admit(gold, {.queued = 9, .deadline = Instant(2'000)}, Instant(0), why));
+    EXPECT_FALSE(gate.admit(gold, {.queued = 9, .deadline = Instant(1'900)}, Instant(0), why));
     EXPECT_TRUE(why.retryAfter);
     EXPECT_FALSE(gate.admit(gold, {.loadWait = Milliseconds(1'500), .deadline = Instant(2'400)}, Instant(0), why));
     EXPECT_FALSE(gate.admit(gold, {.freeSlot = true, .deadline = Instant(900)}, Instant(0), why));
@@ -251,7 +260,7 @@
 {
     OverloadGate gate(settings::Admission{.engineConcurrency = 10});
     gate.onFinish(Instant(0), second);
-    const core::Error why = gate.refusalOfDisplaced(basic, 64, Instant(0));
+    const core::Error why = gate.refusalOfDisplaced(basic, {.queued = 63}, Instant(0));
     EXPECT_EQ(why.refusal, core::Refusal::TooMany);
     EXPECT_EQ(why.retryAfter, Milliseconds(3'200));
 }
