--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -7,6 +7,7 @@
 find_package(nlohmann_json 3.11 REQUIRED)
 find_package(GTest REQUIRED)
 find_package(benchmark REQUIRED)
+find_package(log4cplus 2.0 REQUIRED)
 
 add_library(baobab_flags INTERFACE)
 target_include_directories(baobab_flags INTERFACE ${CMAKE_SOURCE_DIR}/packages)
