--- a/packages/logging/tests/loggingtest.cpp
+++ b/packages/logging/tests/loggingtest.cpp
@@ -21,7 +21,7 @@
 public:
     explicit LogFile(std::string level = "info")
     {
-        std::ofstream(path_, std::ios_base::trunc);
+        const std::ofstream emptied(path_, std::ios_base::trunc);
         core::Error why;
         log_ = Log::open({.level = std::move(level), .file = path_}, core::HostId("entry-1"), why);
     }
