Serve a request from end to end by separate processes

The daemon's program: identify, lists, limit, choose by hints, forward to the engine's owner, load by permit, check the answer, respond; keyed service calls through their partition's owner; metrics, JSON log lines, status, lists, explain, planned stop.

--- a/packages/calls/calls.h
+++ b/packages/calls/calls.h
@@ -9,21 +9,22 @@
 //   CallPartition                          one partition at its owner
 //
 //   CallPartition partition(number, self);
-//   decide(partition.own(epoch));                       // the claims stream made this daemon the owner: appends the fence
+//   decide(partition.own(epoch));                       // once all before is read: the claims stream made this daemon the owner: appends the fence
 //   decide(partition.onRecord(offset, record));         // every record of this partition, from the stream's beginning, in order
 //   decide(partition.onReadToEnd());                    // when a read left nothing
-//   Answer answer = partition.begin(key, digest, now);  // a caller's request
+//   Answer answer = partition.begin(key, digest);       // a caller's request
 //   decide(partition.finished(key, result));            // after a Run
 //
 // Why two owners never both run a key. Claims stand in another stream, so a claim's place says nothing about an intent's place. A
 // new owner therefore appends an Open record with its epoch to the calls stream and serves only after it read that record back:
-// the fence. An intent whose epoch is not that of the newest fence before it is void, for every reader. So
+// the fence. An intent whose epoch is lower than the newest fence before it is void, for every reader. So
 //   - an intent of an old owner that lands behind the fence never runs, also when its writer wakes: the writer reads it back as void;
 //   - an intent that stands before the fence may have been run by its writer, or may be run when the writer wakes. The new owner
 //     has read it before its own fence, and never runs that key: a repeat gets the result if one stands, else `unknown`;
 //   - the writer needs no check after it read its intent back as valid: however late it runs, nobody else will.
 // The window in which a key is remembered is the log's retention. After it the same key runs again: callers must not repeat a
-// key later than that. A result longer than what is recorded, or pushed out of memory, is told as "ran" without its body.
+// key later than that. NotRun speaks of one attempt: a later attempt under the same key may run.
+// A result longer than what is recorded, or pushed out of memory, is told as "ran" without its body.
 #pragma once
 
 #include <cstdint>
@@ -140,64 +141,75 @@
 
     // Ownership.
     [[nodiscard]] std::vector<Decision> own(Epoch epoch); // this daemon owns the partition under `epoch`
-    [[nodiscard]] std::vector<Decision> disown();         // handed over or lost: begins nothing more; runs in flight may still be finished()
+    void disown();                                        // handed over or lost: begins nothing more; what was begun goes on to its end
     [[nodiscard]] bool isServing() const;                 // own fence read back, not superseded, log up
-    [[nodiscard]] bool isIdle() const;                    // nothing begun and not ended; then a handover is drained
+    [[nodiscard]] bool isIdle() const;                    // nothing begun that has not ended, no result unwritten; then a handover is drained
 
     // Requests.
-    [[nodiscard]] Answer begin(const CallKey &key, std::uint64_t digest, Instant now);
-    [[nodiscard]] std::vector<Decision> giveUp(const CallKey &key); // the caller's deadline passed before Run: NotRun if it can still be said, else nothing
-    [[nodiscard]] std::vector<Decision> finished(const CallKey &key, const CallResult &result); // after a Run, always
+    [[nodiscard]] Answer begin(const CallKey &key, std::uint64_t digest); // a key is 1 to 255 visible ASCII characters
+    [[nodiscard]] std::vector<Decision> giveUp(const CallKey &key);       // the caller's time is over; NotRun if the call was not begun, else nothing
+    [[nodiscard]] std::vector<Decision> finished(const CallKey &key, CallResult result); // after a Run, always; outcome NotRun frees the key
 
     // The log.
     [[nodiscard]] std::vector<Decision> onRecord(Offset offset, const CallRecord &record); // in order; of other partitions: passed over
     [[nodiscard]] std::vector<Decision> onReadToEnd();                                     // a read that left nothing; appends of unknown end are tried again
     void onAppended(const std::string &id);                                                // taken; counts once it is read back
-    [[nodiscard]] std::vector<Decision> onAppendRefused(const std::string &id);            // certainly not taken
+    [[nodiscard]] std::vector<Decision> onAppendRefused(const std::string &id);            // certainly not taken: 429 or 503
     void onAppendUnknown(const std::string &id);                                           // no answer
-    void onLogDown();                              // reads or appends fail; until onReadToEnd() everything new is refused
-    void trim(Offset first);                       // the log keeps nothing below it
-    [[nodiscard]] std::vector<Decision> refresh(); // at less than half of the retention: keeps the fence in the log
+    [[nodiscard]] std::vector<Decision> onLogDown(); // a read or append failed; waiting callers are told, and new keys refused until onReadToEnd()
+    void trim(Offset first);                         // the log keeps nothing below it
+    [[nodiscard]] std::vector<Decision> refresh();   // call it before half of the retention passed: an owner that slept longer must find our fence
 
     [[nodiscard]] std::size_t keys() const { return entries_.size(); }
     [[nodiscard]] std::size_t approximateBytes() const;
 
+    static constexpr std::size_t maxKeyLength = 255;
     static constexpr std::size_t maxKeptBytes = 1024 * 1024; // bodies of results in memory, for one partition; the oldest go first
+    static constexpr int endReadsNeeded = 2;                 // the first may have been in flight before the answer was lost
     static constexpr Milliseconds runningRetryAfter{1'000};
     static constexpr Milliseconds logDownRetryAfter{5'000};
     static constexpr Milliseconds notServingRetryAfter{1'000};
 
 private:
     enum class Phase : std::uint8_t {
-        Appending, // our intent is not read back yet
+        Free,      // nothing stands, or what stood was certainly not run
+        Appending, // free in the stream; our intent is not read back yet
         Running,   // our intent stands, we run it
         Begun,     // a valid intent of somebody stands, and no result
         Ended,     // the result is known
     };
     struct Entry {
-        Phase phase = Phase::Appending;
+        Phase phase = Phase::Free;
+        bool givenUp = false; // Appending, Begun: our intent that will not be run
         std::uint64_t digest = 0;
-        std::string intent; // its record id
-        Offset at;          // newest record of this key
+        std::string intent;      // record id
+        std::string freedIntent; // of an intent that was not run; a second copy of it means nothing
+        Offset at;               // newest record of this key; zero: none
         CallResult result;
-        bool givenUp = false; // the caller was told not_run; never to be run
     };
     struct Pending {
         CallRecord record;
-        bool unknown = false;
+        int inFlight = 1;        // appends without an answer
+        bool maybeTaken = false; // an answer was lost, or it was taken
+        bool toRetry = false;
+        int reads = 0; // to the end of the stream since then
     };
+    using Decisions = std::vector<Decision>;
 
     [[nodiscard]] std::string newId();
-    [[nodiscard]] Answer answerFor(const Entry &entry, std::uint64_t digest) const;
-    [[nodiscard]] Refuse refusal() const;
-    void onOpen(const CallRecord &record, std::vector<Decision> &out);
-    void onIntent(Offset offset, const CallRecord &record, std::vector<Decision> &out);
+    [[nodiscard]] Answer answerFor(Entry &entry, std::uint64_t digest);
+    [[nodiscard]] Refuse refusal(const std::string &reason, Milliseconds retryAfter) const;
+    void onOpen(const CallRecord &record, Decisions &out);
+    void onIntent(Offset offset, const CallRecord &record, Decisions &out);
     void onResult(Offset offset, const CallRecord &record);
-    void onOwnIntent(Entry &entry, const CallRecord &record, std::vector<Decision> &out);
-    void failWaiting(const std::string &reason, std::vector<Decision> &out);
-    void append(CallRecord record, std::vector<Decision> &out);
-    void appendResult(const CallKey &key, const Entry &entry, const CallResult &result, std::vector<Decision> &out);
-    void keepBody(const CallKey &key, std::size_t bytes);
+    void onOwnIntent(const CallKey &key, Entry &entry, Decisions &out);
+    void dropAppending(const CallRecord &record, const std::string &reason, Decisions &out);
+    void tellNotRun(const CallKey &key, Entry &entry, const std::string &reason, Decisions &out);
+    void append(CallRecord record, Decisions &out);
+    void appendResult(const CallKey &key, const Entry &entry, Decisions &out);
+    void touch(const CallKey &key, Entry &entry, Offset offset);
+    void keepResult(const CallKey &key, Entry &entry, CallResult result);
+    void dropBody(Entry &entry);
 
     int partition_;
     Self self_;
@@ -206,9 +218,11 @@
     bool logDown_ = false;
     std::uint64_t nextId_ = 1;
     std::map<CallKey, Entry> entries_;
+    std::map<Offset, CallKey> byOffset_;               // by Entry::at
     std::unordered_map<std::string, Pending> pending_; // our records that were not read back, by id
-    std::deque<CallKey> bodies_;                       // keys with a body, oldest first
+    std::deque<CallKey> bodies_;                       // keys with a body, oldest first; may name keys that have none any more
     std::size_t keptBytes_ = 0;
+    std::size_t running_ = 0;
 };
 
 } // namespace baobabstall::calls
--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -53,13 +53,13 @@
         co_return;
     }
     if (node_.isStopping || !node_.lists.ready()) {
-        co_await refuse(exchange, request.id, refusalOf(Step::Limit, Refusal::Unavailable, "this host takes no requests now", comeBackSoon));
+        co_await refuse(exchange, request, refusalOf(Step::Limit, Refusal::Unavailable, "this host takes no requests now", comeBackSoon));
         co_return;
     }
     Error why;
     const auto customer = identify(exchange.request(), why);
     if (!customer) {
-        co_await refuse(exchange, request.id, why);
+        co_await refuse(exchange, request, why);
         co_return;
     }
     request.customer = *customer;
@@ -80,7 +80,7 @@
     } else if (path.starts_with(servicesPrefix)) {
         co_await service(exchange, request);
     } else {
-        co_await refuse(exchange, request.id, refusalOf(Step::Receive, Refusal::NotFound, "no such path or method; see the README for the API"));
+        co_await refuse(exchange, request, refusalOf(Step::Receive, Refusal::NotFound, "no such path or method; see the README for the API"));
     }
 }
 
@@ -95,38 +95,37 @@
     return node_.lists.findCustomer(lists::digestOfKey(std::string_view(*header).substr(scheme.size())), why);
 }
 
-net::Task<void> CallerApi::refuse(net::Exchange &exchange, const core::RequestId &id, const Error &why)
+net::Task<void> CallerApi::refuse(net::Exchange &exchange, const CallerRequest &request, const Error &why)
 {
-    node_.trace(id, why.step, why.peer, "refused: " + why.reason);
-    co_await exchange.respond(errorResponse(why, id));
+    node_.trace(request.id, why.step, why.peer, "refused: " + why.reason);
+    node_.metrics.onRefusal(why);
+    node_.metrics.refusalDelay.observe({core::stepName(why.step)}, node_.now() - request.since);
+    node_.log.info("request_refused", why, {{"request_id", request.id}, {"customer", request.customer}});
+    co_await exchange.respond(errorResponse(why, request.id));
 }
 
-CallerApi::Place::Place(CallerApi &api, core::CustomerId customer, admission::PlanSlot slot)
-    : api_(api)
-    , customer_(std::move(customer))
+CallerApi::Place::Place(Node &node, admission::PlanSlot slot)
+    : node_(node)
     , slot_(std::move(slot))
 {
-    ++api_.inFlight_[customer_];
+    showInFlight();
 }
 
 CallerApi::Place::~Place()
 {
-    api_.node_.limiter.release(slot_, api_.node_.now());
-    const auto found = api_.inFlight_.find(customer_);
-    if (--found->second == 0) {
-        api_.inFlight_.erase(found);
-    }
+    node_.limiter.release(slot_, node_.now());
+    showInFlight();
+}
+
+void CallerApi::Place::showInFlight()
+{
+    node_.metrics.inFlight.set({slot_.plan.value()}, node_.limiter.inFlight(slot_.plan));
 }
 
 std::unique_ptr<CallerApi::Place> CallerApi::enter(const core::CustomerId &customer, const lists::Grant &grant, Error &why)
 {
-    const auto found = inFlight_.find(customer);
-    if (found != inFlight_.end() && found->second >= grant.maxInFlight) {
-        why = refusalOf(Step::Limit, Refusal::TooMany, "this customer has as many requests in flight as its plan allows", comeBackSoon);
-        return nullptr;
-    }
-    auto slot = node_.limiter.acquire(grant.plan, node_.now(), why);
-    return slot ? std::make_unique<Place>(*this, customer, std::move(*slot)) : nullptr;
+    auto slot = node_.limiter.acquire(grant.plan, customer, node_.now(), why);
+    return slot ? std::make_unique<Place>(node_, std::move(*slot)) : nullptr;
 }
 
 net::Task<void> CallerApi::completion(net::Exchange &exchange, CallerRequest request)
@@ -136,7 +135,7 @@
     const auto grant = wanted ? node_.lists.grant(request.customer, wanted->adapter, why) : std::nullopt;
     const auto place = grant ? enter(request.customer, *grant, why) : nullptr;
     if (!place) {
-        co_await refuse(exchange, request.id, why);
+        co_await refuse(exchange, request, why);
         co_return;
     }
     Completion completion(node_, exchange, request, *wanted, *grant);
@@ -161,11 +160,11 @@
     const auto grant = node_.lists.grantService(request.customer, call.service, why);
     const auto place = grant ? enter(request.customer, *grant, why) : nullptr;
     if (!place) {
-        co_await refuse(exchange, request.id, why);
+        co_await refuse(exchange, request, why);
         co_return;
     }
     if (call.idempotencyKey.size() > maxKeyBytes) {
-        co_await refuse(exchange, request.id, refusalOf(Step::Receive, Refusal::BadRequest, "Idempotency-Key is longer than 255 bytes"));
+        co_await refuse(exchange, request, refusalOf(Step::Receive, Refusal::BadRequest, "Idempotency-Key is longer than 255 bytes"));
         co_return;
     }
     const bool isSafe = call.method == "GET" || call.method == "HEAD";
@@ -176,7 +175,7 @@
         response = co_await keyedCall(request, call, why);
     }
     if (!response) {
-        co_await refuse(exchange, request.id, why);
+        co_await refuse(exchange, request, why);
         co_return;
     }
     net::HttpResponse answer;
@@ -273,10 +272,17 @@
         tried_.insert(target->engine);
         if (co_await attempt(*target, why) == Progress::Answered) {
             node_.retries.onSuccess(node_.now());
+            noteEnd(*isGone_ ? "cancelled" : "ok");
             co_return;
         }
+        node_.log.info("attempt_failed", why, {{"request_id", request_.id}, {"engine", target->engine}, {"attempt", attempts_}});
         node_.trace(request_.id, why.step, why.peer, "attempt " + std::to_string(attempts_) + " failed: " + why.reason);
-        if (!mayTryAgain(why) || !node_.retries.spend(attempts_, node_.now())) {
+        if (!mayTryAgain(why)) {
+            break;
+        }
+        const bool mayPay = node_.retries.spend(attempts_, node_.now());
+        node_.metrics.retries.add({mayPay ? "made" : "refused_by_budget"});
+        if (!mayPay) {
             break;
         }
     }
@@ -439,6 +445,11 @@
 net::Task<bool> Completion::take(const peers::StartedReply &reply, Error & /*why*/)
 {
     node_.trace(request_.id, Step::Admit, "", "started as " + reply.ranAs + " after " + std::to_string(reply.queueMs) + " ms");
+    const std::initializer_list<std::string_view> labels = {request_.customer.value(), grant_.plan.value()};
+    node_.metrics.queueWait.observe(labels, Milliseconds(reply.queueMs));
+    if (reply.stallMs > 0) {
+        node_.metrics.loadStall.observe(labels, Milliseconds(reply.stallMs));
+    }
     check_.emplace(AnswerCheck::Expected{request_.id, attemptId(), wanted_.adapter, reply.ranAs});
     co_return true;
 }
@@ -476,6 +487,7 @@
             *isGone_ = true;
             co_return false;
         }
+        noteToken();
     }
     if (events_.pendingBytes() > EventReader::maxEventBytes) {
         why = refusalOf(Step::Check, Refusal::BadAnswer, "an event of the engine's answer has no end");
@@ -514,6 +526,7 @@
     if (engine == node_.engines.end()) {
         co_return Progress::Failed;
     }
+    node_.metrics.resumes.add({"tried"});
     node_.trace(request_.id, Step::Upstream, target.engine.value(), "resumed from event " + std::to_string(check_->events()));
     events_ = EventReader();
     Error whyCheck;
@@ -554,8 +567,40 @@
     asio::co_spawn(node_.io, cancel, asio::detached);
 }
 
+/// A token has been written to the caller.
+void Completion::noteToken()
+{
+    const std::initializer_list<std::string_view> labels = {request_.customer.value(), grant_.plan.value()};
+    const auto now = node_.now();
+    if (check_->events() == 1) {
+        node_.metrics.timeToFirstToken.observe(labels, now - request_.since);
+    } else {
+        node_.metrics.timeBetweenTokens.observe(labels, now - lastToken_);
+    }
+    lastToken_ = now;
+}
+
+void Completion::noteEnd(std::string_view outcome)
+{
+    node_.metrics.requests.add({grant_.plan.value(), outcome});
+    node_.log.info("request_done",
+                   {{"request_id", request_.id},
+                    {"customer", request_.customer},
+                    {"plan", grant_.plan},
+                    {"outcome", outcome},
+                    {"attempts", attempts_},
+                    {"took_ms", node_.now() - request_.since}});
+}
+
 net::Task<void> Completion::fail(Error why)
 {
+    noteEnd(*isGone_ ? "cancelled" : (why.outcome == Outcome::NotRun ? "refused" : "failed"));
+    node_.metrics.onRefusal(why);
+    if (why.step == Step::Check) {
+        node_.metrics.badAnswers.add({why.reason});
+        node_.log.warn("answer_mismatch", why, {{"request_id", request_.id}});
+    }
+    node_.log.info("request_failed", why, {{"request_id", request_.id}, {"customer", request_.customer}});
     node_.trace(request_.id, why.step, why.peer, "gave up: " + why.reason);
     if (*isGone_) {
         co_return;
--- a/packages/gateway/callers.h
+++ b/packages/gateway/callers.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 
 #include <gateway/node.h>
 #include <gateway/openai.h>
@@ -38,27 +37,27 @@
     net::Task<void> service(net::Exchange &exchange, CallerRequest request);
     net::Task<std::optional<net::HttpResponse>> keyedCall(CallerRequest request, ServiceRequest call, core::Error &why);
     [[nodiscard]] std::optional<core::CustomerId> identify(const net::HttpRequest &request, core::Error &why) const;
-    net::Task<void> refuse(net::Exchange &exchange, const core::RequestId &id, const core::Error &why);
+    net::Task<void> refuse(net::Exchange &exchange, const CallerRequest &request, const core::Error &why);
 
     /// Holds a request's place within the limits of plan and customer.
     class Place
     {
     public:
-        Place(CallerApi &api, core::CustomerId customer, admission::PlanSlot slot);
+        Place(Node &node, admission::PlanSlot slot);
         ~Place();
         Place(const Place &) = delete;
         Place &operator=(const Place &) = delete;
 
     private:
-        CallerApi &api_;
-        core::CustomerId customer_;
+        void showInFlight();
+
+        Node &node_;
         admission::PlanSlot slot_;
     };
     [[nodiscard]] std::unique_ptr<Place> enter(const core::CustomerId &customer, const lists::Grant &grant, core::Error &why);
 
     Node &node_;
     ServiceCaller &services_;
-    std::unordered_map<core::CustomerId, int> inFlight_; // of each customer that has any
 };
 
 class Completion
@@ -86,6 +85,8 @@
     net::Task<Progress> end(core::Error &why);
     net::Task<Progress> resume(Target target, core::Error &why);
     net::Task<void> fail(core::Error why);
+    void noteToken();
+    void noteEnd(std::string_view outcome);
     [[nodiscard]] bool mayTryAgain(const core::Error &why) const;
     [[nodiscard]] bool isOwnerLost(const Target &target) const;
     [[nodiscard]] std::string attemptId() const;
@@ -103,6 +104,7 @@
     EventReader events_;
     std::string whole_;     // of an answer that is not streamed
     bool hasBegun_ = false; // the caller has got a first byte
+    core::Instant lastToken_;
     std::shared_ptr<bool> isGone_ = std::make_shared<bool>(false);
 };
 
--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -57,8 +57,8 @@
 
 } // namespace
 
-Daemon::Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation)
-    : node_(io, settings, incarnation)
+Daemon::Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation, logging::Log log)
+    : node_(io, settings, incarnation, std::move(log))
     , endpoint_(endpointOf(settings))
     , log_(io, node_.http, endpoint_)
     , hosts_(
@@ -94,6 +94,7 @@
         return std::nullopt;
     }
     isRunning_ = true;
+    node_.log.info("listening", {{"callers", callers->text()}, {"peers", peers->text()}, {"operators", operators->text()}, {"incarnation", node_.incarnation}});
     asio::co_spawn(
         node_.io, [this] { return tickLoop(); }, asio::detached);
     asio::co_spawn(
@@ -116,6 +117,7 @@
 {
     const auto limit = node_.now() + node_.settings.stop.drainTimeout;
     node_.isStopping = true;
+    node_.log.info("stopping", {{"in_flight", node_.limiter.inFlight()}, {"owned", owned_.size()}});
     send(node_.membership.leave(node_.now()));
     node_.planner.stop();
     co_await pause(node_.settings.stop.notReadyFirst);
@@ -124,6 +126,7 @@
         co_await pause(drainCheck);
     }
     const bool isClean = isDone();
+    node_.log.info("stopped", {{"clean", isClean}});
     isRunning_ = false;
     claims_.stop();
     lists_.stop();
@@ -247,6 +250,7 @@
         host = budget_;
     }
     owned_[{holding.thing, holding.epoch}] = {host, false};
+    noteOwnership(holding, "claimed");
 }
 
 void Daemon::handOver(const ownership::Holding &holding)
@@ -258,6 +262,7 @@
     }
     owned->second.isEnding = true;
     owned->second.host->drain();
+    noteOwnership(holding, "released");
 }
 
 void Daemon::lose(const ownership::Holding &holding)
@@ -268,10 +273,18 @@
         return;
     }
     owned->second.isEnding = true;
+    noteOwnership(holding, "superseded");
     retire(holding.thing, owned->second.host);
     owned->second.host->lose();
 }
 
+void Daemon::noteOwnership(const ownership::Holding &holding, std::string_view change)
+{
+    const std::string_view thing = holding.thing.value();
+    node_.metrics.ownershipChanges.add({thing.substr(0, thing.find('/')), change});
+    node_.log.info("ownership", {{"thing", holding.thing}, {"epoch", holding.epoch}, {"change", change}});
+}
+
 /// Takes the host out of the tables by which calls find it, unless a later one stands there already.
 void Daemon::retire(const ownership::Thing &thing, const std::shared_ptr<OwnedHost> &host)
 {
@@ -315,6 +328,7 @@
     events.onCaughtUp = [this](core::Offset next) { takeClaims(next); };
     events.onOutage = [this](const Error &why) {
         note(logState_, why.text());
+        node_.log.warn("log_down", why);
         node_.planner.onLogDown();
     };
     return events;
@@ -392,7 +406,15 @@
 {
     platform::FollowerEvents events;
     events.onGap = [this](core::Offset first) { node_.lists.skipTo(first); };
-    events.onRecord = [this](const platform::LogRecord &record) { node_.lists.apply(record.offset, record.timeMs, record.data); };
+    events.onRecord = [this](const platform::LogRecord &record) {
+        const auto verdict = node_.lists.apply(record.offset, record.timeMs, record.data);
+        if (verdict.kind == lists::Verdict::Kind::Accepted) {
+            node_.log.info("list_in_force", {{"list", lists::listText(*verdict.list)}, {"version", verdict.version}, {"by", verdict.by}});
+        } else if (verdict.kind == lists::Verdict::Kind::Rejected) {
+            node_.metrics.listRejections.add({verdict.reason});
+            node_.log.warn("list_rejected", {{"offset", record.offset}, {"reason", verdict.reason}});
+        }
+    };
     events.onCaughtUp = [this](core::Offset) {
         node_.lists.caughtUp();
         takeLists();
@@ -459,6 +481,7 @@
     peers::LinkHandlers handlers;
     handlers.onGossip = [this](const core::HostId &from, const peers::Message &message) { send(node_.membership.onMessage(from, message, node_.now())); };
     handlers.onNotice = [this](const core::HostId &from, const peers::Notice &notice) { take(from, notice); };
+    handlers.onRejected = [this](const std::string &peer, const Error &error) { node_.log.warn("link_rejected", error, {{"from", peer}}); };
     handlers.onCall = [this](std::shared_ptr<peers::IncomingCall> call) { return serve(std::move(call)); };
     return handlers;
 }
--- a/packages/gateway/daemon.h
+++ b/packages/gateway/daemon.h
@@ -32,7 +32,7 @@
 class Daemon
 {
 public:
-    Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation);
+    Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation, logging::Log log);
     ~Daemon();
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
@@ -67,6 +67,7 @@
     void handOver(const ownership::Holding &holding);
     void lose(const ownership::Holding &holding);
     void reportDrained();
+    void noteOwnership(const ownership::Holding &holding, std::string_view change);
     void retire(const ownership::Thing &thing, const std::shared_ptr<OwnedHost> &host);
 
     // Peers.
@@ -77,6 +78,7 @@
     // Operators.
     net::Task<void> handleOperators(net::Exchange &exchange);
     [[nodiscard]] std::string statusBody() const;
+    [[nodiscard]] std::string metricsBody();
     [[nodiscard]] std::string listsBody() const;
     [[nodiscard]] std::string traceBody(const core::RequestId &request, const std::vector<TraceStep> &steps) const;
 
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -177,6 +177,7 @@
         co_return;
     }
     waiter->since = node_.now();
+    waiter->isStalled = table_.probe(*adapter, node_.now()).residency != engines::Residency::Resident;
     call->onCancel([self, waiter, call, id = run.request] {
         waiter->isCancelled = true;
         self->table_.cancel(id, self->node_.now());
@@ -212,14 +213,15 @@
 net::Task<EngineHost::Ran> EngineHost::runOnEngine(CallPtr call, peers::RunCall run, WaiterPtr waiter)
 {
     const std::string ranAs = waiter->start->text();
-    const auto queueTime = node_.now() - waiter->since;
+    const auto wait = (node_.now() - waiter->since).count();
     net::HttpRequest request{.method = "POST", .target = run.path, .body = withModel(run.body, ranAs)};
     request.headers.set("Content-Type", "application/json");
     request.headers.set("X-Request-Id", run.request.value());
     bool isStarted = false;
+    waiter->startedAt = node_.now();
     const auto onChunk = [&](std::string_view piece) -> net::Task<bool> {
         if (!std::exchange(isStarted, true)) {
-            call->send(peers::StartedReply{ranAs, queueTime.count(), 0});
+            call->send(peers::StartedReply{ranAs, waiter->isStalled ? 0 : wait, waiter->isStalled ? std::max<std::int64_t>(wait, 1) : 0});
         }
         co_return call->send(peers::DataReply{std::string(piece)}) && !waiter->abort;
     };
@@ -249,6 +251,7 @@
     const bool isCut = !response && why.step != Step::Connect;
     const bool isLeftRunning = call->isLinkLost(); // the entry daemon may fetch the rest from the engine itself
     table_.finished(attempt, isCut || isLeftRunning ? engines::RequestEnd::Lost : engines::RequestEnd::Complete, node_.now());
+    node_.metrics.upstreamCalls.add({"engine", response && response->status < httpServerError ? "ok" : "failed"});
     if (!response) {
         node_.trace(attempt, Step::Upstream, engine.value(), "failed: " + why.reason);
         call->send(peers::FailReply{upstreamError(engine, "the engine's answer was cut: " + why.reason, Refusal::BadAnswer, why.outcome)});
@@ -257,6 +260,7 @@
     node_.trace(attempt, Step::Upstream, engine.value(), "answered with status " + std::to_string(response->status));
     if (response->status == httpOk) {
         call->send(peers::EndReply{});
+        noteServed(waiter->start->adapter, node_.now() - waiter->startedAt);
         return;
     }
     if (response->status == httpUnavailable) {
@@ -272,6 +276,21 @@
         upstreamError(engine, reason, isOurFault ? Refusal::BadAnswer : Refusal::BadRequest, isOurFault ? Outcome::Unknown : Outcome::NotRun)});
 }
 
+/// The owner of an adapter's first candidate measures how wide the adapter has to be, and tells every daemon.
+void EngineHost::noteServed(const core::AdapterRef &adapter, Milliseconds runTime)
+{
+    const auto now = node_.now();
+    const auto candidates = node_.placement.candidates(adapter, table_.engine().baseModel, now);
+    if (candidates.empty() || candidates[0].id != table_.engine().id) {
+        return;
+    }
+    if (const auto update = node_.placement.widths().served(adapter, runTime, now)) {
+        for (const auto &host : node_.listedDaemons) {
+            node_.links->notify(host, {peers::WidthNotice{adapter.text(), update->width, update->validFor.count()}});
+        }
+    }
+}
+
 net::Task<void> EngineHost::cancelOnEngine(core::RequestId attempt)
 {
     const auto self = shared_from_this();
@@ -303,6 +322,7 @@
 void EngineHost::perform(const engines::StartRequest &action)
 {
     if (const auto found = waiters_.find(action.id); found != waiters_.end()) {
+        node_.metrics.batchFill.observe({table_.engine().id.value()}, table_.probe(action.name.adapter, node_.now()).batchFill);
         found->second->start = action.name;
         found->second->wakeup.raise();
     }
@@ -372,6 +392,7 @@
     const auto self = shared_from_this();
     using engines::LoadOutcome;
     auto outcome = LoadOutcome::Failed;
+    const auto begin = node_.now();
     if (mayOrder()) {
         Error why;
         const json body = {{"lora_name", name.text()}, {"lora_path", "store:" + name.adapter.text()}};
@@ -386,6 +407,10 @@
             outcome = LoadOutcome::StaleFencing;
         }
     }
+    const bool isLoaded = outcome == LoadOutcome::Loaded;
+    node_.metrics.loads.add({table_.engine().id.value(), isLoaded ? "loaded" : outcome == LoadOutcome::StaleFencing ? "stale" : "failed"});
+    node_.metrics.loadTime.observe({table_.engine().id.value()}, node_.now() - begin);
+    node_.log.info("adapter_load", {{"peer", table_.engine().id}, {"name", name.text()}, {"loaded", isLoaded}, {"took_ms", node_.now() - begin}});
     table_.loadEnded(name, outcome, node_.now());
     pump();
 }
@@ -406,6 +431,10 @@
             outcome = UnloadOutcome::StaleFencing;
         }
     }
+    if (outcome == UnloadOutcome::Unloaded) {
+        node_.metrics.evictions.add({table_.engine().id.value()});
+    }
+    node_.log.info("adapter_evict", {{"peer", table_.engine().id}, {"name", name.text()}, {"evicted", outcome == UnloadOutcome::Unloaded}});
     table_.unloadEnded(name, outcome, node_.now());
     pump();
 }
@@ -463,7 +492,8 @@
 {
     for (const core::Epoch epoch : foreignEpochs_) {
         if (node_.planner.evidence(thing_, epoch) != ownership::Evidence::None) {
-            table_.ownerGone(epoch);
+            table_.ownerGone(epoch, node_.now());
+            node_.log.debug("earlier_owner_gone", {{"peer", table_.engine().id}, {"epoch", epoch}});
         }
     }
     pump();
--- a/packages/gateway/enginehost.h
+++ b/packages/gateway/enginehost.h
@@ -64,7 +64,9 @@
         std::optional<core::Error> refusal; // final
         std::optional<core::Error> abort;   // was running when the engine restarted
         bool isCancelled = false;
-        core::Instant since; // when it came, then when its adapter was there
+        bool isStalled = false;  // the adapter was not resident when it came
+        core::Instant since;     // when it came, then when its adapter was there
+        core::Instant startedAt; // on the engine
         Wakeup wakeup;
     };
     enum class Ran : std::uint8_t { Ended, UnknownName };
@@ -86,6 +88,7 @@
     net::Task<Ran> runOnEngine(CallPtr call, peers::RunCall run, WaiterPtr waiter);
     void
     endRun(const CallPtr &call, const core::RequestId &attempt, const WaiterPtr &waiter, std::optional<net::HttpResponse> response, const core::Error &why);
+    void noteServed(const core::AdapterRef &adapter, core::Milliseconds runTime);
     net::Task<void> cancelOnEngine(core::RequestId attempt);
     net::Task<void> load(engines::EngineName name);
     net::Task<void> unload(engines::EngineName name);
--- a/packages/gateway/node.cpp
+++ b/packages/gateway/node.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-Node::Node(asio::io_context &context, settings::Settings daemonSettings, core::Incarnation ownIncarnation)
+Node::Node(asio::io_context &context, settings::Settings daemonSettings, core::Incarnation ownIncarnation, logging::Log daemonLog)
     : io(context)
     , settings(std::move(daemonSettings))
     , incarnation(ownIncarnation)
@@ -24,6 +24,7 @@
     , placement(settings.placement, settings.admission.engineConcurrency)
     , limiter(settings.admission)
     , retries(settings.retries)
+    , log(std::move(daemonLog))
 { }
 
 std::optional<ownership::Owner> Node::usableOwner(const ownership::Thing &thing) const
@@ -53,7 +54,9 @@
 
 void Node::noteLeaving(const core::UpstreamId &upstream)
 {
-    leavingByWord.insert(upstream);
+    if (leavingByWord.insert(upstream).second) {
+        log.info("upstream_leaving", {{"peer", upstream}});
+    }
     if (const auto engine = engines.find(upstream); engine != engines.end()) {
         engine->second.isLeaving = true;
     }
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -25,6 +25,8 @@
 #include <engines/enginetable.h>
 #include <gateway/trace.h>
 #include <lists/lists.h>
+#include <logging/logging.h>
+#include <metrics/metrics.h>
 #include <net/http.h>
 #include <ownership/planner.h>
 #include <peers/link.h>
@@ -85,7 +87,7 @@
 };
 
 struct Node {
-    Node(asio::io_context &context, settings::Settings daemonSettings, core::Incarnation ownIncarnation);
+    Node(asio::io_context &context, settings::Settings daemonSettings, core::Incarnation ownIncarnation, logging::Log daemonLog);
 
     [[nodiscard]] core::Instant now() const { return clock.now(); }
     /// The owner that new work for a thing goes to; nothing while there is none that is worth asking.
@@ -117,6 +119,8 @@
     std::set<core::UpstreamId> leavingByWord;
     std::set<core::HostId> listedDaemons;
     TraceLog traces;
+    logging::Log log;
+    metrics::Metrics metrics;
     bool isStopping = false; // takes no new requests
     std::int64_t startedMs = core::civilMilliseconds();
     std::uint64_t requestCount = 0;
--- a/packages/gateway/operators.cpp
+++ b/packages/gateway/operators.cpp
@@ -56,6 +56,11 @@
         co_await exchange.respond(net::HttpResponse::json(isReady() ? httpOk : httpUnavailable, dump({{"ready", isReady()}})));
     } else if (path == "/status") {
         co_await exchange.respond(net::HttpResponse::json(httpOk, statusBody()));
+    } else if (path == "/metrics") {
+        net::HttpResponse response;
+        response.headers.set("Content-Type", "text/plain; version=0.0.4");
+        response.body = metricsBody();
+        co_await exchange.respond(std::move(response));
     } else if (path == "/lists") {
         co_await exchange.respond(net::HttpResponse::json(httpOk, listsBody()));
     } else if (path.starts_with(explainPrefix)) {
@@ -69,6 +74,35 @@
     }
 }
 
+/// Sets the gauges to what is true now and gives the text.
+std::string Daemon::metricsBody()
+{
+    auto &metrics = node_.metrics;
+    for (const auto &[id, host] : engines_) {
+        metrics.engineRunning.set({id.value()}, static_cast<double>(host->table().running()));
+        metrics.engineQueue.set({id.value()}, static_cast<double>(host->table().waiting()));
+        metrics.engineSlotsUsed.set({id.value()}, static_cast<double>(host->table().resident().size()));
+    }
+    std::map<std::string_view, double> states = {{"alive", 0}, {"suspect", 0}, {"dead", 0}, {"leaving", 0}};
+    for (const auto &member : node_.membership.members()) {
+        states[stateName(member.state)] += 1;
+    }
+    for (const auto &[state, count] : states) {
+        metrics.peers.set({state}, count);
+    }
+    for (const auto list : {lists::ListName::Customers, lists::ListName::Plans}) {
+        const auto inForce = node_.lists.inForce(list);
+        metrics.listVersion.set({lists::listText(list)}, static_cast<double>(inForce.version.value()));
+        metrics.listSince.set({lists::listText(list)}, static_cast<double>(inForce.sinceMs) / 1000);
+    }
+    metrics.ownedThings.set({"engine"}, static_cast<double>(engines_.size()));
+    metrics.ownedThings.set({"calls"}, static_cast<double>(partitions_.size()));
+    metrics.ownedThings.set({"loads"}, budget_ ? 1 : 0);
+    metrics.logUp.set(logState_.lastError.empty() ? 1 : 0);
+    metrics.ready.set(isReady() ? 1 : 0);
+    return metrics.registry.text();
+}
+
 std::string Daemon::listsBody() const
 {
     return dump(
--- a/packages/gateway/services.cpp
+++ b/packages/gateway/services.cpp
@@ -130,7 +130,7 @@
 
 void PartitionHost::lose()
 {
-    decide(partition_.disown());
+    partition_.disown();
 }
 
 net::Task<void> PartitionHost::serve(std::shared_ptr<peers::IncomingCall> call, peers::ServiceCall request)
@@ -138,16 +138,16 @@
     const calls::CallKey key{request.customer, request.key};
     const auto deadline = node_.now() + Milliseconds(request.timeoutMs);
     const auto digest = calls::bodyDigest(request.method, request.service.value() + request.target, request.body);
-    const auto first = partition_.begin(key, digest, node_.now());
+    const auto first = partition_.begin(key, digest);
     if (!std::holds_alternative<calls::AppendIntent>(first)) {
         answer(first, call);
         co_return;
     }
-    waiting_[key] = Waiting{call, request, deadline};
+    const auto settled = std::make_shared<Wakeup>(node_.io);
+    waiting_[key] = Waiting{call, request, deadline, settled};
     carryOut(calls::Append{std::get<calls::AppendIntent>(first).record});
     const auto self = shared_from_this();
-    asio::steady_timer timer(node_.io, std::chrono::milliseconds(request.timeoutMs));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await settled->wait(Milliseconds(request.timeoutMs));
     if (const auto found = waiting_.find(key); found != waiting_.end() && found->second.call == call) {
         decide(partition_.giveUp(key));
         if (const auto still = waiting_.extract(key)) {
@@ -215,6 +215,7 @@
 void PartitionHost::carryOut(const calls::NotRun &notRun)
 {
     if (auto node = waiting_.extract(notRun.key)) {
+        node.mapped().settled->raise();
         node.mapped().call->send(peers::FailReply{notRun.why});
     }
 }
@@ -276,7 +277,7 @@
         }
     };
     events.onCaughtUp = [this](core::Offset) { decide(partition_.onReadToEnd()); };
-    events.onOutage = [this](const Error &) { partition_.onLogDown(); };
+    events.onOutage = [this](const Error &) { decide(partition_.onLogDown()); };
     return events;
 }
 
--- a/packages/gateway/services.h
+++ b/packages/gateway/services.h
@@ -65,6 +65,7 @@
         std::shared_ptr<peers::IncomingCall> call;
         peers::ServiceCall request;
         core::Instant deadline;
+        std::shared_ptr<Wakeup> settled; // raised when the key runs or is refused
     };
 
     [[nodiscard]] std::string stream() const;
--- /dev/null
+++ b/packages/peers/tests/linktest.cpp
@@ -0,0 +1,200 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <peers/link.h>
+
+namespace baobabstall::peers {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr core::Milliseconds longWait{10'000};
+
+/// Two daemons' links on one io_context.
+class LinkTest : public testing::Test
+{
+protected:
+    std::unique_ptr<Links> makeLinks(const std::string &host, const std::string &key, LinkHandlers handlers = {})
+    {
+        auto links = std::make_unique<Links>(io_, Links::Self{HostId(host), Incarnation(1), core::RegionId("r")}, key, std::move(handlers));
+        core::Error why;
+        addresses_[host] = links->listen({"127.0.0.1", 0}, why).value_or(net::Address{});
+        return links;
+    }
+
+    template<typename T>
+    T run(net::Task<T> task)
+    {
+        std::optional<T> result;
+        asio::co_spawn(io_, std::move(task), [&](const std::exception_ptr &failed, T value) {
+            EXPECT_FALSE(failed);
+            result.emplace(std::move(value));
+            io_.stop();
+        });
+        io_.run();
+        io_.restart();
+        return std::move(*result);
+    }
+
+    std::optional<ReplyBody> callOnce(Links &links, const std::string &to, CallBody body)
+    {
+        const auto call = links.call(HostId(to), std::move(body));
+        return run(call->next(longWait, why_));
+    }
+
+    asio::io_context io_;
+    std::map<std::string, net::Address> addresses_;
+    core::Error why_;
+};
+
+LinkHandlers answering(int waitMs)
+{
+    LinkHandlers handlers;
+    handlers.onCall = [waitMs](std::shared_ptr<IncomingCall> call) -> net::Task<void> {
+        HintReply hint;
+        hint.waitMs = waitMs;
+        call->send(hint);
+        co_return;
+    };
+    return handlers;
+}
+
+const ProbeCall probe{core::UpstreamId("engine-1"), "a/b@c"};
+
+} // namespace
+
+TEST(Frames, are_read_back)
+{
+    core::Error why;
+    const Call call{7, RunCall{.request = core::RequestId("r1"), .engine = core::UpstreamId("e"), .adapter = "a/b@c", .body = "{}"}};
+    const auto frame = decode(encode(call), why);
+    ASSERT_TRUE(frame) << why.text();
+    EXPECT_EQ(std::get<RunCall>(std::get<Call>(*frame).body).request.value(), "r1");
+    const core::Error error{.step = core::Step::Admit, .peer = "e", .reason = "full", .refusal = core::Refusal::TooMany, .retryAfter = core::Milliseconds(250)};
+    const auto reply = decode(encode(Reply{7, FailReply{error}}), why);
+    ASSERT_TRUE(reply) << why.text();
+    const auto &read = std::get<FailReply>(std::get<Reply>(*reply).body).error;
+    EXPECT_EQ(read.text(), error.text());
+    EXPECT_EQ(read.refusal, error.refusal);
+    EXPECT_EQ(read.retryAfter, error.retryAfter);
+}
+
+TEST(Frames, malformed_bytes_are_an_error)
+{
+    core::Error why;
+    std::string whole = encode(Call{7, probe});
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        EXPECT_FALSE(decode(std::string_view(whole).substr(0, length), why)) << length;
+    }
+    whole[0] = 99;
+    EXPECT_FALSE(decode(whole, why));
+    EXPECT_EQ(why.step, core::Step::Peer);
+}
+
+TEST_F(LinkTest, carries_a_call_and_its_reply)
+{
+    const auto a = makeLinks("a", "the key of a deployment");
+    const auto b = makeLinks("b", "the key of a deployment", answering(42));
+    a->setAddress(HostId("b"), addresses_["b"]);
+    const auto reply = callOnce(*a, "b", probe);
+    ASSERT_TRUE(reply) << why_.text();
+    EXPECT_EQ(std::get<HintReply>(*reply).waitMs, 42);
+}
+
+TEST_F(LinkTest, a_call_to_itself_needs_no_link)
+{
+    const auto a = makeLinks("a", "the key of a deployment", answering(1));
+    ASSERT_TRUE(callOnce(*a, "a", probe));
+    EXPECT_EQ(a->openLinks(), 0U);
+}
+
+TEST_F(LinkTest, another_key_is_cut_off_before_any_message_counts)
+{
+    int served = 0;
+    std::string rejected;
+    LinkHandlers handlers;
+    handlers.onCall = [&](std::shared_ptr<IncomingCall>) -> net::Task<void> {
+        ++served;
+        co_return;
+    };
+    handlers.onRejected = [&](const std::string &, const core::Error &error) { rejected = error.reason; };
+    const auto a = makeLinks("a", "a key of somebody else");
+    const auto b = makeLinks("b", "the key of a deployment", handlers);
+    a->setAddress(HostId("b"), addresses_["b"]);
+    EXPECT_FALSE(callOnce(*a, "b", probe));
+    EXPECT_EQ(why_.outcome, core::Outcome::NotRun);
+    EXPECT_EQ(served, 0);
+    EXPECT_EQ(rejected, "does not hold the deployment's key");
+}
+
+TEST_F(LinkTest, an_unreachable_host_means_not_run)
+{
+    const auto a = makeLinks("a", "the key of a deployment");
+    EXPECT_FALSE(callOnce(*a, "b", probe));
+    EXPECT_EQ(why_.outcome, core::Outcome::NotRun);
+    EXPECT_EQ(why_.peer, "b");
+}
+
+TEST_F(LinkTest, a_cancel_reaches_the_other_side)
+{
+    bool isCancelled = false;
+    LinkHandlers handlers;
+    handlers.onCall = [&](std::shared_ptr<IncomingCall> call) -> net::Task<void> {
+        call->send(StartedReply{});
+        call->onCancel([&, call] {
+            isCancelled = true;
+            io_.stop();
+        });
+        co_return;
+    };
+    const auto a = makeLinks("a", "the key of a deployment");
+    const auto b = makeLinks("b", "the key of a deployment", handlers);
+    a->setAddress(HostId("b"), addresses_["b"]);
+    {
+        const auto call = a->call(HostId("b"), probe);
+        ASSERT_TRUE(run(call->next(longWait, why_)));
+    }
+    io_.run();
+    EXPECT_TRUE(isCancelled);
+}
+
+TEST_F(LinkTest, a_lost_link_fails_the_call_as_unknown)
+{
+    std::unique_ptr<Links> b;
+    LinkHandlers handlers;
+    handlers.onCall = [&](std::shared_ptr<IncomingCall>) -> net::Task<void> {
+        asio::post(io_, [&] { b->close(); });
+        co_return;
+    };
+    const auto a = makeLinks("a", "the key of a deployment");
+    b = makeLinks("b", "the key of a deployment", handlers);
+    a->setAddress(HostId("b"), addresses_["b"]);
+    EXPECT_FALSE(callOnce(*a, "b", probe));
+    EXPECT_EQ(why_.outcome, core::Outcome::Unknown);
+}
+
+TEST_F(LinkTest, gossip_arrives_with_its_proved_sender)
+{
+    HostId sender;
+    LinkHandlers handlers;
+    handlers.onGossip = [&](const HostId &from, const Message &) {
+        sender = from;
+        io_.stop();
+    };
+    const auto a = makeLinks("a", "the key of a deployment");
+    const auto b = makeLinks("b", "the key of a deployment", handlers);
+    a->setAddress(HostId("b"), addresses_["b"]);
+    a->post(HostId("b"), Message{});
+    io_.run();
+    EXPECT_EQ(sender.value(), "a");
+    EXPECT_GT(a->gossipBytes(), 0U);
+}
+
+} // namespace baobabstall::peers
