--- a/packages/platform/retry.cpp
+++ b/packages/platform/retry.cpp
@@ -16,8 +16,10 @@
 // Records of any kind stand in a page. One that its own reader would refuse must not hide the others.
 constexpr settings::JsonOptions pageOptions{.comments = false, .uniqueKeys = false, .maxDepth = 1'000};
 constexpr int statusOk = 200;
+constexpr int firstRefusal = 400;
 constexpr int statusTooMany = 429;
 constexpr int firstServerError = 500;
+constexpr int statusOutage = 503;
 
 bool isOffset(const json &object, const char *key)
 {
@@ -78,6 +80,12 @@
 
 // ---- AppendCourse ----
 
+bool mayHaveTakenEffect(const AppendAnswer &answer)
+{
+    const bool isRefusal = answer.status >= firstRefusal && answer.status < firstServerError;
+    return !answer.notSent && !isRefusal && answer.status != statusOutage;
+}
+
 AppendCourse::AppendCourse(std::string recordId, Offset before, int maxTries, Backoff backoff)
     : recordId_(std::move(recordId))
     , before_(std::max(before, Offset(1)))
@@ -92,14 +100,13 @@
         finish(answer.offset);
         return;
     }
-    const bool refused = answer.status >= 400 && answer.status < firstServerError;
-    if (refused && answer.status != statusTooMany) {
+    if (answer.status >= firstRefusal && answer.status < firstServerError && answer.status != statusTooMany) {
         error_ = core::Error{
             .step = core::Step::Log, .reason = "the log refused the record with status " + std::to_string(answer.status), .refusal = core::Refusal::Internal};
         step_ = Step::Failed;
         return;
     }
-    const bool unknown = !refused && !answer.notSent;
+    const bool unknown = platform::mayHaveTakenEffect(answer);
     mustLook_ = mustLook_ || unknown;
     mayHaveTakenEffect_ = mayHaveTakenEffect_ || unknown;
     retryAfterWait(answer.status == 0 ? "no answer to an append" : "an append was answered with status " + std::to_string(answer.status));
--- a/packages/platform/tests/platformtest.cpp
+++ b/packages/platform/tests/platformtest.cpp
@@ -73,11 +73,10 @@
         : server(io, {}, [this](net::Exchange &exchange) { return platform.serve(exchange); })
     {
         core::Error none;
-        endpoint.address = server.listen({"127.0.0.1", 0}, none).value();
-        endpoint.firstRetry = Milliseconds(1);
-        endpoint.longestRetry = Milliseconds(2);
-        endpoint.hostsPoll = Milliseconds(1);
-        log.emplace(io, http, endpoint);
+        address = server.listen({"127.0.0.1", 0}, none).value();
+        retries.first = Milliseconds(1);
+        retries.longest = Milliseconds(2);
+        log.emplace(http, address, settings, retries);
     }
 
     template<typename T>
@@ -98,7 +97,9 @@
     FakePlatform platform;
     net::HttpServer server;
     net::HttpClient http{io};
-    Endpoint endpoint;
+    net::Address address;
+    settings::Platform settings;
+    RetryOptions retries;
     std::optional<LogClient> log;
     core::Error why;
 };
@@ -127,7 +128,7 @@
     platform.outages = 1'000;
     EXPECT_FALSE(run(log->append("lists", "a", R"({"id":"a"})", why)));
     EXPECT_EQ(why.step, core::Step::Log);
-    EXPECT_EQ(why.peer, endpoint.address.text());
+    EXPECT_EQ(why.peer, address.text());
     EXPECT_EQ(why.outcome, core::Outcome::NotRun);
 }
 
@@ -147,44 +148,37 @@
         told.push_back("caught up " + std::to_string(next.value()));
         follower->stop();
     };
-    follower.emplace(io, *log, endpoint, "lists", events);
+    follower.emplace(io, *log, settings, "lists", events, retries);
     asio::co_spawn(io, follower->run(), [&](std::exception_ptr) { io.stop(); });
     io.run();
     EXPECT_THAT(told, testing::ElementsAre("outage", "recovery", "gap 2", "record 2", "record 3", "caught up 4"));
     EXPECT_FALSE(follower->outageSince());
 }
 
-TEST_F(PlatformTest, the_host_list_keeps_the_last_good_one)
+TEST_F(PlatformTest, one_try_of_an_append_says_whether_it_may_have_taken_effect)
 {
-    HostListFollower follower(io, http, endpoint, {});
-    EXPECT_FALSE(follower.age());
-    EXPECT_TRUE(run(follower.poll(why)));
-    EXPECT_TRUE(follower.age());
-    platform.hosts = R"({"as_of_ms":4,"hosts":[]})";
-    EXPECT_FALSE(run(follower.poll(why))) << "older than the last one";
-    platform.hosts = "nonsense";
-    EXPECT_FALSE(run(follower.poll(why)));
-    platform.hostsStatus = 503;
-    EXPECT_FALSE(run(follower.poll(why)));
-    EXPECT_EQ(why.step, core::Step::Hosts);
-    EXPECT_EQ(follower.current()->asOfMs, 5);
+    EXPECT_EQ(run(log->appendOnce("lists", R"({"id":"a"})", why)), Offset(1));
+    platform.loseAnswers = 1;
+    EXPECT_FALSE(run(log->appendOnce("lists", R"({"id":"b"})", why)));
+    EXPECT_EQ(why.outcome, core::Outcome::Unknown);
+    platform.outages = 1;
+    EXPECT_FALSE(run(log->appendOnce("lists", R"({"id":"c"})", why)));
+    EXPECT_EQ(why.outcome, core::Outcome::NotRun);
+    EXPECT_EQ(platform.records.size(), 2U);
 }
 
-TEST_F(PlatformTest, the_host_list_is_polled_until_stopped_and_an_outage_is_told_once)
+TEST_F(PlatformTest, a_host_list_older_than_the_last_one_is_not_taken)
 {
+    HostsClient hosts(http, address, settings);
+    EXPECT_EQ(run(hosts.read(why)).value().asOfMs, 5);
+    platform.hosts = R"({"as_of_ms":4,"hosts":[]})";
+    EXPECT_FALSE(run(hosts.read(why)));
+    platform.hosts = "nonsense";
+    EXPECT_FALSE(run(hosts.read(why)));
     platform.hostsStatus = 503;
-    int outages = 0;
-    std::optional<HostListFollower> follower;
-    const auto onOutage = [&](const core::Error &) {
-        ++outages;
-        platform.hostsStatus = 200;
-    };
-    follower.emplace(
-        io, http, endpoint, [&](const HostList &) { follower->stop(); }, onOutage);
-    asio::co_spawn(io, follower->run(), [&](std::exception_ptr) { io.stop(); });
-    io.run();
-    EXPECT_EQ(outages, 1);
-    EXPECT_TRUE(follower->current());
+    EXPECT_FALSE(run(hosts.read(why)));
+    EXPECT_EQ(why.step, core::Step::Hosts);
+    EXPECT_EQ(why.peer, address.text());
 }
 
 } // namespace baobabstall::platform
--- a/packages/platform/tests/retrytest.cpp
+++ b/packages/platform/tests/retrytest.cpp
@@ -76,10 +76,12 @@
 
 TEST(AppendCourse, tries_that_were_never_sent_or_were_refused_are_known_not_to_have_run)
 {
-    auto course = courseOf(2);
+    auto course = courseOf(3);
     course.onAnswer(notSent);
     course.onWaited();
     ASSERT_EQ(course.step(), Step::Append);
+    course.onAnswer(AppendAnswer{.status = 503});
+    course.onWaited();
     course.onAnswer(AppendAnswer{.status = 429});
     ASSERT_EQ(course.step(), Step::Failed);
     EXPECT_EQ(course.error().outcome, core::Outcome::NotRun);
@@ -98,7 +100,7 @@
 TEST(AppendCourse, a_read_older_than_the_append_proves_nothing)
 {
     auto course = courseOf();
-    course.onAnswer(AppendAnswer{.status = 503});
+    course.onAnswer(AppendAnswer{.status = 500});
     course.onWaited();
     course.onPage(pageOf(1, 3, {}));
     EXPECT_EQ(course.step(), Step::Wait);
@@ -217,12 +219,12 @@
         {"host":"planning-1","kind":"service","region":"r","zone":"z","state":"live","address":"127.0.0.1:5","service":"planning"}]})",
                                     why);
     ASSERT_TRUE(list) << why.reason;
-    ASSERT_EQ(list->hosts.size(), 3U);
-    EXPECT_EQ(std::get<DaemonHost>(list->hosts[0].role).operators.port, 3);
-    EXPECT_EQ(list->hosts[1].state, HostState::Leaving);
-    EXPECT_TRUE(std::get<EngineHost>(list->hosts[1].role).checksFencing);
-    EXPECT_EQ(std::get<ServiceHost>(list->find(core::HostId("planning-1"))->role).service.value(), "planning");
-    EXPECT_EQ(list->find(core::HostId("cache-1")), nullptr);
+    ASSERT_EQ(list->daemons.size() + list->engines.size() + list->services.size(), 3U);
+    EXPECT_EQ(list->daemons[0].operators.port, 3);
+    EXPECT_FALSE(list->daemons[0].isLeaving);
+    EXPECT_TRUE(list->engines[0].isLeaving);
+    EXPECT_TRUE(list->engines[0].checksFencing);
+    EXPECT_EQ(list->services[0].service.value(), "planning");
 }
 
 TEST(HostList, an_entry_that_can_not_be_read_refuses_the_list_rather_than_look_gone)
