--- a/packages/lists/lists.cpp
+++ b/packages/lists/lists.cpp
@@ -567,6 +567,21 @@
                          object["entries"]};
 }
 
+/// The records of a snapshot with this content; `head` gives all but list and digest.
+template<EntryCodec Codec>
+std::optional<std::vector<OutgoingRecord>> writeSnapshot(const std::map<typename Codec::Id, typename Codec::Entry> &entries, RecordHead head, core::Error &why)
+{
+    StagedChanges<Codec> staged;
+    for (const auto &[id, entry] : entries) {
+        staged.changes.emplace_back(id, entry);
+    }
+    Content<Codec> content;
+    content.commit(std::move(staged));
+    head.list = Codec::list;
+    head.digest = content.digest();
+    return writeRecords(head, content.toJson(), why);
+}
+
 core::Error refusalOf(core::Step step, core::Refusal refusal, std::string reason)
 {
     return core::Error{.step = step, .reason = std::move(reason), .refusal = refusal};
@@ -788,6 +803,22 @@
     });
 }
 
+std::optional<std::vector<OutgoingRecord>>
+ListsState::restoreRecords(const ListDocument &document, Offset asOf, std::int64_t nowMs, const std::string &by, const std::string &group, core::Error &why)
+{
+    RecordHead head;
+    head.group = group;
+    head.kind = RecordKind::Snapshot;
+    head.by = by;
+    head.version = asOf;
+    head.asOf = asOf;
+    head.sinceMs = nowMs;
+    if (const auto *customers = std::get_if<Customers>(&document)) {
+        return writeSnapshot<CustomerCodec>(*customers, std::move(head), why);
+    }
+    return writeSnapshot<PlanCodec>(std::get<Plans>(document), std::move(head), why);
+}
+
 std::optional<std::string> ListsState::exportSnapshot(std::int64_t nowMs) const
 {
     json whole{{"position", state_->position.value()}};
--- a/packages/lists/lists.h
+++ b/packages/lists/lists.h
@@ -123,6 +123,10 @@
     [[nodiscard]] std::optional<std::vector<OutgoingRecord>>
     snapshotRecords(ListName list, std::int64_t nowMs, const std::string &group, core::Error &why) const;
 
+    /// The records that put `document` into a log that has lost what was in force, as version `asOf`. Only for when no reader knows it.
+    [[nodiscard]] static std::optional<std::vector<OutgoingRecord>>
+    restoreRecords(const ListDocument &document, core::Offset asOf, std::int64_t nowMs, const std::string &by, const std::string &group, core::Error &why);
+
     // ---- From peer to peer, while the log is out ----
 
     /// Both lists as JSON text. Nothing within a gap, or while parts of a change may still come.
--- a/packages/lists/tests/liststest.cpp
+++ b/packages/lists/tests/liststest.cpp
@@ -267,6 +267,23 @@
     EXPECT_TRUE(reader.inForce(ListName::Plans).diverged);
 }
 
+TEST_F(ListsTest, lists_that_the_log_has_lost_are_restored_by_an_operator)
+{
+    publish(ListName::Plans, planPatch("school", "v1"));
+    const auto kept = reader.document(ListName::Plans);
+    log.append("a record that outlived the others");
+    ListsState late;
+    log.feedRest(late, Offset(2));
+    EXPECT_FALSE(late.ready());
+    core::Error why;
+    const auto records = ListsState::restoreRecords(kept, late.position(), log.nowMs, "ops", "restore", why);
+    log.append(records.value().at(0).text);
+    EXPECT_EQ(log.feedRest(late).kind, Kind::Snapshot);
+    EXPECT_EQ(late.document(ListName::Plans), kept);
+    log.change(ListName::Plans, late.inForce(ListName::Plans).version, planPatch("school", "v2"));
+    EXPECT_EQ(log.feedRest(late).kind, Kind::Accepted);
+}
+
 // ---- Changes of several records ----
 
 TEST_F(ListsTest, a_large_change_takes_effect_with_its_last_part)
