--- a/packages/admission/tests/limitstest.cpp
+++ b/packages/admission/tests/limitstest.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
+using core::CustomerId;
 using core::PlanId;
 
 const PlanId gold("gold");
 const PlanId basic("basic");
+const CustomerId swellCamp("swell-camp");
+const CustomerId boardShop("board-shop");
 constexpr Milliseconds second{1'000};
 
 int acquireMany(PlanLimiter &limiter, const PlanId &plan, int count, Instant now)
@@ -21,7 +24,7 @@
     int got = 0;
     core::Error why;
     for (int i = 0; i < count; ++i) {
-        got += limiter.acquire(plan, now, why) ? 1 : 0;
+        got += limiter.acquire(plan, swellCamp, now, why) ? 1 : 0;
     }
     return got;
 }
@@ -126,7 +129,7 @@
     EXPECT_TRUE(budget.spend(1, clock.now()));
     EXPECT_TRUE(budget.spend(1, clock.now()));
     EXPECT_FALSE(budget.spend(1, clock.now()));
-    clock.advance(RetryBudget::halfLife);
+    clock.advance(RetryBudget::reserveHalfLife);
     EXPECT_TRUE(budget.spend(1, clock.now()));
 }
 
@@ -154,7 +157,7 @@
     std::vector<PlanSlot> slots;
     slots.reserve(70);
     for (int i = 0; i < 70; ++i) {
-        slots.push_back(*limiter.acquire(gold, Instant(0), why));
+        slots.push_back(*limiter.acquire(gold, swellCamp, Instant(0), why));
     }
     for (const PlanSlot &slot : slots) {
         limiter.release(slot, Instant(1'000));
@@ -180,16 +183,29 @@
     limiter.setPlans({{gold, {.share = 1, .maxInFlight = 2}}});
     core::Error why;
     acquireMany(limiter, gold, 2, Instant(0));
-    EXPECT_FALSE(limiter.acquire(gold, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(gold, swellCamp, Instant(0), why));
     EXPECT_EQ(why.step, core::Step::Limit);
     EXPECT_EQ(why.refusal, core::Refusal::TooMany);
     EXPECT_EQ(why.outcome, core::Outcome::NotRun);
     ASSERT_TRUE(why.retryAfter);
     EXPECT_GT(*why.retryAfter, Milliseconds(0));
-    EXPECT_FALSE(limiter.acquire(basic, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(basic, swellCamp, Instant(0), why));
     EXPECT_EQ(why.refusal, core::Refusal::Forbidden);
 }
 
+TEST(PlanLimiter, each_customer_has_the_plans_limit)
+{
+    PlanLimiter limiter(hundredSlots());
+    limiter.setPlans({{gold, {.share = 1, .maxInFlight = 2}}});
+    core::Error why;
+    const auto slot = limiter.acquire(gold, swellCamp, Instant(0), why);
+    acquireMany(limiter, gold, 10, Instant(0));
+    EXPECT_EQ(limiter.inFlight(swellCamp), 2);
+    EXPECT_TRUE(limiter.acquire(gold, boardShop, Instant(0), why)) << "another customer of the same plan";
+    limiter.release(*slot, Instant(10));
+    EXPECT_TRUE(limiter.acquire(gold, swellCamp, Instant(10), why));
+}
+
 TEST(PlanLimiter, a_full_host_refuses_all)
 {
     settings::Admission options = hundredSlots();
@@ -197,9 +213,9 @@
     PlanLimiter limiter(options);
     limiter.setPlans({{gold, {.share = 1}}, {basic, {.share = 1}}, {PlanId("trial"), {.share = 1}}});
     core::Error why;
-    EXPECT_TRUE(limiter.acquire(gold, Instant(0), why));
-    EXPECT_TRUE(limiter.acquire(basic, Instant(0), why));
-    EXPECT_FALSE(limiter.acquire(PlanId("trial"), Instant(0), why));
+    EXPECT_TRUE(limiter.acquire(gold, swellCamp, Instant(0), why));
+    EXPECT_TRUE(limiter.acquire(basic, swellCamp, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(PlanId("trial"), swellCamp, Instant(0), why));
     EXPECT_EQ(why.refusal, core::Refusal::Unavailable);
     EXPECT_TRUE(why.retryAfter);
 }
@@ -209,11 +225,11 @@
     PlanLimiter limiter(hundredSlots());
     limiter.setPlans({{gold, {.share = 1}}});
     core::Error why;
-    const auto slot = limiter.acquire(gold, Instant(0), why);
+    const auto slot = limiter.acquire(gold, swellCamp, Instant(0), why);
     ASSERT_TRUE(slot);
     limiter.setPlans({{basic, {.share = 1}}});
     EXPECT_EQ(limiter.inFlight(), 1);
-    EXPECT_FALSE(limiter.acquire(gold, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(gold, swellCamp, Instant(0), why));
     limiter.release(*slot, Instant(10));
     EXPECT_EQ(limiter.inFlight(), 0);
     limiter.release(*slot, Instant(10));
@@ -225,22 +241,31 @@
     OverloadGate gate(settings::Admission{.engineConcurrency = 10, .maxQueueWait = Milliseconds(5'000)});
     gate.onFinish(Instant(0), second);
     core::Error why;
-    EXPECT_EQ(gate.admit(gold, {.itemsAhead = 500, .freeSlot = true}, Instant(0), why), Milliseconds(0));
-    EXPECT_EQ(gate.admit(gold, {.itemsAhead = 19}, Instant(0), why), second * 2);
-    EXPECT_FALSE(gate.admit(gold, {.itemsAhead = 79}, Instant(0), why));
+    EXPECT_EQ(gate.admit(gold, {.queued = 500, .freeSlot = true}, Instant(0), why), Milliseconds(0));
+    EXPECT_EQ(gate.admit(gold, {.queued = 19}, Instant(0), why), second * 2);
+    EXPECT_FALSE(gate.admit(gold, {.queued = 79}, Instant(0), why));
     EXPECT_EQ(why.step, core::Step::Admit);
     EXPECT_EQ(why.refusal, core::Refusal::Unavailable);
     EXPECT_EQ(why.outcome, core::Outcome::NotRun);
     EXPECT_EQ(why.retryAfter, second * 3) << "8 s to drain, of which 5 s may be waited";
 }
 
+TEST(OverloadGate, a_plan_waits_by_its_part_of_the_service)
+{
+    OverloadGate gate(settings::Admission{.engineConcurrency = 10, .maxQueueWait = Milliseconds(5'000)});
+    gate.onFinish(Instant(0), second);
+    core::Error why;
+    EXPECT_EQ(gate.admit(gold, {.queued = 9, .partOfService = 0.5}, Instant(0), why), second * 2);
+    EXPECT_FALSE(gate.admit(gold, {.queued = 9, .partOfService = 0.1}, Instant(0), why));
+}
+
 TEST(OverloadGate, refuses_what_would_miss_its_deadline)
 {
     OverloadGate gate(settings::Admission{.engineConcurrency = 10});
     gate.onFinish(Instant(0), second);
     core::Error why;
-    EXPECT_TRUE(gate.admit(gold, {.itemsAhead = 9, .deadline = Instant(2'000)}, Instant(0), why));
-    EXPECT_FALSE(gate.admit(gold, {.itemsAhead = 9, .deadline = Instant(1'900)}, Instant(0), why));
+    EXPECT_TRUE(gate.admit(gold, {.queued = 9, .deadline = Instant(2'000)}, Instant(0), why));
+    EXPECT_FALSE(gate.admit(gold, {.queued = 9, .deadline = Instant(1'900)}, Instant(0), why));
     EXPECT_TRUE(why.retryAfter);
     EXPECT_FALSE(gate.admit(gold, {.loadWait = Milliseconds(1'500), .deadline = Instant(2'400)}, Instant(0), why));
     EXPECT_FALSE(gate.admit(gold, {.freeSlot = true, .deadline = Instant(900)}, Instant(0), why));
@@ -251,7 +276,7 @@
 {
     OverloadGate gate(settings::Admission{.engineConcurrency = 10});
     gate.onFinish(Instant(0), second);
-    const core::Error why = gate.refusalOfDisplaced(basic, 64, Instant(0));
+    const core::Error why = gate.refusalOfDisplaced(basic, {.queued = 63}, Instant(0));
     EXPECT_EQ(why.refusal, core::Refusal::TooMany);
     EXPECT_EQ(why.retryAfter, Milliseconds(3'200));
 }
--- a/packages/gateway/daemon.h
+++ b/packages/gateway/daemon.h
@@ -49,9 +49,9 @@
 private:
     // Loops.
     net::Task<void> tickLoop();
-    net::Task<void> hostsLoop();
-    net::Task<void> claimsLoop();
-    net::Task<void> listsLoop();
+    [[nodiscard]] platform::FollowerEvents claimsEvents();
+    [[nodiscard]] platform::FollowerEvents listsEvents();
+    void takeClaims(core::Offset next);
     net::Task<void> askPeersForLists();
     void tick();
     void send(std::vector<peers::Outgoing> messages);
@@ -92,8 +92,13 @@
     void note(LoopState &state, const std::string &error);
 
     Node node_;
+    platform::Endpoint endpoint_;
     platform::LogClient log_;
-    platform::HostsClient hosts_;
+    platform::HostListFollower hosts_;
+    platform::LogFollower claims_;
+    platform::LogFollower lists_;
+    core::Offset claimsKept_;                           // the oldest claim record that the log keeps
+    std::vector<ownership::StreamRecord> claimRecords_; // read, and not yet given to the planner
     PermitSource permits_;
     ServiceCaller services_;
     CallerApi callers_;
--- a/packages/gateway/services.h
+++ b/packages/gateway/services.h
@@ -49,7 +49,7 @@
 class PartitionHost final : public OwnedHost, public std::enable_shared_from_this<PartitionHost>
 {
 public:
-    PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, int partition, core::Epoch epoch);
+    PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, const platform::Endpoint &endpoint, int partition, core::Epoch epoch);
 
     /// Begins to follow the partition's stream. Call once.
     void start();
@@ -58,7 +58,7 @@
     void lose() override;
     [[nodiscard]] bool isIdle() const override { return waiting_.empty() && running_ == 0 && appending_ == 0; }
     [[nodiscard]] core::Epoch epoch() const { return epoch_; }
-    void close() override { isStopped_ = true; } // ends the reading of the stream
+    void close() override { follower_.stop(); }
 
 private:
     struct Waiting {
@@ -72,7 +72,7 @@
     void carryOut(const calls::Append &append);
     void carryOut(const calls::Run &run);
     void carryOut(const calls::NotRun &notRun);
-    net::Task<void> follow();
+    [[nodiscard]] platform::FollowerEvents events();
     net::Task<void> append(calls::CallRecord record);
     net::Task<void> run(calls::CallKey key, Waiting waiting);
     void answer(const calls::Answer &answer, const std::shared_ptr<peers::IncomingCall> &call);
@@ -83,11 +83,10 @@
     int number_;
     core::Epoch epoch_;
     calls::CallPartition partition_;
-    core::Offset readTo_;
+    platform::LogFollower follower_;
     std::map<calls::CallKey, Waiting> waiting_; // for their intent to be read back
     int running_ = 0;
     int appending_ = 0;
-    bool isStopped_ = false;
 };
 
 } // namespace baobabstall::gateway
--- a/packages/platform/hosts.cpp
+++ b/packages/platform/hosts.cpp
@@ -1,8 +1,7 @@
 #include <platform/hosts.h>
 
+#include <algorithm>
 #include <set>
-#include <string>
-#include <type_traits>
 
 #include <nlohmann/json.hpp>
 
@@ -76,90 +75,58 @@
     std::string fault_;
 };
 
-bool isLeaving(EntryReader &reader)
+HostState stateOf(EntryReader &reader)
 {
     const auto state = reader.text("state");
     if (state != "live" && state != "leaving") {
         reader.fault("state");
     }
-    return state == "leaving";
+    return state == "leaving" ? HostState::Leaving : HostState::Live;
 }
 
-/// What all kinds have in common.
-template<typename HostType>
-HostType readCommon(EntryReader &reader)
-{
-    HostType host;
-    if constexpr (std::is_same_v<HostType, DaemonHost>) {
-        host.host = core::HostId(reader.text("host"));
-    } else {
-        host.id = core::UpstreamId(reader.text("host"));
-        host.address = reader.address("address");
-    }
-    host.region = core::RegionId(reader.text("region"));
-    host.zone = core::ZoneId(reader.text("zone"));
-    host.isLeaving = isLeaving(reader);
-    return host;
-}
-
-DaemonHost readDaemon(EntryReader &reader)
-{
-    auto host = readCommon<DaemonHost>(reader);
-    host.callers = reader.address("callers");
-    host.peers = reader.address("peers");
-    host.operators = reader.address("operators");
-    return host;
-}
-
-EngineHost readEngine(EntryReader &reader)
-{
-    auto host = readCommon<EngineHost>(reader);
-    host.baseModel = core::BaseModel(reader.text("base_model"));
-    host.slots = reader.count("slots");
-    host.checksFencing = reader.flag("checks_fencing");
-    return host;
-}
-
-ServiceHost readService(EntryReader &reader)
-{
-    auto host = readCommon<ServiceHost>(reader);
-    host.service = core::ServiceName(reader.text("service"));
-    return host;
-}
-
-void readEntry(EntryReader &reader, HostList &into)
+/// None: an unknown kind, or a fault that the reader remembers.
+std::optional<Host> readHost(EntryReader &reader)
 {
+    Host host{core::HostId(reader.text("host")), core::RegionId(reader.text("region")), core::ZoneId(reader.text("zone")), stateOf(reader), {}};
     const auto kind = reader.text("kind");
     if (kind == "daemon") {
-        into.daemons.push_back(readDaemon(reader));
+        host.role = DaemonHost{reader.address("peers"), reader.address("callers"), reader.address("operators")};
     } else if (kind == "engine") {
-        into.engines.push_back(readEngine(reader));
+        host.role = EngineHost{reader.address("address"), core::BaseModel(reader.text("base_model")), reader.count("slots"), reader.flag("checks_fencing")};
     } else if (kind == "service") {
-        into.services.push_back(readService(reader));
+        host.role = ServiceHost{reader.address("address"), core::ServiceName(reader.text("service"))};
+    } else {
+        return std::nullopt;
     }
+    return host;
 }
 
-bool readHosts(const json &entries, HostList &into, core::Error &why)
+bool readHosts(const json &entries, std::vector<Host> &into, core::Error &why)
 {
-    std::set<std::string> seen;
-    std::size_t number = 0;
+    std::set<core::HostId> seen;
     for (const auto &entry : entries) {
         EntryReader reader(entry);
-        if (!entry.is_object() || !seen.insert(reader.text("host")).second) {
-            reader.fault("host");
-        }
-        readEntry(reader, into);
-        if (!reader.faultyKey().empty()) {
-            why.reason = "entry " + std::to_string(number) + " of the host list is not valid: \"" + reader.faultyKey() + '"';
+        auto host = entry.is_object() ? readHost(reader) : std::nullopt;
+        if (!entry.is_object() || !reader.faultyKey().empty() || (host && !seen.insert(host->id).second)) {
+            why.reason = "entry " + std::to_string(into.size()) + " of the host list is not valid: \""
+                + (reader.faultyKey().empty() ? "host" : reader.faultyKey()) + '"';
             return false;
         }
-        ++number;
+        if (host) {
+            into.push_back(std::move(*host));
+        }
     }
     return true;
 }
 
 } // namespace
 
+const Host *HostList::find(const core::HostId &id) const
+{
+    const auto found = std::find_if(hosts.begin(), hosts.end(), [&](const Host &host) { return host.id == id; });
+    return found == hosts.end() ? nullptr : &*found;
+}
+
 std::optional<HostList> parseHostList(std::string_view text, core::Error &why)
 {
     why = core::Error{.step = core::Step::Hosts, .reason = "not a host list", .refusal = core::Refusal::BadAnswer};
@@ -168,9 +135,8 @@
         || !(*whole)["hosts"].is_array()) {
         return std::nullopt;
     }
-    HostList list;
-    list.asOfMs = (*whole)["as_of_ms"].get<std::int64_t>();
-    if (!readHosts((*whole)["hosts"], list, why)) {
+    HostList list{(*whole)["as_of_ms"].get<std::int64_t>(), {}};
+    if (!readHosts((*whole)["hosts"], list.hosts, why)) {
         return std::nullopt;
     }
     return list;
--- a/packages/platform/platform.cpp
+++ b/packages/platform/platform.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
@@ -19,14 +18,15 @@
 
 using core::Offset;
 
+constexpr int pageLimit = 500; // records of one read
 constexpr int statusOk = 200;
 
-/// A wait that end() cuts short.
+/// A wait that stop() ends early.
 class Pause
 {
 public:
-    explicit Pause(const boost::asio::any_io_executor &executor)
-        : timer_(executor)
+    explicit Pause(boost::asio::io_context &io)
+        : timer_(io)
     { }
 
     net::Task<void> wait(core::Milliseconds length)
@@ -42,15 +42,16 @@
     boost::asio::steady_timer timer_;
 };
 
-Backoff backoffOf(const RetryOptions &retries, std::uint64_t salt)
+Backoff backoffOf(const Endpoint &endpoint, std::uint64_t salt)
 {
-    return {retries.first, retries.longest, retries.seed ^ salt};
+    return {endpoint.firstRetry, endpoint.longestRetry, endpoint.seed ^ salt};
 }
 
-net::CallOptions callOptions(const settings::Platform &settings, core::Milliseconds wait)
+net::CallOptions callOptions(const Endpoint &endpoint, core::Milliseconds wait)
 {
     net::CallOptions options;
-    options.timeout = settings.timeout + wait;
+    options.connectTimeout = endpoint.timeout;
+    options.timeout = endpoint.timeout + wait;
     return options;
 }
 
@@ -71,30 +72,24 @@
 
 // ---- LogClient ----
 
-LogClient::LogClient(net::HttpClient &http, net::Address address, const settings::Platform &settings, RetryOptions retries)
-    : http_(http)
-    , address_(std::move(address))
-    , settings_(settings)
-    , retries_(retries)
+LogClient::LogClient(boost::asio::io_context &io, net::HttpClient &http, Endpoint endpoint)
+    : io_(io)
+    , http_(http)
+    , endpoint_(std::move(endpoint))
 { }
 
-net::Task<std::optional<LogPage>> LogClient::read(std::string stream, Offset from, core::Milliseconds wait, core::Error &why)
-{
-    co_return co_await readSome(std::move(stream), from, maxPageRecords, wait, why);
-}
-
 net::Task<std::optional<Offset>> LogClient::append(std::string stream, std::string recordId, std::string record, core::Error &why)
 {
     const auto before = co_await endOf(stream, why);
     if (!before) {
         co_return std::nullopt;
     }
-    AppendCourse course(std::move(recordId), *before, retries_.appendTries, backoffOf(retries_, ++appends_));
-    Pause pause(co_await boost::asio::this_coro::executor);
+    AppendCourse course(std::move(recordId), *before, endpoint_.appendTries, backoffOf(endpoint_, ++appends_));
+    Pause pause(io_);
     while (true) {
         switch (course.step()) {
         case AppendCourse::Step::Append:
-            course.onAnswer(co_await send(stream, record, why));
+            course.onAnswer(co_await sendAppend(stream, record, why));
             break;
         case AppendCourse::Step::Look:
             co_await look(course, stream, why);
@@ -108,57 +103,59 @@
             co_return course.offset();
         case AppendCourse::Step::Failed:
             why = course.error();
-            why.peer = address_.text();
+            why.peer = endpoint_.address.text();
             co_return std::nullopt;
         }
     }
 }
 
-net::Task<std::optional<Offset>> LogClient::appendOnce(std::string stream, std::string record, core::Error &why)
-{
-    const auto answer = co_await send(std::move(stream), std::move(record), why);
-    if (answer.status == statusOk && answer.offset > Offset()) {
-        co_return answer.offset;
-    }
-    if (answer.status != 0) {
-        why = statusError(core::Step::Log, address_, answer.status);
-    }
-    why.step = core::Step::Log;
-    why.outcome = mayHaveTakenEffect(answer) ? core::Outcome::Unknown : core::Outcome::NotRun;
-    co_return std::nullopt;
-}
-
-net::Task<std::optional<LogPage>> LogClient::readSome(std::string stream, Offset from, int limit, core::Milliseconds wait, core::Error &why)
+net::Task<std::optional<LogPage>> LogClient::read(std::string stream, Offset from, int limit, core::Milliseconds wait, core::Error &why)
 {
     net::HttpRequest request;
     request.target
         = "/log/" + stream + "?from=" + std::to_string(from.value()) + "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(wait.count());
-    const auto answer = co_await http_.call(address_, std::move(request), callOptions(settings_, wait), why);
+    const auto answer = co_await http_.call(endpoint_.address, std::move(request), callOptions(endpoint_, wait), why);
     if (!answer) {
         why.step = core::Step::Log;
         co_return std::nullopt;
     }
     if (answer->status != statusOk) {
-        why = statusError(core::Step::Log, address_, answer->status);
+        why = statusError(core::Step::Log, endpoint_.address, answer->status);
         co_return std::nullopt;
     }
     auto page = parseLogPage(answer->body, why);
     if (page) {
         ends_[stream] = std::max(ends_[stream], page->next);
     } else {
-        why.peer = address_.text();
+        why.peer = endpoint_.address.text();
     }
     co_return page;
 }
 
-net::Task<AppendAnswer> LogClient::send(std::string stream, std::string record, core::Error &why)
+net::Task<std::optional<Offset>> LogClient::appendOnce(std::string stream, std::string record, core::Error &why)
+{
+    const auto answer = co_await sendAppend(std::move(stream), std::move(record), why);
+    if (answer.status == statusOk && answer.offset > Offset()) {
+        co_return answer.offset;
+    }
+    if (answer.status != 0) {
+        why = statusError(core::Step::Log, endpoint_.address, answer.status);
+    }
+    why.step = core::Step::Log;
+    why.peer = endpoint_.address.text();
+    why.refusal = core::Refusal::Unavailable;
+    why.outcome = mayHaveTakenEffect(answer) ? core::Outcome::Unknown : core::Outcome::NotRun;
+    co_return std::nullopt;
+}
+
+net::Task<AppendAnswer> LogClient::sendAppend(std::string stream, std::string record, core::Error &why)
 {
     net::HttpRequest request;
     request.method = "POST";
     request.target = "/log/" + stream;
     request.headers.set("Content-Type", "application/json");
     request.body = std::move(record);
-    const auto answer = co_await http_.call(address_, std::move(request), callOptions(settings_, core::Milliseconds()), why);
+    const auto answer = co_await http_.call(endpoint_.address, std::move(request), callOptions(endpoint_, core::Milliseconds()), why);
     if (!answer) {
         co_return AppendAnswer{0, Offset(), why.outcome == core::Outcome::NotRun};
     }
@@ -167,7 +164,7 @@
 
 net::Task<void> LogClient::look(AppendCourse &course, std::string stream, core::Error &why)
 {
-    const auto page = co_await read(std::move(stream), course.lookFrom(), core::Milliseconds(), why);
+    const auto page = co_await read(std::move(stream), course.lookFrom(), pageLimit, core::Milliseconds(), why);
     if (page) {
         course.onPage(*page);
     } else {
@@ -175,14 +172,14 @@
     }
 }
 
-/// An offset that the stream had not passed before now: what reads showed last, else asked for.
+/// An offset that the stream had not passed before now: what followers saw last, else asked for.
 net::Task<std::optional<Offset>> LogClient::endOf(std::string stream, core::Error &why)
 {
     const auto known = ends_.find(stream);
     if (known != ends_.end()) {
         co_return known->second;
     }
-    const auto page = co_await readSome(std::move(stream), Offset(1), 1, core::Milliseconds(), why);
+    const auto page = co_await read(std::move(stream), Offset(1), 1, core::Milliseconds(), why);
     if (!page) {
         why.outcome = core::Outcome::NotRun;
         co_return std::nullopt;
@@ -196,20 +193,14 @@
     using Pause::Pause;
 };
 
-LogFollower::LogFollower(boost::asio::io_context &io,
-                         LogClient &log,
-                         const settings::Platform &settings,
-                         std::string stream,
-                         FollowerEvents events,
-                         RetryOptions retries,
-                         Offset from)
+LogFollower::LogFollower(boost::asio::io_context &io, LogClient &log, Endpoint endpoint, std::string stream, FollowerEvents events, Offset from)
     : log_(log)
-    , wait_(settings.logWait)
+    , endpoint_(std::move(endpoint))
     , stream_(std::move(stream))
     , events_(std::move(events))
     , cursor_(std::max(from, Offset(1)))
-    , backoff_(backoffOf(retries, core::hashText(stream_, 0)))
-    , timer_(std::make_unique<Timer>(io.get_executor()))
+    , backoff_(backoffOf(endpoint_, core::hashText(stream_, 0)))
+    , timer_(std::make_unique<Timer>(io))
 { }
 
 LogFollower::~LogFollower() = default;
@@ -218,7 +209,7 @@
 {
     while (!stopped_) {
         core::Error why;
-        auto page = co_await log_.read(stream_, cursor_.next(), wait_, why);
+        auto page = co_await log_.read(stream_, cursor_.next(), pageLimit, endpoint_.logWait, why);
         if (stopped_) {
             break;
         }
@@ -243,11 +234,15 @@
 void LogFollower::take(LogPage page)
 {
     const auto end = page.next;
+    const auto first = page.first;
     const auto news = cursor_.onPage(std::move(page));
     mustPause_ = news.stale;
     if (!news.stale) {
         backoff_.reset();
     }
+    if (!news.stale && events_.onKept) {
+        events_.onKept(first);
+    }
     if (news.gapUntil && events_.onGap) {
         events_.onGap(*news.gapUntil);
     }
@@ -283,38 +278,77 @@
     }
 }
 
-// ---- HostsClient ----
+// ---- HostListFollower ----
 
-HostsClient::HostsClient(net::HttpClient &http, net::Address address, const settings::Platform &settings)
+struct HostListFollower::Timer : Pause {
+    using Pause::Pause;
+};
+
+HostListFollower::HostListFollower(boost::asio::io_context &io, net::HttpClient &http, Endpoint endpoint, OnList onList, OnOutage onOutage)
     : http_(http)
-    , address_(std::move(address))
-    , settings_(settings)
+    , endpoint_(std::move(endpoint))
+    , onList_(std::move(onList))
+    , onOutage_(std::move(onOutage))
+    , timer_(std::make_unique<Timer>(io))
 { }
 
-net::Task<std::optional<HostList>> HostsClient::read(core::Error &why)
+HostListFollower::~HostListFollower() = default;
+
+net::Task<void> HostListFollower::run()
+{
+    while (!stopped_) {
+        core::Error why;
+        const bool good = co_await poll(why);
+        if (stopped_) {
+            break;
+        }
+        if (!good && !failing_ && onOutage_) {
+            onOutage_(why);
+        }
+        failing_ = !good;
+        co_await timer_->wait(endpoint_.hostsPoll);
+    }
+}
+
+void HostListFollower::stop()
+{
+    stopped_ = true;
+    timer_->end();
+}
+
+net::Task<bool> HostListFollower::poll(core::Error &why)
 {
     net::HttpRequest request;
     request.target = "/hosts";
-    const auto answer = co_await http_.call(address_, std::move(request), callOptions(settings_, core::Milliseconds()), why);
+    const auto answer = co_await http_.call(endpoint_.address, std::move(request), callOptions(endpoint_, core::Milliseconds()), why);
     if (!answer) {
         why.step = core::Step::Hosts;
-        co_return std::nullopt;
+        co_return false;
     }
     if (answer->status != statusOk) {
-        why = statusError(core::Step::Hosts, address_, answer->status);
-        co_return std::nullopt;
+        why = statusError(core::Step::Hosts, endpoint_.address, answer->status);
+        co_return false;
     }
     auto list = parseHostList(answer->body, why);
-    if (list && list->asOfMs < newestMs_) {
-        why = core::Error{.step = core::Step::Hosts, .reason = "a host list older than the last one", .refusal = core::Refusal::Unavailable};
-        list.reset();
-    }
     if (!list) {
-        why.peer = address_.text();
-        co_return std::nullopt;
+        why.peer = endpoint_.address.text();
+        co_return false;
+    }
+    if (current_ && list->asOfMs < current_->asOfMs) {
+        why = core::Error{.step = core::Step::Hosts, .peer = endpoint_.address.text(), .reason = "a host list older than the last one"};
+        co_return false;
+    }
+    current_ = std::move(list);
+    readAt_ = core::SteadyClock().now();
+    if (onList_ && !stopped_) {
+        onList_(*current_);
     }
-    newestMs_ = list->asOfMs;
-    co_return list;
+    co_return true;
+}
+
+std::optional<core::Milliseconds> HostListFollower::age() const
+{
+    return current_ ? std::optional(core::SteadyClock().now() - readAt_) : std::nullopt;
 }
 
 } // namespace baobabstall::platform
--- a/programs/baobabstall/platformsession.cpp
+++ b/programs/baobabstall/platformsession.cpp
@@ -18,21 +18,23 @@
 constexpr Milliseconds daemonTimeout(3'000);   // for one daemon to answer
 constexpr Milliseconds verdictTimeout(10'000); // for an appended record to show in reads
 constexpr Milliseconds verdictPoll(200);       // wait of one read meanwhile
+constexpr int pageLimit = 500;                 // records of one read
 constexpr std::size_t maxHistory = 10'000;     // records kept for `history`
 constexpr int statusOk = 200;
 
-platform::RetryOptions retries()
+platform::Endpoint endpointOf(const net::Address &address)
 {
-    platform::RetryOptions options;
-    options.seed = std::random_device()();
-    return options;
+    platform::Endpoint endpoint;
+    endpoint.address = address;
+    endpoint.seed = std::random_device()();
+    return endpoint;
 }
 
 } // namespace
 
 PlatformSession::PlatformSession(const net::Address &platform)
-    : address_(platform)
-    , log_(http_, address_, settings_, retries())
+    : endpoint_(endpointOf(platform))
+    , log_(io_, http_, endpoint_)
 { }
 
 template<typename T>
@@ -66,7 +68,8 @@
     while (isFirst || !isAtEnd_ || lists_.position() < end) {
         isFirst = false;
         if (core::SteadyClock().now() > deadline) {
-            why = core::Error{.step = core::Step::Log, .peer = address_.text(), .reason = "reads of the log lag", .refusal = core::Refusal::Unavailable};
+            why = core::Error{
+                .step = core::Step::Log, .peer = endpoint_.address.text(), .reason = "reads of the log lag", .refusal = core::Refusal::Unavailable};
             co_return false;
         }
         if (!co_await readPage(lists_.position() < end ? verdictPoll : Milliseconds(), why)) {
@@ -79,7 +82,7 @@
 net::Task<bool> PlatformSession::readPage(Milliseconds wait, core::Error &why)
 {
     platform::FollowCursor cursor(lists_.position().next());
-    auto page = co_await log_.read(std::string(lists::listsStream), cursor.next(), wait, why);
+    auto page = co_await log_.read(std::string(lists::listsStream), cursor.next(), pageLimit, wait, why);
     if (!page) {
         co_return false;
     }
@@ -134,12 +137,16 @@
 
 std::optional<std::vector<DaemonAnswer>> PlatformSession::askDaemons(const std::string &target, core::Error &why)
 {
-    platform::HostsClient hosts(http_, address_, settings_);
-    const auto list = run(hosts.read(why));
-    if (!list) {
+    platform::HostListFollower hosts(io_, http_, endpoint_, {});
+    if (!run(hosts.poll(why))) {
         return std::nullopt;
     }
-    const auto &daemons = list->daemons;
+    std::vector<platform::Host> daemons;
+    for (const auto &host : hosts.current()->hosts) {
+        if (std::holds_alternative<platform::DaemonHost>(host.role)) {
+            daemons.push_back(host);
+        }
+    }
     std::vector<DaemonAnswer> answers(daemons.size());
     for (std::size_t i = 0; i < daemons.size(); ++i) {
         boost::asio::co_spawn(io_, ask(daemons[i], target, answers[i]), [](std::exception_ptr, bool) {});
@@ -149,17 +156,17 @@
     return answers;
 }
 
-net::Task<bool> PlatformSession::ask(const platform::DaemonHost &host, std::string target, DaemonAnswer &answer)
+net::Task<bool> PlatformSession::ask(const platform::Host &host, std::string target, DaemonAnswer &answer)
 {
-    answer.host = host.host;
+    answer.host = host.id;
     answer.zone = host.zone;
-    answer.isLeaving = host.isLeaving;
+    answer.isLeaving = host.state == platform::HostState::Leaving;
     net::HttpRequest request;
     request.target = std::move(target);
     net::CallOptions options;
     options.timeout = daemonTimeout;
     core::Error why;
-    const auto &address = host.operators;
+    const auto &address = std::get<platform::DaemonHost>(host.role).operators;
     const auto response = co_await http_.call(address, std::move(request), options, why);
     if (!response) {
         answer.error = why.text();
--- a/programs/baobabstall/platformsession.h
+++ b/programs/baobabstall/platformsession.h
@@ -60,12 +60,11 @@
     net::Task<bool> readTo(core::Offset end, core::Error &why);
     net::Task<bool> readPage(core::Milliseconds wait, core::Error &why);
     net::Task<std::optional<core::Offset>> appendAll(const std::vector<lists::OutgoingRecord> &records, core::Error &why);
-    net::Task<bool> ask(const platform::DaemonHost &host, std::string target, DaemonAnswer &answer);
+    net::Task<bool> ask(const platform::Host &host, std::string target, DaemonAnswer &answer);
 
     boost::asio::io_context io_;
     net::HttpClient http_{io_};
-    net::Address address_;
-    settings::Platform settings_; // its defaults: the command line has no settings file
+    platform::Endpoint endpoint_;
     platform::LogClient log_;
     lists::ListsState lists_;
     std::deque<JudgedRecord> history_;
