--- a/packages/gateway/services.cpp
+++ b/packages/gateway/services.cpp
@@ -208,6 +208,7 @@
         decide(partition_.finished(run.key, {.outcome = Outcome::NotRun}));
         return;
     }
+    node.mapped().settled->raise();
     asio::co_spawn(
         node_.io, [self = shared_from_this(), key = run.key, waiting = std::move(node.mapped())] { return self->run(key, waiting); }, asio::detached);
 }
--- a/packages/platform/platform.cpp
+++ b/packages/platform/platform.cpp
@@ -135,17 +135,16 @@
 net::Task<std::optional<Offset>> LogClient::appendOnce(std::string stream, std::string record, core::Error &why)
 {
     const auto answer = co_await sendAppend(std::move(stream), std::move(record), why);
-    if (answer.status == 200) {
+    if (answer.status == statusOk && answer.offset > Offset()) {
         co_return answer.offset;
     }
-    const bool isRefused = answer.status != 0 || answer.notSent;
+    if (answer.status != 0) {
+        why = statusError(core::Step::Log, endpoint_.address, answer.status);
+    }
     why.step = core::Step::Log;
     why.peer = endpoint_.address.text();
     why.refusal = core::Refusal::Unavailable;
-    why.outcome = isRefused ? core::Outcome::NotRun : core::Outcome::Unknown;
-    if (answer.status != 0) {
-        why.reason = "append refused with status " + std::to_string(answer.status);
-    }
+    why.outcome = mayHaveTakenEffect(answer) ? core::Outcome::Unknown : core::Outcome::NotRun;
     co_return std::nullopt;
 }
 
--- a/packages/platform/retry.h
+++ b/packages/platform/retry.h
@@ -4,6 +4,7 @@
 //   LogRecord, LogPage   what a read of a stream gives
 //   parseLogPage()
 //   Backoff              waits that grow, with jitter from a seed
+//   AppendAnswer         how one try ended
 //   AppendCourse         one append: try, wait, or look whether it took effect
 //   FollowCursor         one follower: which records of a page are new, and what was missed
 #pragma once
@@ -60,6 +61,9 @@
     bool notSent = false; // with status 0: certain that not one byte went out
 };
 
+/// Whether a try with this answer may have taken effect. The log's own refusals (4xx, and 503 in an outage) say that it did not.
+[[nodiscard]] bool mayHaveTakenEffect(const AppendAnswer &answer);
+
 /// The course of one append. Begin with step(); do it; report by an on...() function; go on with step() until it says Done or Failed.
 ///
 /// A record may stand in the stream twice when an append is still under way while its writer looks for it, or when the reads lag.
--- a/packages/platform/tests/platformtest.cpp
+++ b/packages/platform/tests/platformtest.cpp
@@ -131,6 +131,18 @@
     EXPECT_EQ(why.outcome, core::Outcome::NotRun);
 }
 
+TEST_F(PlatformTest, one_try_of_an_append_says_whether_it_may_have_taken_effect)
+{
+    EXPECT_EQ(run(log->appendOnce("lists", R"({"id":"a"})", why)), Offset(1));
+    platform.loseAnswers = 1;
+    EXPECT_FALSE(run(log->appendOnce("lists", R"({"id":"b"})", why)));
+    EXPECT_EQ(why.outcome, core::Outcome::Unknown);
+    platform.outages = 1;
+    EXPECT_FALSE(run(log->appendOnce("lists", R"({"id":"c"})", why)));
+    EXPECT_EQ(why.outcome, core::Outcome::NotRun);
+    EXPECT_EQ(platform.records.size(), 2U);
+}
+
 TEST_F(PlatformTest, a_follower_tells_records_gaps_outage_and_recovery)
 {
     platform.records = {{{"id", "a"}}, {{"id", "b"}}, {{"id", "c"}}};
