--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,9 @@
 test: build     ## every test
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+bench: build    ## benches with bounds; fails on a broken one
+	$(BUILD)/bin/policy_bench --json $(BUILD)/policy_bench.json
+
 lint: build     ## clang-tidy over all sources
 	@scripts/lint $(BUILD) $(JOBS)
 
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -463,7 +463,7 @@
 {
     for (const core::Epoch epoch : foreignEpochs_) {
         if (node_.planner.evidence(thing_, epoch) != ownership::Evidence::None) {
-            table_.ownerGone(epoch);
+            table_.ownerGone(epoch, node_.now());
         }
     }
     pump();
