--- a/packages/placement/placement.cpp
+++ b/packages/placement/placement.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr Weights stallWeights{.load = 500, .fullBatch = 100, .rank = 25};
+constexpr Weights stallWeights{.load = 500, .fullBatch = -100, .rank = 25};
 constexpr Weights batchWeights{.load = 1'000, .fullBatch = -200, .rank = 25};
 constexpr int validHalfLives = 5;      // of a width without a refresh
 constexpr double narrowBelow = 0.3;    // share of the widening threshold at which a width falls again
