--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -493,7 +493,6 @@
     for (const core::Epoch epoch : foreignEpochs_) {
         if (node_.planner.evidence(thing_, epoch) != ownership::Evidence::None) {
             table_.ownerGone(epoch, node_.now());
-            node_.log.debug("earlier_owner_gone", {{"peer", table_.engine().id}, {"epoch", epoch}});
         }
     }
     pump();
