--- a/packages/gateway/services.cpp
+++ b/packages/gateway/services.cpp
@@ -106,20 +106,21 @@
 
 // ---- PartitionHost ----
 
-PartitionHost::PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, int partition, core::Epoch epoch)
+PartitionHost::PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, const platform::Endpoint &endpoint, int partition, core::Epoch epoch)
     : node_(node)
     , caller_(caller)
     , log_(log)
     , number_(partition)
     , epoch_(epoch)
     , partition_(partition, {node.settings.host, node.incarnation})
+    , follower_(node.io, log, endpoint, stream(), events())
 { }
 
 void PartitionHost::start()
 {
     decide(partition_.own(epoch_));
     asio::co_spawn(
-        node_.io, [self = shared_from_this()] { return self->follow(); }, asio::detached);
+        node_.io, [self = shared_from_this()] { return self->follower_.run(); }, asio::detached);
 }
 
 std::string PartitionHost::stream() const
@@ -264,30 +265,19 @@
     decide(partition_.finished(key, result));
 }
 
-net::Task<void> PartitionHost::follow()
+platform::FollowerEvents PartitionHost::events()
 {
-    const auto self = shared_from_this();
-    constexpr Milliseconds pause{200}; // after a read that failed
-    while (!isStopped_) {
-        Error why;
-        const auto page = co_await log_.read(stream(), readTo_.next(), node_.settings.platform.logWait, why);
-        if (!page) {
-            partition_.onLogDown();
-            asio::steady_timer timer(node_.io, std::chrono::milliseconds(pause.count()));
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-            continue;
-        }
-        partition_.trim(page->first);
-        for (const auto &record : page->records) {
-            readTo_ = record.offset;
-            if (const auto read = calls::recordFromJson(record.data, why)) {
-                decide(partition_.onRecord(record.offset, *read));
-            }
+    platform::FollowerEvents events;
+    events.onKept = [this](core::Offset first) { partition_.trim(first); };
+    events.onRecord = [this](const platform::LogRecord &record) {
+        Error ignored;
+        if (const auto read = calls::recordFromJson(record.data, ignored)) {
+            decide(partition_.onRecord(record.offset, *read));
         }
-        if (page->next <= readTo_.next()) {
-            decide(partition_.onReadToEnd());
-        }
-    }
+    };
+    events.onCaughtUp = [this](core::Offset) { decide(partition_.onReadToEnd()); };
+    events.onOutage = [this](const Error &) { partition_.onLogDown(); };
+    return events;
 }
 
 } // namespace baobabstall::gateway
