--- a/benches/limits/world.cpp
+++ b/benches/limits/world.cpp
@@ -173,7 +173,7 @@
         request->decisionPoint = now();
         core::Error why;
         if (world_.limitsPlans) {
-            request->slot = daemonOf(request).limiter.acquire(request->load->plan, now(), why);
+            request->slot = daemonOf(request).limiter.acquire(request->load->plan, core::CustomerId(request->load->plan.value()), now(), why);
             if (!request->slot) {
                 refuse(request, why);
                 return;
--- a/packages/admission/bench/admissionbench.cpp
+++ b/packages/admission/bench/admissionbench.cpp
@@ -13,6 +13,8 @@
 
 using core::PlanId;
 
+const core::CustomerId customer("swell-camp");
+
 PlanId planOf(std::int64_t i)
 {
     return PlanId("plan-" + std::to_string(i));
@@ -36,7 +38,7 @@
     std::int64_t at = 0;
     for (auto _ : state) {
         const Instant now(++at);
-        const auto slot = limiter.acquire(planOf(0), now, why);
+        const auto slot = limiter.acquire(planOf(0), customer, now, why);
         limiter.release(*slot, now);
     }
 }
@@ -49,12 +51,12 @@
     limiter.setPlans(plansOf(state.range(0)));
     core::Error why;
     while (limiter.inFlight(planOf(0)) < limiter.guaranteed(planOf(0))) {
-        benchmark::DoNotOptimize(limiter.acquire(planOf(0), Instant(0), why));
+        benchmark::DoNotOptimize(limiter.acquire(planOf(0), customer, Instant(0), why));
     }
     std::int64_t at = 0;
     for (auto _ : state) {
         const Instant now(++at);
-        const auto slot = limiter.acquire(planOf(0), now, why);
+        const auto slot = limiter.acquire(planOf(0), customer, now, why);
         limiter.release(*slot, now);
     }
 }
@@ -67,10 +69,10 @@
     limiter.setPlans(plansOf(state.range(0)));
     core::Error why;
     const PlanId flooding = planOf(0);
-    while (limiter.acquire(flooding, Instant(0), why)) { }
+    while (limiter.acquire(flooding, customer, Instant(0), why)) { }
     std::int64_t at = 0;
     for (auto _ : state) {
-        benchmark::DoNotOptimize(limiter.acquire(flooding, Instant(++at), why));
+        benchmark::DoNotOptimize(limiter.acquire(flooding, customer, Instant(++at), why));
     }
 }
 BENCHMARK(limitRefusal)->Arg(4)->Arg(16)->Arg(64);
--- a/packages/admission/planlimiter.cpp
+++ b/packages/admission/planlimiter.cpp
@@ -35,7 +35,7 @@
     std::erase_if(plans_, [](const auto &each) { return !each.second.listed && each.second.inFlight == 0; });
 }
 
-std::optional<PlanSlot> PlanLimiter::acquire(const core::PlanId &id, Instant now, core::Error &why)
+std::optional<PlanSlot> PlanLimiter::acquire(const core::PlanId &id, const core::CustomerId &customer, Instant now, core::Error &why)
 {
     const auto found = plans_.find(id);
     if (found == plans_.end() || !found->second.listed) {
@@ -43,18 +43,18 @@
         return std::nullopt;
     }
     Plan &plan = found->second;
-    if (!hasRoom(plan, now, why)) {
+    if (!hasRoom(plan, customer, now, why)) {
         plan.peak.raiseTo(now, plan.inFlight + 1);
         why.retryAfter = retryAfter(plan, now);
         return std::nullopt;
     }
-    return letIn(id, plan, now);
+    return letIn(id, plan, customer, now);
 }
 
-bool PlanLimiter::hasRoom(const Plan &plan, Instant now, core::Error &why) const
+bool PlanLimiter::hasRoom(const Plan &plan, const core::CustomerId &customer, Instant now, core::Error &why) const
 {
-    if (plan.limit.maxInFlight > 0 && plan.inFlight >= plan.limit.maxInFlight) {
-        return refuse(core::Refusal::TooMany, "the plan has as many requests at once as its list allows", why);
+    if (plan.limit.maxInFlight > 0 && inFlight(customer) >= plan.limit.maxInFlight) {
+        return refuse(core::Refusal::TooMany, "the customer has as many requests at once as its plan allows", why);
     }
     if (total_ >= options_.maxInFlight) {
         return refuse(core::Refusal::Unavailable, "this host has as many requests at once as it takes", why);
@@ -71,13 +71,14 @@
     return true;
 }
 
-PlanSlot PlanLimiter::letIn(const core::PlanId &id, Plan &plan, Instant now)
+PlanSlot PlanLimiter::letIn(const core::PlanId &id, Plan &plan, const core::CustomerId &customer, Instant now)
 {
     ++plan.inFlight;
+    ++customers_[customer];
     ++total_;
     plan.peak.raiseTo(now, plan.inFlight);
     plan.drain.setBacklogged(now, true);
-    return PlanSlot{id, now};
+    return PlanSlot{id, customer, now};
 }
 
 void PlanLimiter::release(const PlanSlot &slot, Instant now)
@@ -89,6 +90,7 @@
     Plan &plan = found->second;
     --plan.inFlight;
     --total_;
+    forget(slot.customer);
     plan.drain.onFinish(now, now - slot.since);
     plan.drain.setBacklogged(now, plan.inFlight > 0);
     if (!plan.listed && plan.inFlight == 0) {
@@ -96,6 +98,20 @@
     }
 }
 
+void PlanLimiter::forget(const core::CustomerId &customer)
+{
+    const auto found = customers_.find(customer);
+    if (found != customers_.end() && --found->second == 0) {
+        customers_.erase(found);
+    }
+}
+
+int PlanLimiter::inFlight(const core::CustomerId &customer) const
+{
+    const auto found = customers_.find(customer);
+    return found == customers_.end() ? 0 : found->second;
+}
+
 int PlanLimiter::inFlight(const core::PlanId &plan) const
 {
     const auto found = plans_.find(plan);
--- a/packages/admission/planlimiter.h
+++ b/packages/admission/planlimiter.h
@@ -1,30 +1,30 @@
-// admission/planlimiter.h: how many requests at once each plan may have on one entry daemon.
+// admission/planlimiter.h: how many requests at once each plan and each customer may have on one entry daemon.
 //
 // Index
 //   PlanLimit        what the lists allow a plan
 //   PlanSlot         a request that was let in; give it back
 //   PlanLimiter      acquire() and release()
 //
-//   auto slot = limiter.acquire(plan, now, why);
+//   auto slot = limiter.acquire(plan, customer, now, why);
 //   if (!slot) { refuse(why); return; } // 429 or 503 with Retry-After, decided here and final
 //   ...
 //   limiter.release(*slot, now);
 //
 // The rules, cheapest first:
-//   1. A plan's own max_in_flight holds always.
+//   1. A customer has at most its plan's max_in_flight.
 //   2. A daemon has at most maxInFlight requests.
 //   3. Up to its share of maxInFlight a plan is let in.
 //   4. Beyond it, up to planBurst times its share, a plan is let in while others leave room: what other plans recently used
 //      of their shares stays free for them, and so does a small part for plans that wake up.
 //
 // Limits. Each daemon counts its own requests only; daemons exchange no counts. The balancer spreads callers, so the sum over
-// daemons follows the shares. A caller that reaches one daemon only gets that daemon's part. Customers of one plan share
-// the plan's slots without fairness among themselves.
+// daemons follows the shares. A caller that reaches one daemon only gets that daemon's part. Customers of one plan share its
+// slots without fairness among themselves beyond max_in_flight.
 #pragma once
 
 #include <map>
 #include <optional>
-#include <string>
+#include <unordered_map>
 
 #include <admission/rates.h>
 #include <core/error.h>
@@ -35,12 +35,13 @@
 /// What the lists allow a plan.
 struct PlanLimit {
     double share = 1;    // relative to other plans; above 0
-    int maxInFlight = 0; // at once on this daemon; 0: only the rules of shares
+    int maxInFlight = 0; // of one customer at once on this daemon; 0: only the rules of shares
 };
 
 /// One request that was let in.
 struct PlanSlot {
     core::PlanId plan;
+    core::CustomerId customer;
     Instant since;
 };
 
@@ -55,12 +56,13 @@
     /// The plans of the list in force. Requests in flight stay counted, also those of plans no longer listed.
     void setPlans(const std::map<core::PlanId, PlanLimit> &plans);
 
-    /// Lets a request in, or fills `why`: step Limit, TooMany for a plan over its limits, Unavailable for a full daemon.
-    [[nodiscard]] std::optional<PlanSlot> acquire(const core::PlanId &plan, Instant now, core::Error &why);
+    /// Lets a request in, or fills `why`: step Limit, TooMany for a customer or plan over its limits, Unavailable for a full daemon.
+    [[nodiscard]] std::optional<PlanSlot> acquire(const core::PlanId &plan, const core::CustomerId &customer, Instant now, core::Error &why);
     void release(const PlanSlot &slot, Instant now);
 
     [[nodiscard]] int inFlight() const { return total_; }
     [[nodiscard]] int inFlight(const core::PlanId &plan) const;
+    [[nodiscard]] int inFlight(const core::CustomerId &customer) const;
     [[nodiscard]] double guaranteed(const core::PlanId &plan) const;   // slots within its share
     [[nodiscard]] double longestBurst(const core::PlanId &plan) const; // slots with planBurst
 
@@ -77,14 +79,16 @@
     [[nodiscard]] double guaranteed(const Plan &plan) const;
     [[nodiscard]] double longestBurst(const Plan &plan) const;
     [[nodiscard]] double reservedForOthers(const Plan &except, Instant now) const;
-    [[nodiscard]] bool hasRoom(const Plan &plan, Instant now, core::Error &why) const;
-    PlanSlot letIn(const core::PlanId &id, Plan &plan, Instant now);
+    [[nodiscard]] bool hasRoom(const Plan &plan, const core::CustomerId &customer, Instant now, core::Error &why) const;
+    PlanSlot letIn(const core::PlanId &id, Plan &plan, const core::CustomerId &customer, Instant now);
+    void forget(const core::CustomerId &customer);
     [[nodiscard]] static Milliseconds retryAfter(Plan &plan, Instant now);
 
     settings::Admission options_;
     double sharesTotal_ = 0;
     int total_ = 0;
     std::map<core::PlanId, Plan> plans_;
+    std::unordered_map<core::CustomerId, int> customers_; // with requests in flight
 };
 
 } // namespace baobabstall::admission
--- a/packages/admission/tests/limitstest.cpp
+++ b/packages/admission/tests/limitstest.cpp
@@ -10,10 +10,13 @@
 
 namespace {
 
+using core::CustomerId;
 using core::PlanId;
 
 const PlanId gold("gold");
 const PlanId basic("basic");
+const CustomerId swellCamp("swell-camp");
+const CustomerId boardShop("board-shop");
 constexpr Milliseconds second{1'000};
 
 int acquireMany(PlanLimiter &limiter, const PlanId &plan, int count, Instant now)
@@ -21,7 +24,7 @@
     int got = 0;
     core::Error why;
     for (int i = 0; i < count; ++i) {
-        got += limiter.acquire(plan, now, why) ? 1 : 0;
+        got += limiter.acquire(plan, swellCamp, now, why) ? 1 : 0;
     }
     return got;
 }
@@ -154,7 +157,7 @@
     std::vector<PlanSlot> slots;
     slots.reserve(70);
     for (int i = 0; i < 70; ++i) {
-        slots.push_back(*limiter.acquire(gold, Instant(0), why));
+        slots.push_back(*limiter.acquire(gold, swellCamp, Instant(0), why));
     }
     for (const PlanSlot &slot : slots) {
         limiter.release(slot, Instant(1'000));
@@ -180,16 +183,29 @@
     limiter.setPlans({{gold, {.share = 1, .maxInFlight = 2}}});
     core::Error why;
     acquireMany(limiter, gold, 2, Instant(0));
-    EXPECT_FALSE(limiter.acquire(gold, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(gold, swellCamp, Instant(0), why));
     EXPECT_EQ(why.step, core::Step::Limit);
     EXPECT_EQ(why.refusal, core::Refusal::TooMany);
     EXPECT_EQ(why.outcome, core::Outcome::NotRun);
     ASSERT_TRUE(why.retryAfter);
     EXPECT_GT(*why.retryAfter, Milliseconds(0));
-    EXPECT_FALSE(limiter.acquire(basic, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(basic, swellCamp, Instant(0), why));
     EXPECT_EQ(why.refusal, core::Refusal::Forbidden);
 }
 
+TEST(PlanLimiter, each_customer_has_the_plans_limit)
+{
+    PlanLimiter limiter(hundredSlots());
+    limiter.setPlans({{gold, {.share = 1, .maxInFlight = 2}}});
+    core::Error why;
+    const auto slot = limiter.acquire(gold, swellCamp, Instant(0), why);
+    acquireMany(limiter, gold, 10, Instant(0));
+    EXPECT_EQ(limiter.inFlight(swellCamp), 2);
+    EXPECT_TRUE(limiter.acquire(gold, boardShop, Instant(0), why)) << "another customer of the same plan";
+    limiter.release(*slot, Instant(10));
+    EXPECT_TRUE(limiter.acquire(gold, swellCamp, Instant(10), why));
+}
+
 TEST(PlanLimiter, a_full_host_refuses_all)
 {
     settings::Admission options = hundredSlots();
@@ -197,9 +213,9 @@
     PlanLimiter limiter(options);
     limiter.setPlans({{gold, {.share = 1}}, {basic, {.share = 1}}, {PlanId("trial"), {.share = 1}}});
     core::Error why;
-    EXPECT_TRUE(limiter.acquire(gold, Instant(0), why));
-    EXPECT_TRUE(limiter.acquire(basic, Instant(0), why));
-    EXPECT_FALSE(limiter.acquire(PlanId("trial"), Instant(0), why));
+    EXPECT_TRUE(limiter.acquire(gold, swellCamp, Instant(0), why));
+    EXPECT_TRUE(limiter.acquire(basic, swellCamp, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(PlanId("trial"), swellCamp, Instant(0), why));
     EXPECT_EQ(why.refusal, core::Refusal::Unavailable);
     EXPECT_TRUE(why.retryAfter);
 }
@@ -209,11 +225,11 @@
     PlanLimiter limiter(hundredSlots());
     limiter.setPlans({{gold, {.share = 1}}});
     core::Error why;
-    const auto slot = limiter.acquire(gold, Instant(0), why);
+    const auto slot = limiter.acquire(gold, swellCamp, Instant(0), why);
     ASSERT_TRUE(slot);
     limiter.setPlans({{basic, {.share = 1}}});
     EXPECT_EQ(limiter.inFlight(), 1);
-    EXPECT_FALSE(limiter.acquire(gold, Instant(0), why));
+    EXPECT_FALSE(limiter.acquire(gold, swellCamp, Instant(0), why));
     limiter.release(*slot, Instant(10));
     EXPECT_EQ(limiter.inFlight(), 0);
     limiter.release(*slot, Instant(10));
