Resume a stream that was cut between a living owner and its engine; end a stop in an outage of the log

Found by process tests: an engine that cut its connection but still held the stream left the caller with an error, since only a lost owner led to a resumption. And a stop with the log out waited for release records until the drain limit; with nothing in flight it now ends 5 s later. A call at a daemon that is no longer the owner tells when to come back.

--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -426,7 +426,11 @@
         }
         if (const auto *failed = std::get_if<peers::FailReply>(&*reply)) {
             why = failed->error;
-            co_return Progress::Failed;
+            const bool mayBeHeld = hasBegun_ && why.step == Step::Upstream; // the engine may hold the rest though it was cut
+            if (!mayBeHeld) {
+                co_return Progress::Failed;
+            }
+            co_return co_await resume(target, why);
         }
         bool isGood = true;
         if (const auto *started = std::get_if<peers::StartedReply>(&*reply)) {
@@ -544,7 +548,7 @@
         co_return *isGone_ ? Progress::Answered : Progress::Failed;
     }
     if (!response || response->status != 200) {
-        why = refusalOf(Step::Forward, Refusal::BadAnswer, "the engine's owner was lost and the engine does not hold the rest of the answer");
+        why = refusalOf(Step::Forward, Refusal::BadAnswer, "the answer was cut and the engine does not hold the rest of it");
         why.peer = target.owner.value();
         why.outcome = Outcome::Ran;
         co_return Progress::Failed;
--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -20,6 +20,8 @@
 constexpr Milliseconds longestLogRetry{1'000};  // between reads while the log is out: bounds how late its return is noticed
 constexpr Milliseconds peerPause{500};          // between attempts to get the lists from a peer
 constexpr Milliseconds listsTimeout{2'000};     // for a peer to send its lists
+constexpr Milliseconds ownerRetryAfter{1'000};  // until the claims that moved an owner are read everywhere
+constexpr Milliseconds releaseWait{5'000};      // for the release records once nothing is in flight; a log that is out does not delay the end
 constexpr Milliseconds drainCheck{20};          // while stopping
 
 net::ServerLimits limitsOf(const settings::Callers &callers)
@@ -35,7 +37,11 @@
 
 peers::FailReply notOwner(const std::string &host)
 {
-    return {Error{.step = Step::Admit, .peer = host, .reason = "this daemon does not own what the call is for", .refusal = Refusal::Unavailable}};
+    return {Error{.step = Step::Admit,
+                  .peer = host,
+                  .reason = "this daemon does not own what the call is for",
+                  .refusal = Refusal::Unavailable,
+                  .retryAfter = ownerRetryAfter}};
 }
 
 std::string claimsStream(const settings::Settings &settings)
@@ -121,12 +127,15 @@
     send(node_.membership.leave(node_.now()));
     node_.planner.stop();
     co_await pause(node_.settings.stop.notReadyFirst);
-    const auto isDone = [this] { return callersServer_.openExchanges() == 0 && node_.planner.holdings().empty() && owned_.empty(); };
-    while (!isDone() && node_.now() < limit) {
+    while (!isDrained() && node_.now() < limit) {
         co_await pause(drainCheck);
     }
-    const bool isClean = isDone();
-    node_.log.info("stopped", {{"clean", isClean}});
+    const bool isClean = isDrained();
+    const auto releaseLimit = std::min(limit, node_.now() + releaseWait);
+    while (!(node_.planner.holdings().empty() && owned_.empty()) && node_.now() < releaseLimit) {
+        co_await pause(drainCheck);
+    }
+    node_.log.info("stopped", {{"clean", isClean}, {"unreleased", node_.planner.holdings().size()}});
     isRunning_ = false;
     claims_.stop();
     lists_.stop();
@@ -140,6 +149,12 @@
     co_return isClean;
 }
 
+/// Nothing that this daemon began goes on: no caller's request, no run or order under an owned epoch.
+bool Daemon::isDrained() const
+{
+    return callersServer_.openExchanges() == 0 && std::all_of(owned_.begin(), owned_.end(), [](const auto &each) { return each.second.host->isIdle(); });
+}
+
 net::Task<void> Daemon::pause(Milliseconds time)
 {
     asio::steady_timer timer(node_.io, std::chrono::milliseconds(time.count()));
--- a/packages/gateway/daemon.h
+++ b/packages/gateway/daemon.h
@@ -59,6 +59,7 @@
     void takeLists();
     net::Task<void> writeSnapshots();
     net::Task<void> pause(core::Milliseconds time);
+    [[nodiscard]] bool isDrained() const;
 
     // Ownership.
     void carryOut(const ownership::Plan &plan);
