--- a/programs/baobabstall/platformsession.cpp
+++ b/programs/baobabstall/platformsession.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds daemonTimeout(3'000);   // for one daemon to answer
 constexpr Milliseconds verdictTimeout(10'000); // for an appended record to show in reads
 constexpr Milliseconds verdictPoll(200);       // wait of one read meanwhile
+constexpr int readTries = 3;                   // of one read: an answer can be lost
 constexpr int pageLimit = 500;                 // records of one read
 constexpr std::size_t maxHistory = 10'000;     // records kept for `history`
 constexpr int statusOk = 200;
@@ -82,7 +83,10 @@
 net::Task<bool> PlatformSession::readPage(Milliseconds wait, core::Error &why)
 {
     platform::FollowCursor cursor(lists_.position().next());
-    auto page = co_await log_.read(std::string(lists::listsStream), cursor.next(), pageLimit, wait, why);
+    std::optional<platform::LogPage> page;
+    for (int tries = 0; tries < readTries && !page; ++tries) {
+        page = co_await log_.read(std::string(lists::listsStream), cursor.next(), pageLimit, wait, why);
+    }
     if (!page) {
         co_return false;
     }
