Stop believing the rate of an adapter that has fallen silent

Cause: at the dawn shift yesterday's hot adapters kept their slots for a half life, and the new ones evicted each other. Ruled out: a shorter half life, which would make the estimate of the middling adapters noisier at every hour. Change: of a Poisson stream a gap of n mean intervals has a chance of exp(-n); beyond two of them the value falls by that.

--- a/packages/engines/evictionpolicy.cpp
+++ b/packages/engines/evictionpolicy.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double millisecondsPerSecond = 1'000;
+constexpr double usualGap = 2; // mean intervals without a request that say nothing
 
 } // namespace
 
@@ -20,7 +21,9 @@
 void DecayedFrequency::used(const AdapterRef &adapter, double weight, Instant now)
 {
     Count &count = counts_[adapter];
-    count.weight = decayed(count, now) + weight;
+    const double factor = decay(count, now);
+    count.weight = count.weight * factor + weight;
+    count.requests = count.requests * factor + 1;
     count.at = now;
     if (counts_.size() > maxAdapters) {
         forgetColdest(now);
@@ -33,14 +36,32 @@
     if (found == counts_.end()) {
         return 0;
     }
-    const double meanLifeSeconds = halfLifeMs_ / std::numbers::ln2 / millisecondsPerSecond;
-    return decayed(found->second, now) / meanLifeSeconds;
+    return perSecond(decayed(found->second, now));
+}
+
+/// Of a Poisson stream, a gap of n mean intervals has a chance of exp(-n): that far, the rate is not believed any more.
+double DecayedFrequency::value(const AdapterRef &adapter, Instant now) const
+{
+    const auto found = counts_.find(adapter);
+    if (found == counts_.end()) {
+        return 0;
+    }
+    const Count &count = found->second;
+    const double silentSeconds = static_cast<double>((now - count.at).count()) / millisecondsPerSecond;
+    const double missed = perSecond(count.requests) * silentSeconds;
+    return perSecond(decayed(count, now)) * std::exp(-std::max(0.0, missed - usualGap));
 }
 
-double DecayedFrequency::decayed(const Count &count, Instant now) const
+double DecayedFrequency::decay(const Count &count, Instant now) const
 {
     const auto age = static_cast<double>((now - count.at).count());
-    return count.weight * std::exp2(-std::max(0.0, age) / halfLifeMs_);
+    return std::exp2(-std::max(0.0, age) / halfLifeMs_);
+}
+
+double DecayedFrequency::perSecond(double count) const
+{
+    const double meanLifeSeconds = halfLifeMs_ / std::numbers::ln2 / millisecondsPerSecond;
+    return count / meanLifeSeconds;
 }
 
 void DecayedFrequency::forgetColdest(Instant now)
--- a/packages/engines/evictionpolicy.h
+++ b/packages/engines/evictionpolicy.h
@@ -6,6 +6,8 @@
 //
 // Plain LRU forgets a hot adapter after as many cold ones as there are slots, so a scan by the long tail washes it out.
 // A decayed rate needs many requests to rise and a half life to fall: one cold request can't displace a hot adapter.
+// When popularity shifts, a half life is too long: an adapter that has been silent for much longer than its own rate explains
+// loses its value at once.
 #pragma once
 
 #include <concepts>
@@ -39,18 +41,21 @@
 
     void used(const AdapterRef &adapter, double weight, Instant now);
     [[nodiscard]] double ratePerSecond(const AdapterRef &adapter, Instant now) const; // 0 for an adapter never seen
-    [[nodiscard]] double value(const AdapterRef &adapter, Instant now) const { return ratePerSecond(adapter, now); }
+    [[nodiscard]] double value(const AdapterRef &adapter, Instant now) const;         // the rate, less when silent for too long
     [[nodiscard]] std::size_t size() const { return counts_.size(); }
 
     static constexpr std::size_t maxAdapters = 4'096; // remembered, resident or not; over it the coldest half is forgotten
 
 private:
     struct Count {
-        double weight = 0; // decayed to `at`
+        double weight = 0;   // decayed to `at`
+        double requests = 0; // the same without weights
         Instant at;
     };
 
-    [[nodiscard]] double decayed(const Count &count, Instant now) const;
+    [[nodiscard]] double decay(const Count &count, Instant now) const;
+    [[nodiscard]] double decayed(const Count &count, Instant now) const { return count.weight * decay(count, now); }
+    [[nodiscard]] double perSecond(double count) const;
     void forgetColdest(Instant now);
 
     double halfLifeMs_;
