Count the whole queue in the wait that a hint gives

Cause: a hint does not know the asker's plan and took the wait of a plan with share 1 and nothing queued. Under a queue of one plan that is far too short, so entry daemons sent more requests to the full engine, which then refused them.

--- a/packages/engines/enginetable.h
+++ b/packages/engines/enginetable.h
@@ -244,6 +244,7 @@
     [[nodiscard]] Milliseconds expectedWait(const AdapterRef &adapter, double ahead, Instant now) const;
     [[nodiscard]] Milliseconds loadWait(const AdapterRef &adapter, Instant now) const;
     [[nodiscard]] double startableAhead(const PlanId &plan, double share) const;
+    [[nodiscard]] double allStartable() const; // without the plan it is not known who goes first
     [[nodiscard]] double permitWait(Instant now) const;
     [[nodiscard]] core::Error refusal(std::string reason, std::optional<Milliseconds> retryAfter) const;
     [[nodiscard]] int batchUsed() const;
--- a/packages/engines/enginetableimpl.h
+++ b/packages/engines/enginetableimpl.h
@@ -266,6 +266,14 @@
     return ahead;
 }
 
+template<EvictionPolicyLike Eviction>
+double BasicEngineTable<Eviction>::allStartable() const
+{
+    double count = 0;
+    waiting_.forEach([&](const PlanId &, double, const Waiting &waiting) { count += servedName(waiting.request.adapter) ? 1 : 0; });
+    return count;
+}
+
 template<EvictionPolicyLike Eviction>
 double BasicEngineTable<Eviction>::permitWait(Instant now) const
 {
@@ -725,7 +733,7 @@
     hint.queue = static_cast<int>(waiting_.size());
     hint.batchFill = std::min(1.0, static_cast<double>(batchUsed()) / admission_.engineConcurrency);
     hint.freeSlots = freeSlots() + evictableSlots();
-    hint.expectedWait = expectedWait(adapter, startableAhead(PlanId(), 1), now);
+    hint.expectedWait = expectedWait(adapter, allStartable(), now);
     if (servedName(adapter)) {
         hint.residency = Residency::Resident;
     } else if (loadingSlot(adapter) != nullptr || wants_.contains(adapter)) {
--- a/packages/engines/tests/enginetabletest.cpp
+++ b/packages/engines/tests/enginetabletest.cpp
@@ -320,6 +320,18 @@
     EXPECT_EQ(all<RefuseRequest>().back().id, RequestId("f3"));
 }
 
+TEST_F(EngineTableTest, a_hint_counts_the_queue_of_every_plan)
+{
+    list({});
+    enqueue("r1", a);
+    enqueue("r2", a);
+    grantAndLoad(a);
+    const Milliseconds before = table_.probe(a, now_).expectedWait;
+    enqueue("r3", a, "flood");
+    enqueue("r4", a, "flood");
+    EXPECT_EQ(table_.probe(a, now_).expectedWait, before * 3);
+}
+
 TEST_F(EngineTableTest, a_load_that_keeps_failing_refuses_its_requests_at_once)
 {
     list({});
