--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <core/hash.h>
+
 namespace baobabstall::gateway {
 
 using core::Error;
@@ -15,7 +17,7 @@
 constexpr Milliseconds tickInterval{100};       // of membership and ownership
 constexpr Milliseconds evidenceInterval{1'000}; // between looks for evidence about earlier owners
 constexpr Milliseconds snapshotInterval{5'000}; // between looks whether a list must be appended again
-constexpr Milliseconds logPause{200};           // after a read of the log that failed
+constexpr Milliseconds longestLogRetry{1'000};  // between reads while the log is out: bounds how late its return is noticed
 constexpr Milliseconds peerPause{500};          // between attempts to get the lists from a peer
 constexpr Milliseconds listsTimeout{2'000};     // for a peer to send its lists
 constexpr Milliseconds drainCheck{20};          // while stopping
@@ -41,12 +43,35 @@
     return "claims-" + settings.region.value();
 }
 
+platform::Endpoint endpointOf(const settings::Settings &settings)
+{
+    platform::Endpoint endpoint;
+    endpoint.address = *net::Address::parse(settings.platform.address); // checked when the settings were read
+    endpoint.timeout = settings.platform.timeout;
+    endpoint.logWait = settings.platform.logWait;
+    endpoint.hostsPoll = settings.platform.hostsPoll;
+    endpoint.longestRetry = longestLogRetry;
+    endpoint.seed = core::hashText(settings.host.value(), 0);
+    return endpoint;
+}
+
 } // namespace
 
-Daemon::Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation)
-    : node_(io, settings, incarnation)
-    , log_(node_.http, *net::Address::parse(settings.platform.address), settings.platform)
-    , hosts_(node_.http, *net::Address::parse(settings.platform.address), settings.platform)
+Daemon::Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation, logging::Log log)
+    : node_(io, settings, incarnation, std::move(log))
+    , endpoint_(endpointOf(settings))
+    , log_(io, node_.http, endpoint_)
+    , hosts_(
+          io,
+          node_.http,
+          endpoint_,
+          [this](const platform::HostList &hosts) {
+              note(hostsState_, "");
+              takeHosts(hosts);
+          },
+          [this](const Error &why) { note(hostsState_, why.text()); })
+    , claims_(io, log_, endpoint_, claimsStream(settings), claimsEvents())
+    , lists_(io, log_, endpoint_, std::string(lists::listsStream), listsEvents())
     , permits_(node_)
     , services_(node_)
     , callers_(node_, services_)
@@ -69,14 +94,15 @@
         return std::nullopt;
     }
     isRunning_ = true;
+    node_.log.info("listening", {{"callers", callers->text()}, {"peers", peers->text()}, {"operators", operators->text()}, {"incarnation", node_.incarnation}});
     asio::co_spawn(
         node_.io, [this] { return tickLoop(); }, asio::detached);
     asio::co_spawn(
-        node_.io, [this] { return hostsLoop(); }, asio::detached);
+        node_.io, [this] { return hosts_.run(); }, asio::detached);
     asio::co_spawn(
-        node_.io, [this] { return claimsLoop(); }, asio::detached);
+        node_.io, [this] { return claims_.run(); }, asio::detached);
     asio::co_spawn(
-        node_.io, [this] { return listsLoop(); }, asio::detached);
+        node_.io, [this] { return lists_.run(); }, asio::detached);
     asio::co_spawn(
         node_.io, [this] { return askPeersForLists(); }, asio::detached);
     return Addresses{*callers, *peers, *operators};
@@ -91,6 +117,7 @@
 {
     const auto limit = node_.now() + node_.settings.stop.drainTimeout;
     node_.isStopping = true;
+    node_.log.info("stopping", {{"in_flight", node_.limiter.inFlight()}, {"owned", owned_.size()}});
     send(node_.membership.leave(node_.now()));
     node_.planner.stop();
     co_await pause(node_.settings.stop.notReadyFirst);
@@ -99,7 +126,11 @@
         co_await pause(drainCheck);
     }
     const bool isClean = isDone();
+    node_.log.info("stopped", {{"clean", isClean}});
     isRunning_ = false;
+    claims_.stop();
+    lists_.stop();
+    hosts_.stop();
     callersServer_.stopAccepting();
     operatorsServer_.stopAccepting();
     for (const auto &[key, owned] : owned_) {
@@ -211,7 +242,7 @@
         engines_[*engine] = std::make_shared<EngineHost>(node_, permits_, record->second, holding.epoch);
         host = engines_[*engine];
     } else if (const auto partition = ownership::partitionOf(holding.thing)) {
-        partitions_[*partition] = std::make_shared<PartitionHost>(node_, services_, log_, *partition, holding.epoch);
+        partitions_[*partition] = std::make_shared<PartitionHost>(node_, services_, log_, endpoint_, *partition, holding.epoch);
         partitions_[*partition]->start();
         host = partitions_[*partition];
     } else {
@@ -219,6 +250,7 @@
         host = budget_;
     }
     owned_[{holding.thing, holding.epoch}] = {host, false};
+    noteOwnership(holding, "claimed");
 }
 
 void Daemon::handOver(const ownership::Holding &holding)
@@ -230,6 +262,7 @@
     }
     owned->second.isEnding = true;
     owned->second.host->drain();
+    noteOwnership(holding, "released");
 }
 
 void Daemon::lose(const ownership::Holding &holding)
@@ -240,10 +273,18 @@
         return;
     }
     owned->second.isEnding = true;
+    noteOwnership(holding, "superseded");
     retire(holding.thing, owned->second.host);
     owned->second.host->lose();
 }
 
+void Daemon::noteOwnership(const ownership::Holding &holding, std::string_view change)
+{
+    const std::string_view thing = holding.thing.value();
+    node_.metrics.ownershipChanges.add({thing.substr(0, thing.find('/')), change});
+    node_.log.info("ownership", {{"thing", holding.thing}, {"epoch", holding.epoch}, {"change", change}});
+}
+
 /// Takes the host out of the tables by which calls find it, unless a later one stands there already.
 void Daemon::retire(const ownership::Thing &thing, const std::shared_ptr<OwnedHost> &host)
 {
@@ -276,51 +317,42 @@
     }
 }
 
-net::Task<void> Daemon::claimsLoop()
+platform::FollowerEvents Daemon::claimsEvents()
 {
-    const std::string stream = claimsStream(node_.settings);
-    while (isRunning_) {
-        Error why;
-        const auto page = co_await log_.read(stream, node_.planner.readTo().next(), node_.settings.platform.logWait, why);
-        note(logState_, page ? std::string() : why.text());
-        if (!page) {
-            node_.planner.onLogDown();
-            co_await pause(logPause);
-            continue;
-        }
-        std::vector<ownership::StreamRecord> records;
-        for (const auto &record : page->records) {
-            records.push_back({record.offset, record.timeMs, ownership::claimFromJson(record.data, why)});
-        }
-        node_.planner.onRecords(page->first, page->next, records);
-        const auto budgetOwner = node_.planner.ownerOf(ownership::loadsThing());
-        if (budgetOwner && budgetOwner->epoch != budgetEpoch_) {
-            budgetEpoch_ = budgetOwner->epoch;
-            for (const auto &[id, engine] : engines_) {
-                engine->permitsLost();
-            }
-        }
-        if (!records.empty()) {
-            node_.updateAvailability();
-        }
-    }
+    platform::FollowerEvents events;
+    events.onKept = [this](core::Offset first) { claimsKept_ = first; };
+    events.onRecord = [this](const platform::LogRecord &record) {
+        Error ignored;
+        claimRecords_.push_back({record.offset, record.timeMs, ownership::claimFromJson(record.data, ignored)});
+    };
+    events.onCaughtUp = [this](core::Offset next) { takeClaims(next); };
+    events.onOutage = [this](const Error &why) {
+        note(logState_, why.text());
+        node_.log.warn("log_down", why);
+        node_.planner.onLogDown();
+    };
+    return events;
 }
 
-// ---- Hosts ----
-
-net::Task<void> Daemon::hostsLoop()
+void Daemon::takeClaims(core::Offset next)
 {
-    while (isRunning_) {
-        Error why;
-        const auto hosts = co_await hosts_.read(why);
-        note(hostsState_, hosts ? std::string() : why.text());
-        if (hosts) {
-            takeHosts(*hosts);
+    note(logState_, "");
+    const auto records = std::exchange(claimRecords_, {});
+    node_.planner.onRecords(claimsKept_, next, records);
+    const auto budgetOwner = node_.planner.ownerOf(ownership::loadsThing());
+    if (budgetOwner && budgetOwner->epoch != budgetEpoch_) {
+        budgetEpoch_ = budgetOwner->epoch;
+        for (const auto &[id, engine] : engines_) {
+            engine->permitsLost();
         }
-        co_await pause(node_.settings.platform.hostsPoll);
+    }
+    if (!records.empty()) {
+        node_.updateAvailability();
     }
 }
 
+// ---- Hosts ----
+
 void Daemon::takeHosts(const platform::HostList &hosts)
 {
     hasHosts_ = true;
@@ -332,29 +364,26 @@
     std::map<core::UpstreamId, EngineRecord> engines;
     std::map<core::UpstreamId, ServiceRecord> services;
     node_.listedDaemons.clear();
-    for (const auto &daemon : hosts.daemons) {
-        if (daemon.region == node_.settings.region) {
-            daemons.push_back({daemon.host, daemon.zone, daemon.isLeaving});
-            node_.listedDaemons.insert(daemon.host);
-            node_.links->setAddress(daemon.host, daemon.peers);
-        }
-    }
-    for (const auto &engine : hosts.engines) {
-        if (engine.region != node_.settings.region) {
+    for (const auto &host : hosts.hosts) {
+        if (host.region != node_.settings.region) {
             continue;
         }
-        const bool isLeaving = engine.isLeaving || node_.leavingByWord.contains(engine.id);
-        engines[engine.id] = {{engine.id, engine.baseModel, engine.slots, engine.checksFencing}, engine.zone, engine.address, isLeaving};
-        things.push_back({ownership::engineThing(engine.id), engine.zone});
-        replicas.push_back({engine.id, engine.baseModel, engine.zone});
-        if (const auto host = engines_.find(engine.id); host != engines_.end()) {
-            host->second->setAddress(engine.address);
-        }
-    }
-    for (const auto &service : hosts.services) {
-        if (service.region == node_.settings.region) {
-            const bool isLeaving = service.isLeaving || node_.leavingByWord.contains(service.id);
-            services[service.id] = {service.id, service.service, service.zone, service.address, isLeaving};
+        const core::UpstreamId upstream(host.id.value());
+        const bool isListedLeaving = host.state == platform::HostState::Leaving;
+        const bool isLeaving = isListedLeaving || node_.leavingByWord.contains(upstream);
+        if (const auto *daemon = std::get_if<platform::DaemonHost>(&host.role)) {
+            daemons.push_back({host.id, host.zone, isListedLeaving});
+            node_.listedDaemons.insert(host.id);
+            node_.links->setAddress(host.id, daemon->peers);
+        } else if (const auto *engine = std::get_if<platform::EngineHost>(&host.role)) {
+            engines[upstream] = {{upstream, engine->baseModel, engine->slots, engine->checksFencing}, host.zone, engine->address, isLeaving};
+            things.push_back({ownership::engineThing(upstream), host.zone});
+            replicas.push_back({upstream, engine->baseModel, host.zone});
+            if (const auto owned = engines_.find(upstream); owned != engines_.end()) {
+                owned->second->setAddress(engine->address);
+            }
+        } else if (const auto *service = std::get_if<platform::ServiceHost>(&host.role)) {
+            services[upstream] = {upstream, service->service, host.zone, service->address, isLeaving};
         }
     }
     std::erase_if(node_.leavingByWord, [&](const auto &id) { return !engines.contains(id) && !services.contains(id); });
@@ -373,27 +402,24 @@
 
 // ---- Lists ----
 
-net::Task<void> Daemon::listsLoop()
+platform::FollowerEvents Daemon::listsEvents()
 {
-    while (isRunning_) {
-        Error why;
-        const auto page = co_await log_.read(std::string(lists::listsStream), node_.lists.position().next(), node_.settings.platform.logWait, why);
-        if (!page) {
-            co_await pause(logPause);
-            continue;
-        }
-        node_.lists.skipTo(page->first);
-        for (const auto &record : page->records) {
-            node_.lists.apply(record.offset, record.timeMs, record.data);
+    platform::FollowerEvents events;
+    events.onGap = [this](core::Offset first) { node_.lists.skipTo(first); };
+    events.onRecord = [this](const platform::LogRecord &record) {
+        const auto verdict = node_.lists.apply(record.offset, record.timeMs, record.data);
+        if (verdict.kind == lists::Verdict::Kind::Accepted) {
+            node_.log.info("list_in_force", {{"list", lists::listText(*verdict.list)}, {"version", verdict.version}, {"by", verdict.by}});
+        } else if (verdict.kind == lists::Verdict::Kind::Rejected) {
+            node_.metrics.listRejections.add({verdict.reason});
+            node_.log.warn("list_rejected", {{"offset", record.offset}, {"reason", verdict.reason}});
         }
-        const bool isAtEnd = page->next <= node_.lists.position().next();
-        if (isAtEnd) {
-            node_.lists.caughtUp();
-        }
-        if (!page->records.empty() || isAtEnd) {
-            takeLists();
-        }
-    }
+    };
+    events.onCaughtUp = [this](core::Offset) {
+        node_.lists.caughtUp();
+        takeLists();
+    };
+    return events;
 }
 
 net::Task<void> Daemon::askPeersForLists()
@@ -455,6 +481,7 @@
     peers::LinkHandlers handlers;
     handlers.onGossip = [this](const core::HostId &from, const peers::Message &message) { send(node_.membership.onMessage(from, message, node_.now())); };
     handlers.onNotice = [this](const core::HostId &from, const peers::Notice &notice) { take(from, notice); };
+    handlers.onRejected = [this](const std::string &peer, const Error &error) { node_.log.warn("link_rejected", error, {{"from", peer}}); };
     handlers.onCall = [this](std::shared_ptr<peers::IncomingCall> call) { return serve(std::move(call)); };
     return handlers;
 }
--- a/packages/gateway/daemon.h
+++ b/packages/gateway/daemon.h
@@ -32,7 +32,7 @@
 class Daemon
 {
 public:
-    Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation);
+    Daemon(asio::io_context &io, const settings::Settings &settings, std::string key, core::Incarnation incarnation, logging::Log log);
     ~Daemon();
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
@@ -49,9 +49,9 @@
 private:
     // Loops.
     net::Task<void> tickLoop();
-    net::Task<void> hostsLoop();
-    net::Task<void> claimsLoop();
-    net::Task<void> listsLoop();
+    [[nodiscard]] platform::FollowerEvents claimsEvents();
+    [[nodiscard]] platform::FollowerEvents listsEvents();
+    void takeClaims(core::Offset next);
     net::Task<void> askPeersForLists();
     void tick();
     void send(std::vector<peers::Outgoing> messages);
@@ -67,6 +67,7 @@
     void handOver(const ownership::Holding &holding);
     void lose(const ownership::Holding &holding);
     void reportDrained();
+    void noteOwnership(const ownership::Holding &holding, std::string_view change);
     void retire(const ownership::Thing &thing, const std::shared_ptr<OwnedHost> &host);
 
     // Peers.
@@ -77,6 +78,7 @@
     // Operators.
     net::Task<void> handleOperators(net::Exchange &exchange);
     [[nodiscard]] std::string statusBody() const;
+    [[nodiscard]] std::string metricsBody();
     [[nodiscard]] std::string listsBody() const;
     [[nodiscard]] std::string traceBody(const core::RequestId &request, const std::vector<TraceStep> &steps) const;
 
@@ -92,8 +94,13 @@
     void note(LoopState &state, const std::string &error);
 
     Node node_;
+    platform::Endpoint endpoint_;
     platform::LogClient log_;
-    platform::HostsClient hosts_;
+    platform::HostListFollower hosts_;
+    platform::LogFollower claims_;
+    platform::LogFollower lists_;
+    core::Offset claimsKept_;                           // the oldest claim record that the log keeps
+    std::vector<ownership::StreamRecord> claimRecords_; // read, and not yet given to the planner
     PermitSource permits_;
     ServiceCaller services_;
     CallerApi callers_;
--- a/packages/gateway/services.cpp
+++ b/packages/gateway/services.cpp
@@ -106,20 +106,21 @@
 
 // ---- PartitionHost ----
 
-PartitionHost::PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, int partition, core::Epoch epoch)
+PartitionHost::PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, const platform::Endpoint &endpoint, int partition, core::Epoch epoch)
     : node_(node)
     , caller_(caller)
     , log_(log)
     , number_(partition)
     , epoch_(epoch)
     , partition_(partition, {node.settings.host, node.incarnation})
+    , follower_(node.io, log, endpoint, stream(), events())
 { }
 
 void PartitionHost::start()
 {
     decide(partition_.own(epoch_));
     asio::co_spawn(
-        node_.io, [self = shared_from_this()] { return self->follow(); }, asio::detached);
+        node_.io, [self = shared_from_this()] { return self->follower_.run(); }, asio::detached);
 }
 
 std::string PartitionHost::stream() const
@@ -129,7 +130,7 @@
 
 void PartitionHost::lose()
 {
-    decide(partition_.disown());
+    partition_.disown();
 }
 
 net::Task<void> PartitionHost::serve(std::shared_ptr<peers::IncomingCall> call, peers::ServiceCall request)
@@ -137,16 +138,16 @@
     const calls::CallKey key{request.customer, request.key};
     const auto deadline = node_.now() + Milliseconds(request.timeoutMs);
     const auto digest = calls::bodyDigest(request.method, request.service.value() + request.target, request.body);
-    const auto first = partition_.begin(key, digest, node_.now());
+    const auto first = partition_.begin(key, digest);
     if (!std::holds_alternative<calls::AppendIntent>(first)) {
         answer(first, call);
         co_return;
     }
-    waiting_[key] = Waiting{call, request, deadline};
+    const auto settled = std::make_shared<Wakeup>(node_.io);
+    waiting_[key] = Waiting{call, request, deadline, settled};
     carryOut(calls::Append{std::get<calls::AppendIntent>(first).record});
     const auto self = shared_from_this();
-    asio::steady_timer timer(node_.io, std::chrono::milliseconds(request.timeoutMs));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await settled->wait(Milliseconds(request.timeoutMs));
     if (const auto found = waiting_.find(key); found != waiting_.end() && found->second.call == call) {
         decide(partition_.giveUp(key));
         if (const auto still = waiting_.extract(key)) {
@@ -207,6 +208,7 @@
         decide(partition_.finished(run.key, {.outcome = Outcome::NotRun}));
         return;
     }
+    node.mapped().settled->raise();
     asio::co_spawn(
         node_.io, [self = shared_from_this(), key = run.key, waiting = std::move(node.mapped())] { return self->run(key, waiting); }, asio::detached);
 }
@@ -214,6 +216,7 @@
 void PartitionHost::carryOut(const calls::NotRun &notRun)
 {
     if (auto node = waiting_.extract(notRun.key)) {
+        node.mapped().settled->raise();
         node.mapped().call->send(peers::FailReply{notRun.why});
     }
 }
@@ -264,30 +267,19 @@
     decide(partition_.finished(key, result));
 }
 
-net::Task<void> PartitionHost::follow()
+platform::FollowerEvents PartitionHost::events()
 {
-    const auto self = shared_from_this();
-    constexpr Milliseconds pause{200}; // after a read that failed
-    while (!isStopped_) {
-        Error why;
-        const auto page = co_await log_.read(stream(), readTo_.next(), node_.settings.platform.logWait, why);
-        if (!page) {
-            partition_.onLogDown();
-            asio::steady_timer timer(node_.io, std::chrono::milliseconds(pause.count()));
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-            continue;
-        }
-        partition_.trim(page->first);
-        for (const auto &record : page->records) {
-            readTo_ = record.offset;
-            if (const auto read = calls::recordFromJson(record.data, why)) {
-                decide(partition_.onRecord(record.offset, *read));
-            }
+    platform::FollowerEvents events;
+    events.onKept = [this](core::Offset first) { partition_.trim(first); };
+    events.onRecord = [this](const platform::LogRecord &record) {
+        Error ignored;
+        if (const auto read = calls::recordFromJson(record.data, ignored)) {
+            decide(partition_.onRecord(record.offset, *read));
         }
-        if (page->next <= readTo_.next()) {
-            decide(partition_.onReadToEnd());
-        }
-    }
+    };
+    events.onCaughtUp = [this](core::Offset) { decide(partition_.onReadToEnd()); };
+    events.onOutage = [this](const Error &) { decide(partition_.onLogDown()); };
+    return events;
 }
 
 } // namespace baobabstall::gateway
