Judge an engine's queue by the plan of the request, once, and send refused callers back in line

The table now uses OverloadGate: the wait is judged when a request comes, by its plan's part of the service and the measured drain, and Retry-After puts the callers of one plan one after the other. A probe names the plan, so that the engine with the shorter wait for that plan is chosen. What waits for a resident adapter is given up after twice max_queue_wait, not once.

Ruled out: a limit on the queue's length by plan, since the order of service already keeps plans apart.

--- a/packages/admission/fairqueue.h
+++ b/packages/admission/fairqueue.h
@@ -3,6 +3,7 @@
 // Index
 //   FairQueue        push, pop, popIf, remove, look inside
 //   Pushed           what became of a push: a ticket, and whoever has to be refused for it
+//   Standing         what a newcomer would have before it
 //
 //   FairQueue<Waiting> queue(64);
 //   auto pushed = queue.push(plan, share, waiting);
@@ -48,6 +49,13 @@
     std::optional<T> refused;     // to be refused now: the newcomer, or the item that made room for it
 };
 
+/// What a newcomer of a plan would have before it.
+struct Standing {
+    std::size_t own = 0; // waiting items of its plan
+    std::size_t all = 0; // waiting items of all plans
+    double part = 1;     // of all service that its plan gets while the plans that wait now go on waiting, its own included
+};
+
 /// Weighted fair queue among plans. Push, pop and remove take O(log n) in the number of plans; popIf and a push to a full queue
 /// look at more, see there. Not thread-safe.
 template<typename T>
@@ -60,7 +68,7 @@
     FairQueue(const FairQueue &) = delete; // plans are referred to by address
     FairQueue &operator=(const FairQueue &) = delete;
 
-    /// Adds an item. `share` must be above 0; a new value holds for the plan from its next service on. `cost` is the service the item
+    /// Adds an item. A `share` that is not above 0 counts as 1; a new value holds for the plan from its next service on. `cost` is the service the item
     /// takes, relative to other items. O(plans) when the queue is full.
     Pushed<T> push(const core::PlanId &plan, double share, T item, double cost = 1);
 
@@ -77,11 +85,9 @@
     template<typename Predicate>
     std::vector<T> removeIf(Predicate matches);
 
-    /// The part of all service that the plan gets while those that wait now go on waiting, itself included. O(plans).
-    [[nodiscard]] double partOfService(const core::PlanId &plan, double share) const;
-    /// How many items are served before a newcomer of this plan, if the other plans that wait keep something waiting: under overload
-    /// they do, and an estimate from their present items alone would promise too short a wait. O(plans).
-    [[nodiscard]] double itemsAhead(const core::PlanId &plan, double share) const;
+    /// Where a newcomer of this plan would stand among the items that `counts`. O(n).
+    template<typename Predicate>
+    [[nodiscard]] Standing standing(const core::PlanId &plan, double share, Predicate counts) const;
     [[nodiscard]] std::size_t size() const { return places_.size(); }
     [[nodiscard]] std::size_t size(const core::PlanId &plan) const; // waiting items of one plan
     [[nodiscard]] std::size_t capacity() const { return capacity_; }
@@ -117,8 +123,11 @@
     void charge(Plan &plan, double cost);
     T take(Plan &plan, typename std::list<Entry>::iterator entry);
     void forgetIdle();
+    static double sound(double share) { return share > 0 && share < mostShare ? share : 1; } // shares come from other hosts
     static double load(const Plan &plan, std::size_t more) { return static_cast<double>(plan.waiting.size() + more) / plan.share; }
 
+    static constexpr double mostShare = 1e9;
+
     std::size_t capacity_;
     double virtualTime_ = 0;
     Ticket lastTicket_;
@@ -202,22 +211,23 @@
 }
 
 template<typename T>
-double FairQueue<T>::partOfService(const core::PlanId &id, double share) const
+template<typename Predicate>
+Standing FairQueue<T>::standing(const core::PlanId &id, double share, Predicate counts) const
 {
-    double total = share;
+    Standing result;
+    double total = sound(share);
     for (const Plan *plan : backlogged_) {
-        if (plan->id != id) {
+        const auto counted
+            = static_cast<std::size_t>(std::count_if(plan->waiting.begin(), plan->waiting.end(), [&](const Entry &entry) { return counts(entry.item); }));
+        result.all += counted;
+        if (plan->id == id) {
+            result.own = counted;
+        } else if (counted > 0) {
             total += plan->share;
         }
     }
-    return share / total;
-}
-
-template<typename T>
-double FairQueue<T>::itemsAhead(const core::PlanId &id, double share) const
-{
-    const auto own = static_cast<double>(size(id));
-    return (own + 1) / partOfService(id, share) - 1;
+    result.part = sound(share) / total;
+    return result;
 }
 
 template<typename T>
@@ -245,7 +255,7 @@
     if (plan.id.empty()) {
         plan.id = id;
     }
-    plan.share = share;
+    plan.share = sound(share);
     return plan;
 }
 
--- a/packages/admission/overload.cpp
+++ b/packages/admission/overload.cpp
@@ -10,24 +10,20 @@
 
 } // namespace
 
-OverloadGate::OverloadGate(const settings::Admission &options)
+OverloadGate::OverloadGate(const settings::Admission &options, Milliseconds typicalService)
     : options_(options)
-    , drain_(options.engineConcurrency)
+    , drain_(options.engineConcurrency, typicalService)
 { }
 
 std::optional<Milliseconds> OverloadGate::admit(const core::PlanId &plan, const Prospect &prospect, Instant now, core::Error &why)
 {
-    const Milliseconds wait = std::max(queueWait(prospect, now), prospect.loadWait);
-    const Instant expectedEnd = now + wait + drain_.service();
+    const Milliseconds wait = expectedWait(prospect, now);
     if (wait > options_.maxQueueWait) {
-        why = refusal(plan, "the wait for this engine would be too long", wait - options_.maxQueueWait, prospect.partOfService, now);
+        why = refusal(plan, "the wait for this engine would be too long", wait - options_.maxQueueWait, prospect.standing.part, now);
         return std::nullopt;
     }
-    if (prospect.deadline && expectedEnd > *prospect.deadline) {
-        why = refusal(plan, "the answer would come after the request's deadline", expectedEnd - *prospect.deadline, prospect.partOfService, now);
-        if (wait == Milliseconds(0)) {
-            why.retryAfter.reset(); // no wait to be shorter later: the deadline itself is too near
-        }
+    if (prospect.startBy && now + wait > *prospect.startBy) {
+        why = refusal(plan, "it would start after its deadline", now + wait - *prospect.startBy, prospect.standing.part, now);
         return std::nullopt;
     }
     return wait;
@@ -35,16 +31,17 @@
 
 core::Error OverloadGate::refusalOfDisplaced(const core::PlanId &plan, const Prospect &prospect, Instant now)
 {
-    const Milliseconds halfDrained = queueWait(prospect, now) / 2;
-    core::Error why = refusal(plan, "the engine's queue is full and the plan is over its share of it", halfDrained, prospect.partOfService, now);
+    const Milliseconds halfDrained = expectedWait(prospect, now) / 2;
+    core::Error why = refusal(plan, "the engine's queue is full and the plan is over its share of it", halfDrained, prospect.standing.part, now);
     why.refusal = core::Refusal::TooMany;
     return why;
 }
 
-Milliseconds OverloadGate::queueWait(const Prospect &prospect, Instant now) const
+Milliseconds OverloadGate::expectedWait(const Prospect &prospect, Instant now) const
 {
-    const double turns = static_cast<double>(prospect.queued) + 1;
-    return prospect.freeSlot ? Milliseconds(0) : drain_.timeFor(turns / prospect.partOfService, now);
+    const double turns = static_cast<double>(prospect.standing.own) + 1;
+    const Milliseconds queueWait = prospect.freePlace ? Milliseconds(0) : drain_.timeFor(turns / prospect.standing.part, now);
+    return std::max(queueWait, prospect.loadWait);
 }
 
 core::Error OverloadGate::refusal(const core::PlanId &plan, const char *reason, Milliseconds untilRoom, double partOfService, Instant now)
--- a/packages/admission/planlimiter.h
+++ b/packages/admission/planlimiter.h
@@ -72,7 +72,7 @@
         bool listed = false;
         int inFlight = 0;
         DecayingCount peak{peakHalfLife}; // recent maximum of requests at once
-        DrainRate drain{1};
+        DrainRate drain{1, Milliseconds(1'000)};
         ReturnLine line;
     };
 
--- a/packages/admission/rates.cpp
+++ b/packages/admission/rates.cpp
@@ -10,8 +10,8 @@
 constexpr double msPerSecond = 1'000;
 constexpr double drainHalfLifeMs = 5'000; // of backlogged time
 constexpr double priorMs = 1'000;         // backlogged time at which measured and expected drain weigh the same
-constexpr double serviceWeight = 0.05;    // of the newest item in the mean time of service
-constexpr double unknownPerSecond = 1;    // before anything has been measured
+constexpr double serviceWeight = 0.1;     // of the newest item in the mean time of service
+constexpr double longestMs = 86'400'000;  // a wait beyond a day is not told apart
 constexpr double slowestPerSecond = 0.01; // a stopped queue still gets a finite wait
 
 double halved(double value, double elapsedMs, double halfLifeMs)
@@ -43,8 +43,9 @@
     return halved(value_, toMs(now - at_), toMs(halfLife_));
 }
 
-DrainRate::DrainRate(int concurrency)
+DrainRate::DrainRate(int concurrency, Milliseconds typicalService)
     : concurrency_(concurrency)
+    , serviceMs_(toMs(typicalService))
 { }
 
 void DrainRate::setBacklogged(Instant now, bool backlogged)
@@ -59,12 +60,12 @@
     if (backlogged_) {
         finished_ += 1;
     }
-    serviceMs_ = serviceMs_ == 0 ? toMs(took) : serviceMs_ + serviceWeight * (toMs(took) - serviceMs_);
+    serviceMs_ += serviceWeight * (toMs(took) - serviceMs_);
 }
 
 double DrainRate::perSecond(Instant now) const
 {
-    const double expected = serviceMs_ > 0 ? concurrency_ * msPerSecond / serviceMs_ : unknownPerSecond;
+    const double expected = concurrency_ * msPerSecond / std::max(serviceMs_, 1.0);
     const double fresh = backlogged_ ? toMs(now - since_) : 0;
     const double finished = halved(finished_, fresh, drainHalfLifeMs);
     const double rate = (finished * msPerSecond + expected * priorMs) / (backloggedMs(now) + priorMs);
@@ -73,7 +74,7 @@
 
 Milliseconds DrainRate::timeFor(double items, Instant now) const
 {
-    return Milliseconds(std::llround(std::ceil(items * msPerSecond / perSecond(now))));
+    return Milliseconds(std::llround(std::ceil(std::min(items * msPerSecond / perSecond(now), longestMs))));
 }
 
 double DrainRate::backloggedMs(Instant now) const
--- a/packages/admission/rates.h
+++ b/packages/admission/rates.h
@@ -38,11 +38,11 @@
 class DrainRate
 {
 public:
-    explicit DrainRate(int concurrency); // items in service at once when there is a backlog
+    DrainRate(int concurrency, Milliseconds typicalService); // items in service at once when there is a backlog; time of one until measured
 
     void setBacklogged(Instant now, bool backlogged);                    // when something begins to wait, and when nothing waits any more
     void onFinish(Instant now, Milliseconds took);                       // one item done; `took` without its wait
-    [[nodiscard]] double perSecond(Instant now) const;                   // above 0; 1 a second before the first item is done
+    [[nodiscard]] double perSecond(Instant now) const;                   // above 0
     [[nodiscard]] Milliseconds timeFor(double items, Instant now) const; // until so many have left
     [[nodiscard]] Milliseconds service() const { return Milliseconds(static_cast<std::int64_t>(serviceMs_)); } // mean of recent items
 
@@ -55,7 +55,7 @@
     Instant since_;           // begin of the backlogged time not yet in backloggedMs_
     double backloggedMs_ = 0; // decays over backlogged time
     double finished_ = 0;     // decays likewise
-    double serviceMs_ = 0;
+    double serviceMs_;
 };
 
 /// Gives each refused caller a place in line: the first may return when room is expected, each further one a service time later.
--- a/packages/engines/enginetable.h
+++ b/packages/engines/enginetable.h
@@ -41,6 +41,7 @@
 #include <vector>
 
 #include <admission/fairqueue.h>
+#include <admission/overload.h>
 #include <core/error.h>
 #include <core/types.h>
 #include <engines/evictionpolicy.h>
@@ -168,8 +169,9 @@
 
     // Decisions
     [[nodiscard]] std::vector<Action> takeActions(Instant now);
-    [[nodiscard]] std::optional<Instant> nextDeadline(Instant now) const; // when takeActions() may have more without an event
-    [[nodiscard]] Hint probe(const AdapterRef &adapter, Instant now) const;
+    [[nodiscard]] std::optional<Instant> nextDeadline(Instant now) const;   // when takeActions() may have more without an event
+    [[nodiscard]] Hint probe(const AdapterRef &adapter, Instant now) const; // for a request of whatever plan
+    [[nodiscard]] Hint probe(const AdapterRef &adapter, const PlanId &plan, double share, Instant now) const;
 
     // For operators
     [[nodiscard]] const EngineInfo &engine() const { return engine_; }
@@ -241,9 +243,10 @@
     void refuseAdapter(const AdapterRef &adapter, const core::Error &error);
     void queue(Waiting waiting, Instant now);
     [[nodiscard]] std::optional<core::Error> lateness(const Request &request, Milliseconds waited, Instant now) const;
-    [[nodiscard]] Milliseconds expectedWait(const AdapterRef &adapter, double ahead, Instant now) const;
+    [[nodiscard]] admission::Prospect prospect(const AdapterRef &adapter, const PlanId &plan, double share, Instant now) const;
+    [[nodiscard]] Hint hintOf(const AdapterRef &adapter, Milliseconds expectedWait) const;
+    void noteBacklog(Instant now);
     [[nodiscard]] Milliseconds loadWait(const AdapterRef &adapter, Instant now) const;
-    [[nodiscard]] double startableAhead(const PlanId &plan, double share) const;
     [[nodiscard]] double permitWait(Instant now) const;
     [[nodiscard]] core::Error refusal(std::string reason, std::optional<Milliseconds> retryAfter) const;
     [[nodiscard]] int batchUsed() const;
@@ -304,12 +307,12 @@
     std::optional<std::string> ended_; // why we no longer serve
 
     admission::FairQueue<Waiting> waiting_;
+    admission::OverloadGate gate_;
     std::unordered_map<RequestId, Running> running_;
     std::map<AdapterRef, Want> wants_;
     std::map<AdapterRef, Instant> quarantine_; // not loaded again before; see Limit above
     Instant sweptAt_;
 
-    double serviceMs_;    // mean time of a request on the engine
     double loadMs_;       // mean time of a load
     double permitMs_ = 0; // mean wait for a permit, fading while none is granted
     Instant permitMeasuredAt_;
--- a/packages/engines/enginetableimpl.h
+++ b/packages/engines/enginetableimpl.h
@@ -11,12 +11,13 @@
 
 namespace detail {
 
-constexpr double meanWeight = 0.1;         // of a new sample in a running mean
-constexpr double permitFadeMs = 2'000;     // time constant by which an old permit wait is forgotten
-constexpr double worthChange = 1.5;        // factor of change that is worth a message to the budget's owner
-constexpr Milliseconds aheadFor{2'000};    // how long a load ahead is still of use
-constexpr int maxBounces = 2;              // "unknown name" answers before a request is refused
-constexpr double typicalServiceMs = 1'000; // until requests were measured
+constexpr double meanWeight = 0.1;      // of a new sample in a running mean
+constexpr double permitFadeMs = 2'000;  // time constant by which an old permit wait is forgotten
+constexpr double worthChange = 1.5;     // factor of change that is worth a message to the budget's owner
+constexpr Milliseconds aheadFor{2'000}; // how long a load ahead is still of use
+constexpr int maxBounces = 2;           // "unknown name" answers before a request is refused
+constexpr int longestWaits = 2;         // multiple of maxQueueWait after which a request for a resident adapter that waits longer than expected is given up
+constexpr Milliseconds typicalService{1'000}; // until requests were measured
 
 /// A name that is never loaded.
 inline EngineName fenceProbe(Epoch epoch)
@@ -48,7 +49,7 @@
     , admission_(admission)
     , eviction_(std::move(eviction))
     , waiting_(static_cast<std::size_t>(admission.maxQueue))
-    , serviceMs_(detail::typicalServiceMs)
+    , gate_(admission, detail::typicalService)
     , loadMs_(static_cast<double>(loads.typical.count()))
 { }
 
@@ -71,6 +72,14 @@
         return;
     }
     startWaiting(now);
+    admission::Prospect expected = prospect(request.adapter, request.plan, request.share, now);
+    expected.startBy = request.deadline;
+    core::Error why;
+    if (!gate_.admit(request.plan, expected, now, why)) {
+        why.peer = engine_.id.value();
+        refuse(request.id, std::move(why));
+        return;
+    }
     if (servedName(request.adapter) && batchUsed() < admission_.engineConcurrency) {
         start({std::move(request), now, 0}, now);
     } else {
@@ -86,8 +95,9 @@
     const auto pushed = waiting_.push(plan, share, std::move(waiting));
     if (pushed.refused) {
         const Request &refused = pushed.refused->request;
-        const Milliseconds wait = expectedWait(refused.adapter, startableAhead(refused.plan, refused.share), now);
-        refuse(refused.id, refusal("queue full, the plan is over its share", std::max(wait, sweepPause)));
+        core::Error why = gate_.refusalOfDisplaced(refused.plan, prospect(refused.adapter, refused.plan, refused.share, now), now);
+        why.peer = engine_.id.value();
+        refuse(refused.id, std::move(why));
     }
 }
 
@@ -99,7 +109,7 @@
         return;
     }
     if (end == RequestEnd::Complete && !found->second.aborted) {
-        detail::sample(serviceMs_, now - found->second.since);
+        gate_.onFinish(now, now - found->second.since);
     } else if (end == RequestEnd::Lost) {
         wantListing(now + relistPause);
     }
@@ -187,7 +197,8 @@
     }
 }
 
-/// The refusal of a request that will not start in time; nothing while it may.
+/// The refusal of a request whose deadline passed or whose adapter will not be there in time. Its place in the queue is judged once, by
+/// the gate when it comes: to judge it again as the queue grows behind it would refuse what is about to start.
 template<EvictionPolicyLike Eviction>
 std::optional<core::Error> BasicEngineTable<Eviction>::lateness(const Request &request, Milliseconds waited, Instant now) const
 {
@@ -196,26 +207,34 @@
         error.refusal = core::Refusal::Timeout;
         return error;
     }
-    if (waited >= admission_.maxQueueWait) {
+    const bool isResident = servedName(request.adapter).has_value();
+    if (waited >= admission_.maxQueueWait * (isResident ? detail::longestWaits : 1)) {
         return refusal("waited too long", loadWait(request.adapter, now));
     }
-    const Milliseconds wait = expectedWait(request.adapter, startableAhead(request.plan, request.share), now);
-    if (wait > admission_.maxQueueWait) {
-        return refusal("expected wait of " + std::to_string(wait.count()) + " ms is over the limit", wait);
-    }
-    if (now + wait > request.deadline) {
-        return refusal("expected wait of " + std::to_string(wait.count()) + " ms is over the deadline", wait);
+    const Milliseconds wait = isResident ? Milliseconds(0) : loadWait(request.adapter, now);
+    if (wait > admission_.maxQueueWait || now + wait > request.deadline) {
+        return refusal("its adapter is expected only in " + std::to_string(wait.count()) + " ms", wait);
     }
     return std::nullopt;
 }
 
 template<EvictionPolicyLike Eviction>
-Milliseconds BasicEngineTable<Eviction>::expectedWait(const AdapterRef &adapter, double ahead, Instant now) const
+admission::Prospect BasicEngineTable<Eviction>::prospect(const AdapterRef &adapter, const PlanId &plan, double share, Instant now) const
 {
-    const double over = batchUsed() + ahead + 1 - admission_.engineConcurrency;
-    const double drain = std::max(0.0, over) * serviceMs_ / admission_.engineConcurrency;
-    const Milliseconds load = servedName(adapter) ? Milliseconds(0) : loadWait(adapter, now);
-    return std::max(detail::wholeMs(drain), load);
+    const auto waitsForPlace = [&](const Waiting &waiting) { return servedName(waiting.request.adapter).has_value(); };
+    const admission::Standing standing = waiting_.standing(plan, share, waitsForPlace);
+    return {.standing = standing,
+            .freePlace = batchUsed() < admission_.engineConcurrency && standing.all == 0,
+            .loadWait = servedName(adapter) ? Milliseconds(0) : loadWait(adapter, now),
+            .startBy = std::nullopt};
+}
+
+/// The drain is measured only while something waits for a place in the batch.
+template<EvictionPolicyLike Eviction>
+void BasicEngineTable<Eviction>::noteBacklog(Instant now)
+{
+    const auto waitsForPlace = [&](const Waiting &waiting) { return servedName(waiting.request.adapter).has_value(); };
+    gate_.onQueue(now, batchUsed() >= admission_.engineConcurrency && waiting_.standing(PlanId(), 1, waitsForPlace).all > 0);
 }
 
 template<EvictionPolicyLike Eviction>
@@ -233,7 +252,7 @@
         wait += std::max(permitWait(now) - elapsed, 0.0);
     } else if (state == WantState::Idle) {
         wait += permitWait(now);
-        wait += freeSlots() + evictableSlots() > 0 ? 0 : serviceMs_ / 2;
+        wait += freeSlots() + evictableSlots() > 0 ? 0 : static_cast<double>(gate_.drain().service().count()) / 2;
     }
     const auto blocked = quarantine_.find(adapter);
     if (blocked != quarantine_.end()) {
@@ -243,29 +262,6 @@
 }
 
 /// Requests that start before a new one of this plan under the fair order: of each other plan no more than its share allows.
-template<EvictionPolicyLike Eviction>
-double BasicEngineTable<Eviction>::startableAhead(const PlanId &plan, double share) const
-{
-    struct Queue {
-        double count = 0;
-        double share = 1;
-    };
-    std::map<PlanId, Queue> queues;
-    waiting_.forEach([&](const PlanId &other, double otherShare, const Waiting &waiting) {
-        if (servedName(waiting.request.adapter)) {
-            Queue &queue = queues[other];
-            ++queue.count;
-            queue.share = otherShare;
-        }
-    });
-    const double own = queues[plan].count;
-    double ahead = own;
-    for (const auto &[other, queue] : queues) {
-        ahead += other == plan ? 0 : std::min(queue.count, (own + 1) * queue.share / share);
-    }
-    return ahead;
-}
-
 template<EvictionPolicyLike Eviction>
 double BasicEngineTable<Eviction>::permitWait(Instant now) const
 {
@@ -688,6 +684,7 @@
             askPermits(now);
         }
     }
+    noteBacklog(now);
     askListing(now);
     return std::exchange(actions_, {});
 }
@@ -719,13 +716,27 @@
 
 template<EvictionPolicyLike Eviction>
 Hint BasicEngineTable<Eviction>::probe(const AdapterRef &adapter, Instant now) const
+{
+    admission::Prospect ofAny = prospect(adapter, PlanId(), 1, now);
+    ofAny.standing = {.own = ofAny.standing.all, .all = ofAny.standing.all, .part = 1};
+    return hintOf(adapter, gate_.expectedWait(ofAny, now));
+}
+
+template<EvictionPolicyLike Eviction>
+Hint BasicEngineTable<Eviction>::probe(const AdapterRef &adapter, const PlanId &plan, double share, Instant now) const
+{
+    return hintOf(adapter, gate_.expectedWait(prospect(adapter, plan, share, now), now));
+}
+
+template<EvictionPolicyLike Eviction>
+Hint BasicEngineTable<Eviction>::hintOf(const AdapterRef &adapter, Milliseconds expectedWait) const
 {
     Hint hint;
     hint.accepting = !ended_ && believed_;
     hint.queue = static_cast<int>(waiting_.size());
     hint.batchFill = std::min(1.0, static_cast<double>(batchUsed()) / admission_.engineConcurrency);
     hint.freeSlots = freeSlots() + evictableSlots();
-    hint.expectedWait = expectedWait(adapter, startableAhead(PlanId(), 1), now);
+    hint.expectedWait = expectedWait;
     if (servedName(adapter)) {
         hint.residency = Residency::Resident;
     } else if (loadingSlot(adapter) != nullptr || wants_.contains(adapter)) {
--- a/packages/engines/tests/enginetabletest.cpp
+++ b/packages/engines/tests/enginetabletest.cpp
@@ -320,6 +320,37 @@
     EXPECT_EQ(all<RefuseRequest>().back().id, RequestId("f3"));
 }
 
+TEST_F(EngineTableTest, what_was_taken_in_is_not_refused_when_the_queue_grows)
+{
+    list({});
+    enqueue("slow", a);
+    grantAndLoad(a);
+    wait(30'000);
+    finish("slow"); // a mean of about 4 s, two at once
+    for (const auto *id : {"r1", "r2", "r3", "r4", "r5"}) {
+        enqueue(id, a);
+    }
+    ASSERT_EQ(count<RefuseRequest>(), 1U) << "the last one would wait for more than 5 s";
+    EXPECT_EQ(all<RefuseRequest>()[0].id, RequestId("r5"));
+    wait(1'000);
+    EXPECT_EQ(count<RefuseRequest>(), 1U);
+    EXPECT_EQ(table_.waiting(), 2U);
+}
+
+TEST_F(EngineTableTest, a_probe_for_a_plan_counts_what_is_served_before_it)
+{
+    list({});
+    enqueue("f0", a, "flood");
+    grantAndLoad(a);
+    for (int request = 1; request < 5; ++request) {
+        enqueue("f" + std::to_string(request), a, "flood");
+    }
+    const PlanId calm("calm");
+    const PlanId flood("flood");
+    EXPECT_LT(table_.probe(a, calm, 1, now_).expectedWait, table_.probe(a, flood, 1, now_).expectedWait);
+    EXPECT_EQ(table_.probe(a, now_).expectedWait, table_.probe(a, flood, 1, now_).expectedWait) << "of no plan: behind all that wait";
+}
+
 TEST_F(EngineTableTest, a_load_that_keeps_failing_refuses_its_requests_at_once)
 {
     list({});
--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -317,7 +317,7 @@
         }
     }
     for (auto &probe : probes) {
-        probe.call = node_.links->call(probe.target.owner, peers::ProbeCall{probe.target.engine, wanted_.adapter.text()});
+        probe.call = node_.links->call(probe.target.owner, peers::ProbeCall{probe.target.engine, wanted_.adapter.text(), grant_.plan, grant_.share});
     }
     std::vector<placement::HintedCandidate> hinted;
     std::optional<Milliseconds> soonest;
--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -495,7 +495,7 @@
         if (host == engines_.end() || !adapter) {
             call->send(notOwner(node_.settings.host.value()));
         } else {
-            call->send(host->second->hint(*adapter));
+            call->send(host->second->hint(*adapter, probe->plan, probe->share));
         }
     } else if (const auto *run = std::get_if<peers::RunCall>(&body)) {
         const auto found = engines_.find(run->engine);
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -300,9 +300,9 @@
     co_await node_.http.call(address_, {.method = "POST", .target = "/v1/streams/" + attempt.value() + "/cancel"}, options, ignored);
 }
 
-peers::HintReply EngineHost::hint(const core::AdapterRef &adapter) const
+peers::HintReply EngineHost::hint(const core::AdapterRef &adapter, const core::PlanId &plan, double share) const
 {
-    const auto hint = table_.probe(adapter, node_.now());
+    const auto hint = table_.probe(adapter, plan, share, node_.now());
     return {.residency = static_cast<int>(hint.residency),
             .waitMs = hint.expectedWait.count(),
             .fill = hint.batchFill,
--- a/packages/gateway/enginehost.h
+++ b/packages/gateway/enginehost.h
@@ -40,7 +40,7 @@
 
     /// Serves one request of an entry daemon, until its last reply.
     net::Task<void> serve(std::shared_ptr<peers::IncomingCall> call, peers::RunCall run);
-    [[nodiscard]] peers::HintReply hint(const core::AdapterRef &adapter) const;
+    [[nodiscard]] peers::HintReply hint(const core::AdapterRef &adapter, const core::PlanId &plan, double share) const;
     void prefetch(const core::AdapterRef &adapter);
     void setAddress(const net::Address &address) { address_ = address; }
 
--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -56,7 +56,7 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Hello, host, incarnation, region, nonce)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Proof, mac)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProbeCall, engine, adapter)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProbeCall, engine, adapter, plan, share)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunCall, request, engine, adapter, plan, share, path, body, timeoutMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitCall, engine, adapter, waiting, victimRate)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceCall, request, customer, key, partition, service, method, target, contentType, body, timeoutMs)
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -49,6 +49,8 @@
 struct ProbeCall {
     core::UpstreamId engine;
     std::string adapter; // customer/adapter@version
+    core::PlanId plan;   // empty: whatever waits is counted as served before
+    double share = 1;    // of the plan
 };
 
 /// Hands a request to the owner of an engine.
