--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 	@failed=; for bench in $(BOUNDED_BENCHES); do $(BUILD)/bin/$$bench || failed="$$failed $$bench"; done; \
 	for bench in $(COST_BENCHES); do $$bench --benchmark_min_time=0.1 2>/dev/null || failed="$$failed $$bench"; done; \
 	[ -z "$$failed" ] || { echo "bounds broken:$$failed"; exit 1; }
+capacity: build ## slopes of state, messages and processor time behind docs/CAPACITY.md
+	@$(BUILD)/bin/capacity
+
 lint: build     ## clang-tidy over all sources
 	@scripts/lint $(BUILD) $(JOBS)
 
