--- a/packages/engines/enginetableimpl.h
+++ b/packages/engines/enginetableimpl.h
@@ -261,7 +261,6 @@
     return detail::wholeMs(wait);
 }
 
-/// Requests that start before a new one of this plan under the fair order: of each other plan no more than its share allows.
 template<EvictionPolicyLike Eviction>
 double BasicEngineTable<Eviction>::permitWait(Instant now) const
 {
