--- a/benches/capacity/main.cpp
+++ b/benches/capacity/main.cpp
@@ -48,6 +48,7 @@
                                  const std::function<std::array<double, Quantities>(int)> &measure)
 {
     std::vector<Series> all;
+    all.reserve(Quantities);
     for (const std::string &quantity : quantities) {
         all.push_back({role, quantity, sizeOf, {}, {}});
     }
@@ -155,6 +156,7 @@
 std::vector<peers::Member> membersOf(int daemons)
 {
     std::vector<peers::Member> members;
+    members.reserve(static_cast<std::size_t>(daemons));
     for (int i = 0; i < daemons; ++i) {
         members.push_back(
             {capacity::daemonId(i), capacity::zoneId(i % regionZones), core::Incarnation(1), 0, peers::MemberState::Alive, peers::Listing::Listed});
@@ -257,6 +259,7 @@
             const std::size_t whole = publish(state, lists::ListName::Plans, plans, "plans") + publish(state, lists::ListName::Customers, all, "customers");
             const auto held = static_cast<double>(capacity::heapBytes() - before);
             std::vector<nlohmann::json> one;
+            one.reserve(changes);
             for (int i = 0; i < changes; ++i) {
                 one.push_back(customersPatch(customers + i, customers + i + 1));
             }
