--- a/packages/metrics/metrics.h
+++ b/packages/metrics/metrics.h
@@ -36,7 +36,7 @@
     Counter &requests;
     Gauge &inFlight;         // plan
     Counter &refusals;       // reason, step: every request that got an error instead of an answer
-    Histogram &refusalDelay; // step: from the decision point to the refusal
+    Histogram &refusalDelay; // step: from the request to its refusal
 
     // Waits, all by customer and plan.
     Histogram &loadStall;         // until the adapter was resident; requests that found it resident are not counted
