Let go of a lost link's websocket

The sanitizer build reported leaks in peers_tests: a link held its websocket by the functions that send and close, and the websocket's handlers held the link, so each lost link stayed in memory. A lost link now drops both functions. Before: leaks at every closed outgoing link; after: peers_tests is clean under the address sanitizer. A websocket that opens after its link timed out is closed.

--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -244,6 +244,10 @@
 
     void opened(Socket socket)
     {
+        if (isLost_) {
+            socket.close("too late");
+            return;
+        }
         socket_ = std::move(socket);
         const auto nonce = makeNonce();
         if (!nonce) {
@@ -471,6 +475,8 @@
     }
     const auto self = shared_from_this();
     proofTimer_.cancel();
+    socket_ = {}; // the websocket's handlers hold this link, so the link must let go of the websocket
+    pending_.clear();
     for (const auto &[id, call] : std::exchange(calls_, {})) {
         if (const auto state = call.lock()) {
             state->fail(linkError(state->host, "link lost: " + reason, state->isSent ? core::Outcome::Unknown : core::Outcome::NotRun));
