--- a/packages/settings/json.cpp
+++ b/packages/settings/json.cpp
@@ -1,7 +1,7 @@
 #include <settings/json.h>
 
 #include <algorithm>
-#include <set>
+#include <unordered_set>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -12,52 +12,68 @@
 
 using nlohmann::json;
 
-/// Watches a parse for what nlohmann accepts and this project does not. The parse goes on, but what it gives is thrown away.
-class StrictWatch
+/// Looks for what a plain parse accepts and this project does not, without building the value. A parse with a callback could do the same,
+/// but takes a time that grows with the square of an object's size.
+class StrictCheck : public json::json_sax_t
 {
 public:
-    explicit StrictWatch(const JsonOptions &options)
+    explicit StrictCheck(const JsonOptions &options)
         : options_(options)
     { }
 
-    bool operator()(int depth, json::parse_event_t event, const json &value)
+    bool null() override { return true; }
+    bool boolean(bool /*value*/) override { return true; }
+    bool number_integer(json::number_integer_t /*value*/) override { return true; }
+    bool number_unsigned(json::number_unsigned_t /*value*/) override { return true; }
+    bool number_float(json::number_float_t /*value*/, const json::string_t & /*text*/) override { return true; }
+    bool string(json::string_t & /*value*/) override { return true; }
+    bool binary(json::binary_t & /*value*/) override { return true; }
+    bool start_object(std::size_t /*size*/) override { return open(); }
+    bool start_array(std::size_t /*size*/) override { return open(); }
+    bool end_object() override { return close(); }
+    bool end_array() override { return close(); }
+
+    bool key(json::string_t &key) override
     {
-        if (!options_.uniqueKeys) {
-            // No key is looked at.
-        } else if (event == json::parse_event_t::object_start) {
-            keys_.emplace_back();
-        } else if (event == json::parse_event_t::object_end && !keys_.empty()) {
-            keys_.pop_back();
-        } else if (event == json::parse_event_t::key) {
-            noteKey(value.get_ref<const std::string &>());
-        }
-        if (depth > options_.maxDepth) {
-            complain("nested deeper than " + std::to_string(options_.maxDepth) + " levels");
+        if (options_.uniqueKeys && !keys_.back().insert(key).second) {
+            complaint_ = "the key \"" + printableText(key) + "\" stands twice in one object";
             return false;
         }
         return true;
     }
 
-    [[nodiscard]] const std::string &complaint() const { return complaint_; }
+    bool parse_error(std::size_t position, const std::string & /*token*/, const json::exception &error) override
+    {
+        const bool isSyntax = dynamic_cast<const json::parse_error *>(&error) != nullptr;
+        complaint_ = isSyntax ? std::string() : "not valid JSON: a number is out of range";
+        position_ = position;
+        return false;
+    }
+
+    [[nodiscard]] const std::string &complaint() const { return complaint_; } // empty: wrong syntax at position()
+    [[nodiscard]] std::size_t position() const { return position_; }
 
 private:
-    void noteKey(const std::string &key)
+    bool open()
     {
-        if (!keys_.empty() && !keys_.back().insert(key).second) {
-            complain("the key \"" + printableText(key) + "\" stands twice in one object");
+        keys_.emplace_back();
+        if (keys_.size() > static_cast<std::size_t>(options_.maxDepth)) {
+            complaint_ = "nested deeper than " + std::to_string(options_.maxDepth) + " levels";
+            return false;
         }
+        return true;
     }
 
-    void complain(std::string text)
+    bool close()
     {
-        if (complaint_.empty()) {
-            complaint_ = std::move(text);
-        }
+        keys_.pop_back();
+        return true;
     }
 
     JsonOptions options_;
-    std::vector<std::set<std::string>> keys_; // of the objects that are open, outermost first
+    std::vector<std::unordered_set<std::string>> keys_; // of the objects and arrays that are open, outermost first
     std::string complaint_;
+    std::size_t position_ = 0;
 };
 
 std::string lineAndColumn(std::string_view text, std::size_t byte)
@@ -78,18 +94,14 @@
 
 std::optional<json> parseJson(std::string_view text, const std::string &name, const JsonOptions &options, core::Error &why)
 {
-    StrictWatch watch(options);
-    try {
-        const auto callback = [&watch](int depth, json::parse_event_t event, json &value) { return watch(depth, event, value); };
-        json value = json::parse(text.begin(), text.end(), callback, true, options.comments);
-        if (watch.complaint().empty()) {
-            return value;
-        }
-        why.reason = name + ": " + watch.complaint();
-    } catch (const json::parse_error &error) {
-        why.reason = name + ": " + lineAndColumn(text, error.byte) + ": not valid JSON" + (options.comments ? " (comments are allowed)" : "");
-    } catch (const json::exception &) {
-        why.reason = name + ": not valid JSON: a number is out of range";
+    StrictCheck check(options);
+    if (json::sax_parse(text.begin(), text.end(), &check, json::input_format_t::json, true, options.comments)) {
+        return json::parse(text.begin(), text.end(), nullptr, false, options.comments);
+    }
+    if (check.complaint().empty()) {
+        why.reason = name + ": " + lineAndColumn(text, check.position()) + ": not valid JSON" + (options.comments ? " (comments are allowed)" : "");
+    } else {
+        why.reason = name + ": " + check.complaint();
     }
     return std::nullopt;
 }
