--- a/packages/peers/tests/membershiptest.cpp
+++ b/packages/peers/tests/membershiptest.cpp
@@ -270,6 +270,20 @@
     EXPECT_EQ(at(0).memberOf(host(2))->incarnation, Incarnation(1)) << "the same run of the process";
 }
 
+TEST_F(MembershipTest, ADaemonThatWakesBlamesNobodyForItsOwnSilence)
+{
+    startAll(8);
+    Message rumour{Ping{1}, Incarnation(1), 0, {}, {{host(3), ZoneId(), Incarnation(1), 0, MemberState::Suspect}}};
+    (void)at(2).onMessage(host(1), rumour, clock.now());
+    daemons.at(host(2)).frozen = true;
+    run(Milliseconds(10'000));
+    daemons.at(host(2)).frozen = false;
+    send(host(2), at(2).tick(clock.now())); // before it reads what arrived meanwhile
+    EXPECT_EQ(at(2).stateOf(host(3)), MemberState::Suspect) << "not dead yet: the objection waits to be read";
+    run(Milliseconds(3'000));
+    EXPECT_TRUE(agree());
+}
+
 TEST_F(MembershipTest, AFalseSuspicionIsRefuted)
 {
     startAll(8);
