--- a/packages/policybench/main.cpp
+++ b/packages/policybench/main.cpp
@@ -151,7 +151,7 @@
            "3 at once, 10 requests/s of 100 steps, exponent 1.05. 300 s, measured from 60 s; at 150 s the dawn shift, the restart of one replica,\n"
            "or until 240 s a store six times slower, or one plan sending ten times its traffic on top (its own requests are then not counted).\n"
            "\n"
-           "stall: from arrival to start; a refused request counts as the longest wait allowed (5 s). waits: share of requests that did not\n"
+           "stall: from arrival to start; a refused request counts as max_queue_wait (5 s). waits: share of requests that did not\n"
            "start within 20 ms, refused ones included. fill: running requests / 16 over the time in which an engine runs any. worst: least\n"
            "share of a plan's requests that were answered whole. Exit code 1: a bound is broken.\n\n";
 }
