Refuse frames that nest deeply before the CBOR reader recurses

A frame of 8 MiB of nested arrays ended the process, also from a peer that had not proved the key: json::from_cbor() recurses for each level and throws on absurd lengths whatever it is told about exceptions. The new test ends in a crash without the check and passes with it.

--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -75,6 +75,9 @@
 
 using nlohmann::json;
 
+constexpr std::size_t maxFrameDepth = 8;      // of arrays and objects in one frame
+constexpr std::size_t maxFrameItems = 10'000; // of one array or object
+
 void to_json(json &to, const ListsCall & /*call*/)
 {
     to = json::object();
@@ -228,6 +231,9 @@
         auto message = fromCbor(payload, why);
         return message ? std::optional<Frame>(Gossip{std::move(*message)}) : std::nullopt;
     }
+    if (!isBoundedCbor(payload, maxFrameDepth, maxFrameItems)) {
+        return std::nullopt;
+    }
     const json value = json::from_cbor(payload.begin(), payload.end(), true, false);
     if (value.is_discarded()) {
         return std::nullopt;
--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -98,6 +98,19 @@
     EXPECT_EQ(why.step, core::Step::Peer);
 }
 
+/// Any peer can send a frame before it has proved the key; the reader of CBOR recurses for each level.
+TEST(Frames, deeply_nested_bytes_are_an_error)
+{
+    for (const char nesting : {'\x81', '\x9f', '\xa1'}) {
+        for (char kind = 0; kind < 8; ++kind) {
+            core::Error why;
+            EXPECT_FALSE(decode(kind + std::string(Links::maxFrameBytes - 1, nesting), why));
+        }
+    }
+    core::Error why;
+    EXPECT_FALSE(decode(std::string("\x00\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 10), why)) << "an absurd length";
+}
+
 TEST_F(LinkTest, carries_a_call_and_its_reply)
 {
     const auto a = makeLinks("a", "the key of a deployment");
