--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -112,7 +112,7 @@
     , permits_(permits)
     , thing_(ownership::engineThing(record.info.id))
     , address_(record.address)
-    , table_(record.info, epoch, node.settings.loads, node.settings.admission)
+    , table_(record.info, epoch, node.settings.loads, node.settings.admission, engines::DecayedFrequency(node.settings.placement.popularityHalfLife))
     , timer_(node.io)
 {
     asio::post(node_.io, [self = weak_from_this()] {
