Feed or remove every declared metric

Four families were declared and fed by nothing. Appends, keyed calls and gossip bytes are counted now; messages between daemons by type are dropped, since nobody asked for them. Labels of bad answers and resumptions are the documented ones.

--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -530,7 +530,6 @@
     if (engine == node_.engines.end()) {
         co_return Progress::Failed;
     }
-    node_.metrics.resumes.add({"tried"});
     node_.trace(request_.id, Step::Upstream, target.engine.value(), "resumed from event " + std::to_string(check_->events()));
     events_ = EventReader();
     Error whyCheck;
@@ -548,12 +547,15 @@
         co_return *isGone_ ? Progress::Answered : Progress::Failed;
     }
     if (!response || response->status != 200) {
+        node_.metrics.resumes.add({"lost"});
         why = refusalOf(Step::Forward, Refusal::BadAnswer, "the answer was cut and the engine does not hold the rest of it");
         why.peer = target.owner.value();
         why.outcome = Outcome::Ran;
         co_return Progress::Failed;
     }
-    co_return co_await end(why);
+    const auto progress = co_await end(why);
+    node_.metrics.resumes.add({progress == Progress::Answered ? "resumed" : "lost"});
+    co_return progress;
 }
 
 void Completion::cancelOnEngine(const Target &target)
@@ -601,7 +603,7 @@
     noteEnd(*isGone_ ? "cancelled" : (why.outcome == Outcome::NotRun ? "refused" : "failed"));
     node_.metrics.onRefusal(why);
     if (why.step == Step::Check) {
-        node_.metrics.badAnswers.add({why.reason});
+        node_.metrics.badAnswers.add({wanted_.isStream ? "stream" : "whole"});
         node_.log.warn("answer_mismatch", why, {{"request_id", request_.id}});
     }
     node_.log.info("request_failed", why, {{"request_id", request_.id}, {"customer", request_.customer}});
--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -237,6 +237,7 @@
 {
     Error why;
     const auto offset = co_await log_.appendOnce(claimsStream(node_.settings), ownership::toJson(record), why);
+    node_.noteAppend(offset.has_value(), why);
     if (offset) {
         node_.planner.onAppended(record.id);
     } else if (why.outcome == core::Outcome::NotRun) {
@@ -344,6 +345,7 @@
     events.onOutage = [this](const Error &why) {
         note(logState_, why.text());
         node_.log.warn("log_down", why);
+        node_.metrics.logCalls.add({"read", "unavailable"});
         node_.planner.onLogDown();
     };
     return events;
--- a/packages/gateway/daemon.h
+++ b/packages/gateway/daemon.h
@@ -115,6 +115,7 @@
     LoopState logState_;
     LoopState hostsState_;
     std::int64_t hostsAsOfMs_ = 0;
+    std::uint64_t reportedGossipBytes_ = 0; // already counted in the metrics
     bool hasHosts_ = false;
     bool isRunning_ = false;
 };
--- a/packages/gateway/node.cpp
+++ b/packages/gateway/node.cpp
@@ -66,6 +66,11 @@
     updateAvailability();
 }
 
+void Node::noteAppend(bool isTaken, const core::Error &why)
+{
+    metrics.logCalls.add({"append", isTaken ? "ok" : why.outcome == core::Outcome::NotRun ? "refused" : "unknown"});
+}
+
 void Node::updateAvailability()
 {
     for (const auto &[id, engine] : engines) {
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -99,6 +99,8 @@
     void trace(const core::RequestId &request, core::Step step, std::string peer, std::string note);
     /// Marks an engine or service replica as leaving by its own word, until the host list no longer shows it.
     void noteLeaving(const core::UpstreamId &upstream);
+    /// Counts one append to the platform's log by its result.
+    void noteAppend(bool isTaken, const core::Error &why);
     /// Tells placement which engines can take new work, after a change of hosts, members or owners.
     void updateAvailability();
 
--- a/packages/gateway/operators.cpp
+++ b/packages/gateway/operators.cpp
@@ -98,6 +98,8 @@
     metrics.ownedThings.set({"engine"}, static_cast<double>(engines_.size()));
     metrics.ownedThings.set({"calls"}, static_cast<double>(partitions_.size()));
     metrics.ownedThings.set({"loads"}, budget_ ? 1 : 0);
+    metrics.gossipBytes.add({}, static_cast<double>(node_.links->gossipBytes() - reportedGossipBytes_));
+    reportedGossipBytes_ = node_.links->gossipBytes();
     metrics.logUp.set(logState_.lastError.empty() ? 1 : 0);
     metrics.ready.set(isReady() ? 1 : 0);
     return metrics.registry.text();
--- a/packages/gateway/services.cpp
+++ b/packages/gateway/services.cpp
@@ -185,6 +185,9 @@
         }
         peers::ReplyBody operator()(const calls::Refuse &refuse) const { return peers::FailReply{refuse.why}; }
     };
+    node_.metrics.atMostOnce.add({std::holds_alternative<calls::Refuse>(answer)           ? "refused"
+                                      : std::holds_alternative<calls::WasUnknown>(answer) ? "unknown"
+                                                                                          : "repeated"});
     call->send(std::visit(Visitor(), answer));
 }
 
@@ -228,6 +231,7 @@
     Error why;
     const auto offset = co_await log_.appendOnce(stream(), calls::toJson(record), why);
     --appending_;
+    node_.noteAppend(offset.has_value(), why);
     if (offset) {
         partition_.onAppended(record.id);
     } else if (why.outcome == Outcome::NotRun) {
@@ -252,6 +256,7 @@
     request.deadline = waiting.deadline;
     Error why;
     const auto response = co_await caller_.call(std::move(request), false, why);
+    node_.metrics.atMostOnce.add({response ? "ran" : why.outcome == Outcome::NotRun ? "refused" : "unknown"});
     calls::CallResult result;
     if (response) {
         result.status = response->status;
--- a/packages/metrics/metrics.h
+++ b/packages/metrics/metrics.h
@@ -47,7 +47,7 @@
     // Upstreams.
     Counter &upstreamCalls; // kind ("engine", "service"), result ("ok", "failed", "timeout")
     Counter &retries;       // result: "made", "refused_by_budget"
-    Counter &badAnswers;    // reason: answers that failed their check
+    Counter &badAnswers;    // kind ("stream", "whole"): answers that failed their check
     Counter &resumes;       // result: "resumed", "lost"
 
     // Owned engines, by engine.
@@ -66,9 +66,8 @@
     Gauge &ownedThings;        // kind ("engine", "calls", "loads")
     Counter &ownershipChanges; // kind, change ("claimed", "released", "superseded")
     Gauge &peers;              // state ("alive", "suspect", "dead")
-    Counter &peerBytes;        // direction ("in", "out")
-    Counter &peerMessages;     // direction, type
-    Counter &logCalls;         // call ("append", "read"), result ("ok", "refused", "unavailable", "unknown")
+    Counter &gossipBytes;      // of membership messages, sent and received
+    Counter &logCalls;         // call ("append", "read"), result ("ok", "refused", "unknown"); of reads only outages, as "unavailable"
     Gauge &logUp;              // 1 while the last call of the platform's log succeeded
     Counter &atMostOnce;       // result ("ran", "repeated", "unknown", "refused")
     Gauge &ready;              // 1 while /readyz succeeds
