--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,16 @@
 	$(CONFIG) -B $(BUILD)-sanitize -DBAOBABSTALL_SANITIZE=ON
 	cmake --build $(BUILD)-sanitize -j $(JOBS)
 	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4 -LE process
+
+FUZZ_RUNS ?= 100000
+FUZZ_SEEDS = examples/vloerwerk examples/swellcast $(wildcard packages/*/fuzz/seeds)
+FUZZERS = $(patsubst %.cpp,%_fuzz,$(wildcard packages/*/fuzz/*.cpp))
+
+fuzz: deps      ## what others send (settings, lists, platform, peers) under libFuzzer: fixed seed and number of runs
+	$(CONFIG) -B $(BUILD)-fuzz -DBAOBABSTALL_FUZZ=ON
+	cmake --build $(BUILD)-fuzz -j $(JOBS) --target $(notdir $(FUZZERS))
+	@failed=; for fuzzer in $(subst /fuzz/,/,$(FUZZERS)); do echo "== $$fuzzer"; corpus=$$(mktemp -d); \
+	$(BUILD)-fuzz/$$fuzzer -runs=$(FUZZ_RUNS) -seed=1 -max_len=8192 -print_final_stats=1 -artifact_prefix=$(BUILD)-fuzz/ \
+	$$corpus $(FUZZ_SEEDS) >$$corpus.log 2>&1 || failed="$$failed $$fuzzer"; \
+	grep -E 'ERROR|SUMMARY|stat::number_of_executed|Test unit written' $$corpus.log; rm -rf $$corpus $$corpus.log; done; \
+	[ -z "$$failed" ] || { echo "fuzzing failed:$$failed"; exit 1; }
