--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -195,6 +195,10 @@
 {
     const auto now = node_.now();
     send(node_.membership.tick(now));
+    if (node_.membership.isOutdated() && onOutdated_) {
+        node_.log.error("outdated", {{"incarnation", node_.incarnation}});
+        std::exchange(onOutdated_, nullptr)();
+    }
     const bool areMembersChanged = !node_.membership.takeChanges().empty();
     if (areMembersChanged) {
         node_.planner.setMembers(node_.membership.members());
--- a/packages/gateway/daemon.h
+++ b/packages/gateway/daemon.h
@@ -43,6 +43,9 @@
     /// false: requests were cut off by the limit.
     net::Task<bool> stop();
 
+    /// Called once when a later run of this host is known: this process is to stop.
+    void onOutdated(std::function<void()> callback) { onOutdated_ = std::move(callback); }
+
     /// Takes new requests: lists and hosts are known, and it is not stopping.
     [[nodiscard]] bool isReady() const;
 
@@ -116,6 +119,7 @@
     LoopState hostsState_;
     std::int64_t hostsAsOfMs_ = 0;
     std::uint64_t reportedGossipBytes_ = 0; // already counted in the metrics
+    std::function<void()> onOutdated_;
     bool hasHosts_ = false;
     bool isRunning_ = false;
 };
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -245,7 +245,8 @@
                         const Error &why)
 {
     if (waiter->abort) {
-        return; // the table has forgotten it, and the entry daemon was told
+        table_.finished(attempt, engines::RequestEnd::Lost, node_.now()); // lifts the pin; serve() tells the entry daemon
+        return;
     }
     const auto &engine = table_.engine().id;
     const bool isCut = !response && why.step != Step::Connect;
--- a/programs/baobabstalld/main.cpp
+++ b/programs/baobabstalld/main.cpp
@@ -71,11 +71,20 @@
     printAddresses(*settings, *addresses);
     bool isClean = true;
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](boost::system::error_code, int) {
+    const auto stop = [&] {
         boost::asio::co_spawn(io, daemon.stop(), [&](const std::exception_ptr &, bool clean) {
             isClean = clean;
             io.stop();
         });
+    };
+    signals.async_wait([&](boost::system::error_code cancelled, int) {
+        if (!cancelled) {
+            stop();
+        }
+    });
+    daemon.onOutdated([&] {
+        signals.cancel();
+        stop();
     });
     io.run();
     return isClean ? exitOk : exitFailed;
