Follow claims without long waits until they are read to their end; keep the fences of partitions

After a start, a pause or an outage a daemon may not act until the claims were read to their end twice, and each read waited up to 2 s for news. On loopback with 3 daemons, keyed calls were served 1 s after the daemons were ready; before, not after 3 s. A partition's owner now refreshes its fence at 2/5 of the retention, and counts as drained only when the partition says so: a result whose append ended unknown was dropped at a handover.

--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -182,6 +182,9 @@
             for (const auto &[id, engine] : engines_) {
                 engine->checkEvidence();
             }
+            for (const auto &[number, partition] : partitions_) {
+                partition->refreshIfDue();
+            }
         }
         if (node_.now() >= nextSnapshot) {
             nextSnapshot = node_.now() + snapshotInterval;
@@ -340,6 +343,7 @@
 platform::FollowerEvents Daemon::claimsEvents()
 {
     platform::FollowerEvents events;
+    events.isUrgent = [this] { return !node_.planner.isCaughtUp(); };
     events.onKept = [this](core::Offset first) { claimsKept_ = first; };
     events.onRecord = [this](const platform::LogRecord &record) {
         Error ignored;
--- a/packages/gateway/services.cpp
+++ b/packages/gateway/services.cpp
@@ -118,11 +118,20 @@
 
 void PartitionHost::start()
 {
+    refreshedAt_ = node_.now();
     decide(partition_.own(epoch_));
     asio::co_spawn(
         node_.io, [self = shared_from_this()] { return self->follower_.run(); }, asio::detached);
 }
 
+void PartitionHost::refreshIfDue()
+{
+    if (node_.now() - refreshedAt_ >= node_.settings.platform.retention * 2 / 5) {
+        refreshedAt_ = node_.now();
+        decide(partition_.refresh());
+    }
+}
+
 std::string PartitionHost::stream() const
 {
     return "calls-" + node_.settings.region.value() + '-' + std::to_string(number_);
--- a/packages/gateway/services.h
+++ b/packages/gateway/services.h
@@ -56,7 +56,9 @@
     net::Task<void> serve(std::shared_ptr<peers::IncomingCall> call, peers::ServiceCall request);
     void drain() override { lose(); }
     void lose() override;
-    [[nodiscard]] bool isIdle() const override { return waiting_.empty() && running_ == 0 && appending_ == 0; }
+    [[nodiscard]] bool isIdle() const override { return waiting_.empty() && running_ == 0 && appending_ == 0 && partition_.isIdle(); }
+    /// Keeps the partition's fence in the log before its record expires. Call about once a second.
+    void refreshIfDue();
     [[nodiscard]] core::Epoch epoch() const { return epoch_; }
     void close() override { follower_.stop(); }
 
@@ -86,6 +88,7 @@
     calls::CallPartition partition_;
     platform::LogFollower follower_;
     std::map<calls::CallKey, Waiting> waiting_; // for their intent to be read back
+    core::Instant refreshedAt_;
     int running_ = 0;
     int appending_ = 0;
 };
--- a/packages/platform/platform.cpp
+++ b/packages/platform/platform.cpp
@@ -18,7 +18,8 @@
 
 using core::Offset;
 
-constexpr int pageLimit = 500; // records of one read
+constexpr core::Milliseconds urgentWait{50}; // for news, in a read whose end matters too
+constexpr int pageLimit = 500;               // records of one read
 constexpr int statusOk = 200;
 
 /// A wait that stop() ends early.
@@ -209,7 +210,8 @@
 {
     while (!stopped_) {
         core::Error why;
-        auto page = co_await log_.read(stream_, cursor_.next(), pageLimit, endpoint_.logWait, why);
+        const bool isUrgent = events_.isUrgent && events_.isUrgent();
+        auto page = co_await log_.read(stream_, cursor_.next(), pageLimit, isUrgent ? std::min(urgentWait, endpoint_.logWait) : endpoint_.logWait, why);
         if (stopped_) {
             break;
         }
--- a/packages/platform/platform.h
+++ b/packages/platform/platform.h
@@ -66,6 +66,7 @@
 
 /// What a follower tells. Any may be empty.
 struct FollowerEvents {
+    std::function<bool()> isUrgent;                         // true: a read waits for news only shortly, since its end matters too
     std::function<void(core::Offset first)> onKept;         // the oldest record that the log still keeps; at every good read, before its records
     std::function<void(const LogRecord &record)> onRecord;  // each once, in the order of offsets
     std::function<void(core::Offset first)> onGap;          // records below `first` expired unread; the next record is `first` or later
