--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -473,7 +473,7 @@
     node_.membership.setLists({plans.version.value(), customers.version.value()});
     std::map<core::PlanId, admission::PlanLimit> limits;
     for (const auto &[id, plan] : node_.lists.plans()) {
-        limits[id] = {.share = plan.share, .maxInFlight = 0};
+        limits[id] = {.share = plan.share, .maxInFlight = plan.maxInFlight};
     }
     node_.limiter.setPlans(limits);
 }
