Refuse completion bodies nested deeper than 64 levels

A body of 128 KiB of opening brackets ended the daemon: nlohmann's parser does not recurse, its writer does, and the body is written again under the engine's name. Ruled out: the parser and the destructor, which take the same body. Now 400, not run.

--- a/packages/gateway/openai.cpp
+++ b/packages/gateway/openai.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view streamEnd = "[DONE]";
+constexpr int maxBodyDepth = 64; // of arrays and objects within each other
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
 std::optional<CompletionRequest> refuse(core::Error &why, core::Refusal refusal, std::string reason)
@@ -22,6 +23,27 @@
     return core::Error{.step = core::Step::Check, .reason = std::move(reason), .refusal = core::Refusal::BadAnswer, .outcome = core::Outcome::Ran};
 }
 
+/// JSON is written by recursion, so a body of many nested arrays would use up the stack when it is passed on.
+bool isTooDeep(std::string_view body)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t at = 0; at < body.size() && depth <= maxBodyDepth; ++at) {
+        const char c = body[at];
+        if (isInString) {
+            at += c == '\\' ? 1 : 0;
+            isInString = c != '"';
+        } else if (c == '"') {
+            isInString = true;
+        } else if (c == '[' || c == '{') {
+            ++depth;
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return depth > maxBodyDepth;
+}
+
 /// Text that is not valid UTF-8 must not end a process, so it is written with replacement characters.
 std::string dump(const json &value)
 {
@@ -33,6 +55,9 @@
 std::optional<CompletionRequest> parseCompletion(std::string_view body, core::Error &why)
 {
     using core::Refusal;
+    if (isTooDeep(body)) {
+        return refuse(why, Refusal::BadRequest, "the body is nested deeper than " + std::to_string(maxBodyDepth) + " levels");
+    }
     const json value = json::parse(body, nullptr, false);
     if (value.is_discarded() || !value.is_object()) {
         return refuse(why, Refusal::BadRequest, "the body is not a JSON object");
--- a/packages/gateway/tests/openaitest.cpp
+++ b/packages/gateway/tests/openaitest.cpp
@@ -91,4 +91,16 @@
     EXPECT_FALSE(check.checkEvent(R"({"id":"r-1","model":"a/b@c#7"})", why));
 }
 
+TEST(CompletionBody, refuses_a_body_that_is_nested_too_deeply)
+{
+    const auto nested = [](int depth) {
+        return R"({"model":"camp/brief@v1","x":)" + std::string(static_cast<std::size_t>(depth), '[') + std::string(static_cast<std::size_t>(depth), ']') + "}";
+    };
+    core::Error why;
+    EXPECT_TRUE(parseCompletion(nested(60), why));
+    EXPECT_FALSE(parseCompletion(nested(100'000), why));
+    EXPECT_EQ(why.refusal, core::Refusal::BadRequest);
+    EXPECT_TRUE(parseCompletion(R"({"model":"camp/brief@v1","prompt":"[[[[\"[[[[)" + std::string(200, '[') + "\"}", why)) << "brackets within a text";
+}
+
 } // namespace baobabstall::gateway
