--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -115,6 +115,7 @@
                {"load_slow_ms", 0},
                {"ignore_fencing", !options.checksFencing},
                {"refuse", 0},
+               {"leaving", false},
                {"cross_answers", 0},
                {"cross_after", 0},
                {"wrong_names", 0},
@@ -287,6 +288,10 @@
         co_await answer(exchange, errorAnswer(400, "model_missing"));
         co_return;
     }
+    if (faults_.flag("leaving")) {
+        co_await answer(exchange, errorAnswer(503, "leaving"));
+        co_return;
+    }
     if (faults_.take("refuse")) {
         co_await answer(exchange, errorAnswer(503, "told_to_refuse"));
         co_return;
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -15,6 +15,7 @@
 //   load_slow_ms        added to each load
 //   ignore_fencing      orders are taken whatever their number
 //   refuse              that many completions get 503 and are not run
+//   leaving             every completion gets 503 with type "leaving" and is not run: the engine's own word that it stops
 //   cross_answers       that many completions carry the id, name and text of another request, from event cross_after on
 //   wrong_names         that many completions run on and name another version, from event cross_after on
 //   duplicate_answers   that many streams are sent twice, one after the other
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -4,7 +4,8 @@
 //   GET  /ANYTHING   200 {"service":NAME,"path":..}; nothing is executed
 //   GET  /record     {"executions":[{"execution","at_ms","path","request_id","idempotency_key","body"}]}
 //
-// Faults besides the common ones: fail (that many requests are refused with 500 before they are executed).
+// Faults besides the common ones: fail (that many requests are refused with 500 before they are executed), leaving (all get 503 with
+// type "leaving" and are not executed).
 #include <common/standin.h>
 #include <core/clock.h>
 
@@ -16,7 +17,7 @@
 {
 public:
     Service(boost::asio::io_context &io, std::string name, core::Milliseconds work)
-        : StandIn(io, {{"fail", 0}})
+        : StandIn(io, {{"fail", 0}, {"leaving", false}})
         , name_(std::move(name))
         , work_(work)
     { }
@@ -24,6 +25,10 @@
 protected:
     Task<void> serve(net::Exchange &exchange) override
     {
+        if (faults_.flag("leaving")) {
+            co_await answer(exchange, errorAnswer(503, "leaving"));
+            co_return;
+        }
         if (faults_.take("fail")) {
             co_await answer(exchange, errorAnswer(500, "told_to_fail"));
             co_return;
