--- a/tests/harness/deployment.cpp
+++ b/tests/harness/deployment.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr std::array<const char *, 3> groups{"engines", "services", "daemons"};
 constexpr int answerTimeoutMs = 60'000; // for one command of scripts/local; only a failing test reaches it
 
 std::vector<std::string> commandLine(const DeploymentOptions &options)
@@ -103,12 +104,13 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 1;
 }
 
-const Json &Deployment::info(const std::string &name) const
+Json Deployment::info(const std::string &name) const
 {
+    const std::lock_guard lock(mutex_);
     if (name == "platform") {
         return summary_.at(name);
     }
-    for (const auto *group : {"engines", "services", "daemons"}) {
+    for (const auto *group : groups) {
         if (summary_.at(group).contains(name)) {
             return summary_.at(group).at(name);
         }
@@ -116,6 +118,26 @@
     throw std::runtime_error("no process " + name);
 }
 
+Json Deployment::group(const std::string &name) const
+{
+    const std::lock_guard lock(mutex_);
+    return summary_.at(name);
+}
+
+Deployment::Life Deployment::life(const std::string &name) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = lives_.find(name);
+    return found == lives_.end() ? Life{} : found->second;
+}
+
+void Deployment::setDown(const std::string &name, bool isDown, int kills)
+{
+    const std::lock_guard lock(mutex_);
+    lives_[name].isDown = isDown;
+    lives_[name].kills += kills;
+}
+
 std::string Deployment::address(const std::string &name) const
 {
     return info(name).at("address");
@@ -138,12 +160,17 @@
 
 std::vector<std::string> Deployment::daemons() const
 {
-    return namesOf(summary_.at("daemons"));
+    return namesOf(group("daemons"));
 }
 
 std::vector<std::string> Deployment::engines() const
 {
-    return namesOf(summary_.at("engines"));
+    return namesOf(group("engines"));
+}
+
+std::vector<std::string> Deployment::services() const
+{
+    return namesOf(group("services"));
 }
 
 std::string Deployment::log(const std::string &name) const
@@ -162,9 +189,13 @@
     }
 }
 
-Json Deployment::record(const std::string &name)
+Json Deployment::record(const std::string &name, const std::string &part)
 {
-    return client.get(address(name), "/record").json();
+    const auto answer = client.get(address(name), "/record");
+    if (answer.status != 200) {
+        throw std::runtime_error("no record from " + name + ": " + answer.why.text());
+    }
+    return answer.json().at(part);
 }
 
 void Deployment::setHost(const std::string &name, const Json &fields)
@@ -184,6 +215,7 @@
 
 void Deployment::kill(const std::string &name)
 {
+    setDown(name, true, 1);
     command({{"kill", name}});
 }
 
@@ -193,21 +225,27 @@
     if (answer.contains("error")) {
         throw std::runtime_error("start of " + name + ": " + answer.dump());
     }
-    for (const auto *group : {"engines", "services", "daemons"}) {
-        if (summary_.at(group).contains(name)) {
-            summary_[group][name] = answer;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto *group : groups) {
+            if (summary_.at(group).contains(name)) {
+                summary_[group][name] = answer;
+            }
         }
     }
+    setDown(name, false, 0);
     return answer;
 }
 
 Json Deployment::stop(const std::string &name)
 {
+    setDown(name, true, 0);
     return command({{"stop", name}});
 }
 
 void Deployment::beginStop(const std::string &name)
 {
+    setDown(name, true, 0);
     send({{"stop", name}});
 }
 
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -1,6 +1,8 @@
 // tests/harness/deployment.h: a deployment of real processes on loopback, started through scripts/local.
 #pragma once
 
+#include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +24,7 @@
 };
 
 /// Names are those of scripts/local: platform, engine-N, planning-N, entry-N, from 1. Ends everything when destroyed.
+/// Calls and questions may come from several threads; processes are started and stopped by one.
 class Deployment
 {
 public:
@@ -39,12 +42,20 @@
     [[nodiscard]] std::string peers(const std::string &daemon) const;     // of a daemon
     [[nodiscard]] std::vector<std::string> daemons() const;
     [[nodiscard]] std::vector<std::string> engines() const;
+    [[nodiscard]] std::vector<std::string> services() const;
     [[nodiscard]] std::string log(const std::string &name) const; // what a process wrote to standard error
 
+    /// How often a process was killed, and whether it is down or told to stop: then its callers may be cut off.
+    struct Life {
+        int kills = 0;
+        bool isDown = false;
+    };
+    [[nodiscard]] Life life(const std::string &name) const;
+
     // Faults and records of stand-ins.
     void fault(const std::string &name, const Json &faults);
-    [[nodiscard]] Json record(const std::string &name);
-    void setHost(const std::string &name, const Json &fields); // at the platform's host list
+    [[nodiscard]] Json record(const std::string &name, const std::string &part); // "requests", "orders", "violations", "executions", ...
+    void setHost(const std::string &name, const Json &fields);                   // at the platform's host list
 
     // Processes.
     void freeze(const std::string &name);
@@ -62,7 +73,9 @@
     Client client;
 
 private:
-    [[nodiscard]] const Json &info(const std::string &name) const;
+    [[nodiscard]] Json info(const std::string &name) const;
+    [[nodiscard]] Json group(const std::string &name) const;
+    void setDown(const std::string &name, bool isDown, int kills);
     Json command(const Json &command);
     void send(const Json &command);
     Json readLine();
@@ -71,7 +84,9 @@
     int toScript_ = -1;
     int fromScript_ = -1;
     std::string unread_;
+    mutable std::mutex mutex_; // of what follows: tests call from several threads
     Json summary_;
+    std::map<std::string, Life> lives_;
 };
 
 } // namespace baobabstall::harness
--- a/tests/standinstest.cpp
+++ b/tests/standinstest.cpp
@@ -95,7 +95,7 @@
     cancelled->waitEvents(1);
     EXPECT_EQ(world.client.post(world.address("engine-1"), "/v1/streams/r3/cancel", Json::object()).status, 200);
     EXPECT_EQ(cancelled->waitEnd().status, 0);
-    EXPECT_EQ(world.record("engine-1").at("requests").at(2).at("end"), "cancelled");
+    EXPECT_EQ(world.record("engine-1", "requests").at(2).at("end"), "cancelled");
 }
 
 TEST_F(StandIns, engine_records_an_unload_beneath_a_running_request)
@@ -105,7 +105,7 @@
     running->waitEvents(1);
     EXPECT_EQ(order("engine-1", "unload", name, 5).status, 200);
     EXPECT_EQ(running->waitEnd().status, 0);
-    EXPECT_EQ(world.record("engine-1").at("violations").at(0).at("request_id"), "r1");
+    EXPECT_EQ(world.record("engine-1", "violations").at(0).at("request_id"), "r1");
 }
 
 TEST_F(StandIns, engine_restarts_empty_under_a_new_start_number)
@@ -126,7 +126,7 @@
     EXPECT_EQ(book().status, 200);
     world.fault("planning-1", {{"lose_answers", 1}});
     EXPECT_EQ(book().status, 0);
-    const auto executions = world.record("planning-1").at("executions");
+    const auto executions = world.record("planning-1", "executions");
     ASSERT_EQ(executions.size(), 2U);
     EXPECT_EQ(executions.at(1).at("idempotency_key"), "k1");
 }
