--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,9 @@
 	$(CONFIG) -B $(BUILD)
 	cmake --build $(BUILD) -j $(JOBS)
 
+demo: build     ## the whole path on loopback, told in plain text
+	@scripts/demo --build $(BUILD)
+
 test: build     ## every test
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
@@ -43,6 +46,12 @@
 format-check:   ## fail when a source is not in the house format
 	clang-format --dry-run --Werror $(SOURCES)
 
+SEED    ?= 1
+SECONDS ?= 300
+
+soak: build     ## the mixed-fault run for SECONDS= with SEED=
+	SEED=$(SEED) SECONDS=$(SECONDS) $(BUILD)/tests/mixedfaultstest
+
 sanitize: deps  ## decision packages and gateway under address and undefined-behaviour sanitizers
 	$(CONFIG) -B $(BUILD)-sanitize -DBAOBABSTALL_SANITIZE=ON
 	cmake --build $(BUILD)-sanitize -j $(JOBS)
