--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,11 @@
 test: build     ## every test; those listed in KNOWN-RED.txt run last and don't count
 	GTEST_FILTER="$$(scripts/known-red filter)" ctest --test-dir $(BUILD) --output-on-failure -j 4
 	@scripts/known-red run $(BUILD)
+demo: build     ## the whole path on loopback, told in plain text
+	@scripts/demo --build $(BUILD)
+
+test: build     ## every test
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 # Programs under benches/ with bounds, then the cost of single decisions. Each prints its table; a broken bound fails the target.
 BOUNDED_BENCHES = limits_bench policy_bench capacity
@@ -45,6 +50,12 @@
 format-check:   ## fail when a source is not in the house format
 	clang-format --dry-run --Werror $(SOURCES)
 
+SEED    ?= 1
+SECONDS ?= 300
+
+soak: build     ## the mixed-fault run for SECONDS= with SEED=
+	SEED=$(SEED) SECONDS=$(SECONDS) $(BUILD)/tests/mixedfaultstest
+
 sanitize: deps  ## decision packages and gateway under address and undefined-behaviour sanitizers
 	$(CONFIG) -B $(BUILD)-sanitize -DBAOBABSTALL_SANITIZE=ON
 	cmake --build $(BUILD)-sanitize -j $(JOBS)
