End the wait for a permit whose owner is out of reach; keep the outcome of earlier tries

Its stack stood in PermitSource::ask: a call that is over gives its failure at once, and the loop asked it again for ever while the owner still counted as usable. Now the daemon takes from its own part of the rate.

Both have a test that failed without the change (LoadBudget, LaterTries in notruntest).

--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -259,6 +259,7 @@
         }
     });
     Error why;
+    bool mayHaveRun = false; // any attempt, also one before the last
     for (;;) {
         Error whyNot;
         const auto target = co_await choose(whyNot);
@@ -275,6 +276,7 @@
             noteEnd(*isGone_ ? "cancelled" : "ok");
             co_return;
         }
+        mayHaveRun = mayHaveRun || why.outcome != Outcome::NotRun;
         node_.log.info("attempt_failed", why, {{"request_id", request_.id}, {"engine", target->engine}, {"attempt", attempts_}});
         node_.trace(request_.id, why.step, why.peer, "attempt " + std::to_string(attempts_) + " failed: " + why.reason);
         if (!mayTryAgain(why)) {
@@ -286,6 +288,9 @@
             break;
         }
     }
+    if (mayHaveRun && why.outcome == Outcome::NotRun) {
+        why.outcome = Outcome::Unknown;
+    }
     co_await fail(why);
 }
 
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -89,6 +89,9 @@
             held_[permit] = std::move(call);
             co_return permit;
         }
+        if (!reply && call->isOver()) { // its owner can't be reached; next() would give the same at once, for ever
+            co_return fallback_.take(node_.daemonCount(), node_.now());
+        }
         const bool isRefused = reply.has_value();
         const auto current = node_.usableOwner(ownership::loadsThing());
         if (isRefused || !current || current->epoch != owner->epoch) {
--- a/tests/notruntest.cpp
+++ b/tests/notruntest.cpp
@@ -73,4 +73,40 @@
                                          LossCase{"weights_outage", "platform", {{"weights_down", true}}}),
                          [](const auto &info) { return info.param.name; });
 
+TEST(LaterTries, refused_after_one_that_ran_do_not_make_it_not_run)
+{
+    DeploymentOptions options;
+    options.settings = quickSettings();
+    World world(options);
+    Outcomes outcomes;
+    world.fault("engine-1", {{"lose_answers", forever}, {"on_path", "/v1/c"}});
+    world.fault("engine-2", {{"refuse", forever}});
+    for (int number = 1; number <= 12; ++number) {
+        outcomes.add(world.complete(world.daemons().at(number % 3), "camp/cold-" + std::to_string(number) + "@v1", 2));
+    }
+    EXPECT_FALSE(world.record("engine-1", "requests").empty());
+    EXPECT_THAT(outcomes.violations(world), IsEmpty());
+}
+
+TEST(LoadBudget, owner_killed_and_not_yet_suspected_stops_no_other_daemon)
+{
+    DeploymentOptions options;
+    options.settings = quickSettings();
+    options.settings["membership"]["suspicion_ms"] = 5'000; // the others go on asking it for permits
+    World world(options);
+    Outcomes outcomes;
+    ASSERT_TRUE(waitUntil([&world] { return !world.ownerOf("loads").empty(); }));
+    const auto owner = world.ownerOf("loads");
+    world.kill(owner);
+    for (int number = 1; number <= 8; ++number) {
+        for (const auto &daemon : world.daemons()) {
+            if (daemon != owner) {
+                outcomes.add(world.complete(daemon, "camp/cold-" + std::to_string(number) + "@v1", 2));
+                EXPECT_EQ(world.client.get(world.operators(daemon), "/healthz").status, 200) << daemon << " answers no more";
+            }
+        }
+    }
+    EXPECT_THAT(outcomes.violations(world), IsEmpty());
+}
+
 } // namespace baobabstall::harness
