End an ask for a permit when its link is lost

A lost link lets the wait for a reply return at once, and the ask went on waiting while the budget's owner still counted as usable, so the daemon's only thread spun. Ruled out: a freeze (the process ran), the stand-in's lost answers (they close the connection). The ask now ends with its call and the table asks again after its pause.

--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -89,9 +89,9 @@
             held_[permit] = std::move(call);
             co_return permit;
         }
-        const bool isRefused = reply.has_value();
+        const bool isAnswered = reply.has_value() || call->isOver(); // refused, or the link was lost
         const auto current = node_.usableOwner(ownership::loadsThing());
-        if (isRefused || !current || current->epoch != owner->epoch) {
+        if (isAnswered || !current || current->epoch != owner->epoch) {
             co_return std::nullopt;
         }
     }
