Count every attempt in what a caller is told

A completion now remembers whether any attempt may have run. NotRun.counts_every_attempt failed before (one engine loses its answer, the other refuses) and passes after.

--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -276,6 +276,7 @@
             co_return;
         }
         node_.log.info("attempt_failed", why, {{"request_id", request_.id}, {"engine", target->engine}, {"attempt", attempts_}});
+        mayHaveRun_ = mayHaveRun_ || why.outcome != Outcome::NotRun;
         node_.trace(request_.id, why.step, why.peer, "attempt " + std::to_string(attempts_) + " failed: " + why.reason);
         if (!mayTryAgain(why)) {
             break;
@@ -600,6 +601,9 @@
 
 net::Task<void> Completion::fail(Error why)
 {
+    if (mayHaveRun_ && why.outcome == Outcome::NotRun) {
+        why.outcome = Outcome::Unknown; // the last attempt was not run, but an earlier one may have been
+    }
     noteEnd(*isGone_ ? "cancelled" : (why.outcome == Outcome::NotRun ? "refused" : "failed"));
     node_.metrics.onRefusal(why);
     if (why.step == Step::Check) {
--- a/packages/gateway/callers.h
+++ b/packages/gateway/callers.h
@@ -99,6 +99,7 @@
     lists::Grant grant_;
     std::set<core::UpstreamId> tried_;
     int attempts_ = 0;
+    bool mayHaveRun_ = false; // an attempt that failed may have run
     std::unique_ptr<peers::OutgoingCall> call_;
     std::optional<AnswerCheck> check_;
     EventReader events_;
--- a/tests/notruntest.cpp
+++ b/tests/notruntest.cpp
@@ -19,7 +19,7 @@
     Json faults;
 };
 
-class NotRun : public testing::TestWithParam<LossCase>
+class NotRunUnder : public testing::TestWithParam<LossCase>
 { };
 
 std::vector<std::string> targetsOf(World &world, const std::string &target)
@@ -32,7 +32,7 @@
 
 } // namespace
 
-TEST_P(NotRun, is_true)
+TEST_P(NotRunUnder, loss_is_true)
 {
     DeploymentOptions options;
     options.settings = quickSettings();
@@ -59,8 +59,24 @@
     world.fault("platform", {{"log_down", false}}); // a daemon that stops waits for the log to take its releases
 }
 
+TEST(NotRun, counts_every_attempt)
+{
+    DeploymentOptions options;
+    options.settings = quickSettings();
+    World world(options);
+    ASSERT_TRUE(succeeded(world.completeAtLast("entry-1", "camp/brief@v1", 1)));
+    const auto engines = world.engines();
+    Outcomes outcomes;
+    for (int number = 0; number < 8; ++number) { // either engine may be the first choice
+        world.fault(engines.at(number % 2), {{"lose_answers", 1}, {"on_path", "/v1/c"}, {"refuse", 0}});
+        world.fault(engines.at((number + 1) % 2), {{"lose_answers", 0}, {"refuse", 1}});
+        outcomes.add(world.complete("entry-1", "camp/brief@v1", 2));
+    }
+    EXPECT_THAT(outcomes.violations(world), IsEmpty());
+}
+
 INSTANTIATE_TEST_SUITE_P(Losses,
-                         NotRun,
+                         NotRunUnder,
                          testing::Values(LossCase{"completion_answers", "engines", {{"lose_answers", 8}, {"on_path", "/v1/c"}}},
                                          LossCase{"load_answers", "engines", {{"lose_answers", forever}, {"on_path", "/v1/load_lora"}}},
                                          LossCase{"unload_answers", "engines", {{"lose_answers", forever}, {"on_path", "/v1/unload_lora"}}},
