--- a/packages/peers/membership.cpp
+++ b/packages/peers/membership.cpp
@@ -225,7 +225,7 @@
                                       message.incarnation.value(),
                                       message.refutation,
                                       message.lists.plans,
-                                      message.lists.uses,
+                                      message.lists.customers,
                                       std::move(updates)}));
 }
 
--- a/packages/peers/membership.h
+++ b/packages/peers/membership.h
@@ -79,7 +79,7 @@
 /// Numbers of the newest lists that the sender has in force, so that peers learn who is behind.
 struct ListVersions {
     std::uint64_t plans = 0;
-    std::uint64_t uses = 0;
+    std::uint64_t customers = 0;
 
     friend bool operator==(const ListVersions &, const ListVersions &) = default;
 };
