--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -369,7 +369,7 @@
 
 std::string Completion::attemptId() const
 {
-    return request_.id.value() + '.' + std::to_string(attempts_);
+    return Node::attemptId(request_.id, attempts_).value();
 }
 
 net::Task<Completion::Progress> Completion::attempt(Target target, Error &why)
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -229,7 +229,7 @@
     net::CallOptions options;
     options.timeout = std::min(engineSilence, Milliseconds(run.timeoutMs));
     options.freshConnection = true;
-    node_.trace(run.request, Step::Upstream, table_.engine().id.value(), "started on " + ranAs);
+    node_.trace(Node::requestOfAttempt(run.request), Step::Upstream, table_.engine().id.value(), "started on " + ranAs);
     auto response = co_await node_.http.stream(address_, std::move(request), options, onChunk, why);
     if (response && response->status == httpNotFound && errorType(response->body) == "unknown_model" && !waiter->abort && !waiter->isCancelled) {
         co_return Ran::UnknownName;
@@ -254,11 +254,11 @@
     table_.finished(attempt, isCut || isLeftRunning ? engines::RequestEnd::Lost : engines::RequestEnd::Complete, node_.now());
     node_.metrics.upstreamCalls.add({"engine", response && response->status < httpServerError ? "ok" : "failed"});
     if (!response) {
-        node_.trace(attempt, Step::Upstream, engine.value(), "failed: " + why.reason);
+        node_.trace(Node::requestOfAttempt(attempt), Step::Upstream, engine.value(), "failed: " + why.reason);
         call->send(peers::FailReply{upstreamError(engine, "the engine's answer was cut: " + why.reason, Refusal::BadAnswer, why.outcome)});
         return;
     }
-    node_.trace(attempt, Step::Upstream, engine.value(), "answered with status " + std::to_string(response->status));
+    node_.trace(Node::requestOfAttempt(attempt), Step::Upstream, engine.value(), "answered with status " + std::to_string(response->status));
     if (response->status == httpOk) {
         call->send(peers::EndReply{});
         noteServed(waiter->start->adapter, node_.now() - waiter->startedAt);
--- a/packages/gateway/node.cpp
+++ b/packages/gateway/node.cpp
@@ -47,6 +47,16 @@
     return core::RequestId(settings.host.value() + '-' + std::to_string(incarnation.value()) + '-' + std::to_string(requestCount));
 }
 
+core::RequestId Node::attemptId(const core::RequestId &request, int attempt)
+{
+    return core::RequestId(request.value() + '.' + std::to_string(attempt));
+}
+
+core::RequestId Node::requestOfAttempt(const core::RequestId &attempt)
+{
+    return core::RequestId(attempt.value().substr(0, attempt.value().rfind('.')));
+}
+
 void Node::trace(const core::RequestId &request, core::Step step, std::string peer, std::string note)
 {
     traces.add(request, step, std::move(peer), std::move(note));
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -97,6 +97,9 @@
     /// An id that no other request of the deployment has.
     [[nodiscard]] core::RequestId newRequestId();
     void trace(const core::RequestId &request, core::Step step, std::string peer, std::string note);
+    /// The id of one attempt of a request: unique on the engine, so that a late answer of another attempt can't pass for it.
+    [[nodiscard]] static core::RequestId attemptId(const core::RequestId &request, int attempt);
+    [[nodiscard]] static core::RequestId requestOfAttempt(const core::RequestId &attempt);
     /// Marks an engine or service replica as leaving by its own word, until the host list no longer shows it.
     void noteLeaving(const core::UpstreamId &upstream);
     /// Counts one append to the platform's log by its result.
