--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -544,6 +544,7 @@
     options.timeout = engineSilence;
     const auto response = co_await node_.http.stream(engine->second.address, {.target = path}, options, onChunk, why);
     if (!isGood) {
+        cancelOnEngine(target);
         why = whyCheck;
         co_return *isGone_ ? Progress::Answered : Progress::Failed;
     }
@@ -604,6 +605,9 @@
     if (mayHaveRun_ && why.outcome == Outcome::NotRun) {
         why.outcome = Outcome::Unknown; // the last attempt was not run, but an earlier one may have been
     }
+    if (why.refusal == Refusal::Unavailable) {
+        why.retryAfter = std::max(why.retryAfter.value_or(comeBackSoon), comeBackSoon);
+    }
     noteEnd(*isGone_ ? "cancelled" : (why.outcome == Outcome::NotRun ? "refused" : "failed"));
     node_.metrics.onRefusal(why);
     if (why.step == Step::Check) {
