--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -278,6 +278,7 @@
         }
         mayHaveRun = mayHaveRun || why.outcome != Outcome::NotRun;
         node_.log.info("attempt_failed", why, {{"request_id", request_.id}, {"engine", target->engine}, {"attempt", attempts_}});
+        mayHaveRun_ = mayHaveRun_ || why.outcome != Outcome::NotRun;
         node_.trace(request_.id, why.step, why.peer, "attempt " + std::to_string(attempts_) + " failed: " + why.reason);
         if (!mayTryAgain(why)) {
             break;
@@ -373,7 +374,7 @@
 
 std::string Completion::attemptId() const
 {
-    return request_.id.value() + '.' + std::to_string(attempts_);
+    return Node::attemptId(request_.id, attempts_).value();
 }
 
 net::Task<Completion::Progress> Completion::attempt(Target target, Error &why)
@@ -548,6 +549,7 @@
     options.timeout = engineSilence;
     const auto response = co_await node_.http.stream(engine->second.address, {.target = path}, options, onChunk, why);
     if (!isGood) {
+        cancelOnEngine(target);
         why = whyCheck;
         co_return *isGone_ ? Progress::Answered : Progress::Failed;
     }
@@ -605,6 +607,12 @@
 
 net::Task<void> Completion::fail(Error why)
 {
+    if (mayHaveRun_ && why.outcome == Outcome::NotRun) {
+        why.outcome = Outcome::Unknown; // the last attempt was not run, but an earlier one may have been
+    }
+    if (why.refusal == Refusal::Unavailable) {
+        why.retryAfter = std::max(why.retryAfter.value_or(comeBackSoon), comeBackSoon);
+    }
     noteEnd(*isGone_ ? "cancelled" : (why.outcome == Outcome::NotRun ? "refused" : "failed"));
     node_.metrics.onRefusal(why);
     if (why.step == Step::Check) {
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -89,12 +89,9 @@
             held_[permit] = std::move(call);
             co_return permit;
         }
-        if (!reply && call->isOver()) { // its owner can't be reached; next() would give the same at once, for ever
-            co_return fallback_.take(node_.daemonCount(), node_.now());
-        }
-        const bool isRefused = reply.has_value();
+        const bool isAnswered = reply.has_value() || call->isOver(); // refused, or the link was lost
         const auto current = node_.usableOwner(ownership::loadsThing());
-        if (isRefused || !current || current->epoch != owner->epoch) {
+        if (isAnswered || !current || current->epoch != owner->epoch) {
             co_return std::nullopt;
         }
     }
@@ -232,7 +229,7 @@
     net::CallOptions options;
     options.timeout = std::min(engineSilence, Milliseconds(run.timeoutMs));
     options.freshConnection = true;
-    node_.trace(run.request, Step::Upstream, table_.engine().id.value(), "started on " + ranAs);
+    node_.trace(Node::requestOfAttempt(run.request), Step::Upstream, table_.engine().id.value(), "started on " + ranAs);
     auto response = co_await node_.http.stream(address_, std::move(request), options, onChunk, why);
     if (response && response->status == httpNotFound && errorType(response->body) == "unknown_model" && !waiter->abort && !waiter->isCancelled) {
         co_return Ran::UnknownName;
@@ -257,11 +254,11 @@
     table_.finished(attempt, isCut || isLeftRunning ? engines::RequestEnd::Lost : engines::RequestEnd::Complete, node_.now());
     node_.metrics.upstreamCalls.add({"engine", response && response->status < httpServerError ? "ok" : "failed"});
     if (!response) {
-        node_.trace(attempt, Step::Upstream, engine.value(), "failed: " + why.reason);
+        node_.trace(Node::requestOfAttempt(attempt), Step::Upstream, engine.value(), "failed: " + why.reason);
         call->send(peers::FailReply{upstreamError(engine, "the engine's answer was cut: " + why.reason, Refusal::BadAnswer, why.outcome)});
         return;
     }
-    node_.trace(attempt, Step::Upstream, engine.value(), "answered with status " + std::to_string(response->status));
+    node_.trace(Node::requestOfAttempt(attempt), Step::Upstream, engine.value(), "answered with status " + std::to_string(response->status));
     if (response->status == httpOk) {
         call->send(peers::EndReply{});
         noteServed(waiter->start->adapter, node_.now() - waiter->startedAt);
