--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -178,11 +178,12 @@
     }
     waiter->since = node_.now();
     waiter->isStalled = table_.probe(*adapter, node_.now()).residency != engines::Residency::Resident;
-    call->onCancel([self, waiter, call, id = run.request] {
+    call->onCancel([self, waiter, weakCall = std::weak_ptr(call), id = run.request] {
+        const auto cancelled = weakCall.lock();
         waiter->isCancelled = true;
         self->table_.cancel(id, self->node_.now());
         waiter->wakeup.raise();
-        if (waiter->start && !call->isLinkLost()) {
+        if (waiter->start && cancelled && !cancelled->isLinkLost()) {
             self->spawn([self, id] { return self->cancelOnEngine(id); });
         }
         self->pump();
--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -137,7 +137,16 @@
     [[nodiscard]] const CallBody &body() const override { return body_; }
     [[nodiscard]] bool isCancelled() const override { return isCancelled_; }
     [[nodiscard]] bool isLinkLost() const override { return isLinkLost_; }
-    bool send(ReplyBody reply) override { return !isCancelled_ && sender_(std::move(reply)); }
+    bool send(ReplyBody reply) override
+    {
+        if (isCancelled_) {
+            return false;
+        }
+        if (isLast(reply)) {
+            callback_ = nullptr; // what it holds may hold this call
+        }
+        return sender_(std::move(reply));
+    }
 
     void onCancel(std::function<void()> callback) override
     {
--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -178,6 +178,20 @@
     EXPECT_TRUE(isCancelled);
 }
 
+TEST_F(LinkTest, an_ended_call_lets_go_of_its_callback)
+{
+    const auto held = std::make_shared<int>(0);
+    LinkHandlers handlers;
+    handlers.onCall = [&](std::shared_ptr<IncomingCall> call) -> net::Task<void> {
+        call->onCancel([call, held] {});
+        call->send(HintReply{});
+        co_return;
+    };
+    const auto a = makeLinks("a", "the key of a deployment", handlers);
+    ASSERT_TRUE(callOnce(*a, "a", probe));
+    EXPECT_EQ(held.use_count(), 1);
+}
+
 TEST_F(LinkTest, a_lost_link_fails_the_call_as_unknown)
 {
     std::unique_ptr<Links> b;
