Split long functions of the gateway, and keep what coroutines share in one place

relay(), the service call and its sending were over forty lines each; sleeps, the completion token and the conversion of time stood in six files. A service's 503 counts as leaving by its error type, not by the word anywhere in its body. An engine's answer has the same bound of depth as a caller's: the test with a million brackets ended the process without it.

--- a/packages/gateway/budgethost.cpp
+++ b/packages/gateway/budgethost.cpp
@@ -51,7 +51,7 @@
         timer_.cancel();
         return;
     }
-    timer_.expires_after(std::chrono::milliseconds(std::max<std::int64_t>(1, (*deadline - now).count())));
+    timer_.expires_after(net::chronoOf(std::max(core::Milliseconds(1), *deadline - now)));
     timer_.async_wait([self = weak_from_this()](boost::system::error_code cancelled) {
         if (const auto host = self.lock(); host && !cancelled) {
             host->pump();
--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -27,6 +27,38 @@
     return Error{.step = step, .reason = std::move(reason), .refusal = refusal, .retryAfter = retryAfter};
 }
 
+/// "/services/NAME/REST" as a call of the service NAME with the target "/REST".
+ServiceRequest serviceRequestOf(const net::HttpRequest &message, const core::RequestId &id)
+{
+    const auto rest = std::string_view(message.target).substr(servicesPrefix.size());
+    const auto name = rest.substr(0, rest.find_first_of("/?"));
+    const auto target = rest.substr(name.size());
+    ServiceRequest call;
+    call.id = id;
+    call.service = core::ServiceName(std::string(name));
+    call.method = message.method;
+    call.target = target.starts_with('/') ? std::string(target) : '/' + std::string(target);
+    call.contentType = message.headers.find("Content-Type").value_or("");
+    call.idempotencyKey = message.headers.find("Idempotency-Key").value_or("");
+    call.body = message.body;
+    return call;
+}
+
+/// What a caller gets of a service's answer: status, body, and the headers that mean something to it.
+net::HttpResponse serviceAnswer(net::HttpResponse response, const core::RequestId &id)
+{
+    net::HttpResponse answer;
+    answer.status = response.status;
+    answer.body = std::move(response.body);
+    answer.headers.set("X-Request-Id", id.value());
+    for (const auto *header : {"Content-Type", "Idempotency-Replayed"}) {
+        if (auto value = response.headers.find(header)) {
+            answer.headers.set(header, std::move(*value));
+        }
+    }
+    return answer;
+}
+
 bool isCompletionPath(std::string_view path)
 {
     return path == "/v1/chat/completions" || path == "/v1/completions";
@@ -144,17 +176,7 @@
 
 net::Task<void> CallerApi::service(net::Exchange &exchange, CallerRequest request)
 {
-    const auto &message = exchange.request();
-    const auto rest = std::string_view(message.target).substr(servicesPrefix.size());
-    const auto name = rest.substr(0, rest.find_first_of("/?"));
-    ServiceRequest call;
-    call.id = request.id;
-    call.service = core::ServiceName(std::string(name));
-    call.method = message.method;
-    call.target = rest.size() > name.size() && rest[name.size()] == '/' ? std::string(rest.substr(name.size())) : '/' + std::string(rest.substr(name.size()));
-    call.contentType = message.headers.find("Content-Type").value_or("");
-    call.idempotencyKey = message.headers.find("Idempotency-Key").value_or("");
-    call.body = message.body;
+    ServiceRequest call = serviceRequestOf(exchange.request(), request.id);
     call.deadline = std::min(request.deadline, request.since + node_.settings.services.timeout);
     Error why;
     const auto grant = node_.lists.grantService(request.customer, call.service, why);
@@ -178,16 +200,7 @@
         co_await refuse(exchange, request, why);
         co_return;
     }
-    net::HttpResponse answer;
-    answer.status = response->status;
-    answer.body = std::move(response->body);
-    answer.headers.set("X-Request-Id", request.id.value());
-    for (const auto *header : {"Content-Type", "Idempotency-Replayed"}) {
-        if (auto value = response->headers.find(header)) {
-            answer.headers.set(header, std::move(*value));
-        }
-    }
-    co_await exchange.respond(std::move(answer));
+    co_await exchange.respond(serviceAnswer(std::move(*response), request.id));
 }
 
 net::Task<std::optional<net::HttpResponse>> CallerApi::keyedCall(CallerRequest request, ServiceRequest call, Error &why)
@@ -412,47 +425,64 @@
             co_return Progress::Answered;
         }
         if (!reply) {
-            const bool isLate = node_.now() >= request_.deadline;
-            if (!call_->isOver() && !isLate && !isOwnerLost(target)) {
+            if (isWorthWaiting(target)) {
                 continue;
             }
-            if (isLate) {
-                why = refusalOf(Step::Forward, Refusal::Timeout, "the request's time is over");
-                why.outcome = Outcome::Unknown;
-                co_return Progress::Failed;
-            }
-            why.step = Step::Forward;
-            why.peer = target.owner.value();
-            why.refusal = Refusal::BadAnswer;
-            if (hasBegun_) {
-                co_return co_await resume(target, why);
-            }
-            cancelOnEngine(target);
-            co_return Progress::Failed;
+            co_return co_await giveUpOwner(target, why);
         }
         if (const auto *failed = std::get_if<peers::FailReply>(&*reply)) {
             why = failed->error;
             const bool mayBeHeld = hasBegun_ && why.step == Step::Upstream; // the engine may hold the rest though it was cut
-            if (!mayBeHeld) {
-                co_return Progress::Failed;
-            }
-            co_return co_await resume(target, why);
+            co_return mayBeHeld ? co_await resume(target, why) : Progress::Failed;
         }
-        bool isGood = true;
-        if (const auto *started = std::get_if<peers::StartedReply>(&*reply)) {
-            isGood = co_await take(*started, why);
-        } else if (const auto *data = std::get_if<peers::DataReply>(&*reply)) {
-            isGood = co_await take(*data, why);
-        } else {
+        if (std::holds_alternative<peers::EndReply>(*reply)) {
             co_return co_await end(why);
         }
-        if (!isGood) {
+        if (!co_await take(*reply, why)) {
             co_return *isGone_ ? Progress::Answered : Progress::Failed;
         }
     }
 }
 
-net::Task<bool> Completion::take(const peers::StartedReply &reply, Error & /*why*/)
+/// Whether a silent owner may still answer in time.
+bool Completion::isWorthWaiting(const Target &target) const
+{
+    return !call_->isOver() && node_.now() < request_.deadline && !isOwnerLost(target);
+}
+
+/// The owner was lost or the time is over; `why` says how the call ended.
+net::Task<Completion::Progress> Completion::giveUpOwner(Target target, Error &why)
+{
+    if (node_.now() >= request_.deadline) {
+        why = refusalOf(Step::Forward, Refusal::Timeout, "the request's time is over");
+        why.outcome = Outcome::Unknown;
+        co_return Progress::Failed;
+    }
+    why.step = Step::Forward;
+    why.peer = target.owner.value();
+    why.refusal = Refusal::BadAnswer;
+    if (hasBegun_) {
+        co_return co_await resume(target, why);
+    }
+    cancelOnEngine(target);
+    co_return Progress::Failed;
+}
+
+net::Task<bool> Completion::take(const peers::ReplyBody &reply, Error &why)
+{
+    if (const auto *started = std::get_if<peers::StartedReply>(&reply)) {
+        noteStart(*started);
+        co_return true;
+    }
+    if (const auto *data = std::get_if<peers::DataReply>(&reply)) {
+        co_return co_await take(*data, why);
+    }
+    why = refusalOf(Step::Forward, Refusal::Internal, "a reply of another kind than a request's");
+    why.outcome = Outcome::Unknown;
+    co_return false;
+}
+
+void Completion::noteStart(const peers::StartedReply &reply)
 {
     node_.trace(request_.id, Step::Admit, "", "started as " + reply.ranAs + " after " + std::to_string(reply.queueMs) + " ms");
     const std::initializer_list<std::string_view> labels = {request_.customer.value(), grant_.plan.value()};
@@ -461,7 +491,6 @@
         node_.metrics.loadStall.observe(labels, Milliseconds(reply.stallMs));
     }
     check_.emplace(AnswerCheck::Expected{request_.id, attemptId(), wanted_.adapter, reply.ranAs});
-    co_return true;
 }
 
 net::Task<bool> Completion::take(const peers::DataReply &reply, Error &why)
--- a/packages/gateway/callers.h
+++ b/packages/gateway/callers.h
@@ -80,7 +80,10 @@
     net::Task<std::optional<engines::Hint>> hintOf(peers::OutgoingCall &call);
     net::Task<Progress> attempt(Target target, core::Error &why);
     net::Task<Progress> relay(Target target, core::Error &why);
-    net::Task<bool> take(const peers::StartedReply &reply, core::Error &why);
+    [[nodiscard]] bool isWorthWaiting(const Target &target) const;
+    net::Task<Progress> giveUpOwner(Target target, core::Error &why);
+    net::Task<bool> take(const peers::ReplyBody &reply, core::Error &why);
+    void noteStart(const peers::StartedReply &reply);
     net::Task<bool> take(const peers::DataReply &reply, core::Error &why);
     net::Task<Progress> end(core::Error &why);
     net::Task<Progress> resume(Target target, core::Error &why);
--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -157,8 +157,7 @@
 
 net::Task<void> Daemon::pause(Milliseconds time)
 {
-    asio::steady_timer timer(node_.io, std::chrono::milliseconds(time.count()));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await net::sleep(node_.io, time);
 }
 
 void Daemon::note(LoopState &state, const std::string &error)
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -29,19 +29,6 @@
 constexpr int httpUnavailable = 503;
 constexpr int httpNoSlot = 507;
 
-/// The "type" of an OpenAI-style error body; empty when there is none.
-std::string errorType(const std::string &body)
-{
-    const json value = json::parse(body, nullptr, false);
-    if (value.is_object() && value.contains("error") && value["error"].is_object()) {
-        const auto type = value["error"].find("type");
-        if (type != value["error"].end() && type->is_string()) {
-            return type->get<std::string>();
-        }
-    }
-    return {};
-}
-
 std::optional<engines::Listing> listingOf(const std::string &body)
 {
     const json value = json::parse(body, nullptr, false);
@@ -156,8 +143,7 @@
         timer_.cancel();
         return;
     }
-    const auto wait = std::max<std::int64_t>(1, (*deadline - node_.now()).count());
-    timer_.expires_after(std::chrono::milliseconds(wait));
+    timer_.expires_after(net::chronoOf(std::max(Milliseconds(1), *deadline - node_.now())));
     timer_.async_wait([self = weak_from_this()](boost::system::error_code cancelled) {
         if (const auto host = self.lock(); host && !cancelled) {
             host->pump();
@@ -232,7 +218,7 @@
     options.freshConnection = true;
     node_.trace(Node::requestOfAttempt(run.request), Step::Upstream, table_.engine().id.value(), "started on " + ranAs);
     auto response = co_await node_.http.stream(address_, std::move(request), options, onChunk, why);
-    if (response && response->status == httpNotFound && errorType(response->body) == "unknown_model" && !waiter->abort && !waiter->isCancelled) {
+    if (response && response->status == httpNotFound && errorTypeOf(response->body) == "unknown_model" && !waiter->abort && !waiter->isCancelled) {
         co_return Ran::UnknownName;
     }
     endRun(call, run.request, waiter, std::move(response), why);
@@ -266,7 +252,7 @@
         return;
     }
     if (response->status == httpUnavailable) {
-        if (errorType(response->body) == "leaving") {
+        if (errorTypeOf(response->body) == "leaving") {
             node_.noteLeaving(engine);
         }
         call->send(peers::FailReply{upstreamError(engine, "the engine takes no request now", Refusal::Unavailable, Outcome::NotRun)});
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -13,10 +13,7 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <admission/planlimiter.h>
 #include <admission/retrybudget.h>
@@ -27,6 +24,7 @@
 #include <lists/lists.h>
 #include <logging/logging.h>
 #include <metrics/metrics.h>
+#include <net/asio.h>
 #include <net/http.h>
 #include <ownership/planner.h>
 #include <peers/link.h>
@@ -67,8 +65,8 @@
     /// Returns at the next raise() or after `atMost`. The waiter checks what it waits for before and after.
     net::Task<void> wait(core::Milliseconds atMost)
     {
-        timer_.expires_after(std::chrono::milliseconds(atMost.count()));
-        co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+        timer_.expires_after(net::chronoOf(atMost));
+        co_await timer_.async_wait(net::tuple);
     }
 
 private:
--- a/packages/gateway/openai.cpp
+++ b/packages/gateway/openai.cpp
@@ -84,6 +84,13 @@
     return dump(value);
 }
 
+std::string errorTypeOf(const std::string &body)
+{
+    const json value = json::parse(body, nullptr, false);
+    const auto type = json::json_pointer("/error/type");
+    return value.is_object() && value.contains(type) && value.at(type).is_string() ? value.at(type).get<std::string>() : std::string();
+}
+
 std::string errorBody(const core::Error &error, const core::RequestId &request)
 {
     json body = {{"type", core::refusalName(error.refusal)},
@@ -154,9 +161,9 @@
 
 std::optional<std::string> AnswerCheck::checkWhole(const std::string &body, core::Error &why)
 {
-    json value = json::parse(body, nullptr, false);
+    json value = isTooDeep(body) ? json() : json::parse(body, nullptr, false);
     if (value.is_discarded() || !value.is_object()) {
-        why = mismatch("the engine's answer is not a JSON object");
+        why = mismatch("the engine's answer is not a JSON object of bounded depth");
         return std::nullopt;
     }
     if (value.contains("error")) {
--- a/packages/gateway/openai.h
+++ b/packages/gateway/openai.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   CompletionRequest   what is read from a caller's body
+//   errorTypeOf()       what kind of error an upstream answered with
 //   errorResponse()     how a caller is told of a refusal or failure
 //   EventReader         splits a stream of server-sent events
 //   AnswerCheck         whether an engine's answer is the one that was asked for, whole
@@ -30,6 +31,8 @@
 /// The body with another "model". The body must have been read by parseCompletion().
 [[nodiscard]] std::string withModel(std::string_view body, const std::string &model);
 
+/// The "type" of an upstream's error body, {"error":{"type":...}}; empty when there is none.
+[[nodiscard]] std::string errorTypeOf(const std::string &body);
 /// {"error":{"type","message","step","peer","outcome","request_id","retry_after_ms"}}
 [[nodiscard]] std::string errorBody(const core::Error &error, const core::RequestId &request);
 /// The same as an answer, with the refusal's status, X-Request-Id and Retry-After (whole seconds, rounded up).
--- a/packages/gateway/services.cpp
+++ b/packages/gateway/services.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <gateway/openai.h>
+
 namespace baobabstall::gateway {
 
 using core::Error;
@@ -21,9 +23,17 @@
     return {Error{.step = Step::Record, .reason = std::move(reason), .refusal = refusal, .outcome = outcome, .retryAfter = retryAfter}};
 }
 
-bool saysLeaving(const net::HttpResponse &response)
+net::HttpRequest messageOf(const ServiceRequest &request)
 {
-    return response.status == httpUnavailable && response.body.find("\"leaving\"") != std::string::npos;
+    net::HttpRequest message{.method = request.method, .target = request.target, .body = request.body};
+    message.headers.set("X-Request-Id", request.id.value());
+    if (!request.contentType.empty()) {
+        message.headers.set("Content-Type", request.contentType);
+    }
+    if (!request.idempotencyKey.empty()) {
+        message.headers.set("Idempotency-Key", request.idempotencyKey);
+    }
+    return message;
 }
 
 } // namespace
@@ -59,40 +69,17 @@
     int attempts = 0;
     Outcome worst = Outcome::NotRun; // over all attempts: one that may have acted is never called "not run" later
     for (const ServiceRecord &replica : replicasOf(request.service)) {
-        const auto left = request.deadline - node_.now();
         const bool mayGoOn = attempts == 0 || node_.retries.spend(attempts, node_.now());
-        if (left <= Milliseconds(0) || !mayGoOn) {
+        if (node_.now() >= request.deadline || !mayGoOn) {
             break;
         }
         ++attempts;
-        net::HttpRequest message{.method = request.method, .target = request.target, .body = request.body};
-        message.headers.set("X-Request-Id", request.id.value());
-        if (!request.contentType.empty()) {
-            message.headers.set("Content-Type", request.contentType);
-        }
-        if (!request.idempotencyKey.empty()) {
-            message.headers.set("Idempotency-Key", request.idempotencyKey);
-        }
-        net::CallOptions options;
-        options.timeout = std::min(left, node_.settings.services.timeout);
-        options.maxBodyBytes = node_.settings.services.maxAnswerBytes;
-        options.freshConnection = !mayRepeat;
-        node_.trace(request.id, Step::Upstream, replica.id.value(), "called");
-        auto response = co_await node_.http.call(replica.address, std::move(message), options, why);
-        if (response && !saysLeaving(*response)) {
-            node_.trace(request.id, Step::Upstream, replica.id.value(), "answered with status " + std::to_string(response->status));
+        auto response = co_await callReplica(replica, request, mayRepeat, why);
+        if (response) {
             node_.retries.onSuccess(node_.now());
             co_return response;
         }
-        if (response) {
-            node_.noteLeaving(replica.id);
-            why = Error{.reason = "the replica is leaving", .outcome = Outcome::NotRun};
-        }
-        why.step = Step::Upstream;
-        why.peer = replica.id.value();
-        why.refusal = why.outcome == Outcome::NotRun ? Refusal::Unavailable : Refusal::BadAnswer;
         worst = why.outcome == Outcome::NotRun ? worst : Outcome::Unknown;
-        node_.trace(request.id, Step::Upstream, replica.id.value(), "failed: " + why.reason);
         if (why.outcome != Outcome::NotRun && !mayRepeat) {
             break;
         }
@@ -104,6 +91,30 @@
     co_return std::nullopt;
 }
 
+net::Task<std::optional<net::HttpResponse>> ServiceCaller::callReplica(ServiceRecord replica, ServiceRequest request, bool mayRepeat, Error &why)
+{
+    net::CallOptions options;
+    options.timeout = std::min(request.deadline - node_.now(), node_.settings.services.timeout);
+    options.maxBodyBytes = node_.settings.services.maxAnswerBytes;
+    options.freshConnection = !mayRepeat;
+    node_.trace(request.id, Step::Upstream, replica.id.value(), "called");
+    auto response = co_await node_.http.call(replica.address, messageOf(request), options, why);
+    if (response && response->status == httpUnavailable && errorTypeOf(response->body) == "leaving") {
+        node_.noteLeaving(replica.id);
+        why = Error{.reason = "the replica is leaving", .outcome = Outcome::NotRun};
+        response.reset();
+    }
+    if (response) {
+        node_.trace(request.id, Step::Upstream, replica.id.value(), "answered with status " + std::to_string(response->status));
+        co_return response;
+    }
+    why.step = Step::Upstream;
+    why.peer = replica.id.value();
+    why.refusal = why.outcome == Outcome::NotRun ? Refusal::Unavailable : Refusal::BadAnswer;
+    node_.trace(request.id, Step::Upstream, replica.id.value(), "failed: " + why.reason);
+    co_return std::nullopt;
+}
+
 // ---- PartitionHost ----
 
 PartitionHost::PartitionHost(Node &node, ServiceCaller &caller, platform::LogClient &log, const platform::Endpoint &endpoint, int partition, core::Epoch epoch)
--- a/packages/gateway/services.h
+++ b/packages/gateway/services.h
@@ -40,6 +40,7 @@
     net::Task<std::optional<net::HttpResponse>> call(ServiceRequest request, bool mayRepeat, core::Error &why);
 
 private:
+    net::Task<std::optional<net::HttpResponse>> callReplica(ServiceRecord replica, ServiceRequest request, bool mayRepeat, core::Error &why);
     [[nodiscard]] std::vector<ServiceRecord> replicasOf(const core::ServiceName &service);
 
     Node &node_;
--- a/packages/gateway/tests/openaitest.cpp
+++ b/packages/gateway/tests/openaitest.cpp
@@ -83,6 +83,15 @@
     }
 }
 
+TEST(AnswerCheck, a_deeply_nested_answer_ends_no_process)
+{
+    core::Error why;
+    constexpr std::size_t depth = 1'000'000;
+    const std::string nested = R"({"id":"r-1","model":"a/b@c#7","x":)" + std::string(depth, '[') + std::string(depth, ']') + '}';
+    EXPECT_FALSE(checkOf().checkWhole(nested, why));
+    EXPECT_EQ(why.step, core::Step::Check);
+}
+
 TEST(AnswerCheck, nothing_follows_the_end)
 {
     core::Error why;
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -1,11 +1,10 @@
+#include <net/asio.h>
 #include <net/http.h>
 
 #include <array>
 #include <map>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -19,7 +18,6 @@
 
 namespace {
 
-constexpr auto tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxIdlePerAddress = 32;
 constexpr std::size_t chunkBytes = 16 * 1024;
 
@@ -28,7 +26,7 @@
 
 Deadline deadlineAfter(core::Milliseconds time)
 {
-    return std::chrono::steady_clock::now() + std::chrono::milliseconds(time.count());
+    return std::chrono::steady_clock::now() + chronoOf(time);
 }
 
 core::Error errorAt(core::Step step, const Address &address, const std::string &reason)
@@ -117,7 +115,7 @@
         co_return nullptr;
     }
     auto stream = std::make_unique<beast::tcp_stream>(io);
-    stream->expires_after(std::chrono::milliseconds(options.connectTimeout.count()));
+    stream->expires_after(chronoOf(options.connectTimeout));
     const auto [failed] = co_await stream->async_connect(tcp::endpoint(ip, address.port), tuple);
     if (failed) {
         why = errorAt(core::Step::Connect, address, failed.message());
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -1,14 +1,12 @@
+#include <net/asio.h>
 #include <net/http.h>
 
 #include <array>
 #include <set>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -23,15 +21,9 @@
 
 namespace {
 
-constexpr auto tuple = asio::as_tuple(asio::use_awaitable);
 constexpr core::Milliseconds acceptPause{50};    // after a failed accept, such as no free descriptor
 constexpr core::Milliseconds lingerTimeout{500}; // for a refused caller to read its answer before the close
 
-std::chrono::milliseconds chronoOf(core::Milliseconds time)
-{
-    return std::chrono::milliseconds(time.count());
-}
-
 /// The answer to a request that could not be read. Nothing: the connection just ended.
 std::optional<HttpResponse> answerToReadError(error_code failed)
 {
@@ -371,8 +363,7 @@
             co_return;
         }
         if (failed) {
-            asio::steady_timer pause(io, chronoOf(acceptPause));
-            co_await pause.async_wait(tuple);
+            co_await sleep(io, acceptPause);
             continue;
         }
         if (connections.size() >= limits.maxConnections) {
--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -5,35 +5,30 @@
 #include <set>
 #include <unordered_map>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <net/asio.h>
+
 namespace baobabstall::peers {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 using Server = websocketpp::server<websocketpp::config::asio>;
 using Client = websocketpp::client<websocketpp::config::asio_client>;
+using net::chronoOf;
+using net::tuple;
 using websocketpp::connection_hdl;
 
 namespace {
 
-constexpr auto tuple = asio::as_tuple(asio::use_awaitable);
 constexpr core::Milliseconds reconnectPause{100}; // after a link could not be opened
 constexpr std::size_t maxPendingFrames = 1'024;   // waiting for the proof of one link
 
-std::chrono::milliseconds chronoOf(core::Milliseconds time)
-{
-    return std::chrono::milliseconds(time.count());
-}
-
 core::Error linkError(const HostId &host, std::string reason, core::Outcome outcome)
 {
     return core::Error{.step = core::Step::Peer, .peer = host.value(), .reason = std::move(reason), .refusal = core::Refusal::Unavailable, .outcome = outcome};
--- a/packages/platform/platform.cpp
+++ b/packages/platform/platform.cpp
@@ -10,6 +10,7 @@
 
 #include <core/clock.h>
 #include <core/hash.h>
+#include <net/asio.h>
 #include <settings/json.h>
 
 namespace baobabstall::platform {
@@ -33,7 +34,7 @@
     net::Task<void> wait(core::Milliseconds length)
     {
         boost::system::error_code cancelled;
-        timer_.expires_after(std::chrono::milliseconds(length.count()));
+        timer_.expires_after(net::chronoOf(length));
         co_await timer_.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
     }
 
--- a/standins/common/standin.cpp
+++ b/standins/common/standin.cpp
@@ -6,8 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+
+#include <net/asio.h>
 
 namespace baobabstall::standins {
 
@@ -154,8 +154,7 @@
 
 Task<void> StandIn::sleep(core::Milliseconds time)
 {
-    boost::asio::steady_timer timer(io_, std::chrono::milliseconds(time.count()));
-    co_await timer.async_wait(boost::asio::use_awaitable);
+    co_await net::sleep(io_, time);
 }
 
 net::HttpResponse errorAnswer(int status, const std::string &type)
