--- a/benches/capacity/main.cpp
+++ b/benches/capacity/main.cpp
@@ -27,7 +27,7 @@
 
 namespace {
 
-using namespace baobabstall; // NOLINT(google-build-using-namespace)
+using namespace baobabstall;
 using capacity::Series;
 using core::Instant;
 using core::Milliseconds;
--- a/benches/capacity/measure.cpp
+++ b/benches/capacity/measure.cpp
@@ -16,7 +16,7 @@
 
 void *operator new(std::size_t size)
 {
-    void *memory = std::malloc(size); // NOLINT(cppcoreguidelines-no-malloc)
+    void *memory = std::malloc(size);
     if (memory == nullptr) {
         throw std::bad_alloc();
     }
@@ -27,7 +27,7 @@
 void operator delete(void *memory) noexcept
 {
     held -= memory == nullptr ? 0 : malloc_usable_size(memory);
-    std::free(memory); // NOLINT(cppcoreguidelines-no-malloc)
+    std::free(memory);
 }
 
 void operator delete(void *memory, std::size_t /*size*/) noexcept
--- a/benches/limits/main.cpp
+++ b/benches/limits/main.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-using namespace baobabstall; // NOLINT(google-build-using-namespace)
+using namespace baobabstall;
 using core::Milliseconds;
 using core::PlanId;
 using limits::Callers;
--- a/packages/metrics/registry.cpp
+++ b/packages/metrics/registry.cpp
@@ -21,7 +21,7 @@
 void writeNumber(std::string &text, double value)
 {
     constexpr std::size_t longestNumber = 32;
-    char digits[longestNumber]; // NOLINT(modernize-avoid-c-arrays)
+    char digits[longestNumber];
     const auto end = std::to_chars(digits, digits + longestNumber, value);
     text.append(digits, end.ptr);
 }
--- a/standins/common/standin.cpp
+++ b/standins/common/standin.cpp
@@ -190,7 +190,7 @@
         return 2;
     }
 
-    std::signal(SIGPIPE, SIG_IGN); // NOLINT(cert-err33-c)
+    std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io;
     const auto standIn = make(io);
     net::ServerLimits limits;
@@ -203,7 +203,7 @@
         std::cerr << why.text() << '\n';
         return 1;
     }
-    std::cout << Json{{"address", address->text()}}.dump() << std::endl; // NOLINT(performance-avoid-endl): the reader waits for it
+    std::cout << Json{{"address", address->text()}}.dump() << std::endl; // the reader waits for it
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&io](const boost::system::error_code &, int) { io.stop(); });
     io.run();
--- a/standins/engine/engine.cpp
+++ b/standins/engine/engine.cpp
@@ -173,21 +173,31 @@
                        {"start", start_}});
 }
 
-Task<void> Engine::serveLoad(net::Exchange &exchange)
+/// Reads a load or unload order; answers it itself when it is malformed or its number is stale.
+Task<std::optional<Engine::Order>> Engine::readOrder(net::Exchange &exchange, std::string kind)
 {
     const auto body = bodyOf(exchange.request());
     if (!body.is_object() || !body.contains("lora_name")) {
         co_await answer(exchange, errorAnswer(400, "lora_name_missing"));
-        co_return;
+        co_return std::nullopt;
     }
-    const auto name = body.at("lora_name").get<std::string>();
-    const auto fencing = fencingOf(exchange.request());
-    if (!takesNumber(fencing)) {
-        recordOrder("load", name, fencing, "stale_fencing_number");
+    Order order{body.at("lora_name").get<std::string>(), body.value("lora_path", ""), fencingOf(exchange.request())};
+    if (!takesNumber(order.fencing)) {
+        recordOrder(kind, order.name, order.fencing, "stale_fencing_number");
         co_await answer(exchange, errorAnswer(409, "stale_fencing_number"));
+        co_return std::nullopt;
+    }
+    co_return order;
+}
+
+Task<void> Engine::serveLoad(net::Exchange &exchange)
+{
+    const auto order = co_await readOrder(exchange, "load");
+    if (!order) {
         co_return;
     }
-    const int status = co_await load(name, body.value("lora_path", ""));
+    const auto &[name, path, fencing] = *order;
+    const int status = co_await load(name, path);
     static const std::map<int, std::string> verdicts{{200, "loaded"}, {507, "no_free_slot"}, {500, "load_failed"}, {503, "weights_missing"}};
     recordOrder("load", name, fencing, verdicts.at(status));
     co_await answer(exchange, status == 200 ? net::HttpResponse::json(200, "{}") : errorAnswer(status, verdicts.at(status)));
@@ -240,18 +250,11 @@
 
 Task<void> Engine::serveUnload(net::Exchange &exchange)
 {
-    const auto body = bodyOf(exchange.request());
-    if (!body.is_object() || !body.contains("lora_name")) {
-        co_await answer(exchange, errorAnswer(400, "lora_name_missing"));
-        co_return;
-    }
-    const auto name = body.at("lora_name").get<std::string>();
-    const auto fencing = fencingOf(exchange.request());
-    if (!takesNumber(fencing)) {
-        recordOrder("unload", name, fencing, "stale_fencing_number");
-        co_await answer(exchange, errorAnswer(409, "stale_fencing_number"));
+    const auto order = co_await readOrder(exchange, "unload");
+    if (!order) {
         co_return;
     }
+    const auto &[name, path, fencing] = *order;
     const int status = unload(name, fencing);
     recordOrder("unload", name, fencing, status == 200 ? "unloaded" : "not_held");
     co_await answer(exchange, status == 200 ? net::HttpResponse::json(200, "{}") : errorAnswer(status, "not_held"));
@@ -317,7 +320,7 @@
     auto generation = std::make_shared<Generation>(io_);
     generation->requestId = request.headers.find("X-Request-Id").value_or("unnamed-" + std::to_string(all_.size()));
     generation->name = body.at("model").get<std::string>();
-    generation->priority = std::atoi(request.headers.find("X-Priority").value_or("0").c_str()); // NOLINT(cert-err34-c)
+    generation->priority = std::atoi(request.headers.find("X-Priority").value_or("0").c_str());
     generation->maxTokens = body.value("max_tokens", body.value("max_completion_tokens", defaultMaxTokens));
     generation->chat = chat;
     generation->streamed = body.value("stream", false);
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -108,6 +108,11 @@
 private:
     using GenerationPtr = std::shared_ptr<Generation>;
     enum class Holding : std::uint8_t { Loading, Held };
+    struct Order {
+        std::string name;
+        std::string path; // of the weights; empty in an unload order
+        std::uint64_t fencing = 0;
+    };
     struct LoadReport {
         std::int64_t atMs;
         std::size_t running;
@@ -115,6 +120,7 @@
     };
 
     // Orders.
+    Task<std::optional<Order>> readOrder(net::Exchange &exchange, std::string kind);
     Task<void> serveLoad(net::Exchange &exchange);
     Task<void> serveUnload(net::Exchange &exchange);
     Task<int> load(std::string name, std::string path);
