--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -84,6 +84,11 @@
     , callersServer_(io, limitsOf(settings.callers), [this](net::Exchange &exchange) { return callers_.handle(exchange); })
     , operatorsServer_(io, {}, [this](net::Exchange &exchange) { return handleOperators(exchange); })
 {
+    callersServer_.onUnreadable([this] {
+        const auto id = node_.newRequestId();
+        node_.log.info("request_unreadable", {{"request_id", id}});
+        return id.value();
+    });
     const peers::Links::Self self{settings.host, incarnation, settings.region};
     node_.links = std::make_unique<peers::Links>(io, self, std::move(key), linkHandlers());
 }
--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -117,6 +117,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /// Called for each request that can't be read and is refused without the handler; gives its id for X-Request-Id.
+    void onUnreadable(std::function<std::string()> newRequestId);
     /// Opens the port and begins to accept; port 0 lets the kernel choose. Gives the address in use.
     [[nodiscard]] std::optional<Address> listen(const Address &address, core::Error &why);
     /// Accepts nothing more; open exchanges go on, and their connections close when they end.
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -66,6 +66,7 @@
     asio::io_context &io;
     ServerLimits limits;
     Handler handler;
+    std::function<std::string()> newRequestId; // may be empty
     tcp::acceptor acceptor;
     std::set<Connection *> connections;
     std::size_t openExchanges = 0;
@@ -314,6 +315,9 @@
     const error_code failed = co_await receive(parser);
     if (failed) {
         if (auto answer = answerToReadError(failed)) {
+            if (server_->newRequestId) {
+                answer->headers.set("X-Request-Id", server_->newRequestId());
+            }
             co_await refuse(std::move(*answer));
         }
         co_return false;
@@ -392,6 +396,11 @@
     stopAccepting();
 }
 
+void HttpServer::onUnreadable(std::function<std::string()> newRequestId)
+{
+    state_->newRequestId = std::move(newRequestId);
+}
+
 std::optional<Address> HttpServer::listen(const Address &address, core::Error &why)
 {
     error_code failed;
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -187,6 +187,14 @@
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
 }
 
+TEST_F(HttpTest, what_cannot_be_read_gets_a_request_id)
+{
+    const auto address = serve(echo);
+    server_->onUnreadable([] { return std::string("id-1"); });
+    const auto answer = rawExchange(address, "NOT A REQUEST\r\n\r\n");
+    EXPECT_NE(answer.find("X-Request-Id: id-1"), std::string::npos) << answer;
+}
+
 TEST_F(HttpTest, a_slow_sender_is_told_so)
 {
     const auto answer = rawExchange(serve(echo, {.receiveTimeout = core::Milliseconds(20)}), "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
