--- a/packages/core/clock.h
+++ b/packages/core/clock.h
@@ -16,7 +16,7 @@
         } -> std::same_as<Instant>;
 };
 
-/// Monotonic time of the machine. Differs between hosts: never send its instants to a peer.
+/// Monotonic time of the machine, the time it was suspended included. Differs between hosts: never send its instants to a peer.
 class SteadyClock
 {
 public:
--- a/packages/logging/logging.cpp
+++ b/packages/logging/logging.cpp
@@ -6,11 +6,16 @@
 #include <ctime>
 #include <fstream>
 
+#include <cerrno>
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
 #include <core/clock.h>
@@ -24,6 +29,7 @@
     = {"authorization", "body", "content", "cookie", "idempotency_key", "key", "messages", "prompt", "text"};
 constexpr std::string_view withheld = "withheld";
 constexpr std::int64_t msPerSecond = 1'000;
+constexpr std::string_view standardOutput = "-";
 
 log4cplus::LogLevel levelOf(Level level)
 {
@@ -95,10 +101,92 @@
     return "baobabstall." + std::to_string(++opened);
 }
 
+/// Standard output without ever waiting for its reader. What does not fit is kept up to a bound, then dropped and counted.
+class BoundedOutput final : public log4cplus::Appender
+{
+public:
+    explicit BoundedOutput(int linesPerSecond)
+        : perMs_(static_cast<double>(linesPerSecond) / msPerSecond)
+        , most_(linesPerSecond)
+        , left_{most_, most_}
+        , at_(core::SteadyClock().now())
+    {
+        const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    ~BoundedOutput() override { destructorImpl(); }
+    void close() override { flush(); }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        const bool isSevere = event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL;
+        refill();
+        flush();
+        auto &left = left_.at(isSevere ? 1 : 0);
+        const auto &line = event.getMessage();
+        if (left < 1 || waiting_.size() + line.size() > maxWaitingBytes) {
+            ++dropped_.at(isSevere ? 1 : 0);
+            return;
+        }
+        left -= 1;
+        tellDropped();
+        waiting_ += line;
+        waiting_ += '\n';
+        flush();
+    }
+
+private:
+    static constexpr std::size_t maxWaitingBytes = 256 * 1024; // a reader that stops for some seconds loses nothing
+
+    void refill()
+    {
+        const auto now = core::SteadyClock().now();
+        const double more = static_cast<double>((now - at_).count()) * perMs_;
+        at_ = now;
+        for (auto &left : left_) {
+            left = std::min(most_, left + more);
+        }
+    }
+
+    void tellDropped()
+    {
+        if (dropped_[0] + dropped_[1] == 0) {
+            return;
+        }
+        waiting_ += R"({"event":"log_lines_dropped","level":"warn","info_lines":)" + std::to_string(dropped_[0]) + R"(,"severe_lines":)"
+            + std::to_string(dropped_[1]) + R"(,"time":")" + timeText(core::civilMilliseconds()) + "\"}\n";
+        dropped_ = {0, 0};
+    }
+
+    void flush()
+    {
+        while (!waiting_.empty()) {
+            const auto written = ::write(STDOUT_FILENO, waiting_.data(), waiting_.size());
+            if (written <= 0) {
+                if (written < 0 && errno != EAGAIN && errno != EINTR) {
+                    waiting_.clear(); // nobody will ever read it
+                }
+                return;
+            }
+            waiting_.erase(0, static_cast<std::size_t>(written));
+        }
+    }
+
+    double perMs_;
+    double most_;
+    std::array<double, 2> left_; // budgets of info and of severe lines
+    std::array<std::uint64_t, 2> dropped_{0, 0};
+    core::Instant at_;
+    std::string waiting_;
+};
+
 log4cplus::SharedAppenderPtr makeAppender(const settings::Logging &options)
 {
     log4cplus::SharedAppenderPtr appender;
-    if (options.file.empty()) {
+    if (options.file == standardOutput) {
+        appender = new BoundedOutput(options.linesPerSecond);
+    } else if (options.file.empty()) {
         appender = new log4cplus::ConsoleAppender(true, true);
     } else {
         appender = new log4cplus::FileAppender(options.file, std::ios_base::app, true);
@@ -109,7 +197,7 @@
 
 bool canAppend(const std::string &file)
 {
-    return file.empty() || std::ofstream(file, std::ios_base::app).good();
+    return file.empty() || file == standardOutput || std::ofstream(file, std::ios_base::app).good();
 }
 
 } // namespace
--- a/packages/logging/logging.h
+++ b/packages/logging/logging.h
@@ -15,7 +15,8 @@
 // "withheld", and text is cut at Log::longestText. Control characters and broken UTF-8 are escaped or replaced, so no value
 // can end a line or begin another.
 //
-// Limits. Writing is synchronous and flushed for each line; at level "debug" a busy daemon spends noticeable time on it. The
+// Limits. To standard output (file "-") lines are bounded by settings and never waited for; dropped ones are counted in a line
+// "log_lines_dropped". To standard error or a file writing is synchronous and flushed for each line; at level "debug" a busy daemon spends noticeable time on it. The
 // file is appended to and not rotated: the platform's collector does that, or use standard error. Safe to call from any thread.
 #pragma once
 
--- a/packages/ownership/planner.cpp
+++ b/packages/ownership/planner.cpp
@@ -237,6 +237,13 @@
         }
     }
     lastTick_ = now;
+    for (const auto &[host, member] : members_) {
+        if (member.state == MemberState::Dead) {
+            deadSince_.emplace(host, now);
+        } else {
+            deadSince_.erase(host);
+        }
+    }
     if (!readySince_ && caughtUp_ && !members_.empty()) {
         readySince_ = now;
     }
@@ -283,6 +290,7 @@
     if (state.notedEpoch != epoch) {
         state.notedEpoch = epoch;
         state.ownerSince = now;
+        noteActFrom(state, owner, now);
     }
     bool ours = owner && isOurs(*owner) && !owner->released;
     if (state.held && (!ours || owner->epoch != *state.held)) {
@@ -306,6 +314,18 @@
     }
 }
 
+/// An owner that this daemon never saw may have been superseded a moment ago, so only an unclaimed thing or our own host's is free at once.
+void OwnershipPlanner::noteActFrom(State &state, const std::optional<Owner> &owner, Instant now) const
+{
+    if (!owner) {
+        return;
+    }
+    const bool wasOurs = state.notedOwner == self_.host;
+    const bool hasFormer = !state.notedOwner.empty();
+    state.actFrom = hasFormer && !wasOurs ? now + settings_.leaseWait : now;
+    state.notedOwner = owner->host;
+}
+
 void OwnershipPlanner::noteLoss(const Thing &thing, State &state, Plan &plan)
 {
     auto past = table_.holderOf(thing, *state.held);
@@ -371,7 +391,8 @@
 
 bool OwnershipPlanner::wantsClaim(const Thing &thing, const State &state, Instant now) const
 {
-    bool started = readySince_ && now - *readySince_ >= settings_.handoverDelay;
+    auto startDelay = settings_.claimDelay.count() > 0 ? settings_.claimDelay : settings_.handoverDelay;
+    bool started = readySince_ && now - *readySince_ >= startDelay;
     bool superseded = newestIncarnation(self_.host) > self_.incarnation;
     if (stopping_ || superseded || !started || state.preferred != self_.host) {
         return false;
@@ -427,7 +448,9 @@
     if (member->listing == Listing::Gone && !answers(*member)) {
         return true;
     }
-    return member->state == MemberState::Dead && seesMajority();
+    auto since = deadSince_.find(owner.host);
+    bool mayDecideAlone = settings_.minorityDelay.count() > 0 && since != deadSince_.end() && now - since->second >= settings_.minorityDelay;
+    return member->state == MemberState::Dead && (seesMajority() || mayDecideAlone);
 }
 
 bool OwnershipPlanner::seesMajority() const
@@ -470,7 +493,7 @@
     auto owner = table_.ownerOf(thing);
     bool ours = owner && isOurs(*owner) && !owner->released && owner->epoch == epoch;
     bool awake = lastTick_ && now - *lastTick_ <= pauseLimit;
-    return ours && awake && (caughtUp_ || logDown_);
+    return ours && awake && (caughtUp_ || logDown_) && now >= found->second.actFrom;
 }
 
 bool OwnershipPlanner::isDraining(const Thing &thing) const
--- a/packages/ownership/planner.h
+++ b/packages/ownership/planner.h
@@ -140,6 +140,8 @@
         Instant preferredSince;    // when a tick saw it first
         Epoch notedEpoch;          // in force as of the last tick
         Instant ownerSince;        // when a tick saw it first
+        HostId notedOwner;         // the last one that a tick saw
+        Instant actFrom;           // with a held epoch: not before, so that another host's last order is a lease away
         std::optional<Epoch> held; // ours, as last told by a Plan
         bool draining = false;     // handed over, work runs
         bool drained = false;      // no work runs; to be released
@@ -172,6 +174,7 @@
     void noteTick(Instant now);
     void retryAppends(Plan &plan, Instant now);
     void noteOwnership(const Thing &thing, State &state, Plan &plan, Instant now);
+    void noteActFrom(State &state, const std::optional<Owner> &owner, Instant now) const;
     void noteLoss(const Thing &thing, State &state, Plan &plan);
     void planThing(const Thing &thing, State &state, Plan &plan, Instant now);
     void planOwned(const Thing &thing, State &state, Epoch epoch, Plan &plan, Instant now);
@@ -193,6 +196,7 @@
     std::int64_t budgetMilli_ = 0; // thousandths of an append
     std::optional<Instant> lastTick_;
     std::optional<Instant> readySince_; // members known and stream read
+    std::map<HostId, Instant> deadSince_; // members that are dead, and since which tick
     bool caughtUp_ = false;
     int endReads_ = 0;              // since the start, the last outage or the last pause
     std::vector<Holding> vanished_; // held things that are no things any more
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -3,13 +3,14 @@
 // Index
 //   Hello, Proof     the first two frames of each side; nothing else counts before them
 //   Gossip           a membership message
-//   Notice           news that needs no answer: WidthNotice, PrefetchNotice
+//   Notice           news that needs no answer: WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      would this engine serve this adapter now?        -> HintReply
 //     RunCall        serve this request on this engine                -> StartedReply, DataReply..., EndReply
 //     PermitCall     may this engine load this adapter?               -> GrantReply; the permit lasts until the call is cancelled
 //     ServiceCall    run this keyed call in its partition             -> WholeReply
 //     ListsCall      what lists do you have in force?                 -> ListsReply
+//     ResidencyCall  have this replica hold these weights             -> ResidencyReply
 //     any of them                                                     -> FailReply instead
 //   encode(), decode()
 //
@@ -20,7 +21,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include <core/error.h>
 #include <core/types.h>
@@ -89,7 +92,16 @@
 
 struct ListsCall { };
 
-using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall>;
+/// Asks the owner of a model replica to have it hold an adapter.
+struct ResidencyCall {
+    core::UpstreamId replica;
+    core::BaseModel model;
+    core::AdapterName adapter;
+    std::uint64_t revision = 0; // at least this one; 0: any
+    std::int64_t waitMs = 0;    // how long the asker waits for the answer
+};
+
+using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall>;
 
 /// How soon an engine would begin with a request.
 struct HintReply {
@@ -135,7 +147,13 @@
     core::Error error;
 };
 
-using ReplyBody = std::variant<HintReply, StartedReply, DataReply, EndReply, GrantReply, WholeReply, ListsReply, FailReply>;
+/// The replica holds the weights and goes on holding them for a while.
+struct ResidencyReply {
+    std::uint64_t revision = 0;
+    std::int64_t leaseMs = 0; // from now on
+};
+
+using ReplyBody = std::variant<HintReply, StartedReply, DataReply, EndReply, GrantReply, WholeReply, ListsReply, FailReply, ResidencyReply>;
 
 /// An adapter is wanted on more or fewer replicas than others.
 struct WidthNotice {
@@ -150,8 +168,18 @@
     std::string adapter;
 };
 
+/// What the sender has running at upstreams that the receiver owns.
+struct RunningNotice {
+    std::vector<std::pair<core::UpstreamId, int>> running;
+};
+
+/// What all other hosts have running at the sender's upstreams.
+struct TotalsNotice {
+    std::vector<std::pair<core::UpstreamId, int>> others;
+};
+
 struct Notice {
-    std::variant<WidthNotice, PrefetchNotice> body;
+    std::variant<WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice> body;
 };
 
 /// A call; its id is unique on the link for the side that opened it.
--- /dev/null
+++ b/packages/serving/callers.cpp
@@ -0,0 +1,324 @@
+#include <serving/callers.h>
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace baobabstall::serving {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr Milliseconds acceptPause{50};   // after a failed accept, such as no free descriptor
+constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; two pauses after which callers give up themselves
+constexpr int backlog = 1'024;
+
+struct Unreadable {
+    int status = 400;
+    std::string_view reason = "this is not HTTP/1.1";
+};
+
+/// What to tell about a request that can't be read. Nothing: the connection just ended.
+std::optional<Unreadable> unreadable(error_code failed)
+{
+    if (failed == http::error::body_limit) {
+        return Unreadable{413, "the body is over the limit"};
+    }
+    if (failed == http::error::header_limit) {
+        return Unreadable{431, "the headers are over the limit"};
+    }
+    const bool isHttp = failed.category() == http::make_error_code(http::error::bad_value).category();
+    if (isHttp && failed != http::error::end_of_stream && failed != http::error::partial_message) {
+        return Unreadable{};
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool CallerRequest::isOfConnection(std::string_view field)
+{
+    constexpr std::array<std::string_view, 9> fields
+        = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length", "Expect"};
+    return std::any_of(fields.begin(), fields.end(), [&](std::string_view each) { return beast::iequals(each, field); });
+}
+
+class Connection;
+
+struct CallerServer::State {
+    State(asio::io_context &context, CallerServerOptions serverOptions, Handler requestHandler)
+        : io(context)
+        , options(std::move(serverOptions))
+        , handler(std::move(requestHandler))
+        , acceptor(context)
+    { }
+
+    asio::io_context &io;
+    CallerServerOptions options;
+    Handler handler;
+    tcp::acceptor acceptor;
+    std::unordered_set<Connection *> open;
+    std::size_t busy = 0;
+    bool isStopping = false;
+};
+
+class Connection final : public CallerConnection, public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<CallerServer::State> server, tcp::socket socket)
+        : server_(std::move(server))
+        , socket_(std::move(socket))
+        , watchdog_(server_->io)
+    {
+        server_->open.insert(this);
+    }
+    ~Connection() override { server_->open.erase(this); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    net::Task<void> run()
+    {
+        const auto self = shared_from_this();
+        error_code failed;
+        socket_.set_option(tcp::no_delay(true), failed);
+        while (socket_.is_open() && co_await serveOne()) { }
+        close();
+    }
+
+    net::Task<bool> write(std::string bytes) override
+    {
+        if (isGone_ || !socket_.is_open()) {
+            co_return false;
+        }
+        watchdog_.arm(core::SteadyClock().now() + writeTimeout, [this] { close(); });
+        const auto [failed, count] = co_await asio::async_write(socket_, asio::buffer(bytes), net::tuple);
+        watchdog_.disarm();
+        if (failed) {
+            close();
+        }
+        co_return !failed;
+    }
+
+    void onGone(std::function<void()> callback) override
+    {
+        callback_ = std::move(callback);
+        if (!isWatching_) {
+            watch();
+        }
+    }
+
+    [[nodiscard]] bool isGone() const override { return isGone_; }
+
+    void cut() override
+    {
+        mayGoOn_ = false;
+        error_code ignored; // a socket that is closed already
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
+    [[nodiscard]] bool closesAfter() const override { return server_->isStopping || !isKeptByCaller_; }
+
+    void closeIfIdle()
+    {
+        if (!isBusy_) {
+            close();
+        }
+    }
+
+private:
+    net::Task<bool> serveOne()
+    {
+        const auto limits = server_->options.limits();
+        if (buffer_.size() == 0) {
+            watchdog_.arm(core::SteadyClock().now() + limits.idleTimeout, [this] { close(); });
+            const auto [failed] = co_await socket_.async_wait(tcp::socket::wait_read, net::tuple);
+            if (failed) {
+                co_return false;
+            }
+        }
+        CallerRequest request;
+        request.arrivedAt = core::SteadyClock().now();
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+        parser.body_limit(limits.maxBodyBytes);
+        watchdog_.arm(request.arrivedAt + limits.headerTimeout, [this] { close(); });
+        auto [failed, count] = co_await http::async_read_header(socket_, buffer_, parser, net::tuple);
+        if (!failed && !parser.is_done()) {
+            isBusy_ = true;
+            watchdog_.arm(core::SteadyClock().now() + server_->options.bodyTimeout, [this] { close(); });
+            std::tie(failed, count) = co_await http::async_read(socket_, buffer_, parser, net::tuple);
+        }
+        watchdog_.disarm();
+        if (failed) {
+            co_await refuseUnreadable(failed);
+            co_return false;
+        }
+        co_return co_await handle(request, parser.get());
+    }
+
+    net::Task<bool> handle(CallerRequest &request, http::request<http::string_body> &message)
+    {
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message) {
+            request.headers.push_back({{field.name_string().data(), field.name_string().size()}, {field.value().data(), field.value().size()}});
+        }
+        request.host = std::string(message[http::field::host]);
+        request.body = std::move(message.body());
+        isKeptByCaller_ = message.keep_alive();
+        mayGoOn_ = true;
+        isBusy_ = true;
+        ++server_->busy;
+        co_await server_->handler(*this, request);
+        --server_->busy;
+        isBusy_ = false;
+        callback_ = nullptr;
+        co_return mayGoOn_ && !isGone_ && socket_.is_open() && !closesAfter();
+    }
+
+    /// A caller that has sent more is not gone; it is then watched by its next read only.
+    void watch()
+    {
+        isWatching_ = true;
+        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
+            self->isWatching_ = false;
+            if (failed || !self->callback_) {
+                return;
+            }
+            char next = 0;
+            self->socket_.non_blocking(true, failed);
+            self->socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, failed);
+            if (failed == asio::error::would_block) {
+                self->watch();
+                return;
+            }
+            if (failed) {
+                self->isGone_ = true;
+                const auto callback = std::exchange(self->callback_, nullptr);
+                callback();
+            }
+        });
+    }
+
+    net::Task<void> refuseUnreadable(error_code failed)
+    {
+        const auto what = unreadable(failed);
+        if (!what || !socket_.is_open()) {
+            co_return;
+        }
+        server_->options.onUnreadable(what->status, what->reason);
+        co_await write("HTTP/1.1 " + std::to_string(what->status) + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        error_code ignored; // the caller may be gone
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    void close()
+    {
+        error_code ignored; // a socket that is closed already
+        socket_.close(ignored);
+    }
+
+    std::shared_ptr<CallerServer::State> server_;
+    tcp::socket socket_;
+    beast::flat_buffer buffer_;
+    Watchdog watchdog_;
+    std::function<void()> callback_;
+    bool isWatching_ = false;
+    bool isGone_ = false;
+    bool isBusy_ = false;
+    bool isKeptByCaller_ = true;
+    bool mayGoOn_ = true;
+};
+
+namespace {
+
+net::Task<void> acceptLoop(std::shared_ptr<CallerServer::State> state)
+{
+    while (state->acceptor.is_open()) {
+        auto [failed, socket] = co_await state->acceptor.async_accept(net::tuple);
+        if (failed == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (failed) {
+            co_await net::sleep(state->io, acceptPause);
+            continue;
+        }
+        if (state->open.size() >= state->options.maxConnections) {
+            continue;
+        }
+        const auto connection = std::make_shared<Connection>(state, std::move(socket));
+        asio::co_spawn(
+            state->io, [connection] { return connection->run(); }, asio::detached);
+    }
+}
+
+} // namespace
+
+CallerServer::CallerServer(asio::io_context &io, CallerServerOptions options, Handler handler)
+    : state_(std::make_shared<State>(io, std::move(options), std::move(handler)))
+{ }
+
+CallerServer::~CallerServer() = default;
+
+std::optional<net::Address> CallerServer::listen(const net::Address &address, core::Error &why)
+{
+    error_code failed;
+    const auto ip = asio::ip::make_address(address.ip, failed);
+    const tcp::endpoint endpoint(ip, address.port);
+    if (!failed) {
+        state_->acceptor.open(endpoint.protocol(), failed);
+    }
+    if (!failed) {
+        state_->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+        state_->acceptor.bind(endpoint, failed);
+    }
+    if (!failed) {
+        state_->acceptor.listen(backlog, failed);
+    }
+    if (failed) {
+        why = core::Error{.step = core::Step::Connect, .peer = address.text(), .reason = "can't listen: " + failed.message()};
+        return std::nullopt;
+    }
+    const auto bound = state_->acceptor.local_endpoint(failed);
+    asio::co_spawn(
+        state_->io, [state = state_] { return acceptLoop(state); }, asio::detached);
+    return net::Address{bound.address().to_string(), bound.port()};
+}
+
+void CallerServer::beginStop()
+{
+    state_->isStopping = true;
+}
+
+void CallerServer::closeIdle()
+{
+    error_code ignored; // closed already
+    state_->acceptor.close(ignored);
+    const std::vector<Connection *> open(state_->open.begin(), state_->open.end());
+    for (auto *connection : open) {
+        connection->closeIfIdle();
+    }
+}
+
+std::size_t CallerServer::connections() const
+{
+    return state_->open.size();
+}
+
+std::size_t CallerServer::busy() const
+{
+    return state_->busy;
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/chooser.cpp
@@ -0,0 +1,171 @@
+#include <serving/chooser.h>
+
+#include <algorithm>
+#include <limits>
+
+#include <core/hash.h>
+
+namespace baobabstall::serving {
+
+namespace {
+
+constexpr int maxBlockDoublings = 6;
+constexpr double blockedCost = 5'000; // ms; only when nothing else is left
+constexpr double tieSpread = 1;       // ms; at random, so that equal upstreams share
+
+} // namespace
+
+Chooser::Chooser(ChooserOptions options, std::uint64_t seed)
+    : options_(options)
+    , random_(seed)
+{ }
+
+Chooser::Load &Chooser::load(const UpstreamId &id)
+{
+    auto &load = loads_[id];
+    if (!load.hasHealth) {
+        load.good = admission::DecayingCount(options_.healthHalfLife);
+        load.bad = admission::DecayingCount(options_.healthHalfLife);
+        load.hasHealth = true;
+    }
+    return load;
+}
+
+std::vector<const Candidate *> Chooser::homes(const Wanted &wanted) const
+{
+    std::vector<std::pair<std::uint64_t, const Candidate *>> ranked;
+    ranked.reserve(wanted.candidates.size());
+    for (const auto &each : wanted.candidates) {
+        ranked.emplace_back(core::hashText(each.replica->id.value(), wanted.home), &each);
+    }
+    const auto count = std::min(options_.homes, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<const Candidate *> homes;
+    for (std::size_t i = 0; i < count; ++i) {
+        homes.push_back(ranked[i].second);
+    }
+    return homes;
+}
+
+const Candidate *Chooser::pick(const Wanted &wanted, Instant now)
+{
+    std::vector<const Candidate *> considered;
+    if (wanted.home != 0) {
+        considered = homes(wanted);
+        const bool allBlocked = std::all_of(considered.begin(), considered.end(), [&](const Candidate *each) { return isBlocked(each->replica->id, now); });
+        if (allBlocked) {
+            considered.clear();
+        }
+    }
+    if (considered.empty()) {
+        for (const auto &each : wanted.candidates) {
+            considered.push_back(&each);
+        }
+    }
+    const Candidate *best = nullptr;
+    double lowest = std::numeric_limits<double>::max();
+    std::uniform_real_distribution<double> tie(0, tieSpread);
+    for (std::size_t rank = 0; rank < considered.size(); ++rank) {
+        const double each = cost(*considered[rank], wanted.home == 0 ? 0 : rank, wanted, now) + tie(random_);
+        if (each < lowest) {
+            lowest = each;
+            best = considered[rank];
+        }
+    }
+    return best;
+}
+
+double Chooser::cost(const Candidate &candidate, std::size_t rank, const Wanted &wanted, Instant now) const
+{
+    const auto &replica = *candidate.replica;
+    const double fill = (running(replica.id, now) + 1) / std::max(1, replica.slots);
+    double cost = static_cast<double>(rank) * options_.homeCost + fill * options_.fillCost;
+    cost += std::max(0.0, fill - options_.crowdedFill) * options_.crowdedCost;
+    cost += failureShare(replica.id, now) * options_.failureCost;
+    cost += replica.zone == wanted.zone ? 0 : options_.otherZoneCost;
+    cost += isBlocked(replica.id, now) ? blockedCost : 0;
+    if (!candidate.isReady) {
+        cost += candidate.canFetch ? options_.missingCost : options_.noOwnerCost;
+    }
+    return cost;
+}
+
+void Chooser::end(const UpstreamId &id, SendEnd how, Instant now)
+{
+    auto &state = load(id);
+    state.own = std::max(0, state.own - 1);
+    switch (how) {
+    case SendEnd::Good:
+        state.good.add(now);
+        state.blocks = 0;
+        state.blockedUntil = Instant();
+        break;
+    case SendEnd::Failed:
+        state.bad.add(now);
+        break;
+    case SendEnd::Silent: {
+        state.bad.add(now);
+        const auto time = options_.block * (std::int64_t(1) << std::min(state.blocks, maxBlockDoublings));
+        state.blockedUntil = now + std::min(time, options_.longestBlock);
+        ++state.blocks;
+        break;
+    }
+    case SendEnd::Full:
+        state.blockedUntil = std::max(state.blockedUntil, now + options_.fullBlock);
+        break;
+    case SendEnd::NotRun:
+    case SendEnd::Abandoned:
+        break;
+    }
+}
+
+void Chooser::forget(const UpstreamId &id)
+{
+    const auto found = loads_.find(id);
+    if (found != loads_.end() && found->second.own == 0) {
+        loads_.erase(found);
+    }
+}
+
+void Chooser::setOthers(const UpstreamId &id, int running, Instant now)
+{
+    auto &state = load(id);
+    state.others = running;
+    state.othersAt = now;
+}
+
+int Chooser::own(const UpstreamId &id) const
+{
+    const auto found = loads_.find(id);
+    return found == loads_.end() ? 0 : found->second.own;
+}
+
+double Chooser::running(const UpstreamId &id, Instant now) const
+{
+    const auto found = loads_.find(id);
+    if (found == loads_.end()) {
+        return 0;
+    }
+    const auto &state = found->second;
+    const bool isTold = state.othersAt && now - *state.othersAt <= options_.othersValid;
+    return isTold ? state.own + state.others : state.own * hosts_;
+}
+
+double Chooser::failureShare(const UpstreamId &id, Instant now) const
+{
+    const auto found = loads_.find(id);
+    if (found == loads_.end() || !found->second.hasHealth) {
+        return 0;
+    }
+    const double bad = found->second.bad.value(now);
+    const double good = found->second.good.value(now);
+    return bad / (bad + good + 2); // two successes are assumed, so that one failure does not condemn
+}
+
+bool Chooser::isBlocked(const UpstreamId &id, Instant now) const
+{
+    const auto found = loads_.find(id);
+    return found != loads_.end() && now < found->second.blockedUntil;
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/chooser.h
@@ -0,0 +1,107 @@
+// serving/chooser.h: which upstream a request is sent to. No I/O.
+//
+// Index
+//   SendEnd          how a send ended, as far as it says something about the upstream
+//   Chooser          begin(), end(), setOthers(); pick()
+//   Wanted           what is asked for
+//
+//   Chooser chooser(options);
+//   auto id = chooser.pick(wanted, now); chooser.begin(*id); ... chooser.end(*id, SendEnd::Good, now);
+//
+// Plain services: the upstream with the fewest running requests for its slots. Model replicas: each adapter has a stable order
+// of homes by rendezvous hashing; the first home is taken while it has room, so that adapters stay where they are held and
+// only the hot ones spread. Costs are in milliseconds of expected wait, so that reasons of different kinds can be weighed.
+#pragma once
+
+#include <functional>
+#include <random>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include <admission/rates.h>
+#include <serving/model.h>
+
+namespace baobabstall::serving {
+
+enum class SendEnd : std::uint8_t {
+    Good,      // answered as it should
+    Failed,    // its own failure: an error status, a cut or spoilt answer
+    Silent,    // no answer in time, or no connection
+    Full,      // not run: no room
+    NotRun,    // not run for another reason; says nothing about its health
+    Abandoned, // the caller left or its time ran out
+};
+
+struct ChooserOptions {
+    std::size_t homes = 4;           // upstreams tried for one adapter
+    double homeCost = 12;            // ms; each place further down the order of homes
+    double missingCost = 130;        // ms; the adapter has to be fetched: half of a full fetch, as most are held close by
+    double noOwnerCost = 600;        // ms; nobody can order it there at present
+    double failureCost = 900;        // ms; at a share of failures of 1
+    double otherZoneCost = 2;        // ms; the way to another zone and back
+    double fillCost = 60;            // ms; a full batch against an empty one: steps are slower
+    double crowdedFill = 0.8;        // of the slots; beyond it requests begin to queue
+    double crowdedCost = 2'000;      // ms for each further batch
+    Milliseconds block{400};         // after silence; doubles up to longestBlock
+    Milliseconds longestBlock{4'000};
+    Milliseconds fullBlock{60};      // after "no room": about one step of a plain service's queue
+    Milliseconds healthHalfLife{3'000};
+    Milliseconds othersValid{1'500}; // counts told by others; older ones are replaced by a guess
+};
+
+/// One upstream that could take the request.
+struct Candidate {
+    const ReplicaRecord *replica = nullptr;
+    bool isReady = true;   // the weights are held there, as far as is known
+    bool canFetch = true;  // somebody can order them there
+};
+
+struct Wanted {
+    std::span<const Candidate> candidates; // without those tried before
+    std::uint64_t home = 0;                // hash of the weights or prompt; 0: any upstream is as good
+    ZoneId zone;
+};
+
+class Chooser
+{
+public:
+    Chooser(ChooserOptions options, std::uint64_t seed);
+
+    [[nodiscard]] const Candidate *pick(const Wanted &wanted, Instant now);
+    /// The first homes of `home` among `candidates`, best first.
+    [[nodiscard]] std::vector<const Candidate *> homes(const Wanted &wanted) const;
+
+    void begin(const UpstreamId &id) { ++loads_[id].own; }
+    void end(const UpstreamId &id, SendEnd how, Instant now);
+    void forget(const UpstreamId &id);
+    void setOthers(const UpstreamId &id, int running, Instant now); // running for other hosts
+    void setHosts(int hosts) { hosts_ = std::max(1, hosts); }       // that serve, this one included
+
+    [[nodiscard]] int own(const UpstreamId &id) const;
+    [[nodiscard]] double running(const UpstreamId &id, Instant now) const; // of all hosts, told or guessed
+    [[nodiscard]] double failureShare(const UpstreamId &id, Instant now) const;
+    [[nodiscard]] bool isBlocked(const UpstreamId &id, Instant now) const;
+
+private:
+    struct Load {
+        int own = 0;
+        int others = 0;
+        std::optional<Instant> othersAt;
+        admission::DecayingCount good{Milliseconds(1)};
+        admission::DecayingCount bad{Milliseconds(1)};
+        bool hasHealth = false;
+        Instant blockedUntil;
+        int blocks = 0; // in a row
+    };
+
+    [[nodiscard]] double cost(const Candidate &candidate, std::size_t rank, const Wanted &wanted, Instant now) const;
+    Load &load(const UpstreamId &id);
+
+    ChooserOptions options_;
+    std::mt19937_64 random_;
+    int hosts_ = 1;
+    std::unordered_map<UpstreamId, Load> loads_;
+};
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/hosteddaemon.cpp
@@ -0,0 +1,802 @@
+#include <serving/hosteddaemon.h>
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include <core/hash.h>
+#include <settings/json.h>
+
+namespace baobabstall::serving {
+
+namespace asio = boost::asio;
+using core::Error;
+using core::Offset;
+using core::Step;
+
+namespace {
+
+constexpr Milliseconds tickInterval{100};         // of membership and ownership
+constexpr Milliseconds pauseNoticed{500};         // a tick that is this late tells that the host stood still
+constexpr Milliseconds runningInterval{200};      // between reports of running requests to owners
+constexpr Milliseconds housekeepingInterval{500}; // idle connections, ended leases, lapsed records
+constexpr Milliseconds operatorsWait{2'000};      // a lost connection is noticed after this and the store's call time-out
+constexpr Milliseconds controlWait{3'000};
+constexpr Milliseconds upstreamsPause{600};       // a third of the bound on leaving upstreams
+constexpr Milliseconds claimPatience{300};        // between tries to write the links' key or this host's address
+constexpr Milliseconds peerAnswerSlack{50};       // an owner's answer on its way
+constexpr Milliseconds ownerPatience{1'200};      // at most, for one owner to have weights held; several full fetches
+constexpr Milliseconds balancerNotice{2'600};     // until the balancer has seen two failed checks, one a second
+constexpr Milliseconds stopMargin{600};           // before the platform's SIGKILL
+constexpr Milliseconds drainCheck{20};            // while stopping
+constexpr Milliseconds releaseWait{500};          // for the last records of a stopping host; a store that is away does not delay the end
+
+constexpr std::string_view linksKey = "key";
+constexpr std::string_view hostPrefix = "host/";
+
+
+bool isHeldRecord(const ReplicaRecord &record, const AdapterKey &weights)
+{
+    for (const auto &model : record.models) {
+        if (model.name == weights.model) {
+            return std::any_of(model.adapters.begin(), model.adapters.end(), [&](const HeldAdapter &each) { return each.name == weights.adapter; });
+        }
+    }
+    return false;
+}
+
+std::string_view changeText(BookChange change)
+{
+    constexpr std::array<std::string_view, 6> texts = {"none", "came", "restarted", "leaving", "gone", "back"};
+    return texts.at(static_cast<std::size_t>(change));
+}
+
+} // namespace
+
+HostedDaemon::HostedDaemon(asio::io_context &io, const settings::Settings &settings, const Codec &codec, StoreLike &store, core::Incarnation incarnation, logging::Log log)
+    : node_(io, settings, codec, std::move(log))
+    , store_(store)
+    , orders_(io)
+    , membership_({settings.host, settings.zone, incarnation}, settings.membership, core::hashText(settings.host.value(), 0))
+    , planner_({settings.host, settings.zone, incarnation}, settings.ownership, settings.platform.retention)
+    , forwarder_(node_)
+    , callers_(io,
+               {.limits = [this] { return node_.routes ? node_.routes->limits() : CallerLimits(); },
+                .onUnreadable =
+                    [this](int status, std::string_view reason) {
+                        node_.metrics.unreadable.add({std::to_string(status)});
+                        node_.log.info("request_unreadable", {{"status", status}, {"why", reason}});
+                    }},
+               [this](CallerConnection &caller, CallerRequest &request) { return forwarder_.handle(caller, request); })
+    , operators_(io, {}, [this](net::Exchange &exchange) { return handleOperators(exchange); })
+    , metricsPage_(io, {}, [this](net::Exchange &exchange) { return handleMetrics(exchange); })
+    , operatorsTopic_(node_,
+                      store,
+                      Topic::Operators,
+                      {.wait = operatorsWait},
+                      {.onListing =
+                           [this](const StoreListing &listing) {
+                               for (const auto &record : listing.records) {
+                                   takeOperators(record);
+                               }
+                           },
+                       .onPage =
+                           [this](const StorePage &page) {
+                               for (const auto &record : page.records) {
+                                   takeOperators(record);
+                               }
+                           },
+                       .onReached = [](bool) {}})
+    , upstreamsTopic_(node_,
+                      store,
+                      Topic::Upstreams,
+                      {.pause = upstreamsPause},
+                      {.onListing = [this](const StoreListing &listing) { takeUpstreamListing(listing); },
+                       .onPage =
+                           [this](const StorePage &page) {
+                               node_.bookReadAt = node_.now();
+                               for (const auto &record : page.records) {
+                                   takeUpstream(record);
+                               }
+                           },
+                       .onReached = [this](bool isReached) { node_.book.noteStore(isReached, node_.now()); }})
+    , controlTopic_(node_,
+                    store,
+                    Topic::Control,
+                    {.wait = controlWait},
+                    {.onListing =
+                         [this](const StoreListing &listing) {
+                             auto records = listing.records;
+                             std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
+                             takeControl(records, listing.next);
+                         },
+                     .onPage = [this](const StorePage &page) { takeControl(page.records, page.next); },
+                     .onReached =
+                         [this](bool isReached) {
+                             if (!isReached) {
+                                 planner_.onLogDown();
+                             }
+                         }})
+    , incarnation_(incarnation)
+{
+    node_.residency = this;
+}
+
+HostedDaemon::~HostedDaemon() = default;
+
+bool HostedDaemon::start(Error &why)
+{
+    const auto &listen = node_.settings.listen;
+    const auto &metrics = node_.settings.hosting.metrics;
+    const bool isListening = callers_.listen(*net::Address::parse(listen.callers), why) && operators_.listen(*net::Address::parse(listen.operators), why)
+        && (metrics.empty() || metricsPage_.listen(*net::Address::parse(metrics), why));
+    if (!isListening) {
+        return false;
+    }
+    isRunning_ = true;
+    lastTick_ = node_.now();
+    node_.log.info("started",
+                   {{"callers", listen.callers},
+                    {"peers", listen.peers},
+                    {"operators", listen.operators},
+                    {"store", node_.settings.platform.address},
+                    {"zone", node_.settings.zone},
+                    {"incarnation", incarnation_}});
+    const auto spawn = [this](auto run) { asio::co_spawn(node_.io, std::move(run), asio::detached); };
+    spawn([this] { return operatorsTopic_.run(); });
+    spawn([this] { return upstreamsTopic_.run(); });
+    spawn([this] { return controlTopic_.run(); });
+    spawn([this] { return announce(); });
+    spawn([this] { return tickLoop(); });
+    return true;
+}
+
+bool HostedDaemon::isReady() const
+{
+    return isRunning_ && !node_.isStopping && node_.routes && upstreamsTopic_.isKnown();
+}
+
+net::Task<void> HostedDaemon::stop()
+{
+    const auto begin = node_.now();
+    constexpr double msPerSecond = 1'000;
+    const auto limit = begin + Milliseconds(static_cast<std::int64_t>(node_.settings.hosting.graceSeconds * msPerSecond)) - stopMargin;
+    node_.isStopping = true;
+    node_.log.info("stopping", {{"busy", callers_.busy()}, {"connections", callers_.connections()}, {"owned", owned_.size()}});
+    callers_.beginStop();
+    if (links_) {
+        send(membership_.leave(node_.now()));
+    }
+    planner_.stop();
+    tick();
+    while (node_.now() < std::min(limit, begin + balancerNotice)) {
+        co_await net::sleep(node_.io, drainCheck);
+    }
+    callers_.closeIdle();
+    while (callers_.busy() > 0 && node_.now() < limit) {
+        co_await net::sleep(node_.io, drainCheck);
+    }
+    const auto releaseLimit = std::min(limit, node_.now() + releaseWait);
+    while (!planner_.holdings().empty() && node_.now() < releaseLimit) {
+        co_await net::sleep(node_.io, drainCheck);
+    }
+    node_.log.info("stopped", {{"unfinished", callers_.busy()}, {"unreleased", planner_.holdings().size()}, {"took_ms", node_.now() - begin}});
+    isRunning_ = false;
+}
+
+void HostedDaemon::reload(const settings::Settings &settings)
+{
+    const auto &now = node_.settings;
+    const bool needsRestart = settings.listen.callers != now.listen.callers || settings.listen.operators != now.listen.operators
+        || settings.listen.peers != now.listen.peers || settings.host != now.host || settings.platform.address != now.platform.address;
+    node_.settings.hosting = settings.hosting;
+    node_.log.info("reloaded", {{"needs_restart", needsRestart}});
+}
+
+// ---- Operators' address and metrics ----
+
+net::Task<void> HostedDaemon::handleOperators(net::Exchange &exchange)
+{
+    const auto path = exchange.request().path();
+    if (path.ends_with("/readyz")) {
+        const bool ready = isReady();
+        co_await exchange.respond(net::HttpResponse::json(ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"));
+    } else if (path == "/healthz") {
+        co_await exchange.respond(net::HttpResponse::json(200, "{}"));
+    } else if (path == "/metrics") {
+        co_await handleMetrics(exchange);
+    } else {
+        co_await exchange.respond(net::HttpResponse::json(404, R"({"error":"no such page; there are /readyz, /healthz and /metrics"})"));
+    }
+}
+
+net::Task<void> HostedDaemon::handleMetrics(net::Exchange &exchange)
+{
+    updateGauges();
+    net::HttpResponse response;
+    response.headers.set("Content-Type", std::string(metrics::Registry::contentType));
+    response.body = node_.metrics.registry.text();
+    co_await exchange.respond(std::move(response));
+}
+
+void HostedDaemon::updateGauges()
+{
+    constexpr double msPerSecond = 1'000;
+    auto &metrics = node_.metrics;
+    const auto now = node_.now();
+    metrics.configVersion.set(node_.routes ? static_cast<double>(node_.routes->version().value()) : 0);
+    metrics.configAge.set(static_cast<double>((now - node_.routesSince).count()) / msPerSecond);
+    metrics.upstreamsAge.set(static_cast<double>((now - node_.bookReadAt).count()) / msPerSecond);
+    metrics.upstreams.set(static_cast<double>(node_.book.size()));
+    metrics.owned.set(static_cast<double>(owned_.size()));
+    metrics.poolConnections.set({"idle"}, static_cast<double>(node_.pool.idle()));
+    metrics.poolConnections.set({"opened"}, static_cast<double>(node_.pool.opened()));
+    metrics.callers.set({"open"}, static_cast<double>(callers_.connections()));
+    metrics.callers.set({"busy"}, static_cast<double>(callers_.busy()));
+    metrics.leases.set(static_cast<double>(node_.leases.size()));
+    if (node_.routes) {
+        for (const auto &service : node_.routes->services()) {
+            metrics.retryBudget.set({service.name.value()}, node_.budgetOf(service.name).left(now));
+        }
+    }
+}
+
+// ---- Operators' topic ----
+
+void HostedDaemon::takeOperators(const StoreRecord &record)
+{
+    if (node_.codec.isConfigurationKey(record.key)) {
+        takeConfiguration(record);
+        return;
+    }
+    if (record.key.empty() || record.value.empty()) {
+        return;
+    }
+    Error why;
+    const auto news = node_.codec.readRevision(record.key, record.value, why);
+    if (!news) {
+        node_.log.warn("record_unreadable", why, {{"topic", "operators"}, {"record", record.key}, {"offset", record.offset}});
+        return;
+    }
+    auto &known = node_.revisions[news->weights];
+    if (news->revision <= known.revision) {
+        return;
+    }
+    known = {news->revision, node_.now()};
+    node_.metrics.events.add({"revision"});
+    node_.log.info("revision_in_force", {{"weights", news->weights.text()}, {"revision", news->revision}, {"offset", record.offset}});
+    for (const auto &[id, owned] : owned_) {
+        owned->onRevision(news->weights, news->revision);
+    }
+}
+
+void HostedDaemon::takeConfiguration(const StoreRecord &record)
+{
+    Error why;
+    auto configuration = node_.codec.readConfiguration(record.value, why);
+    if (!configuration) {
+        node_.log.warn("configuration_unreadable", why, {{"offset", record.offset}});
+        return;
+    }
+    const auto before = node_.routes ? node_.routes->version() : ConfigVersion();
+    if (node_.routes && configuration->version <= before) {
+        return;
+    }
+    node_.routes = std::make_shared<const RouteTable>(std::move(*configuration));
+    node_.routesSince = node_.now();
+    node_.metrics.events.add({"configuration"});
+    node_.log.info("configuration_in_force", {{"version", node_.routes->version()}, {"before", before}, {"offset", record.offset}});
+    thingsVersion_ = ~std::uint64_t(0);
+}
+
+// ---- Upstreams' topic ----
+
+void HostedDaemon::takeUpstreamListing(const StoreListing &listing)
+{
+    node_.bookReadAt = node_.now();
+    std::vector<ReplicaRecord> records;
+    for (const auto &each : listing.records) {
+        Error why;
+        auto record = each.value.empty() ? std::nullopt : node_.codec.readReplica(each.key, each.value, why);
+        if (record) {
+            records.push_back(std::move(*record));
+        } else if (!each.value.empty()) {
+            node_.log.warn("record_unreadable", why, {{"topic", "upstreams"}, {"record", settings::printableText(each.key)}, {"offset", each.offset}});
+        }
+    }
+    for (const auto &[id, change] : node_.book.assign(records, node_.now())) {
+        noteChange(id, change);
+    }
+    updateThings();
+}
+
+void HostedDaemon::takeUpstream(const StoreRecord &each)
+{
+    if (each.key.empty()) {
+        return;
+    }
+    const UpstreamId id(each.key);
+    Error why;
+    const auto record = each.value.empty() ? std::nullopt : node_.codec.readReplica(each.key, each.value, why);
+    if (record) {
+        noteChange(id, node_.book.apply(*record, node_.now()));
+    } else {
+        if (!each.value.empty()) {
+            node_.log.warn("record_unreadable", why, {{"topic", "upstreams"}, {"record", settings::printableText(each.key)}, {"offset", each.offset}});
+        }
+        noteChange(id, node_.book.remove(id, node_.now()));
+    }
+    updateThings();
+}
+
+void HostedDaemon::noteChange(const UpstreamId &id, BookChange change)
+{
+    if (change == BookChange::None) {
+        return;
+    }
+    node_.metrics.events.add({changeText(change)});
+    node_.log.info("upstream_changed", {{"upstream", id}, {"change", changeText(change)}, {"upstreams", node_.book.size()}});
+    if (change == BookChange::Restarted || change == BookChange::Gone) {
+        node_.leases.drop(id);
+        node_.pool.forget(id);
+        node_.chooser.forget(id);
+    }
+    const auto owned = owned_.find(id);
+    const auto *record = node_.book.find(id);
+    if (owned != owned_.end() && record != nullptr) {
+        owned->second->onRecord(*record);
+    }
+}
+
+void HostedDaemon::updateThings()
+{
+    if (thingsVersion_ == node_.book.version()) {
+        return;
+    }
+    thingsVersion_ = node_.book.version();
+    std::vector<ownership::PlacedThing> things;
+    for (const auto &id : node_.book.all()) {
+        if (node_.book.isUsable(id)) {
+            things.push_back({ownership::engineThing(id), node_.book.find(id)->zone});
+        }
+    }
+    planner_.setThings(std::move(things));
+}
+
+// ---- Control topic ----
+
+void HostedDaemon::takeControl(const std::vector<StoreRecord> &records, Offset next)
+{
+    std::vector<ownership::StreamRecord> claims;
+    for (const auto &record : records) {
+        if (record.key == linksKey && !record.value.empty()) {
+            openLinks(record.value);
+        } else if (record.key.starts_with(hostPrefix)) {
+            takeAnnouncement(record);
+        }
+        ownership::StreamRecord claim{record.offset, core::civilMilliseconds(), std::nullopt};
+        if (ownership::engineOf(ownership::Thing(record.key))) {
+            Error why;
+            claim.claim = ownership::claimFromJson(record.value, why);
+            if (!claim.claim) {
+                node_.log.warn("record_unreadable", why, {{"topic", "control"}, {"record", settings::printableText(record.key)}, {"offset", record.offset}});
+            }
+        }
+        if (record.offset > planner_.readTo()) {
+            claims.push_back(std::move(claim));
+        }
+    }
+    planner_.onRecords(Offset(1), next, claims);
+    controlTopic_.setUrgent(!planner_.isCaughtUp());
+}
+
+void HostedDaemon::takeAnnouncement(const StoreRecord &record)
+{
+    const HostId host(record.key.substr(hostPrefix.size()));
+    Error why;
+    const auto value = settings::parseJson(record.value, record.key, {.comments = false}, why);
+    std::optional<net::Address> address;
+    std::string zone;
+    if (value && value->is_object()) {
+        address = net::Address::parse(value->value("peers", std::string()));
+        zone = value->value("zone", std::string());
+    }
+    if (record.value.empty()) {
+        announced_.erase(host);
+    } else if (!address) {
+        node_.log.warn("record_unreadable", why, {{"topic", "control"}, {"record", settings::printableText(record.key)}, {"offset", record.offset}});
+        return;
+    } else {
+        announced_[host] = {*address, ZoneId(zone)};
+    }
+    std::vector<peers::HostEntry> hosts;
+    for (const auto &[each, announced] : announced_) {
+        hosts.push_back({each, announced.zone, false});
+        if (links_ && each != node_.settings.host) {
+            links_->setAddress(each, announced.peers);
+        }
+    }
+    membership_.hostList(hosts, node_.now());
+    planner_.setMembers(membership_.members());
+}
+
+void HostedDaemon::openLinks(const std::string &key)
+{
+    if (links_) {
+        return;
+    }
+    key_ = key;
+    Error why;
+    links_ = std::make_unique<peers::Links>(node_.io, peers::Links::Self{node_.settings.host, incarnation_, node_.settings.region}, key, linkHandlers());
+    if (!links_->listen(*net::Address::parse(node_.settings.listen.peers), why)) {
+        node_.log.error("peers_not_listening", why);
+    }
+    for (const auto &[host, announced] : announced_) {
+        if (host != node_.settings.host) {
+            links_->setAddress(host, announced.peers);
+        }
+    }
+}
+
+/// Writes the links' key when there is none, then this host's address.
+net::Task<void> HostedDaemon::announce()
+{
+    while (isRunning_ && !isAnnounced_) {
+        co_await net::sleep(node_.io, controlTopic_.isKnown() ? tickInterval : claimPatience);
+        if (!controlTopic_.isKnown()) {
+            continue;
+        }
+        Error why;
+        Offset offset;
+        if (!links_) {
+            const auto nonce = peers::makeNonce();
+            if (!nonce) {
+                node_.log.error("no_random_key");
+                co_return;
+            }
+            const auto outcome = co_await store_.append(Topic::Control, {{std::string(linksKey), *nonce}}, planner_.readTo().next(), offset, why);
+            node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
+            node_.log.info("links_key_offered", {{"taken", outcome == AppendOutcome::Done}});
+            controlTopic_.hurry();
+            continue;
+        }
+        const nlohmann::json value = {{"peers", node_.settings.listen.peers}, {"zone", node_.settings.zone.value()}, {"incarnation", incarnation_.value()}};
+        const auto outcome = co_await store_.append(Topic::Control, {{std::string(hostPrefix) + node_.settings.host.value(), value.dump()}}, Offset(0), offset, why);
+        node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
+        isAnnounced_ = outcome == AppendOutcome::Done;
+        if (!isAnnounced_) {
+            node_.log.warn("not_announced", why);
+            co_await net::sleep(node_.io, claimPatience);
+        }
+    }
+}
+
+net::Task<void> HostedDaemon::appendClaims(std::vector<ownership::ClaimRecord> records)
+{
+    isAppending_ = true;
+    std::vector<std::pair<std::string, std::string>> pairs;
+    for (const auto &record : records) {
+        pairs.emplace_back(record.thing.value(), ownership::toJson(record));
+    }
+    Error why;
+    Offset offset;
+    const auto outcome = co_await store_.append(Topic::Control, std::move(pairs), records.front().readTo.next(), offset, why);
+    isAppending_ = false;
+    node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
+    constexpr std::array<std::string_view, 4> texts = {"done", "conflict", "refused", "unknown"};
+    node_.log.info("claims_written",
+                   {{"records", records.size()}, {"outcome", texts.at(static_cast<std::size_t>(outcome))}, {"read_to", records.front().readTo}, {"offset", offset}});
+    for (const auto &record : records) {
+        if (outcome == AppendOutcome::Done) {
+            planner_.onAppended(record.id);
+        } else if (outcome == AppendOutcome::Unknown) {
+            planner_.onAppendUnknown(record.id);
+        } else {
+            planner_.onAppendRefused(record.id);
+        }
+    }
+    controlTopic_.hurry();
+}
+
+// ---- Membership and ownership ----
+
+net::Task<void> HostedDaemon::tickLoop()
+{
+    while (isRunning_) {
+        const auto now = node_.now();
+        if (now - lastTick_ > pauseNoticed + tickInterval) {
+            node_.log.warn("host_stood_still", {{"for_ms", now - lastTick_}});
+            node_.metrics.events.add({"stood_still"});
+            upstreamsTopic_.hurry();
+        }
+        lastTick_ = now;
+        tick();
+        if (now >= nextRunningReport_) {
+            nextRunningReport_ = now + runningInterval;
+            reportRunning();
+        }
+        if (now >= nextHousekeeping_) {
+            nextHousekeeping_ = now + housekeepingInterval;
+            node_.pool.expire(now);
+            node_.leases.expire(now);
+            for (const auto &id : node_.book.expire(now)) {
+                noteChange(id, BookChange::Gone);
+            }
+            updateThings();
+        }
+        co_await net::sleep(node_.io, tickInterval);
+    }
+}
+
+void HostedDaemon::tick()
+{
+    const auto now = node_.now();
+    if (links_) {
+        send(membership_.tick(now));
+    }
+    if (!membership_.takeChanges().empty()) {
+        const auto members = membership_.members();
+        planner_.setMembers(members);
+        node_.setHosts(static_cast<int>(membership_.live().size()));
+        for (const auto &member : members) {
+            node_.log.info("member", {{"member", member.host}, {"state", static_cast<int>(member.state)}, {"incarnation", member.incarnation}});
+        }
+    }
+    carryOut(planner_.tick(now));
+}
+
+void HostedDaemon::send(std::vector<peers::Outgoing> messages)
+{
+    for (auto &out : messages) {
+        links_->post(out.to, std::move(out.message));
+    }
+}
+
+void HostedDaemon::carryOut(const ownership::Plan &plan)
+{
+    for (const auto &holding : plan.lost) {
+        lose(holding, "superseded");
+    }
+    for (const auto &holding : plan.gained) {
+        gain(holding);
+    }
+    for (const auto &holding : plan.handovers) {
+        lose(holding, "handed_over");
+    }
+    if (plan.appends.empty()) {
+        return;
+    }
+    if (isAppending_) { // its condition would fail
+        for (const auto &record : plan.appends) {
+            planner_.onAppendRefused(record.id);
+        }
+        return;
+    }
+    asio::co_spawn(
+        node_.io, [this, records = plan.appends] { return appendClaims(records); }, asio::detached);
+}
+
+std::optional<ResidencyOptions> HostedDaemon::residencyOptions(const ReplicaRecord &record, ModelSpec &model) const
+{
+    const auto *service = node_.routes ? node_.routes->service(record.service) : nullptr;
+    if (service == nullptr || !service->engine || service->engine->models.empty()) {
+        return std::nullopt;
+    }
+    model = service->engine->models.front();
+    for (const auto &each : service->engine->models) { // what it holds already goes first
+        const bool isHeld = std::any_of(record.models.begin(), record.models.end(), [&](const HeldModel &held) { return held.name == each.name; });
+        if (isHeld) {
+            model = each;
+        }
+    }
+    ResidencyOptions options;
+    const double room = service->engine->weightsMb - model.weightsMb;
+    const int fitting = model.adapterMb > 0 ? static_cast<int>(room / model.adapterMb) : service->engine->adapterPlaces;
+    options.places = std::max(1, std::min(service->engine->adapterPlaces, fitting));
+    return options;
+}
+
+void HostedDaemon::gain(const ownership::Holding &holding)
+{
+    const auto id = ownership::engineOf(holding.thing);
+    const auto *record = id ? node_.book.find(*id) : nullptr;
+    if (record == nullptr) {
+        return;
+    }
+    node_.log.info("ownership", {{"upstream", *id}, {"epoch", holding.epoch}, {"change", "claimed"}});
+    node_.metrics.events.add({"claimed"});
+    running_[*id] = RunningTable();
+    ModelSpec model;
+    const auto options = residencyOptions(*record, model);
+    if (!options) {
+        return;
+    }
+    if (!loads_) {
+        settings::Loads loads;
+        loads.perSecond = std::max(0.01, node_.routes->service(record->service)->engine->loadsPerSecond);
+        loads_.emplace(loads, node_.now());
+    }
+    OwnedGuards guards;
+    guards.mayAct = [this, holding] { return planner_.mayAct(holding.thing, holding.epoch, node_.now()); };
+    guards.takeLoadPermit = [this]() -> std::optional<std::uint64_t> {
+        const auto permit = loads_->take(std::max<int>(node_.hosts, static_cast<int>(announced_.size())), node_.now());
+        return permit ? std::optional(permit->value()) : std::nullopt;
+    };
+    guards.returnLoadPermit = [this](std::uint64_t permit) { loads_->done(engines::PermitId(permit)); };
+    auto owned = std::make_shared<OwnedReplica>(node_, orders_, *record, *options, model, holding.epoch, std::move(guards));
+    if (auto &place = owned_[*id]; place) {
+        place->stop();
+    }
+    owned_[*id] = owned;
+    for (const auto &[weights, revision] : node_.revisions) {
+        owned->onRevision(weights, revision.revision);
+    }
+    owned->start();
+}
+
+void HostedDaemon::lose(const ownership::Holding &holding, std::string_view how)
+{
+    const auto id = ownership::engineOf(holding.thing);
+    if (id) {
+        node_.log.info("ownership", {{"upstream", *id}, {"epoch", holding.epoch}, {"change", how}});
+        node_.metrics.events.add({how});
+        const auto owned = owned_.find(*id);
+        if (owned != owned_.end() && owned->second->epoch() == holding.epoch) {
+            owned->second->stop();
+            owned_.erase(owned);
+        }
+        running_.erase(*id);
+    }
+    planner_.onDrained(holding);
+}
+
+std::optional<HostId> HostedDaemon::ownerOf(const UpstreamId &replica) const
+{
+    const auto owner = planner_.ownerOf(ownership::engineThing(replica));
+    if (!owner) {
+        return std::nullopt;
+    }
+    const bool isOurs = owner->host == node_.settings.host && owner->incarnation == incarnation_;
+    return isOurs || planner_.isUsable(*owner) ? std::optional(owner->host) : std::nullopt;
+}
+
+// ---- Weights ----
+
+bool HostedDaemon::canOrder(const UpstreamId &replica) const
+{
+    return ownerOf(replica).has_value();
+}
+
+net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
+{
+    const auto owner = ownerOf(replica);
+    why = Error{.step = Step::Load, .peer = owner ? owner->value() : std::string(), .reason = "no host owns the upstream at present"};
+    std::optional<ResidencyGrant> grant;
+    const auto patience = std::min(wait, ownerPatience);
+    if (owner && *owner == node_.settings.host) {
+        grant = co_await ensureHere(replica, weights, atLeast, patience, why);
+    } else if (owner && links_) {
+        const auto begin = node_.now();
+        const auto call = links_->call(*owner, peers::ResidencyCall{replica, weights.model, weights.adapter, atLeast.value(), patience.count()});
+        const auto reply = co_await call->next(patience + peerAnswerSlack, why);
+        if (reply) {
+            if (const auto *held = std::get_if<peers::ResidencyReply>(&*reply)) {
+                grant = ResidencyGrant{AdapterRevision(held->revision), begin + Milliseconds(held->leaseMs)};
+            } else if (const auto *fail = std::get_if<peers::FailReply>(&*reply)) {
+                why = fail->error;
+            }
+        }
+    }
+    if (!grant) { // what the upstream last said of itself is better than nothing
+        const auto *record = node_.book.find(replica);
+        if (record != nullptr && isHeldRecord(*record, weights) && !owner) {
+            grant = ResidencyGrant{atLeast, Instant()};
+        }
+    }
+    co_return grant;
+}
+
+net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
+{
+    const auto found = owned_.find(replica);
+    if (found == owned_.end()) {
+        why = Error{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "this host does not own the upstream"};
+        co_return std::nullopt;
+    }
+    const auto owned = found->second;
+    const auto told = co_await owned->ask(weights, atLeast, wait);
+    if (!told) {
+        why = Error{.step = Step::Load, .peer = replica.value(), .reason = "the weights were not held in time"};
+        co_return std::nullopt;
+    }
+    co_return ResidencyGrant{told->revision, node_.now() + told->lease};
+}
+
+// ---- Peers ----
+
+peers::LinkHandlers HostedDaemon::linkHandlers()
+{
+    peers::LinkHandlers handlers;
+    handlers.onGossip = [this](const HostId &from, const peers::Message &message) { send(membership_.onMessage(from, message, node_.now())); };
+    handlers.onNotice = [this](const HostId &from, const peers::Notice &notice) { takeNotice(from, notice); };
+    handlers.onRejected = [this](const std::string &peer, const Error &error) { node_.log.warn("link_rejected", error, {{"from", peer}}); };
+    handlers.onProved = [](const HostId &, core::Incarnation) {};
+    handlers.onCall = [this](std::shared_ptr<peers::IncomingCall> call) { return serve(std::move(call)); };
+    return handlers;
+}
+
+net::Task<void> HostedDaemon::serve(std::shared_ptr<peers::IncomingCall> call)
+{
+    const auto *wanted = std::get_if<peers::ResidencyCall>(&call->body());
+    Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon serves no such call"};
+    if (wanted != nullptr) {
+        const auto grant = co_await ensureHere(wanted->replica, {wanted->model, wanted->adapter}, AdapterRevision(wanted->revision), Milliseconds(wanted->waitMs), why);
+        if (grant) {
+            call->send(peers::ResidencyReply{grant->revision.value(), (grant->until - node_.now()).count()});
+            co_return;
+        }
+    }
+    call->send(peers::FailReply{why});
+}
+
+void HostedDaemon::takeNotice(const HostId &from, const peers::Notice &notice)
+{
+    const auto now = node_.now();
+    if (const auto *running = std::get_if<peers::RunningNotice>(&notice.body)) {
+        peers::TotalsNotice totals;
+        for (const auto &[id, count] : running->running) {
+            const auto table = running_.find(id);
+            if (table != running_.end()) {
+                table->second.note(from, count, now);
+                table->second.note(node_.settings.host, node_.chooser.own(id), now);
+                totals.others.emplace_back(id, table->second.othersThan(from, now));
+            }
+        }
+        if (!totals.others.empty()) {
+            links_->notify(from, {std::move(totals)});
+        }
+    } else if (const auto *totals = std::get_if<peers::TotalsNotice>(&notice.body)) {
+        for (const auto &[id, others] : totals->others) {
+            node_.chooser.setOthers(id, others, now);
+        }
+    }
+}
+
+/// Tells each owner what runs at its upstreams for this host; for own ones takes what was told.
+void HostedDaemon::reportRunning()
+{
+    if (!links_) {
+        return;
+    }
+    const auto now = node_.now();
+    std::map<HostId, peers::RunningNotice> notices;
+    std::map<HostId, std::set<UpstreamId>> reported;
+    for (const auto &id : node_.book.all()) {
+        const auto owner = ownerOf(id);
+        if (!owner) {
+            continue;
+        }
+        if (*owner == node_.settings.host) {
+            if (const auto table = running_.find(id); table != running_.end()) {
+                node_.chooser.setOthers(id, table->second.othersThan(node_.settings.host, now), now);
+            }
+            continue;
+        }
+        const int own = node_.chooser.own(id);
+        if (own > 0) {
+            reported[*owner].insert(id);
+        }
+        if (own > 0 || reported_[*owner].contains(id)) {
+            notices[*owner].running.emplace_back(id, own);
+        }
+    }
+    reported_ = std::move(reported);
+    for (auto &[owner, notice] : notices) {
+        links_->notify(owner, {std::move(notice)});
+    }
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/hosteddaemon.h
@@ -0,0 +1,116 @@
+// serving/hosteddaemon.h: the daemon of one entry host on a platform with a shared store. I/O; one thread.
+//
+//   HostedDaemon daemon(io, settings, codec, store, incarnation, log);
+//   auto addresses = daemon.start(why);
+//   co_await daemon.stop(); // after SIGTERM
+//
+// Loops: three topics are followed (operators, upstreams, control); a tick drives membership and ownership; counts of running
+// requests go to the owners of upstreams, which answer with the counts of all others.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+#include <engines/loadbudget.h>
+#include <ownership/planner.h>
+#include <peers/link.h>
+#include <peers/membership.h>
+#include <serving/callers.h>
+#include <serving/follower.h>
+#include <serving/forwarder.h>
+#include <serving/ownedreplica.h>
+#include <serving/runningtable.h>
+
+namespace baobabstall::serving {
+
+class HostedDaemon final : public ResidencySource
+{
+public:
+    HostedDaemon(boost::asio::io_context &io, const settings::Settings &settings, const Codec &codec, StoreLike &store, core::Incarnation incarnation, logging::Log log);
+    ~HostedDaemon() override;
+
+    /// False, with the reason, when a port can't be opened.
+    [[nodiscard]] bool start(core::Error &why);
+    /// Not ready at once, serves what comes until callers have left, ends before the grace time is over.
+    net::Task<void> stop();
+    /// Takes settings that may change while running; logs which did not.
+    void reload(const settings::Settings &settings);
+    /// The settings file was changed into something wrong.
+    void keepSettings(const core::Error &why) { node_.log.error("settings_wrong", why); }
+
+    net::Task<std::optional<ResidencyGrant>> ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why) override;
+    [[nodiscard]] bool canOrder(const UpstreamId &replica) const override;
+
+private:
+    struct Announced {
+        net::Address peers;
+        ZoneId zone;
+    };
+
+    [[nodiscard]] bool isReady() const;
+    net::Task<void> handleOperators(net::Exchange &exchange);
+    net::Task<void> handleMetrics(net::Exchange &exchange);
+    void updateGauges();
+
+    // Operators' topic.
+    void takeOperators(const StoreRecord &record);
+    void takeConfiguration(const StoreRecord &record);
+    // Upstreams' topic.
+    void takeUpstreamListing(const StoreListing &listing);
+    void takeUpstream(const StoreRecord &record);
+    void noteChange(const UpstreamId &id, BookChange change);
+    void updateThings();
+    // Control topic.
+    void takeControl(const std::vector<StoreRecord> &records, core::Offset next);
+    void takeAnnouncement(const StoreRecord &record);
+    void openLinks(const std::string &key);
+    net::Task<void> announce();
+    net::Task<void> appendClaims(std::vector<ownership::ClaimRecord> records);
+    // Ownership.
+    net::Task<void> tickLoop();
+    void tick();
+    void send(std::vector<peers::Outgoing> messages);
+    void carryOut(const ownership::Plan &plan);
+    void gain(const ownership::Holding &holding);
+    void lose(const ownership::Holding &holding, std::string_view how);
+    [[nodiscard]] std::optional<ResidencyOptions> residencyOptions(const ReplicaRecord &record, ModelSpec &model) const;
+    [[nodiscard]] std::optional<HostId> ownerOf(const UpstreamId &replica) const;
+    // Peers.
+    [[nodiscard]] peers::LinkHandlers linkHandlers();
+    net::Task<void> serve(std::shared_ptr<peers::IncomingCall> call);
+    net::Task<std::optional<ResidencyGrant>> ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why);
+    void takeNotice(const HostId &from, const peers::Notice &notice);
+    void reportRunning();
+
+    Node node_;
+    StoreLike &store_;
+    net::HttpClient orders_;
+    peers::Membership membership_;
+    ownership::OwnershipPlanner planner_;
+    std::unique_ptr<peers::Links> links_;
+    Forwarder forwarder_;
+    CallerServer callers_;
+    net::HttpServer operators_;
+    net::HttpServer metricsPage_;
+    TopicFollower operatorsTopic_;
+    TopicFollower upstreamsTopic_;
+    TopicFollower controlTopic_;
+    core::Incarnation incarnation_;
+    std::map<HostId, Announced> announced_;
+    std::map<UpstreamId, std::shared_ptr<OwnedReplica>> owned_;
+    std::map<UpstreamId, RunningTable> running_; // at upstreams that this host owns
+    std::map<HostId, std::set<UpstreamId>> reported_; // told to each owner the last time
+    std::optional<engines::FallbackBudget> loads_;
+    std::string key_;
+    bool isAppending_ = false;
+    bool isAnnounced_ = false;
+    bool isRunning_ = false;
+    std::uint64_t thingsVersion_ = ~std::uint64_t(0);
+    Instant lastTick_;
+    Instant nextRunningReport_;
+    Instant nextHousekeeping_;
+};
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/node.cpp
@@ -0,0 +1,76 @@
+#include <serving/node.h>
+
+#include <core/hash.h>
+
+namespace baobabstall::serving {
+
+namespace {
+
+const std::vector<double> latencyBounds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1, 1.5, 2.5, 5, 10};
+const std::vector<double> pauseBounds = {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2};
+
+// Of the platform's bound on repeats. Successes of about 14 s (half-life 10 s) pay for repeats, and the bound holds for 10 s.
+constexpr double shareInUse = 0.6;
+constexpr double slackInUse = 0.6; // the rest covers hosts that start anew with a full reserve
+constexpr int triesLimit = 16;     // the route's own limit counts
+
+} // namespace
+
+ServingMetrics::ServingMetrics()
+    : requests(registry.counter({"requests_total", "requests answered", {"service", "status", "reason"}, 256}))
+    , duration(registry.histogram({"request_duration_seconds", "from a request's arrival to the end of its answer", {"service"}, 32}, latencyBounds))
+    , firstEvent(registry.histogram({"first_event_seconds", "from a request's arrival to its first event", {"service"}, 32}, latencyBounds))
+    , eventPause(registry.histogram({"event_pause_seconds", "between two writes of one stream", {"service"}, 32}, pauseBounds))
+    , residencyWait(registry.histogram({"residency_wait_seconds", "wait until weights were held", {"outcome"}, 8}, latencyBounds))
+    , sends(registry.counter({"sends_total", "sends to upstreams by how they ended", {"service", "outcome"}, 256}))
+    , orders(registry.counter({"orders_total", "orders to model replicas", {"kind", "outcome"}, 32}))
+    , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
+    , unreadable(registry.counter({"unreadable_total", "requests that could not be read", {"status"}, 8}))
+    , events(registry.counter({"belief_changes_total", "changes of what this host believes", {"what"}, 32}))
+    , retryBudget(registry.gauge({"retry_budget_left", "repeats allowed now", {"service"}, 32}))
+    , configVersion(registry.gauge({"configuration_version", "version in force", {}, 1}))
+    , configAge(registry.gauge({"configuration_age_seconds", "since the version in force was read", {}, 1}))
+    , upstreamsAge(registry.gauge({"upstreams_age_seconds", "since upstreams' records were last read", {}, 1}))
+    , upstreams(registry.gauge({"upstreams", "upstreams known", {}, 1}))
+    , owned(registry.gauge({"owned_upstreams", "upstreams that this host may order about", {}, 1}))
+    , poolConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
+    , callers(registry.gauge({"caller_connections", "connections of callers", {"state"}, 4}))
+    , leases(registry.gauge({"residency_leases", "weights promised to this host", {}, 1}))
+    , logDropped(registry.counter({"log_lines_dropped_total", "log lines over the budget", {}, 1}))
+{ }
+
+Node::Node(boost::asio::io_context &context, const settings::Settings &all, const Codec &platformCodec, logging::Log hostLog)
+    : io(context)
+    , settings(all)
+    , codec(platformCodec)
+    , log(std::move(hostLog))
+    , chooser(ChooserOptions(), core::hashText(all.host.value(), 0))
+    , pool(context, PoolOptions())
+{ }
+
+admission::RetryBudget &Node::budgetOf(const ServiceName &service)
+{
+    const auto found = budgets_.find(service);
+    if (found != budgets_.end()) {
+        return found->second;
+    }
+    settings::Retries options;
+    options.maxAttempts = triesLimit;
+    options.budgetShare = settings.hosting.retryShare * shareInUse;
+    options.budgetReserve = settings.hosting.retrySlack * slackInUse / hosts;
+    return budgets_.emplace(service, admission::RetryBudget(options)).first->second;
+}
+
+std::optional<RevisionInForce> Node::revisionOf(const AdapterKey &weights) const
+{
+    const auto found = revisions.find(weights);
+    return found == revisions.end() ? std::nullopt : std::optional(found->second);
+}
+
+void Node::setHosts(int count)
+{
+    hosts = std::max(1, count);
+    chooser.setHosts(hosts);
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/node.h
@@ -0,0 +1,104 @@
+// serving/node.h: what the parts of one hosted daemon share. I/O; one thread.
+//
+// Index
+//   ServingMetrics    every family of the metrics page of a hosted daemon
+//   ResidencySource   how an entry gets an adapter held somewhere; the owner may be another host
+//   Node              all shared parts
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include <admission/retrybudget.h>
+#include <core/clock.h>
+#include <logging/logging.h>
+#include <metrics/registry.h>
+#include <serving/chooser.h>
+#include <serving/protocol.h>
+#include <serving/replicabook.h>
+#include <serving/residency.h>
+#include <serving/routes.h>
+#include <serving/upstreams.h>
+#include <settings/settings.h>
+
+namespace baobabstall::serving {
+
+struct ServingMetrics {
+    ServingMetrics();
+
+    metrics::Registry registry;
+    metrics::Counter &requests;      // service, status, reason
+    metrics::Histogram &duration;    // service
+    metrics::Histogram &firstEvent;  // service
+    metrics::Histogram &eventPause;  // service
+    metrics::Histogram &residencyWait; // outcome
+    metrics::Counter &sends;         // service, outcome
+    metrics::Counter &orders;        // kind, outcome
+    metrics::Counter &storeCalls;    // call, outcome
+    metrics::Counter &unreadable;    // status
+    metrics::Counter &events;        // what changed a belief
+    metrics::Gauge &retryBudget;     // service
+    metrics::Gauge &configVersion;
+    metrics::Gauge &configAge;
+    metrics::Gauge &upstreamsAge;
+    metrics::Gauge &upstreams;
+    metrics::Gauge &owned;
+    metrics::Gauge &poolConnections; // state
+    metrics::Gauge &callers;         // state
+    metrics::Gauge &leases;
+    metrics::Counter &logDropped;
+};
+
+/// Weights that an entry may send to now.
+struct ResidencyGrant {
+    AdapterRevision revision;
+    Instant until; // 0: no promise, only believed
+};
+
+class ResidencySource
+{
+public:
+    virtual ~ResidencySource() = default;
+    /// Has `replica` hold the weights. Nothing when that can't be had in time; the error says whom it waited for.
+    virtual net::Task<std::optional<ResidencyGrant>> ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why) = 0;
+    /// Whether somebody can order weights there at present.
+    [[nodiscard]] virtual bool canOrder(const UpstreamId &replica) const = 0;
+};
+
+struct RevisionInForce {
+    AdapterRevision revision;
+    Instant since;
+};
+
+struct Node {
+    Node(boost::asio::io_context &io, const settings::Settings &settings, const Codec &codec, logging::Log log);
+
+    [[nodiscard]] Instant now() const { return core::SteadyClock().now(); }
+    [[nodiscard]] admission::RetryBudget &budgetOf(const ServiceName &service);
+    [[nodiscard]] std::optional<RevisionInForce> revisionOf(const AdapterKey &weights) const;
+    void setHosts(int hosts); // that serve, this one included
+
+    boost::asio::io_context &io;
+    settings::Settings settings;
+    const Codec &codec;
+    logging::Log log;
+    ServingMetrics metrics;
+    std::shared_ptr<const RouteTable> routes; // empty until the first configuration is known
+    Instant routesSince;
+    ReplicaBook book;
+    Instant bookReadAt;
+    Chooser chooser;
+    LeaseBook leases;
+    UpstreamPool pool;
+    std::map<AdapterKey, RevisionInForce> revisions;
+    ResidencySource *residency = nullptr; // set before the first request
+    int hosts = 1;
+    bool isStopping = false;
+
+private:
+    std::map<ServiceName, admission::RetryBudget> budgets_;
+};
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/ownedreplica.cpp
@@ -0,0 +1,220 @@
+#include <serving/ownedreplica.h>
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace baobabstall::serving {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Milliseconds orderTimeout{600};  // an order is answered in some ms; one without an answer may still be carried out
+constexpr Milliseconds reportTimeout{800};
+constexpr Milliseconds idleLook{1'000};    // when nothing is due
+constexpr Milliseconds notActingLook{100}; // until ownership is in force, or a load permit is to be had
+
+std::string_view kindText(OrderKind kind)
+{
+    switch (kind) {
+    case OrderKind::LoadModel:
+        return "load_model";
+    case OrderKind::LoadAdapter:
+        return "load_adapter";
+    default:
+        return "unload_adapter";
+    }
+}
+
+std::string_view outcomeText(OrderOutcome outcome)
+{
+    constexpr std::array<std::string_view, 7> texts = {"begun", "holds", "conflict", "fenced", "wrong_replica", "refused", "unknown"};
+    return texts.at(static_cast<std::size_t>(outcome));
+}
+
+} // namespace
+
+OwnedReplica::OwnedReplica(
+    Node &node, net::HttpClient &http, ReplicaRecord record, ResidencyOptions options, ModelSpec model, core::Epoch epoch, OwnedGuards guards)
+    : node_(node)
+    , http_(http)
+    , record_(std::move(record))
+    , residency_(options, std::move(model))
+    , epoch_(epoch)
+    , guards_(std::move(guards))
+    , timer_(node.io)
+{ }
+
+void OwnedReplica::start()
+{
+    isRunning_ = true;
+    asio::co_spawn(
+        node_.io, [self = shared_from_this()] { return self->drive(); }, asio::detached);
+}
+
+void OwnedReplica::stop()
+{
+    isRunning_ = false;
+    givePermitBack();
+    wake();
+    tellWaiters();
+}
+
+void OwnedReplica::onRecord(const ReplicaRecord &record)
+{
+    const bool isRestart = record.start != record_.start;
+    record_ = record;
+    if (isRestart) {
+        isFenced_ = false;
+        residency_.onRestart(node_.now());
+        wake();
+    }
+}
+
+void OwnedReplica::onRevision(const AdapterKey &weights, AdapterRevision revision)
+{
+    residency_.onRevision(weights, revision);
+    if (residency_.isHeld(weights)) {
+        wake();
+    }
+}
+
+net::Task<std::optional<Residency::Told>> OwnedReplica::ask(AdapterKey weights, AdapterRevision atLeast, Milliseconds wait)
+{
+    const auto self = shared_from_this();
+    const auto until = node_.now() + wait;
+    auto told = residency_.ask(weights, atLeast, true, node_.now());
+    if (told.answer == Residency::Answer::Ready) {
+        co_return told;
+    }
+    wake();
+    while (isRunning_ && !isFenced_ && node_.now() < until) {
+        const auto timer = std::make_shared<asio::steady_timer>(node_.io, net::chronoOf(until - node_.now()));
+        waiters_.push_back(timer);
+        co_await timer->async_wait(net::tuple);
+        std::erase(waiters_, timer);
+        told = residency_.ask(weights, atLeast, false, node_.now());
+        if (told.answer == Residency::Answer::Ready) {
+            co_return told;
+        }
+    }
+    residency_.withdraw(weights);
+    co_return std::nullopt;
+}
+
+net::Task<void> OwnedReplica::drive()
+{
+    const auto self = shared_from_this();
+    while (isRunning_) {
+        if (co_await step()) {
+            tellWaiters();
+            continue;
+        }
+        const auto now = node_.now();
+        auto due = residency_.nextDue().value_or(now + idleLook);
+        due = std::max(due, now + (guards_.mayAct() && residency_.holdsModel() ? Milliseconds(1) : notActingLook));
+        timer_.expires_after(net::chronoOf(std::min(due, now + idleLook) - now));
+        co_await timer_.async_wait(net::tuple);
+    }
+}
+
+net::Task<bool> OwnedReplica::step()
+{
+    if (isFenced_ || !guards_.mayAct()) {
+        co_return false;
+    }
+    const auto now = node_.now();
+    if (residency_.needsReport(now)) {
+        co_await readReport();
+        co_return true;
+    }
+    if (!residency_.holdsModel() && !permit_) {
+        permit_ = guards_.takeLoadPermit();
+    }
+    const auto order = residency_.nextOrder(permit_.has_value(), now);
+    if (!order) {
+        co_return false;
+    }
+    co_await send(*order);
+    co_return true;
+}
+
+net::Task<void> OwnedReplica::readReport()
+{
+    core::Error why;
+    net::CallOptions options;
+    options.timeout = reportTimeout;
+    const auto asked = record_;
+    const auto answer = co_await http_.call(asked.address, node_.codec.reportRequest(asked.id), options, why);
+    const auto report = answer ? node_.codec.readReport(*answer, why) : std::nullopt;
+    node_.metrics.orders.add({"report", report ? "good" : "failed"});
+    if (asked.start != record_.start) {
+        co_return; // it restarted meanwhile
+    }
+    if (!report) {
+        residency_.onReportFailed(node_.now());
+        node_.log.info("report_failed", why, {{"upstream", asked.id}});
+        co_return;
+    }
+    residency_.onReport(*report, node_.now());
+    if (residency_.holdsModel()) {
+        givePermitBack();
+    }
+    node_.log.info("report", {{"upstream", asked.id}, {"sequence", report->sequence}, {"places", residency_.placesTaken()}, {"holds_model", residency_.holdsModel()}});
+}
+
+net::Task<void> OwnedReplica::send(Order order)
+{
+    core::Error why;
+    net::CallOptions options;
+    options.timeout = orderTimeout;
+    const auto asked = record_;
+    const auto sentAt = node_.now();
+    const auto answer = co_await http_.call(asked.address, node_.codec.orderRequest(asked.id, order, node_.settings.host, epoch_), options, why);
+    auto outcome = answer ? node_.codec.readOrderAnswer(*answer) : why.outcome == core::Outcome::NotRun ? OrderOutcome::Refused : OrderOutcome::Unknown;
+    node_.metrics.orders.add({kindText(order.kind), outcomeText(outcome)});
+    node_.log.info("order",
+                   {{"upstream", asked.id},
+                    {"kind", kindText(order.kind)},
+                    {"weights", order.weights.text()},
+                    {"revision", order.revision},
+                    {"sequence", order.expected},
+                    {"epoch", epoch_},
+                    {"outcome", outcomeText(outcome)},
+                    {"status", answer ? answer->status : 0},
+                    {"answer", answer ? answer->body : why.reason},
+                    {"took_ms", node_.now() - sentAt}});
+    if (asked.start != record_.start) {
+        co_return; // it restarted meanwhile
+    }
+    isFenced_ = outcome == OrderOutcome::Fenced;
+    residency_.onOrder(order, outcome, node_.now());
+    if (residency_.holdsModel()) {
+        givePermitBack();
+    }
+}
+
+void OwnedReplica::wake()
+{
+    timer_.cancel();
+}
+
+void OwnedReplica::tellWaiters()
+{
+    for (const auto &waiter : waiters_) {
+        waiter->cancel();
+    }
+}
+
+void OwnedReplica::givePermitBack()
+{
+    if (permit_) {
+        guards_.returnLoadPermit(*permit_);
+        permit_.reset();
+    }
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/ownedreplica.h
@@ -0,0 +1,62 @@
+// serving/ownedreplica.h: carries out what a Residency decides for one model replica that this host owns. I/O; one thread.
+//
+//   auto owned = std::make_shared<OwnedReplica>(node, http, record, model, epoch, guards);
+//   owned->start();
+//   auto told = co_await owned->ask(weights, atLeast, wait);
+//   owned->stop();
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <serving/node.h>
+
+namespace baobabstall::serving {
+
+struct OwnedGuards {
+    std::function<bool()> mayAct;                       // ownership is in force now
+    std::function<std::optional<std::uint64_t>()> takeLoadPermit; // for base weights from the store
+    std::function<void(std::uint64_t)> returnLoadPermit;
+};
+
+class OwnedReplica : public std::enable_shared_from_this<OwnedReplica>
+{
+public:
+    OwnedReplica(Node &node, net::HttpClient &http, ReplicaRecord record, ResidencyOptions options, ModelSpec model, core::Epoch epoch, OwnedGuards guards);
+
+    void start();
+    void stop();
+    void onRecord(const ReplicaRecord &record); // moved, or restarted
+    void onRevision(const AdapterKey &weights, AdapterRevision revision);
+    /// Nothing when the weights can't be had within `wait`.
+    net::Task<std::optional<Residency::Told>> ask(AdapterKey weights, AdapterRevision atLeast, Milliseconds wait);
+
+    [[nodiscard]] core::Epoch epoch() const { return epoch_; }
+    [[nodiscard]] const Residency &residency() const { return residency_; }
+
+private:
+    net::Task<void> drive();
+    net::Task<bool> step(); // false: nothing to do now
+    net::Task<void> readReport();
+    net::Task<void> send(Order order);
+    void wake();
+    void tellWaiters();
+    void givePermitBack();
+
+    Node &node_;
+    net::HttpClient &http_;
+    ReplicaRecord record_;
+    Residency residency_;
+    core::Epoch epoch_;
+    OwnedGuards guards_;
+    boost::asio::steady_timer timer_;
+    std::vector<std::shared_ptr<boost::asio::steady_timer>> waiters_;
+    std::optional<std::uint64_t> permit_;
+    bool isRunning_ = false;
+    bool isFenced_ = false;
+};
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/replicabook.cpp
@@ -0,0 +1,137 @@
+#include <serving/replicabook.h>
+
+namespace baobabstall::serving {
+
+BookChange ReplicaBook::apply(const ReplicaRecord &record, Instant now)
+{
+    static_cast<void>(now);
+    const auto found = entries_.find(record.id);
+    if (found == entries_.end()) {
+        const auto left = left_.find(record.id);
+        if (left != left_.end() && record.start.value() > 0 && record.start <= left->second && !record.isLeaving) {
+            return BookChange::None;
+        }
+        ++version_;
+        entries_[record.id] = {record, std::nullopt};
+        return record.isLeaving ? BookChange::Leaving : BookChange::Came;
+    }
+    auto &entry = found->second;
+    if (record.start < entry.record.start) {
+        return BookChange::None; // of an earlier run
+    }
+    const bool isRestart = record.start > entry.record.start;
+    const bool wasLeaving = entry.record.isLeaving;
+    const bool wasLapsed = entry.lapsedUntil.has_value();
+    entry.lapsedUntil.reset();
+    const bool sameAddress = entry.record.address == record.address && entry.record.service == record.service;
+    entry.record = record;
+    if (isRestart) {
+        ++version_;
+        return BookChange::Restarted;
+    }
+    entry.record.isLeaving = wasLeaving || record.isLeaving;
+    if (!sameAddress || wasLapsed || entry.record.isLeaving != wasLeaving) {
+        ++version_;
+    }
+    if (entry.record.isLeaving && !wasLeaving) {
+        return BookChange::Leaving;
+    }
+    return wasLapsed ? BookChange::Back : BookChange::None;
+}
+
+BookChange ReplicaBook::remove(const UpstreamId &id, Instant now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end()) {
+        return BookChange::None;
+    }
+    const bool mayReturn = !isStoreReached_ || (storeBackAt_ && now - *storeBackAt_ < lapseGrace);
+    if (mayReturn && !found->second.record.isLeaving) {
+        if (!found->second.lapsedUntil) {
+            found->second.lapsedUntil = (isStoreReached_ ? *storeBackAt_ : now) + lapseGrace;
+        }
+        return BookChange::None;
+    }
+    left_[id] = found->second.record.isLeaving ? found->second.record.start : core::Ordinal<ReplicaStartTag>();
+    entries_.erase(found);
+    ++version_;
+    return BookChange::Gone;
+}
+
+std::vector<std::pair<UpstreamId, BookChange>> ReplicaBook::assign(const std::vector<ReplicaRecord> &records, Instant now)
+{
+    std::vector<std::pair<UpstreamId, BookChange>> changes;
+    std::map<UpstreamId, bool> listed;
+    for (const auto &record : records) {
+        listed[record.id] = true;
+        if (const auto change = apply(record, now); change != BookChange::None) {
+            changes.emplace_back(record.id, change);
+        }
+    }
+    for (const auto &id : all()) {
+        if (!listed.contains(id)) {
+            if (const auto change = remove(id, now); change != BookChange::None) {
+                changes.emplace_back(id, change);
+            }
+        }
+    }
+    return changes;
+}
+
+void ReplicaBook::noteStore(bool isReached, Instant now)
+{
+    if (isReached && !isStoreReached_) {
+        storeBackAt_ = now;
+    }
+    isStoreReached_ = isReached;
+}
+
+std::vector<UpstreamId> ReplicaBook::expire(Instant now)
+{
+    std::vector<UpstreamId> gone;
+    for (auto at = entries_.begin(); at != entries_.end();) {
+        if (isStoreReached_ && at->second.lapsedUntil && now >= *at->second.lapsedUntil) {
+            gone.push_back(at->first);
+            at = entries_.erase(at);
+            ++version_;
+        } else {
+            ++at;
+        }
+    }
+    return gone;
+}
+
+const ReplicaRecord *ReplicaBook::find(const UpstreamId &id) const
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? nullptr : &found->second.record;
+}
+
+bool ReplicaBook::isUsable(const UpstreamId &id) const
+{
+    const auto *record = find(id);
+    return record != nullptr && !record->isLeaving;
+}
+
+std::vector<UpstreamId> ReplicaBook::usable(const ServiceName &service) const
+{
+    std::vector<UpstreamId> ids;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.record.service == service && !entry.record.isLeaving) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+std::vector<UpstreamId> ReplicaBook::all() const
+{
+    std::vector<UpstreamId> ids;
+    ids.reserve(entries_.size());
+    for (const auto &[id, entry] : entries_) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/residency.h
@@ -0,0 +1,141 @@
+// serving/residency.h: which adapters one model replica holds, and what its owner orders next. No I/O.
+//
+// Index
+//   LeaseBook        an entry's side: where weights were promised to stay, and until when
+//   Residency        the owner's side, one for each owned model replica
+//
+//   Residency residency(options);
+//   auto told = residency.ask(key, atLeast, now);      // Ready: promised for told.lease; Waiting: ask again when changed; Refused
+//   if (residency.needsReport(now)) { residency.onReport(report, now); }
+//   while (auto order = residency.nextOrder(now)) { residency.onOrder(*order, outcome, now); }
+//
+// A promise (lease) says that the adapter is not unloaded before it ends, so an entry may send without asking again. Weights
+// that are asked for often get long promises, others one that is long enough for a request to begin.
+// Orders carry the number of orders accepted so far: one whose answer was lost either was carried out, and then the number
+// differs, or will be refused when it comes late.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include <admission/rates.h>
+#include <serving/model.h>
+
+namespace baobabstall::serving {
+
+/// What an entry knows about weights at a replica.
+class LeaseBook
+{
+public:
+    struct Lease {
+        AdapterRevision revision;
+        Instant until;
+    };
+    void grant(const UpstreamId &replica, const AdapterKey &key, AdapterRevision revision, Instant until);
+    void drop(const UpstreamId &replica, const AdapterKey &key);
+    void drop(const UpstreamId &replica); // all of a replica that restarted or left
+    [[nodiscard]] std::optional<Lease> find(const UpstreamId &replica, const AdapterKey &key, Instant now) const;
+    void expire(Instant now);
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    std::unordered_map<UpstreamId, std::map<AdapterKey, Lease>> leases_;
+};
+
+struct ResidencyOptions {
+    int places = 8;                  // adapters held or under way
+    int underWay = 4;                // adapters on their way to one replica at a time (platform's rule)
+    Milliseconds fetch{250};         // of an adapter from the store
+    Milliseconds nearFetch{25};      // of one that the replica held lately
+    int nearbyFactor = 6;            // adapters held lately that load fast, as a multiple of the places
+    Milliseconds shortLease{300};    // for a request to begin
+    Milliseconds longLease{3'000};   // for weights in frequent use
+    double frequentPerSecond = 0.7;  // asks a second that make weights frequent
+    Milliseconds rateHalfLife{4'000};
+    Milliseconds recheck{20};        // between looks whether a fetch that takes longer has ended
+    Milliseconds settle{400};        // after a disagreement, until the replica's report is as new as its last order (some hundred ms)
+    Milliseconds loadRecheck{250};   // the same for base weights
+};
+
+class Residency
+{
+public:
+    enum class Answer : std::uint8_t { Ready, Waiting };
+    struct Told {
+        Answer answer = Answer::Waiting;
+        AdapterRevision revision; // with Ready
+        Milliseconds lease;       // with Ready
+    };
+
+    Residency(ResidencyOptions options, ModelSpec model);
+
+    /// Someone wants the weights now. Repeated asks by one waiter count once when `isNew` is false.
+    [[nodiscard]] Told ask(const AdapterKey &key, AdapterRevision atLeast, bool isNew, Instant now);
+    void withdraw(const AdapterKey &key);                            // one waiter fewer
+    void onRevision(const AdapterKey &key, AdapterRevision revision); // a newer one is in force
+    void onRestart(Instant now);                                       // holds nothing, and its counts began anew
+
+    [[nodiscard]] bool needsReport(Instant now) const;
+    void onReport(const ReplicaReport &report, Instant now);
+    void onReportFailed(Instant now);
+
+    /// The next order, if any is due. One at a time: onOrder() before the next. `mayLoadModel`: base weights may be fetched now.
+    [[nodiscard]] std::optional<Order> nextOrder(bool mayLoadModel, Instant now);
+    void onOrder(const Order &order, OrderOutcome outcome, Instant now);
+    /// When nextOrder() may have something without a further event. None: never.
+    [[nodiscard]] std::optional<Instant> nextDue() const;
+
+    [[nodiscard]] bool holdsModel() const { return hasModel_; }
+    [[nodiscard]] bool isHeld(const AdapterKey &key) const;
+    [[nodiscard]] std::size_t placesTaken() const { return held_.size(); }
+    [[nodiscard]] std::size_t waiting() const { return wants_.size(); }
+
+private:
+    enum class State : std::uint8_t { Coming, Held, Going };
+    struct Place {
+        State state = State::Coming;
+        AdapterRevision revision;
+        Instant protectedUntil;
+        Instant checkAt; // Coming, Going: when to look whether it has ended
+    };
+    struct Want {
+        int waiters = 0;
+        AdapterRevision atLeast;
+        std::uint64_t order = 0; // who came first
+    };
+    struct Usage {
+        admission::DecayingCount asks{Milliseconds(1)};
+    };
+
+    [[nodiscard]] double rate(const AdapterKey &key, Instant now) const;
+    void noteUse(const AdapterKey &key, Instant now);
+    void noteNearby(const AdapterKey &key);
+    [[nodiscard]] bool isNearby(const AdapterKey &key) const;
+    [[nodiscard]] Order orderFor(OrderKind kind, const AdapterKey &key, AdapterRevision revision) const;
+    [[nodiscard]] std::optional<Order> dueCheck(Instant now) const;
+    [[nodiscard]] std::optional<Order> nextLoad(Instant now) const;
+    [[nodiscard]] std::optional<AdapterKey> victim(Instant now) const;
+    [[nodiscard]] int coming() const;
+    [[nodiscard]] AdapterRevision newest(const AdapterKey &key) const;
+    void forgetIdleUsage(Instant now);
+
+    ResidencyOptions options_;
+    ModelSpec model_;
+    bool isKnown_ = false; // a report was read since the start, the last disagreement or restart
+    bool hasModel_ = false;
+    bool modelComing_ = false;
+    Instant modelCheckAt_;
+    Instant reportAt_; // not before
+    OrderSequence sequence_;
+    std::map<AdapterKey, Place> held_;
+    std::map<AdapterKey, Want> wants_;
+    std::map<AdapterKey, AdapterRevision> newest_;
+    std::map<AdapterKey, Usage> usage_;
+    std::deque<AdapterKey> nearby_; // held lately, newest last
+    std::uint64_t wantCount_ = 0;
+};
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/routes.cpp
@@ -0,0 +1,72 @@
+#include <serving/routes.h>
+
+#include <algorithm>
+#include <cctype>
+
+#include <core/hash.h>
+
+namespace baobabstall::serving {
+
+namespace {
+
+std::string hostName(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return name;
+}
+
+} // namespace
+
+RouteTable::RouteTable(Configuration configuration)
+    : configuration_(std::move(configuration))
+{
+    const auto &routes = configuration_.routes;
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        byHost_[hostName(routes[i].host)].push_back(i);
+    }
+    for (auto &[host, indices] : byHost_) {
+        std::stable_sort(indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) { return routes[a].pathPrefix.size() > routes[b].pathPrefix.size(); });
+    }
+}
+
+const ServiceSpec *RouteTable::service(const ServiceName &name) const
+{
+    const auto &services = configuration_.services;
+    const auto found = std::find_if(services.begin(), services.end(), [&](const ServiceSpec &each) { return each.name == name; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view target) const
+{
+    const auto found = byHost_.find(hostName(host));
+    if (found == byHost_.end()) {
+        return nullptr;
+    }
+    const auto path = target.substr(0, target.find('?'));
+    for (const auto index : found->second) {
+        if (path.starts_with(configuration_.routes[index].pathPrefix)) {
+            return &configuration_.routes[index];
+        }
+    }
+    return nullptr;
+}
+
+const ServiceName &RouteTable::serviceOf(const Route &route, const RequestId &id)
+{
+    double total = 0;
+    for (const auto &each : route.services) {
+        total += each.weight;
+    }
+    constexpr std::uint64_t steps = 1'000'003; // fine enough for weights in hundredths
+    double at = static_cast<double>(core::hashText(id.value(), 0) % steps) / static_cast<double>(steps) * total;
+    for (const auto &each : route.services) {
+        if (at < each.weight) {
+            return each.service;
+        }
+        at -= each.weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/watchdog.h
@@ -0,0 +1,74 @@
+// serving/watchdog.h: one deadline that moves often. A timer is set anew only when the deadline comes nearer, so that a request that
+// ends in time costs no timer of its own.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <core/clock.h>
+#include <net/asio.h>
+
+namespace baobabstall::serving {
+
+class Watchdog
+{
+public:
+    explicit Watchdog(boost::asio::io_context &io)
+        : state_(std::make_shared<State>(io))
+    { }
+    ~Watchdog() { disarm(); state_->timer.cancel(); }
+    Watchdog(const Watchdog &) = delete;
+    Watchdog &operator=(const Watchdog &) = delete;
+
+    /// Calls `action` once at `at`, unless armed anew or disarmed before. Replaces what was armed.
+    void arm(core::Instant at, std::function<void()> action)
+    {
+        state_->due = at;
+        state_->action = std::move(action);
+        if (!state_->isSet || at < state_->setFor) {
+            set(state_, at);
+        }
+    }
+    void disarm() { state_->action = nullptr; }
+
+private:
+    struct State {
+        explicit State(boost::asio::io_context &io)
+            : timer(io)
+        { }
+        boost::asio::steady_timer timer;
+        std::function<void()> action;
+        core::Instant due;
+        core::Instant setFor;
+        bool isSet = false;
+    };
+
+    static void set(const std::shared_ptr<State> &state, core::Instant at)
+    {
+        const auto now = core::SteadyClock().now();
+        state->setFor = at;
+        state->isSet = true;
+        state->timer.expires_after(net::chronoOf(std::max(core::Milliseconds(0), at - now)));
+        state->timer.async_wait([weak = std::weak_ptr(state), at](boost::system::error_code cancelled) {
+            const auto state = weak.lock();
+            if (!state || cancelled || state->setFor != at) {
+                return;
+            }
+            state->isSet = false;
+            if (!state->action) {
+                return;
+            }
+            if (core::SteadyClock().now() < state->due) {
+                set(state, state->due);
+                return;
+            }
+            std::exchange(state->action, nullptr)();
+        });
+    }
+
+    std::shared_ptr<State> state_;
+};
+
+} // namespace baobabstall::serving
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -144,7 +144,10 @@
 constexpr auto fieldsOf(const Ownership *)
 {
     return std::make_tuple(field("handover_delay_ms", &Ownership::handoverDelay, shortLength),
-                           field("call_partitions", &Ownership::callPartitions, NumberRule{1, 4'096}));
+                           field("call_partitions", &Ownership::callPartitions, NumberRule{1, 4'096}),
+                           field("claim_delay_ms", &Ownership::claimDelay, NumberRule{0, 3'600'000}),
+                           field("lease_wait_ms", &Ownership::leaseWait, NumberRule{0, 3'600'000}),
+                           field("minority_delay_ms", &Ownership::minorityDelay, NumberRule{0, 3'600'000}));
 }
 
 constexpr auto fieldsOf(const Placement *)
@@ -196,7 +199,23 @@
 
 constexpr auto fieldsOf(const Logging *)
 {
-    return std::make_tuple(field("level", &Logging::level, levelText), field("file", &Logging::file, freeText));
+    return std::make_tuple(field("level", &Logging::level, levelText),
+                           field("file", &Logging::file, freeText),
+                           field("lines_per_second", &Logging::linesPerSecond, NumberRule{1, 1'000'000}));
+}
+
+constexpr auto fieldsOf(const Hosting *)
+{
+    return std::make_tuple(field("metrics", &Hosting::metrics, peerText),
+                           field("heartbeat_ms", &Hosting::heartbeat, shortLength),
+                           field("drain_ms", &Hosting::drain, shortLength),
+                           field("lease_ms", &Hosting::lease, shortLength),
+                           field("revision_apply_ms", &Hosting::revisionApply, shortLength),
+                           field("grace_s", &Hosting::graceSeconds, NumberRule{0.1, 3'600}),
+                           field("retry_share", &Hosting::retryShare, NumberRule{0, 1}),
+                           field("retry_slack", &Hosting::retrySlack, NumberRule{0, 1'000'000}),
+                           field("loads_overage", &Hosting::loadsOverage, NumberRule{0.1, 10}),
+                           field("event_delay_ms", &Hosting::eventDelay, shortLength));
 }
 
 constexpr auto fieldsOf(const Settings *)
@@ -217,7 +236,8 @@
                            section("retries", &Settings::retries),
                            section("services", &Settings::services),
                            section("stop", &Settings::stop),
-                           section("logging", &Settings::logging));
+                           section("logging", &Settings::logging),
+                           section("hosting", &Settings::hosting));
 }
 
 // ---- Reader: walks a table, stops at the first fault ----
@@ -338,9 +358,11 @@
     return std::to_string(length.count());
 }
 
-bool fieldsAgree(const Settings &settings, Reader &reader)
+enum class Mode : std::uint8_t { Product, Hosted };
+
+bool fieldsAgree(const Settings &settings, Mode mode, Reader &reader)
 {
-    if (settings.keyFile.empty() == settings.keyEnv.empty()) {
+    if (mode == Mode::Product && settings.keyFile.empty() == settings.keyEnv.empty()) {
         return reader.fail("key_file", settings.keyFile.empty() ? "neither key_file nor key_env" : "both key_file and key_env", "exactly one of the two");
     }
     if (settings.stop.drainTimeout <= settings.callers.requestTimeout) {
@@ -385,7 +407,9 @@
 
 } // namespace
 
-std::optional<Settings> parseSettings(std::string_view text, const std::string &name, core::Error &why)
+namespace {
+
+std::optional<Settings> parse(std::string_view text, const std::string &name, Mode mode, core::Error &why)
 {
     why = core::Error{.step = core::Step::Settings};
     const auto value = parseJson(text, name, JsonOptions{}, why);
@@ -394,20 +418,42 @@
     }
     Settings settings;
     Reader reader(name, why);
-    if (!reader.readObject(*value, "", settings) || !fieldsAgree(settings, reader)) {
+    if (!reader.readObject(*value, "", settings) || !fieldsAgree(settings, mode, reader)) {
         return std::nullopt;
     }
     return settings;
 }
 
-std::optional<Settings> loadSettings(const std::string &path, core::Error &why)
+std::optional<Settings> load(const std::string &path, Mode mode, core::Error &why)
 {
     const auto text = readWholeFile(path);
     if (!text) {
         why = core::Error{.step = core::Step::Settings, .reason = path + ": can't be read; give the path of a readable settings file"};
         return std::nullopt;
     }
-    return parseSettings(*text, path, why);
+    return parse(*text, path, mode, why);
+}
+
+} // namespace
+
+std::optional<Settings> parseSettings(std::string_view text, const std::string &name, core::Error &why)
+{
+    return parse(text, name, Mode::Product, why);
+}
+
+std::optional<Settings> loadSettings(const std::string &path, core::Error &why)
+{
+    return load(path, Mode::Product, why);
+}
+
+std::optional<Settings> parseHostedSettings(std::string_view text, const std::string &name, core::Error &why)
+{
+    return parse(text, name, Mode::Hosted, why);
+}
+
+std::optional<Settings> loadHostedSettings(const std::string &path, core::Error &why)
+{
+    return load(path, Mode::Hosted, why);
 }
 
 std::optional<std::string> loadKey(const Settings &settings, core::Error &why)
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -63,6 +63,9 @@
 struct Ownership {
     Milliseconds handoverDelay{3'000}; // how long the preferred owner must stay the same before a live owner hands over
     int callPartitions = 64;           // partitions of the at-most-once records; the same on every daemon of a deployment
+    Milliseconds claimDelay{0};        // from the start to the first claim, for the membership to settle; 0: as handover_delay_ms
+    Milliseconds leaseWait{0};         // a new owner acts so long after the claim when another host held the thing before
+    Milliseconds minorityDelay{0};     // a daemon that reaches no majority claims from the dead after this; 0: never
 };
 
 /// Choosing a replica. The weights are in milliseconds of expected wait.
@@ -115,14 +118,29 @@
 /// Logging.
 struct Logging {
     std::string level = "info"; // "debug", "info", "warn", "error"
-    std::string file;           // empty: standard error
+    std::string file;           // empty: standard error; "-": standard output, bounded and never waited for
+    int linesPerSecond = 400;   // with file "-": over it lines are dropped and counted; errors have a budget of their own
+};
+
+/// Serving in front of a platform with a shared store (baobabstalld --hosted). The bounds are the platform's.
+struct Hosting {
+    std::string metrics;                // ip:port of /metrics; empty: none
+    Milliseconds heartbeat{1'200};      // between an upstream's records; one that is silent for three is dropped by the store
+    Milliseconds drain{2'000};          // an upstream that leaves takes requests so long after the store knows
+    Milliseconds lease{3'000};          // between the orders of two holders of one upstream
+    Milliseconds revisionApply{5'000};  // a newer adapter has to be in use so long after it was named
+    double graceSeconds = 8;            // from SIGTERM to SIGKILL
+    double retryShare = 0.2;            // repeats as a share of a service's requests, over all hosts
+    double retrySlack = 56;             // repeats beyond that in one window, over all hosts
+    double loadsOverage = 1.1;          // base weights may be fetched at this multiple of the configured rate
+    Milliseconds eventDelay{120};       // from an upstream's event to the caller; later counts as late
 };
 
 struct Settings {
     core::HostId host;     // required, unique within the deployment
     core::ZoneId zone;     // required
     core::RegionId region; // required
-    std::string keyFile;   // file with the deployment's key; this or key_env is required
+    std::string keyFile;   // file with the deployment's key; this or key_env is required, but for --hosted, where the key lies in the store
     std::string keyEnv;    // environment variable with the key
     Listen listen;
     Platform platform;
@@ -136,11 +154,15 @@
     Services services;
     Stop stop;
     Logging logging;
+    Hosting hosting;
 };
 
 /// Reads and checks the text of a settings file; `name` stands for the file in messages. Step Settings.
 [[nodiscard]] std::optional<Settings> parseSettings(std::string_view text, const std::string &name, core::Error &why);
 [[nodiscard]] std::optional<Settings> loadSettings(const std::string &path, core::Error &why);
+/// For a hosted daemon: the hosting section counts and no key is asked for.
+[[nodiscard]] std::optional<Settings> parseHostedSettings(std::string_view text, const std::string &name, core::Error &why);
+[[nodiscard]] std::optional<Settings> loadHostedSettings(const std::string &path, core::Error &why);
 
 /// The deployment's key from file or environment, without surrounding white space; at least 16 bytes.
 [[nodiscard]] std::optional<std::string> loadKey(const Settings &settings, core::Error &why);
--- a/programs/baobabstalld/main.cpp
+++ b/programs/baobabstalld/main.cpp
@@ -1,5 +1,6 @@
 // baobabstalld: the daemon of one entry host. Reads its settings, serves until SIGTERM, then stops without cutting a request off.
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include <boost/asio/co_spawn.hpp>
@@ -12,6 +13,8 @@
 #include <gateway/daemon.h>
 #include <settings/settings.h>
 
+#include "hosted.h"
+
 namespace {
 
 using namespace baobabstall;
@@ -97,7 +100,8 @@
     options::options_description described("baobabstalld --settings FILE");
     described.add_options()("help,h", "this text")("version", "print the version")(
         "settings", options::value<std::string>(), "settings file, JSON with comments; serve until SIGTERM")(
-        "check-settings", options::value<std::string>(), "check a settings file and exit: 0 good, 1 not");
+        "check-settings", options::value<std::string>(), "check a settings file and exit: 0 good, 1 not")(
+        "hosted", "serve on a platform with a shared store; without --settings the file is named by BAOBABSTALL_CONFIG");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, described), given);
@@ -112,11 +116,18 @@
         std::cout << "baobabstalld " BAOBABSTALL_VERSION "\n";
         return exitOk;
     }
+    const bool isHosted = given.contains("hosted");
     if (given.contains("check-settings")) {
-        return checkSettings(given["check-settings"].as<std::string>());
+        const auto path = given["check-settings"].as<std::string>();
+        return isHosted ? checkHostedSettings(path) : checkSettings(path);
+    }
+    const char *named = std::getenv("BAOBABSTALL_CONFIG");
+    if (isHosted && !given.contains("settings") && named != nullptr) {
+        return serveHosted(named);
     }
     if (!given.contains("settings")) {
         return usageError("no settings file; give --settings FILE");
     }
-    return serve(given["settings"].as<std::string>());
+    const auto path = given["settings"].as<std::string>();
+    return isHosted ? serveHosted(path) : serve(path);
 }
