Tell owners which weights are in use; wait longer at the store with keep-alive probes

Cause: an unload of an adapter in use keeps a replica from taking other orders; 202 of 3,990 orders conflicted, and each conflict cost 400 ms until the report could be read.

--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -168,9 +168,16 @@
     std::string adapter;
 };
 
+/// What one host has running at one upstream.
+struct RunningAt {
+    core::UpstreamId upstream;
+    int running = 0;
+    std::vector<std::pair<core::BaseModel, core::AdapterName>> adapters; // that these use
+};
+
 /// What the sender has running at upstreams that the receiver owns.
 struct RunningNotice {
-    std::vector<std::pair<core::UpstreamId, int>> running;
+    std::vector<RunningAt> running;
 };
 
 /// What all other hosts have running at the sender's upstreams.
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -290,6 +290,9 @@
         Error why;
         auto connection = node_.pool.takeIdle(replica.id, node_.now());
         node_.chooser.begin(replica.id);
+        if (namesAdapter()) {
+            node_.noteUse(replica.id, facts_.weights, 1);
+        }
         upstream_ = replica.id;
         if (!connection) {
             connection = co_await node_.pool.open(replica.id, replica.address, [this](const ConnectionPtr &opening) { connection_ = opening; }, why);
@@ -736,6 +739,9 @@
     void noteSend(const ReplicaRecord &replica, SendEnd end, std::string_view outcome, const std::string &reason)
     {
         node_.chooser.end(replica.id, end, node_.now());
+        if (namesAdapter()) {
+            node_.noteUse(replica.id, facts_.weights, -1);
+        }
         node_.metrics.sends.add({service_->value(), outcome});
         if (end != SendEnd::Good) {
             node_.log.info("send_ended",
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -23,9 +23,9 @@
 constexpr Milliseconds pauseNoticed{500};         // a tick that is this late tells that the host stood still
 constexpr Milliseconds runningInterval{200};      // between reports of running requests to owners
 constexpr Milliseconds housekeepingInterval{500}; // idle connections, ended leases, lapsed records
-constexpr Milliseconds operatorsWait{2'000};      // a lost connection is noticed after this and the store's call time-out
-constexpr Milliseconds controlWait{3'000};
-constexpr Milliseconds upstreamsPause{600};       // a third of the bound on leaving upstreams
+constexpr Milliseconds operatorsWait{10'000};     // a connection that fell silent is noticed sooner, by keep-alive probes
+constexpr Milliseconds controlWait{10'000};
+constexpr Milliseconds upstreamsPause{900};       // half of the bound on leaving upstreams
 constexpr Milliseconds claimPatience{300};        // between tries to write the links' key or this host's address
 constexpr Milliseconds peerAnswerSlack{50};       // an owner's answer on its way
 constexpr Milliseconds ownerPatience{1'200};      // at most, for one owner to have weights held; several full fetches
@@ -747,12 +747,19 @@
     const auto now = node_.now();
     if (const auto *running = std::get_if<peers::RunningNotice>(&notice.body)) {
         peers::TotalsNotice totals;
-        for (const auto &[id, count] : running->running) {
-            const auto table = running_.find(id);
-            if (table != running_.end()) {
-                table->second.note(from, count, now);
-                table->second.note(node_.settings.host, node_.chooser.own(id), now);
-                totals.others.emplace_back(id, table->second.othersThan(from, now));
+        for (const auto &each : running->running) {
+            const auto table = running_.find(each.upstream);
+            if (table == running_.end()) {
+                continue;
+            }
+            table->second.note(from, each.running, now);
+            table->second.note(node_.settings.host, node_.chooser.own(each.upstream), now);
+            totals.others.emplace_back(each.upstream, table->second.othersThan(from, now));
+            const auto owned = owned_.find(each.upstream);
+            for (const auto &[model, adapter] : each.adapters) {
+                if (owned != owned_.end()) {
+                    owned->second->onInUse({model, adapter});
+                }
             }
         }
         if (!totals.others.empty()) {
@@ -783,6 +790,13 @@
             if (const auto table = running_.find(id); table != running_.end()) {
                 node_.chooser.setOthers(id, table->second.othersThan(node_.settings.host, now), now);
             }
+            const auto owned = owned_.find(id);
+            const auto uses = node_.inUse.find(id);
+            if (owned != owned_.end() && uses != node_.inUse.end()) {
+                for (const auto &[weights, count] : uses->second) {
+                    owned->second->onInUse(weights);
+                }
+            }
             continue;
         }
         const int own = node_.chooser.own(id);
@@ -790,7 +804,13 @@
             reported[*owner].insert(id);
         }
         if (own > 0 || reported_[*owner].contains(id)) {
-            notices[*owner].running.emplace_back(id, own);
+            peers::RunningAt at{id, own, {}};
+            if (const auto uses = node_.inUse.find(id); uses != node_.inUse.end()) {
+                for (const auto &[weights, count] : uses->second) {
+                    at.adapters.emplace_back(weights.model, weights.adapter);
+                }
+            }
+            notices[*owner].running.push_back(std::move(at));
         }
     }
     reported_ = std::move(reported);
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -67,6 +67,17 @@
     return found == revisions.end() ? std::nullopt : std::optional(found->second);
 }
 
+void Node::noteUse(const UpstreamId &upstream, const AdapterKey &weights, int change)
+{
+    auto &uses = inUse[upstream];
+    if ((uses[weights] += change) <= 0) {
+        uses.erase(weights);
+    }
+    if (uses.empty()) {
+        inUse.erase(upstream);
+    }
+}
+
 void Node::setHosts(int count)
 {
     hosts = std::max(1, count);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -79,6 +79,8 @@
     [[nodiscard]] admission::RetryBudget &budgetOf(const ServiceName &service);
     [[nodiscard]] std::optional<RevisionInForce> revisionOf(const AdapterKey &weights) const;
     void setHosts(int hosts); // that serve, this one included
+    /// A request begins or ends to use weights at an upstream.
+    void noteUse(const UpstreamId &upstream, const AdapterKey &weights, int change);
 
     boost::asio::io_context &io;
     settings::Settings settings;
@@ -93,6 +95,7 @@
     LeaseBook leases;
     UpstreamPool pool;
     std::map<AdapterKey, RevisionInForce> revisions;
+    std::map<UpstreamId, std::map<AdapterKey, int>> inUse; // requests of this host that run, by the weights they use
     ResidencySource *residency = nullptr; // set before the first request
     int hosts = 1;
     bool isStopping = false;
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -31,6 +31,7 @@
     void stop();
     void onRecord(const ReplicaRecord &record); // moved, or restarted
     void onRevision(const AdapterKey &weights, AdapterRevision revision);
+    void onInUse(const AdapterKey &weights) { residency_.onInUse(weights, node_.now()); }
     /// Nothing when the weights can't be had within `wait`.
     net::Task<std::optional<Residency::Told>> ask(AdapterKey weights, AdapterRevision atLeast, Milliseconds wait);
 
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -101,6 +101,14 @@
     newest = std::max(newest, revision);
 }
 
+void Residency::onInUse(const AdapterKey &key, Instant now)
+{
+    const auto place = held_.find(key);
+    if (place != held_.end()) {
+        place->second.protectedUntil = std::max(place->second.protectedUntil, now + options_.inUse);
+    }
+}
+
 void Residency::onRestart(Instant now)
 {
     isKnown_ = false;
@@ -168,7 +176,9 @@
     if (auto check = dueCheck(now)) {
         return check;
     }
-    return nextLoad(now);
+    // A replica takes no other order while an unload waits for its runs.
+    const bool isGoing = std::any_of(held_.begin(), held_.end(), [](const auto &each) { return each.second.state == State::Going; });
+    return isGoing ? std::nullopt : nextLoad(now);
 }
 
 std::optional<Order> Residency::dueCheck(Instant now) const
@@ -232,6 +242,14 @@
 {
     const auto &key = order.weights;
     const bool isModel = order.kind == OrderKind::LoadModel;
+    if (outcome == OrderOutcome::Conflict && ++conflicts_ <= options_.patientConflicts) {
+        const auto place = held_.find(key);
+        if (place != held_.end() && place->second.state == State::Going) {
+            place->second.checkAt = now + options_.recheck;
+            return;
+        }
+    }
+    conflicts_ = 0;
     if (outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Refused || outcome == OrderOutcome::Unknown || outcome == OrderOutcome::Fenced
         || outcome == OrderOutcome::WrongReplica) {
         isKnown_ = false;
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -56,6 +56,8 @@
     double frequentPerSecond = 0.7;  // asks a second that make weights frequent
     Milliseconds rateHalfLife{4'000};
     Milliseconds recheck{20};        // between looks whether a fetch that takes longer has ended
+    Milliseconds inUse{450};         // weights that a request uses are not chosen to go so long after it was told; two reports
+    int patientConflicts = 20;       // while an unload waits for its runs; over it the replica's report is read
     Milliseconds settle{400};        // after a disagreement, until the replica's report is as new as its last order (some hundred ms)
     Milliseconds loadRecheck{250};   // the same for base weights
 };
@@ -76,6 +78,7 @@
     [[nodiscard]] Told ask(const AdapterKey &key, AdapterRevision atLeast, bool isNew, Instant now);
     void withdraw(const AdapterKey &key);                            // one waiter fewer
     void onRevision(const AdapterKey &key, AdapterRevision revision); // a newer one is in force
+    void onInUse(const AdapterKey &key, Instant now);                  // requests that use it run
     void onRestart(Instant now);                                       // holds nothing, and its counts began anew
 
     [[nodiscard]] bool needsReport(Instant now) const;
@@ -136,6 +139,7 @@
     std::map<AdapterKey, Usage> usage_;
     std::deque<AdapterKey> nearby_; // held lately, newest last
     std::uint64_t wantCount_ = 0;
+    int conflicts_ = 0; // in a row
 };
 
 } // namespace baobabstall::serving
