--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -72,6 +72,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefetchNotice, engine, adapter)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyCall, replica, model, adapter, revision, waitMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyReply, revision, leaseMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingReply, expectedMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningAt, upstream, running, adapters)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningNotice, running)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TotalsNotice, others)
@@ -252,7 +253,8 @@
 
 bool isLast(const ReplyBody &body)
 {
-    return !std::holds_alternative<StartedReply>(body) && !std::holds_alternative<DataReply>(body) && !std::holds_alternative<GrantReply>(body);
+    return !std::holds_alternative<StartedReply>(body) && !std::holds_alternative<DataReply>(body) && !std::holds_alternative<GrantReply>(body)
+        && !std::holds_alternative<WaitingReply>(body);
 }
 
 std::optional<std::string> makeNonce()
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -10,7 +10,7 @@
 //     PermitCall     may this engine load this adapter?               -> GrantReply; the permit lasts until the call is cancelled
 //     ServiceCall    run this keyed call in its partition             -> WholeReply
 //     ListsCall      what lists do you have in force?                 -> ListsReply
-//     ResidencyCall  have this replica hold these weights             -> ResidencyReply
+//     ResidencyCall  have this replica hold these weights             -> WaitingReply, ResidencyReply
 //     any of them                                                     -> FailReply instead
 //   encode(), decode()
 //
@@ -153,7 +153,12 @@
     std::int64_t leaseMs = 0; // from now on
 };
 
-using ReplyBody = std::variant<HintReply, StartedReply, DataReply, EndReply, GrantReply, WholeReply, ListsReply, FailReply, ResidencyReply>;
+/// The weights are on their way; a ResidencyReply or FailReply follows.
+struct WaitingReply {
+    std::int64_t expectedMs = 0; // from now on
+};
+
+using ReplyBody = std::variant<HintReply, StartedReply, DataReply, EndReply, GrantReply, WholeReply, ListsReply, FailReply, ResidencyReply, WaitingReply>;
 
 /// An adapter is wanted on more or fewer replicas than others.
 struct WidthNotice {
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -35,7 +35,7 @@
 constexpr Milliseconds revisionGrace{1'000}; // a newly named revision is asked for by name from here on; before it either is right
 constexpr Milliseconds crowdedRetry{300};    // Retry-After when all are crowded: some requests have ended by then
 constexpr Milliseconds unknownRetry{500};    // Retry-After when nothing can be served yet: a config read or an upstream's record later
-constexpr double residencyShare = 0.5;       // of the time left that is spent on waiting for weights at one upstream
+constexpr double residencyShare = 0.85;      // of the time left that is spent on waiting for weights; the rest is for the answer
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
 
@@ -212,6 +212,9 @@
             const ReplicaRecord replica = *record; // the book may change while this waits
             if (!co_await haveWeights(replica)) {
                 passed_.push_back(replica.id);
+                if (isFinal_) {
+                    break;
+                }
                 continue;
             }
             if (isOver() || !node_.book.isUsable(replica.id)) {
@@ -252,6 +255,9 @@
         if (!grant) {
             refusal_ = "weights_not_held";
             reasonText_ = why.reason;
+            // Another home would fetch the same weights once more. It is asked only where nobody could be.
+            isFinal_ = why.step == Step::Load;
+            retryAfter_ = why.retryAfter;
             node_.log.info("weights_not_held", why, {{"request_id", facts_.id}, {"upstream", replica.id}, {"adapter", facts_.weights.text()}, {"waited_ms", took}});
             co_return false;
         }
@@ -691,13 +697,12 @@
     void finishGone()
     {
         reason_ = "caller_gone";
-        isFinal_ = true;
     }
 
     net::Task<void> giveUp()
     {
-        if (isFinal_ || status_ != 0) {
-            if (hasBegun_ && !isFinal_) {
+        if (reason_ == "caller_gone" || status_ != 0) {
+            if (hasBegun_ && reason_ != "caller_gone") {
                 caller_.cut();
                 reason_ = isLate_ || left() < leastTime ? "stream_late" : "stream_cut";
             }
@@ -711,7 +716,7 @@
         if (unknown_) {
             co_await refuse(isTimeUp ? 504 : 502, isTimeUp ? "deadline" : refusal_, std::nullopt);
         } else {
-            co_await refuse(503, isTimeUp ? "deadline" : refusal_, refusal_ == std::string_view("no_upstream") ? unknownRetry : crowdedRetry);
+            co_await refuse(503, isTimeUp ? "deadline" : refusal_, retryAfter_.value_or(refusal_ == std::string_view("no_upstream") ? unknownRetry : crowdedRetry));
         }
     }
 
@@ -815,6 +820,7 @@
     int status_ = 0;
     std::string_view reason_ = "unknown";
     std::string_view refusal_ = "no_upstream";
+    std::optional<Milliseconds> retryAfter_; // when room is expected
     std::string reasonText_;
     std::string cutReason_;
     Milliseconds residencyWait_;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -23,12 +23,13 @@
 constexpr Milliseconds pauseNoticed{500};         // a tick that is this late tells that the host stood still
 constexpr Milliseconds runningInterval{200};      // between reports of running requests to owners
 constexpr Milliseconds housekeepingInterval{500}; // idle connections, ended leases, lapsed records
-constexpr Milliseconds operatorsWait{10'000};     // a connection that fell silent is noticed sooner, by keep-alive probes
-constexpr Milliseconds controlWait{10'000};
-constexpr Milliseconds upstreamsPause{900};       // half of the bound on leaving upstreams
+constexpr Milliseconds operatorsWait{1'500};      // a waiting read can miss a record (seen on trouble-1); the bound on configurations is 2 s
+constexpr Milliseconds controlWait{2'500};
+constexpr Milliseconds upstreamsPause{1'200};     // the bound on leaving upstreams is 2 s
 constexpr Milliseconds claimPatience{300};        // between tries to write the links' key or this host's address
 constexpr Milliseconds peerAnswerSlack{50};       // an owner's answer on its way
-constexpr Milliseconds ownerPatience{1'200};      // at most, for one owner to have weights held; several full fetches
+constexpr Milliseconds firstAnswer{200};          // of an owner to an ask: that it is held, or waited for; some round trips and a busy host
+constexpr Milliseconds ownerSilence{1'000};       // an owner that did not answer is not asked again for so long
 constexpr Milliseconds balancerNotice{2'600};     // until the balancer has seen two failed checks, one a second
 constexpr Milliseconds stopMargin{600};           // before the platform's SIGKILL
 constexpr Milliseconds drainCheck{20};            // while stopping
@@ -667,52 +668,66 @@
 
 bool HostedDaemon::canOrder(const UpstreamId &replica) const
 {
-    return ownerOf(replica).has_value();
+    const auto owner = ownerOf(replica);
+    const auto silent = owner ? silentUntil_.find(*owner) : silentUntil_.end();
+    return owner && (silent == silentUntil_.end() || node_.now() >= silent->second);
 }
 
 net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
 {
     const auto owner = ownerOf(replica);
-    why = Error{.step = Step::Load, .peer = owner ? owner->value() : std::string(), .reason = "no host owns the upstream at present"};
-    std::optional<ResidencyGrant> grant;
-    const auto patience = std::min(wait, ownerPatience);
     if (owner && *owner == node_.settings.host) {
-        grant = co_await ensureHere(replica, weights, atLeast, patience, why);
-    } else if (owner && links_) {
-        const auto begin = node_.now();
-        const auto call = links_->call(*owner, peers::ResidencyCall{replica, weights.model, weights.adapter, atLeast.value(), patience.count()});
-        const auto reply = co_await call->next(patience + peerAnswerSlack, why);
-        if (reply) {
-            if (const auto *held = std::get_if<peers::ResidencyReply>(&*reply)) {
-                grant = ResidencyGrant{AdapterRevision(held->revision), begin + Milliseconds(held->leaseMs)};
-            } else if (const auto *fail = std::get_if<peers::FailReply>(&*reply)) {
-                why = fail->error;
-            }
+        co_return co_await ensureHere(replica, weights, atLeast, wait, [](Milliseconds) {}, why);
+    }
+    why = Error{.step = Step::Peer, .peer = owner ? owner->value() : std::string(), .reason = "no host that can be reached owns the upstream"};
+    if (owner && links_ && canOrder(replica)) {
+        const auto grant = co_await ensureThere(*owner, replica, weights, atLeast, wait, why);
+        if (grant || why.step != Step::Peer) {
+            co_return grant;
         }
+        silentUntil_[*owner] = node_.now() + ownerSilence;
+        node_.log.warn("owner_silent", why, {{"owner", *owner}, {"upstream", replica}});
     }
-    if (!grant) { // what the upstream last said of itself is better than nothing
-        const auto *record = node_.book.find(replica);
-        if (record != nullptr && isHeldRecord(*record, weights) && !owner) {
-            grant = ResidencyGrant{atLeast, Instant()};
+    const auto *record = node_.book.find(replica); // what the upstream last said of itself is better than nothing
+    const bool isHeld = record != nullptr && isHeldRecord(*record, weights);
+    co_return isHeld ? std::optional(ResidencyGrant{atLeast, Instant()}) : std::nullopt;
+}
+
+/// Error: step Peer when the owner did not answer, else why it could not.
+net::Task<std::optional<ResidencyGrant>>
+HostedDaemon::ensureThere(HostId owner, UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
+{
+    const auto begin = node_.now();
+    const auto call = links_->call(owner, peers::ResidencyCall{replica, weights.model, weights.adapter, atLeast.value(), wait.count()});
+    auto patience = firstAnswer;
+    while (true) {
+        const auto reply = co_await call->next(patience, why);
+        if (!reply) {
+            why.step = Step::Peer;
+            co_return std::nullopt;
+        }
+        if (const auto *held = std::get_if<peers::ResidencyReply>(&*reply)) {
+            co_return ResidencyGrant{AdapterRevision(held->revision), begin + Milliseconds(held->leaseMs)};
+        }
+        if (const auto *fail = std::get_if<peers::FailReply>(&*reply)) {
+            why = fail->error;
+            co_return std::nullopt;
         }
+        patience = wait + peerAnswerSlack;
     }
-    co_return grant;
 }
 
-net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
+net::Task<std::optional<ResidencyGrant>>
+HostedDaemon::ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, OnWaiting onWaiting, Error &why)
 {
     const auto found = owned_.find(replica);
     if (found == owned_.end()) {
-        why = Error{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "this host does not own the upstream"};
+        why = Error{.step = Step::Admit, .peer = node_.settings.host.value(), .reason = "this host does not own the upstream"};
         co_return std::nullopt;
     }
     const auto owned = found->second;
-    const auto told = co_await owned->ask(weights, atLeast, wait);
-    if (!told) {
-        why = Error{.step = Step::Load, .peer = replica.value(), .reason = "the weights were not held in time"};
-        co_return std::nullopt;
-    }
-    co_return ResidencyGrant{told->revision, node_.now() + told->lease};
+    const auto told = co_await owned->ask(weights, atLeast, wait, std::move(onWaiting), why);
+    co_return told ? std::optional(ResidencyGrant{told->revision, node_.now() + told->lease}) : std::nullopt;
 }
 
 // ---- Peers ----
@@ -733,7 +748,9 @@
     const auto *wanted = std::get_if<peers::ResidencyCall>(&call->body());
     Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon serves no such call"};
     if (wanted != nullptr) {
-        const auto grant = co_await ensureHere(wanted->replica, {wanted->model, wanted->adapter}, AdapterRevision(wanted->revision), Milliseconds(wanted->waitMs), why);
+        const auto onWaiting = [&call](Milliseconds expected) { call->send(peers::WaitingReply{expected.count()}); };
+        const auto wait = Milliseconds(wanted->waitMs);
+        const auto grant = co_await ensureHere(wanted->replica, {wanted->model, wanted->adapter}, AdapterRevision(wanted->revision), wait, onWaiting, why);
         if (grant) {
             call->send(peers::ResidencyReply{grant->revision.value(), (grant->until - node_.now()).count()});
             co_return;
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -80,7 +80,9 @@
     // Peers.
     [[nodiscard]] peers::LinkHandlers linkHandlers();
     net::Task<void> serve(std::shared_ptr<peers::IncomingCall> call);
-    net::Task<std::optional<ResidencyGrant>> ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why);
+    using OnWaiting = std::function<void(Milliseconds)>;
+    net::Task<std::optional<ResidencyGrant>> ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, OnWaiting onWaiting, core::Error &why);
+    net::Task<std::optional<ResidencyGrant>> ensureThere(HostId owner, UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why);
     void takeNotice(const HostId &from, const peers::Notice &notice);
     void reportRunning();
 
@@ -99,6 +101,7 @@
     TopicFollower controlTopic_;
     core::Incarnation incarnation_;
     std::map<HostId, Announced> announced_;
+    std::map<HostId, Instant> silentUntil_; // owners that did not answer
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> owned_;
     std::map<UpstreamId, RunningTable> running_; // at upstreams that this host owns
     std::map<HostId, std::set<UpstreamId>> reported_; // told to each owner the last time
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Milliseconds orderTimeout{600};  // an order is answered in some ms; one without an answer may still be carried out
+constexpr Milliseconds orderTimeout{150};  // an order is answered in some ms (1 to 9 on a calm day); one without an answer may still be carried out
 constexpr Milliseconds reportTimeout{800};
 constexpr Milliseconds idleLook{1'000};    // when nothing is due
 constexpr Milliseconds notActingLook{100}; // until ownership is in force, or a load permit is to be had
@@ -82,7 +82,8 @@
     }
 }
 
-net::Task<std::optional<Residency::Told>> OwnedReplica::ask(AdapterKey weights, AdapterRevision atLeast, Milliseconds wait)
+net::Task<std::optional<Residency::Told>>
+OwnedReplica::ask(AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, std::function<void(Milliseconds)> onWaiting, core::Error &why)
 {
     const auto self = shared_from_this();
     const auto until = node_.now() + wait;
@@ -90,6 +91,15 @@
     if (told.answer == Residency::Answer::Ready) {
         co_return told;
     }
+    const auto expected = residency_.expectedWait(weights);
+    why = core::Error{.step = core::Step::Load, .peer = record_.id.value(), .reason = "the weights were not held in time"};
+    if (expected > wait) {
+        residency_.withdraw(weights);
+        why.reason = "the weights can't be held in time: " + std::to_string(expected.count()) + " ms are expected";
+        why.retryAfter = expected;
+        co_return std::nullopt;
+    }
+    onWaiting(expected);
     wake();
     while (isRunning_ && !isFenced_ && node_.now() < until) {
         const auto timer = std::make_shared<asio::steady_timer>(node_.io, net::chronoOf(until - node_.now()));
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -135,6 +135,7 @@
         place.state = state;
         place.revision = revision;
         place.checkAt = now + options_.recheck;
+        place.since = state == State::Coming ? now : Instant();
         if (const auto known = before.find(key); known != before.end()) {
             place.protectedUntil = known->second.protectedUntil;
         } else {
@@ -176,9 +177,9 @@
     if (auto check = dueCheck(now)) {
         return check;
     }
-    // A replica takes no other order while an unload waits for its runs.
-    const bool isGoing = std::any_of(held_.begin(), held_.end(), [](const auto &each) { return each.second.state == State::Going; });
-    return isGoing ? std::nullopt : nextLoad(now);
+    // A replica takes no other order while an unload or a replacement waits for its runs.
+    const bool isBusy = std::any_of(held_.begin(), held_.end(), [](const auto &each) { return isWaitingForRuns(each.second); });
+    return isBusy ? std::nullopt : nextLoad(now);
 }
 
 std::optional<Order> Residency::dueCheck(Instant now) const
@@ -196,15 +197,18 @@
     if (coming() >= options_.underWay) {
         return std::nullopt;
     }
+    const bool mayFetch = fetching() < fetchLimit();
     const AdapterKey *first = nullptr;
-    std::uint64_t firstOrder = 0;
+    std::pair<bool, std::uint64_t> firstOrder; // what loads fast goes before fetches, then who came first
     for (const auto &[key, want] : wants_) {
         const auto place = held_.find(key);
         const bool isOut = place == held_.end();
         const bool isOld = !isOut && place->second.state == State::Held && place->second.revision < newest(key);
-        if ((isOut || isOld) && (first == nullptr || want.order < firstOrder)) {
+        const bool isFetch = isOld || !isNearby(key);
+        const std::pair<bool, std::uint64_t> order(isFetch, want.order);
+        if ((isOut || isOld) && (!isFetch || mayFetch) && (first == nullptr || order < firstOrder)) {
             first = &key;
-            firstOrder = want.order;
+            firstOrder = order;
         }
     }
     if (first != nullptr) {
@@ -238,67 +242,133 @@
     return lowest;
 }
 
+void Residency::doubt(Instant now, Milliseconds wait)
+{
+    isKnown_ = false;
+    reportAt_ = now + wait;
+    conflicts_ = 0;
+    unanswered_ = 0;
+}
+
 void Residency::onOrder(const Order &order, OrderOutcome outcome, Instant now)
 {
-    const auto &key = order.weights;
-    const bool isModel = order.kind == OrderKind::LoadModel;
-    if (outcome == OrderOutcome::Conflict && ++conflicts_ <= options_.patientConflicts) {
-        const auto place = held_.find(key);
-        if (place != held_.end() && place->second.state == State::Going) {
-            place->second.checkAt = now + options_.recheck;
-            return;
-        }
+    const auto place = held_.find(order.weights);
+    const bool isWaiting = place != held_.end() && isWaitingForRuns(place->second);
+    if (outcome == OrderOutcome::Unknown && ++unanswered_ < options_.unanswered) {
+        return; // sent again as it is: the number of orders in it lets only one of the two be carried out
     }
-    conflicts_ = 0;
-    if (outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Refused || outcome == OrderOutcome::Unknown || outcome == OrderOutcome::Fenced
-        || outcome == OrderOutcome::WrongReplica) {
-        isKnown_ = false;
-        reportAt_ = now + (outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Unknown ? options_.settle : reportRetry);
-        return;
+    if (outcome == OrderOutcome::Conflict && unanswered_ > 0) {
+        outcome = OrderOutcome::Begun; // the one without an answer was carried out
     }
-    if (isModel) {
-        if (outcome == OrderOutcome::Begun) {
-            sequence_ = modelComing_ ? sequence_ : sequence_.next();
-            modelComing_ = true;
-            modelCheckAt_ = now + options_.loadRecheck;
-        } else {
-            hasModel_ = true;
-            modelComing_ = false;
-        }
+    if (outcome == OrderOutcome::Conflict && isWaiting && ++conflicts_ <= options_.patientConflicts) {
+        place->second.checkAt = now + options_.recheck;
         return;
     }
-    if (order.kind == OrderKind::UnloadAdapter) {
-        auto &place = held_[key];
-        if (place.state == State::Held) {
-            sequence_ = sequence_.next();
-            noteNearby(key);
-        }
-        if (outcome == OrderOutcome::Holds) {
-            held_.erase(key);
-        } else {
-            place.state = State::Going;
-            place.checkAt = now + options_.recheck;
-        }
+    if (outcome != OrderOutcome::Begun && outcome != OrderOutcome::Holds) {
+        const bool mayBeLate = outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Unknown;
+        doubt(now, mayBeLate ? options_.settle : reportRetry);
         return;
     }
-    auto &place = held_[key];
+    unanswered_ = 0;
+    conflicts_ = 0;
+    switch (order.kind) {
+    case OrderKind::LoadModel:
+        onModelOrder(outcome, now);
+        break;
+    case OrderKind::UnloadAdapter:
+        onUnload(order.weights, outcome, now);
+        break;
+    case OrderKind::LoadAdapter:
+        onLoad(order, outcome, now);
+        break;
+    }
+}
+
+void Residency::onModelOrder(OrderOutcome outcome, Instant now)
+{
     if (outcome == OrderOutcome::Begun) {
-        const bool isRepeat = place.state == State::Coming && place.checkAt.sinceOrigin() > 0;
-        if (!isRepeat) {
-            sequence_ = sequence_.next();
-        }
-        place.checkAt = now + (isRepeat ? options_.recheck : isNearby(key) ? options_.nearFetch : options_.fetch);
-        place.state = State::Coming;
-        place.revision = std::max(order.revision, place.revision);
+        sequence_ = modelComing_ ? sequence_ : sequence_.next();
+        modelComing_ = true;
+        modelCheckAt_ = now + options_.loadRecheck;
+    } else {
+        hasModel_ = true;
+        modelComing_ = false;
+    }
+}
+
+void Residency::onUnload(const AdapterKey &key, OrderOutcome outcome, Instant now)
+{
+    auto &place = held_[key];
+    if (place.state == State::Held) {
+        sequence_ = sequence_.next();
+        noteNearby(key);
+    }
+    if (outcome == OrderOutcome::Holds) {
+        held_.erase(key);
+    } else {
+        place.state = State::Going;
+        place.checkAt = now + options_.recheck;
+    }
+}
+
+void Residency::onLoad(const Order &order, OrderOutcome outcome, Instant now)
+{
+    const auto &key = order.weights;
+    auto &place = held_[key];
+    if (outcome == OrderOutcome::Holds) {
+        place.revision = std::max({order.revision, place.revision, newest(key)});
+        noteHeld(key, place, now);
+        return;
+    }
+    const bool isRepeat = place.state == State::Coming && place.since.sinceOrigin() > 0;
+    if (isRepeat) {
+        const auto share = Milliseconds(static_cast<std::int64_t>(static_cast<double>((now - place.since).count()) * options_.recheckShare));
+        place.checkAt = now + std::max(options_.recheck, share);
         return;
     }
+    place.isReplacement = place.state == State::Held;
+    place.isFetch = place.isReplacement || !isNearby(key);
+    sequence_ = sequence_.next();
+    place.since = now;
+    place.checkAt = now + (place.isFetch ? options_.fetch : options_.nearFetch);
+    place.state = State::Coming;
+    place.revision = std::max(order.revision, place.revision);
+}
+
+void Residency::noteHeld(const AdapterKey &key, Place &place, Instant now)
+{
+    if (place.state == State::Coming && place.isFetch) {
+        constexpr double weight = 0.2; // of the newest fetch in the mean
+        const auto took = static_cast<double>((now - place.since).count());
+        fetchMs_ = fetchMs_ == 0 ? took : fetchMs_ + (took - fetchMs_) * weight;
+    }
     place.state = State::Held;
-    place.revision = std::max({order.revision, place.revision, newest(key)});
+    place.isReplacement = false;
+    place.since = Instant();
     place.protectedUntil = std::max(place.protectedUntil, now + options_.shortLease);
     noteNearby(key);
     wants_.erase(key);
 }
 
+Milliseconds Residency::expectedWait(const AdapterKey &key) const
+{
+    const double fetch = std::max(fetchMs_, static_cast<double>(options_.fetch.count()));
+    const auto own = wants_.find(key);
+    int fetches = fetching();
+    int nears = 0;
+    for (const auto &[each, want] : wants_) {
+        const bool isBefore = own == wants_.end() || want.order < own->second.order;
+        if (isBefore && !held_.contains(each)) {
+            ++(isNearby(each) ? nears : fetches);
+        }
+    }
+    const double near = static_cast<double>(options_.nearFetch.count()) * (1 + nears);
+    if (isNearby(key)) {
+        return Milliseconds(static_cast<std::int64_t>(near));
+    }
+    return Milliseconds(static_cast<std::int64_t>(near + fetch * (1 + static_cast<double>(fetches) / fetchLimit())));
+}
+
 std::optional<Instant> Residency::nextDue() const
 {
     std::optional<Instant> due;
@@ -335,6 +405,16 @@
     return place != held_.end() && place->second.state == State::Held;
 }
 
+int Residency::fetchLimit() const
+{
+    return fetchMs_ > options_.slowFetch * static_cast<double>(options_.fetch.count()) ? options_.fetches : options_.underWay;
+}
+
+int Residency::fetching() const
+{
+    return static_cast<int>(std::count_if(held_.begin(), held_.end(), [](const auto &each) { return each.second.state == State::Coming && each.second.isFetch; }));
+}
+
 int Residency::coming() const
 {
     return static_cast<int>(std::count_if(held_.begin(), held_.end(), [](const auto &each) { return each.second.state == State::Coming; }));
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -55,7 +55,11 @@
     Milliseconds longLease{3'000};   // for weights in frequent use
     double frequentPerSecond = 0.7;  // asks a second that make weights frequent
     Milliseconds rateHalfLife{4'000};
-    Milliseconds recheck{20};        // between looks whether a fetch that takes longer has ended
+    int fetches = 2;                 // of adapters from the store for one replica at a time while the store is slow; more only slow each other down
+    double slowFetch = 1.4;          // a mean fetch at this multiple of `fetch` tells that the store is slow
+    Milliseconds recheck{20};        // at least, between looks whether a load that takes longer has ended
+    double recheckShare = 0.15;      // of the time that it has taken so far, likewise
+    int unanswered = 3;              // sends of one order without an answer, before the replica's report is read
     Milliseconds inUse{450};         // weights that a request uses are not chosen to go so long after it was told; two reports
     int patientConflicts = 20;       // while an unload waits for its runs; over it the replica's report is read
     Milliseconds settle{400};        // after a disagreement, until the replica's report is as new as its last order (some hundred ms)
@@ -77,6 +81,8 @@
     /// Someone wants the weights now. Repeated asks by one waiter count once when `isNew` is false.
     [[nodiscard]] Told ask(const AdapterKey &key, AdapterRevision atLeast, bool isNew, Instant now);
     void withdraw(const AdapterKey &key);                            // one waiter fewer
+    /// How long weights that are not held yet are expected to take, with what waits before them.
+    [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key) const;
     void onRevision(const AdapterKey &key, AdapterRevision revision); // a newer one is in force
     void onInUse(const AdapterKey &key, Instant now);                  // requests that use it run
     void onRestart(Instant now);                                       // holds nothing, and its counts began anew
@@ -103,7 +109,12 @@
         AdapterRevision revision;
         Instant protectedUntil;
         Instant checkAt; // Coming, Going: when to look whether it has ended
+        Instant since;   // Coming: when the order was accepted
+        bool isFetch = false; // Coming: from the store
+        bool isReplacement = false; // Coming: waits for the runs of an older revision
     };
+    /// The replica refuses other orders meanwhile.
+    [[nodiscard]] static bool isWaitingForRuns(const Place &place) { return place.state == State::Going || (place.state == State::Coming && place.isReplacement); }
     struct Want {
         int waiters = 0;
         AdapterRevision atLeast;
@@ -122,6 +133,13 @@
     [[nodiscard]] std::optional<Order> nextLoad(Instant now) const;
     [[nodiscard]] std::optional<AdapterKey> victim(Instant now) const;
     [[nodiscard]] int coming() const;
+    [[nodiscard]] int fetching() const;
+    [[nodiscard]] int fetchLimit() const;
+    void onModelOrder(OrderOutcome outcome, Instant now);
+    void onUnload(const AdapterKey &key, OrderOutcome outcome, Instant now);
+    void onLoad(const Order &order, OrderOutcome outcome, Instant now);
+    void noteHeld(const AdapterKey &key, Place &place, Instant now);
+    void doubt(Instant now, Milliseconds wait); // what the replica holds is not known any more
     [[nodiscard]] AdapterRevision newest(const AdapterKey &key) const;
     void forgetIdleUsage(Instant now);
 
@@ -139,7 +157,9 @@
     std::map<AdapterKey, Usage> usage_;
     std::deque<AdapterKey> nearby_; // held lately, newest last
     std::uint64_t wantCount_ = 0;
-    int conflicts_ = 0; // in a row
+    int conflicts_ = 0;  // in a row
+    int unanswered_ = 0; // sends of the last order that got no answer
+    double fetchMs_ = 0; // mean of recent fetches; 0: none yet
 };
 
 } // namespace baobabstall::serving
