--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -29,7 +29,7 @@
 constexpr Milliseconds claimPatience{300};        // between tries to write the links' key or this host's address
 constexpr Milliseconds peerAnswerSlack{50};       // an owner's answer on its way
 constexpr Milliseconds firstAnswer{200};          // of an owner to an ask: that it is held, or waited for; some round trips and a busy host
-constexpr Milliseconds ownerSilence{1'000};       // an owner that did not answer is not asked again for so long
+constexpr Milliseconds ownerSilence{800};         // an owner that did not answer or could not order is not asked again for so long
 constexpr Milliseconds balancerNotice{2'600};     // until the balancer has seen two failed checks, one a second
 constexpr Milliseconds stopMargin{600};           // before the platform's SIGKILL
 constexpr Milliseconds drainCheck{20};            // while stopping
@@ -669,24 +669,33 @@
 bool HostedDaemon::canOrder(const UpstreamId &replica) const
 {
     const auto owner = ownerOf(replica);
-    const auto silent = owner ? silentUntil_.find(*owner) : silentUntil_.end();
-    return owner && (silent == silentUntil_.end() || node_.now() >= silent->second);
+    if (!owner) {
+        return false;
+    }
+    const auto now = node_.now();
+    const auto silent = silentUntil_.find(*owner);
+    const auto closed = noOrdersUntil_.find(replica);
+    return (silent == silentUntil_.end() || now >= silent->second) && (closed == noOrdersUntil_.end() || now >= closed->second);
 }
 
 net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
 {
     const auto owner = ownerOf(replica);
-    if (owner && *owner == node_.settings.host) {
-        co_return co_await ensureHere(replica, weights, atLeast, wait, [](Milliseconds) {}, why);
-    }
     why = Error{.step = Step::Peer, .peer = owner ? owner->value() : std::string(), .reason = "no host that can be reached owns the upstream"};
     if (owner && links_ && canOrder(replica)) {
-        const auto grant = co_await ensureThere(*owner, replica, weights, atLeast, wait, why);
-        if (grant || why.step != Step::Peer) {
+        const bool isHere = *owner == node_.settings.host;
+        const auto grant = isHere ? co_await ensureHere(replica, weights, atLeast, wait, [](Milliseconds) {}, why)
+                                  : co_await ensureThere(*owner, replica, weights, atLeast, wait, why);
+        if (grant || why.step == Step::Load) {
             co_return grant;
         }
-        silentUntil_[*owner] = node_.now() + ownerSilence;
-        node_.log.warn("owner_silent", why, {{"owner", *owner}, {"upstream", replica}});
+        const auto until = node_.now() + ownerSilence;
+        if (why.step == Step::Peer) {
+            silentUntil_[*owner] = until;
+        } else {
+            noOrdersUntil_[replica] = until;
+        }
+        node_.log.warn("owner_without_orders", why, {{"owner", *owner}, {"upstream", replica}});
     }
     const auto *record = node_.book.find(replica); // what the upstream last said of itself is better than nothing
     const bool isHeld = record != nullptr && isHeldRecord(*record, weights);
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -101,7 +101,8 @@
     TopicFollower controlTopic_;
     core::Incarnation incarnation_;
     std::map<HostId, Announced> announced_;
-    std::map<HostId, Instant> silentUntil_; // owners that did not answer
+    std::map<HostId, Instant> silentUntil_;       // owners that did not answer
+    std::map<UpstreamId, Instant> noOrdersUntil_; // upstreams whose owner could not order anything
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> owned_;
     std::map<UpstreamId, RunningTable> running_; // at upstreams that this host owns
     std::map<HostId, std::set<UpstreamId>> reported_; // told to each owner the last time
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -91,6 +91,11 @@
     if (told.answer == Residency::Answer::Ready) {
         co_return told;
     }
+    if (!canOrder()) {
+        residency_.withdraw(weights);
+        why = core::Error{.step = core::Step::Admit, .peer = record_.id.value(), .reason = "nothing can be ordered there at present"};
+        co_return std::nullopt;
+    }
     const auto expected = residency_.expectedWait(weights);
     why = core::Error{.step = core::Step::Load, .peer = record_.id.value(), .reason = "the weights were not held in time"};
     if (expected > wait) {
@@ -110,11 +115,21 @@
         if (told.answer == Residency::Answer::Ready) {
             co_return told;
         }
+        if (!canOrder()) {
+            why.step = core::Step::Admit;
+            why.reason = "the upstream stopped to take orders";
+            break;
+        }
     }
     residency_.withdraw(weights);
     co_return std::nullopt;
 }
 
+bool OwnedReplica::canOrder() const
+{
+    return isRunning_ && !isFenced_ && guards_.mayAct() && residency_.isReached() && residency_.holdsModel();
+}
+
 net::Task<void> OwnedReplica::drive()
 {
     const auto self = shared_from_this();
@@ -133,14 +148,14 @@
 
 net::Task<bool> OwnedReplica::step()
 {
-    if (isFenced_ || !guards_.mayAct()) {
-        co_return false;
-    }
     const auto now = node_.now();
-    if (residency_.needsReport(now)) {
+    if (residency_.needsReport(now)) { // a report is no order: it may be read before this host may act
         co_await readReport();
         co_return true;
     }
+    if (isFenced_ || !guards_.mayAct()) {
+        co_return false;
+    }
     if (!residency_.holdsModel() && !permit_) {
         permit_ = guards_.takeLoadPermit();
     }
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -39,6 +39,7 @@
     [[nodiscard]] const Residency &residency() const { return residency_; }
 
 private:
+    [[nodiscard]] bool canOrder() const;
     net::Task<void> drive();
     net::Task<bool> step(); // false: nothing to do now
     net::Task<void> readReport();
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -129,6 +129,7 @@
     held_.clear();
     sequence_ = report.sequence;
     isKnown_ = true;
+    isReached_ = true;
     hasModel_ = false;
     const auto add = [&](const AdapterKey &key, State state, AdapterRevision revision) {
         Place place;
@@ -139,7 +140,7 @@
         if (const auto known = before.find(key); known != before.end()) {
             place.protectedUntil = known->second.protectedUntil;
         } else {
-            place.protectedUntil = now + options_.longLease; // an earlier owner may have promised it
+            place.protectedUntil = now + options_.shortLease; // what an earlier owner promised for longer is asked for again after a 421
         }
         held_[key] = place;
     };
@@ -161,6 +162,7 @@
 
 void Residency::onReportFailed(Instant now)
 {
+    isReached_ = false;
     isKnown_ = false;
     reportAt_ = now + reportRetry;
 }
@@ -244,6 +246,7 @@
 
 void Residency::doubt(Instant now, Milliseconds wait)
 {
+    isReached_ = isReached_ && unanswered_ < options_.unanswered;
     isKnown_ = false;
     reportAt_ = now + wait;
     conflicts_ = 0;
@@ -265,6 +268,7 @@
         return;
     }
     if (outcome != OrderOutcome::Begun && outcome != OrderOutcome::Holds) {
+        isReached_ = isReached_ && outcome != OrderOutcome::Refused && outcome != OrderOutcome::WrongReplica;
         const bool mayBeLate = outcome == OrderOutcome::Conflict || outcome == OrderOutcome::Unknown;
         doubt(now, mayBeLate ? options_.settle : reportRetry);
         return;
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -98,6 +98,8 @@
     [[nodiscard]] std::optional<Instant> nextDue() const;
 
     [[nodiscard]] bool holdsModel() const { return hasModel_; }
+    /// False once orders and reports go unanswered; true again with the next report.
+    [[nodiscard]] bool isReached() const { return isReached_; }
     [[nodiscard]] bool isHeld(const AdapterKey &key) const;
     [[nodiscard]] std::size_t placesTaken() const { return held_.size(); }
     [[nodiscard]] std::size_t waiting() const { return wants_.size(); }
@@ -146,6 +148,7 @@
     ResidencyOptions options_;
     ModelSpec model_;
     bool isKnown_ = false; // a report was read since the start, the last disagreement or restart
+    bool isReached_ = true;
     bool hasModel_ = false;
     bool modelComing_ = false;
     Instant modelCheckAt_;
