Send a lost order again as it was; look only at what keeps a replica busy

Cause: after an order without an answer the next one differed, and its conflict was read as the first one's success; checks of other adapters conflicted while a replacement waited for its runs.

--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -115,6 +115,8 @@
     hasModel_ = false;
     modelComing_ = false;
     held_.clear();
+    again_.reset();
+    unanswered_ = 0;
     reportAt_ = now;
 }
 
@@ -172,6 +174,9 @@
     if (!isKnown_) {
         return std::nullopt;
     }
+    if (again_) {
+        return again_;
+    }
     if (!hasModel_) {
         const bool isDue = modelComing_ ? now >= modelCheckAt_ : mayLoadModel;
         return isDue ? std::optional(orderFor(OrderKind::LoadModel, {model_.name, {}}, {})) : std::nullopt;
@@ -180,14 +185,14 @@
         return check;
     }
     // A replica takes no other order while an unload or a replacement waits for its runs.
-    const bool isBusy = std::any_of(held_.begin(), held_.end(), [](const auto &each) { return isWaitingForRuns(each.second); });
-    return isBusy ? std::nullopt : nextLoad(now);
+    return waitsForRuns() ? std::nullopt : nextLoad(now);
 }
 
 std::optional<Order> Residency::dueCheck(Instant now) const
 {
+    const bool isBusy = waitsForRuns();
     for (const auto &[key, place] : held_) {
-        if (place.state != State::Held && now >= place.checkAt) {
+        if (place.state != State::Held && now >= place.checkAt && (!isBusy || isWaitingForRuns(place))) {
             return orderFor(place.state == State::Going ? OrderKind::UnloadAdapter : OrderKind::LoadAdapter, key, place.revision);
         }
     }
@@ -251,6 +256,12 @@
     reportAt_ = now + wait;
     conflicts_ = 0;
     unanswered_ = 0;
+    again_.reset();
+}
+
+bool Residency::waitsForRuns() const
+{
+    return std::any_of(held_.begin(), held_.end(), [](const auto &each) { return isWaitingForRuns(each.second); });
 }
 
 void Residency::onOrder(const Order &order, OrderOutcome outcome, Instant now)
@@ -258,8 +269,10 @@
     const auto place = held_.find(order.weights);
     const bool isWaiting = place != held_.end() && isWaitingForRuns(place->second);
     if (outcome == OrderOutcome::Unknown && ++unanswered_ < options_.unanswered) {
+        again_ = order;
         return; // sent again as it is: the number of orders in it lets only one of the two be carried out
     }
+    again_.reset();
     if (outcome == OrderOutcome::Conflict && unanswered_ > 0) {
         outcome = OrderOutcome::Begun; // the one without an answer was carried out
     }
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -135,6 +135,7 @@
     [[nodiscard]] std::optional<Order> nextLoad(Instant now) const;
     [[nodiscard]] std::optional<AdapterKey> victim(Instant now) const;
     [[nodiscard]] int coming() const;
+    [[nodiscard]] bool waitsForRuns() const;
     [[nodiscard]] int fetching() const;
     [[nodiscard]] int fetchLimit() const;
     void onModelOrder(OrderOutcome outcome, Instant now);
@@ -162,6 +163,7 @@
     std::uint64_t wantCount_ = 0;
     int conflicts_ = 0;  // in a row
     int unanswered_ = 0; // sends of the last order that got no answer
+    std::optional<Order> again_; // that order
     double fetchMs_ = 0; // mean of recent fetches; 0: none yet
 };
 
