--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 
 FUZZ_RUNS ?= 100000
 FUZZ_SEEDS = examples/vloerwerk examples/swellcast $(wildcard packages/*/fuzz/seeds)
-FUZZERS = $(patsubst %.cpp,%_fuzz,$(wildcard packages/*/fuzz/*.cpp))
+FUZZERS = $(patsubst %.cpp,%_fuzz,$(wildcard packages/*/fuzz/*.cpp platform/fuzz/*.cpp))
 
 fuzz: deps      ## what others send (settings, lists, platform, peers) under libFuzzer: fixed seed and number of runs
 	$(CONFIG) -B $(BUILD)-fuzz -DBAOBABSTALL_FUZZ=ON
--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -32,9 +32,9 @@
 
 /// One daemon's loop around its planner.
 struct Daemon {
-    Daemon(const std::string &host, const std::string &zone, std::uint64_t incarnation)
+    Daemon(const std::string &host, const std::string &zone, std::uint64_t incarnation, const settings::Ownership &options)
         : self{HostId(host), ZoneId(zone), Incarnation(incarnation)}
-        , planner(self, settings::Ownership{}, retention)
+        , planner(self, options, retention)
     { }
 
     void read(const Log &log)
@@ -96,7 +96,7 @@
     Daemon &start(const std::string &host, const std::string &zone, std::uint64_t incarnation = 1)
     {
         daemons.erase(host);
-        auto &daemon = *daemons.emplace(host, std::make_unique<Daemon>(host, zone, incarnation)).first->second;
+        auto &daemon = *daemons.emplace(host, std::make_unique<Daemon>(host, zone, incarnation, options)).first->second;
         members[HostId(host)] = {HostId(host), ZoneId(zone), Incarnation(incarnation), 0, MemberState::Alive, Listing::Listed};
         daemon.planner.setThings(things);
         tell();
@@ -193,6 +193,7 @@
 
     FakeClock clock;
     Log log;
+    settings::Ownership options; // of daemons started from now on
     std::vector<PlacedThing> things;
     std::map<HostId, Member> members;
     std::map<std::string, std::unique_ptr<Daemon>> daemons;
@@ -627,3 +628,56 @@
         }
     }
 }
+
+TEST_F(Planner, ASuccessorOnAnotherHostWaitsALeaseBeforeItActs)
+{
+    options.leaseWait = Milliseconds(3'000);
+    startAll(3, 1, 6);
+    ASSERT_EQ(served(), things.size()) << "nobody held them before: no wait";
+    const auto thing = ownedBy("h0");
+    kill("h0");
+    std::optional<Instant> claimedAt;
+    for (int i = 0; i < 100; ++i) {
+        run(step);
+        const auto owner = daemons.at("h1")->planner.ownerOf(thing);
+        if (owner->host == HostId("h0")) {
+            continue;
+        }
+        claimedAt = claimedAt.value_or(clock.now());
+        const auto since = clock.now() - *claimedAt;
+        const bool acts = daemons.at(owner->host.value())->planner.mayAct(thing, owner->epoch, clock.now());
+        EXPECT_FALSE(acts && since < options.leaseWait - step) << since.count();
+        EXPECT_FALSE(!acts && since > options.leaseWait + step) << since.count();
+    }
+    EXPECT_TRUE(claimedAt);
+}
+
+TEST_F(Planner, TheSameHostStartedAgainWaitsForNoLease)
+{
+    options.leaseWait = Milliseconds(60'000);
+    startAll(1, 1, 3);
+    start("h0", "z0", 2);
+    run(Milliseconds(10'000));
+    EXPECT_EQ(served(), things.size());
+}
+
+TEST_F(Planner, AMinorityClaimsFromTheDeadOnlyAfterItsDelay)
+{
+    options.minorityDelay = Milliseconds(10'000);
+    startAll(5, 1, 6);
+    for (const auto *host : {"h1", "h2", "h3", "h4"}) {
+        kill(host);
+    }
+    run(Milliseconds(9'000));
+    EXPECT_LT(served(), things.size());
+    run(Milliseconds(5'000));
+    EXPECT_EQ(served(), things.size());
+}
+
+TEST_F(Planner, TheDelayBeforeTheFirstClaimIsSetApartFromThatOfHandovers)
+{
+    options.handoverDelay = Milliseconds(600'000);
+    options.claimDelay = Milliseconds(1'000);
+    startAll(2, 1, 4);
+    EXPECT_EQ(served(), things.size());
+}
--- /dev/null
+++ b/packages/serving/tests/choosertest.cpp
@@ -0,0 +1,146 @@
+#include <serving/chooser.h>
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include <core/hash.h>
+#include <serving/runningtable.h>
+
+namespace baobabstall::serving {
+namespace {
+
+class ChooserTest : public ::testing::Test
+{
+protected:
+    ChooserTest()
+    {
+        for (int i = 0; i < 9; ++i) {
+            ReplicaRecord record;
+            record.id = UpstreamId("r" + std::to_string(i));
+            record.zone = ZoneId(i % 2 == 0 ? "a" : "b");
+            record.slots = 8;
+            records_.push_back(record);
+        }
+        for (const auto &record : records_) {
+            candidates_.push_back({&record, true, true});
+        }
+    }
+
+    UpstreamId pick(std::uint64_t home) { return chooser_.pick({candidates_, home, ZoneId("a")}, now_)->replica->id; }
+
+    std::vector<ReplicaRecord> records_;
+    std::vector<Candidate> candidates_;
+    Chooser chooser_{ChooserOptions(), 1};
+    Instant now_{100'000};
+};
+
+TEST_F(ChooserTest, an_adapter_has_a_stable_home)
+{
+    std::map<UpstreamId, int> homes;
+    for (int key = 1; key <= 200; ++key) {
+        const auto home = core::hashText(std::to_string(key), 1);
+        const auto first = pick(home);
+        EXPECT_EQ(pick(home), first);
+        ++homes[first];
+    }
+    for (const auto &[id, count] : homes) {
+        EXPECT_GT(count, 8) << id.value();
+    }
+}
+
+// Pattern: a few adapters get most of the requests. A hot one spreads to its next homes when the first is crowded.
+TEST_F(ChooserTest, a_hot_adapter_spreads_over_its_homes_only_when_the_first_is_crowded)
+{
+    const auto home = core::hashText("hot", 1);
+    std::map<UpstreamId, int> counts;
+    for (int i = 0; i < 18; ++i) {
+        const auto id = pick(home);
+        chooser_.begin(id);
+        ++counts[id];
+    }
+    EXPECT_GE(counts.size(), 2U);
+    EXPECT_LE(counts.size(), ChooserOptions().homes);
+}
+
+TEST_F(ChooserTest, plain_requests_go_where_least_runs_counting_all_hosts)
+{
+    for (const auto &record : records_) {
+        chooser_.setOthers(record.id, record.id.value() == "r3" ? 0 : 4, now_);
+    }
+    EXPECT_EQ(pick(0).value(), "r3");
+}
+
+TEST_F(ChooserTest, without_word_of_others_the_own_count_stands_for_each_host)
+{
+    chooser_.setHosts(8);
+    chooser_.begin(UpstreamId("r0"));
+    EXPECT_EQ(chooser_.running(UpstreamId("r0"), now_), 8);
+    chooser_.setOthers(UpstreamId("r0"), 2, now_);
+    EXPECT_EQ(chooser_.running(UpstreamId("r0"), now_), 3);
+    EXPECT_EQ(chooser_.running(UpstreamId("r0"), now_ + Milliseconds(2'000)), 8);
+}
+
+TEST_F(ChooserTest, a_silent_upstream_is_left_alone_for_a_while_and_longer_each_time)
+{
+    const UpstreamId id("r0");
+    chooser_.begin(id);
+    chooser_.end(id, SendEnd::Silent, now_);
+    EXPECT_TRUE(chooser_.isBlocked(id, now_ + Milliseconds(399)));
+    EXPECT_FALSE(chooser_.isBlocked(id, now_ + Milliseconds(400)));
+    chooser_.begin(id);
+    chooser_.end(id, SendEnd::Silent, now_);
+    EXPECT_TRUE(chooser_.isBlocked(id, now_ + Milliseconds(799)));
+    chooser_.begin(id);
+    chooser_.end(id, SendEnd::Good, now_);
+    EXPECT_FALSE(chooser_.isBlocked(id, now_));
+}
+
+// Pattern: a replica fails part of its requests while its health check is good (srv_grey).
+TEST_F(ChooserTest, an_upstream_that_fails_part_of_its_requests_gets_fewer)
+{
+    for (int i = 0; i < 20; ++i) {
+        for (const auto &record : records_) {
+            chooser_.begin(record.id);
+            const bool fails = record.id.value() == "r1" && i % 2 == 0;
+            chooser_.end(record.id, fails ? SendEnd::Failed : SendEnd::Good, now_);
+        }
+    }
+    for (int i = 0; i < 100; ++i) {
+        EXPECT_NE(pick(0).value(), "r1");
+    }
+}
+
+TEST_F(ChooserTest, an_abandoned_send_says_nothing_about_the_upstream)
+{
+    const UpstreamId id("r0");
+    chooser_.begin(id);
+    chooser_.end(id, SendEnd::Abandoned, now_);
+    EXPECT_EQ(chooser_.failureShare(id, now_), 0);
+    EXPECT_FALSE(chooser_.isBlocked(id, now_));
+}
+
+TEST_F(ChooserTest, a_home_that_nobody_can_order_about_gives_way)
+{
+    const auto home = core::hashText("x", 1);
+    const auto first = pick(home);
+    for (auto &candidate : candidates_) {
+        candidate.isReady = false;
+        candidate.canFetch = candidate.replica->id != first;
+    }
+    EXPECT_NE(pick(home), first);
+}
+
+TEST(RunningTable, counts_others_and_forgets_hosts_that_fell_silent)
+{
+    RunningTable table;
+    const Instant now(10'000);
+    table.note(HostId("a"), 3, now);
+    table.note(HostId("b"), 4, now);
+    EXPECT_EQ(table.othersThan(HostId("a"), now), 4);
+    EXPECT_EQ(table.othersThan(HostId("c"), now), 7);
+    EXPECT_EQ(table.othersThan(HostId("c"), now + RunningTable::valid + Milliseconds(1)), 0);
+}
+
+} // namespace
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/tests/residencytest.cpp
@@ -0,0 +1,322 @@
+#include <serving/residency.h>
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace baobabstall::serving {
+namespace {
+
+using Answer = Residency::Answer;
+
+AdapterKey adapter(const std::string &name)
+{
+    return {BaseModel("m"), AdapterName(name)};
+}
+
+/// A replica by the platform's rules: places, time to load, one busy order at a time, a count of accepted orders.
+class FakeReplica
+{
+public:
+    FakeReplica(int places, Milliseconds fetch, Milliseconds nearFetch)
+        : places_(places)
+        , fetch_(fetch)
+        , nearFetch_(nearFetch)
+    { }
+
+    OrderOutcome take(const Order &order, Instant now)
+    {
+        settle(now);
+        if (order.expected != sequence_ || isBusy(now)) {
+            return OrderOutcome::Conflict;
+        }
+        const auto held = held_.find(order.weights);
+        if (order.kind == OrderKind::UnloadAdapter) {
+            if (held == held_.end()) {
+                return OrderOutcome::Holds;
+            }
+            sequence_ = sequence_.next();
+            if (running_[order.weights] > 0) {
+                goingUntilIdle_ = order.weights;
+                return OrderOutcome::Begun;
+            }
+            held_.erase(held);
+            return OrderOutcome::Holds;
+        }
+        if (held != held_.end()) {
+            return held->second <= now ? OrderOutcome::Holds : OrderOutcome::Begun;
+        }
+        EXPECT_LT(held_.size(), static_cast<std::size_t>(places_)) << "over its places a replica crashes";
+        sequence_ = sequence_.next();
+        held_[order.weights] = now + (before_.contains(order.weights) ? nearFetch_ : fetch_);
+        before_.insert(order.weights);
+        return OrderOutcome::Begun;
+    }
+
+    [[nodiscard]] bool holds(const AdapterKey &key, Instant now) const
+    {
+        const auto held = held_.find(key);
+        return held != held_.end() && held->second <= now;
+    }
+    void run(const AdapterKey &key, int change) { running_[key] += change; }
+    [[nodiscard]] ReplicaReport report(Instant now)
+    {
+        settle(now);
+        ReplicaReport report;
+        report.sequence = sequence_;
+        HeldModel model{BaseModel("m"), {}};
+        for (const auto &[key, at] : held_) {
+            if (at <= now) {
+                model.adapters.push_back({key.adapter, AdapterRevision(1)});
+            } else {
+                report.underWay.emplace_back(key, AdapterRevision(1));
+            }
+        }
+        report.models.push_back(model);
+        return report;
+    }
+
+private:
+    [[nodiscard]] bool isBusy(Instant) const { return goingUntilIdle_.has_value(); }
+    void settle(Instant)
+    {
+        if (goingUntilIdle_ && running_[*goingUntilIdle_] == 0) {
+            held_.erase(*goingUntilIdle_);
+            goingUntilIdle_.reset();
+        }
+    }
+
+    int places_;
+    Milliseconds fetch_;
+    Milliseconds nearFetch_;
+    OrderSequence sequence_;
+    std::map<AdapterKey, Instant> held_; // from when on
+    std::set<AdapterKey> before_;
+    std::map<AdapterKey, int> running_;
+    std::optional<AdapterKey> goingUntilIdle_;
+};
+
+class ResidencyTest : public ::testing::Test
+{
+protected:
+    ResidencyTest()
+        : replica_(4, Milliseconds(250), Milliseconds(25))
+        , residency_(options(), ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(2'000), Milliseconds(1'000)})
+    {
+        residency_.onReport(replica_.report(now_), now_);
+    }
+
+    static ResidencyOptions options()
+    {
+        ResidencyOptions options;
+        options.places = 4;
+        return options;
+    }
+
+    /// All orders that are due now. Loses the answer, or the order itself, where told.
+    void drive(bool loseAnswer = false, bool loseOrder = false)
+    {
+        while (const auto order = residency_.nextOrder(true, now_)) {
+            ++orders_;
+            const auto outcome = loseOrder ? OrderOutcome::Unknown : replica_.take(*order, now_);
+            residency_.onOrder(*order, loseAnswer ? OrderOutcome::Unknown : outcome, now_);
+            conflicts_ += !loseAnswer && outcome == OrderOutcome::Conflict ? 1 : 0;
+            if (loseAnswer || loseOrder) {
+                return;
+            }
+        }
+    }
+
+    void pass(Milliseconds time)
+    {
+        const auto until = now_ + time;
+        while (now_ < until) {
+            now_ = now_ + Milliseconds(1);
+            if (residency_.needsReport(now_)) {
+                residency_.onReport(replica_.report(now_), now_);
+            }
+            drive();
+        }
+    }
+
+    Milliseconds waitFor(const AdapterKey &key)
+    {
+        const auto begin = now_;
+        auto told = residency_.ask(key, {}, true, now_);
+        constexpr Milliseconds longest{5'000};
+        while (told.answer == Answer::Waiting && now_ - begin < longest) {
+            pass(Milliseconds(1));
+            told = residency_.ask(key, {}, false, now_);
+        }
+        EXPECT_EQ(told.answer, Answer::Ready);
+        EXPECT_TRUE(replica_.holds(key, now_));
+        return now_ - begin;
+    }
+
+    Instant now_{10'000};
+    FakeReplica replica_;
+    Residency residency_;
+    int orders_ = 0;
+    int conflicts_ = 0;
+};
+
+TEST_F(ResidencyTest, an_adapter_is_fetched_once_and_then_promised)
+{
+    EXPECT_LE(waitFor(adapter("a")), Milliseconds(260));
+    const int orders = orders_;
+    EXPECT_EQ(waitFor(adapter("a")), Milliseconds(0));
+    EXPECT_EQ(orders_, orders);
+}
+
+TEST_F(ResidencyTest, places_are_never_exceeded_and_what_was_promised_stays)
+{
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        waitFor(adapter(name));
+    }
+    const auto told = residency_.ask(adapter("d"), {}, true, now_);
+    ASSERT_EQ(told.answer, Answer::Ready);
+    const auto promisedUntil = now_ + told.lease;
+    waitFor(adapter("e"));
+    if (now_ < promisedUntil) {
+        EXPECT_TRUE(replica_.holds(adapter("d"), now_));
+    }
+    EXPECT_LE(residency_.placesTaken(), 4U);
+}
+
+TEST_F(ResidencyTest, the_least_asked_for_adapter_goes)
+{
+    for (int round = 0; round < 6; ++round) {
+        for (const auto *name : {"a", "b", "c"}) {
+            waitFor(adapter(name));
+        }
+        pass(Milliseconds(100));
+    }
+    waitFor(adapter("cold"));
+    pass(Milliseconds(1'000));
+    for (const auto *name : {"a", "b", "c"}) {
+        waitFor(adapter(name));
+    }
+    waitFor(adapter("new"));
+    EXPECT_FALSE(replica_.holds(adapter("cold"), now_));
+    EXPECT_TRUE(replica_.holds(adapter("a"), now_));
+}
+
+// Pattern: mixed hot and cold adapters under load. What loads fast must not wait behind fetches (vloerwerk scale-1).
+TEST_F(ResidencyTest, an_adapter_held_lately_passes_those_that_have_to_be_fetched)
+{
+    for (const auto *name : {"a", "b", "c", "d", "e"}) {
+        waitFor(adapter(name)); // "a" had to go for "e"
+    }
+    ASSERT_FALSE(replica_.holds(adapter("a"), now_));
+    pass(Milliseconds(1'000));
+    for (const auto *name : {"f", "g", "h", "i"}) {
+        static_cast<void>(residency_.ask(adapter(name), {}, true, now_));
+    }
+    EXPECT_LE(waitFor(adapter("a")), Milliseconds(320)) << "one place has to become free, then 25 ms";
+}
+
+// Pattern: an unload of an adapter in use keeps the replica from taking other orders (vloerwerk quiet-1, first version).
+TEST_F(ResidencyTest, weights_in_use_are_not_chosen_to_go)
+{
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        waitFor(adapter(name));
+    }
+    replica_.run(adapter("a"), 1);
+    for (int i = 0; i < 5; ++i) {
+        residency_.onInUse(adapter("a"), now_);
+        pass(Milliseconds(200));
+    }
+    waitFor(adapter("e"));
+    EXPECT_TRUE(replica_.holds(adapter("a"), now_));
+    EXPECT_EQ(conflicts_, 0);
+}
+
+// Pattern: workers leave orders unanswered and carry them out, or not (applied_late).
+TEST_F(ResidencyTest, an_order_whose_answer_was_lost_is_sent_again_as_it_was)
+{
+    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    drive(true); // carried out, the answer is lost
+    static_cast<void>(residency_.ask(adapter("b"), {}, true, now_));
+    pass(Milliseconds(300));
+    EXPECT_TRUE(replica_.holds(adapter("a"), now_));
+    EXPECT_TRUE(replica_.holds(adapter("b"), now_));
+    EXPECT_EQ(residency_.ask(adapter("a"), {}, false, now_).answer, Answer::Ready);
+}
+
+TEST_F(ResidencyTest, an_order_that_was_lost_itself_is_sent_again)
+{
+    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    drive(false, true);
+    EXPECT_LE(waitFor(adapter("a")), Milliseconds(260));
+}
+
+TEST_F(ResidencyTest, a_late_order_of_before_is_refused_by_its_count)
+{
+    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    const auto late = residency_.nextOrder(true, now_);
+    ASSERT_TRUE(late);
+    residency_.onOrder(*late, OrderOutcome::Unknown, now_);
+    waitFor(adapter("a"));
+    waitFor(adapter("b"));
+    EXPECT_EQ(replica_.take(*late, now_), OrderOutcome::Conflict);
+}
+
+TEST_F(ResidencyTest, a_replica_that_does_not_answer_counts_as_not_reached_until_its_next_report)
+{
+    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    for (int i = 0; i < ResidencyOptions().unanswered; ++i) {
+        drive(false, true);
+    }
+    EXPECT_FALSE(residency_.isReached());
+    pass(Milliseconds(1'000));
+    EXPECT_TRUE(residency_.isReached());
+    EXPECT_TRUE(replica_.holds(adapter("a"), now_));
+}
+
+TEST_F(ResidencyTest, a_newer_revision_is_ordered_for_what_is_held_and_not_promised_before)
+{
+    waitFor(adapter("a"));
+    residency_.onRevision(adapter("a"), AdapterRevision(5));
+    EXPECT_EQ(residency_.ask(adapter("a"), {}, true, now_).answer, Answer::Waiting);
+    const auto order = residency_.nextOrder(true, now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, OrderKind::LoadAdapter);
+    EXPECT_EQ(order->revision, AdapterRevision(5));
+}
+
+TEST_F(ResidencyTest, base_weights_are_fetched_only_with_a_permit)
+{
+    residency_.onRestart(now_);
+    ReplicaReport empty;
+    residency_.onReport(empty, now_);
+    EXPECT_FALSE(residency_.nextOrder(false, now_));
+    const auto order = residency_.nextOrder(true, now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, OrderKind::LoadModel);
+}
+
+TEST_F(ResidencyTest, the_wait_to_expect_grows_with_what_waits_before)
+{
+    const auto alone = residency_.expectedWait(adapter("z"));
+    for (int i = 0; i < 20; ++i) {
+        static_cast<void>(residency_.ask(adapter("x" + std::to_string(i)), {}, true, now_));
+    }
+    EXPECT_GT(residency_.expectedWait(adapter("z")), alone + Milliseconds(1'000));
+}
+
+TEST(LeaseBook, forgets_what_ended_or_belongs_to_a_replica_that_is_gone)
+{
+    LeaseBook book;
+    const Instant now(1'000);
+    book.grant(UpstreamId("r"), adapter("a"), AdapterRevision(2), now + Milliseconds(100));
+    EXPECT_TRUE(book.find(UpstreamId("r"), adapter("a"), now));
+    EXPECT_FALSE(book.find(UpstreamId("r"), adapter("a"), now + Milliseconds(100)));
+    book.expire(now + Milliseconds(100));
+    EXPECT_EQ(book.size(), 0U);
+    book.grant(UpstreamId("r"), adapter("a"), AdapterRevision(2), now + Milliseconds(100));
+    book.drop(UpstreamId("r"));
+    EXPECT_FALSE(book.find(UpstreamId("r"), adapter("a"), now));
+}
+
+} // namespace
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/tests/routestest.cpp
@@ -0,0 +1,50 @@
+#include <serving/routes.h>
+
+#include <gtest/gtest.h>
+
+namespace baobabstall::serving {
+namespace {
+
+Route routeTo(const std::string &host, const std::string &prefix, const std::string &service)
+{
+    Route route;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.services = {{ServiceName(service), 1}};
+    return route;
+}
+
+RouteTable tableOf(std::vector<Route> routes)
+{
+    Configuration configuration;
+    configuration.version = ConfigVersion(3);
+    configuration.routes = std::move(routes);
+    return RouteTable(std::move(configuration));
+}
+
+TEST(RouteTable, takes_the_longest_prefix_of_the_path_among_the_hosts_routes)
+{
+    const auto table = tableOf({routeTo("a.example", "/x/", "short"), routeTo("a.example", "/x/y/", "long"), routeTo("b.example", "/x/y/z/", "other")});
+    EXPECT_EQ(table.find("a.example", "/x/y/z/1")->services.front().service.value(), "long");
+    EXPECT_EQ(table.find("a.example", "/x/1?q=/x/y/")->services.front().service.value(), "short");
+    EXPECT_EQ(table.find("A.Example:80", "/x/1")->services.front().service.value(), "short");
+    EXPECT_EQ(table.find("a.example", "/xy/1"), nullptr);
+    EXPECT_EQ(table.find("c.example", "/x/1"), nullptr);
+}
+
+TEST(RouteTable, a_split_route_shares_by_weight_and_keeps_a_request_where_it_is)
+{
+    Route route = routeTo("a.example", "/", "one");
+    route.services = {{ServiceName("one"), 90}, {ServiceName("two"), 10}};
+    int second = 0;
+    constexpr int requests = 10'000;
+    for (int i = 0; i < requests; ++i) {
+        const RequestId id("r" + std::to_string(i));
+        EXPECT_EQ(RouteTable::serviceOf(route, id), RouteTable::serviceOf(route, id));
+        second += RouteTable::serviceOf(route, id).value() == "two" ? 1 : 0;
+    }
+    EXPECT_NEAR(second, requests / 10, requests / 100);
+}
+
+} // namespace
+} // namespace baobabstall::serving
--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -152,3 +152,20 @@
 }
 
 } // namespace baobabstall::settings
+
+TEST(Settings, a_hosted_daemon_needs_no_key_and_checks_its_own_section)
+{
+    auto file = smallest();
+    file.erase("key_env");
+    core::Error why;
+    EXPECT_FALSE(parseSettings(file.dump(), "daemon.json", why));
+    file["hosting"] = {{"metrics", "127.0.0.1:9464"}, {"grace_s", 8}, {"lease_ms", 3'000}, {"retry_share", 0.2}};
+    file["ownership"] = {{"claim_delay_ms", 1'500}, {"lease_wait_ms", 3'000}};
+    const auto settings = parseHostedSettings(file.dump(), "daemon.json", why);
+    ASSERT_TRUE(settings) << why.reason;
+    EXPECT_EQ(settings->hosting.graceSeconds, 8);
+    EXPECT_EQ(settings->ownership.leaseWait, Milliseconds(3'000));
+    file["hosting"]["retry_share"] = 7;
+    EXPECT_FALSE(parseHostedSettings(file.dump(), "daemon.json", why));
+    EXPECT_EQ(why.reason, "daemon.json: hosting.retry_share: found the number 7; allowed: a number from 0 to 1");
+}
