--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -129,9 +129,17 @@
 
     [[nodiscard]] bool closesAfter() const override { return server_->isStopping || !isKeptByCaller_; }
 
+    /// A request whose bytes have arrived is served: its caller can't know that it came too late.
     void closeIfIdle()
     {
-        if (!isBusy_) {
+        char next = 0;
+        error_code failed;
+        if (isBusy_ || buffer_.size() > 0 || !socket_.is_open()) {
+            return;
+        }
+        socket_.non_blocking(true, failed);
+        socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, failed);
+        if (failed) {
             close();
         }
     }
@@ -147,6 +155,7 @@
                 co_return false;
             }
         }
+        isBusy_ = true;
         CallerRequest request;
         request.arrivedAt = core::SteadyClock().now();
         http::request_parser<http::string_body> parser;
@@ -155,7 +164,6 @@
         watchdog_.arm(request.arrivedAt + limits.headerTimeout, [this] { close(); });
         auto [failed, count] = co_await http::async_read_header(socket_, buffer_, parser, net::tuple);
         if (!failed && !parser.is_done()) {
-            isBusy_ = true;
             watchdog_.arm(core::SteadyClock().now() + server_->options.bodyTimeout, [this] { close(); });
             std::tie(failed, count) = co_await http::async_read(socket_, buffer_, parser, net::tuple);
         }
@@ -178,7 +186,6 @@
         request.body = std::move(message.body());
         isKeptByCaller_ = message.keep_alive();
         mayGoOn_ = true;
-        isBusy_ = true;
         ++server_->busy;
         co_await server_->handler(*this, request);
         --server_->busy;
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -69,7 +69,7 @@
     [[nodiscard]] std::optional<net::Address> listen(const net::Address &address, core::Error &why);
     /// Answers from now on tell callers to close; new connections are still taken.
     void beginStop();
-    /// Takes no new connections and closes those that wait for a request.
+    /// Takes no new connections and closes those on which no request has arrived. Repeat until connections() is 0.
     void closeIdle();
     [[nodiscard]] std::size_t connections() const;
     [[nodiscard]] std::size_t busy() const; // with a request under way
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -177,8 +177,9 @@
         co_await net::sleep(node_.io, drainCheck);
     }
     callers_.closeIdle();
-    while (callers_.busy() > 0 && node_.now() < limit) {
+    while (callers_.connections() > 0 && node_.now() < limit) {
         co_await net::sleep(node_.io, drainCheck);
+        callers_.closeIdle();
     }
     const auto releaseLimit = std::min(limit, node_.now() + releaseWait);
     while (!planner_.holdings().empty() && node_.now() < releaseLimit) {
