--- a/packages/ownership/planner.cpp
+++ b/packages/ownership/planner.cpp
@@ -391,13 +391,17 @@
 
 bool OwnershipPlanner::wantsClaim(const Thing &thing, const State &state, Instant now) const
 {
+    auto owner = table_.ownerOf(thing);
+    bool wasOurs = settings_.claimDelay.count() > 0 && owner && owner->host == self_.host && owner->incarnation < self_.incarnation;
+    if (wasOurs && readySince_ && !stopping_ && !(newestIncarnation(self_.host) > self_.incarnation)) {
+        return true; // nobody else holds it, and no lease of another has to end
+    }
     auto startDelay = settings_.claimDelay.count() > 0 ? settings_.claimDelay : settings_.handoverDelay;
     bool started = readySince_ && now - *readySince_ >= startDelay;
     bool superseded = newestIncarnation(self_.host) > self_.incarnation;
     if (stopping_ || superseded || !started || state.preferred != self_.host) {
         return false;
     }
-    auto owner = table_.ownerOf(thing);
     return !owner || owner->released || isReplaceable(*owner, state, now);
 }
 
--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -681,3 +681,14 @@
     startAll(2, 1, 4);
     EXPECT_EQ(served(), things.size());
 }
+
+TEST_F(Planner, WithADelayOfItsOwnARestartedHostRenewsItsEarlierClaimsAtOnce)
+{
+    options.claimDelay = Milliseconds(5'000);
+    startAll(3, 1, 9);
+    const auto held = daemons.at("h1")->planner.holdings().size();
+    ASSERT_GT(held, 0U);
+    start("h1", "z0", 2);
+    run(Milliseconds(600));
+    EXPECT_EQ(daemons.at("h1")->planner.holdings().size(), held);
+}
--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -70,12 +70,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Cancel, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WidthNotice, adapter, width, validMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefetchNotice, engine, adapter)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyCall, replica, model, adapter, revision, waitMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyCall, replica, model, adapter, revision, waitMs, onTimeMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyReply, revision, leaseMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingReply, expectedMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningAt, upstream, running, adapters)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningNotice, running)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TotalsNotice, others)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FeedNotice, topic, from, first, next, readTo, records)
 
 namespace {
 
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -3,7 +3,7 @@
 // Index
 //   Hello, Proof     the first two frames of each side; nothing else counts before them
 //   Gossip           a membership message
-//   Notice           news that needs no answer: WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice
+//   Notice           news that needs no answer: WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice, FeedNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      would this engine serve this adapter now?        -> HintReply
 //     RunCall        serve this request on this engine                -> StartedReply, DataReply..., EndReply
@@ -99,6 +99,7 @@
     core::AdapterName adapter;
     std::uint64_t revision = 0; // at least this one; 0: any
     std::int64_t waitMs = 0;    // how long the asker waits for the answer
+    std::int64_t onTimeMs = 0;  // how long until its request is late
 };
 
 using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall>;
@@ -190,8 +191,18 @@
     std::vector<std::pair<core::UpstreamId, int>> others;
 };
 
+/// One read of a topic of the store, shared by the host that made it.
+struct FeedNotice {
+    std::string topic;
+    std::uint64_t from = 0;   // offset of the first record
+    std::uint64_t first = 0;  // oldest that is kept
+    std::uint64_t next = 0;   // end of the topic as it was read
+    std::uint64_t readTo = 0; // where the next read goes on
+    std::vector<std::pair<std::string, std::string>> records; // key and value
+};
+
 struct Notice {
-    std::variant<WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice> body;
+    std::variant<WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice, FeedNotice> body;
 };
 
 /// A call; its id is unique on the link for the side that opened it.
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -33,12 +33,17 @@
     , timer_(node.io)
 { }
 
+std::string_view TopicFollower::name() const
+{
+    return topicText(topic_);
+}
+
 net::Task<void> TopicFollower::run()
 {
     while (isRunning_) {
         if (co_await step()) {
             failures_ = 0;
-            co_await pause(isUrgent_ ? urgentPause : options_.pause);
+            co_await waitTurn();
         } else if (!needsListing_ || failures_ > 0) {
             const auto wait = std::min(longestRetry, firstRetry * (std::int64_t(1) << std::min(failures_ - 1, 3)));
             co_await pause(wait);
@@ -84,13 +89,50 @@
         note(false, why);
         co_return false;
     }
-    next_ = page->readTo;
     readAt_ = node_.now();
     note(true, why);
-    events_.onPage(*page);
+    if (page->readTo > next_ || page->records.empty()) { // else another host's page came first
+        const SharedPage shared{next_, *page};
+        next_ = page->readTo;
+        events_.onPage(*page);
+        events_.onRead(shared);
+    }
     co_return true;
 }
 
+void TopicFollower::feed(const SharedPage &shared)
+{
+    const auto &page = shared.page;
+    const bool fits = isKnown_ && !needsListing_ && !isUrgent_ && shared.from <= next_ && page.readTo >= next_;
+    if (!fits) {
+        return;
+    }
+    StorePage rest = page;
+    std::erase_if(rest.records, [this](const StoreRecord &record) { return record.offset < next_; });
+    next_ = page.readTo;
+    readAt_ = node_.now();
+    events_.onPage(rest);
+}
+
+/// Until this host's turn to read has come without news from others.
+net::Task<void> TopicFollower::waitTurn()
+{
+    if (isUrgent_) {
+        co_await pause(urgentPause);
+        co_return;
+    }
+    while (isRunning_ && !isUrgent_ && !needsListing_) {
+        const bool mayGoOn = rank_ == 0 && options_.wait.count() > 0; // the store itself makes this host wait
+        const auto due = mayGoOn ? readAt_ : readAt_ + options_.pause + options_.stagger * rank_;
+        const auto left = due - node_.now();
+        if (left.count() <= 0 || isHurried_) {
+            break;
+        }
+        co_await pause(left);
+    }
+    isHurried_ = false;
+}
+
 void TopicFollower::note(bool isReached, const core::Error &why)
 {
     if (isReached != isReached_) {
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -3,6 +3,10 @@
 //   TopicFollower follower(node, store, Topic::Operators, {.wait = Milliseconds(2'000)}, events);
 //   co_await follower.run();
 //
+// Hosts read by turns: whoever has waited longest without news reads and shares the page (onRead), and the others take it (feed())
+// in place of a read of their own. The wait grows with a host's rank among those that share, so that mostly one reads. A host that
+// gets nothing reads by itself, `pause` and its rank's share of `stagger` after the last news.
+//
 // Begins with a listing of the newest record of each key, then reads on; lists again when records expired unread or after refresh().
 // An error is told once, when reads begin to fail, and once when they succeed again.
 #pragma once
@@ -18,12 +22,20 @@
 struct FollowOptions {
     Milliseconds wait{0};  // how long the store holds a read until there is a record; 0: answers at once
     Milliseconds pause{0}; // between two reads
+    Milliseconds stagger{120}; // longer for each host of a lower rank: a read, a page on its way and a busy host
+};
+
+/// A page as another host read it.
+struct SharedPage {
+    core::Offset from;
+    StorePage page;
 };
 
 struct TopicEvents {
     std::function<void(const StoreListing &listing)> onListing;
     std::function<void(const StorePage &page)> onPage; // also empty ones
     std::function<void(bool isReached)> onReached;
+    std::function<void(const SharedPage &shared)> onRead; // to be shared
 };
 
 class TopicFollower
@@ -33,16 +45,26 @@
 
     net::Task<void> run();
     void stop();
-    void hurry() { timer_.cancel(); } // reads at once when it pauses
+    /// Reads at once when it pauses.
+    void hurry()
+    {
+        isHurried_ = true;
+        timer_.cancel();
+    }
+    [[nodiscard]] std::string_view name() const; // of the topic, the same on all hosts
     [[nodiscard]] bool isKnown() const { return isKnown_; } // a listing was read
     [[nodiscard]] bool isReached() const { return isReached_; }
     [[nodiscard]] Instant readAt() const { return readAt_; }
+    /// Takes a page that another host read, if it goes on where this one stands. Ignored while urgent: what lay in a buffer proves nothing.
+    void feed(const SharedPage &shared);
+    void setRank(int rank) { rank_ = rank; }
     void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; } // reads don't wait for news: their end matters
 
 private:
     net::Task<bool> step();
     void note(bool isReached, const core::Error &why);
     net::Task<void> pause(Milliseconds time);
+    net::Task<void> waitTurn();
 
     Node &node_;
     StoreLike &store_;
@@ -54,8 +76,10 @@
     bool isKnown_ = false;
     bool isReached_ = true;
     bool isUrgent_ = false;
+    bool isHurried_ = false;
     bool needsListing_ = true;
     int failures_ = 0;
+    int rank_ = 0; // among the hosts that share; 0 reads first
     core::Offset next_;
     Instant readAt_;
 };
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -31,6 +31,7 @@
 constexpr Milliseconds leastTime{5};   // left of a request's time; with less a send is no real try
 constexpr double patienceShare = 0.75; // of the objective; a silent upstream is given up then, if the request may go elsewhere
 constexpr Milliseconds leastPatience{250};
+constexpr double stallShare = 1.5;     // of the longest pause allowed; a stream that is silent for longer goes on elsewhere, where it may
 constexpr double crowdedEngine = 1.6;  // running for each slot; beyond it a request would wait longer than most objectives
 constexpr Milliseconds revisionGrace{1'000}; // a newly named revision is asked for by name from here on; before it either is right
 constexpr Milliseconds crowdedRetry{300};    // Retry-After when all are crowded: some requests have ended by then
@@ -248,7 +249,8 @@
         }
         const auto wait = Milliseconds(static_cast<std::int64_t>(static_cast<double>(left().count()) * residencyShare));
         Error why;
-        const auto grant = co_await node_.residency->ensure(replica.id, facts_.weights, atLeast, wait, why);
+        const auto onTime = request_.arrivedAt + route_->objective - now;
+        const auto grant = co_await node_.residency->ensure({replica.id, facts_.weights, atLeast, wait, onTime}, why);
         const auto took = node_.now() - now;
         residencyWait_ = residencyWait_ + took;
         node_.metrics.residencyWait.observe({grant ? "held" : "failed"}, took);
@@ -377,6 +379,27 @@
         }
     }
 
+    void watchForStall(Instant now)
+    {
+        const auto stall = Milliseconds(static_cast<std::int64_t>(static_cast<double>(route_->pause.count()) * stallShare));
+        const auto until = now + stall;
+        if (route_->repeat != Repeat::Resume || stall.count() == 0 || until >= limit_) {
+            watchdog_.arm(limit_, [this] { onLimit(); });
+            return;
+        }
+        watchdog_.arm(until, [this] { onStall(); });
+    }
+
+    void onStall()
+    {
+        watchdog_.arm(limit_, [this] { onLimit(); });
+        const bool hasReplicas = static_cast<int>(sentTo_.size()) < route_->maxReplicas;
+        if (hasReplicas && node_.budgetOf(*service_).left(node_.now()) >= 1 && candidates().size() > 1) {
+            isImpatient_ = true;
+            cancelSend();
+        }
+    }
+
     void onLimit()
     {
         isLate_ = true;
@@ -464,7 +487,7 @@
             unknown_ = true;
             co_return false;
         }
-        if (status >= serverErrors && route_->repeat == Repeat::Anything && canRepeatFailed()) {
+        if (status >= serverErrors && route_->repeat != Repeat::Nothing && canRepeatFailed()) {
             noteSend(replica, SendEnd::Failed, "failed", "status " + std::to_string(status));
             releaseConnection(isReusable);
             unknown_ = true;
@@ -665,10 +688,11 @@
             status_ = 200;
             firstEvent_ = now - request_.arrivedAt;
             node_.metrics.firstEvent.observe({service_->value()}, *firstEvent_);
-            watchdog_.arm(limit_, [this] { onLimit(); });
             lastWrite_ = now;
+            watchForStall(now);
             co_return co_await caller_.write(head + events);
         }
+        watchForStall(now);
         const auto pause = now - lastWrite_;
         longestPause_ = std::max(longestPause_, pause);
         node_.metrics.eventPause.observe({service_->value()}, pause);
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -23,13 +23,17 @@
 constexpr Milliseconds pauseNoticed{500};         // a tick that is this late tells that the host stood still
 constexpr Milliseconds runningInterval{200};      // between reports of running requests to owners
 constexpr Milliseconds housekeepingInterval{500}; // idle connections, ended leases, lapsed records
-constexpr Milliseconds operatorsWait{1'500};      // a waiting read can miss a record (seen on trouble-1); the bound on configurations is 2 s
-constexpr Milliseconds controlWait{2'500};
-constexpr Milliseconds upstreamsPause{1'200};     // the bound on leaving upstreams is 2 s
+constexpr Milliseconds operatorsWait{900};        // a waiting read can miss a record (seen on trouble-1); half of the bound on configurations, 2 s
+constexpr Milliseconds controlWait{900};
+constexpr Milliseconds upstreamsPause{800};       // with the last rank's stagger below the bound on leaving upstreams, 2 s
+constexpr std::size_t mostSharers = 8;            // hosts that share reads: each page goes to all of them
+constexpr std::size_t mostSharedBytes = 256 * 1024; // a larger page is read by each host itself
 constexpr Milliseconds claimPatience{300};        // between tries to write the links' key or this host's address
 constexpr Milliseconds peerAnswerSlack{50};       // an owner's answer on its way
 constexpr Milliseconds firstAnswer{200};          // of an owner to an ask: that it is held, or waited for; some round trips and a busy host
 constexpr Milliseconds ownerSilence{800};         // an owner that did not answer or could not order is not asked again for so long
+constexpr Milliseconds claimAgain{25};            // a read of the store (4 ms an answer) and its way
+constexpr Milliseconds claimTime{1'500};          // Retry-After while nobody owns an upstream: a claim, and most of a lease
 constexpr Milliseconds balancerNotice{2'600};     // until the balancer has seen two failed checks, one a second
 constexpr Milliseconds stopMargin{600};           // before the platform's SIGKILL
 constexpr Milliseconds drainCheck{20};            // while stopping
@@ -77,7 +81,7 @@
     , operatorsTopic_(node_,
                       store,
                       Topic::Operators,
-                      {.wait = operatorsWait},
+                      {.wait = operatorsWait, .pause = operatorsWait + Milliseconds(100)},
                       {.onListing =
                            [this](const StoreListing &listing) {
                                for (const auto &record : listing.records) {
@@ -90,7 +94,8 @@
                                    takeOperators(record);
                                }
                            },
-                       .onReached = [](bool) {}})
+                       .onReached = [](bool) {},
+                       .onRead = [this](const SharedPage &shared) { share(Topic::Operators, shared); }})
     , upstreamsTopic_(node_,
                       store,
                       Topic::Upstreams,
@@ -103,11 +108,12 @@
                                    takeUpstream(record);
                                }
                            },
-                       .onReached = [this](bool isReached) { node_.book.noteStore(isReached, node_.now()); }})
+                       .onReached = [this](bool isReached) { node_.book.noteStore(isReached, node_.now()); },
+                       .onRead = [this](const SharedPage &shared) { share(Topic::Upstreams, shared); }})
     , controlTopic_(node_,
                     store,
                     Topic::Control,
-                    {.wait = controlWait},
+                    {.wait = controlWait, .pause = controlWait + Milliseconds(100)},
                     {.onListing =
                          [this](const StoreListing &listing) {
                              auto records = listing.records;
@@ -120,7 +126,8 @@
                              if (!isReached) {
                                  planner_.onLogDown();
                              }
-                         }})
+                         },
+                     .onRead = [this](const SharedPage &shared) { share(Topic::Control, shared); }})
     , incarnation_(incarnation)
 {
     node_.residency = this;
@@ -501,6 +508,10 @@
         }
     }
     controlTopic_.hurry();
+    if (outcome == AppendOutcome::Conflict) { // another host was first: its records are read, then the rest is claimed without waiting for a tick
+        co_await net::sleep(node_.io, claimAgain);
+        carryOut(planner_.tick(node_.now()));
+    }
 }
 
 // ---- Membership and ownership ----
@@ -543,11 +554,13 @@
         const auto members = membership_.members();
         planner_.setMembers(members);
         node_.setHosts(static_cast<int>(membership_.live().size()));
+        updateSharers();
         for (const auto &member : members) {
             node_.log.info("member", {{"member", member.host}, {"state", static_cast<int>(member.state)}, {"incarnation", member.incarnation}});
         }
     }
     carryOut(planner_.tick(now));
+    controlTopic_.setUrgent(!planner_.isCaughtUp());
 }
 
 void HostedDaemon::send(std::vector<peers::Outgoing> messages)
@@ -679,14 +692,14 @@
     return (silent == silentUntil_.end() || now >= silent->second) && (closed == noOrdersUntil_.end() || now >= closed->second);
 }
 
-net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
+net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensure(ResidencyWish wish, Error &why)
 {
+    const auto &replica = wish.replica;
     const auto owner = ownerOf(replica);
     why = Error{.step = Step::Peer, .peer = owner ? owner->value() : std::string(), .reason = "no host that can be reached owns the upstream"};
     if (owner && links_ && canOrder(replica)) {
         const bool isHere = *owner == node_.settings.host;
-        const auto grant = isHere ? co_await ensureHere(replica, weights, atLeast, wait, [](Milliseconds) {}, why)
-                                  : co_await ensureThere(*owner, replica, weights, atLeast, wait, why);
+        const auto grant = isHere ? co_await ensureHere(wish, [](Milliseconds) {}, why) : co_await ensureThere(*owner, wish, why);
         if (grant || why.step == Step::Load) {
             co_return grant;
         }
@@ -699,16 +712,19 @@
         node_.log.warn("owner_without_orders", why, {{"owner", *owner}, {"upstream", replica}});
     }
     const auto *record = node_.book.find(replica); // what the upstream last said of itself is better than nothing
-    const bool isHeld = record != nullptr && isHeldRecord(*record, weights);
-    co_return isHeld ? std::optional(ResidencyGrant{atLeast, Instant()}) : std::nullopt;
+    const bool isHeld = record != nullptr && isHeldRecord(*record, wish.weights);
+    why.retryAfter = claimTime;
+    co_return isHeld ? std::optional(ResidencyGrant{wish.atLeast, Instant()}) : std::nullopt;
 }
 
 /// Error: step Peer when the owner did not answer, else why it could not.
 net::Task<std::optional<ResidencyGrant>>
-HostedDaemon::ensureThere(HostId owner, UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, Error &why)
+HostedDaemon::ensureThere(HostId owner, ResidencyWish wish, Error &why)
 {
     const auto begin = node_.now();
-    const auto call = links_->call(owner, peers::ResidencyCall{replica, weights.model, weights.adapter, atLeast.value(), wait.count()});
+    const auto &weights = wish.weights;
+    const peers::ResidencyCall wanted{wish.replica, weights.model, weights.adapter, wish.atLeast.value(), wish.wait.count(), wish.onTime.count()};
+    const auto call = links_->call(owner, wanted);
     auto patience = firstAnswer;
     while (true) {
         const auto reply = co_await call->next(patience, why);
@@ -723,20 +739,20 @@
             why = fail->error;
             co_return std::nullopt;
         }
-        patience = wait + peerAnswerSlack;
+        patience = wish.wait + peerAnswerSlack;
     }
 }
 
 net::Task<std::optional<ResidencyGrant>>
-HostedDaemon::ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, OnWaiting onWaiting, Error &why)
+HostedDaemon::ensureHere(ResidencyWish wish, OnWaiting onWaiting, Error &why)
 {
-    const auto found = owned_.find(replica);
+    const auto found = owned_.find(wish.replica);
     if (found == owned_.end()) {
         why = Error{.step = Step::Admit, .peer = node_.settings.host.value(), .reason = "this host does not own the upstream"};
         co_return std::nullopt;
     }
     const auto owned = found->second;
-    const auto told = co_await owned->ask(weights, atLeast, wait, std::move(onWaiting), why);
+    const auto told = co_await owned->ask(wish, std::move(onWaiting), why);
     co_return told ? std::optional(ResidencyGrant{told->revision, node_.now() + told->lease}) : std::nullopt;
 }
 
@@ -759,8 +775,9 @@
     Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon serves no such call"};
     if (wanted != nullptr) {
         const auto onWaiting = [&call](Milliseconds expected) { call->send(peers::WaitingReply{expected.count()}); };
-        const auto wait = Milliseconds(wanted->waitMs);
-        const auto grant = co_await ensureHere(wanted->replica, {wanted->model, wanted->adapter}, AdapterRevision(wanted->revision), wait, onWaiting, why);
+        const ResidencyWish wish{
+            wanted->replica, {wanted->model, wanted->adapter}, AdapterRevision(wanted->revision), Milliseconds(wanted->waitMs), Milliseconds(wanted->onTimeMs)};
+        const auto grant = co_await ensureHere(wish, onWaiting, why);
         if (grant) {
             call->send(peers::ResidencyReply{grant->revision.value(), (grant->until - node_.now()).count()});
             co_return;
@@ -792,6 +809,8 @@
         if (!totals.others.empty()) {
             links_->notify(from, {std::move(totals)});
         }
+    } else if (const auto *feed = std::get_if<peers::FeedNotice>(&notice.body)) {
+        takeFeed(*feed);
     } else if (const auto *totals = std::get_if<peers::TotalsNotice>(&notice.body)) {
         for (const auto &[id, others] : totals->others) {
             node_.chooser.setOthers(id, others, now);
@@ -799,6 +818,92 @@
     }
 }
 
+// ---- Shared reads ----
+
+namespace {
+
+constexpr std::array<std::pair<Topic, std::string_view>, 3> topicNames
+    = {{{Topic::Operators, "operators"}, {Topic::Upstreams, "upstreams"}, {Topic::Control, "control"}}};
+
+} // namespace
+
+/// Hosts share in groups of the sorted list, the same for each of its members.
+void HostedDaemon::updateSharers()
+{
+    std::vector<HostId> live;
+    for (const auto &member : membership_.live()) {
+        live.push_back(member.host);
+    }
+    std::sort(live.begin(), live.end());
+    const auto own = std::find(live.begin(), live.end(), node_.settings.host);
+    sharers_.clear();
+    if (own == live.end()) {
+        return;
+    }
+    const auto begin = static_cast<std::size_t>(own - live.begin()) / mostSharers * mostSharers;
+    for (auto at = begin; at < std::min(begin + mostSharers, live.size()); ++at) {
+        sharers_.push_back(live[at]);
+    }
+    const auto rankFor = [&](std::string_view topic) {
+        const auto weight = [&](const HostId &host) { return core::rendezvousWeight(topic, host.value()); };
+        return static_cast<int>(std::count_if(sharers_.begin(), sharers_.end(), [&](const HostId &host) { return weight(host) > weight(node_.settings.host); }));
+    };
+    operatorsTopic_.setRank(rankFor(topicNames[0].second));
+    upstreamsTopic_.setRank(rankFor(topicNames[1].second));
+    controlTopic_.setRank(rankFor(topicNames[2].second));
+}
+
+void HostedDaemon::share(Topic topic, const SharedPage &shared)
+{
+    if (!links_ || node_.isStopping) {
+        return;
+    }
+    peers::FeedNotice feed;
+    feed.topic = topicNames.at(static_cast<std::size_t>(topic)).second;
+    feed.from = shared.from.value();
+    feed.first = shared.page.first.value();
+    feed.next = shared.page.next.value();
+    feed.readTo = shared.page.readTo.value();
+    std::size_t bytes = 0;
+    for (const auto &record : shared.page.records) {
+        bytes += record.key.size() + record.value.size();
+        feed.records.emplace_back(record.key, record.value);
+    }
+    if (bytes > mostSharedBytes) {
+        return;
+    }
+    for (const auto &host : sharers_) {
+        if (host != node_.settings.host) {
+            links_->notify(host, {feed});
+        }
+    }
+}
+
+void HostedDaemon::takeFeed(const peers::FeedNotice &feed)
+{
+    SharedPage shared;
+    shared.from = Offset(feed.from);
+    shared.page.first = Offset(feed.first);
+    shared.page.next = Offset(feed.next);
+    shared.page.readTo = Offset(feed.readTo);
+    auto offset = shared.from;
+    for (const auto &[key, value] : feed.records) {
+        shared.page.records.push_back({offset, key, value});
+        offset = offset.next();
+    }
+    if (offset != shared.page.readTo) {
+        node_.log.warn("feed_unsound", {{"topic", settings::printableText(feed.topic)}, {"from", feed.from}, {"read_to", feed.readTo}});
+        return;
+    }
+    for (auto *follower : {&operatorsTopic_, &upstreamsTopic_, &controlTopic_}) {
+        if (follower->name() == feed.topic) {
+            follower->feed(shared);
+        }
+    }
+}
+
+// ---- Running requests ----
+
 /// Tells each owner what runs at its upstreams for this host; for own ones takes what was told.
 void HostedDaemon::reportRunning()
 {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -40,7 +40,7 @@
     /// The settings file was changed into something wrong.
     void keepSettings(const core::Error &why) { node_.log.error("settings_wrong", why); }
 
-    net::Task<std::optional<ResidencyGrant>> ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why) override;
+    net::Task<std::optional<ResidencyGrant>> ensure(ResidencyWish wish, core::Error &why) override;
     [[nodiscard]] bool canOrder(const UpstreamId &replica) const override;
 
 private:
@@ -81,10 +81,13 @@
     [[nodiscard]] peers::LinkHandlers linkHandlers();
     net::Task<void> serve(std::shared_ptr<peers::IncomingCall> call);
     using OnWaiting = std::function<void(Milliseconds)>;
-    net::Task<std::optional<ResidencyGrant>> ensureHere(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, OnWaiting onWaiting, core::Error &why);
-    net::Task<std::optional<ResidencyGrant>> ensureThere(HostId owner, UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why);
+    net::Task<std::optional<ResidencyGrant>> ensureHere(ResidencyWish wish, OnWaiting onWaiting, core::Error &why);
+    net::Task<std::optional<ResidencyGrant>> ensureThere(HostId owner, ResidencyWish wish, core::Error &why);
     void takeNotice(const HostId &from, const peers::Notice &notice);
     void reportRunning();
+    void share(Topic topic, const SharedPage &shared);
+    void takeFeed(const peers::FeedNotice &feed);
+    void updateSharers();
 
     Node node_;
     StoreLike &store_;
@@ -104,6 +107,7 @@
     std::map<HostId, Instant> silentUntil_;       // owners that did not answer
     std::map<UpstreamId, Instant> noOrdersUntil_; // upstreams whose owner could not order anything
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> owned_;
+    std::vector<HostId> sharers_; // hosts that share reads of the store with this one
     std::map<UpstreamId, RunningTable> running_; // at upstreams that this host owns
     std::map<HostId, std::set<UpstreamId>> reported_; // told to each owner the last time
     std::optional<engines::FallbackBudget> loads_;
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -57,12 +57,21 @@
     Instant until; // 0: no promise, only believed
 };
 
+/// What an entry wants held, and how long it can wait.
+struct ResidencyWish {
+    UpstreamId replica;
+    AdapterKey weights;
+    AdapterRevision atLeast;
+    Milliseconds wait;   // at most
+    Milliseconds onTime; // then the request is late
+};
+
 class ResidencySource
 {
 public:
     virtual ~ResidencySource() = default;
-    /// Has `replica` hold the weights. Nothing when that can't be had in time; the error says whom it waited for.
-    virtual net::Task<std::optional<ResidencyGrant>> ensure(UpstreamId replica, AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, core::Error &why) = 0;
+    /// Has the replica hold the weights. Nothing when that can't be had in time; the error says whom it waited for.
+    virtual net::Task<std::optional<ResidencyGrant>> ensure(ResidencyWish wish, core::Error &why) = 0;
     /// Whether somebody can order weights there at present.
     [[nodiscard]] virtual bool canOrder(const UpstreamId &replica) const = 0;
 };
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -83,11 +83,12 @@
 }
 
 net::Task<std::optional<Residency::Told>>
-OwnedReplica::ask(AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, std::function<void(Milliseconds)> onWaiting, core::Error &why)
+OwnedReplica::ask(ResidencyWish wish, std::function<void(Milliseconds)> onWaiting, core::Error &why)
 {
     const auto self = shared_from_this();
-    const auto until = node_.now() + wait;
-    auto told = residency_.ask(weights, atLeast, true, node_.now());
+    const auto until = node_.now() + wish.wait;
+    const auto &weights = wish.weights;
+    auto told = residency_.ask(weights, wish.atLeast, node_.now() + wish.onTime, true, node_.now());
     if (told.answer == Residency::Answer::Ready) {
         co_return told;
     }
@@ -96,9 +97,9 @@
         why = core::Error{.step = core::Step::Admit, .peer = record_.id.value(), .reason = "nothing can be ordered there at present"};
         co_return std::nullopt;
     }
-    const auto expected = residency_.expectedWait(weights);
+    const auto expected = residency_.expectedWait(weights, node_.now());
     why = core::Error{.step = core::Step::Load, .peer = record_.id.value(), .reason = "the weights were not held in time"};
-    if (expected > wait) {
+    if (expected > wish.wait) {
         residency_.withdraw(weights);
         why.reason = "the weights can't be held in time: " + std::to_string(expected.count()) + " ms are expected";
         why.retryAfter = expected;
@@ -111,7 +112,7 @@
         waiters_.push_back(timer);
         co_await timer->async_wait(net::tuple);
         std::erase(waiters_, timer);
-        told = residency_.ask(weights, atLeast, false, node_.now());
+        told = residency_.ask(weights, wish.atLeast, until, false, node_.now());
         if (told.answer == Residency::Answer::Ready) {
             co_return told;
         }
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -32,8 +32,8 @@
     void onRecord(const ReplicaRecord &record); // moved, or restarted
     void onRevision(const AdapterKey &weights, AdapterRevision revision);
     void onInUse(const AdapterKey &weights) { residency_.onInUse(weights, node_.now()); }
-    /// Nothing when the weights can't be had within `wait`; at once when that is known. `onWaiting` is called with the wait to expect.
-    net::Task<std::optional<Residency::Told>> ask(AdapterKey weights, AdapterRevision atLeast, Milliseconds wait, std::function<void(Milliseconds)> onWaiting, core::Error &why);
+    /// Nothing when the weights can't be had in time; at once when that is known. `onWaiting` is called with the wait to expect.
+    net::Task<std::optional<Residency::Told>> ask(ResidencyWish wish, std::function<void(Milliseconds)> onWaiting, core::Error &why);
 
     [[nodiscard]] core::Epoch epoch() const { return epoch_; }
     [[nodiscard]] const Residency &residency() const { return residency_; }
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -64,7 +64,7 @@
     , model_(std::move(model))
 { }
 
-Residency::Told Residency::ask(const AdapterKey &key, AdapterRevision atLeast, bool isNew, Instant now)
+Residency::Told Residency::ask(const AdapterKey &key, AdapterRevision atLeast, Instant onTimeBy, bool isNew, Instant now)
 {
     if (isNew) {
         noteUse(key, now);
@@ -83,6 +83,7 @@
         if (want.waiters++ == 0) {
             want.order = ++wantCount_;
         }
+        want.onTimeBy = std::max(want.onTimeBy, onTimeBy);
     }
     return {Answer::Waiting, {}, {}};
 }
@@ -206,16 +207,14 @@
     }
     const bool mayFetch = fetching() < fetchLimit();
     const AdapterKey *first = nullptr;
-    std::pair<bool, std::uint64_t> firstOrder; // what loads fast goes before fetches, then who came first
+    Rank firstRank;
     for (const auto &[key, want] : wants_) {
         const auto place = held_.find(key);
-        const bool isOut = place == held_.end();
-        const bool isOld = !isOut && place->second.state == State::Held && place->second.revision < newest(key);
-        const bool isFetch = isOld || !isNearby(key);
-        const std::pair<bool, std::uint64_t> order(isFetch, want.order);
-        if ((isOut || isOld) && (!isFetch || mayFetch) && (first == nullptr || order < firstOrder)) {
+        const bool isOld = place != held_.end() && place->second.state == State::Held && place->second.revision < newest(key);
+        const auto rank = rankOf(key, want, now);
+        if ((place == held_.end() || isOld) && (!rank.isFetch || mayFetch) && (first == nullptr || rank < firstRank)) {
             first = &key;
-            firstOrder = order;
+            firstRank = rank;
         }
     }
     if (first != nullptr) {
@@ -367,23 +366,33 @@
     wants_.erase(key);
 }
 
-Milliseconds Residency::expectedWait(const AdapterKey &key) const
+Residency::Rank Residency::rankOf(const AdapterKey &key, const Want &want, Instant now) const
+{
+    const bool isFetch = held_.contains(key) || !isNearby(key); // what is held is wanted in a newer revision
+    const auto takes = isFetch ? Milliseconds(static_cast<std::int64_t>(fetchTime())) : options_.nearFetch;
+    return {isFetch, now + takes > want.onTimeBy, -want.waiters, want.order};
+}
+
+double Residency::fetchTime() const
+{
+    return std::max(fetchMs_, static_cast<double>(options_.fetch.count()));
+}
+
+Milliseconds Residency::expectedWait(const AdapterKey &key, Instant now) const
 {
-    const double fetch = std::max(fetchMs_, static_cast<double>(options_.fetch.count()));
     const auto own = wants_.find(key);
+    const auto ownRank = own == wants_.end() ? Rank{!isNearby(key), false, -1, wantCount_ + 1} : rankOf(key, own->second, now);
     int fetches = fetching();
     int nears = 0;
     for (const auto &[each, want] : wants_) {
-        const bool isBefore = own == wants_.end() || want.order < own->second.order;
-        if (isBefore && !held_.contains(each)) {
-            ++(isNearby(each) ? nears : fetches);
+        const auto rank = rankOf(each, want, now);
+        if (rank < ownRank && !held_.contains(each)) {
+            ++(rank.isFetch ? fetches : nears);
         }
     }
     const double near = static_cast<double>(options_.nearFetch.count()) * (1 + nears);
-    if (isNearby(key)) {
-        return Milliseconds(static_cast<std::int64_t>(near));
-    }
-    return Milliseconds(static_cast<std::int64_t>(near + fetch * (1 + static_cast<double>(fetches) / fetchLimit())));
+    const double fetch = ownRank.isFetch ? fetchTime() * (1 + static_cast<double>(fetches) / fetchLimit()) : 0;
+    return Milliseconds(static_cast<std::int64_t>(near + fetch));
 }
 
 std::optional<Instant> Residency::nextDue() const
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -78,11 +78,11 @@
 
     Residency(ResidencyOptions options, ModelSpec model);
 
-    /// Someone wants the weights now. Repeated asks by one waiter count once when `isNew` is false.
-    [[nodiscard]] Told ask(const AdapterKey &key, AdapterRevision atLeast, bool isNew, Instant now);
+    /// Someone wants the weights now, and is late after `onTimeBy`. Repeated asks by one waiter count once when `isNew` is false.
+    [[nodiscard]] Told ask(const AdapterKey &key, AdapterRevision atLeast, Instant onTimeBy, bool isNew, Instant now);
     void withdraw(const AdapterKey &key);                            // one waiter fewer
     /// How long weights that are not held yet are expected to take, with what waits before them.
-    [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key) const;
+    [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key, Instant now) const;
     void onRevision(const AdapterKey &key, AdapterRevision revision); // a newer one is in force
     void onInUse(const AdapterKey &key, Instant now);                  // requests that use it run
     void onRestart(Instant now);                                       // holds nothing, and its counts began anew
@@ -119,9 +119,17 @@
     [[nodiscard]] static bool isWaitingForRuns(const Place &place) { return place.state == State::Going || (place.state == State::Coming && place.isReplacement); }
     struct Want {
         int waiters = 0;
-        AdapterRevision atLeast;
+        Instant onTimeBy;        // of the newest waiter
         std::uint64_t order = 0; // who came first
     };
+    /// Lower goes first: what loads fast, then what can still be on time, then what more wait for, then who came first.
+    struct Rank {
+        bool isFetch = true;
+        bool isLate = false;
+        int others = 0; // negative: of the waiters
+        std::uint64_t order = 0;
+        friend auto operator<=>(const Rank &, const Rank &) = default;
+    };
     struct Usage {
         admission::DecayingCount asks{Milliseconds(1)};
     };
@@ -134,6 +142,8 @@
     [[nodiscard]] std::optional<Order> dueCheck(Instant now) const;
     [[nodiscard]] std::optional<Order> nextLoad(Instant now) const;
     [[nodiscard]] std::optional<AdapterKey> victim(Instant now) const;
+    [[nodiscard]] Rank rankOf(const AdapterKey &key, const Want &want, Instant now) const;
+    [[nodiscard]] double fetchTime() const; // ms
     [[nodiscard]] int coming() const;
     [[nodiscard]] bool waitsForRuns() const;
     [[nodiscard]] int fetching() const;
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -9,6 +9,8 @@
 
 using Answer = Residency::Answer;
 
+constexpr Milliseconds onTime{800}; // until a request is late
+
 AdapterKey adapter(const std::string &name)
 {
     return {BaseModel("m"), AdapterName(name)};
@@ -142,11 +144,11 @@
     Milliseconds waitFor(const AdapterKey &key)
     {
         const auto begin = now_;
-        auto told = residency_.ask(key, {}, true, now_);
+        auto told = residency_.ask(key, {}, now_ + onTime, true, now_);
         constexpr Milliseconds longest{5'000};
         while (told.answer == Answer::Waiting && now_ - begin < longest) {
             pass(Milliseconds(1));
-            told = residency_.ask(key, {}, false, now_);
+            told = residency_.ask(key, {}, now_ + onTime, false, now_);
         }
         EXPECT_EQ(told.answer, Answer::Ready);
         EXPECT_TRUE(replica_.holds(key, now_));
@@ -173,7 +175,7 @@
     for (const auto *name : {"a", "b", "c", "d"}) {
         waitFor(adapter(name));
     }
-    const auto told = residency_.ask(adapter("d"), {}, true, now_);
+    const auto told = residency_.ask(adapter("d"), {}, now_ + onTime, true, now_);
     ASSERT_EQ(told.answer, Answer::Ready);
     const auto promisedUntil = now_ + told.lease;
     waitFor(adapter("e"));
@@ -210,11 +212,33 @@
     ASSERT_FALSE(replica_.holds(adapter("a"), now_));
     pass(Milliseconds(1'000));
     for (const auto *name : {"f", "g", "h", "i"}) {
-        static_cast<void>(residency_.ask(adapter(name), {}, true, now_));
+        static_cast<void>(residency_.ask(adapter(name), {}, now_ + onTime, true, now_));
     }
     EXPECT_LE(waitFor(adapter("a")), Milliseconds(320)) << "one place has to become free, then 25 ms";
 }
 
+// Pattern: demand moves to other models faster than they can be fetched (model_shift): who can still be served on time goes first.
+TEST_F(ResidencyTest, what_can_still_be_on_time_goes_before_what_is_late)
+{
+    for (int i = 0; i < 30; ++i) {
+        static_cast<void>(residency_.ask(adapter("x" + std::to_string(i)), {}, now_ + onTime, true, now_));
+    }
+    pass(Milliseconds(800));
+    const auto begin = now_;
+    EXPECT_LE(waitFor(adapter("new")), Milliseconds(800)) << "20 late ones stand before it by age";
+    EXPECT_GE(now_, begin);
+}
+
+TEST_F(ResidencyTest, what_more_wait_for_goes_first)
+{
+    for (int i = 0; i < 12; ++i) {
+        static_cast<void>(residency_.ask(adapter("x" + std::to_string(i)), {}, now_ + onTime, true, now_));
+    }
+    static_cast<void>(residency_.ask(adapter("y"), {}, now_ + onTime, true, now_));
+    static_cast<void>(residency_.ask(adapter("y"), {}, now_ + onTime, true, now_));
+    EXPECT_LE(waitFor(adapter("y")), Milliseconds(300));
+}
+
 // Pattern: an unload of an adapter in use keeps the replica from taking other orders (vloerwerk quiet-1, first version).
 TEST_F(ResidencyTest, weights_in_use_are_not_chosen_to_go)
 {
@@ -234,25 +258,25 @@
 // Pattern: workers leave orders unanswered and carry them out, or not (applied_late).
 TEST_F(ResidencyTest, an_order_whose_answer_was_lost_is_sent_again_as_it_was)
 {
-    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    static_cast<void>(residency_.ask(adapter("a"), {}, now_ + onTime, true, now_));
     drive(true); // carried out, the answer is lost
-    static_cast<void>(residency_.ask(adapter("b"), {}, true, now_));
+    static_cast<void>(residency_.ask(adapter("b"), {}, now_ + onTime, true, now_));
     pass(Milliseconds(300));
     EXPECT_TRUE(replica_.holds(adapter("a"), now_));
     EXPECT_TRUE(replica_.holds(adapter("b"), now_));
-    EXPECT_EQ(residency_.ask(adapter("a"), {}, false, now_).answer, Answer::Ready);
+    EXPECT_EQ(residency_.ask(adapter("a"), {}, now_ + onTime, false, now_).answer, Answer::Ready);
 }
 
 TEST_F(ResidencyTest, an_order_that_was_lost_itself_is_sent_again)
 {
-    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    static_cast<void>(residency_.ask(adapter("a"), {}, now_ + onTime, true, now_));
     drive(false, true);
     EXPECT_LE(waitFor(adapter("a")), Milliseconds(260));
 }
 
 TEST_F(ResidencyTest, a_late_order_of_before_is_refused_by_its_count)
 {
-    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    static_cast<void>(residency_.ask(adapter("a"), {}, now_ + onTime, true, now_));
     const auto late = residency_.nextOrder(true, now_);
     ASSERT_TRUE(late);
     residency_.onOrder(*late, OrderOutcome::Unknown, now_);
@@ -263,7 +287,7 @@
 
 TEST_F(ResidencyTest, a_replica_that_does_not_answer_counts_as_not_reached_until_its_next_report)
 {
-    static_cast<void>(residency_.ask(adapter("a"), {}, true, now_));
+    static_cast<void>(residency_.ask(adapter("a"), {}, now_ + onTime, true, now_));
     for (int i = 0; i < ResidencyOptions().unanswered; ++i) {
         drive(false, true);
     }
@@ -277,7 +301,7 @@
 {
     waitFor(adapter("a"));
     residency_.onRevision(adapter("a"), AdapterRevision(5));
-    EXPECT_EQ(residency_.ask(adapter("a"), {}, true, now_).answer, Answer::Waiting);
+    EXPECT_EQ(residency_.ask(adapter("a"), {}, now_ + onTime, true, now_).answer, Answer::Waiting);
     const auto order = residency_.nextOrder(true, now_);
     ASSERT_TRUE(order);
     EXPECT_EQ(order->kind, OrderKind::LoadAdapter);
@@ -297,11 +321,11 @@
 
 TEST_F(ResidencyTest, the_wait_to_expect_grows_with_what_waits_before)
 {
-    const auto alone = residency_.expectedWait(adapter("z"));
+    const auto alone = residency_.expectedWait(adapter("z"), now_);
     for (int i = 0; i < 20; ++i) {
-        static_cast<void>(residency_.ask(adapter("x" + std::to_string(i)), {}, true, now_));
+        static_cast<void>(residency_.ask(adapter("x" + std::to_string(i)), {}, now_ + onTime, true, now_));
     }
-    EXPECT_GT(residency_.expectedWait(adapter("z")), alone + Milliseconds(1'000));
+    EXPECT_GT(residency_.expectedWait(adapter("z"), now_), alone + Milliseconds(1'000));
 }
 
 TEST(LeaseBook, forgets_what_ended_or_belongs_to_a_replica_that_is_gone)
