--- /dev/null
+++ b/packages/serving/tests/forwardertest.cpp
@@ -0,0 +1,302 @@
+#include "servingworld.h"
+
+namespace baobabstall::serving::tests {
+namespace {
+
+using Script = ScriptedUpstream::Script;
+
+class ForwarderTest : public ServingWorld
+{ };
+
+TEST_F(ForwarderTest, a_whole_answer_comes_back_unchanged_and_the_connection_is_kept)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("hello")}}}});
+    for (int i = 0; i < 3; ++i) {
+        const auto got = send(get("q" + std::to_string(i), "Deadline: 700\r\nTo: elsewhere\r\nSecret: x\r\nOther: y\r\n"), "hello");
+        EXPECT_EQ(got.status(), 200);
+        EXPECT_TRUE(got.has("\r\nSeal: s\r\n"));
+        EXPECT_TRUE(got.has("\r\nContent-Length: 5\r\n"));
+    }
+    EXPECT_EQ(upstream(1).connections, 1);
+    const auto &seen = upstream(1).seen.at(0);
+    EXPECT_TRUE(seen.head.starts_with("\r\nGET /x HTTP/1.1\r\n"));
+    EXPECT_TRUE(seen.has("To: r1") && seen.has("Other: y"));
+    EXPECT_FALSE(seen.has("To: elsewhere") || seen.has("Secret: x"));
+    EXPECT_EQ(seen.head.find("Deadline"), seen.head.rfind("Deadline")) << "the codec writes what is left in its place";
+}
+
+TEST_F(ForwarderTest, a_body_in_chunks_arrives_whole)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("ok")}}}});
+    const auto got = send("POST /x HTTP/1.1\r\nHost: h\r\nId: q\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", "ok");
+    EXPECT_EQ(got.status(), 200);
+    EXPECT_EQ(upstream(1).seen.at(0).body, "abcde");
+}
+
+TEST_F(ForwarderTest, an_answer_to_another_request_is_read_past)
+{
+    const std::string foreign = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong";
+    serve(route(Repeat::Nothing, false, 1), {{Script{{foreign + whole("right")}}}});
+    const auto got = send(get("q"), "right");
+    EXPECT_FALSE(got.has("wrong"));
+    EXPECT_TRUE(got.has("right"));
+}
+
+TEST_F(ForwarderTest, a_connection_with_bytes_too_many_is_not_used_again)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("one") + "HTTP/1.1 200 OK\r\n"}}, {Script{{whole("two")}}}}});
+    EXPECT_TRUE(send(get("a"), "one").has("one"));
+    EXPECT_TRUE(send(get("b"), "one").has("Seal"));
+    EXPECT_EQ(upstream(1).connections, 2);
+}
+
+TEST_F(ForwarderTest, bytes_that_come_late_on_an_idle_connection_end_it)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("one"), "late"}, false, false, Milliseconds(30)}, {Script{{whole("two")}}}}});
+    EXPECT_TRUE(send(get("a"), "one").has("one"));
+    pass(Milliseconds(80));
+    EXPECT_TRUE(send(get("b"), "two").has("two"));
+    EXPECT_EQ(upstream(1).connections, 2);
+}
+
+TEST_F(ForwarderTest, a_success_without_seal_never_reaches_the_caller)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{"HTTP/1.1 200 OK\r\nId: @ID\r\nContent-Length: 2\r\n\r\nno"}}}});
+    EXPECT_EQ(send(get("q"), "\r\n\r\n").status(), 502);
+}
+
+TEST_F(ForwarderTest, a_cut_answer_is_never_passed_on_as_whole)
+{
+    serve(route(Repeat::Nothing, false, 2),
+          {{Script{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nContent-Length: 50\r\n\r\npart"}, true}}, {Script{{whole("other")}}}});
+    int failed = 0;
+    for (int i = 0; i < 4; ++i) {
+        const auto got = send(get("q" + std::to_string(i)), "\r\n\r\n");
+        EXPECT_FALSE(got.has("part"));
+        failed += got.status() == 502 ? 1 : 0;
+    }
+    EXPECT_GE(failed, 1);
+    EXPECT_EQ(sends(), 4U) << "what may run once is not sent again";
+}
+
+TEST_F(ForwarderTest, an_answer_that_ends_with_its_connection_is_whole_and_one_that_is_reset_is_not)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\n\r\nunframed"}, true}}});
+    const auto got = send(get("q"), "unframed");
+    EXPECT_EQ(got.status(), 200);
+    EXPECT_TRUE(got.has("Content-Length: 8"));
+}
+
+TEST_F(ForwarderTest, what_was_not_run_goes_to_another_upstream_and_is_refused_with_a_time_when_all_are_full)
+{
+    const std::string full = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    serve(route(Repeat::Nothing, false, 2), {{Script{{full}}}, {Script{{full}}}});
+    const auto got = send(get("q"), "\r\n\r\n");
+    EXPECT_EQ(got.status(), 503);
+    EXPECT_TRUE(got.has("Retry-After: 0."));
+    EXPECT_TRUE(got.has("Id: q"));
+    EXPECT_EQ(sends(), 2U);
+}
+
+TEST_F(ForwarderTest, a_refusal_is_never_given_after_one_upstream_may_have_run_the_request)
+{
+    const std::string full = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    serve(route(Repeat::Anything, false, 2), {{Script{{""}, true}, Script{{full}}}, {Script{{""}, true}, Script{{full}}}});
+    EXPECT_EQ(send(get("q"), "\r\n\r\n").status(), 502);
+}
+
+TEST_F(ForwarderTest, a_failure_of_an_idempotent_request_is_tried_elsewhere)
+{
+    const std::string error = "HTTP/1.1 500 Error\r\nSeal: s\r\nId: @ID\r\nContent-Length: 0\r\n\r\n";
+    serve(route(Repeat::Anything, false, 2), {{Script{{error}}}, {Script{{whole("fine")}}}});
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_TRUE(send(get("q" + std::to_string(i)), "\r\n\r\n").has("200 OK"));
+    }
+}
+
+TEST_F(ForwarderTest, a_failure_of_what_may_run_once_is_passed_on_with_its_seal)
+{
+    serve(route(Repeat::Nothing, false, 2), {{Script{{"HTTP/1.1 500 Error\r\nSeal: s\r\nId: @ID\r\nContent-Length: 0\r\n\r\n"}}}});
+    const auto got = send(get("q"), "\r\n\r\n");
+    EXPECT_EQ(got.status(), 500);
+    EXPECT_TRUE(got.has("Seal: s"));
+    EXPECT_EQ(sends(), 1U);
+}
+
+TEST_F(ForwarderTest, a_stream_is_relayed_event_by_event)
+{
+    serve(route(Repeat::Nothing, true, 1), {{Script{{streamHead() + chunk(event(1)), chunk(event(2)) + chunk(event(3)) + streamEnd}, false, false, Milliseconds(20)}}});
+    const auto got = send(get("q"), "\r\n0\r\n\r\n");
+    EXPECT_EQ(got.status(), 200);
+    EXPECT_TRUE(got.has(event(1)) && got.has(event(2)) && got.has(event(3)));
+    EXPECT_TRUE(got.endsWell());
+}
+
+TEST_F(ForwarderTest, a_resumable_stream_that_breaks_within_an_event_goes_on_elsewhere_without_a_gap)
+{
+    const auto first = streamHead() + chunk(event(1) + event(2) + "id: 3\nda");
+    const auto rest = streamHead() + chunk(event(2) + event(3) + event(4)) + streamEnd;
+    serve(route(Repeat::Resume, true, 2), {{Script{{first}, true}}, {Script{{rest}}}});
+    const auto got = send(get("q"), "\r\n0\r\n\r\n");
+    EXPECT_TRUE(got.endsWell());
+    for (int id = 1; id <= 4; ++id) {
+        EXPECT_EQ(got.bytes.find(event(id)), got.bytes.rfind(event(id))) << id;
+        EXPECT_TRUE(got.has(event(id))) << id;
+    }
+    EXPECT_FALSE(got.has("id: 3\nda\r\n"));
+}
+
+TEST_F(ForwarderTest, a_resumed_stream_names_the_last_event_that_the_caller_has)
+{
+    const auto first = streamHead() + chunk(event(1) + event(2));
+    serve(route(Repeat::Resume, true, 2), {{Script{{first}, true}}, {Script{{first}, true}}});
+    const auto got = send(get("q"));
+    EXPECT_TRUE(got.closed);
+    EXPECT_FALSE(got.endsWell()) << "a stream that can't go on must not look complete";
+    ASSERT_EQ(sends(), 2U);
+    EXPECT_TRUE(upstream(2).seen.at(0).has("Last: 2"));
+}
+
+TEST_F(ForwarderTest, a_stream_that_may_not_resume_is_cut_and_not_sent_again)
+{
+    serve(route(Repeat::Nothing, true, 2), {{Script{{streamHead() + chunk(event(1))}, true}}, {Script{{streamHead() + chunk(event(1))}, true}}});
+    const auto got = send(get("q"));
+    EXPECT_TRUE(got.closed);
+    EXPECT_FALSE(got.endsWell());
+    EXPECT_EQ(sends(), 1U);
+}
+
+TEST_F(ForwarderTest, a_stream_that_falls_silent_goes_on_elsewhere)
+{
+    const auto begin = streamHead() + chunk(event(1));
+    const auto rest = streamHead() + chunk(event(2)) + streamEnd;
+    serve(route(Repeat::Resume, true, 2), {{Script{{begin}}}, {Script{{rest}}}});
+    const auto started = node_.now();
+    const auto got = send(get("q"), "\r\n0\r\n\r\n");
+    EXPECT_LT(node_.now() - started, Milliseconds(600)) << "one and a half pauses of 200 ms";
+    EXPECT_TRUE(got.endsWell());
+    EXPECT_TRUE(got.has(event(1)) && got.has(event(2)));
+}
+
+TEST_F(ForwarderTest, a_caller_that_leaves_ends_the_work_for_it)
+{
+    serve(route(Repeat::Nothing, true, 1), {{Script{{streamHead() + chunk(event(1)), chunk(event(2)), chunk(event(3))}, false, false, Milliseconds(60)}}});
+    send(get("q"), {}, Milliseconds(90));
+    pass(Milliseconds(200));
+    EXPECT_EQ(upstream(1).callersGone, 1);
+}
+
+TEST_F(ForwarderTest, the_end_of_the_time_is_told_at_the_time_itself)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{}}}});
+    const auto begin = node_.now();
+    const auto got = send(get("q", "Deadline: 300\r\n"), "\r\n\r\n");
+    EXPECT_EQ(got.status(), 504) << "it may have run";
+    EXPECT_GE(node_.now() - begin, Milliseconds(290));
+    EXPECT_LT(node_.now() - begin, Milliseconds(450));
+}
+
+TEST_F(ForwarderTest, a_silent_upstream_is_given_up_early_when_the_request_may_go_elsewhere)
+{
+    serve(route(Repeat::Anything, false, 2), {{Script{{}}}, {Script{{whole("fine")}}}});
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(send(get("q" + std::to_string(i)), "\r\n\r\n").status(), 200);
+    }
+}
+
+TEST_F(ForwarderTest, an_early_answer_leaves_the_rest_of_a_long_body_where_it_belongs)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("early")}, false, false, Milliseconds(0), true}, Script{{whole("next")}}}});
+    const std::string body(600'000, 'b');
+    const auto got = send("POST /x HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 600000\r\n\r\n" + body, "early");
+    EXPECT_EQ(got.status(), 200);
+    EXPECT_TRUE(send(get("r"), "next").has("next"));
+    for (const auto &seen : upstream(1).seen) {
+        EXPECT_TRUE(seen.head.starts_with("\r\nPOST /x ") || seen.head.starts_with("\r\nGET /x ")) << seen.head.substr(0, 40);
+    }
+}
+
+TEST_F(ForwarderTest, weights_that_are_missing_after_all_are_asked_for_again_at_the_same_upstream)
+{
+    const std::string missing = "HTTP/1.1 421 Misdirected\r\nReplica: r1\r\nContent-Length: 0\r\n\r\n";
+    serve(route(Repeat::Nothing, false, 1), {{Script{{missing}}, Script{{whole("held")}}}}, true);
+    EXPECT_TRUE(send(get("q", "Weights: m/a1\r\n"), "\r\n\r\n").has("200 OK"));
+    EXPECT_EQ(residency_.asks, 2);
+}
+
+TEST_F(ForwarderTest, an_address_that_another_upstream_has_now_is_left_alone)
+{
+    const std::string other = "HTTP/1.1 421 Misdirected\r\nReplica: r9\r\nContent-Length: 0\r\n\r\n";
+    serve(route(Repeat::Nothing, false, 1), {{Script{{other}}}});
+    EXPECT_EQ(send(get("q"), "\r\n\r\n").status(), 503);
+    EXPECT_TRUE(node_.chooser.isBlocked(UpstreamId("r1"), node_.now()));
+}
+
+TEST_F(ForwarderTest, weights_that_cannot_be_held_in_time_are_refused_at_once_with_the_time_to_expect)
+{
+    serve(route(Repeat::Resume, true, 2), {{Script{{whole("x")}}}, {Script{{whole("x")}}}}, true);
+    residency_.holds = false;
+    residency_.failure = {.step = core::Step::Load, .reason = "full", .retryAfter = Milliseconds(750)};
+    const auto begin = node_.now();
+    const auto got = send(get("q", "Weights: m/a1\r\n"), "\r\n\r\n");
+    EXPECT_EQ(got.status(), 503);
+    EXPECT_TRUE(got.has("Retry-After: 0.750"));
+    EXPECT_LT(node_.now() - begin, Milliseconds(100));
+    EXPECT_EQ(residency_.asks, 1) << "another home would fetch the same weights once more";
+    EXPECT_EQ(sends(), 0U);
+}
+
+TEST_F(ForwarderTest, a_newer_revision_is_asked_for_by_name_once_it_has_had_time_to_arrive)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("x")}}}}, true);
+    node_.revisions[{BaseModel("m"), AdapterName("a1")}] = {AdapterRevision(7), node_.now() - Milliseconds(5'000)};
+    send(get("q", "Weights: m/a1\r\n"), "\r\n\r\n");
+    EXPECT_TRUE(upstream(1).seen.at(0).has("Revision: 7"));
+}
+
+TEST_F(ForwarderTest, a_leaving_upstream_gets_nothing_more)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("x")}}}});
+    auto record = *node_.book.find(UpstreamId("r1"));
+    record.isLeaving = true;
+    node_.book.apply(record, node_.now());
+    EXPECT_EQ(send(get("q"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(sends(), 0U);
+}
+
+TEST_F(ForwarderTest, requests_that_cannot_be_read_are_refused_and_hurt_nobody_else)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("fine")}}}});
+    EXPECT_EQ(send("nonsense\r\n\r\n").status(), 400);
+    EXPECT_EQ(send("POST /x HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc").status(), 400);
+    EXPECT_EQ(send("GET /x HTTP/1.1\r\nHost: h\r\nBig: " + std::string(40'000, 'x') + "\r\n\r\n").status(), 431);
+    EXPECT_EQ(send(get("q").substr(0, 12) + " HTTP/9.9\r\n\r\n").status(), 400);
+    EXPECT_EQ(send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n").status(), 400) << "no id";
+    EXPECT_EQ(send("GET /x HTTP/1.1\r\nHost: unknown\r\nId: q\r\n\r\n", "\r\n\r\n").status(), 404);
+    EXPECT_TRUE(send(get("q"), "fine").has("fine"));
+    EXPECT_GE(unreadable_, 4);
+}
+
+TEST_F(ForwarderTest, closing_idle_connections_leaves_a_request_that_has_arrived_alone)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("fine")}, false, false, Milliseconds(100)}}});
+    bool isClosed = false;
+    asio::co_spawn(
+        io_,
+        [&]() -> net::Task<void> {
+            co_await net::sleep(io_, Milliseconds(50));
+            server_.beginStop();
+            server_.closeIdle();
+            isClosed = true;
+        },
+        asio::detached);
+    const auto got = send(get("q"), "fine");
+    EXPECT_TRUE(isClosed);
+    EXPECT_TRUE(got.has("fine"));
+    EXPECT_TRUE(got.has("Connection: close"));
+    pass(Milliseconds(50));
+    EXPECT_EQ(server_.connections(), 0U);
+}
+
+} // namespace
+} // namespace baobabstall::serving::tests
--- /dev/null
+++ b/packages/serving/tests/servingworld.h
@@ -0,0 +1,377 @@
+// A codec with short names, upstreams that answer by script on loopback, and callers that keep every byte. For tests of the serving path.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <serving/callers.h>
+#include <serving/forwarder.h>
+
+namespace baobabstall::serving::tests {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// Fields: Id, Deadline, Weights (MODEL/ADAPTER), Last, Seal, Not-Run, Replica. What the system sets: To, Left, Revision.
+class FakeCodec final : public Codec
+{
+public:
+    std::optional<RequestFacts> readRequest(std::span<const HeaderView> headers, core::Error &why) const override
+    {
+        RequestFacts facts;
+        for (const auto &[name, value] : headers) {
+            if (name == "Id") {
+                facts.id = RequestId(std::string(value));
+            } else if (name == "Deadline") {
+                facts.deadline = Milliseconds(std::stoll(std::string(value)));
+            } else if (name == "Weights") {
+                const auto slash = value.find('/');
+                facts.weights = {BaseModel(std::string(value.substr(0, slash))), AdapterName(std::string(value.substr(slash + 1)))};
+            }
+        }
+        why.reason = "no id";
+        return facts.id.empty() ? std::nullopt : std::optional(facts);
+    }
+    std::string_view idField() const override { return "Id"; }
+    bool passesOn(std::string_view field) const override { return field != "To" && field != "Secret"; }
+    void writeForward(const ForwardFacts &facts, std::string &head) const override
+    {
+        head += "To: " + facts.replica.value() + "\r\nLeft: " + std::to_string(facts.remaining.count()) + "\r\n";
+        head += facts.resumeAfter ? "Last: " + std::to_string(*facts.resumeAfter) + "\r\n" : "";
+        head += facts.revision ? "Revision: " + std::to_string(facts.revision->value()) + "\r\n" : "";
+    }
+    AnswerFacts readAnswer(int status, std::span<const HeaderView> headers) const override
+    {
+        AnswerFacts facts;
+        facts.wrongUpstream = status == 421;
+        facts.notRun = facts.wrongUpstream;
+        for (const auto &[name, value] : headers) {
+            facts.id = name == "Id" ? RequestId(std::string(value)) : facts.id;
+            facts.isSealed = facts.isSealed || name == "Seal";
+            facts.notRun = facts.notRun || name == "Not-Run";
+            facts.upstream = name == "Replica" ? UpstreamId(std::string(value)) : facts.upstream;
+        }
+        return facts;
+    }
+    std::optional<Configuration> readConfiguration(std::string_view, core::Error &) const override { return std::nullopt; }
+    bool isConfigurationKey(std::string_view) const override { return false; }
+    std::optional<RevisionNews> readRevision(std::string_view, std::string_view, core::Error &) const override { return std::nullopt; }
+    std::optional<ReplicaRecord> readReplica(std::string_view, std::string_view, core::Error &) const override { return std::nullopt; }
+    net::HttpRequest reportRequest(const UpstreamId &) const override { return {}; }
+    std::optional<ReplicaReport> readReport(const net::HttpResponse &, core::Error &) const override { return std::nullopt; }
+    net::HttpRequest orderRequest(const UpstreamId &, const Order &, const HostId &, core::Epoch) const override { return {}; }
+    OrderOutcome readOrderAnswer(const net::HttpResponse &) const override { return OrderOutcome::Refused; }
+};
+
+/// Weights are held as soon as they are asked for, unless told otherwise.
+class FakeResidency final : public ResidencySource
+{
+public:
+    net::Task<std::optional<ResidencyGrant>> ensure(ResidencyWish wish, core::Error &why) override
+    {
+        ++asks;
+        why = failure;
+        co_return holds ? std::optional(ResidencyGrant{wish.atLeast, core::SteadyClock().now() + Milliseconds(10'000)}) : std::nullopt;
+    }
+    [[nodiscard]] bool canOrder(const UpstreamId &) const override { return holds; }
+
+    bool holds = true;
+    int asks = 0;
+    core::Error failure;
+};
+
+/// What one request to an upstream looked like.
+struct Seen {
+    std::string head;
+    std::string body;
+    [[nodiscard]] bool has(const std::string &line) const { return head.find("\r\n" + line + "\r\n") != std::string::npos; }
+};
+
+/// Answers each request by the next script; the last one goes on for all further ones.
+class ScriptedUpstream
+{
+public:
+    struct Script {
+        std::vector<std::string> pieces; // written one after the other; "@ID" stands for the request's id
+        bool closes = false;             // after the last piece
+        bool resets = false;             // the same, by a reset
+        Milliseconds gap{0};             // before each piece
+        bool beforeBody = false;         // answers when the head is read
+    };
+
+    ScriptedUpstream(asio::io_context &io, std::vector<Script> scripts)
+        : io_(io)
+        , scripts_(std::move(scripts))
+        , acceptor_(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        asio::co_spawn(io_, accept(), asio::detached);
+    }
+
+    [[nodiscard]] net::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+    std::vector<Seen> seen;
+    int connections = 0;
+    int callersGone = 0; // closed on us while an answer was due
+
+private:
+    net::Task<void> accept()
+    {
+        while (true) {
+            auto [failed, socket] = co_await acceptor_.async_accept(net::tuple);
+            if (failed) {
+                co_return;
+            }
+            ++connections;
+            asio::co_spawn(io_, serve(std::make_shared<tcp::socket>(std::move(socket))), asio::detached);
+        }
+    }
+
+    net::Task<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        std::string buffer;
+        while (true) {
+            auto [failed, length] = co_await asio::async_read_until(*socket, asio::dynamic_buffer(buffer), "\r\n\r\n", net::tuple);
+            if (failed) {
+                co_return;
+            }
+            Seen request{"\r\n" + buffer.substr(0, length), {}};
+            buffer.erase(0, length);
+            const auto script = scripts_[std::min(next_, scripts_.size() - 1)];
+            ++next_;
+            const auto index = seen.size();
+            seen.push_back(request);
+            if (script.beforeBody && !co_await answer(*socket, script, request)) {
+                co_return;
+            }
+            const auto at = request.head.find("Content-Length: ");
+            const std::size_t bodyLength = at == std::string::npos ? 0 : std::stoul(request.head.substr(at + 16));
+            while (buffer.size() < bodyLength) {
+                char bytes[4096];
+                const auto [cut, count] = co_await socket->async_read_some(asio::buffer(bytes), net::tuple);
+                if (cut) {
+                    co_return;
+                }
+                buffer.append(bytes, count);
+            }
+            seen[index].body = buffer.substr(0, bodyLength);
+            buffer.erase(0, bodyLength);
+            if (!script.beforeBody && !co_await answer(*socket, script, request)) {
+                co_return;
+            }
+        }
+    }
+
+    net::Task<bool> answer(tcp::socket &socket, const Script &script, const Seen &request)
+    {
+        const auto at = request.head.find("\r\nId: ") + 6;
+        const auto id = request.head.substr(at, request.head.find("\r\n", at) - at);
+        for (auto piece : script.pieces) {
+            if (script.gap.count() > 0) {
+                co_await net::sleep(io_, script.gap);
+                char next = 0;
+                boost::system::error_code failed;
+                socket.non_blocking(true, failed);
+                socket.receive(asio::buffer(&next, 1), tcp::socket::message_peek, failed);
+                if (failed != asio::error::would_block) {
+                    ++callersGone;
+                    co_return false;
+                }
+            }
+            for (auto place = piece.find("@ID"); place != std::string::npos; place = piece.find("@ID")) {
+                piece.replace(place, 3, id);
+            }
+            const auto [failed, count] = co_await asio::async_write(socket, asio::buffer(piece), net::tuple);
+            if (failed) {
+                co_return false;
+            }
+        }
+        if (script.resets) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        if (script.closes || script.resets) {
+            socket.close();
+            co_return false;
+        }
+        co_return true;
+    }
+
+    asio::io_context &io_;
+    std::vector<Script> scripts_;
+    std::size_t next_ = 0;
+    tcp::acceptor acceptor_;
+};
+
+/// What a caller got, until the connection closed or nothing more came for a while.
+struct Got {
+    std::string bytes;
+    bool closed = false;
+    [[nodiscard]] int status() const { return bytes.size() > 12 ? std::stoi(bytes.substr(9, 3)) : 0; }
+    [[nodiscard]] bool has(const std::string &text) const { return bytes.find(text) != std::string::npos; }
+    [[nodiscard]] bool endsWell() const { return bytes.ends_with("0\r\n\r\n"); }
+};
+
+class ServingWorld : public ::testing::Test
+{
+protected:
+    ServingWorld()
+        : node_(io_, settings(), codec_, log())
+        , forwarder_(node_)
+        , server_(io_,
+                  {.limits = [this] { return node_.routes->limits(); }, .onUnreadable = [this](int, std::string_view) { ++unreadable_; }},
+                  [this](CallerConnection &caller, CallerRequest &request) { return forwarder_.handle(caller, request); })
+    {
+        node_.residency = &residency_;
+        core::Error why;
+        address_ = *server_.listen({"127.0.0.1", 0}, why);
+    }
+
+    static settings::Settings settings()
+    {
+        settings::Settings settings;
+        settings.host = HostId("entry-1");
+        settings.zone = ZoneId("a");
+        return settings;
+    }
+
+    static logging::Log log()
+    {
+        core::Error why;
+        settings::Logging logging;
+        logging.file = "/dev/null";
+        return std::move(*logging::Log::open(logging, HostId("entry-1"), why));
+    }
+
+    /// One route "/" of the host "h" to a service "s" with the given upstreams.
+    void serve(Route route, std::vector<std::vector<ScriptedUpstream::Script>> upstreams, bool isEngine = false)
+    {
+        route.host = "h";
+        route.pathPrefix = "/";
+        route.services = {{ServiceName("s"), 1}};
+        Configuration configuration;
+        configuration.version = ConfigVersion(1);
+        configuration.routes = {route};
+        ServiceSpec service;
+        service.name = ServiceName("s");
+        if (isEngine) {
+            service.engine = EngineSpec{8, 100'000, 70'000, 8, 5, {ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(1), Milliseconds(1)}}};
+        }
+        configuration.services = {service};
+        node_.routes = std::make_shared<const RouteTable>(configuration);
+        for (auto &scripts : upstreams) {
+            upstreams_.push_back(std::make_unique<ScriptedUpstream>(io_, std::move(scripts)));
+            ReplicaRecord record;
+            record.id = UpstreamId("r" + std::to_string(upstreams_.size()));
+            record.service = ServiceName("s");
+            record.address = upstreams_.back()->address();
+            record.zone = ZoneId(upstreams_.size() == 1 ? "a" : "b"); // the first is nearest, so it is tried first
+            record.slots = 8;
+            node_.book.apply(record, node_.now());
+        }
+    }
+
+    static Route route(Repeat repeat, bool isStream, int maxReplicas)
+    {
+        Route route;
+        route.repeat = repeat;
+        route.isStream = isStream;
+        route.maxReplicas = maxReplicas;
+        route.timeout = Milliseconds(2'000);
+        route.objective = Milliseconds(400);
+        route.pause = Milliseconds(200);
+        return route;
+    }
+
+    /// Sends bytes and reads until the server closes, `until` has come, or two seconds are over.
+    Got send(std::string request, std::string until = {}, Milliseconds leaveAfter = Milliseconds(0))
+    {
+        Got got;
+        bool isDone = false;
+        asio::co_spawn(io_, call(std::move(request), std::move(until), leaveAfter, got, isDone), asio::detached);
+        const auto end = node_.now() + Milliseconds(4'000);
+        while (!isDone && node_.now() < end) {
+            io_.run_one_for(std::chrono::milliseconds(50));
+        }
+        return got;
+    }
+
+    void pass(Milliseconds time)
+    {
+        const auto end = node_.now() + time;
+        while (node_.now() < end) {
+            io_.run_one_for(std::chrono::milliseconds(5));
+        }
+    }
+
+    static std::string get(const std::string &id, const std::string &more = {}) { return "GET /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n" + more + "\r\n"; }
+    static std::string whole(const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+    static std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n"; }
+    static std::string chunk(const std::string &text)
+    {
+        std::array<char, 16> size{};
+        std::snprintf(size.data(), size.size(), "%zx", text.size());
+        return std::string(size.data()) + "\r\n" + text + "\r\n";
+    }
+    static std::string streamHead() { return "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"; }
+    static constexpr auto streamEnd = "0\r\n\r\n";
+
+    ScriptedUpstream &upstream(std::size_t number) { return *upstreams_.at(number - 1); }
+    std::size_t sends() const
+    {
+        std::size_t count = 0;
+        for (const auto &each : upstreams_) {
+            count += each->seen.size();
+        }
+        return count;
+    }
+
+    asio::io_context io_;
+    FakeCodec codec_;
+    FakeResidency residency_;
+    Node node_;
+    Forwarder forwarder_;
+    CallerServer server_;
+    net::Address address_;
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams_;
+    int unreadable_ = 0;
+
+private:
+    net::Task<void> call(std::string request, std::string until, Milliseconds leaveAfter, Got &got, bool &isDone)
+    {
+        tcp::socket socket(io_);
+        co_await socket.async_connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port), net::tuple);
+        co_await asio::async_write(socket, asio::buffer(request), net::tuple);
+        if (leaveAfter.count() > 0) {
+            co_await net::sleep(io_, leaveAfter);
+            socket.close();
+            isDone = true;
+            co_return;
+        }
+        char bytes[4096];
+        while (until.empty() || !got.has(until)) {
+            const auto [failed, count] = co_await socket.async_read_some(asio::buffer(bytes), net::tuple);
+            if (failed) {
+                got.closed = true;
+                break;
+            }
+            got.bytes.append(bytes, count);
+        }
+        isDone = true;
+    }
+};
+
+} // namespace baobabstall::serving::tests
