Never end an answer for its upstream's silence; eight homes; claims of many hosts take turns

Keep-alive probes now find machines that are gone. On the grown site 50 hosts fought for each append (about 2,500 calls).

--- a/packages/net/asio.h
+++ b/packages/net/asio.h
@@ -1,8 +1,12 @@
-// net/asio.h: what this tree's coroutines have in common with Asio: the completion token, lengths of time, a sleep.
+// net/asio.h: what this tree's coroutines have in common with Asio: the completion token, lengths of time, a sleep, probes of silent connections.
 #pragma once
 
 #include <chrono>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -27,4 +31,17 @@
     co_await timer.async_wait(tuple);
 }
 
+/// A connection can fall silent for good without a reset. Probes find that out, also while nothing is to be sent: within some 3 s.
+inline void watchForSilence(int socket)
+{
+    constexpr int on = 1;
+    constexpr int idleSeconds = 1;
+    constexpr int intervalSeconds = 1;
+    constexpr int probes = 2;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 } // namespace baobabstall::net
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -4,8 +4,6 @@
 #include <array>
 #include <map>
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -62,20 +60,6 @@
     return response;
 }
 
-/// A connection can fall silent for good without a reset; probes tell while a call waits long for its answer.
-void watchForSilence(tcp::socket &socket)
-{
-    constexpr int on = 1;
-    constexpr int idleSeconds = 1;
-    constexpr int intervalSeconds = 1;
-    constexpr int probes = 2;
-    const int handle = socket.native_handle();
-    setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-    setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
-    setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
-    setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-}
-
 /// An idle connection that has something to read was closed by its peer or is out of step.
 bool isReusable(beast::tcp_stream &stream)
 {
@@ -138,7 +122,7 @@
         co_return nullptr;
     }
     stream->socket().set_option(tcp::no_delay(true), invalid);
-    watchForSilence(stream->socket());
+    watchForSilence(stream->socket().native_handle());
     co_return stream;
 }
 
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -34,7 +34,7 @@
 };
 
 struct ChooserOptions {
-    std::size_t homes = 4;           // upstreams tried for one adapter
+    std::size_t homes = 8;           // upstreams considered for one adapter; the hottest gets a fifth of all requests (Zipf 1.2)
     double homeCost = 12;            // ms; each place further down the order of homes
     double missingCost = 130;        // ms; the adapter has to be fetched: half of a full fetch, as most are held close by
     double noOwnerCost = 600;        // ms; nobody can order it there at present
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -123,7 +123,7 @@
     }
     while (isRunning_ && !isUrgent_ && !needsListing_) {
         const bool mayGoOn = rank_ == 0 && options_.wait.count() > 0; // the store itself makes this host wait
-        const auto due = mayGoOn ? readAt_ : readAt_ + options_.pause + options_.stagger * rank_;
+        const auto due = mayGoOn ? readAt_ : readAt_ + options_.pause + options_.stagger * std::min(rank_, options_.lastRank);
         const auto left = due - node_.now();
         if (left.count() <= 0 || isHurried_) {
             break;
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -22,7 +22,8 @@
 struct FollowOptions {
     Milliseconds wait{0};  // how long the store holds a read until there is a record; 0: answers at once
     Milliseconds pause{0}; // between two reads
-    Milliseconds stagger{120}; // longer for each host of a lower rank: a read, a page on its way and a busy host
+    Milliseconds stagger{200}; // longer for each host of a lower rank: a read, a page on its way and a busy host
+    int lastRank = 4;          // ranks beyond wait no longer, so that the age of what is known stays bounded
 };
 
 /// A page as another host read it.
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -30,8 +30,8 @@
 constexpr int maxForeignAnswers = 2;   // answers to other requests that are read past before a connection counts as out of step
 constexpr Milliseconds leastTime{5};   // left of a request's time; with less a send is no real try
 constexpr double patienceShare = 0.75; // of the objective; a silent upstream is given up then, if the request may go elsewhere
+constexpr double streamPatienceShare = 1.2; // the same for streams: a long prompt may take its objective to read
 constexpr Milliseconds leastPatience{250};
-constexpr double stallShare = 1.5;     // of the longest pause allowed; a stream that is silent for longer goes on elsewhere, where it may
 constexpr double crowdedEngine = 1.6;  // running for each slot; beyond it a request would wait longer than most objectives
 constexpr Milliseconds revisionGrace{1'000}; // a newly named revision is asked for by name from here on; before it either is right
 constexpr Milliseconds crowdedRetry{300};    // Retry-After when all are crowded: some requests have ended by then
@@ -359,7 +359,7 @@
     void setPatience()
     {
         isImpatient_ = false;
-        const auto objective = Milliseconds(static_cast<std::int64_t>(static_cast<double>(route_->objective.count()) * patienceShare));
+        const auto objective = Milliseconds(static_cast<std::int64_t>(static_cast<double>(route_->objective.count()) * (route_->isStream ? streamPatienceShare : patienceShare)));
         const auto until = node_.now() + std::max(leastPatience, objective);
         if (route_->repeat == Repeat::Nothing || until >= limit_) {
             watchdog_.arm(limit_, [this] { onLimit(); });
@@ -379,27 +379,6 @@
         }
     }
 
-    void watchForStall(Instant now)
-    {
-        const auto stall = Milliseconds(static_cast<std::int64_t>(static_cast<double>(route_->pause.count()) * stallShare));
-        const auto until = now + stall;
-        if (route_->repeat != Repeat::Resume || stall.count() == 0 || until >= limit_) {
-            watchdog_.arm(limit_, [this] { onLimit(); });
-            return;
-        }
-        watchdog_.arm(until, [this] { onStall(); });
-    }
-
-    void onStall()
-    {
-        watchdog_.arm(limit_, [this] { onLimit(); });
-        const bool hasReplicas = static_cast<int>(sentTo_.size()) < route_->maxReplicas;
-        if (hasReplicas && node_.budgetOf(*service_).left(node_.now()) >= 1 && candidates().size() > 1) {
-            isImpatient_ = true;
-            cancelSend();
-        }
-    }
-
     void onLimit()
     {
         isLate_ = true;
@@ -689,10 +668,9 @@
             firstEvent_ = now - request_.arrivedAt;
             node_.metrics.firstEvent.observe({service_->value()}, *firstEvent_);
             lastWrite_ = now;
-            watchForStall(now);
+            watchdog_.arm(limit_, [this] { onLimit(); });
             co_return co_await caller_.write(head + events);
         }
-        watchForStall(now);
         const auto pause = now - lastWrite_;
         longestPause_ = std::max(longestPause_, pause);
         node_.metrics.eventPause.observe({service_->value()}, pause);
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -33,6 +33,7 @@
 constexpr Milliseconds firstAnswer{200};          // of an owner to an ask: that it is held, or waited for; some round trips and a busy host
 constexpr Milliseconds ownerSilence{800};         // an owner that did not answer or could not order is not asked again for so long
 constexpr Milliseconds claimAgain{25};            // a read of the store (4 ms an answer) and its way
+constexpr Milliseconds claimSpread{8};            // for each host: an append and the read that others need before their next
 constexpr Milliseconds claimTime{1'500};          // Retry-After while nobody owns an upstream: a claim, and most of a lease
 constexpr Milliseconds balancerNotice{2'600};     // until the balancer has seen two failed checks, one a second
 constexpr Milliseconds stopMargin{600};           // before the platform's SIGKILL
@@ -117,6 +118,8 @@
                     {.onListing =
                          [this](const StoreListing &listing) {
                              auto records = listing.records;
+                             const auto spread = static_cast<std::uint64_t>(claimSpread.count()) * (records.size() + 1);
+                             claimTurn_ = node_.now() + Milliseconds(static_cast<std::int64_t>(incarnation_.value() % spread));
                              std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
                              takeControl(records, listing.next);
                          },
@@ -509,7 +512,8 @@
     }
     controlTopic_.hurry();
     if (outcome == AppendOutcome::Conflict) { // another host was first: its records are read, then the rest is claimed without waiting for a tick
-        co_await net::sleep(node_.io, claimAgain);
+        const auto spread = static_cast<std::uint64_t>(claimSpread.count()) * (announced_.size() + 1);
+        co_await net::sleep(node_.io, claimAgain + Milliseconds(static_cast<std::int64_t>(core::hashText(records.front().id, 0) % spread)));
         carryOut(planner_.tick(node_.now()));
     }
 }
@@ -584,7 +588,7 @@
     if (plan.appends.empty()) {
         return;
     }
-    if (isAppending_) { // its condition would fail
+    if (isAppending_ || node_.now() < claimTurn_) { // its condition would fail, or others' would
         for (const auto &record : plan.appends) {
             planner_.onAppendRefused(record.id);
         }
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -116,6 +116,7 @@
     bool isAnnounced_ = false;
     bool isRunning_ = false;
     std::uint64_t thingsVersion_ = ~std::uint64_t(0);
+    Instant claimTurn_; // hosts that start together claim one after the other
     Instant lastTick_;
     Instant nextRunningReport_;
     Instant nextHousekeeping_;
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -75,6 +75,7 @@
     connection->socket.non_blocking(true, failed);
     const auto ack = static_cast<unsigned>(options_.ackTimeout.count());
     setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ack, sizeof ack);
+    net::watchForSilence(connection->socket.native_handle()); // ends a connection to a machine that is gone, not one to a slow replica
     connection->keepFor = options_.defaultKeep;
     co_return connection;
 }
