--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -151,8 +151,6 @@
     EXPECT_EQ(loadKey(settings, why), "fedcba9876543210");
 }
 
-} // namespace baobabstall::settings
-
 TEST(Settings, a_hosted_daemon_needs_no_key_and_checks_its_own_section)
 {
     auto file = smallest();
@@ -169,3 +167,5 @@
     EXPECT_FALSE(parseHostedSettings(file.dump(), "daemon.json", why));
     EXPECT_EQ(why.reason, "daemon.json: hosting.retry_share: found the number 7; allowed: a number from 0 to 1");
 }
+
+} // namespace baobabstall::settings
--- /dev/null
+++ b/standins/hosting/hosting.py
@@ -0,0 +1,218 @@
+"""Stand-ins of the users' platform at the level of its protocol: the store (keyed topics, conditional appends, waiting reads) and replicas
+(reports, orders with fences and counts, streams of events). Scaffolding for tests/hosted; not shipped. Each keeps what it saw, and a list of
+violations of the platform's rules, which a test expects to be empty."""
+import base64
+import json
+import struct
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+STORE_ANSWER_SECONDS = 0.004  # the platform's append latency
+
+
+class Server:
+    """An HTTP server on loopback whose requests go to handle(request) -> None."""
+
+    def __init__(self):
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def log_message(self, *_args):
+                pass
+
+            def any_method(self):
+                length = int(self.headers.get("Content-Length") or 0)
+                self.body = self.rfile.read(length)
+                outer.handle(self)
+
+            do_GET = do_POST = do_DELETE = any_method
+
+            def answer(self, status, body=b"", headers=()):
+                self.send_response(status)
+                for name, value in headers:
+                    self.send_header(name, value)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def answer_json(self, status, value, headers=()):
+                self.answer(status, json.dumps(value).encode(), [("Content-Type", "application/json"), *headers])
+
+        class Quiet(ThreadingHTTPServer):
+            daemon_threads = True
+            request_queue_size = 128
+
+            def handle_error(self, *_args):
+                pass  # a client that went away
+
+        self.http = Quiet(("127.0.0.1", 0), Handler)
+        self.address = "127.0.0.1:%d" % self.http.server_address[1]
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class Store(Server):
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.topics = {}  # name -> list of (key, value)
+        self.down = False
+        self.calls = 0
+        super().__init__()
+
+    def put(self, topic, key, value):
+        with self.changed:
+            self.topics.setdefault(topic, []).append((key, value if isinstance(value, bytes) else json.dumps(value).encode()))
+            self.changed.notify_all()
+
+    def handle(self, request):
+        url = urlparse(request.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.calls += 1
+        if self.down:
+            request.answer(503)
+            return
+        time.sleep(STORE_ANSWER_SECONDS)
+        call = url.path.rsplit("/", 1)[-1]
+        {"log-append": self.append, "log-read": self.read, "log-newest": self.newest}[call](request, query)
+
+    def append(self, request, query):
+        records = []
+        body = request.body
+        while body:
+            (length,) = struct.unpack(">I", body[:4])
+            content, body = body[4 : 4 + length], body[4 + length :]
+            key_length = content[0]
+            records.append((content[1 : 1 + key_length].decode(), content[1 + key_length :]))
+        with self.changed:
+            topic = self.topics.setdefault(query["topic"], [])
+            if "at" in query and int(query["at"]) != len(topic):
+                request.answer_json(412, {"end_offset": len(topic)})
+                return
+            offset = len(topic)
+            topic.extend(records)
+            self.changed.notify_all()
+        request.answer_json(200, {"offset": offset, "end_offset": offset + len(records)})
+
+    def read(self, request, query):
+        start = int(query["start_key"])
+        until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        with self.changed:
+            while len(self.topics.get(query["topic"], [])) <= start and time.monotonic() < until and not self.down:
+                self.changed.wait(until - time.monotonic())
+            topic = self.topics.get(query["topic"], [])
+            page = topic[start:]
+        answer = struct.pack(">QQ", len(topic), 0)
+        for key, value in page:
+            content = bytes([len(key)]) + key.encode() + value
+            answer += struct.pack(">I", len(content)) + content
+        request.answer(200, answer)
+
+    def newest(self, request, query):
+        with self.changed:
+            topic = list(self.topics.get(query["topic"], []))
+        items = {}
+        for offset, (key, value) in enumerate(topic):
+            items[key] = {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+        items = [item for item in items.values() if item["value"]]
+        request.answer_json(200, {"items": items, "has_more": False, "end_offset": len(topic)})
+
+
+class Replica(Server):
+    """A model replica; without a model a plain service."""
+
+    def __init__(self, store, name, service, zone, model=None, places=4, events=8, event_seconds=0.02):
+        self.store, self.name, self.service, self.zone = store, name, service, zone
+        self.model, self.places, self.events, self.event_seconds = model, places, events, event_seconds
+        self.born = int(time.time() * 1000)
+        self.lock = threading.Lock()
+        self.held = {}  # adapter -> time from which it is held
+        self.sequence = 0
+        self.fence = 0
+        self.orders = []  # (time, holder, fence, operation, adapter)
+        self.ran = []  # ids of requests
+        self.violations = []
+        super().__init__()
+        self.register()
+
+    def register(self, state="ready"):
+        models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}] if self.model else []
+        record = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8, "state": state}
+        self.store.put("keyed.servers", self.name, record | {"cold_remaining_ms": 0, "models": models, "sequence": self.sequence, "born": self.born})
+
+    def handle(self, request):
+        if request.headers.get("X-Expect-Replica", self.name) != self.name:
+            request.answer(421, headers=[("X-Replica-Id", self.name)])
+        elif request.path == "/baobabstall/report":
+            with self.lock:
+                models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}]
+                report = {"phase": "unified", "models": models, "busy": False, "sequence": self.sequence, "queued": 0, "active": 0}
+            request.answer_json(200, report)
+        elif request.path == "/baobabstall/order":
+            request.answer(self.order(json.loads(request.body)))
+        else:
+            self.run(request)
+
+    def order(self, order):
+        with self.lock:
+            self.orders.append((time.monotonic(), order["holder"], order["fencing_token"], order["operation"], order.get("adapter")))
+            if order["fencing_token"] < self.fence:
+                return 412
+            self.fence = order["fencing_token"]
+            if order.get("expect", self.sequence) != self.sequence:
+                return 409
+            adapter = order.get("adapter")
+            if order["operation"] == "unload":
+                if self.held.pop(adapter, None) is not None:
+                    self.sequence += 1
+                return 200
+            if adapter in self.held:
+                return 200 if self.held[adapter] <= time.monotonic() else 202
+            if len(self.held) >= self.places:
+                self.violations.append("ordered to load %s beyond its %d places" % (adapter, self.places))
+            self.held[adapter] = time.monotonic() + 0.05
+            self.sequence += 1
+            return 202
+
+    def run(self, request):
+        attempt = request.headers.get("X-Attempt-Id")
+        seal = [("X-Attempt-Id", attempt), ("X-Response-Seal", "seal-of-" + attempt)]
+        wanted = request.headers.get("X-Model-Id")
+        if wanted and "/" in wanted and self.held.get(wanted.split("/")[1], float("inf")) > time.monotonic():
+            request.answer(421, headers=[("X-Replica-Id", self.name)])
+            return
+        self.ran.append(attempt)
+        if not wanted:
+            request.answer_json(200, {"by": self.name, "echo": request.body.decode()}, seal)
+            return
+        request.send_response(200)
+        for name, value in [*seal, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+            request.send_header(name, value)
+        request.end_headers()
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, self.events + 1):
+            time.sleep(self.event_seconds)
+            event = b"id: %d\ndata: %s\n\n" % (number, attempt.encode())
+            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            request.wfile.flush()
+        request.wfile.write(b"0\r\n\r\n")
+
+
+def configuration(version, routes_to="llm"):
+    stream = {"name": "r1", "host": "h.example", "path_prefix": "/gen/", "type": "streaming", "timeout_ms": 8000, "target_latency_ms": 800}
+    stream |= {"priority": 0, "service": routes_to, "max_attempts": 2, "session_affinity": True, "resumable": True, "target_itl_ms": 600}
+    plain = {"name": "r2", "host": "h.example", "path_prefix": "/book/", "type": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 300}
+    plain |= {"priority": 2, "service": "shop", "max_attempts": 1}
+    runtime = {"slots": 8, "kv_capacity": 1000, "weights_mb": 70000.0, "max_adapters": 4, "loads_per_s": 5.0}
+    runtime["models"] = [{"name": "base", "weights_mb": 65000.0, "load_time_s": 2.0, "adapters": 100, "adapter_mb": 12.0, "disk_load_s": 1.0}]
+    services = [{"name": "llm", "health_path": "/healthz", "max_connections": 200, "protocol": "h1", "tls": False, "runtime": runtime}]
+    services.append({"name": "shop", "health_path": "/healthz", "max_connections": 100, "protocol": "h1", "tls": False})
+    limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+    return {"version": version, "routes": [stream, plain], "services": services, "limits": limits}
--- /dev/null
+++ b/tests/hosted/hostedtest.py
@@ -0,0 +1,311 @@
+"""Hosted daemons as real processes against the stand-ins of the platform (standins/hosting). Usage: hostedtest.py BAOBABSTALLD [NAME...]"""
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "standins" / "hosting"))
+from hosting import Replica, Store, configuration  # noqa: E402
+
+DAEMON = None
+LEASE_MS = 1500
+PATIENCE_SECONDS = 20  # longest wait for something that must happen; only a failing test reaches it
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(condition, seconds=PATIENCE_SECONDS):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+class Host:
+    def __init__(self, number, store, folder, more=None):
+        self.name = "entry-%d" % number
+        self.callers, self.peers, self.operators = ("127.0.0.1:%d" % free_port() for _ in range(3))
+        settings = {
+            "host": self.name,
+            "zone": "a",
+            "region": "local",
+            "listen": {"callers": self.callers, "peers": self.peers, "operators": self.operators},
+            "platform": {"address": store.address},
+            "ownership": {"handover_delay_ms": 60000, "claim_delay_ms": 600, "lease_wait_ms": LEASE_MS, "minority_delay_ms": 3000},
+            "logging": {"file": "-"},
+            "hosting": {"lease_ms": LEASE_MS, "grace_s": 6},
+        }
+        settings.update(more or {})
+        self.settings = folder / (self.name + ".json")
+        self.settings.write_text(json.dumps(settings))
+        self.process = None
+        self.log = []
+        self.reads_log = True
+
+    def start(self):
+        self.process = subprocess.Popen([DAEMON, "--hosted", "--settings", str(self.settings)], stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        if self.reads_log:
+            threading.Thread(target=self.read_log, args=(self.process.stdout,), daemon=True).start()
+
+    def read_log(self, stream):
+        for line in stream:
+            self.log.append(json.loads(line))
+
+    def events(self, name):
+        return [line for line in self.log if line["event"] == name]
+
+    def ready(self):
+        return ask(self.operators, "GET", "/any/readyz")[0] == 200
+
+    def end(self, number, seconds=10):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(number)
+            self.process.wait(seconds)
+        return self.process.returncode if self.process else None
+
+
+def ask(address, method, target, headers=None, body=None, timeout=10):
+    """Status, headers and body; status 0 when there was no whole answer."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, target, body=body, headers=headers or {})
+        answer = connection.getresponse()
+        return answer.status, answer.headers, answer.read()
+    except (OSError, http.client.HTTPException):
+        return 0, {}, b""
+    finally:
+        connection.close()
+
+
+class Hosted(unittest.TestCase):
+    HOSTS = 2
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = Store()
+        self.store.put("keyed.op", "config", configuration(3))
+        self.replicas = [Replica(self.store, "i-llm%d" % n, "llm", "a", model="base") for n in range(2)]
+        self.shop = Replica(self.store, "i-shop", "shop", "a")
+        self.hosts = [Host(n + 1, self.store, pathlib.Path(self.folder.name)) for n in range(self.HOSTS)]
+        self.count = 0
+
+    def tearDown(self):
+        for host in self.hosts:
+            host.end(signal.SIGKILL)
+            for stream in (host.process.stdout, host.process.stderr) if host.process else ():
+                stream.close()
+        violations = [violation for replica in self.replicas for violation in replica.violations]
+        for server in (*self.replicas, self.shop, self.store):
+            server.close()
+        self.folder.cleanup()
+        self.assertEqual(violations, [])
+
+    def start_all(self):
+        for host in self.hosts:
+            host.start()
+        self.assertTrue(wait_until(lambda: all(host.ready() for host in self.hosts)), "not ready")
+        self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts)), "no generation served")
+
+    def generate(self, host, adapter, timeout=10):
+        self.count += 1
+        attempt = "q%d" % self.count
+        headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
+        status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt", timeout)
+        return status, answer_headers, body, attempt
+
+    def book(self, host, attempt=None, timeout=5):
+        self.count += 1
+        attempt = attempt or "b%d" % self.count
+        return ask(host.callers, "POST", "/book/x", {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "1500"}, b"seat 4", timeout)
+
+    def whole_stream(self, attempt):
+        return b"".join(b"id: %d\ndata: %s\n\n" % (number, attempt.encode()) for number in range(1, 9))
+
+    def test_streams_and_calls_are_served_whole_through_each_host(self):
+        self.start_all()
+        for host in self.hosts:
+            for adapter in ("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9"):
+                status, headers, body, attempt = self.generate(host, adapter)
+                self.assertEqual((status, headers["X-Response-Seal"], body), (200, "seal-of-" + attempt, self.whole_stream(attempt)))
+            status, headers, body = self.book(host)
+            self.assertEqual((status, json.loads(body)["echo"]), (200, "seat 4"))
+        for replica in self.replicas:
+            self.assertLessEqual(len({order[1] for order in replica.orders}), 1, "one holder of orders for a replica")
+        self.assertEqual(ask(self.hosts[0].callers, "GET", "/none/", {"Host": "h.example", "X-Attempt-Id": "n"})[0], 404)
+
+    def test_many_at_once_keep_to_the_places_and_nobody_gets_anothers_answer(self):
+        self.start_all()
+        wrong = []
+
+        def work(host, first):
+            for step in range(12):
+                status, _headers, body, attempt = self.generate(host, "a%d" % (first + step % 7))
+                if status == 200 and body != self.whole_stream(attempt):
+                    wrong.append(attempt)
+                if status not in (200, 503):
+                    wrong.append((attempt, status))
+
+        # Attempts are numbered without a lock, so each thread needs numbers of its own.
+        self.generate_lock = threading.Lock()
+        plain = self.generate
+        def locked(host, adapter, timeout=10):
+            with self.generate_lock:
+                self.count += 1
+                attempt = "m%d" % self.count
+            headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
+            status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt", timeout)
+            return status, answer_headers, body, attempt
+        self.generate = locked
+        threads = [threading.Thread(target=work, args=(self.hosts[n % 2], n * 3)) for n in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.generate = plain
+        self.assertEqual(wrong, [])
+
+    def test_orders_move_to_another_host_only_a_lease_after_their_holder_was_killed(self):
+        self.start_all()
+        holders = {replica.name: replica.orders[-1][1] for replica in self.replicas if replica.orders}
+        victim = next(host for host in self.hosts if host.name in holders.values())
+        other = next(host for host in self.hosts if host is not victim)
+        moved = [replica for replica in self.replicas if holders.get(replica.name) == victim.name]
+        killed_at = time.monotonic()
+        victim.end(signal.SIGKILL)
+        number = [0]
+
+        def served_everywhere():
+            number[0] += 1
+            self.generate(other, "k%d" % number[0])
+            return all(replica.orders[-1][1] == other.name for replica in moved)
+
+        self.assertTrue(wait_until(served_everywhere), "the other host never ordered")
+        for replica in moved:
+            before = [order for order in replica.orders if order[1] == victim.name][-1]
+            after = next(order for order in replica.orders if order[1] == other.name)
+            self.assertGreater(after[2], before[2], "the fencing number rises")
+            self.assertGreaterEqual(after[0] - before[0], LEASE_MS / 1000, "a lease lies between two holders")
+            self.assertGreaterEqual(after[0], killed_at)
+
+    def test_a_store_that_is_down_stops_no_request_and_a_host_that_starts_meanwhile_refuses_with_a_promise(self):
+        self.start_all()
+        self.store.down = True
+        self.assertTrue(wait_until(lambda: any(host.events("store_lost") for host in self.hosts)))
+        for host in self.hosts:
+            self.assertEqual(self.generate(host, "a1")[0], 200)
+            self.assertEqual(self.book(host)[0], 200)
+        restarted = self.hosts[0]
+        restarted.end(signal.SIGKILL)
+        restarted.start()
+        self.assertTrue(wait_until(lambda: ask(restarted.operators, "GET", "/readyz")[0] == 503))
+        status, headers, _body = self.book(restarted, attempt="early")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertNotIn("early", self.shop.ran)
+        self.store.down = False
+        self.assertTrue(wait_until(restarted.ready))
+        self.assertEqual(self.book(restarted)[0], 200)
+        self.assertTrue(any(host.events("store_regained") for host in self.hosts))
+
+    def test_a_planned_stop_lets_streams_end_and_leaves_with_zero(self):
+        self.start_all()
+        for replica in self.replicas:
+            replica.event_seconds = 0.25
+        results = []
+        threads = [threading.Thread(target=lambda: results.append(self.generate(self.hosts[0], "a1")))]
+        threads[0].start()
+        time.sleep(0.4)
+        self.hosts[0].process.send_signal(signal.SIGTERM)
+        self.assertTrue(wait_until(lambda: not self.hosts[0].ready(), 1), "not ready at once")
+        self.assertEqual(self.book(self.hosts[0])[0], 200, "what still comes is served")
+        for thread in threads:
+            thread.join()
+        self.assertEqual([(status, body == self.whole_stream(attempt)) for status, _headers, body, attempt in results], [(200, True)])
+        self.assertEqual(self.hosts[0].process.wait(10), 0)
+
+    def test_a_new_configuration_is_in_force_everywhere_and_never_goes_back(self):
+        self.start_all()
+        self.store.put("keyed.op", "config", configuration(9, routes_to="elsewhere"))
+        self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 503 for host in self.hosts), 3))
+        self.store.put("keyed.op", "config", configuration(7))
+        time.sleep(1.5)
+        self.assertTrue(all(self.generate(host, "a1")[0] == 503 for host in self.hosts))
+        self.store.put("keyed.op", "config", b"{not json")
+        self.store.put("keyed.op", "config", configuration(12))
+        self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts), 3))
+
+    def test_a_leaving_replica_gets_nothing_more_and_bad_records_name_none(self):
+        self.start_all()
+        self.store.put("keyed.servers", "i-ghost", b"\xff\xfe nothing")
+        self.store.put("keyed.servers", "i-odd", {"service": "llm", "state": "resting"})
+        self.replicas[0].register("draining")
+        time.sleep(2.0)
+        before = len(self.replicas[0].ran)
+        self.assertTrue(wait_until(lambda: self.generate(self.hosts[0], "a1")[0] == 200))
+        for number in range(10):
+            self.generate(self.hosts[number % 2], "a%d" % number)
+        self.replicas[0].register("ready")  # an old record
+        time.sleep(1.5)
+        for number in range(10):
+            self.generate(self.hosts[number % 2], "a%d" % number)
+        self.assertEqual(len(self.replicas[0].ran), before)
+        self.assertTrue(wait_until(lambda: any(host.events("record_unreadable") for host in self.hosts), 3))
+
+    def test_an_unread_standard_output_stops_nothing(self):
+        for host in self.hosts:
+            host.reads_log = False
+        self.start_all()
+        seconds = float(os.environ.get("UNREAD_SECONDS", "6"))
+        until = time.monotonic() + seconds
+        served = 0
+        while time.monotonic() < until:
+            for host in self.hosts:
+                begin = time.monotonic()
+                self.assertEqual(self.book(host)[0], 200)
+                self.assertLess(time.monotonic() - begin, 1)
+                served += 1
+        self.assertGreater(served, 200)
+
+    def test_settings_that_turn_wrong_keep_what_is_in_force_and_are_told(self):
+        self.start_all()
+        host = self.hosts[0]
+        right = host.settings.read_text()
+        host.settings.write_text(right.replace('"retry', '"retri').replace('"grace_s": 6', '"grace_s": "long"'))
+        host.process.send_signal(signal.SIGHUP)
+        self.assertTrue(wait_until(lambda: host.events("settings_wrong"), 5))
+        self.assertIn("hosting.grace_s", host.events("settings_wrong")[0]["reason"])
+        host.settings.write_text(right + "\n")  # changes without a signal
+        self.assertTrue(wait_until(lambda: host.events("reloaded"), 6))
+        self.assertEqual(self.book(host)[0], 200)
+
+    def test_metrics_have_a_bounded_number_of_series_whatever_callers_send(self):
+        self.start_all()
+        host = self.hosts[0]
+        for number in range(60):
+            ask(host.callers, "GET", "/x%d/" % number, {"Host": "h%d" % number, "X-Attempt-Id": "s%d" % number})
+            self.generate(host, "z%d" % number if number % 10 == 0 else "a1")
+        series = [line for line in ask(host.operators, "GET", "/metrics")[2].decode().splitlines() if line and not line.startswith("#")]
+        for number in range(60, 120):
+            ask(host.callers, "GET", "/x%d/" % number, {"Host": "h%d" % number, "X-Attempt-Id": "s%d" % number})
+        more = [line for line in ask(host.operators, "GET", "/metrics")[2].decode().splitlines() if line and not line.startswith("#")]
+        self.assertLessEqual(len(more), len(series) + 3)
+
+
+if __name__ == "__main__":
+    DAEMON = sys.argv.pop(1)
+    unittest.main(verbosity=2, warnings="ignore")
