Take a load under way for what was ordered; a story of one request; closed labels; gains count at once

After a restart an owner answered that it owns nothing until its next tick, and was left alone for 0.8 s.

--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -440,7 +440,7 @@
         if (verdict.kind == lists::Verdict::Kind::Accepted) {
             node_.log.info("list_in_force", {{"list", lists::listText(*verdict.list)}, {"version", verdict.version}, {"by", verdict.by}});
         } else if (verdict.kind == lists::Verdict::Kind::Rejected) {
-            node_.metrics.listRejections.add({verdict.reason});
+            node_.metrics.listRejections.add({verdict.list ? lists::listText(*verdict.list) : std::string_view("unreadable")});
             node_.log.warn("list_rejected", {{"offset", record.offset}, {"reason", verdict.reason}});
         }
     };
--- a/packages/logging/logging.cpp
+++ b/packages/logging/logging.cpp
@@ -101,6 +101,8 @@
     return "baobabstall." + std::to_string(++opened);
 }
 
+std::atomic<std::uint64_t> droppedInAll = 0; // of the process: there is one standard output
+
 /// Standard output without ever waiting for its reader. What does not fit is kept up to a bound, then dropped and counted.
 class BoundedOutput final : public log4cplus::Appender
 {
@@ -127,6 +129,7 @@
         const auto &line = event.getMessage();
         if (left < 1 || waiting_.size() + line.size() > maxWaitingBytes) {
             ++dropped_.at(isSevere ? 1 : 0);
+            ++droppedInAll;
             return;
         }
         left -= 1;
@@ -235,6 +238,11 @@
     }
 }
 
+std::uint64_t Log::droppedLines()
+{
+    return droppedInAll;
+}
+
 bool Log::isOn(Level level) const
 {
     return target_->logger.isEnabledFor(levelOf(level));
--- a/packages/logging/logging.h
+++ b/packages/logging/logging.h
@@ -112,6 +112,7 @@
     void error(std::string_view event, const core::Error &why, Fields fields = {}) const { write(Level::Error, event, &why, fields); }
     void info(std::string_view event, const core::Error &why, Fields fields = {}) const { write(Level::Info, event, &why, fields); }
 
+    [[nodiscard]] static std::uint64_t droppedLines(); // to standard output, since the process began
     [[nodiscard]] bool isOn(Level level) const; // to save the work for a line that is not written
 
 private:
--- a/packages/metrics/metrics.h
+++ b/packages/metrics/metrics.h
@@ -62,7 +62,7 @@
     // Control.
     Gauge &listVersion;        // list ("customers", "plans"): offset of the version in force
     Gauge &listSince;          // list: unix time since when it is in force here
-    Counter &listRejections;   // reason
+    Counter &listRejections;   // list ("customers", "plans", "unreadable"); the reason is in the log
     Gauge &ownedThings;        // kind ("engine", "calls", "loads")
     Counter &ownershipChanges; // kind, change ("claimed", "released", "superseded")
     Gauge &peers;              // state ("alive", "suspect", "dead")
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -35,7 +35,7 @@
 constexpr double crowdedEngine = 1.6;  // running for each slot; beyond it a request would wait longer than most objectives
 constexpr Milliseconds revisionGrace{1'000}; // a newly named revision is asked for by name from here on; before it either is right
 constexpr Milliseconds crowdedRetry{300};    // Retry-After when all are crowded: some requests have ended by then
-constexpr Milliseconds unknownRetry{500};    // Retry-After when nothing can be served yet: a config read or an upstream's record later
+constexpr Milliseconds unknownRetry{1'000};  // Retry-After when nothing can be served yet: a listing of the store that failed once is read again by then
 constexpr double residencyShare = 0.85;      // of the time left that is spent on waiting for weights; the rest is for the answer
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -249,6 +249,7 @@
     metrics.callers.set({"open"}, static_cast<double>(callers_.connections()));
     metrics.callers.set({"busy"}, static_cast<double>(callers_.busy()));
     metrics.leases.set(static_cast<double>(node_.leases.size()));
+    metrics.logDropped.set(static_cast<double>(logging::Log::droppedLines()));
     if (node_.routes) {
         for (const auto &service : node_.routes->services()) {
             metrics.retryBudget.set({service.name.value()}, node_.budgetOf(service.name).left(now));
@@ -403,6 +404,9 @@
     }
     planner_.onRecords(Offset(1), next, claims);
     controlTopic_.setUrgent(!planner_.isCaughtUp());
+    if (!claims.empty() && isRunning_) { // what was gained or lost counts at once
+        carryOut(planner_.tick(node_.now()));
+    }
 }
 
 void HostedDaemon::takeAnnouncement(const StoreRecord &record)
@@ -707,13 +711,12 @@
         if (grant || why.step == Step::Load) {
             co_return grant;
         }
-        const auto until = node_.now() + ownerSilence;
-        if (why.step == Step::Peer) {
-            silentUntil_[*owner] = until;
-        } else {
-            noOrdersUntil_[replica] = until;
+        const auto now = node_.now();
+        auto &until = why.step == Step::Peer ? silentUntil_[*owner] : noOrdersUntil_[replica];
+        if (now >= until) { // others that asked at the same time say the same
+            node_.log.warn("owner_without_orders", why, {{"owner", *owner}, {"upstream", replica}});
         }
-        node_.log.warn("owner_without_orders", why, {{"owner", *owner}, {"upstream", replica}});
+        until = now + ownerSilence;
     }
     const auto *record = node_.book.find(replica); // what the upstream last said of itself is better than nothing
     const bool isHeld = record != nullptr && isHeldRecord(*record, wish.weights);
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -36,7 +36,7 @@
     , poolConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
     , callers(registry.gauge({"caller_connections", "connections of callers", {"state"}, 4}))
     , leases(registry.gauge({"residency_leases", "weights promised to this host", {}, 1}))
-    , logDropped(registry.counter({"log_lines_dropped_total", "log lines over the budget", {}, 1}))
+    , logDropped(registry.gauge({"log_lines_dropped", "log lines over the budget since the start", {}, 1}))
 { }
 
 Node::Node(boost::asio::io_context &context, const settings::Settings &all, const Codec &platformCodec, logging::Log hostLog)
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -48,7 +48,7 @@
     metrics::Gauge &poolConnections; // state
     metrics::Gauge &callers;         // state
     metrics::Gauge &leases;
-    metrics::Counter &logDropped;
+    metrics::Gauge &logDropped;
 };
 
 /// Weights that an entry may send to now.
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -332,7 +332,7 @@
     const auto &key = order.weights;
     auto &place = held_[key];
     if (outcome == OrderOutcome::Holds) {
-        place.revision = std::max({order.revision, place.revision, newest(key)});
+        place.revision = std::max(order.revision, place.revision); // not the newest known: that may have come after the order
         noteHeld(key, place, now);
         return;
     }
@@ -348,7 +348,7 @@
     place.since = now;
     place.checkAt = now + (place.isFetch ? options_.fetch : options_.nearFetch);
     place.state = State::Coming;
-    place.revision = std::max(order.revision, place.revision);
+    place.revision = std::max(std::max(order.revision, place.revision), newest(key)); // the newest is loaded when none is named
 }
 
 void Residency::noteHeld(const AdapterKey &key, Place &place, Instant now)
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -308,6 +308,22 @@
     EXPECT_EQ(order->revision, AdapterRevision(5));
 }
 
+// Found by an incident (inc-63ed): an owner took a load that was under way for the newer revision, and requests for it met 421 three times.
+TEST_F(ResidencyTest, a_revision_that_is_named_while_an_older_one_is_on_its_way_is_ordered_afterwards)
+{
+    static_cast<void>(residency_.ask(adapter("a"), {}, now_ + onTime, true, now_));
+    drive();
+    residency_.onRevision(adapter("a"), AdapterRevision(5));
+    now_ = now_ + Milliseconds(260);
+    const auto check = residency_.nextOrder(true, now_);
+    ASSERT_TRUE(check);
+    residency_.onOrder(*check, replica_.take(*check, now_), now_);
+    EXPECT_EQ(residency_.ask(adapter("a"), {}, now_ + onTime, false, now_).answer, Answer::Waiting);
+    const auto order = residency_.nextOrder(true, now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->revision, AdapterRevision(5));
+}
+
 TEST_F(ResidencyTest, base_weights_are_fetched_only_with_a_permit)
 {
     residency_.onRestart(now_);
--- a/programs/baobabstall/commands.cpp
+++ b/programs/baobabstall/commands.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <map>
 #include <random>
@@ -13,6 +14,7 @@
 #include <settings/settings.h>
 
 #include "platformsession.h"
+#include "story.h"
 #include "text.h"
 
 namespace baobabstall::cli {
@@ -598,6 +600,37 @@
 
 } // namespace
 
+namespace {
+
+ExitCode story(const Invocation &invocation, const Output &output)
+{
+    std::vector<std::string> lines;
+    const auto &arguments = invocation.arguments;
+    if (arguments.size() == 1) {
+        lines = readLines(std::cin);
+    }
+    for (std::size_t at = 1; at < arguments.size(); ++at) {
+        std::ifstream file(arguments[at]);
+        if (!file) {
+            output.err << "baobabstall: " << arguments[at] << ": can't be read\n";
+            return ExitCode::Refused;
+        }
+        const auto more = readLines(file);
+        lines.insert(lines.end(), more.begin(), more.end());
+    }
+    const auto found = storyOf(lines, arguments[0]);
+    if (!found) {
+        output.err << "baobabstall: no log line names the request " << arguments[0] << "; were the logs of all hosts given?\n";
+        return ExitCode::Refused;
+    }
+    for (const auto &line : found->lines) {
+        output.out << line.time << ' ' << line.host << (line.isOwn ? " * " : "   ") << line.event << ' ' << line.rest << '\n';
+    }
+    return ExitCode::Ok;
+}
+
+} // namespace
+
 ExitCode runCommand(const Invocation &invocation, std::ostream &out, std::ostream &err)
 {
     static const std::map<std::string, ExitCode (*)(const Invocation &, const Output &)> commands = {
@@ -607,6 +640,7 @@
         {"history", history},
         {"status", status},
         {"explain", explain},
+        {"story", story},
     };
     return commands.at(invocation.command)(invocation, Output{out, err, invocation.json});
 }
--- a/programs/baobabstall/main.cpp
+++ b/programs/baobabstall/main.cpp
@@ -29,6 +29,7 @@
   history                        the records of the lists and what became of each
   status                         what each daemon does now
   explain REQUEST-ID             the steps of a recent request
+  story REQUEST-ID [FILE...]     the same from logs of all hosts, also of hosts that are gone; without files from standard input
 
 )";
 
@@ -48,12 +49,13 @@
     const char *arguments;
 };
 
-constexpr std::array<CommandShape, 6> shapes = {{{"check", 1, 1, "FILE"},
+constexpr std::array<CommandShape, 7> shapes = {{{"check", 1, 1, "FILE"},
                                                  {"publish", 2, 2, "customers|plans FILE --by NAME"},
                                                  {"show", 0, 1, "[customers|plans]"},
                                                  {"history", 0, 0, ""},
                                                  {"status", 0, 0, ""},
-                                                 {"explain", 1, 1, "REQUEST-ID"}}};
+                                                 {"explain", 1, 1, "REQUEST-ID"},
+                                                 {"story", 1, 1'000, "REQUEST-ID [FILE...]"}}};
 
 /// Wrong use: one line that says the fix.
 struct UsageError : std::runtime_error {
@@ -91,7 +93,7 @@
 {
     const auto *const shape = std::find_if(shapes.begin(), shapes.end(), [&](const CommandShape &known) { return command == known.name; });
     if (shape == shapes.end()) {
-        throw UsageError("unknown command \"" + command + "\"; use check, publish, show, history, status or explain");
+        throw UsageError("unknown command \"" + command + "\"; use check, publish, show, history, status, explain or story");
     }
     return *shape;
 }
@@ -139,7 +141,7 @@
 {
     const auto words = values.count("words") > 0 ? values["words"].as<std::vector<std::string>>() : std::vector<std::string>();
     if (words.empty()) {
-        throw UsageError("give a command: check, publish, show, history, status or explain; --help says more");
+        throw UsageError("give a command: check, publish, show, history, status, explain or story; --help says more");
     }
     Invocation invocation;
     invocation.command = words.front();
@@ -150,7 +152,7 @@
     if (invocation.command == "publish") {
         readPublish(values, invocation);
     }
-    if (invocation.command != "check") {
+    if (invocation.command != "check" && invocation.command != "story") {
         invocation.platform = platformOf(values);
     }
     return invocation;
--- /dev/null
+++ b/programs/baobabstall/story.cpp
@@ -0,0 +1,84 @@
+#include "story.h"
+
+#include <algorithm>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+namespace baobabstall::cli {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t minuteLength = 16; // "2026-01-02T03:04": lines about upstreams count within the request's minutes
+
+std::string textOf(const json &line, const char *key)
+{
+    const auto found = line.find(key);
+    return found != line.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+StoryLine storyLineOf(const json &line, bool isOwn)
+{
+    StoryLine story{textOf(line, "time"), textOf(line, "host"), textOf(line, "event"), {}, isOwn};
+    for (const auto &[key, value] : line.items()) {
+        const bool isTold = key == "time" || key == "host" || key == "event" || key == "level" || key == "request_id";
+        const auto text = value.is_string() ? value.get<std::string>() : value.dump(-1, ' ', false, json::error_handler_t::replace);
+        if (!isTold && !text.empty()) {
+            story.rest += (story.rest.empty() ? "" : " ") + key + "=" + text;
+        }
+    }
+    return story;
+}
+
+} // namespace
+
+std::optional<Story> storyOf(const std::vector<std::string> &lines, const std::string &requestId)
+{
+    Story story;
+    std::vector<json> read;
+    std::set<std::string> upstreams;
+    std::set<std::string> minutes;
+    for (const auto &text : lines) {
+        auto line = json::parse(text, nullptr, false);
+        if (!line.is_object()) {
+            ++story.unreadable;
+            continue;
+        }
+        if (textOf(line, "request_id") == requestId) {
+            upstreams.insert(textOf(line, "upstream"));
+            minutes.insert(textOf(line, "time").substr(0, minuteLength));
+        }
+        read.push_back(std::move(line));
+    }
+    if (minutes.empty()) {
+        return std::nullopt;
+    }
+    upstreams.erase("");
+    const std::set<std::string> beliefs = {"upstream_changed", "ownership", "owner_without_orders", "report_failed", "foreign_answer"};
+    for (const auto &line : read) {
+        const bool isOwn = textOf(line, "request_id") == requestId;
+        const bool isAbout = beliefs.contains(textOf(line, "event")) && upstreams.contains(textOf(line, "upstream"))
+            && minutes.contains(textOf(line, "time").substr(0, minuteLength));
+        if (isOwn || isAbout) {
+            story.lines.push_back(storyLineOf(line, isOwn));
+        }
+    }
+    std::stable_sort(story.lines.begin(), story.lines.end(), [](const StoryLine &a, const StoryLine &b) { return a.time < b.time; });
+    return story;
+}
+
+std::vector<std::string> readLines(std::istream &in)
+{
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(in, line);) {
+        const auto begin = line.find('{');
+        if (begin != std::string::npos) {
+            lines.push_back(line.substr(begin));
+        }
+    }
+    return lines;
+}
+
+} // namespace baobabstall::cli
