--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export CCACHE_BASEDIR = $(CURDIR)
 export CCACHE_NOHASHDIR = true
 
-.PHONY: help deps build test demo bench lint format format-check sanitize soak fuzz capacity
+.PHONY: help deps build test demo bench lint names format format-check sanitize soak fuzz capacity
 
 help:           ## this list
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/ -/'
@@ -42,6 +42,11 @@
 lint: build     ## clang-tidy over all sources
 	@scripts/lint $(BUILD) $(JOBS)
 
+names:          ## names of the users' platform stay in platform/; metrics and events agree with docs/OPERATIONS.md
+	@scripts/check-names --self-test
+	@scripts/check-names
+	@scripts/check-pages
+
 format:         ## rewrite sources in the house format
 	clang-format -i $(SOURCES)
 
--- a/packages/logging/logging.h
+++ b/packages/logging/logging.h
@@ -16,8 +16,8 @@
 // can end a line or begin another.
 //
 // Limits. To standard output (file "-") lines are bounded by settings and never waited for; dropped ones are counted in a line
-// "log_lines_dropped". To standard error or a file writing is synchronous and flushed for each line; at level "debug" a busy daemon spends noticeable time on it. The
-// file is appended to and not rotated: the platform's collector does that, or use standard error. Safe to call from any thread.
+// "log_lines_dropped". To standard error or a file writing is synchronous and flushed for each line; at level "debug" a busy daemon spends noticeable time on
+// it. The file is appended to and not rotated: the platform's collector does that, or use standard error. Safe to call from any thread.
 #pragma once
 
 #include <cstdint>
@@ -113,7 +113,7 @@
     void info(std::string_view event, const core::Error &why, Fields fields = {}) const { write(Level::Info, event, &why, fields); }
 
     [[nodiscard]] static std::uint64_t droppedLines(); // to standard output, since the process began
-    [[nodiscard]] bool isOn(Level level) const; // to save the work for a line that is not written
+    [[nodiscard]] bool isOn(Level level) const;        // to save the work for a line that is not written
 
 private:
     struct Target;
--- a/packages/ownership/planner.h
+++ b/packages/ownership/planner.h
@@ -195,7 +195,7 @@
     std::uint64_t nextId_ = 1;
     std::int64_t budgetMilli_ = 0; // thousandths of an append
     std::optional<Instant> lastTick_;
-    std::optional<Instant> readySince_; // members known and stream read
+    std::optional<Instant> readySince_;   // members known and stream read
     std::map<HostId, Instant> deadSince_; // members that are dead, and since which tick
     bool caughtUp_ = false;
     int endReads_ = 0;              // since the start, the last outage or the last pause
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -194,10 +194,10 @@
 /// One read of a topic of the store, shared by the host that made it.
 struct FeedNotice {
     std::string topic;
-    std::uint64_t from = 0;   // offset of the first record
-    std::uint64_t first = 0;  // oldest that is kept
-    std::uint64_t next = 0;   // end of the topic as it was read
-    std::uint64_t readTo = 0; // where the next read goes on
+    std::uint64_t from = 0;                                   // offset of the first record
+    std::uint64_t first = 0;                                  // oldest that is kept
+    std::uint64_t next = 0;                                   // end of the topic as it was read
+    std::uint64_t readTo = 0;                                 // where the next read goes on
     std::vector<std::pair<std::string, std::string>> records; // key and value
 };
 
--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr Milliseconds acceptPause{50};   // after a failed accept, such as no free descriptor
+constexpr Milliseconds acceptPause{50};     // after a failed accept, such as no free descriptor
 constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; two pauses after which callers give up themselves
 constexpr int backlog = 1'024;
 
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -52,9 +52,9 @@
 };
 
 struct CallerServerOptions {
-    std::function<CallerLimits()> limits;                   // in force now
+    std::function<CallerLimits()> limits; // in force now
     std::function<void(int status, std::string_view reason)> onUnreadable;
-    Milliseconds bodyTimeout{10'000}; // for a whole body; the header has a limit of its own
+    Milliseconds bodyTimeout{10'000};   // for a whole body; the header has a limit of its own
     std::size_t maxConnections = 3'000; // descriptors are needed for upstreams, too
 };
 
--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -39,7 +39,8 @@
         ranked.emplace_back(core::hashText(each.replica->id.value(), wanted.home), &each);
     }
     const auto count = std::min(options_.homes, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
     std::vector<const Candidate *> homes;
     for (std::size_t i = 0; i < count; ++i) {
         homes.push_back(ranked[i].second);
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -34,18 +34,18 @@
 };
 
 struct ChooserOptions {
-    std::size_t homes = 8;           // upstreams considered for one adapter; the hottest gets a fifth of all requests (Zipf 1.2)
-    double homeCost = 12;            // ms; each place further down the order of homes
-    double missingCost = 130;        // ms; the adapter has to be fetched: half of a full fetch, as most are held close by
-    double noOwnerCost = 600;        // ms; nobody can order it there at present
-    double failureCost = 900;        // ms; at a share of failures of 1
-    double otherZoneCost = 2;        // ms; the way to another zone and back
-    double fillCost = 60;            // ms; a full batch against an empty one: steps are slower
-    double crowdedFill = 0.8;        // of the slots; beyond it requests begin to queue
-    double crowdedCost = 2'000;      // ms for each further batch
-    Milliseconds block{400};         // after silence; doubles up to longestBlock
+    std::size_t homes = 8;      // upstreams considered for one adapter; the hottest gets a fifth of all requests (Zipf 1.2)
+    double homeCost = 12;       // ms; each place further down the order of homes
+    double missingCost = 130;   // ms; the adapter has to be fetched: half of a full fetch, as most are held close by
+    double noOwnerCost = 600;   // ms; nobody can order it there at present
+    double failureCost = 900;   // ms; at a share of failures of 1
+    double otherZoneCost = 2;   // ms; the way to another zone and back
+    double fillCost = 60;       // ms; a full batch against an empty one: steps are slower
+    double crowdedFill = 0.8;   // of the slots; beyond it requests begin to queue
+    double crowdedCost = 2'000; // ms for each further batch
+    Milliseconds block{400};    // after silence; doubles up to longestBlock
     Milliseconds longestBlock{4'000};
-    Milliseconds fullBlock{60};      // after "no room": about one step of a plain service's queue
+    Milliseconds fullBlock{60}; // after "no room": about one step of a plain service's queue
     Milliseconds healthHalfLife{3'000};
     Milliseconds othersValid{1'500}; // counts told by others; older ones are replaced by a guess
 };
@@ -53,8 +53,8 @@
 /// One upstream that could take the request.
 struct Candidate {
     const ReplicaRecord *replica = nullptr;
-    bool isReady = true;   // the weights are held there, as far as is known
-    bool canFetch = true;  // somebody can order them there
+    bool isReady = true;  // the weights are held there, as far as is known
+    bool canFetch = true; // somebody can order them there
 };
 
 struct Wanted {
--- a/packages/serving/events.h
+++ b/packages/serving/events.h
@@ -34,7 +34,7 @@
 
 private:
     std::string buffer_;
-    std::size_t at_ = 0;      // begin of what was not given out
+    std::size_t at_ = 0;       // begin of what was not given out
     std::size_t searched_ = 0; // no event ends before it
 };
 
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -20,8 +20,8 @@
 namespace baobabstall::serving {
 
 struct FollowOptions {
-    Milliseconds wait{0};  // how long the store holds a read until there is a record; 0: answers at once
-    Milliseconds pause{0}; // between two reads
+    Milliseconds wait{0};      // how long the store holds a read until there is a record; 0: answers at once
+    Milliseconds pause{0};     // between two reads
     Milliseconds stagger{200}; // longer for each host of a lower rank: a read, a page on its way and a busy host
     int lastRank = 4;          // ranks beyond wait no longer, so that the age of what is known stays bounded
 };
@@ -52,7 +52,7 @@
         isHurried_ = true;
         timer_.cancel();
     }
-    [[nodiscard]] std::string_view name() const; // of the topic, the same on all hosts
+    [[nodiscard]] std::string_view name() const;            // of the topic, the same on all hosts
     [[nodiscard]] bool isKnown() const { return isKnown_; } // a listing was read
     [[nodiscard]] bool isReached() const { return isReached_; }
     [[nodiscard]] Instant readAt() const { return readAt_; }
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -26,13 +26,13 @@
 
 constexpr std::size_t chunkBytes = 16 * 1024;
 constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024; // of an answer that is not a stream; over it the answer counts as cut
-constexpr int maxChoices = 8;          // of an upstream for one request, sends and others
-constexpr int maxForeignAnswers = 2;   // answers to other requests that are read past before a connection counts as out of step
-constexpr Milliseconds leastTime{5};   // left of a request's time; with less a send is no real try
-constexpr double patienceShare = 0.75; // of the objective; a silent upstream is given up then, if the request may go elsewhere
-constexpr double streamPatienceShare = 1.2; // the same for streams: a long prompt may take its objective to read
+constexpr int maxChoices = 8;                            // of an upstream for one request, sends and others
+constexpr int maxForeignAnswers = 2;                     // answers to other requests that are read past before a connection counts as out of step
+constexpr Milliseconds leastTime{5};                     // left of a request's time; with less a send is no real try
+constexpr double patienceShare = 0.75;                   // of the objective; a silent upstream is given up then, if the request may go elsewhere
+constexpr double streamPatienceShare = 1.2;              // the same for streams: a long prompt may take its objective to read
 constexpr Milliseconds leastPatience{250};
-constexpr double crowdedEngine = 1.6;  // running for each slot; beyond it a request would wait longer than most objectives
+constexpr double crowdedEngine = 1.6;        // running for each slot; beyond it a request would wait longer than most objectives
 constexpr Milliseconds revisionGrace{1'000}; // a newly named revision is asked for by name from here on; before it either is right
 constexpr Milliseconds crowdedRetry{300};    // Retry-After when all are crowded: some requests have ended by then
 constexpr Milliseconds unknownRetry{1'000};  // Retry-After when nothing can be served yet: a listing of the store that failed once is read again by then
@@ -49,7 +49,8 @@
 {
     constexpr double msPerSecond = 1'000;
     std::array<char, 32> text{};
-    const auto [end, failed] = std::to_chars(text.data(), text.data() + text.size(), static_cast<double>(time.count()) / msPerSecond, std::chars_format::fixed, 3);
+    const auto [end, failed]
+        = std::to_chars(text.data(), text.data() + text.size(), static_cast<double>(time.count()) / msPerSecond, std::chars_format::fixed, 3);
     return {text.data(), end};
 }
 
@@ -129,7 +130,8 @@
         for (const auto &id : node_.book.usable(*service_)) {
             const auto *record = node_.book.find(id);
             const bool isTried = std::find(passed_.begin(), passed_.end(), id) != passed_.end();
-            const bool isFull = spec_ != nullptr && spec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare() && node_.chooser.own(id) >= connectionShare();
+            const bool isFull
+                = spec_ != nullptr && spec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare() && node_.chooser.own(id) >= connectionShare();
             if (isTried || isFull) {
                 continue;
             }
@@ -260,7 +262,8 @@
             // Another home would fetch the same weights once more. It is asked only where nobody could be.
             isFinal_ = why.step == Step::Load;
             retryAfter_ = why.retryAfter;
-            node_.log.info("weights_not_held", why, {{"request_id", facts_.id}, {"upstream", replica.id}, {"adapter", facts_.weights.text()}, {"waited_ms", took}});
+            node_.log.info(
+                "weights_not_held", why, {{"request_id", facts_.id}, {"upstream", replica.id}, {"adapter", facts_.weights.text()}, {"waited_ms", took}});
             co_return false;
         }
         if (grant->until > now) {
@@ -303,7 +306,8 @@
         }
         upstream_ = replica.id;
         if (!connection) {
-            connection = co_await node_.pool.open(replica.id, replica.address, [this](const ConnectionPtr &opening) { connection_ = opening; }, why);
+            connection = co_await node_.pool.open(
+                replica.id, replica.address, [this](const ConnectionPtr &opening) { connection_ = opening; }, why);
             connection_ = nullptr;
             if (!connection) {
                 passed_.push_back(replica.id);
@@ -359,7 +363,8 @@
     void setPatience()
     {
         isImpatient_ = false;
-        const auto objective = Milliseconds(static_cast<std::int64_t>(static_cast<double>(route_->objective.count()) * (route_->isStream ? streamPatienceShare : patienceShare)));
+        const auto objective = Milliseconds(
+            static_cast<std::int64_t>(static_cast<double>(route_->objective.count()) * (route_->isStream ? streamPatienceShare : patienceShare)));
         const auto until = node_.now() + std::max(leastPatience, objective);
         if (route_->repeat == Repeat::Nothing || until >= limit_) {
             watchdog_.arm(limit_, [this] { onLimit(); });
@@ -486,7 +491,8 @@
 
     [[nodiscard]] bool canRepeatFailed()
     {
-        return static_cast<int>(sentTo_.size()) < route_->maxReplicas && node_.budgetOf(*service_).left(node_.now()) >= 1 && candidates().size() > 1 && !isOver();
+        return static_cast<int>(sentTo_.size()) < route_->maxReplicas && node_.budgetOf(*service_).left(node_.now()) >= 1 && candidates().size() > 1
+            && !isOver();
     }
 
     net::Task<bool> takeNotRun(const ReplicaRecord &replica, Parser &parser, int status)
@@ -685,7 +691,12 @@
     {
         const bool wasSent = !connection_ || connection_->isWriting || connection_->written > 0 || !connection_->writeError;
         const bool isCallers = isGone_ || caller_.isGone() || isLate_;
-        noteSend(replica, isCallers ? SendEnd::Abandoned : isImpatient_ ? SendEnd::Silent : SendEnd::Failed, "cut", isImpatient_ ? "no answer in time" : reason);
+        noteSend(replica,
+                 isCallers          ? SendEnd::Abandoned
+                     : isImpatient_ ? SendEnd::Silent
+                                    : SendEnd::Failed,
+                 "cut",
+                 isImpatient_ ? "no answer in time" : reason);
         releaseConnection(false);
         if (wasSent) {
             unknown_ = true;
@@ -696,10 +707,7 @@
         return false;
     }
 
-    void finishGone()
-    {
-        reason_ = "caller_gone";
-    }
+    void finishGone() { reason_ = "caller_gone"; }
 
     net::Task<void> giveUp()
     {
@@ -718,7 +726,8 @@
         if (unknown_) {
             co_await refuse(isTimeUp ? 504 : 502, isTimeUp ? "deadline" : refusal_, std::nullopt);
         } else {
-            co_await refuse(503, isTimeUp ? "deadline" : refusal_, retryAfter_.value_or(refusal_ == std::string_view("no_upstream") ? unknownRetry : crowdedRetry));
+            co_await refuse(
+                503, isTimeUp ? "deadline" : refusal_, retryAfter_.value_or(refusal_ == std::string_view("no_upstream") ? unknownRetry : crowdedRetry));
         }
     }
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -25,25 +25,24 @@
 constexpr Milliseconds housekeepingInterval{500}; // idle connections, ended leases, lapsed records
 constexpr Milliseconds operatorsWait{900};        // a waiting read can miss a record (seen on trouble-1); half of the bound on configurations, 2 s
 constexpr Milliseconds controlWait{900};
-constexpr Milliseconds upstreamsPause{800};       // with the last rank's stagger below the bound on leaving upstreams, 2 s
-constexpr std::size_t mostSharers = 8;            // hosts that share reads: each page goes to all of them
+constexpr Milliseconds upstreamsPause{800};         // with the last rank's stagger below the bound on leaving upstreams, 2 s
+constexpr std::size_t mostSharers = 8;              // hosts that share reads: each page goes to all of them
 constexpr std::size_t mostSharedBytes = 256 * 1024; // a larger page is read by each host itself
-constexpr Milliseconds claimPatience{300};        // between tries to write the links' key or this host's address
-constexpr Milliseconds peerAnswerSlack{50};       // an owner's answer on its way
-constexpr Milliseconds firstAnswer{200};          // of an owner to an ask: that it is held, or waited for; some round trips and a busy host
-constexpr Milliseconds ownerSilence{800};         // an owner that did not answer or could not order is not asked again for so long
-constexpr Milliseconds claimAgain{25};            // a read of the store (4 ms an answer) and its way
-constexpr Milliseconds claimSpread{8};            // for each host: an append and the read that others need before their next
-constexpr Milliseconds claimTime{1'500};          // Retry-After while nobody owns an upstream: a claim, and most of a lease
-constexpr Milliseconds balancerNotice{2'600};     // until the balancer has seen two failed checks, one a second
-constexpr Milliseconds stopMargin{600};           // before the platform's SIGKILL
-constexpr Milliseconds drainCheck{20};            // while stopping
-constexpr Milliseconds releaseWait{500};          // for the last records of a stopping host; a store that is away does not delay the end
+constexpr Milliseconds claimPatience{300};          // between tries to write the links' key or this host's address
+constexpr Milliseconds peerAnswerSlack{50};         // an owner's answer on its way
+constexpr Milliseconds firstAnswer{200};            // of an owner to an ask: that it is held, or waited for; some round trips and a busy host
+constexpr Milliseconds ownerSilence{800};           // an owner that did not answer or could not order is not asked again for so long
+constexpr Milliseconds claimAgain{25};              // a read of the store (4 ms an answer) and its way
+constexpr Milliseconds claimSpread{8};              // for each host: an append and the read that others need before their next
+constexpr Milliseconds claimTime{1'500};            // Retry-After while nobody owns an upstream: a claim, and most of a lease
+constexpr Milliseconds balancerNotice{2'600};       // until the balancer has seen two failed checks, one a second
+constexpr Milliseconds stopMargin{600};             // before the platform's SIGKILL
+constexpr Milliseconds drainCheck{20};              // while stopping
+constexpr Milliseconds releaseWait{500};            // for the last records of a stopping host; a store that is away does not delay the end
 
 constexpr std::string_view linksKey = "key";
 constexpr std::string_view hostPrefix = "host/";
 
-
 bool isHeldRecord(const ReplicaRecord &record, const AdapterKey &weights)
 {
     for (const auto &model : record.models) {
@@ -62,7 +61,12 @@
 
 } // namespace
 
-HostedDaemon::HostedDaemon(asio::io_context &io, const settings::Settings &settings, const Codec &codec, StoreLike &store, core::Incarnation incarnation, logging::Log log)
+HostedDaemon::HostedDaemon(asio::io_context &io,
+                           const settings::Settings &settings,
+                           const Codec &codec,
+                           StoreLike &store,
+                           core::Incarnation incarnation,
+                           logging::Log log)
     : node_(io, settings, codec, std::move(log))
     , store_(store)
     , orders_(io)
@@ -480,7 +484,8 @@
             continue;
         }
         const nlohmann::json value = {{"peers", node_.settings.listen.peers}, {"zone", node_.settings.zone.value()}, {"incarnation", incarnation_.value()}};
-        const auto outcome = co_await store_.append(Topic::Control, {{std::string(hostPrefix) + node_.settings.host.value(), value.dump()}}, Offset(0), offset, why);
+        const auto outcome
+            = co_await store_.append(Topic::Control, {{std::string(hostPrefix) + node_.settings.host.value(), value.dump()}}, Offset(0), offset, why);
         node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
         isAnnounced_ = outcome == AppendOutcome::Done;
         if (!isAnnounced_) {
@@ -503,8 +508,9 @@
     isAppending_ = false;
     node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
     constexpr std::array<std::string_view, 4> texts = {"done", "conflict", "refused", "unknown"};
-    node_.log.info("claims_written",
-                   {{"records", records.size()}, {"outcome", texts.at(static_cast<std::size_t>(outcome))}, {"read_to", records.front().readTo}, {"offset", offset}});
+    node_.log.info(
+        "claims_written",
+        {{"records", records.size()}, {"outcome", texts.at(static_cast<std::size_t>(outcome))}, {"read_to", records.front().readTo}, {"offset", offset}});
     for (const auto &record : records) {
         if (outcome == AppendOutcome::Done) {
             planner_.onAppended(record.id);
@@ -707,7 +713,9 @@
     why = Error{.step = Step::Peer, .peer = owner ? owner->value() : std::string(), .reason = "no host that can be reached owns the upstream"};
     if (owner && links_ && canOrder(replica)) {
         const bool isHere = *owner == node_.settings.host;
-        const auto grant = isHere ? co_await ensureHere(wish, [](Milliseconds) {}, why) : co_await ensureThere(*owner, wish, why);
+        const auto grant = isHere ? co_await ensureHere(
+                               wish, [](Milliseconds) {}, why)
+                                  : co_await ensureThere(*owner, wish, why);
         if (grant || why.step == Step::Load) {
             co_return grant;
         }
@@ -725,8 +733,7 @@
 }
 
 /// Error: step Peer when the owner did not answer, else why it could not.
-net::Task<std::optional<ResidencyGrant>>
-HostedDaemon::ensureThere(HostId owner, ResidencyWish wish, Error &why)
+net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensureThere(HostId owner, ResidencyWish wish, Error &why)
 {
     const auto begin = node_.now();
     const auto &weights = wish.weights;
@@ -750,8 +757,7 @@
     }
 }
 
-net::Task<std::optional<ResidencyGrant>>
-HostedDaemon::ensureHere(ResidencyWish wish, OnWaiting onWaiting, Error &why)
+net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensureHere(ResidencyWish wish, OnWaiting onWaiting, Error &why)
 {
     const auto found = owned_.find(wish.replica);
     if (found == owned_.end()) {
@@ -853,7 +859,8 @@
     }
     const auto rankFor = [&](std::string_view topic) {
         const auto weight = [&](const HostId &host) { return core::rendezvousWeight(topic, host.value()); };
-        return static_cast<int>(std::count_if(sharers_.begin(), sharers_.end(), [&](const HostId &host) { return weight(host) > weight(node_.settings.host); }));
+        return static_cast<int>(
+            std::count_if(sharers_.begin(), sharers_.end(), [&](const HostId &host) { return weight(host) > weight(node_.settings.host); }));
     };
     operatorsTopic_.setRank(rankFor(topicNames[0].second));
     upstreamsTopic_.setRank(rankFor(topicNames[1].second));
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -28,7 +28,12 @@
 class HostedDaemon final : public ResidencySource
 {
 public:
-    HostedDaemon(boost::asio::io_context &io, const settings::Settings &settings, const Codec &codec, StoreLike &store, core::Incarnation incarnation, logging::Log log);
+    HostedDaemon(boost::asio::io_context &io,
+                 const settings::Settings &settings,
+                 const Codec &codec,
+                 StoreLike &store,
+                 core::Incarnation incarnation,
+                 logging::Log log);
     ~HostedDaemon() override;
 
     /// False, with the reason, when a port can't be opened.
@@ -107,8 +112,8 @@
     std::map<HostId, Instant> silentUntil_;       // owners that did not answer
     std::map<UpstreamId, Instant> noOrdersUntil_; // upstreams whose owner could not order anything
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> owned_;
-    std::vector<HostId> sharers_; // hosts that share reads of the store with this one
-    std::map<UpstreamId, RunningTable> running_; // at upstreams that this host owns
+    std::vector<HostId> sharers_;                     // hosts that share reads of the store with this one
+    std::map<UpstreamId, RunningTable> running_;      // at upstreams that this host owns
     std::map<HostId, std::set<UpstreamId>> reported_; // told to each owner the last time
     std::optional<engines::FallbackBudget> loads_;
     std::string key_;
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -80,10 +80,10 @@
 
 /// Model replicas of a service.
 struct EngineSpec {
-    int slots = 1;          // requests in one batch
-    double kvTokens = 0;    // tokens of running requests and kept prompts
-    double weightsMb = 0;   // weights and adapters together
-    int adapterPlaces = 0;  // adapters held or under way
+    int slots = 1;             // requests in one batch
+    double kvTokens = 0;       // tokens of running requests and kept prompts
+    double weightsMb = 0;      // weights and adapters together
+    int adapterPlaces = 0;     // adapters held or under way
     double loadsPerSecond = 0; // of base weights from the store, over all replicas
     std::vector<ModelSpec> models;
 };
@@ -151,11 +151,11 @@
 
 /// What an upstream's headers say of its answer.
 struct AnswerFacts {
-    RequestId id;             // empty: not said
-    bool isSealed = false;    // proves that the upstream itself made the answer
-    bool notRun = false;      // the upstream promises that the request has not run and will not
-    bool isEncoded = false;   // the body is not the upstream's own bytes
-    UpstreamId upstream;      // empty: not said
+    RequestId id;               // empty: not said
+    bool isSealed = false;      // proves that the upstream itself made the answer
+    bool notRun = false;        // the upstream promises that the request has not run and will not
+    bool isEncoded = false;     // the body is not the upstream's own bytes
+    UpstreamId upstream;        // empty: not said
     bool wrongUpstream = false; // with notRun: another replica, or other weights, than asked for
 };
 
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -29,17 +29,17 @@
     ServingMetrics();
 
     metrics::Registry registry;
-    metrics::Counter &requests;      // service, status, reason
-    metrics::Histogram &duration;    // service
-    metrics::Histogram &firstEvent;  // service
-    metrics::Histogram &eventPause;  // service
+    metrics::Counter &requests;        // service, status, reason
+    metrics::Histogram &duration;      // service
+    metrics::Histogram &firstEvent;    // service
+    metrics::Histogram &eventPause;    // service
     metrics::Histogram &residencyWait; // outcome
-    metrics::Counter &sends;         // service, outcome
-    metrics::Counter &orders;        // kind, outcome
-    metrics::Counter &storeCalls;    // call, outcome
-    metrics::Counter &unreadable;    // status
-    metrics::Counter &events;        // what changed a belief
-    metrics::Gauge &retryBudget;     // service
+    metrics::Counter &sends;           // service, outcome
+    metrics::Counter &orders;          // kind, outcome
+    metrics::Counter &storeCalls;      // call, outcome
+    metrics::Counter &unreadable;      // status
+    metrics::Counter &events;          // what changed a belief
+    metrics::Gauge &retryBudget;       // service
     metrics::Gauge &configVersion;
     metrics::Gauge &configAge;
     metrics::Gauge &upstreamsAge;
@@ -105,7 +105,7 @@
     UpstreamPool pool;
     std::map<AdapterKey, RevisionInForce> revisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> inUse; // requests of this host that run, by the weights they use
-    ResidencySource *residency = nullptr; // set before the first request
+    ResidencySource *residency = nullptr;                  // set before the first request
     int hosts = 1;
     bool isStopping = false;
 
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Milliseconds orderTimeout{150};  // an order is answered in some ms (1 to 9 on a calm day); one without an answer may still be carried out
+constexpr Milliseconds orderTimeout{150}; // an order is answered in some ms (1 to 9 on a calm day); one without an answer may still be carried out
 constexpr Milliseconds reportTimeout{800};
 constexpr Milliseconds idleLook{1'000};    // when nothing is due
 constexpr Milliseconds notActingLook{100}; // until ownership is in force, or a load permit is to be had
@@ -37,8 +37,13 @@
 
 } // namespace
 
-OwnedReplica::OwnedReplica(
-    Node &node, net::HttpClient &http, ReplicaRecord record, ResidencyOptions options, ModelSpec model, core::Epoch epoch, OwnedGuards guards)
+OwnedReplica::OwnedReplica(Node &node,
+                           net::HttpClient &http,
+                           ReplicaRecord record,
+                           ResidencyOptions options,
+                           ModelSpec model,
+                           core::Epoch epoch,
+                           OwnedGuards guards)
     : node_(node)
     , http_(http)
     , record_(std::move(record))
@@ -82,8 +87,7 @@
     }
 }
 
-net::Task<std::optional<Residency::Told>>
-OwnedReplica::ask(ResidencyWish wish, std::function<void(Milliseconds)> onWaiting, core::Error &why)
+net::Task<std::optional<Residency::Told>> OwnedReplica::ask(ResidencyWish wish, std::function<void(Milliseconds)> onWaiting, core::Error &why)
 {
     const auto self = shared_from_this();
     const auto until = node_.now() + wish.wait;
@@ -189,7 +193,8 @@
     if (residency_.holdsModel()) {
         givePermitBack();
     }
-    node_.log.info("report", {{"upstream", asked.id}, {"sequence", report->sequence}, {"places", residency_.placesTaken()}, {"holds_model", residency_.holdsModel()}});
+    node_.log.info("report",
+                   {{"upstream", asked.id}, {"sequence", report->sequence}, {"places", residency_.placesTaken()}, {"holds_model", residency_.holdsModel()}});
 }
 
 net::Task<void> OwnedReplica::send(Order order)
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -17,7 +17,7 @@
 namespace baobabstall::serving {
 
 struct OwnedGuards {
-    std::function<bool()> mayAct;                       // ownership is in force now
+    std::function<bool()> mayAct;                                 // ownership is in force now
     std::function<std::optional<std::uint64_t>()> takeLoadPermit; // for base weights from the store
     std::function<void(std::uint64_t)> returnLoadPermit;
 };
--- a/packages/serving/protocol.h
+++ b/packages/serving/protocol.h
@@ -29,9 +29,9 @@
 struct ForwardFacts {
     Milliseconds remaining;
     UpstreamId replica;
-    int priority = 0;                           // 0 to 9, 0 first
-    std::optional<AdapterRevision> revision;    // refuse any other
-    std::optional<std::uint64_t> resumeAfter;   // the last event that the caller has
+    int priority = 0;                         // 0 to 9, 0 first
+    std::optional<AdapterRevision> revision;  // refuse any other
+    std::optional<std::uint64_t> resumeAfter; // the last event that the caller has
 };
 
 /// One record of the store.
@@ -87,8 +87,8 @@
 
 struct StorePage {
     std::vector<StoreRecord> records;
-    core::Offset first; // oldest kept
-    core::Offset next;  // after the last record of the topic as it was read
+    core::Offset first;  // oldest kept
+    core::Offset next;   // after the last record of the topic as it was read
     core::Offset readTo; // where the next read goes on
 };
 
@@ -108,7 +108,8 @@
     /// Records from `from` on; waits up to `wait` for the first. Nothing and `isGone` when they have expired.
     virtual net::Task<std::optional<StorePage>> read(Topic topic, core::Offset from, Milliseconds wait, bool &isGone, core::Error &why) = 0;
     /// Writes all records or none, and only when the topic ends before `at`; at 0: wherever it ends. `offset`: of the first.
-    virtual net::Task<AppendOutcome> append(Topic topic, std::vector<std::pair<std::string, std::string>> records, core::Offset at, core::Offset &offset, core::Error &why) = 0;
+    virtual net::Task<AppendOutcome>
+    append(Topic topic, std::vector<std::pair<std::string, std::string>> records, core::Offset at, core::Offset &offset, core::Error &why) = 0;
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr std::size_t maxUsage = 4'096; // adapters whose use is remembered; over it those not used lately are forgotten
-constexpr double idleAsks = 0.05;       // decayed asks below which they count as not used lately
+constexpr std::size_t maxUsage = 4'096;  // adapters whose use is remembered; over it those not used lately are forgotten
+constexpr double idleAsks = 0.05;        // decayed asks below which they count as not used lately
 constexpr Milliseconds reportRetry{300}; // after a report that could not be read
 constexpr double msPerSecond = 1'000;
 
@@ -438,7 +438,8 @@
 
 int Residency::fetching() const
 {
-    return static_cast<int>(std::count_if(held_.begin(), held_.end(), [](const auto &each) { return each.second.state == State::Coming && each.second.isFetch; }));
+    return static_cast<int>(
+        std::count_if(held_.begin(), held_.end(), [](const auto &each) { return each.second.state == State::Coming && each.second.isFetch; }));
 }
 
 int Residency::coming() const
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -46,24 +46,24 @@
 };
 
 struct ResidencyOptions {
-    int places = 8;                  // adapters held or under way
-    int underWay = 4;                // adapters on their way to one replica at a time (platform's rule)
-    Milliseconds fetch{250};         // of an adapter from the store
-    Milliseconds nearFetch{25};      // of one that the replica held lately
-    int nearbyFactor = 6;            // adapters held lately that load fast, as a multiple of the places
-    Milliseconds shortLease{300};    // for a request to begin
-    Milliseconds longLease{3'000};   // for weights in frequent use
-    double frequentPerSecond = 0.7;  // asks a second that make weights frequent
+    int places = 8;                 // adapters held or under way
+    int underWay = 4;               // adapters on their way to one replica at a time (platform's rule)
+    Milliseconds fetch{250};        // of an adapter from the store
+    Milliseconds nearFetch{25};     // of one that the replica held lately
+    int nearbyFactor = 6;           // adapters held lately that load fast, as a multiple of the places
+    Milliseconds shortLease{300};   // for a request to begin
+    Milliseconds longLease{3'000};  // for weights in frequent use
+    double frequentPerSecond = 0.7; // asks a second that make weights frequent
     Milliseconds rateHalfLife{4'000};
-    int fetches = 2;                 // of adapters from the store for one replica at a time while the store is slow; more only slow each other down
-    double slowFetch = 1.4;          // a mean fetch at this multiple of `fetch` tells that the store is slow
-    Milliseconds recheck{20};        // at least, between looks whether a load that takes longer has ended
-    double recheckShare = 0.15;      // of the time that it has taken so far, likewise
-    int unanswered = 3;              // sends of one order without an answer, before the replica's report is read
-    Milliseconds inUse{450};         // weights that a request uses are not chosen to go so long after it was told; two reports
-    int patientConflicts = 20;       // while an unload waits for its runs; over it the replica's report is read
-    Milliseconds settle{400};        // after a disagreement, until the replica's report is as new as its last order (some hundred ms)
-    Milliseconds loadRecheck{250};   // the same for base weights
+    int fetches = 2;               // of adapters from the store for one replica at a time while the store is slow; more only slow each other down
+    double slowFetch = 1.4;        // a mean fetch at this multiple of `fetch` tells that the store is slow
+    Milliseconds recheck{20};      // at least, between looks whether a load that takes longer has ended
+    double recheckShare = 0.15;    // of the time that it has taken so far, likewise
+    int unanswered = 3;            // sends of one order without an answer, before the replica's report is read
+    Milliseconds inUse{450};       // weights that a request uses are not chosen to go so long after it was told; two reports
+    int patientConflicts = 20;     // while an unload waits for its runs; over it the replica's report is read
+    Milliseconds settle{400};      // after a disagreement, until the replica's report is as new as its last order (some hundred ms)
+    Milliseconds loadRecheck{250}; // the same for base weights
 };
 
 class Residency
@@ -80,12 +80,12 @@
 
     /// Someone wants the weights now, and is late after `onTimeBy`. Repeated asks by one waiter count once when `isNew` is false.
     [[nodiscard]] Told ask(const AdapterKey &key, AdapterRevision atLeast, Instant onTimeBy, bool isNew, Instant now);
-    void withdraw(const AdapterKey &key);                            // one waiter fewer
+    void withdraw(const AdapterKey &key); // one waiter fewer
     /// How long weights that are not held yet are expected to take, with what waits before them.
     [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key, Instant now) const;
     void onRevision(const AdapterKey &key, AdapterRevision revision); // a newer one is in force
-    void onInUse(const AdapterKey &key, Instant now);                  // requests that use it run
-    void onRestart(Instant now);                                       // holds nothing, and its counts began anew
+    void onInUse(const AdapterKey &key, Instant now);                 // requests that use it run
+    void onRestart(Instant now);                                      // holds nothing, and its counts began anew
 
     [[nodiscard]] bool needsReport(Instant now) const;
     void onReport(const ReplicaReport &report, Instant now);
@@ -110,13 +110,16 @@
         State state = State::Coming;
         AdapterRevision revision;
         Instant protectedUntil;
-        Instant checkAt; // Coming, Going: when to look whether it has ended
-        Instant since;   // Coming: when the order was accepted
-        bool isFetch = false; // Coming: from the store
+        Instant checkAt;            // Coming, Going: when to look whether it has ended
+        Instant since;              // Coming: when the order was accepted
+        bool isFetch = false;       // Coming: from the store
         bool isReplacement = false; // Coming: waits for the runs of an older revision
     };
     /// The replica refuses other orders meanwhile.
-    [[nodiscard]] static bool isWaitingForRuns(const Place &place) { return place.state == State::Going || (place.state == State::Coming && place.isReplacement); }
+    [[nodiscard]] static bool isWaitingForRuns(const Place &place)
+    {
+        return place.state == State::Going || (place.state == State::Coming && place.isReplacement);
+    }
     struct Want {
         int waiters = 0;
         Instant onTimeBy;        // of the newest waiter
@@ -171,10 +174,10 @@
     std::map<AdapterKey, Usage> usage_;
     std::deque<AdapterKey> nearby_; // held lately, newest last
     std::uint64_t wantCount_ = 0;
-    int conflicts_ = 0;  // in a row
-    int unanswered_ = 0; // sends of the last order that got no answer
+    int conflicts_ = 0;          // in a row
+    int unanswered_ = 0;         // sends of the last order that got no answer
     std::optional<Order> again_; // that order
-    double fetchMs_ = 0; // mean of recent fetches; 0: none yet
+    double fetchMs_ = 0;         // mean of recent fetches; 0: none yet
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/routes.cpp
+++ b/packages/serving/routes.cpp
@@ -26,7 +26,8 @@
         byHost_[hostName(routes[i].host)].push_back(i);
     }
     for (auto &[host, indices] : byHost_) {
-        std::stable_sort(indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) { return routes[a].pathPrefix.size() > routes[b].pathPrefix.size(); });
+        std::stable_sort(
+            indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) { return routes[a].pathPrefix.size() > routes[b].pathPrefix.size(); });
     }
 }
 
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -125,7 +125,8 @@
 
 TEST_F(ForwarderTest, a_stream_is_relayed_event_by_event)
 {
-    serve(route(Repeat::Nothing, true, 1), {{Script{{streamHead() + chunk(event(1)), chunk(event(2)) + chunk(event(3)) + streamEnd}, false, false, Milliseconds(20)}}});
+    serve(route(Repeat::Nothing, true, 1),
+          {{Script{{streamHead() + chunk(event(1)), chunk(event(2)) + chunk(event(3)) + streamEnd}, false, false, Milliseconds(20)}}});
     const auto got = send(get("q"), "\r\n0\r\n\r\n");
     EXPECT_EQ(got.status(), 200);
     EXPECT_TRUE(got.has(event(1)) && got.has(event(2)) && got.has(event(3)));
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -67,7 +67,10 @@
         std::tie(failed) = co_await connection->socket.async_connect(tcp::endpoint(ip, address.port), net::tuple);
     }
     if (failed || !connection->socket.is_open()) {
-        why = core::Error{.step = core::Step::Connect, .peer = address.text(), .reason = failed ? failed.message() : "no connection in time", .refusal = core::Refusal::Unavailable};
+        why = core::Error{.step = core::Step::Connect,
+                          .peer = address.text(),
+                          .reason = failed ? failed.message() : "no connection in time",
+                          .refusal = core::Refusal::Unavailable};
         drop(id, connection);
         co_return nullptr;
     }
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -43,10 +43,10 @@
 using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
 
 struct PoolOptions {
-    Milliseconds connectTimeout{300};   // a lost opening packet is sent again after seconds; another upstream is tried sooner
-    Milliseconds ackTimeout{1'500};     // TCP_USER_TIMEOUT: unacknowledged bytes after which a silent peer counts as gone
-    Milliseconds closeMargin{1'000};    // before the upstream's own idle limit, so that a request does not cross its close
-    Milliseconds defaultKeep{4'000};    // idle time of a connection whose upstream told none
+    Milliseconds connectTimeout{300}; // a lost opening packet is sent again after seconds; another upstream is tried sooner
+    Milliseconds ackTimeout{1'500};   // TCP_USER_TIMEOUT: unacknowledged bytes after which a silent peer counts as gone
+    Milliseconds closeMargin{1'000};  // before the upstream's own idle limit, so that a request does not cross its close
+    Milliseconds defaultKeep{4'000};  // idle time of a connection whose upstream told none
 };
 
 class UpstreamPool
--- a/packages/serving/watchdog.h
+++ b/packages/serving/watchdog.h
@@ -18,7 +18,11 @@
     explicit Watchdog(boost::asio::io_context &io)
         : state_(std::make_shared<State>(io))
     { }
-    ~Watchdog() { disarm(); state_->timer.cancel(); }
+    ~Watchdog()
+    {
+        disarm();
+        state_->timer.cancel();
+    }
     Watchdog(const Watchdog &) = delete;
     Watchdog &operator=(const Watchdog &) = delete;
 
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -63,10 +63,10 @@
 struct Ownership {
     Milliseconds handoverDelay{3'000}; // how long the preferred owner must stay the same before a live owner hands over
     int callPartitions = 64;           // partitions of the at-most-once records; the same on every daemon of a deployment
-    Milliseconds claimDelay{0};        // from the start to the first claim, for the membership to settle; 0: as handover_delay_ms. Above 0 the claims of this host's
-                                       // earlier run are renewed at once
-    Milliseconds leaseWait{0};         // a new owner acts so long after the claim when another host held the thing before
-    Milliseconds minorityDelay{0};     // a daemon that reaches no majority claims from the dead after this; 0: never
+    Milliseconds claimDelay{0}; // from the start to the first claim, for the membership to settle; 0: as handover_delay_ms. Above 0 the claims of this host's
+                                // earlier run are renewed at once
+    Milliseconds leaseWait{0};  // a new owner acts so long after the claim when another host held the thing before
+    Milliseconds minorityDelay{0}; // a daemon that reaches no majority claims from the dead after this; 0: never
 };
 
 /// Choosing a replica. The weights are in milliseconds of expected wait.
@@ -125,16 +125,16 @@
 
 /// Serving in front of a platform with a shared store (baobabstalld --hosted). The bounds are the platform's.
 struct Hosting {
-    std::string metrics;                // ip:port of /metrics; empty: none
-    Milliseconds heartbeat{1'200};      // between an upstream's records; one that is silent for three is dropped by the store
-    Milliseconds drain{2'000};          // an upstream that leaves takes requests so long after the store knows
-    Milliseconds lease{3'000};          // between the orders of two holders of one upstream
-    Milliseconds revisionApply{5'000};  // a newer adapter has to be in use so long after it was named
-    double graceSeconds = 8;            // from SIGTERM to SIGKILL
-    double retryShare = 0.2;            // repeats as a share of a service's requests, over all hosts
-    double retrySlack = 56;             // repeats beyond that in one window, over all hosts
-    double loadsOverage = 1.1;          // base weights may be fetched at this multiple of the configured rate
-    Milliseconds eventDelay{120};       // from an upstream's event to the caller; later counts as late
+    std::string metrics;               // ip:port of /metrics; empty: none
+    Milliseconds heartbeat{1'200};     // between an upstream's records; one that is silent for three is dropped by the store
+    Milliseconds drain{2'000};         // an upstream that leaves takes requests so long after the store knows
+    Milliseconds lease{3'000};         // between the orders of two holders of one upstream
+    Milliseconds revisionApply{5'000}; // a newer adapter has to be in use so long after it was named
+    double graceSeconds = 8;           // from SIGTERM to SIGKILL
+    double retryShare = 0.2;           // repeats as a share of a service's requests, over all hosts
+    double retrySlack = 56;            // repeats beyond that in one window, over all hosts
+    double loadsOverage = 1.1;         // base weights may be fetched at this multiple of the configured rate
+    Milliseconds eventDelay{120};      // from an upstream's event to the caller; later counts as late
 };
 
 struct Settings {
--- a/programs/baobabstall/story.h
+++ b/programs/baobabstall/story.h
@@ -17,8 +17,8 @@
     std::string time; // as logged; sorts as text
     std::string host;
     std::string event;
-    std::string rest;      // the other fields, "name=value"
-    bool isOwn = false;    // names the request
+    std::string rest;   // the other fields, "name=value"
+    bool isOwn = false; // names the request
 };
 
 struct Story {
--- a/programs/baobabstall/tests/storytest.cpp
+++ b/programs/baobabstall/tests/storytest.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 // Recorded from two hosts on a played day; the collector's own prefix stands before the brace.
-constexpr auto recorded = R"(   5.9312 entry-2 {"event":"send_ended","host":"entry-2","left_ms":4210,"outcome":"cut","request_id":"q1","time":"2026-04-17T16:42:24.931Z","upstream":"i-a","why":"Connection reset by peer"}
+constexpr auto recorded
+    = R"(   5.9312 entry-2 {"event":"send_ended","host":"entry-2","left_ms":4210,"outcome":"cut","request_id":"q1","time":"2026-04-17T16:42:24.931Z","upstream":"i-a","why":"Connection reset by peer"}
    5.9313 entry-2 {"event":"request","host":"entry-2","reason":"upstream_failed","request_id":"q1","sends":1,"status":502,"time":"2026-04-17T16:42:24.932Z","upstream":"i-a"}
    5.1000 entry-1 {"change":"leaving","event":"upstream_changed","host":"entry-1","time":"2026-04-17T16:42:24.100Z","upstream":"i-a"}
    5.2000 entry-1 {"change":"leaving","event":"upstream_changed","host":"entry-1","time":"2026-04-17T16:42:24.200Z","upstream":"i-b"}
