--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -20,17 +20,6 @@
     , random_(seed)
 { }
 
-Chooser::Load &Chooser::load(const UpstreamId &id)
-{
-    auto &load = loads_[id];
-    if (!load.hasHealth) {
-        load.good = admission::DecayingCount(options_.healthHalfLife);
-        load.bad = admission::DecayingCount(options_.healthHalfLife);
-        load.hasHealth = true;
-    }
-    return load;
-}
-
 std::vector<const Candidate *> Chooser::homes(const Wanted &wanted) const
 {
     std::vector<std::pair<std::uint64_t, const Candidate *>> ranked;
@@ -155,7 +144,7 @@
 double Chooser::failureShare(const UpstreamId &id, Instant now) const
 {
     const auto found = loads_.find(id);
-    if (found == loads_.end() || !found->second.hasHealth) {
+    if (found == loads_.end()) {
         return 0;
     }
     const double bad = found->second.bad.value(now);
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -72,7 +72,7 @@
     /// The first homes of `home` among `candidates`, best first.
     [[nodiscard]] std::vector<const Candidate *> homes(const Wanted &wanted) const;
 
-    void begin(const UpstreamId &id) { ++loads_[id].own; }
+    void begin(const UpstreamId &id) { ++load(id).own; }
     void end(const UpstreamId &id, SendEnd how, Instant now);
     void forget(const UpstreamId &id);
     void setOthers(const UpstreamId &id, int running, Instant now); // running for other hosts
@@ -85,18 +85,22 @@
 
 private:
     struct Load {
+        explicit Load(Milliseconds halfLife)
+            : good(halfLife)
+            , bad(halfLife)
+        { }
+
         int own = 0;
         int others = 0;
         std::optional<Instant> othersAt;
-        admission::DecayingCount good{Milliseconds(1)};
-        admission::DecayingCount bad{Milliseconds(1)};
-        bool hasHealth = false;
+        admission::DecayingCount good;
+        admission::DecayingCount bad;
         Instant blockedUntil;
         int blocks = 0; // in a row
     };
 
     [[nodiscard]] double cost(const Candidate &candidate, std::size_t rank, const Wanted &wanted, Instant now) const;
-    Load &load(const UpstreamId &id);
+    Load &load(const UpstreamId &id) { return loads_.try_emplace(id, options_.healthHalfLife).first->second; }
 
     ChooserOptions options_;
     std::mt19937_64 random_;
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -27,7 +27,9 @@
 constexpr std::size_t chunkBytes = 16 * 1024;
 constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024; // of an answer that is not a stream; over it the answer counts as cut
 constexpr int maxChoices = 8;                            // of an upstream for one request, sends and others
+constexpr int maxMisses = 2;                             // times that weights turn out to be missing where they were promised; their owner is wrong then
 constexpr int maxForeignAnswers = 2;                     // answers to other requests that are read past before a connection counts as out of step
+constexpr Milliseconds refusalTime{1'000};               // a request without a route is refused at once; only a caller that does not read makes it last
 constexpr Milliseconds leastTime{5};                     // left of a request's time; with less a send is no real try
 constexpr double patienceShare = 0.75;                   // of the objective; a silent upstream is given up then, if the request may go elsewhere
 constexpr double streamPatienceShare = 1.2;              // the same for streams: a long prompt may take its objective to read
@@ -91,7 +93,7 @@
         if (facts) {
             facts_ = *facts;
         }
-        limit_ = request_.arrivedAt + Milliseconds(5'000);
+        limit_ = request_.arrivedAt + refusalTime;
         routes_ = node_.routes;
         if (!routes_) {
             co_await refuse(503, "no_configuration", unknownRetry);
@@ -516,7 +518,7 @@
             noteSend(replica, SendEnd::NotRun, "not_run", "the upstream does not hold the weights");
             releaseConnection(isReusable);
             refusal_ = "weights_not_held";
-            mayReturnTo_ = ++misses_ <= 2 && namesAdapter();
+            mayReturnTo_ = ++misses_ <= maxMisses && namesAdapter();
             if (!mayReturnTo_) {
                 passed_.push_back(replica.id);
             }
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -207,7 +207,7 @@
 net::Task<void> HostedDaemon::handleOperators(net::Exchange &exchange)
 {
     const auto path = exchange.request().path();
-    if (path.ends_with("/readyz")) {
+    if (path.ends_with("/readyz")) { // balancers ask below a prefix of their own
         const bool ready = isReady();
         co_await exchange.respond(net::HttpResponse::json(ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"));
     } else if (path == "/healthz") {
@@ -329,7 +329,7 @@
     Error why;
     const auto record = each.value.empty() ? std::nullopt : node_.codec.readReplica(each.key, each.value, why);
     if (record) {
-        noteChange(id, node_.book.apply(*record, node_.now()));
+        noteChange(id, node_.book.apply(*record));
     } else {
         if (!each.value.empty()) {
             node_.log.warn("record_unreadable", why, {{"topic", "upstreams"}, {"record", settings::printableText(each.key)}, {"offset", each.offset}});
--- a/packages/serving/replicabook.cpp
+++ b/packages/serving/replicabook.cpp
@@ -26,9 +26,8 @@
     return static_cast<int>(std::count_if(entries_.begin(), entries_.end(), isHolder));
 }
 
-BookChange ReplicaBook::apply(const ReplicaRecord &record, Instant now)
+BookChange ReplicaBook::apply(const ReplicaRecord &record)
 {
-    static_cast<void>(now);
     const auto found = entries_.find(record.id);
     if (found == entries_.end()) {
         const auto left = left_.find(record.id);
@@ -88,7 +87,7 @@
     std::map<UpstreamId, bool> listed;
     for (const auto &record : records) {
         listed[record.id] = true;
-        if (const auto change = apply(record, now); change != BookChange::None) {
+        if (const auto change = apply(record); change != BookChange::None) {
             changes.emplace_back(record.id, change);
         }
     }
--- a/packages/serving/replicabook.h
+++ b/packages/serving/replicabook.h
@@ -26,7 +26,7 @@
 public:
     static constexpr Milliseconds lapseGrace{2'300}; // lapsed records return about 2 s after the store does (platform's rule)
 
-    BookChange apply(const ReplicaRecord &record, Instant now);
+    BookChange apply(const ReplicaRecord &record);
     BookChange remove(const UpstreamId &id, Instant now);
     /// What the listing lacks is removed. Returns the ids that changed.
     std::vector<std::pair<UpstreamId, BookChange>> assign(const std::vector<ReplicaRecord> &records, Instant now);
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -229,7 +229,7 @@
     serve(route(Repeat::Nothing, false, 1), {{Script{{whole("x")}}}, {Script{{whole("x")}}}}, true);
     auto record = *node_.book.find(UpstreamId("r2"));
     record.models = {{BaseModel("other"), {}}};
-    node_.book.apply(record, node_.now());
+    node_.book.apply(record);
     for (int i = 0; i < 4; ++i) {
         EXPECT_EQ(send(get("q" + std::to_string(i), "Weights: other/a1\r\n"), "\r\n\r\n").status(), 200);
     }
@@ -274,7 +274,7 @@
     serve(route(Repeat::Nothing, false, 1), {{Script{{whole("x")}}}});
     auto record = *node_.book.find(UpstreamId("r1"));
     record.isLeaving = true;
-    node_.book.apply(record, node_.now());
+    node_.book.apply(record);
     EXPECT_EQ(send(get("q"), "\r\n\r\n").status(), 503);
     EXPECT_EQ(sends(), 0U);
 }
--- a/packages/serving/tests/replicabooktest.cpp
+++ b/packages/serving/tests/replicabooktest.cpp
@@ -28,41 +28,41 @@
 
 TEST_F(Book, leaving_is_final_for_one_run_also_when_an_older_record_comes_late)
 {
-    EXPECT_EQ(book_.apply(recordOf("i-1", 5), now_), BookChange::Came);
-    EXPECT_EQ(book_.apply(recordOf("i-1", 5, true), now_), BookChange::Leaving);
-    EXPECT_EQ(book_.apply(recordOf("i-1", 5), now_), BookChange::None);
+    EXPECT_EQ(book_.apply(recordOf("i-1", 5)), BookChange::Came);
+    EXPECT_EQ(book_.apply(recordOf("i-1", 5, true)), BookChange::Leaving);
+    EXPECT_EQ(book_.apply(recordOf("i-1", 5)), BookChange::None);
     EXPECT_FALSE(isUsable());
-    EXPECT_EQ(book_.apply(recordOf("i-1", 6), now_), BookChange::Restarted);
+    EXPECT_EQ(book_.apply(recordOf("i-1", 6)), BookChange::Restarted);
     EXPECT_TRUE(isUsable());
 }
 
 TEST_F(Book, a_record_of_an_earlier_run_changes_nothing)
 {
-    book_.apply(recordOf("i-1", 6), now_);
-    EXPECT_EQ(book_.apply(recordOf("i-1", 5, true), now_), BookChange::None);
+    book_.apply(recordOf("i-1", 6));
+    EXPECT_EQ(book_.apply(recordOf("i-1", 5, true)), BookChange::None);
     EXPECT_TRUE(isUsable());
 }
 
 TEST_F(Book, a_run_that_left_does_not_come_back_after_its_record_was_dropped)
 {
-    book_.apply(recordOf("i-1", 5, true), now_);
+    book_.apply(recordOf("i-1", 5, true));
     EXPECT_EQ(book_.remove(id_, now_), BookChange::Gone);
-    EXPECT_EQ(book_.apply(recordOf("i-1", 5), now_), BookChange::None);
+    EXPECT_EQ(book_.apply(recordOf("i-1", 5)), BookChange::None);
     EXPECT_FALSE(isUsable());
-    EXPECT_EQ(book_.apply(recordOf("i-1", 7), now_), BookChange::Came);
+    EXPECT_EQ(book_.apply(recordOf("i-1", 7)), BookChange::Came);
 }
 
 TEST_F(Book, records_that_lapsed_while_the_store_was_away_stay_until_the_grace_has_passed)
 {
-    book_.apply(recordOf("i-1", 5), now_);
-    book_.apply(recordOf("i-2", 5), now_);
+    book_.apply(recordOf("i-1", 5));
+    book_.apply(recordOf("i-2", 5));
     book_.noteStore(false, now_);
     now_ = now_ + Milliseconds(5'000);
     book_.noteStore(true, now_);
     EXPECT_EQ(book_.remove(id_, now_), BookChange::None);
     EXPECT_EQ(book_.remove(UpstreamId("i-2"), now_), BookChange::None);
     EXPECT_TRUE(isUsable());
-    book_.apply(recordOf("i-2", 5), now_);
+    book_.apply(recordOf("i-2", 5));
     now_ = now_ + ReplicaBook::lapseGrace;
     EXPECT_EQ(book_.expire(now_), (std::vector<UpstreamId>{id_}));
     EXPECT_FALSE(isUsable());
@@ -72,7 +72,7 @@
 
 TEST_F(Book, what_a_listing_lacks_is_gone)
 {
-    book_.apply(recordOf("i-1", 5), now_);
+    book_.apply(recordOf("i-1", 5));
     const auto changes = book_.assign({recordOf("i-2", 1)}, now_);
     EXPECT_FALSE(isUsable());
     EXPECT_TRUE(book_.isUsable(UpstreamId("i-2")));
--- a/packages/serving/tests/servingworld.h
+++ b/packages/serving/tests/servingworld.h
@@ -280,7 +280,7 @@
             if (isEngine) {
                 record.models = {{BaseModel("m"), {}}};
             }
-            node_.book.apply(record, node_.now());
+            node_.book.apply(record);
         }
     }
 
