--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -82,17 +82,10 @@
     return cost;
 }
 
-void Chooser::begin(const UpstreamId &id, Instant now)
-{
-    auto &state = load(id);
-    ++state.own.running;
-    state.sentAt = now;
-}
-
 bool Chooser::isOfInterest(const UpstreamId &id, Instant now) const
 {
     const auto found = loads_.find(id);
-    return found != loads_.end() && found->second.sentAt && now - *found->second.sentAt <= options_.interest;
+    return found != loads_.end() && found->second.interestAt && now - *found->second.interestAt <= options_.interest;
 }
 
 void Chooser::end(const UpstreamId &id, SendEnd how, Instant now)
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -6,7 +6,7 @@
 //   Wanted           what is asked for
 //
 //   Chooser chooser(options);
-//   auto id = chooser.pick(wanted, now); chooser.begin(*id, now); ... chooser.end(*id, SendEnd::Good, now);
+//   auto id = chooser.pick(wanted, now); chooser.begin(*id); ... chooser.end(*id, SendEnd::Good, now);
 //
 // Plain services: the upstream with the fewest running requests for its slots. Model replicas: each adapter has a stable order
 // of homes by rendezvous hashing; the first home is taken while it has room, so that adapters stay where they are held and
@@ -50,7 +50,7 @@
     Milliseconds fullBlock{60}; // after "no room": about one step of a plain service's queue
     Milliseconds healthHalfLife{3'000};
     Milliseconds othersValid{1'500}; // counts told by others; older ones are replaced by a guess
-    Milliseconds interest{5'000};    // after a send: at 11 requests a second (86 hosts) a host comes back to a hot adapter's homes within it
+    Milliseconds interest{5'000};    // after noteInterest(): at 11 requests a second (86 hosts) a host comes back to a hot adapter's homes within it
 };
 
 /// One upstream that could take the request.
@@ -75,7 +75,9 @@
     /// The first homes of `home` among `candidates`, best first.
     [[nodiscard]] std::vector<const Candidate *> homes(const Wanted &wanted) const;
 
-    void begin(const UpstreamId &id, Instant now);
+    void begin(const UpstreamId &id) { ++load(id).own.running; }
+    /// What others run at the upstream will matter again. Not for work shorter than the reports' age: all hosts would go to the same one.
+    void noteInterest(const UpstreamId &id, Instant now) { load(id).interestAt = now; }
     void end(const UpstreamId &id, SendEnd how, Instant now);
     void forget(const UpstreamId &id);
     /// The upstream begins to read a prompt that takes `ms`; endReading() when its answer begins, and in any case before end().
@@ -85,7 +87,7 @@
     void setHosts(int hosts) { hosts_ = std::max(1, hosts); }               // that serve, this one included
 
     [[nodiscard]] Occupancy own(const UpstreamId &id) const;
-    [[nodiscard]] bool isOfInterest(const UpstreamId &id, Instant now) const;   // sent to lately: what others do there matters
+    [[nodiscard]] bool isOfInterest(const UpstreamId &id, Instant now) const;
     [[nodiscard]] Occupancy occupancy(const UpstreamId &id, Instant now) const; // by all hosts, told or guessed
     [[nodiscard]] double failureShare(const UpstreamId &id, Instant now) const;
     [[nodiscard]] bool isBlocked(const UpstreamId &id, Instant now) const;
@@ -99,7 +101,7 @@
 
         Occupancy own;
         Occupancy others;
-        std::optional<Instant> sentAt;
+        std::optional<Instant> interestAt;
         std::optional<Instant> othersAt;
         admission::DecayingCount good;
         admission::DecayingCount bad;
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -299,7 +299,7 @@
         mayReturnTo_ = false;
         Error why;
         auto connection = node_.pool.takeIdle(replica.id, node_.now());
-        node_.chooser.begin(replica.id, node_.now());
+        node_.chooser.begin(replica.id);
         if (namesAdapter()) {
             node_.noteUse(replica.id, facts_.weights, 1);
         }
@@ -760,6 +760,7 @@
         if (isEngine()) {
             readingMs_ = static_cast<int>(facts_.promptTokens / promptTokensPerMs);
             node_.chooser.beginReading(id, readingMs_);
+            node_.chooser.noteInterest(id, node_.now());
         }
     }
 
--- a/packages/serving/tests/choosertest.cpp
+++ b/packages/serving/tests/choosertest.cpp
@@ -56,7 +56,7 @@
     std::map<UpstreamId, int> counts;
     for (int i = 0; i < 18; ++i) {
         const auto id = pick(home);
-        chooser_.begin(id, now_);
+        chooser_.begin(id);
         ++counts[id];
     }
     EXPECT_GE(counts.size(), 2U);
@@ -74,7 +74,7 @@
 TEST_F(ChooserTest, without_word_of_others_the_own_count_stands_for_each_host)
 {
     chooser_.setHosts(8);
-    chooser_.begin(UpstreamId("r0"), now_);
+    chooser_.begin(UpstreamId("r0"));
     EXPECT_EQ(chooser_.occupancy(UpstreamId("r0"), now_).running, 8);
     chooser_.setOthers(UpstreamId("r0"), {2, 0}, now_);
     EXPECT_EQ(chooser_.occupancy(UpstreamId("r0"), now_).running, 3);
@@ -84,14 +84,14 @@
 TEST_F(ChooserTest, a_silent_upstream_is_left_alone_for_a_while_and_longer_each_time)
 {
     const UpstreamId id("r0");
-    chooser_.begin(id, now_);
+    chooser_.begin(id);
     chooser_.end(id, SendEnd::Silent, now_);
     EXPECT_TRUE(chooser_.isBlocked(id, now_ + Milliseconds(399)));
     EXPECT_FALSE(chooser_.isBlocked(id, now_ + Milliseconds(400)));
-    chooser_.begin(id, now_);
+    chooser_.begin(id);
     chooser_.end(id, SendEnd::Silent, now_);
     EXPECT_TRUE(chooser_.isBlocked(id, now_ + Milliseconds(799)));
-    chooser_.begin(id, now_);
+    chooser_.begin(id);
     chooser_.end(id, SendEnd::Good, now_);
     EXPECT_FALSE(chooser_.isBlocked(id, now_));
 }
@@ -101,7 +101,7 @@
 {
     for (int i = 0; i < 20; ++i) {
         for (const auto &record : records_) {
-            chooser_.begin(record.id, now_);
+            chooser_.begin(record.id);
             const bool fails = record.id.value() == "r1" && i % 2 == 0;
             chooser_.end(record.id, fails ? SendEnd::Failed : SendEnd::Good, now_);
         }
@@ -114,7 +114,7 @@
 TEST_F(ChooserTest, an_abandoned_send_says_nothing_about_the_upstream)
 {
     const UpstreamId id("r0");
-    chooser_.begin(id, now_);
+    chooser_.begin(id);
     chooser_.end(id, SendEnd::Abandoned, now_);
     EXPECT_EQ(chooser_.failureShare(id, now_), 0);
     EXPECT_FALSE(chooser_.isBlocked(id, now_));
@@ -140,7 +140,7 @@
     std::map<UpstreamId, int> reading;
     for (int i = 0; i < 6; ++i) {
         const auto id = pick(home);
-        chooser_.begin(id, now_);
+        chooser_.begin(id);
         chooser_.beginReading(id, largeMs);
         ++reading[id];
     }
@@ -167,7 +167,9 @@
 {
     const UpstreamId id("r0");
     EXPECT_FALSE(chooser_.isOfInterest(id, now_));
-    chooser_.begin(id, now_);
+    chooser_.begin(id);
+    EXPECT_FALSE(chooser_.isOfInterest(id, now_)) << "a plain call ends before what is told of it arrives";
+    chooser_.noteInterest(id, now_);
     chooser_.end(id, SendEnd::Good, now_);
     EXPECT_EQ(chooser_.own(id).running, 0);
     EXPECT_TRUE(chooser_.isOfInterest(id, now_ + ChooserOptions().interest));
@@ -187,7 +189,7 @@
     const auto home = core::hashText("hot", 1);
     const int running = 72 * 16 / 5;
     for (int i = 0; i < running; ++i) {
-        chooser_.begin(pick(home), now_);
+        chooser_.begin(pick(home));
     }
     for (const auto &record : records_) {
         EXPECT_LE(chooser_.own(record.id).running, 16) << record.id.value();
