End the process as soon as it has stopped

Ruled out: the daemon's own destructors, the log's last lines. Test: hostedtest's planned stop bounds the time between the line 'stopped' and the end of the process; on a real kernel the join returns at once, so it passed before too.

--- a/programs/baobabstalld/hosted.cpp
+++ b/programs/baobabstalld/hosted.cpp
@@ -1,6 +1,7 @@
 #include "hosted.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -98,7 +99,9 @@
 
 } // namespace
 
-int serveHosted(const std::string &path)
+namespace {
+
+int serveUntilStopped(const std::string &path)
 {
     core::Error why;
     const auto settings = settings::loadHostedSettings(path, why);
@@ -130,6 +133,15 @@
     return exitOk;
 }
 
+} // namespace
+
+int serveHosted(const std::string &path)
+{
+    const int code = serveUntilStopped(path);
+    // log4cplus joins its idle threads at exit, which can take until SIGKILL; nothing is left to tear down.
+    std::_Exit(code);
+}
+
 int checkHostedSettings(const std::string &path)
 {
     core::Error why;
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -1,4 +1,5 @@
 """Hosted daemons as real processes against the stand-ins of the platform (standins/hosting). Usage: hostedtest.py BAOBABSTALLD [NAME...]"""
+import datetime
 import http.client
 import json
 import os
@@ -237,6 +238,10 @@
             thread.join()
         self.assertEqual([(status, body == self.whole_stream(attempt)) for status, _headers, body, attempt in results], [(200, True)])
         self.assertEqual(self.hosts[0].process.wait(10), 0)
+        until = time.time()
+        said = self.hosts[0].events("stopped")[0]["time"]
+        stopped = datetime.datetime.fromisoformat(said.replace("Z", "+00:00")).timestamp()
+        self.assertLess(until - stopped, 0.5, "the process is gone once it says that it has stopped")
 
     def test_a_new_configuration_is_in_force_everywhere_and_never_goes_back(self):
         self.start_all()
