--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -41,7 +41,7 @@
     double noOwnerCost = 600;   // ms; nobody can order it there at present
     double failureCost = 900;   // ms; at a share of failures of 1
     double otherZoneCost = 2;   // ms; the way to another zone and back
-    double fillCost = 15;       // ms; a full batch against an empty one: steps are hardly slower (0.02 ms for each request of 4.4 ms)
+    double fillCost = 60;       // ms; a full batch against an empty one: steps are slower
     double crowdedFill = 0.8;   // of the slots; beyond it requests begin to queue
     double crowdedCost = 2'000; // ms for each further batch
     double readingShare = 0.5;  // of the time that prompts before it take to read: they are read in turns, and parts may be kept there
