--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -75,7 +75,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingReply, expectedMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningAt, upstream, running, readingMs, adapters)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningNotice, running)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TotalsAt, upstream, running, readingMs, placeMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TotalsAt, upstream, running, readingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TotalsNotice, others)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FeedNotice, topic, from, first, next, readTo, records)
 
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -192,7 +192,6 @@
     core::UpstreamId upstream;
     int running = 0;
     int readingMs = 0;
-    int placeMs = 0; // until weights that are not held there get a place
 };
 struct TotalsNotice {
     std::vector<TotalsAt> others;
--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -77,7 +77,7 @@
     cost += replica.zone == wanted.zone ? 0 : options_.otherZoneCost;
     cost += isBlocked(replica.id, now) ? blockedCost : 0;
     if (!candidate.isReady) {
-        cost += (candidate.canFetch ? options_.missingCost : options_.noOwnerCost) + before.placeMs;
+        cost += candidate.canFetch ? options_.missingCost : options_.noOwnerCost;
     }
     return cost;
 }
@@ -146,8 +146,8 @@
     }
     const auto &state = found->second;
     const bool isTold = state.othersAt && now - *state.othersAt <= options_.othersValid;
-    return isTold ? Occupancy{state.own.running + state.others.running, state.own.readingMs + state.others.readingMs, state.others.placeMs}
-                  : Occupancy{state.own.running * hosts_, state.own.readingMs, 0};
+    return isTold ? Occupancy{state.own.running + state.others.running, state.own.readingMs + state.others.readingMs}
+                  : Occupancy{state.own.running * hosts_, state.own.readingMs};
 }
 
 double Chooser::failureShare(const UpstreamId &id, Instant now) const
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -803,10 +803,9 @@
             }
             table->second.note(from, {each.running, each.readingMs}, now);
             table->second.note(node_.settings.host, node_.chooser.own(each.upstream), now);
-            const auto owned = owned_.find(each.upstream);
             const auto others = table->second.othersThan(from, now);
-            const int placeMs = owned == owned_.end() ? 0 : static_cast<int>(owned->second->placeWait().count());
-            totals.others.push_back({each.upstream, others.running, others.readingMs, placeMs});
+            totals.others.push_back({each.upstream, others.running, others.readingMs});
+            const auto owned = owned_.find(each.upstream);
             for (const auto &[model, adapter] : each.adapters) {
                 if (owned != owned_.end()) {
                     owned->second->onInUse({model, adapter});
@@ -820,7 +819,7 @@
         takeFeed(*feed);
     } else if (const auto *totals = std::get_if<peers::TotalsNotice>(&notice.body)) {
         for (const auto &each : totals->others) {
-            node_.chooser.setOthers(each.upstream, {each.running, each.readingMs, each.placeMs}, now);
+            node_.chooser.setOthers(each.upstream, {each.running, each.readingMs}, now);
         }
     }
 }
@@ -927,12 +926,10 @@
             continue;
         }
         if (*owner == node_.settings.host) {
-            const auto owned = owned_.find(id);
             if (const auto table = running_.find(id); table != running_.end()) {
-                auto others = table->second.othersThan(node_.settings.host, now);
-                others.placeMs = owned == owned_.end() ? 0 : static_cast<int>(owned->second->placeWait().count());
-                node_.chooser.setOthers(id, others, now);
+                node_.chooser.setOthers(id, table->second.othersThan(node_.settings.host, now), now);
             }
+            const auto owned = owned_.find(id);
             const auto uses = node_.inUse.find(id);
             if (owned != owned_.end() && uses != node_.inUse.end()) {
                 for (const auto &[weights, count] : uses->second) {
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -145,7 +145,6 @@
 struct Occupancy {
     int running = 0;   // requests
     int readingMs = 0; // that the prompts among them take to read, from requests whose answers have not begun
-    int placeMs = 0;   // until weights that are not held there get a place
 
     friend bool operator==(const Occupancy &, const Occupancy &) = default;
 };
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -35,7 +35,6 @@
     /// Nothing when the weights can't be had in time; at once when that is known. `onWaiting` is called with the wait to expect.
     net::Task<std::optional<Residency::Told>> ask(ResidencyWish wish, std::function<void(Milliseconds)> onWaiting, core::Error &why);
 
-    [[nodiscard]] Milliseconds placeWait() const { return residency_.placeWait(node_.now()); }
     [[nodiscard]] core::Epoch epoch() const { return epoch_; }
     [[nodiscard]] const Residency &residency() const { return residency_; }
 
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -82,7 +82,6 @@
         auto &want = wants_[key];
         if (want.waiters++ == 0) {
             want.order = ++wantCount_;
-            want.since = now;
         }
         want.onTimeBy = std::max(want.onTimeBy, onTimeBy);
     }
@@ -393,28 +392,7 @@
     }
     const double near = static_cast<double>(options_.nearFetch.count()) * (1 + nears);
     const double fetch = ownRank.isFetch ? fetchTime() * (1 + static_cast<double>(fetches) / fetchLimit()) : 0;
-    return Milliseconds(static_cast<std::int64_t>(near + fetch)) + placeWait(now);
-}
-
-Milliseconds Residency::placeWait(Instant now) const
-{
-    const bool isFull = held_.size() >= static_cast<std::size_t>(options_.places);
-    if (!isFull || !isKnown_ || victim(now)) {
-        return Milliseconds(0);
-    }
-    auto wait = Milliseconds(0);
-    for (const auto &[key, want] : wants_) {
-        if (!held_.contains(key)) {
-            wait = std::max(wait, now - want.since);
-        }
-    }
-    std::optional<Instant> free;
-    for (const auto &[key, place] : held_) {
-        if (place.state == State::Held && (!free || place.protectedUntil < *free)) {
-            free = place.protectedUntil;
-        }
-    }
-    return std::max(wait, free ? *free - now : options_.shortLease);
+    return Milliseconds(static_cast<std::int64_t>(near + fetch));
 }
 
 std::optional<Instant> Residency::nextDue() const
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -83,8 +83,6 @@
     void withdraw(const AdapterKey &key); // one waiter fewer
     /// How long weights that are not held yet are expected to take, with what waits before them.
     [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key, Instant now) const;
-    /// How long weights that are not held wait for a place: as long as the oldest that waits, while all places are in use. 0: there is one.
-    [[nodiscard]] Milliseconds placeWait(Instant now) const;
     void onRevision(const AdapterKey &key, AdapterRevision revision); // a newer one is in force
     void onInUse(const AdapterKey &key, Instant now);                 // requests that use it run
     void onRestart(Instant now);                                      // holds nothing, and its counts began anew
@@ -125,7 +123,6 @@
     struct Want {
         int waiters = 0;
         Instant onTimeBy;        // of the newest waiter
-        Instant since;           // of the first
         std::uint64_t order = 0; // who came first
     };
     /// Lower goes first: what loads fast, then what can still be on time, then what more wait for, then who came first.
--- a/packages/serving/tests/choosertest.cpp
+++ b/packages/serving/tests/choosertest.cpp
@@ -153,24 +153,6 @@
     EXPECT_EQ(chooser_.own(first), (Occupancy{1, 0})) << "its answer has begun; it still runs";
 }
 
-// Pattern: more adapters asked for than the places of a replica, while others have places left (swellcast-kgn-grown scale-2: 3,338 requests
-// waited for weights until their time was nearly over; half of the replicas ran two requests at most).
-TEST_F(ChooserTest, weights_that_are_held_nowhere_are_fetched_where_there_is_a_place)
-{
-    const auto home = core::hashText("rare", 1);
-    for (auto &each : candidates_) {
-        each.isReady = false;
-    }
-    const auto first = pick(home);
-    chooser_.setOthers(first, {2, 0, 900}, now_);
-    const auto second = pick(home);
-    EXPECT_NE(second, first);
-    for (auto &each : candidates_) {
-        each.isReady = each.replica->id == first;
-    }
-    EXPECT_EQ(pick(home), first) << "weights that are held need no place";
-}
-
 TEST_F(ChooserTest, prompts_that_other_hosts_have_read_count_as_ones_own)
 {
     const auto home = core::hashText("hot", 1);
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -344,31 +344,6 @@
     EXPECT_GT(residency_.expectedWait(adapter("z"), now_), alone + Milliseconds(1'000));
 }
 
-// Pattern: more adapters in use than places (swellcast-kgn-grown scale-2). A newcomer is told so; the oldest that waits says how long it takes.
-TEST_F(ResidencyTest, the_wait_for_a_place_is_as_long_as_the_oldest_waits)
-{
-    EXPECT_EQ(residency_.placeWait(now_), Milliseconds(0));
-    for (const auto *name : {"a", "b", "c", "d"}) {
-        waitFor(adapter(name));
-    }
-    const auto stay = [this] {
-        for (const auto *name : {"a", "b", "c", "d"}) {
-            residency_.onInUse(adapter(name), now_);
-        }
-    };
-    stay();
-    EXPECT_GT(residency_.placeWait(now_), Milliseconds(0)) << "all are in use";
-    const auto before = residency_.expectedWait(adapter("new"), now_);
-    static_cast<void>(residency_.ask(adapter("old"), {}, now_ + onTime, true, now_));
-    now_ = now_ + Milliseconds(1'500);
-    stay();
-    EXPECT_GE(residency_.placeWait(now_), Milliseconds(1'500));
-    EXPECT_GE(residency_.expectedWait(adapter("new"), now_), before + Milliseconds(1'000));
-    residency_.withdraw(adapter("old"));
-    now_ = now_ + Milliseconds(1'000);
-    EXPECT_EQ(residency_.placeWait(now_), Milliseconds(0)) << "nobody uses them any more";
-}
-
 TEST(LeaseBook, forgets_what_ended_or_belongs_to_a_replica_that_is_gone)
 {
     LeaseBook book;
