--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -806,10 +806,12 @@
             const auto others = table->second.othersThan(from, now);
             totals.others.push_back({each.upstream, others.running, others.readingMs});
             const auto owned = owned_.find(each.upstream);
-            for (const auto &[model, adapter] : each.adapters) {
-                if (owned != owned_.end()) {
-                    owned->second->onInUse({model, adapter});
+            if (owned != owned_.end()) {
+                std::vector<AdapterKey> used;
+                for (const auto &[model, adapter] : each.adapters) {
+                    used.push_back({model, adapter});
                 }
+                owned->second->onInUse(from, std::move(used));
             }
         }
         if (!totals.others.empty()) {
@@ -930,11 +932,14 @@
                 node_.chooser.setOthers(id, table->second.othersThan(node_.settings.host, now), now);
             }
             const auto owned = owned_.find(id);
-            const auto uses = node_.inUse.find(id);
-            if (owned != owned_.end() && uses != node_.inUse.end()) {
-                for (const auto &[weights, count] : uses->second) {
-                    owned->second->onInUse(weights);
+            if (owned != owned_.end()) {
+                std::vector<AdapterKey> used;
+                if (const auto uses = node_.inUse.find(id); uses != node_.inUse.end()) {
+                    for (const auto &[weights, count] : uses->second) {
+                        used.push_back(weights);
+                    }
                 }
+                owned->second->onInUse(node_.settings.host, std::move(used));
             }
             continue;
         }
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -87,6 +87,14 @@
     }
 }
 
+void OwnedReplica::onInUse(const HostId &host, std::vector<AdapterKey> weights)
+{
+    residency_.onInUse(host, std::move(weights), node_.now());
+    if (residency_.waiting() > 0) { // a place may have become free
+        wake();
+    }
+}
+
 net::Task<std::optional<Residency::Told>> OwnedReplica::ask(ResidencyWish wish, std::function<void(Milliseconds)> onWaiting, core::Error &why)
 {
     const auto self = shared_from_this();
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -31,7 +31,7 @@
     void stop();
     void onRecord(const ReplicaRecord &record); // moved, or restarted
     void onRevision(const AdapterKey &weights, AdapterRevision revision);
-    void onInUse(const AdapterKey &weights) { residency_.onInUse(weights, node_.now()); }
+    void onInUse(const HostId &host, std::vector<AdapterKey> weights);
     /// Nothing when the weights can't be had in time; at once when that is known. `onWaiting` is called with the wait to expect.
     net::Task<std::optional<Residency::Told>> ask(ResidencyWish wish, std::function<void(Milliseconds)> onWaiting, core::Error &why);
 
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -102,12 +102,20 @@
     newest = std::max(newest, revision);
 }
 
-void Residency::onInUse(const AdapterKey &key, Instant now)
+void Residency::onInUse(const HostId &host, std::vector<AdapterKey> keys, Instant now)
 {
-    const auto place = held_.find(key);
-    if (place != held_.end()) {
-        place->second.protectedUntil = std::max(place->second.protectedUntil, now + options_.inUse);
+    uses_[host] = {std::move(keys), now + options_.inUse};
+}
+
+Instant Residency::mayGoAt(const AdapterKey &key, const Place &place) const
+{
+    Instant at = place.protectedUntil;
+    for (const auto &[host, uses] : uses_) {
+        if (std::find(uses.keys.begin(), uses.keys.end(), key) != uses.keys.end()) {
+            at = std::max(at, uses.until);
+        }
     }
+    return at;
 }
 
 void Residency::onRestart(Instant now)
@@ -238,7 +246,7 @@
     std::optional<AdapterKey> lowest;
     double lowestRate = 0;
     for (const auto &[key, place] : held_) {
-        const bool isFree = place.state == State::Held && now >= place.protectedUntil && !wants_.contains(key);
+        const bool isFree = place.state == State::Held && !wants_.contains(key) && now >= mayGoAt(key, place);
         const double value = isFree ? rate(key, now) : 0;
         if (isFree && (!lowest || value < lowestRate)) {
             lowest = key;
@@ -418,7 +426,7 @@
     if (hasUnmet) { // a place becomes free when a promise ends
         for (const auto &[key, place] : held_) {
             if (place.state == State::Held) {
-                add(place.protectedUntil);
+                add(mayGoAt(key, place));
             }
         }
     }
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -60,7 +60,7 @@
     Milliseconds recheck{20};      // at least, between looks whether a load that takes longer has ended
     double recheckShare = 0.15;    // of the time that it has taken so far, likewise
     int unanswered = 3;            // sends of one order without an answer, before the replica's report is read
-    Milliseconds inUse{450};       // weights that a request uses are not chosen to go so long after it was told; two reports
+    Milliseconds inUse{450};       // weights that a request uses are not chosen to go so long after its host told so last; two reports
     int patientConflicts = 20;     // while an unload waits for its runs; over it the replica's report is read
     Milliseconds settle{400};      // after a disagreement, until the replica's report is as new as its last order (some hundred ms)
     Milliseconds loadRecheck{250}; // the same for base weights
@@ -83,9 +83,9 @@
     void withdraw(const AdapterKey &key); // one waiter fewer
     /// How long weights that are not held yet are expected to take, with what waits before them.
     [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key, Instant now) const;
-    void onRevision(const AdapterKey &key, AdapterRevision revision); // a newer one is in force
-    void onInUse(const AdapterKey &key, Instant now);                 // requests that use it run
-    void onRestart(Instant now);                                      // holds nothing, and its counts began anew
+    void onRevision(const AdapterKey &key, AdapterRevision revision);            // a newer one is in force
+    void onInUse(const HostId &host, std::vector<AdapterKey> keys, Instant now); // all that requests of the host use now
+    void onRestart(Instant now);                                                 // holds nothing, and its counts began anew
 
     [[nodiscard]] bool needsReport(Instant now) const;
     void onReport(const ReplicaReport &report, Instant now);
@@ -133,6 +133,10 @@
         std::uint64_t order = 0;
         friend auto operator<=>(const Rank &, const Rank &) = default;
     };
+    struct Uses {
+        std::vector<AdapterKey> keys;
+        Instant until;
+    };
     struct Usage {
         admission::DecayingCount asks{Milliseconds(1)};
     };
@@ -145,6 +149,7 @@
     [[nodiscard]] std::optional<Order> dueCheck(Instant now) const;
     [[nodiscard]] std::optional<Order> nextLoad(Instant now) const;
     [[nodiscard]] std::optional<AdapterKey> victim(Instant now) const;
+    [[nodiscard]] Instant mayGoAt(const AdapterKey &key, const Place &place) const; // as far as is known
     [[nodiscard]] Rank rankOf(const AdapterKey &key, const Want &want, Instant now) const;
     [[nodiscard]] double fetchTime() const; // ms
     [[nodiscard]] int coming() const;
@@ -172,6 +177,7 @@
     std::map<AdapterKey, Want> wants_;
     std::map<AdapterKey, AdapterRevision> newest_;
     std::map<AdapterKey, Usage> usage_;
+    std::map<HostId, Uses> uses_;
     std::deque<AdapterKey> nearby_; // held lately, newest last
     std::uint64_t wantCount_ = 0;
     int conflicts_ = 0;          // in a row
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -247,7 +247,7 @@
     }
     replica_.run(adapter("a"), 1);
     for (int i = 0; i < 5; ++i) {
-        residency_.onInUse(adapter("a"), now_);
+        residency_.onInUse(HostId("h"), {adapter("a")}, now_);
         pass(Milliseconds(200));
     }
     waitFor(adapter("e"));
@@ -255,6 +255,27 @@
     EXPECT_EQ(conflicts_, 0);
 }
 
+// Pattern: more adapters in use than places (swellcast-kgn-grown scale-2: 2,800 requests late for want of a place).
+TEST_F(ResidencyTest, a_place_is_free_as_soon_as_the_last_host_says_that_it_uses_it_no_more)
+{
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        waitFor(adapter(name));
+    }
+    pass(Milliseconds(400)); // leases end
+    const std::vector<AdapterKey> all{adapter("a"), adapter("b"), adapter("c"), adapter("d")};
+    residency_.onInUse(HostId("h1"), all, now_);
+    residency_.onInUse(HostId("h2"), {adapter("b")}, now_);
+    static_cast<void>(residency_.ask(adapter("e"), {}, now_ + onTime, true, now_));
+    pass(Milliseconds(100));
+    EXPECT_EQ(residency_.placesTaken(), 4U);
+    EXPECT_TRUE(replica_.holds(adapter("a"), now_) && replica_.holds(adapter("b"), now_));
+    residency_.onInUse(HostId("h1"), {adapter("c"), adapter("d")}, now_);
+    pass(Milliseconds(1));
+    EXPECT_FALSE(replica_.holds(adapter("a"), now_)) << "nobody uses it any more";
+    EXPECT_TRUE(replica_.holds(adapter("b"), now_)) << "another host still does";
+    EXPECT_EQ(conflicts_, 0);
+}
+
 // Pattern: workers leave orders unanswered and carry them out, or not (applied_late).
 TEST_F(ResidencyTest, an_order_whose_answer_was_lost_is_sent_again_as_it_was)
 {
