--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -21,7 +21,7 @@
 
 constexpr Milliseconds tickInterval{100};         // of membership and ownership
 constexpr Milliseconds pauseNoticed{500};         // a tick that is this late tells that the host stood still
-constexpr Milliseconds runningInterval{200};      // between reports of running requests to owners
+constexpr Milliseconds runningInterval{100};      // between reports of running requests to owners; a fifth of a usual stream
 constexpr Milliseconds housekeepingInterval{500}; // idle connections, ended leases, lapsed records
 constexpr int percent = 100;
 constexpr int operatorsWaitPercent = 45; // of the bound on configurations: a waiting read can miss a record (seen on trouble-1), the next one has it
