--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -207,7 +207,7 @@
 constexpr auto fieldsOf(const Hosting *)
 {
     return std::make_tuple(field("metrics", &Hosting::metrics, peerText),
-                           field("config_apply_ms", &Hosting::configApply, shortLength),
+                           field("configuration_ms", &Hosting::configApply, shortLength),
                            field("drain_ms", &Hosting::drain, shortLength),
                            field("grace_s", &Hosting::graceSeconds, NumberRule{0.1, 3'600}),
                            field("retry_share", &Hosting::retryShare, NumberRule{0, 1}),
