--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -35,6 +35,7 @@
 constexpr double streamPatienceShare = 1.2;              // the same for streams: a long prompt may take its objective to read
 constexpr Milliseconds leastPatience{250};
 constexpr double promptTokensPerMs = 38.1;   // that a replica reads, as the sheets of both deployments say
+constexpr double longestReadingMs = 10'000;  // counted for one prompt, whatever its caller says: the longest deadline of both deployments
 constexpr double crowdedEngine = 1.6;        // running for each slot; beyond it a request would wait longer than most objectives
 constexpr Milliseconds revisionGrace{1'000}; // a newly named revision is asked for by name from here on; before it either is right
 constexpr Milliseconds crowdedRetry{300};    // Retry-After when all are crowded: some requests have ended by then
@@ -758,7 +759,7 @@
     void beginReading(const UpstreamId &id)
     {
         if (isEngine()) {
-            readingMs_ = static_cast<int>(facts_.promptTokens / promptTokensPerMs);
+            readingMs_ = static_cast<int>(std::clamp(facts_.promptTokens / promptTokensPerMs, 0.0, longestReadingMs));
             node_.chooser.beginReading(id, readingMs_);
             node_.chooser.noteInterest(id, node_.now());
         }
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -254,6 +254,19 @@
     EXPECT_EQ(node_.neededModel({models[0], models[2]})->name.value(), "other") << "it is asked for";
 }
 
+// Pattern: callers that say anything of themselves. What a prompt is said to hold weighs in the choice, within bounds.
+TEST_F(ForwarderTest, a_prompt_that_is_said_to_be_endless_counts_for_ten_seconds_at_most)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("x")}, false, false, Milliseconds(100)}}}, true);
+    int most = 0;
+    asio::steady_timer look(io_, std::chrono::milliseconds(50));
+    look.async_wait([&](boost::system::error_code) { most = node_.chooser.own(UpstreamId("r1")).readingMs; });
+    EXPECT_EQ(send(get("q", "Weights: m/a1\r\nTokens: 1e300\r\n"), "\r\n\r\n").status(), 200);
+    EXPECT_EQ(most, 10'000);
+    EXPECT_EQ(node_.chooser.own(UpstreamId("r1")), Occupancy()) << "nothing is left once it has ended";
+    EXPECT_EQ(send(get("p", "Weights: m/a1\r\nTokens: -5\r\n"), "\r\n\r\n").status(), 200);
+}
+
 TEST_F(ForwarderTest, an_address_that_another_upstream_has_now_is_left_alone)
 {
     const std::string other = "HTTP/1.1 421 Misdirected\r\nReplica: r9\r\nContent-Length: 0\r\n\r\n";
--- a/packages/serving/tests/servingworld.h
+++ b/packages/serving/tests/servingworld.h
@@ -24,7 +24,7 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields: Id, Deadline, Weights (MODEL/ADAPTER), Last, Seal, Not-Run, Replica. What the system sets: To, Left, Revision.
+/// Fields: Id, Deadline, Weights (MODEL/ADAPTER), Tokens, Last, Seal, Not-Run, Replica. What the system sets: To, Left, Revision.
 class FakeCodec final : public Codec
 {
 public:
@@ -36,6 +36,8 @@
                 facts.id = RequestId(std::string(value));
             } else if (name == "Deadline") {
                 facts.deadline = Milliseconds(std::stoll(std::string(value)));
+            } else if (name == "Tokens") {
+                facts.promptTokens = std::stod(std::string(value));
             } else if (name == "Weights") {
                 const auto slash = value.find('/');
                 facts.weights = {BaseModel(std::string(value.substr(0, slash))), AdapterName(std::string(value.substr(slash + 1)))};
