One copy of what the hosted path had written again

Both servers open their listeners and tell unreadable requests apart by net::openListener and net::statusOfReadError (a listener's address that can't be read is an error there now, not an exception). Gone: the time of the next report of running requests, which was every tick; a struct around one counter; EventScanner::rest() and reset(), which nothing called; the attempt numbers with a lock of their own in hostedtest. Behaviour, bounds and assertions are as before.

--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -1,7 +1,7 @@
 // net/http.h: HTTP/1.1 messages, server and client on one io_context. Beast stays inside the .cpp files.
 //
 // Index
-//   Address          ip:port
+//   Address          ip:port; openListener(), statusOfReadError() for servers of any kind
 //   HttpRequest, HttpResponse
 //   HttpServer       takes requests, bounded in every way; hands each to one handler coroutine
 //   Exchange         one request and its answer, whole or streamed
@@ -22,6 +22,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <core/error.h>
 #include <core/types.h>
@@ -42,6 +43,12 @@
     friend auto operator<=>(const Address &, const Address &) = default;
 };
 
+/// Opens, binds and listens. Returns the address with the port that was taken; error: step Connect.
+[[nodiscard]] std::optional<Address> openListener(boost::asio::ip::tcp::acceptor &acceptor, const Address &address, int backlog, core::Error &why);
+
+/// The status that answers a request which could not be read: 400, 408, 413 or 431. Nothing: the connection just ended.
+[[nodiscard]] std::optional<int> statusOfReadError(boost::system::error_code failed);
+
 /// Header fields in order; names compare without case.
 class Headers
 {
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -32,23 +32,62 @@
                                   std::string(R"({"error":{"type":")") + std::string(type) + R"(","message":")" + std::string(message)
                                       + R"(","step":"receive","outcome":"not_run"}})");
     };
+    const auto status = statusOfReadError(failed);
+    if (!status) {
+        return std::nullopt;
+    }
+    switch (*status) {
+    case 408:
+        return error(*status, "timeout", "the request did not arrive in time; send it faster");
+    case 413:
+        return error(*status, "too_large", "the body is over the limit; send a shorter one");
+    case 431:
+        return error(*status, "too_large", "the headers are over the limit; send fewer or shorter ones");
+    default:
+        return error(*status, "bad_request", "this is not HTTP/1.1");
+    }
+}
+
+} // namespace
+
+std::optional<int> statusOfReadError(error_code failed)
+{
     if (failed == beast::error::timeout) {
-        return error(408, "timeout", "the request did not arrive in time; send it faster");
+        return 408;
     }
     if (failed == http::error::body_limit) {
-        return error(413, "too_large", "the body is over the limit; send a shorter one");
+        return 413;
     }
     if (failed == http::error::header_limit) {
-        return error(431, "too_large", "the headers are over the limit; send fewer or shorter ones");
-    }
-    if (failed.category() == http::make_error_code(http::error::bad_value).category() && failed != http::error::end_of_stream
-        && failed != http::error::partial_message) {
-        return error(400, "bad_request", "this is not HTTP/1.1");
+        return 431;
     }
-    return std::nullopt;
+    const bool isHttp = failed.category() == http::make_error_code(http::error::bad_value).category();
+    const bool isEnd = failed == http::error::end_of_stream || failed == http::error::partial_message;
+    return isHttp && !isEnd ? std::optional(400) : std::nullopt;
 }
 
-} // namespace
+std::optional<Address> openListener(tcp::acceptor &acceptor, const Address &address, int backlog, core::Error &why)
+{
+    error_code failed;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.ip, failed), address.port);
+    if (!failed) {
+        acceptor.open(endpoint.protocol(), failed);
+    }
+    if (!failed) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), failed);
+    }
+    if (!failed) {
+        acceptor.bind(endpoint, failed);
+    }
+    if (!failed) {
+        acceptor.listen(backlog, failed);
+    }
+    if (failed) {
+        why = core::Error{.step = core::Step::Connect, .peer = address.text(), .reason = "can't listen: " + failed.message()};
+        return std::nullopt;
+    }
+    return Address{address.ip, acceptor.local_endpoint().port()};
+}
 
 class Connection;
 
@@ -403,26 +442,12 @@
 
 std::optional<Address> HttpServer::listen(const Address &address, core::Error &why)
 {
-    error_code failed;
-    const tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-    auto &acceptor = state_->acceptor;
-    acceptor.open(endpoint.protocol(), failed);
-    if (!failed) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), failed);
-    }
-    if (!failed) {
-        acceptor.bind(endpoint, failed);
-    }
-    if (!failed) {
-        acceptor.listen(asio::socket_base::max_listen_connections, failed);
-    }
-    if (failed) {
-        why = core::Error{.step = core::Step::Connect, .peer = address.text(), .reason = "can't listen: " + failed.message()};
-        return std::nullopt;
+    auto bound = openListener(state_->acceptor, address, asio::socket_base::max_listen_connections, why);
+    if (bound) {
+        asio::co_spawn(
+            state_->io, [state = state_] { return state->acceptLoop(); }, asio::detached);
     }
-    asio::co_spawn(
-        state_->io, [state = state_] { return state->acceptLoop(); }, asio::detached);
-    return Address{address.ip, acceptor.local_endpoint().port()};
+    return bound;
 }
 
 void HttpServer::stopAccepting()
--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -23,25 +23,19 @@
 constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; two pauses after which callers give up themselves
 constexpr int backlog = 1'024;
 
-struct Unreadable {
-    int status = 400;
-    std::string_view reason = "this is not HTTP/1.1";
-};
-
-/// What to tell about a request that can't be read. Nothing: the connection just ended.
-std::optional<Unreadable> unreadable(error_code failed)
+/// For the log.
+std::string_view reasonOf(int unreadableStatus)
 {
-    if (failed == http::error::body_limit) {
-        return Unreadable{413, "the body is over the limit"};
-    }
-    if (failed == http::error::header_limit) {
-        return Unreadable{431, "the headers are over the limit"};
-    }
-    const bool isHttp = failed.category() == http::make_error_code(http::error::bad_value).category();
-    if (isHttp && failed != http::error::end_of_stream && failed != http::error::partial_message) {
-        return Unreadable{};
+    constexpr int bodyLimit = 413;
+    constexpr int headerLimit = 431;
+    switch (unreadableStatus) {
+    case bodyLimit:
+        return "the body is over the limit";
+    case headerLimit:
+        return "the headers are over the limit";
+    default:
+        return "this is not HTTP/1.1";
     }
-    return std::nullopt;
 }
 
 } // namespace
@@ -220,12 +214,12 @@
 
     net::Task<void> refuseUnreadable(error_code failed)
     {
-        const auto what = unreadable(failed);
-        if (!what || !socket_.is_open()) {
+        const auto status = net::statusOfReadError(failed);
+        if (!status || !socket_.is_open()) {
             co_return;
         }
-        server_->options.onUnreadable(what->status, what->reason);
-        co_await write("HTTP/1.1 " + std::to_string(what->status) + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        server_->options.onUnreadable(*status, reasonOf(*status));
+        co_await write("HTTP/1.1 " + std::to_string(*status) + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
         error_code ignored; // the caller may be gone
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
     }
@@ -280,27 +274,12 @@
 
 std::optional<net::Address> CallerServer::listen(const net::Address &address, core::Error &why)
 {
-    error_code failed;
-    const auto ip = asio::ip::make_address(address.ip, failed);
-    const tcp::endpoint endpoint(ip, address.port);
-    if (!failed) {
-        state_->acceptor.open(endpoint.protocol(), failed);
-    }
-    if (!failed) {
-        state_->acceptor.set_option(asio::socket_base::reuse_address(true), failed);
-        state_->acceptor.bind(endpoint, failed);
-    }
-    if (!failed) {
-        state_->acceptor.listen(backlog, failed);
-    }
-    if (failed) {
-        why = core::Error{.step = core::Step::Connect, .peer = address.text(), .reason = "can't listen: " + failed.message()};
-        return std::nullopt;
+    auto bound = net::openListener(state_->acceptor, address, backlog, why);
+    if (bound) {
+        asio::co_spawn(
+            state_->io, [state = state_] { return acceptLoop(state); }, asio::detached);
     }
-    const auto bound = state_->acceptor.local_endpoint(failed);
-    asio::co_spawn(
-        state_->io, [state = state_] { return acceptLoop(state); }, asio::detached);
-    return net::Address{bound.address().to_string(), bound.port()};
+    return bound;
 }
 
 void CallerServer::beginStop()
--- a/packages/serving/events.cpp
+++ b/packages/serving/events.cpp
@@ -64,11 +64,4 @@
     return std::nullopt;
 }
 
-void EventScanner::reset()
-{
-    buffer_.clear();
-    at_ = 0;
-    searched_ = 0;
-}
-
 } // namespace baobabstall::serving
--- a/packages/serving/events.h
+++ b/packages/serving/events.h
@@ -28,9 +28,7 @@
     void feed(std::string_view bytes);
     [[nodiscard]] std::optional<StreamEvent> next();
     [[nodiscard]] bool hasRest() const { return at_ < buffer_.size(); } // a part of an event
-    [[nodiscard]] std::string_view rest() const { return std::string_view(buffer_).substr(at_); }
     [[nodiscard]] bool isBroken() const { return buffer_.size() - at_ > maxEventBytes; }
-    void reset(); // another answer begins
 
 private:
     std::string buffer_;
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -10,6 +10,8 @@
 constexpr Milliseconds longestRetry{600}; // bounds how late the store's return is noticed
 constexpr Milliseconds urgentPause{20};   // between reads whose end matters
 
+} // namespace
+
 std::string_view topicText(Topic topic)
 {
     switch (topic) {
@@ -22,8 +24,6 @@
     }
 }
 
-} // namespace
-
 TopicFollower::TopicFollower(Node &node, StoreLike &store, Topic topic, FollowOptions options, TopicEvents events)
     : node_(node)
     , store_(store)
@@ -33,11 +33,6 @@
     , timer_(node.io)
 { }
 
-std::string_view TopicFollower::name() const
-{
-    return topicText(topic_);
-}
-
 net::Task<void> TopicFollower::run()
 {
     while (isRunning_) {
@@ -94,10 +89,7 @@
     note(true, why);
     if (page->readTo > next_ || page->records.empty()) { // else another host's page came first
         wasEmpty_ = page->records.empty();
-        StorePage fresh = *page;
-        std::erase_if(fresh.records, [this](const StoreRecord &record) { return record.offset < next_; });
-        next_ = std::max(next_, page->readTo);
-        events_.onPage(fresh);
+        take(*page);
         events_.onRead({from, *page});
     }
     co_return true;
@@ -105,15 +97,18 @@
 
 void TopicFollower::feed(const SharedPage &shared)
 {
-    const auto &page = shared.page;
-    const bool fits = isKnown_ && !needsListing_ && !isUrgent_ && shared.from <= next_ && page.readTo >= next_;
-    if (!fits) {
-        return;
+    const bool fits = isKnown_ && !needsListing_ && !isUrgent_ && shared.from <= next_ && shared.page.readTo >= next_;
+    if (fits) {
+        readAt_ = node_.now();
+        take(shared.page);
     }
+}
+
+void TopicFollower::take(const StorePage &page)
+{
     StorePage rest = page;
     std::erase_if(rest.records, [this](const StoreRecord &record) { return record.offset < next_; });
-    next_ = page.readTo;
-    readAt_ = node_.now();
+    next_ = std::max(next_, page.readTo);
     events_.onPage(rest);
 }
 
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -19,6 +19,9 @@
 
 namespace baobabstall::serving {
 
+/// The same on all hosts; in log lines and shared pages.
+[[nodiscard]] std::string_view topicText(Topic topic);
+
 struct FollowOptions {
     Milliseconds wait{0};      // how long the store holds a read until there is a record; 0: answers at once
     Milliseconds pause{0};     // between two reads
@@ -53,7 +56,7 @@
         isHurried_ = true;
         timer_.cancel();
     }
-    [[nodiscard]] std::string_view name() const;            // of the topic, the same on all hosts
+    [[nodiscard]] std::string_view name() const { return topicText(topic_); }
     [[nodiscard]] bool isKnown() const { return isKnown_; } // a listing was read
     [[nodiscard]] bool isReached() const { return isReached_; }
     [[nodiscard]] Instant readAt() const { return readAt_; }
@@ -64,6 +67,7 @@
 
 private:
     net::Task<bool> step();
+    void take(const StorePage &page); // what it has beyond next_
     void note(bool isReached, const core::Error &why);
     net::Task<void> pause(Milliseconds time);
     net::Task<void> waitTurn();
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -625,9 +625,6 @@
             scanner.feed(*piece);
             std::string events;
             takeEvents(scanner, events);
-            if (!events.empty()) {
-                endReading(replica.id);
-            }
             if (!events.empty() && !co_await writeEvents(head, events)) {
                 noteSend(replica, SendEnd::Abandoned, "caller_gone", {});
                 releaseConnection(false);
@@ -672,6 +669,7 @@
     net::Task<bool> writeEvents(const std::string &head, const std::string &events)
     {
         const auto now = node_.now();
+        endReading(upstream_);
         if (!hasBegun_) {
             hasBegun_ = true;
             status_ = 200;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -19,9 +19,8 @@
 
 namespace {
 
-constexpr Milliseconds tickInterval{100};         // of membership and ownership
+constexpr Milliseconds tickInterval{100};         // of membership, ownership and reports of running requests: a fifth of a usual stream
 constexpr Milliseconds pauseNoticed{500};         // a tick that is this late tells that the host stood still
-constexpr Milliseconds runningInterval{100};      // between reports of running requests to owners; a fifth of a usual stream
 constexpr Milliseconds housekeepingInterval{500}; // idle connections, ended leases, lapsed records
 constexpr int percent = 100;
 constexpr int operatorsWaitPercent = 45; // of the bound on configurations: a waiting read can miss a record (seen on trouble-1), the next one has it
@@ -45,6 +44,12 @@
 constexpr std::string_view linksKey = "key";
 constexpr std::string_view hostPrefix = "host/";
 
+/// Reads that the store holds until there is news. Who does not read waits for the page of who does.
+FollowOptions waiting(Milliseconds wait)
+{
+    return {.wait = wait, .pause = wait + waitSlack};
+}
+
 std::string_view changeText(BookChange change)
 {
     constexpr std::array<std::string_view, 6> texts = {"none", "came", "restarted", "leaving", "gone", "back"};
@@ -78,8 +83,7 @@
     , operatorsTopic_(node_,
                       store,
                       Topic::Operators,
-                      {.wait = settings.hosting.configApply * operatorsWaitPercent / percent,
-                       .pause = settings.hosting.configApply * operatorsWaitPercent / percent + waitSlack},
+                      waiting(settings.hosting.configApply * operatorsWaitPercent / percent),
                       {.onListing =
                            [this](const StoreListing &listing) {
                                for (const auto &record : listing.records) {
@@ -111,7 +115,7 @@
     , controlTopic_(node_,
                     store,
                     Topic::Control,
-                    {.wait = controlWait, .pause = controlWait + waitSlack},
+                    waiting(controlWait),
                     {.onListing =
                          [this](const StoreListing &listing) {
                              auto records = listing.records;
@@ -268,7 +272,7 @@
     Error why;
     const auto news = node_.codec.readRevision(record.key, record.value, why);
     if (!news) {
-        node_.log.warn("record_unreadable", why, {{"topic", "operators"}, {"record", record.key}, {"offset", record.offset}});
+        noteUnreadable(Topic::Operators, record, why);
         return;
     }
     auto &known = node_.revisions[news->weights];
@@ -309,12 +313,8 @@
     node_.bookReadAt = node_.now();
     std::vector<ReplicaRecord> records;
     for (const auto &each : listing.records) {
-        Error why;
-        auto record = each.value.empty() ? std::nullopt : node_.codec.readReplica(each.key, each.value, why);
-        if (record) {
+        if (auto record = readUpstream(each)) {
             records.push_back(std::move(*record));
-        } else if (!each.value.empty()) {
-            node_.log.warn("record_unreadable", why, {{"topic", "upstreams"}, {"record", settings::printableText(each.key)}, {"offset", each.offset}});
         }
     }
     for (const auto &[id, change] : node_.book.assign(records, node_.now())) {
@@ -329,17 +329,28 @@
         return;
     }
     const UpstreamId id(each.key);
+    const auto record = readUpstream(each);
+    noteChange(id, record ? node_.book.apply(*record) : node_.book.remove(id, node_.now()));
+    updateThings();
+}
+
+/// Nothing for a record without a value, which says that the upstream is gone, and for one that can't be read.
+std::optional<ReplicaRecord> HostedDaemon::readUpstream(const StoreRecord &each) const
+{
+    if (each.value.empty()) {
+        return std::nullopt;
+    }
     Error why;
-    const auto record = each.value.empty() ? std::nullopt : node_.codec.readReplica(each.key, each.value, why);
-    if (record) {
-        noteChange(id, node_.book.apply(*record));
-    } else {
-        if (!each.value.empty()) {
-            node_.log.warn("record_unreadable", why, {{"topic", "upstreams"}, {"record", settings::printableText(each.key)}, {"offset", each.offset}});
-        }
-        noteChange(id, node_.book.remove(id, node_.now()));
+    auto record = node_.codec.readReplica(each.key, each.value, why);
+    if (!record) {
+        noteUnreadable(Topic::Upstreams, each, why);
     }
-    updateThings();
+    return record;
+}
+
+void HostedDaemon::noteUnreadable(Topic topic, const StoreRecord &record, const Error &why) const
+{
+    node_.log.warn("record_unreadable", why, {{"topic", topicText(topic)}, {"record", settings::printableText(record.key)}, {"offset", record.offset}});
 }
 
 void HostedDaemon::noteChange(const UpstreamId &id, BookChange change)
@@ -392,7 +403,7 @@
             Error why;
             claim.claim = ownership::claimFromJson(record.value, why);
             if (!claim.claim) {
-                node_.log.warn("record_unreadable", why, {{"topic", "control"}, {"record", settings::printableText(record.key)}, {"offset", record.offset}});
+                noteUnreadable(Topic::Control, record, why);
             }
         }
         if (record.offset > planner_.readTo()) {
@@ -420,7 +431,7 @@
     if (record.value.empty()) {
         announced_.erase(host);
     } else if (!address) {
-        node_.log.warn("record_unreadable", why, {{"topic", "control"}, {"record", settings::printableText(record.key)}, {"offset", record.offset}});
+        noteUnreadable(Topic::Control, record, why);
         return;
     } else {
         announced_[host] = {*address, ZoneId(zone)};
@@ -535,10 +546,7 @@
         }
         lastTick_ = now;
         tick();
-        if (now >= nextRunningReport_) {
-            nextRunningReport_ = now + runningInterval;
-            reportRunning();
-        }
+        reportRunning();
         if (now >= nextHousekeeping_) {
             nextHousekeeping_ = now + housekeepingInterval;
             node_.pool.expire(now);
@@ -828,13 +836,6 @@
 
 // ---- Shared reads ----
 
-namespace {
-
-constexpr std::array<std::pair<Topic, std::string_view>, 3> topicNames
-    = {{{Topic::Operators, "operators"}, {Topic::Upstreams, "upstreams"}, {Topic::Control, "control"}}};
-
-} // namespace
-
 /// Hosts share in groups of the sorted list, the same for each of its members.
 void HostedDaemon::updateSharers()
 {
@@ -857,9 +858,9 @@
         return static_cast<int>(
             std::count_if(sharers_.begin(), sharers_.end(), [&](const HostId &host) { return weight(host) > weight(node_.settings.host); }));
     };
-    operatorsTopic_.setRank(rankFor(topicNames[0].second));
-    upstreamsTopic_.setRank(rankFor(topicNames[1].second));
-    controlTopic_.setRank(rankFor(topicNames[2].second));
+    for (auto *follower : {&operatorsTopic_, &upstreamsTopic_, &controlTopic_}) {
+        follower->setRank(rankFor(follower->name()));
+    }
 }
 
 void HostedDaemon::share(Topic topic, const SharedPage &shared)
@@ -868,7 +869,7 @@
         return;
     }
     peers::FeedNotice feed;
-    feed.topic = topicNames.at(static_cast<std::size_t>(topic)).second;
+    feed.topic = topicText(topic);
     feed.from = shared.from.value();
     feed.first = shared.page.first.value();
     feed.next = shared.page.next.value();
@@ -933,13 +934,7 @@
             }
             const auto owned = owned_.find(id);
             if (owned != owned_.end()) {
-                std::vector<AdapterKey> used;
-                if (const auto uses = node_.inUse.find(id); uses != node_.inUse.end()) {
-                    for (const auto &[weights, count] : uses->second) {
-                        used.push_back(weights);
-                    }
-                }
-                owned->second->onInUse(node_.settings.host, std::move(used));
+                owned->second->onInUse(node_.settings.host, node_.weightsInUse(id));
             }
             continue;
         }
@@ -950,10 +945,8 @@
         }
         if (isTold || reported_[*owner].contains(id)) {
             peers::RunningAt at{id, own.running, own.readingMs, {}};
-            if (const auto uses = node_.inUse.find(id); uses != node_.inUse.end()) {
-                for (const auto &[weights, count] : uses->second) {
-                    at.adapters.emplace_back(weights.model, weights.adapter);
-                }
+            for (const auto &weights : node_.weightsInUse(id)) {
+                at.adapters.emplace_back(weights.model, weights.adapter);
             }
             notices[*owner].running.push_back(std::move(at));
         }
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -65,6 +65,8 @@
     // Upstreams' topic.
     void takeUpstreamListing(const StoreListing &listing);
     void takeUpstream(const StoreRecord &record);
+    [[nodiscard]] std::optional<ReplicaRecord> readUpstream(const StoreRecord &each) const;
+    void noteUnreadable(Topic topic, const StoreRecord &record, const core::Error &why) const;
     void noteChange(const UpstreamId &id, BookChange change);
     void updateThings();
     // Control topic.
@@ -123,7 +125,6 @@
     std::uint64_t thingsVersion_ = ~std::uint64_t(0);
     Instant claimTurn_; // hosts that start together claim one after the other
     Instant lastTick_;
-    Instant nextRunningReport_;
     Instant nextHousekeeping_;
 };
 
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -102,6 +102,17 @@
     }
 }
 
+std::vector<AdapterKey> Node::weightsInUse(const UpstreamId &upstream) const
+{
+    std::vector<AdapterKey> used;
+    if (const auto uses = inUse.find(upstream); uses != inUse.end()) {
+        for (const auto &[weights, count] : uses->second) {
+            used.push_back(weights);
+        }
+    }
+    return used;
+}
+
 void Node::setHosts(int count)
 {
     hosts = std::max(1, count);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -94,6 +94,7 @@
     [[nodiscard]] const ModelSpec *neededModel(const std::vector<ModelSpec> &models) const;
     /// A request begins or ends to use weights at an upstream.
     void noteUse(const UpstreamId &upstream, const AdapterKey &weights, int change);
+    [[nodiscard]] std::vector<AdapterKey> weightsInUse(const UpstreamId &upstream) const; // by requests of this host
 
     boost::asio::io_context &io;
     settings::Settings settings;
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -470,13 +470,13 @@
 {
     const auto found = usage_.find(key);
     const double perMs = std::numbers::ln2 / static_cast<double>(options_.rateHalfLife.count());
-    return found == usage_.end() ? 0 : found->second.asks.value(now) * perMs * msPerSecond;
+    return found == usage_.end() ? 0 : found->second.value(now) * perMs * msPerSecond;
 }
 
 void Residency::noteUse(const AdapterKey &key, Instant now)
 {
-    auto [found, isNew] = usage_.try_emplace(key, Usage{admission::DecayingCount(options_.rateHalfLife)});
-    found->second.asks.add(now);
+    auto [found, isNew] = usage_.try_emplace(key, options_.rateHalfLife);
+    found->second.add(now);
     if (isNew && usage_.size() > maxUsage) {
         forgetIdleUsage(now);
     }
@@ -484,7 +484,7 @@
 
 void Residency::forgetIdleUsage(Instant now)
 {
-    std::erase_if(usage_, [&](const auto &each) { return each.second.asks.value(now) < idleAsks; });
+    std::erase_if(usage_, [&](const auto &each) { return each.second.value(now) < idleAsks; });
 }
 
 void Residency::noteNearby(const AdapterKey &key)
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -137,9 +137,6 @@
         std::vector<AdapterKey> keys;
         Instant until;
     };
-    struct Usage {
-        admission::DecayingCount asks{Milliseconds(1)};
-    };
 
     [[nodiscard]] double rate(const AdapterKey &key, Instant now) const;
     void noteUse(const AdapterKey &key, Instant now);
@@ -176,7 +173,7 @@
     std::map<AdapterKey, Place> held_;
     std::map<AdapterKey, Want> wants_;
     std::map<AdapterKey, AdapterRevision> newest_;
-    std::map<AdapterKey, Usage> usage_;
+    std::map<AdapterKey, admission::DecayingCount> usage_; // asks
     std::map<HostId, Uses> uses_;
     std::deque<AdapterKey> nearby_; // held lately, newest last
     std::uint64_t wantCount_ = 0;
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -1,6 +1,7 @@
 """Hosted daemons as real processes against the stand-ins of the platform (standins/hosting). Usage: hostedtest.py BAOBABSTALLD [NAME...]"""
 import datetime
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -110,7 +111,7 @@
         self.replicas = [Replica(self.store, "i-llm%d" % n, "llm", "a", model="base") for n in range(2)]
         self.shop = Replica(self.store, "i-shop", "shop", "a")
         self.hosts = [Host(n + 1, self.store, pathlib.Path(self.folder.name)) for n in range(self.HOSTS)]
-        self.count = 0
+        self.numbers = itertools.count(1)  # of attempts; safe to draw from many threads
 
     def tearDown(self):
         for host in self.hosts:
@@ -130,15 +131,13 @@
         self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts)), "no generation served")
 
     def generate(self, host, adapter, timeout=10):
-        self.count += 1
-        attempt = "q%d" % self.count
+        attempt = "q%d" % next(self.numbers)
         headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
         status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt", timeout)
         return status, answer_headers, body, attempt
 
     def book(self, host, attempt=None, timeout=5):
-        self.count += 1
-        attempt = attempt or "b%d" % self.count
+        attempt = attempt or "b%d" % next(self.numbers)
         return ask(host.callers, "POST", "/book/x", {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "1500"}, b"seat 4", timeout)
 
     def whole_stream(self, attempt):
@@ -168,23 +167,11 @@
                 if status not in (200, 503):
                     wrong.append((attempt, status))
 
-        # Attempts are numbered without a lock, so each thread needs numbers of its own.
-        self.generate_lock = threading.Lock()
-        plain = self.generate
-        def locked(host, adapter, timeout=10):
-            with self.generate_lock:
-                self.count += 1
-                attempt = "m%d" % self.count
-            headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
-            status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt", timeout)
-            return status, answer_headers, body, attempt
-        self.generate = locked
         threads = [threading.Thread(target=work, args=(self.hosts[n % 2], n * 3)) for n in range(8)]
         for thread in threads:
             thread.start()
         for thread in threads:
             thread.join()
-        self.generate = plain
         self.assertEqual(wrong, [])
 
     def test_orders_move_to_another_host_only_a_lease_after_their_holder_was_killed(self):
