Places go to what serves most requests; a wait that is too long is told before it begins

At i-b2dfca0c39 108 requests waited for a6406, which had to be fetched, while lone requests for adapters that load fast got each place that became free: what loads fast always went first. The wait to expect counted loads but no places, so such an ask was never refused at once, and a refused one did not go to upstreams that held the weights.

Now the order of wants is requests served (late ones count 0.2) for the time a place is taken; the wait counts places; leases are short while somebody waits for a place; where another upstream with room holds the weights, an ask waits no longer than the objective; a refused ask goes on to holders only.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -41,6 +41,8 @@
 constexpr Milliseconds crowdedRetry{300};    // Retry-After when all are crowded: some requests have ended by then
 constexpr Milliseconds unknownRetry{1'000};  // Retry-After when nothing can be served yet: a listing of the store that failed once is read again by then
 constexpr double residencyShare = 0.85;      // of the time left that is spent on waiting for weights; the rest is for the answer
+constexpr double residencyOnTime = 0.6;      // the same of what is left of the objective, where another upstream holds the weights
+constexpr double roomyFill = 1;              // running for each slot; below it a request begins to run at once
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
 
@@ -141,7 +143,7 @@
             const bool isTried = std::find(passed_.begin(), passed_.end(), id) != passed_.end();
             const bool isFull = spec_ != nullptr && spec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.own(id).running >= connectionShare();
-            if (isTried || isFull || (needsModel && !record->holds(model))) {
+            if (isTried || isFull || (needsModel && !record->holds(model)) || (onlyHolders_ && !isHeld(*record))) {
                 continue;
             }
             Candidate candidate{record, true, true};
@@ -190,6 +192,9 @@
     const ReplicaRecord *choose()
     {
         const auto all = candidates();
+        if (all.empty() && onlyHolders_) {
+            return nullptr; // the refusal is that of the wait for weights
+        }
         if (all.empty()) {
             refusal_ = node_.book.usable(*service_).empty() ? "no_upstream" : "no_other_upstream";
             return nullptr;
@@ -215,9 +220,6 @@
             const ReplicaRecord replica = *record; // the book may change while this waits
             if (!co_await haveWeights(replica)) {
                 passed_.push_back(replica.id);
-                if (isFinal_) {
-                    break;
-                }
                 continue;
             }
             if (isOver() || !node_.book.isUsable(replica.id)) {
@@ -249,9 +251,11 @@
         if (lease && lease->revision >= atLeast) {
             co_return true;
         }
-        const auto wait = Milliseconds(static_cast<std::int64_t>(static_cast<double>(left().count()) * residencyShare));
-        Error why;
         const auto onTime = request_.arrivedAt + route_->objective - now;
+        const double patience
+            = isHeldElsewhere(replica.id) ? static_cast<double>(onTime.count()) * residencyOnTime : static_cast<double>(left().count()) * residencyShare;
+        const auto wait = Milliseconds(std::max<std::int64_t>(0, static_cast<std::int64_t>(patience)));
+        Error why;
         const auto grant = co_await node_.residency->ensure({replica.id, facts_.weights, atLeast, wait, onTime}, why);
         const auto took = node_.now() - now;
         residencyWait_ = residencyWait_ + took;
@@ -259,8 +263,8 @@
         if (!grant) {
             refusal_ = "weights_not_held";
             reasonText_ = why.reason;
-            // Another home would fetch the same weights once more. It is asked only where nobody could be.
-            isFinal_ = why.step == Step::Load;
+            // Another home would fetch the same weights once more: only one that holds them is tried, unless nobody could order here.
+            onlyHolders_ = onlyHolders_ || why.step == Step::Load;
             retryAfter_ = why.retryAfter;
             node_.log.info(
                 "weights_not_held", why, {{"request_id", facts_.id}, {"upstream", replica.id}, {"adapter", facts_.weights.text()}, {"waited_ms", took}});
@@ -272,6 +276,15 @@
         co_return true;
     }
 
+    [[nodiscard]] bool isHeldElsewhere(const UpstreamId &here) const
+    {
+        const auto all = candidates();
+        return std::any_of(all.begin(), all.end(), [&](const Candidate &each) {
+            const auto &other = *each.replica;
+            return other.id != here && each.isReady && node_.chooser.occupancy(other.id, node_.now()).running < other.slots * roomyFill;
+        });
+    }
+
     /// Whether another upstream, or the same one once more, may be asked after what happened.
     [[nodiscard]] bool mayGoOn()
     {
@@ -840,6 +853,7 @@
     int readingMs_ = 0;     // of the send that is out, until its first event
     bool hasBegun_ = false; // the caller has a part of the answer
     bool isFinal_ = false;
+    bool onlyHolders_ = false; // only upstreams that hold the weights may still be chosen
     int sends_ = 0;
     int misses_ = 0;
     int events_ = 0;
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -100,19 +100,20 @@
     const auto self = shared_from_this();
     const auto until = node_.now() + wish.wait;
     const auto &weights = wish.weights;
-    auto told = residency_.ask(weights, wish.atLeast, node_.now() + wish.onTime, true, node_.now());
+    const auto onTimeBy = node_.now() + wish.onTime;
+    auto told = residency_.ask(weights, wish.atLeast, onTimeBy, true, node_.now());
     if (told.answer == Residency::Answer::Ready) {
         co_return told;
     }
     if (!canOrder()) {
-        residency_.withdraw(weights);
+        residency_.withdraw(weights, onTimeBy);
         why = core::Error{.step = core::Step::Admit, .peer = record_.id.value(), .reason = "nothing can be ordered there at present"};
         co_return std::nullopt;
     }
     const auto expected = residency_.expectedWait(weights, node_.now());
     why = core::Error{.step = core::Step::Load, .peer = record_.id.value(), .reason = "the weights were not held in time"};
     if (expected > wish.wait) {
-        residency_.withdraw(weights);
+        residency_.withdraw(weights, onTimeBy);
         why.reason = "the weights can't be held in time: " + std::to_string(expected.count()) + " ms are expected";
         why.retryAfter = expected;
         co_return std::nullopt;
@@ -124,7 +125,7 @@
         waiters_.push_back(timer);
         co_await timer->async_wait(net::tuple);
         std::erase(waiters_, timer);
-        told = residency_.ask(weights, wish.atLeast, until, false, node_.now());
+        told = residency_.ask(weights, wish.atLeast, onTimeBy, false, node_.now());
         if (told.answer == Residency::Answer::Ready) {
             co_return told;
         }
@@ -134,7 +135,7 @@
             break;
         }
     }
-    residency_.withdraw(weights);
+    residency_.withdraw(weights, onTimeBy);
     co_return std::nullopt;
 }
 
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -11,6 +11,7 @@
 constexpr double idleAsks = 0.05;        // decayed asks below which they count as not used lately
 constexpr Milliseconds reportRetry{300}; // after a report that could not be read
 constexpr double msPerSecond = 1'000;
+constexpr Milliseconds longestPatience{60'000}; // of a waiter that is only imagined
 
 } // namespace
 
@@ -74,24 +75,32 @@
     const auto place = held_.find(key);
     const bool isReady = isKnown_ && hasModel_ && place != held_.end() && place->second.state == State::Held && place->second.revision >= newest;
     if (isReady) {
-        const auto lease = rate(key, now) >= options_.frequentPerSecond ? options_.longLease : options_.shortLease;
+        const bool isLong = rate(key, now) >= options_.frequentPerSecond && !isPressed();
+        const auto lease = isLong ? options_.longLease : options_.shortLease;
         place->second.protectedUntil = std::max(place->second.protectedUntil, now + lease);
         return {Answer::Ready, place->second.revision, lease};
     }
     if (isNew) {
         auto &want = wants_[key];
-        if (want.waiters++ == 0) {
+        if (want.onTimeBy.empty()) {
             want.order = ++wantCount_;
         }
-        want.onTimeBy = std::max(want.onTimeBy, onTimeBy);
+        want.onTimeBy.push_back(onTimeBy);
     }
     return {Answer::Waiting, {}, {}};
 }
 
-void Residency::withdraw(const AdapterKey &key)
+void Residency::withdraw(const AdapterKey &key, Instant onTimeBy)
 {
     const auto want = wants_.find(key);
-    if (want != wants_.end() && --want->second.waiters <= 0) {
+    if (want == wants_.end()) {
+        return;
+    }
+    auto &waiters = want->second.onTimeBy;
+    if (const auto waiter = std::find(waiters.begin(), waiters.end(), onTimeBy); waiter != waiters.end()) {
+        waiters.erase(waiter);
+    }
+    if (waiters.empty()) {
         wants_.erase(want);
     }
 }
@@ -220,7 +229,7 @@
         const auto place = held_.find(key);
         const bool isOld = place != held_.end() && place->second.state == State::Held && place->second.revision < newest(key);
         const auto rank = rankOf(key, want, now);
-        if ((place == held_.end() || isOld) && (!rank.isFetch || mayFetch) && (first == nullptr || rank < firstRank)) {
+        if ((place == held_.end() || isOld) && (!isFetch(key) || mayFetch) && (first == nullptr || rank.isBefore(firstRank))) {
             first = &key;
             firstRank = rank;
         }
@@ -374,11 +383,24 @@
     wants_.erase(key);
 }
 
+bool Residency::isFetch(const AdapterKey &key) const
+{
+    return held_.contains(key) || !isNearby(key); // what is held is wanted in a newer revision
+}
+
+Milliseconds Residency::loadTime(const AdapterKey &key) const
+{
+    return isFetch(key) ? Milliseconds(static_cast<std::int64_t>(fetchTime())) : options_.nearFetch;
+}
+
 Residency::Rank Residency::rankOf(const AdapterKey &key, const Want &want, Instant now) const
 {
-    const bool isFetch = held_.contains(key) || !isNearby(key); // what is held is wanted in a newer revision
-    const auto takes = isFetch ? Milliseconds(static_cast<std::int64_t>(fetchTime())) : options_.nearFetch;
-    return {isFetch, now + takes > want.onTimeBy, -want.waiters, want.order};
+    const auto takes = loadTime(key);
+    double served = 0;
+    for (const auto &onTimeBy : want.onTimeBy) {
+        served += now + takes <= onTimeBy ? 1 : options_.lateWorth;
+    }
+    return {served * msPerSecond / static_cast<double>((takes + options_.run).count()), want.order};
 }
 
 double Residency::fetchTime() const
@@ -386,21 +408,47 @@
     return std::max(fetchMs_, static_cast<double>(options_.fetch.count()));
 }
 
+bool Residency::isPressed() const
+{
+    return held_.size() >= static_cast<std::size_t>(options_.places)
+        && std::any_of(wants_.begin(), wants_.end(), [this](const auto &each) { return !held_.contains(each.first); });
+}
+
+Milliseconds Residency::placeWait(std::size_t before, Instant now) const
+{
+    const auto free = static_cast<std::size_t>(options_.places) - std::min<std::size_t>(options_.places, held_.size());
+    if (before < free) {
+        return Milliseconds(0);
+    }
+    std::vector<Milliseconds> waits; // until each place may be given to something else
+    for (const auto &[key, place] : held_) {
+        if (place.state == State::Held && !wants_.contains(key)) {
+            waits.push_back(std::max(Milliseconds(0), mayGoAt(key, place) - now));
+        }
+    }
+    const auto index = before - free;
+    if (waits.empty()) {
+        return options_.run * static_cast<std::int64_t>(index + 1);
+    }
+    std::sort(waits.begin(), waits.end());
+    return waits[index % waits.size()] + options_.run * static_cast<std::int64_t>(index / waits.size());
+}
+
 Milliseconds Residency::expectedWait(const AdapterKey &key, Instant now) const
 {
     const auto own = wants_.find(key);
-    const auto ownRank = own == wants_.end() ? Rank{!isNearby(key), false, -1, wantCount_ + 1} : rankOf(key, own->second, now);
+    const auto ownRank = rankOf(key, own == wants_.end() ? Want{{now + longestPatience}, wantCount_ + 1} : own->second, now);
     int fetches = fetching();
     int nears = 0;
     for (const auto &[each, want] : wants_) {
-        const auto rank = rankOf(each, want, now);
-        if (rank < ownRank && !held_.contains(each)) {
-            ++(rank.isFetch ? fetches : nears);
+        if (!held_.contains(each) && rankOf(each, want, now).isBefore(ownRank)) {
+            ++(isFetch(each) ? fetches : nears);
         }
     }
     const double near = static_cast<double>(options_.nearFetch.count()) * (1 + nears);
-    const double fetch = ownRank.isFetch ? fetchTime() * (1 + static_cast<double>(fetches) / fetchLimit()) : 0;
-    return Milliseconds(static_cast<std::int64_t>(near + fetch));
+    const double fetch = isFetch(key) ? fetchTime() * (1 + static_cast<double>(fetches) / fetchLimit()) : 0;
+    const auto place = held_.contains(key) ? Milliseconds(0) : placeWait(static_cast<std::size_t>(nears + fetches - fetching()), now);
+    return place + Milliseconds(static_cast<std::int64_t>(near + fetch));
 }
 
 std::optional<Instant> Residency::nextDue() const
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -62,6 +62,8 @@
     int unanswered = 3;            // sends of one order without an answer, before the replica's report is read
     Milliseconds inUse{450};       // weights that a request uses are not chosen to go so long after its host told so last; two reports
     int patientConflicts = 20;     // while an unload waits for its runs; over it the replica's report is read
+    Milliseconds run{500};         // that a request uses a place (swellcast-kgn-grown scale-2: p50 of 511 ms for an answer)
+    double lateWorth = 0.2;        // of a request that is late already, against one that can be on time
     Milliseconds settle{400};      // after a disagreement, until the replica's report is as new as its last order (some hundred ms)
     Milliseconds loadRecheck{250}; // the same for base weights
 };
@@ -80,8 +82,8 @@
 
     /// Someone wants the weights now, and is late after `onTimeBy`. Repeated asks by one waiter count once when `isNew` is false.
     [[nodiscard]] Told ask(const AdapterKey &key, AdapterRevision atLeast, Instant onTimeBy, bool isNew, Instant now);
-    void withdraw(const AdapterKey &key); // one waiter fewer
-    /// How long weights that are not held yet are expected to take, with what waits before them.
+    void withdraw(const AdapterKey &key, Instant onTimeBy); // one waiter fewer; the time that it asked with
+    /// How long weights that are not held yet are expected to take: until a place is free, with what waits before them, and the load.
     [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key, Instant now) const;
     void onRevision(const AdapterKey &key, AdapterRevision revision);            // a newer one is in force
     void onInUse(const HostId &host, std::vector<AdapterKey> keys, Instant now); // all that requests of the host use now
@@ -121,17 +123,14 @@
         return place.state == State::Going || (place.state == State::Coming && place.isReplacement);
     }
     struct Want {
-        int waiters = 0;
-        Instant onTimeBy;        // of the newest waiter
-        std::uint64_t order = 0; // who came first
+        std::vector<Instant> onTimeBy; // of each waiter
+        std::uint64_t order = 0;       // who came first
     };
-    /// Lower goes first: what loads fast, then what can still be on time, then what more wait for, then who came first.
+    /// Higher goes first: what serves more requests on time for the time that it takes a place, then who came first.
     struct Rank {
-        bool isFetch = true;
-        bool isLate = false;
-        int others = 0; // negative: of the waiters
+        double value = 0; // requests a second
         std::uint64_t order = 0;
-        friend auto operator<=>(const Rank &, const Rank &) = default;
+        [[nodiscard]] bool isBefore(const Rank &other) const { return value != other.value ? value > other.value : order < other.order; }
     };
     struct Uses {
         std::vector<AdapterKey> keys;
@@ -148,7 +147,11 @@
     [[nodiscard]] std::optional<AdapterKey> victim(Instant now) const;
     [[nodiscard]] Instant mayGoAt(const AdapterKey &key, const Place &place) const; // as far as is known
     [[nodiscard]] Rank rankOf(const AdapterKey &key, const Want &want, Instant now) const;
-    [[nodiscard]] double fetchTime() const; // ms
+    [[nodiscard]] bool isFetch(const AdapterKey &key) const; // it would have to come from the store
+    [[nodiscard]] Milliseconds loadTime(const AdapterKey &key) const;
+    [[nodiscard]] Milliseconds placeWait(std::size_t before, Instant now) const; // until a place is free that nobody before takes
+    [[nodiscard]] bool isPressed() const;                                        // somebody waits for a place
+    [[nodiscard]] double fetchTime() const;                                      // ms
     [[nodiscard]] int coming() const;
     [[nodiscard]] bool waitsForRuns() const;
     [[nodiscard]] int fetching() const;
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -289,6 +289,41 @@
     EXPECT_EQ(sends(), 0U);
 }
 
+// Pattern: a hot adapter whose homes are full is sent to one that has no place for it (swellcast-kgn-grown scale-2: 108 requests waited for 4 s).
+TEST_F(ForwarderTest, weights_that_cannot_be_had_in_time_at_one_upstream_are_used_where_they_are_held)
+{
+    serve(route(Repeat::Resume, true, 2), {{Script{{whole("x")}}}, {Script{{streamHead() + chunk(event(1)) + streamEnd}}}}, true);
+    auto holder = *node_.book.find(UpstreamId("r2"));
+    holder.models = {{BaseModel("m"), {{AdapterName("a1"), AdapterRevision(1)}}}};
+    node_.book.apply(holder);
+    node_.chooser.setOthers(holder.id, {12, 0}, node_.now()); // of 8 slots: any other upstream looks better
+    residency_.holds = false;
+    residency_.heldAt = holder.id;
+    residency_.failure = {.step = core::Step::Load, .reason = "no place", .retryAfter = Milliseconds(750)};
+    const auto got = send(get("q", "Weights: m/a1\r\n"), "\r\n0\r\n\r\n");
+    EXPECT_TRUE(got.endsWell());
+    ASSERT_EQ(residency_.wishes.size(), 2U);
+    EXPECT_EQ(residency_.wishes[0].replica, UpstreamId("r1"));
+    EXPECT_EQ(upstream(1).seen.size(), 0U);
+}
+
+TEST_F(ForwarderTest, weights_are_waited_for_no_longer_than_the_objective_while_another_upstream_has_room_and_holds_them)
+{
+    serve(route(Repeat::Nothing, false, 1), {{Script{{whole("x")}}}, {Script{{whole("x")}}}}, true);
+    residency_.holds = false;
+    send(get("q", "Weights: m/a1\r\n"), "\r\n\r\n");
+    ASSERT_FALSE(residency_.wishes.empty());
+    EXPECT_GT(residency_.wishes.back().wait, Milliseconds(1'000)) << "held nowhere: late is better than never";
+    auto holder = *node_.book.find(UpstreamId("r2"));
+    holder.models = {{BaseModel("m"), {{AdapterName("a1"), AdapterRevision(1)}}}};
+    node_.book.apply(holder);
+    residency_.holds = true;
+    node_.chooser.setOthers(holder.id, {7, 0}, node_.now()); // one slot is free
+    send(get("p", "Weights: m/a1\r\n"), "\r\n\r\n");
+    EXPECT_EQ(residency_.wishes.back().replica, UpstreamId("r1"));
+    EXPECT_LT(residency_.wishes.back().wait, Milliseconds(400));
+}
+
 TEST_F(ForwarderTest, a_newer_revision_is_asked_for_by_name_once_it_has_had_time_to_arrive)
 {
     serve(route(Repeat::Nothing, false, 1), {{Script{{whole("x")}}}}, true);
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -239,6 +239,58 @@
     EXPECT_LE(waitFor(adapter("y")), Milliseconds(300));
 }
 
+// Pattern: more adapters than places, and one that many wait for has to be fetched while single requests keep coming for others that load
+// fast (swellcast-kgn-grown scale-2: 108 requests waited for 4 s for one adapter while lone ones were served).
+TEST_F(ResidencyTest, what_many_wait_for_is_not_passed_for_ever_by_what_loads_fast)
+{
+    for (int i = 0; i < 8; ++i) {
+        waitFor(adapter("n" + std::to_string(i)));
+    }
+    int next = 0;
+    const auto load = [&](Milliseconds time) { // 16 a second, more than 4 places can serve: each stays for 300 ms
+        for (const auto end = now_ + time; now_ < end && !residency_.isHeld(adapter("hot"));) {
+            static_cast<void>(residency_.ask(adapter("n" + std::to_string(next++ % 8)), {}, now_ + onTime, true, now_));
+            pass(Milliseconds(60));
+        }
+    };
+    load(Milliseconds(1'000));
+    constexpr int waiters = 20;
+    for (int i = 0; i < waiters; ++i) {
+        static_cast<void>(residency_.ask(adapter("hot"), {}, now_ + onTime, true, now_));
+    }
+    load(onTime);
+    EXPECT_TRUE(residency_.isHeld(adapter("hot")));
+}
+
+TEST_F(ResidencyTest, the_wait_to_expect_counts_the_places_that_are_taken)
+{
+    const auto free = residency_.expectedWait(adapter("z"), now_);
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        waitFor(adapter(name));
+    }
+    const std::vector<AdapterKey> all{adapter("a"), adapter("b"), adapter("c"), adapter("d")};
+    residency_.onInUse(HostId("h"), all, now_);
+    EXPECT_GE(residency_.expectedWait(adapter("z"), now_), free + Milliseconds(300));
+    for (int i = 0; i < 8; ++i) {
+        static_cast<void>(residency_.ask(adapter("y" + std::to_string(i)), {}, now_ + onTime, true, now_));
+    }
+    EXPECT_GE(residency_.expectedWait(adapter("z"), now_), free + Milliseconds(1'300)) << "each place is used twice before";
+}
+
+TEST_F(ResidencyTest, a_waiter_that_leaves_takes_its_own_part_of_the_want_with_it)
+{
+    const auto early = now_ + Milliseconds(100);
+    const auto later = now_ + onTime;
+    static_cast<void>(residency_.ask(adapter("a"), {}, early, true, now_));
+    static_cast<void>(residency_.ask(adapter("a"), {}, later, true, now_));
+    residency_.withdraw(adapter("a"), early);
+    EXPECT_EQ(residency_.waiting(), 1U);
+    residency_.withdraw(adapter("a"), early); // twice
+    EXPECT_EQ(residency_.waiting(), 1U);
+    residency_.withdraw(adapter("a"), later);
+    EXPECT_EQ(residency_.waiting(), 0U);
+}
+
 // Pattern: an unload of an adapter in use keeps the replica from taking other orders (vloerwerk quiet-1, first version).
 TEST_F(ResidencyTest, weights_in_use_are_not_chosen_to_go)
 {
--- a/packages/serving/tests/servingworld.h
+++ b/packages/serving/tests/servingworld.h
@@ -85,12 +85,16 @@
     {
         ++asks;
         why = failure;
-        co_return holds ? std::optional(ResidencyGrant{wish.atLeast, core::SteadyClock().now() + Milliseconds(10'000)}) : std::nullopt;
+        wishes.push_back(wish);
+        co_return holds || wish.replica == heldAt ? std::optional(ResidencyGrant{wish.atLeast, core::SteadyClock().now() + Milliseconds(10'000)})
+                                                  : std::nullopt;
     }
     [[nodiscard]] bool canOrder(const UpstreamId &) const override { return holds; }
 
     bool holds = true;
+    UpstreamId heldAt; // there in any case
     int asks = 0;
+    std::vector<ResidencyWish> wishes;
     core::Error failure;
 };
 
