All hosts know all loads, through one host of each zone; pages of the store go the same way

Now each host tells the leader of its group (a zone, at most 24 hosts; the widest link leads) what it runs, leaders tell each other, and all get the sum (hostgroups.h, loadexchange.h, no network). Owners are told only which adapters are in use. A page of the store that one host read goes to the other leaders and from them to their groups.

--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -73,10 +73,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyCall, replica, model, adapter, revision, waitMs, onTimeMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyReply, revision, leaseMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingReply, expectedMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningAt, upstream, running, readingMs, adapters)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RunningNotice, running)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TotalsAt, upstream, running, readingMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TotalsNotice, others)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UsesAt, upstream, adapters)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UsesNotice, uses)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadsNotice, scope, loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FeedNotice, topic, from, first, next, readTo, records)
 
 namespace {
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -3,7 +3,7 @@
 // Index
 //   Hello, Proof     the first two frames of each side; nothing else counts before them
 //   Gossip           a membership message
-//   Notice           news that needs no answer: WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice, FeedNotice
+//   Notice           news that needs no answer: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, FeedNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      would this engine serve this adapter now?        -> HintReply
 //     RunCall        serve this request on this engine                -> StartedReply, DataReply..., EndReply
@@ -21,6 +21,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -174,27 +175,24 @@
     std::string adapter;
 };
 
-/// What one host has running at one upstream.
-struct RunningAt {
+/// Adapters that requests of one host use at one upstream.
+struct UsesAt {
     core::UpstreamId upstream;
-    int running = 0;
-    int readingMs = 0;                                                   // that their prompts take which are still being read
-    std::vector<std::pair<core::BaseModel, core::AdapterName>> adapters; // that these use
+    std::vector<std::pair<core::BaseModel, core::AdapterName>> adapters;
 };
 
-/// What the sender has running at upstreams that the receiver owns.
-struct RunningNotice {
-    std::vector<RunningAt> running;
+/// What requests of the sender use at upstreams that the receiver owns.
+struct UsesNotice {
+    std::vector<UsesAt> uses;
 };
 
-/// What all other hosts have running at the sender's upstreams.
-struct TotalsAt {
-    core::UpstreamId upstream;
-    int running = 0;
-    int readingMs = 0;
-};
-struct TotalsNotice {
-    std::vector<TotalsAt> others;
+/// An upstream, the requests that run there, and the milliseconds that their prompts take which are still being read.
+using LoadAt = std::tuple<core::UpstreamId, int, int>;
+
+/// Requests of the sender, of its group of hosts, or of all hosts.
+struct LoadsNotice {
+    int scope = 0; // serving::LoadScope
+    std::vector<LoadAt> loads;
 };
 
 /// One read of a topic of the store, shared by the host that made it.
@@ -208,7 +206,7 @@
 };
 
 struct Notice {
-    std::variant<WidthNotice, PrefetchNotice, RunningNotice, TotalsNotice, FeedNotice> body;
+    std::variant<WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, FeedNotice> body;
 };
 
 /// A call; its id is unique on the link for the side that opened it.
--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -82,12 +82,6 @@
     return cost;
 }
 
-bool Chooser::isOfInterest(const UpstreamId &id, Instant now) const
-{
-    const auto found = loads_.find(id);
-    return found != loads_.end() && found->second.interestAt && now - *found->second.interestAt <= options_.interest;
-}
-
 void Chooser::end(const UpstreamId &id, SendEnd how, Instant now)
 {
     auto &state = load(id);
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -50,7 +50,6 @@
     Milliseconds fullBlock{60}; // after "no room": about one step of a plain service's queue
     Milliseconds healthHalfLife{3'000};
     Milliseconds othersValid{1'500}; // counts told by others; older ones are replaced by a guess
-    Milliseconds interest{5'000};    // after noteInterest(): at 11 requests a second (86 hosts) a host comes back to a hot adapter's homes within it
 };
 
 /// One upstream that could take the request.
@@ -76,8 +75,6 @@
     [[nodiscard]] std::vector<const Candidate *> homes(const Wanted &wanted) const;
 
     void begin(const UpstreamId &id) { ++load(id).own.running; }
-    /// What others run at the upstream will matter again. Not for work shorter than the reports' age: all hosts would go to the same one.
-    void noteInterest(const UpstreamId &id, Instant now) { load(id).interestAt = now; }
     void end(const UpstreamId &id, SendEnd how, Instant now);
     void forget(const UpstreamId &id);
     /// The upstream begins to read a prompt that takes `ms`; endReading() when its answer begins, and in any case before end().
@@ -87,7 +84,6 @@
     void setHosts(int hosts) { hosts_ = std::max(1, hosts); }               // that serve, this one included
 
     [[nodiscard]] Occupancy own(const UpstreamId &id) const;
-    [[nodiscard]] bool isOfInterest(const UpstreamId &id, Instant now) const;
     [[nodiscard]] Occupancy occupancy(const UpstreamId &id, Instant now) const; // by all hosts, told or guessed
     [[nodiscard]] double failureShare(const UpstreamId &id, Instant now) const;
     [[nodiscard]] bool isBlocked(const UpstreamId &id, Instant now) const;
@@ -101,7 +97,6 @@
 
         Occupancy own;
         Occupancy others;
-        std::optional<Instant> interestAt;
         std::optional<Instant> othersAt;
         admission::DecayingCount good;
         admission::DecayingCount bad;
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -41,7 +41,7 @@
             co_await waitTurn();
         } else if (!needsListing_ || failures_ > 0) {
             const auto wait = std::min(longestRetry, firstRetry * (std::int64_t(1) << std::min(failures_ - 1, 3)));
-            co_await pause(wait + options_.stagger * std::min(rank_, options_.lastRank)); // who reads first also asks first whether it is back
+            co_await pause(wait + turn_); // who reads first also asks first whether it is back
         }
     }
 }
@@ -120,9 +120,9 @@
         co_return;
     }
     while (isRunning_ && !isUrgent_ && !needsListing_) {
-        const bool mayGoOn = rank_ == 0 && options_.wait.count() > 0; // the store itself makes this host wait
+        const bool mayGoOn = turn_.count() == 0 && options_.wait.count() > 0; // the store itself makes this host wait
         const auto gather = wasEmpty_ ? Milliseconds(0) : options_.gather;
-        const auto due = readAt_ + (mayGoOn ? gather : options_.pause + options_.stagger * std::min(rank_, options_.lastRank));
+        const auto due = readAt_ + (mayGoOn ? gather : options_.pause + turn_);
         const auto left = due - node_.now();
         if (left.count() <= 0 || isHurried_) {
             break;
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -4,8 +4,8 @@
 //   co_await follower.run();
 //
 // Hosts read by turns: whoever has waited longest without news reads and shares the page (onRead), and the others take it (feed())
-// in place of a read of their own. The wait grows with a host's rank among those that share, so that mostly one reads. A host that
-// gets nothing reads by itself, `pause` and its rank's share of `stagger` after the last news.
+// in place of a read of their own. Each host has a turn, so that mostly one reads: one that gets nothing reads by itself, `pause`
+// and its turn after the last news.
 //
 // Begins with a listing of the newest record of each key, then reads on; lists again when records expired unread or after refresh().
 // An error is told once, when reads begin to fail, and once when they succeed again.
@@ -23,11 +23,9 @@
 [[nodiscard]] std::string_view topicText(Topic topic);
 
 struct FollowOptions {
-    Milliseconds wait{0};      // how long the store holds a read until there is a record; 0: answers at once
-    Milliseconds pause{0};     // between two reads
-    Milliseconds gather{200};  // after a page with records: where many hosts append at once, their records come in one page, not one by one
-    Milliseconds stagger{200}; // longer for each host of a lower rank: a read, a page on its way and a busy host
-    int lastRank = 4;          // ranks beyond wait no longer, so that the age of what is known stays bounded
+    Milliseconds wait{0};     // how long the store holds a read until there is a record; 0: answers at once
+    Milliseconds pause{0};    // between two reads
+    Milliseconds gather{200}; // after a page with records: where many hosts append at once, their records come in one page, not one by one
 };
 
 /// A page as another host read it.
@@ -62,7 +60,7 @@
     [[nodiscard]] Instant readAt() const { return readAt_; }
     /// Takes a page that another host read, if it goes on where this one stands. Ignored while urgent: what lay in a buffer proves nothing.
     void feed(const SharedPage &shared);
-    void setRank(int rank) { rank_ = rank; }
+    void setTurn(Milliseconds turn) { turn_ = turn; }       // 0: reads first
     void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; } // reads don't wait for news: their end matters
 
 private:
@@ -86,7 +84,7 @@
     bool wasEmpty_ = true; // the page of the last read
     bool needsListing_ = true;
     int failures_ = 0;
-    int rank_ = 0; // among the hosts that share; 0 reads first
+    Milliseconds turn_{0};
     core::Offset next_;
     Instant readAt_;
 };
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -772,7 +772,6 @@
         if (isEngine()) {
             readingMs_ = static_cast<int>(std::clamp(facts_.promptTokens / promptTokensPerMs, 0.0, longestReadingMs));
             node_.chooser.beginReading(id, readingMs_);
-            node_.chooser.noteInterest(id, node_.now());
         }
     }
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -27,7 +27,11 @@
 constexpr Milliseconds controlWait{900};
 constexpr int upstreamsPausePercent = 40;           // of the bound on leaving upstreams: the last rank's stagger, a read and a queue come on top
 constexpr Milliseconds waitSlack{100};              // a waiting read's answer on its way to the hosts that share it
-constexpr std::size_t mostSharers = 8;              // hosts that share reads: each page goes to all of them
+constexpr Milliseconds leaderTurn{200};             // between the turns of two leaders to read: a read, a page on its way and a busy host
+constexpr int lastLeaderTurn = 4;                   // later ones don't wait longer, so that the age of what is known stays bounded
+constexpr Milliseconds memberTurn{10};              // between those of two hosts of a group: an answer of the store and its way
+constexpr std::size_t loadsPerTick = 150;           // upstreams in one message of 3 kB; with more, loads are exchanged less often
+constexpr std::string_view loadsPurpose = "loads";  // of a group's leader
 constexpr std::size_t mostSharedBytes = 256 * 1024; // a larger page is read by each host itself
 constexpr Milliseconds claimPatience{300};          // between tries to write the links' key or this host's address
 constexpr Milliseconds peerAnswerSlack{50};         // an owner's answer on its way
@@ -133,6 +137,7 @@
                          },
                      .onRead = [this](const SharedPage &shared) { share(Topic::Control, shared); }})
     , incarnation_(incarnation)
+    , exchange_(settings.host)
 {
     node_.residency = this;
 }
@@ -424,9 +429,11 @@
     const auto value = settings::parseJson(record.value, record.key, {.comments = false}, why);
     std::optional<net::Address> address;
     std::string zone;
+    double linkMbps = 0;
     if (value && value->is_object()) {
         address = net::Address::parse(value->value("peers", std::string()));
         zone = value->value("zone", std::string());
+        linkMbps = value->value("link_mbps", 0.0);
     }
     if (record.value.empty()) {
         announced_.erase(host);
@@ -434,7 +441,7 @@
         noteUnreadable(Topic::Control, record, why);
         return;
     } else {
-        announced_[host] = {*address, ZoneId(zone)};
+        announced_[host] = {*address, ZoneId(zone), linkMbps};
     }
     std::vector<peers::HostEntry> hosts;
     for (const auto &[each, announced] : announced_) {
@@ -487,7 +494,10 @@
             controlTopic_.hurry();
             continue;
         }
-        const nlohmann::json value = {{"peers", node_.settings.listen.peers}, {"zone", node_.settings.zone.value()}, {"incarnation", incarnation_.value()}};
+        const nlohmann::json value = {{"peers", node_.settings.listen.peers},
+                                      {"zone", node_.settings.zone.value()},
+                                      {"link_mbps", node_.settings.hosting.linkMbps},
+                                      {"incarnation", incarnation_.value()}};
         const auto outcome
             = co_await store_.append(Topic::Control, {{std::string(hostPrefix) + node_.settings.host.value(), value.dump()}}, Offset(0), offset, why);
         node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
@@ -546,7 +556,8 @@
         }
         lastTick_ = now;
         tick();
-        reportRunning();
+        tellUses();
+        exchangeLoads();
         if (now >= nextHousekeeping_) {
             nextHousekeeping_ = now + housekeepingInterval;
             node_.pool.expire(now);
@@ -569,7 +580,7 @@
     if (const auto changes = membership_.takeChanges(); !changes.empty()) {
         planner_.setMembers(membership_.members());
         node_.setHosts(static_cast<int>(membership_.live().size()));
-        updateSharers();
+        updateGroups();
         for (const auto &member : changes) {
             node_.log.info("member", {{"member", member.host}, {"state", static_cast<int>(member.state)}, {"incarnation", member.incarnation}});
         }
@@ -637,7 +648,6 @@
     }
     node_.log.info("ownership", {{"upstream", *id}, {"epoch", holding.epoch}, {"change", "claimed"}});
     node_.metrics.events.add({"claimed"});
-    running_[*id] = RunningTable();
     ModelSpec model;
     const auto options = residencyOptions(*record, model);
     if (!options) {
@@ -677,7 +687,6 @@
             owned->second->stop();
             owned_.erase(owned);
         }
-        running_.erase(*id);
     }
     planner_.onDrained(holding);
 }
@@ -801,65 +810,39 @@
 
 void HostedDaemon::takeNotice(const HostId &from, const peers::Notice &notice)
 {
-    const auto now = node_.now();
-    if (const auto *running = std::get_if<peers::RunningNotice>(&notice.body)) {
-        peers::TotalsNotice totals;
-        for (const auto &each : running->running) {
-            const auto table = running_.find(each.upstream);
-            if (table == running_.end()) {
-                continue;
-            }
-            table->second.note(from, {each.running, each.readingMs}, now);
-            table->second.note(node_.settings.host, node_.chooser.own(each.upstream), now);
-            const auto others = table->second.othersThan(from, now);
-            totals.others.push_back({each.upstream, others.running, others.readingMs});
-            const auto owned = owned_.find(each.upstream);
-            if (owned != owned_.end()) {
-                std::vector<AdapterKey> used;
-                for (const auto &[model, adapter] : each.adapters) {
-                    used.push_back({model, adapter});
-                }
-                owned->second->onInUse(from, std::move(used));
-            }
-        }
-        if (!totals.others.empty()) {
-            links_->notify(from, {std::move(totals)});
-        }
+    if (const auto *uses = std::get_if<peers::UsesNotice>(&notice.body)) {
+        takeUses(from, *uses);
     } else if (const auto *feed = std::get_if<peers::FeedNotice>(&notice.body)) {
-        takeFeed(*feed);
-    } else if (const auto *totals = std::get_if<peers::TotalsNotice>(&notice.body)) {
-        for (const auto &each : totals->others) {
-            node_.chooser.setOthers(each.upstream, {each.running, each.readingMs}, now);
+        takeFeed(from, *feed);
+    } else if (const auto *news = std::get_if<peers::LoadsNotice>(&notice.body)) {
+        Loads loads;
+        for (const auto &[id, running, readingMs] : news->loads) {
+            loads[id] = {running, readingMs};
         }
+        exchange_.take(from, static_cast<LoadScope>(news->scope), std::move(loads), node_.now());
+        useLoads();
     }
 }
 
 // ---- Shared reads ----
 
-/// Hosts share in groups of the sorted list, the same for each of its members.
-void HostedDaemon::updateSharers()
+void HostedDaemon::updateGroups()
 {
-    std::vector<HostId> live;
+    std::vector<GroupedHost> live;
     for (const auto &member : membership_.live()) {
-        live.push_back(member.host);
+        const auto announced = announced_.find(member.host);
+        live.push_back(announced == announced_.end() ? GroupedHost{member.host, member.zone, 0}
+                                                     : GroupedHost{member.host, announced->second.zone, announced->second.linkMbps});
     }
-    std::sort(live.begin(), live.end());
-    const auto own = std::find(live.begin(), live.end(), node_.settings.host);
-    sharers_.clear();
-    if (own == live.end()) {
-        return;
-    }
-    const auto begin = static_cast<std::size_t>(own - live.begin()) / mostSharers * mostSharers;
-    for (auto at = begin; at < std::min(begin + mostSharers, live.size()); ++at) {
-        sharers_.push_back(live[at]);
-    }
-    const auto rankFor = [&](std::string_view topic) {
-        const auto weight = [&](const HostId &host) { return core::rendezvousWeight(topic, host.value()); };
-        return static_cast<int>(
-            std::count_if(sharers_.begin(), sharers_.end(), [&](const HostId &host) { return weight(host) > weight(node_.settings.host); }));
-    };
+    groups_.assign(std::move(live), node_.settings.host);
     for (auto *follower : {&operatorsTopic_, &upstreamsTopic_, &controlTopic_}) {
-        follower->setRank(rankFor(follower->name()));
+        const auto leaders = groups_.leaders(follower->name());
+        const auto members = groups_.members(follower->name());
+        const auto leader = std::find(leaders.begin(), leaders.end(), node_.settings.host);
+        const auto member = std::find(members.begin(), members.end(), node_.settings.host);
+        const auto turn = leader == leaders.end() ? leaderTurn * lastLeaderTurn + memberTurn * (member - members.begin())
+                                                  : leaderTurn * std::min<std::int64_t>(leader - leaders.begin(), lastLeaderTurn);
+        follower->setTurn(turn);
     }
 }
 
@@ -882,15 +865,29 @@
     if (bytes > mostSharedBytes) {
         return;
     }
-    for (const auto &host : sharers_) {
+    const auto members = groups_.members(feed.topic);
+    sendFeed(feed, members);
+    if (!members.empty() && members.front() == node_.settings.host) {
+        sendFeed(feed, groups_.leaders(feed.topic));
+    }
+}
+
+void HostedDaemon::sendFeed(const peers::FeedNotice &feed, const std::vector<HostId> &hosts)
+{
+    for (const auto &host : hosts) {
         if (host != node_.settings.host) {
             links_->notify(host, {feed});
         }
     }
 }
 
-void HostedDaemon::takeFeed(const peers::FeedNotice &feed)
+/// A page of another group's leader goes on to the own group.
+void HostedDaemon::takeFeed(const HostId &from, const peers::FeedNotice &feed)
 {
+    const auto members = groups_.members(feed.topic);
+    if (!groups_.isMember(from) && !members.empty() && members.front() == node_.settings.host) {
+        sendFeed(feed, members);
+    }
     SharedPage shared;
     shared.from = Offset(feed.from);
     shared.page.first = Offset(feed.first);
@@ -914,46 +911,94 @@
 
 // ---- Running requests ----
 
-/// Tells each owner what runs at its upstreams for this host; for own ones takes what was told.
-void HostedDaemon::reportRunning()
+void HostedDaemon::takeUses(const HostId &from, const peers::UsesNotice &notice)
 {
-    if (!links_) {
-        return;
+    for (const auto &each : notice.uses) {
+        const auto owned = owned_.find(each.upstream);
+        if (owned != owned_.end()) {
+            std::vector<AdapterKey> used;
+            for (const auto &[model, adapter] : each.adapters) {
+                used.push_back({model, adapter});
+            }
+            owned->second->onInUse(from, std::move(used));
+        }
     }
-    const auto now = node_.now();
-    std::map<HostId, peers::RunningNotice> notices;
+}
+
+/// Tells each owner which adapters requests of this host use at its upstreams, and once when none do any more.
+void HostedDaemon::tellUses()
+{
+    std::map<HostId, peers::UsesNotice> notices;
     std::map<HostId, std::set<UpstreamId>> reported;
     for (const auto &id : node_.book.all()) {
         const auto owner = ownerOf(id);
         if (!owner) {
             continue;
         }
+        auto used = node_.weightsInUse(id);
         if (*owner == node_.settings.host) {
-            if (const auto table = running_.find(id); table != running_.end()) {
-                node_.chooser.setOthers(id, table->second.othersThan(node_.settings.host, now), now);
-            }
-            const auto owned = owned_.find(id);
-            if (owned != owned_.end()) {
-                owned->second->onInUse(node_.settings.host, node_.weightsInUse(id));
+            if (const auto owned = owned_.find(id); owned != owned_.end()) {
+                owned->second->onInUse(node_.settings.host, std::move(used));
             }
             continue;
         }
-        const auto own = node_.chooser.own(id);
-        const bool isTold = own.running > 0 || node_.chooser.isOfInterest(id, now); // the owner answers with what the others do
-        if (isTold) {
+        if (!used.empty()) {
             reported[*owner].insert(id);
         }
-        if (isTold || reported_[*owner].contains(id)) {
-            peers::RunningAt at{id, own.running, own.readingMs, {}};
-            for (const auto &weights : node_.weightsInUse(id)) {
+        if (!used.empty() || reported_[*owner].contains(id)) {
+            peers::UsesAt at{id, {}};
+            for (const auto &weights : used) {
                 at.adapters.emplace_back(weights.model, weights.adapter);
             }
-            notices[*owner].running.push_back(std::move(at));
+            notices[*owner].uses.push_back(std::move(at));
         }
     }
     reported_ = std::move(reported);
     for (auto &[owner, notice] : notices) {
-        links_->notify(owner, {std::move(notice)});
+        if (links_) {
+            links_->notify(owner, {std::move(notice)});
+        }
+    }
+}
+
+void HostedDaemon::exchangeLoads()
+{
+    const auto every = 1 + node_.book.size() / loadsPerTick;
+    if (!links_ || ++loadTicks_ % every != 0) {
+        return;
+    }
+    Loads own;
+    for (const auto &id : node_.book.all()) {
+        if (const auto load = node_.chooser.own(id); load != Occupancy()) {
+            own[id] = load;
+        }
+    }
+    for (const auto &news : exchange_.tick(own, groups_.members(loadsPurpose), groups_.leaders(loadsPurpose), node_.now())) {
+        peers::LoadsNotice notice{static_cast<int>(news.scope), {}};
+        for (const auto &[id, load] : news.loads) {
+            notice.loads.emplace_back(id, load.running, load.readingMs);
+        }
+        links_->notify(news.to, {std::move(notice)});
+    }
+    useLoads();
+}
+
+void HostedDaemon::useLoads()
+{
+    const auto now = node_.now();
+    const auto others = exchange_.others(now);
+    if (!others) {
+        return;
+    }
+    for (const auto &id : node_.book.all()) {
+        const auto *record = node_.book.find(id);
+        const auto *service = node_.routes ? node_.routes->service(record->service) : nullptr;
+        // Plain calls are over before sums arrive: all hosts would go to whoever was free then.
+        const bool isLasting = service != nullptr && service->engine.has_value();
+        if (isLasting || node_.chooser.own(id).running > 0) {
+            const auto load = others->find(id);
+            node_.chooser.setOthers(id, load == others->end() ? Occupancy() : load->second, now);
+        }
     }
 }
 
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -5,7 +5,7 @@
 //   co_await daemon.stop(); // after SIGTERM
 //
 // Loops: three topics are followed (operators, upstreams, control); a tick drives membership and ownership; counts of running
-// requests go to the owners of upstreams, which answer with the counts of all others.
+// requests are summed over all hosts (loadexchange.h), and the adapters that they use are told to the owners of upstreams.
 #pragma once
 
 #include <deque>
@@ -20,8 +20,9 @@
 #include <serving/callers.h>
 #include <serving/follower.h>
 #include <serving/forwarder.h>
+#include <serving/hostgroups.h>
+#include <serving/loadexchange.h>
 #include <serving/ownedreplica.h>
-#include <serving/runningtable.h>
 
 namespace baobabstall::serving {
 
@@ -52,6 +53,7 @@
     struct Announced {
         net::Address peers;
         ZoneId zone;
+        double linkMbps = 0;
     };
 
     [[nodiscard]] bool isReady() const;
@@ -91,10 +93,14 @@
     net::Task<std::optional<ResidencyGrant>> ensureHere(ResidencyWish wish, OnWaiting onWaiting, core::Error &why);
     net::Task<std::optional<ResidencyGrant>> ensureThere(HostId owner, ResidencyWish wish, core::Error &why);
     void takeNotice(const HostId &from, const peers::Notice &notice);
-    void reportRunning();
+    void takeUses(const HostId &from, const peers::UsesNotice &notice);
+    void tellUses();
+    void exchangeLoads();
+    void useLoads();
     void share(Topic topic, const SharedPage &shared);
-    void takeFeed(const peers::FeedNotice &feed);
-    void updateSharers();
+    void sendFeed(const peers::FeedNotice &feed, const std::vector<HostId> &hosts);
+    void takeFeed(const HostId &from, const peers::FeedNotice &feed);
+    void updateGroups();
 
     Node node_;
     StoreLike &store_;
@@ -114,9 +120,10 @@
     std::map<HostId, Instant> silentUntil_;       // owners that did not answer
     std::map<UpstreamId, Instant> noOrdersUntil_; // upstreams whose owner could not order anything
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> owned_;
-    std::vector<HostId> sharers_;                     // hosts that share reads of the store with this one
-    std::map<UpstreamId, RunningTable> running_;      // at upstreams that this host owns
-    std::map<HostId, std::set<UpstreamId>> reported_; // told to each owner the last time
+    HostGroups groups_; // hosts that share reads of the store, and counts of running requests
+    LoadExchange exchange_;
+    std::uint64_t loadTicks_ = 0;
+    std::map<HostId, std::set<UpstreamId>> reported_; // upstreams whose adapters in use each owner was told of the last time
     std::optional<engines::FallbackBudget> loads_;
     std::string key_;
     bool isAppending_ = false;
--- /dev/null
+++ b/packages/serving/hostgroups.cpp
@@ -0,0 +1,72 @@
+#include <serving/hostgroups.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include <core/hash.h>
+
+namespace baobabstall::serving {
+
+namespace {
+
+/// Those who are to lead first.
+std::vector<GroupedHost> ranked(std::vector<GroupedHost> hosts, std::string_view purpose)
+{
+    const auto weight = [&](const GroupedHost &each) { return std::tuple(each.linkMbps, core::rendezvousWeight(purpose, each.host.value()), each.host); };
+    std::sort(hosts.begin(), hosts.end(), [&](const auto &a, const auto &b) { return weight(a) > weight(b); });
+    return hosts;
+}
+
+std::vector<HostId> namesOf(const std::vector<GroupedHost> &hosts)
+{
+    std::vector<HostId> names;
+    names.reserve(hosts.size());
+    for (const auto &each : hosts) {
+        names.push_back(each.host);
+    }
+    return names;
+}
+
+} // namespace
+
+void HostGroups::assign(std::vector<GroupedHost> hosts, const HostId &own)
+{
+    const bool isSmall = hosts.size() <= smallDeployment;
+    const auto zoneOf = [&](const GroupedHost &each) { return isSmall ? ZoneId() : each.zone; };
+    std::sort(hosts.begin(), hosts.end(), [&](const auto &a, const auto &b) { return std::tuple(zoneOf(a), a.host) < std::tuple(zoneOf(b), b.host); });
+    groups_.clear();
+    for (auto begin = hosts.begin(); begin != hosts.end();) {
+        const auto end = std::find_if(begin, hosts.end(), [&](const auto &each) { return zoneOf(each) != zoneOf(*begin); });
+        const auto size = static_cast<std::size_t>(end - begin);
+        const auto parts = (size + most - 1) / most;
+        for (std::size_t part = 0; part < parts; ++part) { // of nearly one size
+            const auto from = static_cast<std::ptrdiff_t>(size * part / parts);
+            const auto to = static_cast<std::ptrdiff_t>(size * (part + 1) / parts);
+            groups_.emplace_back(begin + from, begin + to);
+        }
+        begin = end;
+    }
+    const auto isOwn = [&](const Group &group) { return std::any_of(group.begin(), group.end(), [&](const auto &each) { return each.host == own; }); };
+    own_ = static_cast<std::size_t>(std::find_if(groups_.begin(), groups_.end(), isOwn) - groups_.begin());
+}
+
+std::vector<HostId> HostGroups::members(std::string_view purpose) const
+{
+    return own_ == groups_.size() ? std::vector<HostId>() : namesOf(ranked(groups_[own_], purpose));
+}
+
+std::vector<HostId> HostGroups::leaders(std::string_view purpose) const
+{
+    std::vector<GroupedHost> first;
+    for (const auto &group : groups_) {
+        first.push_back(ranked(group, purpose).front());
+    }
+    return namesOf(ranked(std::move(first), purpose));
+}
+
+bool HostGroups::isMember(const HostId &host) const
+{
+    return own_ < groups_.size() && std::any_of(groups_[own_].begin(), groups_[own_].end(), [&](const auto &each) { return each.host == host; });
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/hostgroups.h
@@ -0,0 +1,49 @@
+// serving/hostgroups.h: who does common work for whom. No I/O.
+//
+//   HostGroups groups;
+//   groups.assign(hosts, own);                   // at each change of who lives
+//   groups.members("load").front() == own        // this host leads its group for that purpose
+//   groups.leaders("load")                       // of all groups, the first of all in front
+//
+// Hosts of one zone form a group, so that news crosses zones once; a large zone has several, and a small deployment has one.
+// The host with the widest link leads, for each purpose another one where several are alike. All hosts that know the same
+// hosts come to the same groups.
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include <serving/model.h>
+
+namespace baobabstall::serving {
+
+struct GroupedHost {
+    HostId host;
+    ZoneId zone;
+    double linkMbps = 0; // 0: not told
+
+    friend bool operator==(const GroupedHost &, const GroupedHost &) = default;
+};
+
+class HostGroups
+{
+public:
+    static constexpr std::size_t most = 24; // hosts of one group: what its leader sends to all, at 420 hosts in 5 zones, is as much as it gets from leaders
+    static constexpr std::size_t smallDeployment = 12; // hosts that need no second step
+
+    void assign(std::vector<GroupedHost> hosts, const HostId &own);
+
+    /// The own group, whoever leads it for the purpose in front. Empty before this host is known to live.
+    [[nodiscard]] std::vector<HostId> members(std::string_view purpose) const;
+    /// Whoever leads each group for the purpose, the first of all in front.
+    [[nodiscard]] std::vector<HostId> leaders(std::string_view purpose) const;
+    [[nodiscard]] bool isMember(const HostId &host) const; // of the own group
+
+private:
+    using Group = std::vector<GroupedHost>;
+
+    std::vector<Group> groups_;
+    std::size_t own_ = 0; // index of the own group; groups_.size(): none
+};
+
+} // namespace baobabstall::serving
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -131,6 +131,7 @@
     double graceSeconds = 8;         // from SIGTERM to SIGKILL
     double retryShare = 0.2;         // repeats as a share of a service's requests, over all hosts
     double retrySlack = 56;          // repeats beyond that in one window, over all hosts
+    double linkMbps = 0;             // of this host; those with the widest links do common work first; 0: not told
 };
 
 struct Settings {
