--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -14,6 +14,7 @@
 
 constexpr Milliseconds orderTimeout{150}; // an order is answered in some ms (1 to 9 on a calm day); one without an answer may still be carried out
 constexpr Milliseconds reportTimeout{800};
+constexpr Milliseconds lateLook{250};      // between looks whether a request that is late already can still be served in time
 constexpr Milliseconds idleLook{1'000};    // when nothing is due
 constexpr Milliseconds notActingLook{100}; // until ownership is in force, or a load permit is to be had
 
@@ -110,18 +111,22 @@
         why = core::Error{.step = core::Step::Admit, .peer = record_.id.value(), .reason = "nothing can be ordered there at present"};
         co_return std::nullopt;
     }
-    const auto expected = residency_.expectedWait(weights, node_.now());
     why = core::Error{.step = core::Step::Load, .peer = record_.id.value(), .reason = "the weights were not held in time"};
-    if (expected > wish.wait) {
-        residency_.withdraw(weights, onTimeBy);
+    const auto noteTooLong = [&](Milliseconds expected) {
         why.reason = "the weights can't be held in time: " + std::to_string(expected.count()) + " ms are expected";
         why.retryAfter = expected;
+    };
+    if (const auto beyond = residency_.waitBeyond(weights, until, node_.now())) {
+        residency_.withdraw(weights, onTimeBy);
+        noteTooLong(*beyond);
         co_return std::nullopt;
     }
-    onWaiting(expected);
+    onWaiting(residency_.expectedWait(weights, node_.now()));
     wake();
     while (isRunning_ && !isFenced_ && node_.now() < until) {
-        const auto timer = std::make_shared<asio::steady_timer>(node_.io, net::chronoOf(until - node_.now()));
+        const auto now = node_.now();
+        const auto look = now < onTimeBy ? onTimeBy : now + lateLook;
+        const auto timer = std::make_shared<asio::steady_timer>(node_.io, net::chronoOf(std::min(until, look) - now));
         waiters_.push_back(timer);
         co_await timer->async_wait(net::tuple);
         std::erase(waiters_, timer);
@@ -134,6 +139,11 @@
             why.reason = "the upstream stopped to take orders";
             break;
         }
+        const auto beyond = node_.now() >= look ? residency_.waitBeyond(weights, until, node_.now()) : std::nullopt;
+        if (beyond) { // what is late goes behind what is not, so the wait has grown
+            noteTooLong(*beyond);
+            break;
+        }
     }
     residency_.withdraw(weights, onTimeBy);
     co_return std::nullopt;
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -451,6 +451,12 @@
     return place + Milliseconds(static_cast<std::int64_t>(near + fetch));
 }
 
+std::optional<Milliseconds> Residency::waitBeyond(const AdapterKey &key, Instant until, Instant now) const
+{
+    const auto expected = expectedWait(key, now);
+    return now + expected > until ? std::optional(expected) : std::nullopt;
+}
+
 std::optional<Instant> Residency::nextDue() const
 {
     std::optional<Instant> due;
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -85,6 +85,8 @@
     void withdraw(const AdapterKey &key, Instant onTimeBy); // one waiter fewer; the time that it asked with
     /// How long weights that are not held yet are expected to take: until a place is free, with what waits before them, and the load.
     [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key, Instant now) const;
+    /// The same where it ends after `until`. Grows for a waiter that has become late, as others pass it.
+    [[nodiscard]] std::optional<Milliseconds> waitBeyond(const AdapterKey &key, Instant until, Instant now) const;
     void onRevision(const AdapterKey &key, AdapterRevision revision);            // a newer one is in force
     void onInUse(const HostId &host, std::vector<AdapterKey> keys, Instant now); // all that requests of the host use now
     void onRestart(Instant now);                                                 // holds nothing, and its counts began anew
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -277,6 +277,29 @@
     EXPECT_GE(residency_.expectedWait(adapter("z"), now_), free + Milliseconds(1'300)) << "each place is used twice before";
 }
 
+// Pattern: more is asked for than the places can serve (swellcast-kgn-grown scale-2: 1,900 requests held for 3.7 s and then refused). Who has become
+// late is passed by who is not, so its wait grows; it is to be told then, not at its end.
+TEST_F(ResidencyTest, the_wait_of_what_has_become_late_grows_beyond_its_time_while_others_keep_coming)
+{
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        waitFor(adapter(name));
+    }
+    const std::vector<AdapterKey> all{adapter("a"), adapter("b"), adapter("c"), adapter("d")};
+    const auto askedAt = now_;
+    const auto until = askedAt + Milliseconds(2'000);
+    residency_.onInUse(HostId("h"), all, now_);
+    static_cast<void>(residency_.ask(adapter("z"), {}, askedAt + onTime, true, now_));
+    EXPECT_FALSE(residency_.waitBeyond(adapter("z"), until, now_));
+    std::optional<Milliseconds> beyond;
+    for (int i = 0; !beyond && now_ < until; ++i, now_ = now_ + Milliseconds(50)) {
+        residency_.onInUse(HostId("h"), all, now_);
+        static_cast<void>(residency_.ask(adapter("y" + std::to_string(i)), {}, now_ + onTime, true, now_));
+        beyond = residency_.waitBeyond(adapter("z"), until, now_);
+    }
+    EXPECT_TRUE(beyond);
+    EXPECT_LE(now_ - askedAt, onTime + Milliseconds(100)) << "soon after it has become late";
+}
+
 TEST_F(ResidencyTest, a_waiter_that_leaves_takes_its_own_part_of_the_want_with_it)
 {
     const auto early = now_ + Milliseconds(100);
