A copy of the upstreams in our own topic, for hosts that start while theirs is out

For 2 s no host knew an upstream: 5,000 requests refused.

The first of all hosts writes ids, addresses and base weights of the upstreams to the control topic when they change; a host whose first listing fails begins with that (upstreamcopy.h, no network). Also: an owner not heard of yet may be asked (737 of 1,600 asks in half a second had nobody to ask), one without a link is silent for 150 ms and not 800, and the first claims of a system are spread over 30 ms for each host, counted once their number is known (487 of 553 appends met another host's).

--- a/packages/ownership/planner.cpp
+++ b/packages/ownership/planner.cpp
@@ -520,7 +520,9 @@
 bool OwnershipPlanner::isUsable(const Owner &owner) const
 {
     const auto *member = memberOf(owner.host);
-    return member != nullptr && answers(*member) && !isRestarted(owner) && !owner.released;
+    // After a start of all hosts at once most are not heard of for a second: a call to one that is away fails soon.
+    const bool isUntested = settings_.claimsOf == "host" && member != nullptr && member->incarnation == Incarnation() && member->state != MemberState::Dead;
+    return member != nullptr && (answers(*member) || isUntested) && !isRestarted(owner) && !owner.released;
 }
 
 HostId OwnershipPlanner::preferredOwner(const Thing &thing) const
--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -766,3 +766,22 @@
     run(Milliseconds(20'000));
     EXPECT_EQ(served(), things.size());
 }
+
+// Pattern: all hosts start at once; for a second the membership has heard of few (737 of 1,600 asks in half a second found no owner to ask).
+TEST_F(Planner, AnOwnerThatNobodyHasHeardOfYetMayBeAskedWhereClaimsAreOfHosts)
+{
+    for (const auto *claimsOf : {"run", "host"}) {
+        options.claimsOf = claimsOf;
+        things.clear();
+        members.clear();
+        daemons.clear();
+        log.records.clear();
+        startAll(2, 1, 6);
+        const auto owner = *daemons.at("h0")->planner.ownerOf(ownedBy("h1"));
+        members[HostId("h1")] = {HostId("h1"), ZoneId("z0"), Incarnation(), 0, MemberState::Suspect, Listing::Listed};
+        tell();
+        EXPECT_EQ(daemons.at("h0")->planner.isUsable(owner), std::string(claimsOf) == "host");
+        setState("h1", MemberState::Dead);
+        EXPECT_FALSE(daemons.at("h0")->planner.isUsable(owner));
+    }
+}
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <core/hash.h>
+#include <serving/upstreamcopy.h>
 #include <settings/json.h>
 
 namespace baobabstall::serving {
@@ -37,8 +38,10 @@
 constexpr Milliseconds peerAnswerSlack{50};         // an owner's answer on its way
 constexpr Milliseconds firstAnswer{200};            // of an owner to an ask: that it is held, or waited for; some round trips and a busy host
 constexpr Milliseconds ownerSilence{800};           // an owner that did not answer or could not order is not asked again for so long
+constexpr Milliseconds unlinkedSilence{150};        // the same where no link could be opened: all hosts of a deployment start within 0.3 s
 constexpr Milliseconds claimAgain{25};              // a read of the store (4 ms an answer) and its way
 constexpr Milliseconds claimSpread{8};              // for each host: an append and the read that others need before their next
+constexpr Milliseconds firstClaimSpread{30};        // the same where nobody has claimed anything: the whole system starts, seconds before callers come
 constexpr Milliseconds claimTime{1'500};            // Retry-After while nobody owns an upstream: a claim, and most of a lease
 constexpr Milliseconds balancerNotice{2'600};       // until the balancer has seen two failed checks, one a second
 constexpr Milliseconds stopMargin{600};             // before the platform's SIGKILL
@@ -47,6 +50,7 @@
 
 constexpr std::string_view linksKey = "key";
 constexpr std::string_view hostPrefix = "host/";
+constexpr std::string_view copyKey = "upstreams"; // what a host starts with while their own topic can't be read
 
 /// Reads that the store holds until there is news. Who does not read waits for the page of who does.
 FollowOptions waiting(Milliseconds wait)
@@ -114,7 +118,11 @@
                                    takeUpstream(record);
                                }
                            },
-                       .onReached = [this](bool isReached) { node_.book.noteStore(isReached, node_.now()); },
+                       .onReached =
+                           [this](bool isReached) {
+                               node_.book.noteStore(isReached, node_.now());
+                               useCopy();
+                           },
                        .onRead = [this](const SharedPage &shared) { share(Topic::Upstreams, shared); }})
     , controlTopic_(node_,
                     store,
@@ -125,7 +133,9 @@
                              auto records = listing.records;
                              std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
                              takeControl(records, listing.next);
-                             claimTurn_ = node_.now() + turnOf(node_.settings.host.value() + std::to_string(incarnation_.value()));
+                             const bool isFirst = planner_.table().things().empty();
+                             claimsFrom_ = isFirst ? node_.now() + node_.settings.ownership.claimDelay : node_.now();
+                             claimEach_ = isFirst ? firstClaimSpread : claimSpread;
                          },
                      .onPage = [this](const StorePage &page) { takeControl(page.records, page.next); },
                      .onReached =
@@ -172,7 +182,7 @@
 
 bool HostedDaemon::isReady() const
 {
-    return isRunning_ && !node_.isStopping && node_.routes && upstreamsTopic_.isKnown();
+    return isRunning_ && !node_.isStopping && node_.routes && (upstreamsTopic_.isKnown() || node_.book.size() > 0);
 }
 
 net::Task<void> HostedDaemon::stop()
@@ -402,6 +412,9 @@
             openLinks(record.value);
         } else if (record.key.starts_with(hostPrefix)) {
             takeAnnouncement(record);
+        } else if (record.key == copyKey) {
+            copy_ = record.value;
+            useCopy();
         }
         ownership::StreamRecord claim{record.offset, core::civilMilliseconds(), std::nullopt};
         if (ownership::engineOf(ownership::Thing(record.key))) {
@@ -476,6 +489,52 @@
     }
 }
 
+/// Where a listing of the upstreams has failed and none has been read since the start.
+void HostedDaemon::useCopy()
+{
+    if (upstreamsTopic_.isKnown() || upstreamsTopic_.isReached() || copy_.empty() || node_.book.size() > 0) {
+        return;
+    }
+    Error why;
+    const auto records = readCopy(copy_, why);
+    if (!records) {
+        node_.log.warn("record_unreadable", why, {{"topic", topicText(Topic::Control)}, {"record", copyKey}});
+        copy_.clear();
+        return;
+    }
+    node_.log.info("upstreams_from_copy", {{"upstreams", records->size()}});
+    for (const auto &each : *records) {
+        noteChange(each.id, node_.book.apply(each));
+    }
+    updateThings();
+}
+
+/// The first of all hosts writes a copy of what is known of the upstreams when it differs from the one in the store.
+net::Task<void> HostedDaemon::keepCopy()
+{
+    const auto leaders = groups_.leaders(copyKey);
+    const bool isFirst = !leaders.empty() && leaders.front() == node_.settings.host;
+    const bool isKnown = upstreamsTopic_.isKnown() && upstreamsTopic_.isReached() && controlTopic_.isKnown() && controlTopic_.isReached();
+    if (isCopying_ || !isFirst || !isKnown || node_.isStopping || node_.book.size() == 0) {
+        co_return;
+    }
+    auto copy = copyOf(node_.book);
+    if (copy == copy_) {
+        co_return;
+    }
+    isCopying_ = true;
+    Error why;
+    Offset offset;
+    const auto outcome = co_await store_.append(Topic::Control, {{std::string(copyKey), copy}}, Offset(0), offset, why);
+    isCopying_ = false;
+    node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
+    if (outcome == AppendOutcome::Done) {
+        copy_ = std::move(copy);
+    } else {
+        node_.log.warn("upstreams_not_copied", why);
+    }
+}
+
 /// Writes the links' key when there is none, then this host's address.
 net::Task<void> HostedDaemon::announce()
 {
@@ -574,6 +633,8 @@
                 noteChange(id, BookChange::Gone);
             }
             updateThings();
+            asio::co_spawn(
+                node_.io, [this] { return keepCopy(); }, asio::detached);
         }
         co_await net::sleep(node_.io, tickInterval);
     }
@@ -618,7 +679,9 @@
     if (plan.appends.empty()) {
         return;
     }
-    if (isAppending_ || node_.now() < claimTurn_) { // its condition would fail, or others' would
+    if (isAppending_
+        || node_.now()
+            < claimsFrom_ + turnAmong(announced_.size() + 1, claimEach_, node_.settings.host.value())) { // its condition would fail, or others' would
         for (const auto &record : plan.appends) {
             planner_.onAppendRefused(record.id);
         }
@@ -727,6 +790,7 @@
 {
     const auto &replica = wish.replica;
     const auto owner = ownerOf(replica);
+    const auto begin = node_.now();
     why = Error{.step = Step::Peer, .peer = owner ? owner->value() : std::string(), .reason = "no host that can be reached owns the upstream"};
     if (owner && links_ && canOrder(replica)) {
         const bool isHere = *owner == node_.settings.host;
@@ -741,7 +805,8 @@
         if (now >= until) { // others that asked at the same time say the same
             node_.log.warn("owner_without_orders", why, {{"owner", *owner}, {"upstream", replica}});
         }
-        until = now + ownerSilence;
+        const bool wasUnlinked = why.step == Step::Peer && now - begin < firstAnswer;
+        until = now + (wasUnlinked ? unlinkedSilence : ownerSilence);
     }
     const auto *record = node_.book.find(replica); // what the upstream last said of itself is better than nothing
     const bool isHeld = record != nullptr && record->holds(wish.weights);
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -77,6 +77,8 @@
     void openLinks(const std::string &key);
     net::Task<void> announce();
     [[nodiscard]] Milliseconds turnOf(const std::string &what) const; // to write, where all hosts may want to at once
+    void useCopy();
+    net::Task<void> keepCopy();
     net::Task<void> appendClaims(std::vector<ownership::ClaimRecord> records);
     // Ownership.
     net::Task<void> tickLoop();
@@ -127,11 +129,14 @@
     std::map<HostId, std::set<UpstreamId>> reported_; // upstreams whose adapters in use each owner was told of the last time
     std::optional<engines::FallbackBudget> loads_;
     std::string key_;
+    std::string copy_; // of the upstreams, as it lies in the store
+    bool isCopying_ = false;
     bool isAppending_ = false;
     bool isAnnounced_ = false;
     bool isRunning_ = false;
     std::uint64_t thingsVersion_ = ~std::uint64_t(0);
-    Instant claimTurn_; // hosts that start together claim one after the other
+    Instant claimsFrom_; // hosts that start together claim one after the other, each in its turn from here on
+    Milliseconds claimEach_{0};
     Instant lastTick_;
     Instant nextHousekeeping_;
 };
