Ports of the hosted tests are drawn once each, and a host that does not start says why

Two hosts of one test could draw the same port: about 0.6% of runs. Forced, it gives the same message after the same 20 s. The log of that run does not name the cause, so a second one is not excluded.

A port is drawn once in a process now, and processes draw from slices of their own. The message names exit code, standard error and last log lines of each host. Checks and bounds are as before.

--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -24,16 +24,24 @@
 PATIENCE_SECONDS = 20  # longest wait for something that must happen; only a failing test reaches it
 
 
+FIRST_PORT, SLICE_PORTS, SLICES = 10_000, 500, 44  # below the range that the kernel hands out, so that nobody takes them while their host is down
+DRAWN = set()
+
+
 def free_port():
-    """Below the range that the kernel hands out, so that nobody takes it while its host is down."""
+    """Never the same twice in one process; processes that run at the same time draw from slices of their own."""
+    begin = FIRST_PORT + os.getpid() % SLICES * SLICE_PORTS
     while True:
-        port = random.SystemRandom().randrange(10_000, 32_000)
+        port = random.SystemRandom().randrange(begin, begin + SLICE_PORTS)
+        if port in DRAWN and len(DRAWN) < SLICE_PORTS // 2:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
-                return port
             except OSError:
-                pass  # somebody else's
+                continue  # somebody else's
+        DRAWN.add(port)
+        return port
 
 
 def wait_until(condition, seconds=PATIENCE_SECONDS):
@@ -78,6 +86,13 @@
     def events(self, name):
         return [line for line in self.log if line["event"] == name]
 
+    def state(self):
+        """For the message of a failed check: whether the process lives, what it wrote last, and what it answers."""
+        code = self.process.poll() if self.process else "not started"
+        said = self.process.stderr.read().decode(errors="replace") if isinstance(code, int) else ""
+        answer = ask(self.operators, "GET", "/any/readyz", timeout=2)[0]
+        return "%s: exit code %s, stderr %r, readyz %s at %s, last lines %s" % (self.name, code, said, answer, self.operators, self.log[-4:])
+
     def ready(self):
         return ask(self.operators, "GET", "/any/readyz")[0] == 200
 
@@ -127,8 +142,20 @@
     def start_all(self):
         for host in self.hosts:
             host.start()
-        self.assertTrue(wait_until(lambda: all(host.ready() for host in self.hosts)), "not ready")
-        self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts)), "no generation served")
+        self.assertTrue(wait_until(lambda: all(host.ready() for host in self.hosts)), self.states("not ready"))
+        self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts)), self.states("no generation served"))
+
+    def states(self, what):
+        """Text that is made only when it is printed: assertTrue() formats its message on failure."""
+        test = self
+
+        class Text:
+            def __str__(self):
+                return what + "; " + "; ".join(host.state() for host in test.hosts)
+
+            __repr__ = __str__
+
+        return Text()
 
     def generate(self, host, adapter, timeout=10):
         attempt = "q%d" % next(self.numbers)
