--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -443,10 +443,15 @@
     std::optional<net::Address> address;
     std::string zone;
     double linkMbps = 0;
-    if (value && value->is_object()) {
-        address = net::Address::parse(value->value("peers", std::string()));
-        zone = value->value("zone", std::string());
-        linkMbps = value->value("link_mbps", 0.0);
+    try {
+        if (value && value->is_object()) {
+            address = net::Address::parse(value->value("peers", std::string()));
+            zone = value->value("zone", std::string());
+            linkMbps = value->value("link_mbps", 0.0);
+        }
+    } catch (const nlohmann::json::exception &failed) { // a field of another type
+        address.reset();
+        why.reason = failed.what();
     }
     if (host == node_.settings.host && address && !isAnnounced_ && address->text() != node_.settings.listen.peers) {
         planner_.disownEarlierClaims(); // another machine bore this name
@@ -679,9 +684,8 @@
     if (plan.appends.empty()) {
         return;
     }
-    if (isAppending_
-        || node_.now()
-            < claimsFrom_ + turnAmong(announced_.size() + 1, claimEach_, node_.settings.host.value())) { // its condition would fail, or others' would
+    const auto turn = claimsFrom_ + turnAmong(announced_.size() + 1, claimEach_, node_.settings.host.value());
+    if (isAppending_ || node_.now() < turn) { // its condition would fail, or others' would
         for (const auto &record : plan.appends) {
             planner_.onAppendRefused(record.id);
         }
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -64,6 +64,7 @@
         self.changed = threading.Condition()
         self.topics = {}  # name -> list of (key, value)
         self.down = False
+        self.topics_down = set()
         self.calls = 0
         super().__init__()
 
@@ -76,7 +77,7 @@
         url = urlparse(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         self.calls += 1
-        if self.down:
+        if self.down or query.get("topic") in self.topics_down:
             request.answer(503)
             return
         time.sleep(STORE_ANSWER_SECONDS)
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -244,6 +244,25 @@
         self.assertEqual(self.book(restarted)[0], 200)
         self.assertTrue(any(host.events("store_regained") for host in self.hosts))
 
+    def test_hosts_that_all_start_anew_while_the_upstreams_topic_alone_is_out_serve_from_their_copy(self):
+        self.start_all()
+        self.assertTrue(wait_until(lambda: any(key == "upstreams" for key, _value in self.store.topics["keyed.control"])), "no copy")
+        before = {replica.name: replica.orders[-1][1:3] for replica in self.replicas if replica.orders}
+        self.store.topics_down = {"keyed.servers"}
+        for host in self.hosts:
+            host.end(signal.SIGKILL)
+            host.log.clear()
+        self.start_all()
+        for host in self.hosts:
+            self.assertEqual(self.book(host)[0], 200)
+            self.assertTrue(host.events("upstreams_from_copy"))
+        self.assertTrue(wait_until(lambda: self.generate(self.hosts[0], "new")[0] == 200), "nothing can be ordered")
+        after = {replica.name: replica.orders[-1][1:3] for replica in self.replicas if replica.orders}
+        self.assertEqual({name: after[name] for name in before}, before, "the same holders with the same fencing numbers")
+        self.store.topics_down = set()
+        self.assertTrue(wait_until(lambda: all(host.events("store_regained") for host in self.hosts)))
+        self.assertEqual(self.book(self.hosts[0])[0], 200)
+
     def test_a_planned_stop_lets_streams_end_and_leaves_with_zero(self):
         self.start_all()
         for replica in self.replicas:
