--- /dev/null
+++ b/packages/serving/bench/servingbench.cpp
@@ -0,0 +1,136 @@
+// Cost of the decisions that a hosted daemon makes for each request and each tick, at 880 upstreams and 420 hosts.
+#include <benchmark/benchmark.h>
+
+#include <core/hash.h>
+#include <peers/messages.h>
+#include <serving/chooser.h>
+#include <serving/hostgroups.h>
+#include <serving/loadexchange.h>
+#include <serving/residency.h>
+#include <serving/upstreamcopy.h>
+
+using namespace baobabstall;
+using namespace baobabstall::serving;
+
+namespace {
+
+constexpr int upstreams = 880;
+constexpr int hosts = 420;
+constexpr int zones = 5;
+const Instant now(1'000'000);
+
+std::vector<ReplicaRecord> records()
+{
+    std::vector<ReplicaRecord> all(upstreams);
+    for (int i = 0; i < upstreams; ++i) {
+        all[i].id = UpstreamId("i-" + std::to_string(1'000'000'000 + i));
+        all[i].service = ServiceName("llm");
+        all[i].address = {"10.1.2.3", 8'500};
+        all[i].zone = ZoneId("zone-" + std::to_string(i % zones));
+        all[i].slots = 16;
+        all[i].models = {{BaseModel("base"), {}}};
+    }
+    return all;
+}
+
+std::vector<GroupedHost> fleet()
+{
+    std::vector<GroupedHost> all;
+    for (int i = 0; i < hosts; ++i) {
+        all.push_back({HostId("edge-" + std::to_string(i)), ZoneId("zone-" + std::to_string(i % zones)), i < 2 * zones ? 200.0 : 10.0});
+    }
+    return all;
+}
+
+/// range: requests of this host for the adapter in the last second; above 0 the choice is drawn from what all hosts send.
+void pickUpstream(benchmark::State &state)
+{
+    const auto all = records();
+    std::vector<Candidate> candidates;
+    Chooser chooser(ChooserOptions(), 1);
+    chooser.setHosts(hosts);
+    for (const auto &record : all) {
+        candidates.push_back({&record, true, true});
+        chooser.setOthers(record.id, {8, 20}, now);
+    }
+    const auto home = core::hashText("hot", 1);
+    for (int i = 0; i < state.range(0); ++i) {
+        static_cast<void>(chooser.pick({candidates, home, ZoneId("zone-1")}, now));
+    }
+    std::uint64_t other = 0;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(chooser.pick({candidates, state.range(0) > 0 ? home : ++other * 2 + 1, ZoneId("zone-1")}, now));
+    }
+}
+BENCHMARK(pickUpstream)->Arg(0)->Arg(2);
+
+/// A leader's part of one exchange, with the encoding of one of its messages.
+void exchangeLoadsAsLeader(benchmark::State &state)
+{
+    const auto hostsOfAll = fleet();
+    HostGroups groups;
+    groups.assign(hostsOfAll, HostId("edge-0"));
+    const auto members = groups.members("loads");
+    const auto leaders = groups.leaders("loads");
+    LoadExchange exchange(members.front());
+    Loads loads;
+    for (const auto &record : records()) {
+        loads[record.id] = {8, 20};
+    }
+    for (const auto &member : members) {
+        exchange.take(member, LoadScope::Host, loads, now);
+    }
+    for (const auto &leader : leaders) {
+        exchange.take(leader, LoadScope::Group, loads, now);
+    }
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const auto news = exchange.tick(loads, members, leaders, now);
+        peers::LoadsNotice notice;
+        for (const auto &[id, load] : news.back().loads) {
+            notice.loads.emplace_back(id, load.running, load.readingMs);
+        }
+        bytes = peers::encode(peers::Notice{notice}).size();
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(exchangeLoadsAsLeader)->Unit(benchmark::kMillisecond);
+
+void composeCopyOfUpstreams(benchmark::State &state)
+{
+    ReplicaBook book;
+    for (const auto &record : records()) {
+        book.apply(record);
+    }
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        bytes = copyOf(book).size();
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(composeCopyOfUpstreams)->Unit(benchmark::kMillisecond);
+
+/// range: adapters that are waited for at one replica, by two requests each.
+void expectWaitForWeights(benchmark::State &state)
+{
+    Residency residency(ResidencyOptions(), ModelSpec{BaseModel("base"), 65'000, 12, Milliseconds(2'000), Milliseconds(1'000)});
+    ReplicaReport report;
+    report.models = {{BaseModel("base"), {}}};
+    for (int i = 0; i < ResidencyOptions().places; ++i) {
+        report.models.front().adapters.push_back({AdapterName("held" + std::to_string(i)), AdapterRevision(1)});
+    }
+    residency.onReport(report, now);
+    for (int i = 0; i < state.range(0); ++i) {
+        for (int waiter = 0; waiter < 2; ++waiter) {
+            static_cast<void>(residency.ask({BaseModel("base"), AdapterName("a" + std::to_string(i))}, {}, now + Milliseconds(800), true, now));
+        }
+    }
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(residency.expectedWait({BaseModel("base"), AdapterName("new")}, now));
+    }
+}
+BENCHMARK(expectWaitForWeights)->Arg(4)->Arg(40);
+
+} // namespace
+
+BENCHMARK_MAIN(); // NOLINT
