A changed count is not taken for the last order while an earlier one may still be carried out

The count had changed, which was taken for the next order's own. The look whether that load had ended was a load beyond the places.

For 10 s after an order was given up a changed count means that the replica's report is read.

--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -267,6 +267,9 @@
 
 void Residency::doubt(Instant now, Milliseconds wait)
 {
+    if (unanswered_ > 0) {
+        lateUntil_ = now + options_.late;
+    }
     isReached_ = isReached_ && unanswered_ < options_.unanswered;
     isKnown_ = false;
     reportAt_ = now + wait;
@@ -289,7 +292,7 @@
         return; // sent again as it is: the number of orders in it lets only one of the two be carried out
     }
     again_.reset();
-    if (outcome == OrderOutcome::Conflict && unanswered_ > 0) {
+    if (outcome == OrderOutcome::Conflict && unanswered_ > 0 && now >= lateUntil_) {
         outcome = OrderOutcome::Begun; // the one without an answer was carried out
     }
     if (outcome == OrderOutcome::Conflict && isWaiting && ++conflicts_ <= options_.patientConflicts) {
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -61,6 +61,7 @@
     double recheckShare = 0.15;    // of the time that it has taken so far, likewise
     int unanswered = 3;            // sends of one order without an answer, before the replica's report is read
     Milliseconds inUse{450};       // weights that a request uses are not chosen to go so long after its host told so last; two reports
+    Milliseconds late{10'000};     // an order that was given up may still be carried out so long after (seconds, by the platform's rule)
     int patientConflicts = 20;     // while an unload waits for its runs; over it the replica's report is read
     Milliseconds run{500};         // that a request uses a place (swellcast-kgn-grown scale-2: p50 of 511 ms for an answer)
     double lateWorth = 0.2;        // of a request that is late already, against one that can be on time
@@ -185,6 +186,7 @@
     int conflicts_ = 0;          // in a row
     int unanswered_ = 0;         // sends of the last order that got no answer
     std::optional<Order> again_; // that order
+    Instant lateUntil_;          // an order given up before may be carried out until then
     double fetchMs_ = 0;         // mean of recent fetches; 0: none yet
 };
 
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -370,6 +370,34 @@
     EXPECT_LE(waitFor(adapter("a")), Milliseconds(260));
 }
 
+// Found by a hunt (swellcast-kgn scale-1 --seed 878286787203: LIMIT). An order that was given up was carried out late; the next one got no
+// answer, and the changed count was taken for its own. The look whether it had ended was then a load beyond the places.
+TEST_F(ResidencyTest, a_changed_count_is_not_taken_for_the_last_order_while_an_earlier_one_may_be_carried_out_late)
+{
+    for (const auto *name : {"a", "b", "c", "d"}) {
+        waitFor(adapter(name));
+    }
+    pass(Milliseconds(1'000));
+    const auto askedBy = now_ + onTime;
+    static_cast<void>(residency_.ask(adapter("e"), {}, askedBy, true, now_));
+    const auto unload = residency_.nextOrder(true, now_);
+    residency_.onOrder(*unload, replica_.take(*unload, now_), now_);
+    const auto late = residency_.nextOrder(true, now_);
+    ASSERT_EQ(late->weights, adapter("e"));
+    for (int i = 0; i < ResidencyOptions().unanswered; ++i) {
+        residency_.onOrder(*late, OrderOutcome::Unknown, now_);
+    }
+    residency_.withdraw(adapter("e"), askedBy);
+    pass(Milliseconds(500)); // the report says that it was not carried out
+    static_cast<void>(residency_.ask(adapter("f"), {}, now_ + onTime, true, now_));
+    const auto next = residency_.nextOrder(true, now_);
+    ASSERT_EQ(next->weights, adapter("f"));
+    EXPECT_EQ(replica_.take(*late, now_), OrderOutcome::Begun) << "now it is";
+    residency_.onOrder(*next, OrderOutcome::Unknown, now_);
+    pass(Milliseconds(1'000));
+    EXPECT_EQ(residency_.ask(adapter("f"), {}, now_ + onTime, false, now_).answer, Answer::Ready);
+}
+
 TEST_F(ResidencyTest, a_late_order_of_before_is_refused_by_its_count)
 {
     static_cast<void>(residency_.ask(adapter("a"), {}, now_ + onTime, true, now_));
