A store that turns only this host away lets no records lapse

An outage counts for the records of upstreams only when no page has come for 2 s, from the store or from another host.

--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -117,7 +117,7 @@
                            },
                        .onReached =
                            [this](bool isReached) {
-                               node_.book.noteStore(isReached, node_.now());
+                               node_.book.noteStore(isReached, node_.now(), upstreamsTopic_.readAt());
                                useCopy();
                            },
                        .onRead = [this](const SharedPage &shared) { share(Topic::Upstreams, shared); }})
--- a/packages/serving/replicabook.cpp
+++ b/packages/serving/replicabook.cpp
@@ -101,12 +101,13 @@
     return changes;
 }
 
-void ReplicaBook::noteStore(bool isReached, Instant now)
+void ReplicaBook::noteStore(bool isReached, Instant now, Instant readAt)
 {
-    if (isReached && !isStoreReached_) {
+    const bool isUp = isReached || now - readAt < lapseAfter;
+    if (isUp && !isStoreReached_) {
         storeBackAt_ = now;
     }
-    isStoreReached_ = isReached;
+    isStoreReached_ = isUp;
 }
 
 std::vector<UpstreamId> ReplicaBook::expire(Instant now)
--- a/packages/serving/replicabook.h
+++ b/packages/serving/replicabook.h
@@ -24,13 +24,15 @@
 class ReplicaBook
 {
 public:
+    static constexpr Milliseconds lapseAfter{2'000}; // without a page; records lapse after three heartbeats of 1.2 s, the first of them before the outage
     static constexpr Milliseconds lapseGrace{2'300}; // lapsed records return about 2 s after the store does (platform's rule)
 
     BookChange apply(const ReplicaRecord &record);
     BookChange remove(const UpstreamId &id, Instant now);
     /// What the listing lacks is removed. Returns the ids that changed.
     std::vector<std::pair<UpstreamId, BookChange>> assign(const std::vector<ReplicaRecord> &records, Instant now);
-    void noteStore(bool isReached, Instant now);
+    /// `readAt`: the last page, also one that another host read. A store that turns only this host away lets no records lapse.
+    void noteStore(bool isReached, Instant now, Instant readAt = Instant());
     /// Drops records whose grace has passed; their ids. Call now and then.
     std::vector<UpstreamId> expire(Instant now);
 
--- a/packages/serving/tests/replicabooktest.cpp
+++ b/packages/serving/tests/replicabooktest.cpp
@@ -70,6 +70,23 @@
     EXPECT_EQ(book_.remove(UpstreamId("i-2"), now_), BookChange::Gone) << "the grace is over: a drop counts at once";
 }
 
+// Found by a hunt (swellcast-kgn trouble-1 --seed 304890938686: DRAIN, five to eight times in five of seven plays). The store turned three hosts away
+// for 9 s while the others read and passed pages on; a replica that left then was kept for the grace of an outage by one of the three.
+TEST_F(Book, a_record_that_is_dropped_while_the_store_turns_only_this_host_away_is_gone_at_once)
+{
+    book_.apply(recordOf("r1", 5));
+    book_.apply(recordOf("r2", 5));
+    Instant readAt = now_;
+    for (int i = 0; i < 90; ++i) { // pages of others come every second, own reads fail
+        now_ = now_ + Milliseconds(100);
+        readAt = i % 10 == 0 ? now_ : readAt;
+        book_.noteStore(false, now_, readAt);
+    }
+    EXPECT_EQ(book_.remove(UpstreamId("r1"), now_), BookChange::Gone);
+    book_.noteStore(true, now_, now_);
+    EXPECT_EQ(book_.remove(UpstreamId("r2"), now_), BookChange::Gone);
+}
+
 TEST_F(Book, what_a_listing_lacks_is_gone)
 {
     book_.apply(recordOf("i-1", 5));
