--- a/packages/serving/bench/servingbench.cpp
+++ b/packages/serving/bench/servingbench.cpp
@@ -36,6 +36,7 @@
 std::vector<GroupedHost> fleet()
 {
     std::vector<GroupedHost> all;
+    all.reserve(hosts);
     for (int i = 0; i < hosts; ++i) {
         all.push_back({HostId("edge-" + std::to_string(i)), ZoneId("zone-" + std::to_string(i % zones)), i < 2 * zones ? 200.0 : 10.0});
     }
