A restarted replica's report is not read without pause

Found on reading the change: an owner that learnt of a restart kept the count of the replica's earlier life, so each further report looked like a restart again. It read reports and wrote log lines without pause until its claim had a higher epoch, which a store that is away puts off. The count begins anew.

--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -82,6 +82,7 @@
 void OwnedReplica::noteRestart()
 {
     isFenced_ = true;
+    counted_ = OrderSequence(); // it counts anew
     node_.log.info("replica_restarted", {{"upstream", record_.id}, {"epoch", epoch_}});
     residency_.onRestart(node_.now());
     guards_.onRestart();
--- /dev/null
+++ b/packages/serving/tests/ownedreplicatest.cpp
@@ -0,0 +1,63 @@
+#include <serving/ownedreplica.h>
+
+#include "servingworld.h"
+
+namespace baobabstall::serving::tests {
+namespace {
+
+/// Reports whose body is the number of orders accepted.
+class ReportCodec final : public FakeCodec
+{
+public:
+    net::HttpRequest reportRequest(const UpstreamId &) const override { return {.method = "GET", .target = "/report", .headers = {}, .body = {}}; }
+    std::optional<ReplicaReport> readReport(const net::HttpResponse &answer, core::Error &) const override
+    {
+        ReplicaReport report;
+        report.sequence = OrderSequence(std::stoull(answer.body));
+        return report;
+    }
+};
+
+std::string report(int sequence)
+{
+    const auto body = std::to_string(sequence);
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class OwnedReplicaTest : public ServingWorld
+{ };
+
+// Pattern: a replica starts anew under its id while the store is away, so that its claim gets no higher epoch for long. Its count went back
+// once; that is no reason to read its report again and again.
+TEST_F(OwnedReplicaTest, a_restart_is_told_once_and_its_report_is_not_read_without_pause)
+{
+    const ReportCodec codec;
+    Node node(io_, settings(), codec, log());
+    ScriptedUpstream replica(io_, {{{report(9)}}, {{report(0)}}});
+    net::HttpClient http(io_);
+    ReplicaRecord record;
+    record.id = UpstreamId("r1");
+    record.address = replica.address();
+    record.start = ReplicaStart(1);
+    int restarts = 0;
+    OwnedGuards guards;
+    guards.mayAct = [] { return true; };
+    guards.takeLoadPermit = [] { return std::nullopt; };
+    guards.returnLoadPermit = [](std::uint64_t) {};
+    guards.onRestart = [&restarts] { ++restarts; };
+    const auto owned = std::make_shared<OwnedReplica>(
+        node, http, record, ResidencyOptions(), ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(1), Milliseconds(1)}, core::Epoch(7), std::move(guards));
+    owned->start();
+    pass(Milliseconds(100));
+    ASSERT_EQ(replica.seen.size(), 1U);
+    record.start = ReplicaStart(2);
+    owned->onRecord(record);
+    pass(Milliseconds(400));
+    EXPECT_EQ(restarts, 1);
+    EXPECT_LE(replica.seen.size(), 3U);
+    owned->stop();
+    pass(Milliseconds(150));
+}
+
+} // namespace
+} // namespace baobabstall::serving::tests
--- a/packages/serving/tests/servingworld.h
+++ b/packages/serving/tests/servingworld.h
@@ -25,7 +25,7 @@
 using tcp = asio::ip::tcp;
 
 /// Fields: Id, Deadline, Weights (MODEL/ADAPTER), Tokens, Last, Seal, Not-Run, Replica. What the system sets: To, Left, Revision.
-class FakeCodec final : public Codec
+class FakeCodec : public Codec
 {
 public:
     std::optional<RequestFacts> readRequest(std::span<const HeaderView> headers, core::Error &why) const override
