--- a/packages/serving/tests/choosertest.cpp
+++ b/packages/serving/tests/choosertest.cpp
@@ -26,6 +26,18 @@
         }
     }
 
+    /// 72 upstreams of 16 slots, as in the grown deployments.
+    void useGrownUpstreams()
+    {
+        records_.resize(72, records_.front());
+        candidates_.clear();
+        for (std::size_t i = 0; i < records_.size(); ++i) {
+            records_[i].id = UpstreamId("n" + std::to_string(i));
+            records_[i].slots = 16;
+            candidates_.push_back({&records_[i], true, true});
+        }
+    }
+
     UpstreamId pick(std::uint64_t home) { return chooser_.pick({candidates_, home, ZoneId("a")}, now_)->replica->id; }
 
     std::vector<ReplicaRecord> records_;
@@ -164,13 +176,7 @@
 // replica of 16 slots within 150 ms, because each had been told that it was free).
 TEST_F(ChooserTest, hosts_that_were_told_the_same_do_not_all_go_to_the_same_upstream)
 {
-    records_.resize(72, records_.front());
-    candidates_.clear();
-    for (std::size_t i = 0; i < records_.size(); ++i) {
-        records_[i].id = UpstreamId("n" + std::to_string(i));
-        records_[i].slots = 16;
-        candidates_.push_back({&records_[i], true, true});
-    }
+    useGrownUpstreams();
     const auto home = core::hashText("hot", 1);
     constexpr int hosts = 86;
     std::vector<Chooser> choosers;
@@ -210,13 +216,7 @@
 // place from another adapter (swellcast-kgn-grown quiet-1: worth 0.734 with 8 homes, 0.717 with 24).
 TEST_F(ChooserTest, the_hottest_adapter_has_room_at_few_homes)
 {
-    records_.resize(72, records_.front());
-    candidates_.clear();
-    for (std::size_t i = 0; i < records_.size(); ++i) {
-        records_[i].id = UpstreamId("n" + std::to_string(i));
-        records_[i].slots = 16;
-        candidates_.push_back({&records_[i], true, true});
-    }
+    useGrownUpstreams();
     const auto home = core::hashText("hot", 1);
     const int running = 72 * 16 / 20;
     for (int i = 0; i < running; ++i) {
