Leaving marks and backoffs from upstreams' answers bind this host

Cause: a replica now says in all its answers that it leaves, and a refusing one may name a delay in which it wants nothing. Both were dropped by the codec: a replica whose draining record had not been read got requests on, and a full one was chosen again after the chooser's own penalty. Change: ResponseMetadata carries both; Node::applyUpstreamState applies them for requests, orders and reports. Forwarder and OwnedReplica look again before each send (mayContact). Ruled out: telling other hosts of a mark (the record follows, and a wrong mark would take the replica from all).

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -143,7 +143,8 @@
             const bool isExcluded = std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
             const bool isFull = serviceSpec_ != nullptr && serviceSpec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.localOccupancy(id).running >= connectionShare();
-            if (isExcluded || isFull || (needsModel && !record->holds(model)) || (onlyHolders_ && !isHeld(*record))) {
+            if (isExcluded || isFull || node_.backoffs.isActive(id, node_.now()) || (needsModel && !record->holds(model))
+                || (onlyHolders_ && !isHeld(*record))) {
                 continue;
             }
             Candidate candidate{record, true, true};
@@ -189,6 +190,17 @@
         return std::max(minFill, static_cast<double>(route_->latencyObjective.count()) / typicalWorkMs);
     }
 
+    /// Until the first upstream of the service accepts requests again; nullopt unless all of them asked this host for a backoff.
+    [[nodiscard]] std::optional<Milliseconds> shortestBackoff() const
+    {
+        std::optional<Milliseconds> shortest;
+        for (const auto &id : node_.replicas.usable(*service_)) {
+            const auto remaining = node_.backoffs.remaining(id, node_.now());
+            shortest = shortest ? std::min(*shortest, remaining) : remaining;
+        }
+        return shortest && shortest->count() > 0 ? shortest : std::nullopt;
+    }
+
     const ReplicaRecord *chooseUpstream()
     {
         const auto all = candidates();
@@ -222,7 +234,7 @@
                 excluded_.push_back(replica.id);
                 continue;
             }
-            if (isFinished() || !node_.replicas.isUsable(replica.id)) {
+            if (isFinished() || !node_.mayContact(replica.id)) {
                 continue;
             }
             if (co_await sendTo(replica)) {
@@ -330,8 +342,8 @@
             }
         }
         connection_ = connection;
-        if (isFinished() || !node_.replicas.isUsable(replica.id)) {
-            recordSend(replica, SendOutcome::Abandoned, "not_sent", "the upstream left or the request ended while connecting");
+        if (isFinished() || !node_.mayContact(replica.id)) {
+            recordSend(replica, SendOutcome::Abandoned, "not_sent", "the upstream left or asked for a backoff, or the request ended while connecting");
             releaseConnection(true);
             co_return false;
         }
@@ -444,6 +456,7 @@
             }
             const int status = head.result_int();
             response_ = node_.codec.readAnswer(status, responseHeaders_);
+            node_.applyUpstreamState(replica, response_);
             applyKeepAlive(head);
             if (!response_.id.empty() && response_.id != metadata_.id) {
                 node_.log.warn("foreign_answer", {{"request_id", metadata_.id}, {"upstream", replica.id}, {"answer_of", response_.id}, {"status", status}});
@@ -738,6 +751,10 @@
             co_return;
         }
         const bool isDeadlinePassed = timeLeft() < minSendTime;
+        if (const auto backoff = shortestBackoff(); backoff && !isDeadlinePassed) {
+            refusalReason_ = "upstreams_backing_off";
+            retryAfter_ = backoff;
+        }
         if (mayHaveRun_) {
             co_await refuse(isDeadlinePassed ? 504 : 502, isDeadlinePassed ? "deadline" : refusalReason_, std::nullopt);
         } else {
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -146,6 +146,11 @@
     , loadExchange_(settings.host)
 {
     node_.residency = this;
+    node_.onNoContact = [this](const UpstreamId &id) {
+        if (const auto owned = ownedReplicas_.find(id); owned != ownedReplicas_.end()) {
+            owned->second->onNoContact();
+        }
+    };
 }
 
 HostedDaemon::~HostedDaemon() = default;
@@ -373,6 +378,9 @@
     }
     node_.metrics.beliefChanges.add({changeText(change)});
     node_.log.info("upstream_changed", {{"upstream", id}, {"change", changeText(change)}, {"upstreams", node_.replicas.size()}});
+    if (change == BookChange::Restarted) {
+        node_.backoffs.end(id);
+    }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
         node_.leases.drop(id);
         node_.pool.forget(id);
@@ -634,6 +642,9 @@
             nextHousekeeping_ = now + housekeepingInterval;
             node_.pool.expire(now);
             node_.leases.expire(now);
+            for (const auto &id : node_.backoffs.takeEnded(now)) {
+                node_.log.info("backoff_ended", {{"upstream", id}, {"next", "requests, orders and reports are sent again"}});
+            }
             for (const auto &id : node_.replicas.expire(now)) {
                 onUpstreamChange(id, BookChange::Gone);
             }
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -163,12 +163,15 @@
 
 /// Parsed headers of an upstream's response.
 struct ResponseMetadata {
-    RequestId id;                  // empty: not given
-    bool isSealed = false;         // the seal proves that the upstream itself produced the response
-    bool notRun = false;           // the upstream guarantees that the request has not run and will not run
-    bool isContentEncoded = false; // the body was re-encoded on the way
-    UpstreamId upstream;           // empty: not given
-    bool isMisdirected = false;    // with notRun: the replica or its weights are not the expected ones
+    RequestId id;                        // empty: not given
+    bool isSealed = false;               // the seal proves that the upstream itself produced the response
+    bool notRun = false;                 // the upstream guarantees that the request has not run and will not run
+    bool isContentEncoded = false;       // the body was re-encoded on the way
+    UpstreamId upstream;                 // empty: not given
+    bool isMisdirected = false;          // with notRun: the replica or its weights are not the expected ones
+    bool isLeaving = false;              // the upstream will stop soon and wants no further requests
+    std::optional<Milliseconds> backoff; // with a refusal: the upstream wants nothing from this host for so long
+    std::string unreadableBackoff;       // the field's text when it is not a number of seconds; the refusal then names no delay
 };
 
 struct ReplicaReport {
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -1,6 +1,7 @@
 #include <serving/node.h>
 
 #include <core/hash.h>
+#include <settings/json.h>
 
 namespace baobabstall::serving {
 
@@ -113,6 +114,44 @@
     return used;
 }
 
+void Node::applyUpstreamState(const ReplicaRecord &replica, const ResponseMetadata &answer)
+{
+    const bool isFromOther = !answer.upstream.empty() && answer.upstream != replica.id; // the address was given to another upstream
+    const auto *other = isFromOther ? replicas.find(answer.upstream) : nullptr;
+    const auto &id = isFromOther ? answer.upstream : replica.id;
+    const auto startTime = other != nullptr ? other->startTime : replica.startTime;
+    if (!answer.unreadableBackoff.empty()) {
+        log.warn("backoff_unreadable", {{"upstream", id}, {"value", settings::printableText(answer.unreadableBackoff)}, {"next", "no backoff"}});
+    }
+    bool isContactEnded = false;
+    if (answer.isLeaving && replicas.markLeaving(id, startTime) == BookChange::Leaving) {
+        metrics.beliefChanges.add({"leaving_by_answer"});
+        log.info("upstream_leaving", {{"upstream", id}, {"source", "answer"}, {"record_age_ms", now() - replicasReadAt}});
+        isContactEnded = true;
+    }
+    if (answer.backoff && answer.backoff->count() > 0) {
+        const bool wasActive = backoffs.isActive(id, now());
+        const auto delay = backoffs.begin(id, *answer.backoff, now());
+        if (!wasActive) {
+            metrics.beliefChanges.add({"backoff_begun"});
+            log.info("backoff_begun", {{"upstream", id}, {"asked_ms", *answer.backoff}, {"for_ms", delay}, {"backoffs", backoffs.size()}});
+        }
+        isContactEnded = true;
+    }
+    if (isContactEnded && onNoContact) {
+        onNoContact(id);
+    }
+}
+
+void Node::applyUpstreamState(const ReplicaRecord &replica, const net::HttpResponse &answer)
+{
+    std::vector<HeaderView> headers;
+    for (const auto &[name, value] : answer.headers.all()) {
+        headers.push_back({name, value});
+    }
+    applyUpstreamState(replica, codec.readAnswer(answer.status, headers));
+}
+
 void Node::setHostCount(int count)
 {
     hostCount = std::max(1, count);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -6,6 +6,7 @@
 //   Node              all shared state
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,6 +17,7 @@
 #include <core/clock.h>
 #include <logging/logging.h>
 #include <metrics/registry.h>
+#include <serving/backoffs.h>
 #include <serving/chooser.h>
 #include <serving/protocol.h>
 #include <serving/replicabook.h>
@@ -94,6 +96,12 @@
     [[nodiscard]] const ModelSpec *mostNeededModel(const std::vector<ModelSpec> &models) const;
     /// A request starts (1) or stops (-1) using weights at an upstream.
     void adjustUseCount(const UpstreamId &upstream, const AdapterKey &weights, int change);
+    /// Whether anything may be sent to the upstream: it is known, not leaving, and has not asked this host to back off.
+    [[nodiscard]] bool mayContact(const UpstreamId &id) const { return replicas.isUsable(id) && !backoffs.isActive(id, now()); }
+    /// Applies what an answer says about the upstream itself. `replica` is the record that the call was sent with.
+    void applyUpstreamState(const ReplicaRecord &replica, const ResponseMetadata &answer);
+    /// The same for the answer to an order or a report.
+    void applyUpstreamState(const ReplicaRecord &replica, const net::HttpResponse &answer);
     [[nodiscard]] std::vector<AdapterKey> weightsInUse(const UpstreamId &upstream) const; // by requests of this host
 
     boost::asio::io_context &io;
@@ -107,6 +115,8 @@
     Instant replicasReadAt;
     Chooser chooser;
     LeaseTable leases;
+    Backoffs backoffs;
+    std::function<void(const UpstreamId &)> onNoContact; // the upstream is leaving or asked this host to back off; may be empty
     UpstreamPool pool;
     std::map<AdapterKey, ActiveRevision> activeRevisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> useCounts; // running requests of this host, by the weights that they use
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -98,6 +98,11 @@
     }
 }
 
+void OwnedReplica::onNoContact()
+{
+    wakeWaiters();
+}
+
 void OwnedReplica::onAdaptersInUse(const HostId &host, std::vector<AdapterKey> weights)
 {
     residency_.onInUse(host, std::move(weights), node_.now());
@@ -162,7 +167,7 @@
 
 bool OwnedReplica::canOrder() const
 {
-    return isRunning_ && !isFenced_ && callbacks_.mayAct() && residency_.isReachable() && residency_.holdsModel();
+    return isRunning_ && !isFenced_ && node_.mayContact(record_.id) && callbacks_.mayAct() && residency_.isReachable() && residency_.holdsModel();
 }
 
 net::Task<void> OwnedReplica::run()
@@ -175,6 +180,7 @@
         }
         const auto now = node_.now();
         auto wakeAt = residency_.nextDue().value_or(now + idleInterval);
+        wakeAt = std::max(wakeAt, now + node_.backoffs.remaining(record_.id, now));
         wakeAt = std::max(wakeAt, now + (callbacks_.mayAct() && residency_.holdsModel() ? Milliseconds(1) : inactiveInterval));
         timer_.expires_after(net::chronoOf(std::min(wakeAt, now + idleInterval) - now));
         co_await timer_.async_wait(net::tuple);
@@ -184,11 +190,14 @@
 net::Task<bool> OwnedReplica::step()
 {
     const auto now = node_.now();
+    if (node_.backoffs.isActive(record_.id, now)) {
+        co_return false;
+    }
     if (residency_.needsReport(now)) { // reading a report needs no valid ownership
         co_await fetchReport();
         co_return true;
     }
-    if (isFenced_ || !callbacks_.mayAct()) {
+    if (isFenced_ || !node_.mayContact(record_.id) || !callbacks_.mayAct()) {
         co_return false;
     }
     if (!residency_.holdsModel() && !permit_) {
@@ -211,6 +220,9 @@
     const auto answer = co_await httpClient_.call(target.address, node_.codec.reportRequest(target.id), options, why);
     const auto report = answer ? node_.codec.readReport(*answer, why) : std::nullopt;
     node_.metrics.orders.add({"report", report ? "good" : "failed"});
+    if (answer) {
+        node_.applyUpstreamState(target, *answer);
+    }
     if (target.startTime != record_.startTime) {
         co_return; // the replica has restarted in the meantime
     }
@@ -243,6 +255,9 @@
     const auto answer = co_await httpClient_.call(target.address, node_.codec.orderRequest(target.id, order, node_.settings.host, epoch_), options, why);
     auto outcome = answer ? node_.codec.readOrderAnswer(*answer) : why.outcome == core::Outcome::NotRun ? OrderOutcome::Refused : OrderOutcome::Unknown;
     node_.metrics.orders.add({kindText(order.kind), outcomeText(outcome)});
+    if (answer) {
+        node_.applyUpstreamState(target, *answer);
+    }
     node_.log.info("order",
                    {{"upstream", target.id},
                     {"kind", kindText(order.kind)},
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -38,6 +38,7 @@
     void stop();
     void onRecord(const ReplicaRecord &record); // the address changed or the replica restarted
     void onRevision(const AdapterKey &weights, AdapterRevision revision);
+    void onNoContact(); // the replica is leaving or asked for a backoff: tells the waiting requests
     void onAdaptersInUse(const HostId &host, std::vector<AdapterKey> weights);
     /// Returns nullopt when the weights can't be loaded in time, as soon as that is known. `onWaiting` gets the expected wait.
     net::Task<std::optional<Residency::LeaseReply>> waitForLease(ResidencyRequest request, std::function<void(Milliseconds)> onWaiting, core::Error &why);
--- a/packages/serving/replicabook.cpp
+++ b/packages/serving/replicabook.cpp
@@ -81,6 +81,17 @@
     return BookChange::Gone;
 }
 
+BookChange ReplicaBook::markLeaving(const UpstreamId &id, ReplicaStartTime startTime)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.record.isLeaving || startTime < found->second.record.startTime) {
+        return BookChange::None;
+    }
+    found->second.record.isLeaving = true;
+    ++version_;
+    return BookChange::Leaving;
+}
+
 std::vector<std::pair<UpstreamId, BookChange>> ReplicaBook::assign(const std::vector<ReplicaRecord> &records, Instant now)
 {
     std::vector<std::pair<UpstreamId, BookChange>> changes;
--- a/packages/serving/replicabook.h
+++ b/packages/serving/replicabook.h
@@ -3,6 +3,7 @@
 //   book.assign(records, now);   // replaces the table with a full listing
 //   book.apply(record);          // applies a new or updated record
 //   book.remove(id, now);        // the record was deleted or can't be parsed
+//   book.markLeaving(id, start); // an answer of this run of the upstream said that it is leaving
 //   book.noteStore(false, now);  // the store is unreachable; noteStore(true, now) once it is reachable again
 //   for (const auto &id : book.usable(service)) ...
 //
@@ -30,6 +31,8 @@
 
     BookChange apply(const ReplicaRecord &record);
     BookChange remove(const UpstreamId &id, Instant now);
+    /// The upstream itself said that it is leaving. Ignored when the book knows a later run than the one that said so.
+    BookChange markLeaving(const UpstreamId &id, ReplicaStartTime startTime);
     /// Applies a full listing; upstreams missing from it are removed. Returns the ids that changed.
     std::vector<std::pair<UpstreamId, BookChange>> assign(const std::vector<ReplicaRecord> &records, Instant now);
     /// `readAt`: time of the last page, including pages read by other hosts. If the store is unreachable from this host only, no
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -101,6 +101,70 @@
     EXPECT_EQ(requestCount(), 2U);
 }
 
+// Pattern: a replica says in an answer that it leaves, before the store says so.
+TEST_F(ForwarderTest, an_upstream_that_says_it_is_leaving_gets_no_further_requests)
+{
+    const std::string leaving = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLeaving: 1\r\nContent-Length: 4\r\n\r\nlast";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 2), {{Script{{leaving}}}, {Script{{completeResponse("other")}}}});
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(sendRequest(getRequest("q" + std::to_string(i)), "\r\n\r\n").status(), 200);
+    }
+    EXPECT_LE(upstream(1).requests.size(), 1U);
+    EXPECT_GE(upstream(2).requests.size(), 5U);
+}
+
+TEST_F(ForwarderTest, a_leaving_mark_in_the_head_of_a_stream_holds_while_the_stream_goes_on)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLeaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1),
+                 {{Script{{head + chunk(event(1)), chunk(event(2)), chunk(event(3)) + finalChunk}, false, false, Milliseconds(30)}}});
+    EXPECT_TRUE(sendRequest(getRequest("q"), "\r\n0\r\n\r\n").hasFinalChunk());
+    EXPECT_EQ(sendRequest(getRequest("r"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+// Pattern: a new run of the replica under its old id and address has said nothing of leaving.
+TEST_F(ForwarderTest, a_leaving_mark_ends_with_the_run_that_set_it)
+{
+    const std::string leaving = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLeaving: 1\r\nContent-Length: 4\r\n\r\nlast";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{leaving}}, Script{{completeResponse("new")}}}});
+    sendRequest(getRequest("a"), "\r\n\r\n");
+    auto record = *node_.replicas.find(UpstreamId("r1"));
+    record.isLeaving = false;
+    node_.replicas.apply(record);
+    EXPECT_FALSE(node_.replicas.isUsable(record.id)) << "a record of the same run is outdated";
+    record.startTime = ReplicaStartTime(5);
+    node_.replicas.apply(record);
+    EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\n").status(), 200);
+}
+
+// Pattern: replicas under a burst refuse and say how long they want nothing from this host.
+TEST_F(ForwarderTest, an_upstream_that_asked_for_a_backoff_gets_nothing_until_it_ends)
+{
+    const std::string full = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nBackoff: 400\r\nContent-Length: 0\r\n\r\n";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 2), {{Script{{full}}, Script{{completeResponse("back")}}}, {Script{{completeResponse("other")}}}});
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(sendRequest(getRequest("q" + std::to_string(i)), "\r\n\r\n").status(), 200);
+    }
+    EXPECT_LE(upstream(1).requests.size(), 1U);
+    runFor(Milliseconds(450));
+    EXPECT_TRUE(node_.mayContact(UpstreamId("r1")));
+}
+
+TEST_F(ForwarderTest, when_all_upstreams_back_off_the_caller_is_told_at_once_when_the_first_one_ends)
+{
+    const auto full = [](int ms) { return "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nBackoff: " + std::to_string(ms) + "\r\nContent-Length: 0\r\n\r\n"; };
+    setUpService(route(RetryPolicy::AtMostOnce, false, 2), {{Script{{full(3'000)}}}, {Script{{full(5'000)}}}});
+    const auto namesFirstEnd = [](const ReceivedResponse &refusal) { return refusal.contains("Retry-After: 2.9") || refusal.contains("Retry-After: 3.000"); };
+    EXPECT_TRUE(namesFirstEnd(sendRequest(getRequest("a"), "\r\n\r\n")));
+    const auto begin = node_.now();
+    const auto response = sendRequest(getRequest("b"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(namesFirstEnd(response));
+    EXPECT_LT(node_.now() - begin, Milliseconds(200));
+    EXPECT_EQ(requestCount(), 2U);
+}
+
 TEST_F(ForwarderTest, no_503_is_returned_after_an_upstream_may_have_run_the_request)
 {
     const std::string full = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -24,7 +24,8 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Tokens, Last, Seal, Not-Run, Replica. Set by the forwarder: To, Left, Revision.
+/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Tokens, Last, Seal, Not-Run, Replica, Leaving, Backoff (ms). Set by the forwarder:
+/// To, Left, Revision.
 class FakeCodec : public Codec
 {
 public:
@@ -63,6 +64,8 @@
             facts.id = name == "Id" ? RequestId(std::string(value)) : facts.id;
             facts.isSealed = facts.isSealed || name == "Seal";
             facts.notRun = facts.notRun || name == "Not-Run";
+            facts.isLeaving = facts.isLeaving || name == "Leaving";
+            facts.backoff = name == "Backoff" ? std::optional(Milliseconds(std::stoll(std::string(value)))) : facts.backoff;
             facts.upstream = name == "Replica" ? UpstreamId(std::string(value)) : facts.upstream;
         }
         return facts;
