Eras of the store: offsets carry them, and what a rewind lost is written again

Cause: after a drill the store is a copy some seconds old. Hosts read on at offsets that it gives out again, kept claims that are lost, offered fencing numbers below those that replicas had seen, and never wrote address, key, claims and copy again. Followers list in a new era, on their own read or on a page of a peer. OwnershipPlanner::beginEra rebuilds the table from the copy; owners claim again what the copy gives to nobody, everyone else waits a lease. Hosts announce again, staggered; one records the era as settled for hosts that start later. ReplicaBook keeps removed runs removed and gives missing ones the grace of an outage. Found by the new tests while they were written: a host that woke up and read before its first tick took itself for current and ordered beside the next owner (Planner.AHostThatStandsStillWhileTheEraChangesWaitsALease); an era beyond 64 bits was read as 0.

--- a/packages/core/types.h
+++ b/packages/core/types.h
@@ -3,6 +3,7 @@
 // Index
 //   Id             text ids: customers, hosts, upstreams, requests
 //   Ordinal        counters that order things: offsets, epochs, incarnations
+//   offsetOf(), eraOf(), positionOf()   an Offset as era and position of the log
 //   Milliseconds   a length of time
 //   Instant        a point in time
 //   AdapterRef     customer/adapter@version, the name a request gives
@@ -69,10 +70,32 @@
 };
 
 using Offset = Ordinal<struct OffsetTag>;           // place of a record in a stream of the platform's log; the first record is 1
+using StoreEra = Ordinal<struct StoreEraTag>;       // rises each time the platform's log comes back as an earlier copy of itself
 using Epoch = Ordinal<struct EpochTag>;             // offset of the claim that made an owner; serves as the fencing number
 using Incarnation = Ordinal<struct IncarnationTag>; // one run of a daemon's process; a later run has a higher one
 using EngineStart = Ordinal<struct EngineStartTag>; // one run of an engine; changes when it forgets what it held
 
+// A log that comes back as an earlier copy gives out some offsets a second time, for other records. An Offset therefore carries the era in
+// its upper bits: offsets of a later era are greater than all earlier ones, and so are the epochs and fencing numbers made from them. A log
+// without eras has era 0, where offset and position are the same number.
+constexpr int offsetPositionBits = 40; // positions up to 10^12 and eras up to 8191 stay exact in the 53 bits of a JSON number
+
+[[nodiscard]] constexpr Offset offsetOf(StoreEra era, std::uint64_t position)
+{
+    return Offset((era.value() << offsetPositionBits) | position);
+}
+
+[[nodiscard]] constexpr StoreEra eraOf(Offset offset)
+{
+    return StoreEra(offset.value() >> offsetPositionBits);
+}
+
+/// The offset within its era; the first record of the log has position 1.
+[[nodiscard]] constexpr std::uint64_t positionOf(Offset offset)
+{
+    return offset.value() & ((std::uint64_t(1) << offsetPositionBits) - 1);
+}
+
 /// A length of time in milliseconds.
 class Milliseconds
 {
--- a/packages/ownership/planner.cpp
+++ b/packages/ownership/planner.cpp
@@ -165,6 +165,34 @@
     fullReads_ = 0;
 }
 
+void OwnershipPlanner::beginEra(Instant now)
+{
+    const bool isAwake = lastTick_ && now - *lastTick_ <= maxTickGap;
+    const bool wasCurrent = isAwake && (caughtUp_ || logDown_); // else another daemon may have claimed while this one was paused
+    for (auto &[resource, state] : states_) {
+        if (state.heldEpoch) {
+            removedHoldings_.push_back({resource, *state.heldEpoch});
+        }
+        state.reclaims = state.heldEpoch && !state.draining && wasCurrent;
+        state.heldEpoch.reset();
+        state.draining = false;
+        state.drained = false;
+        state.renewing = false;
+        state.lostEpochs.clear();
+        state.epochsToRetire.clear();
+        state.ownerRecordOffset = Offset();
+    }
+    if (!wasCurrent) {
+        delayActions(now + settings_.leaseWait);
+    }
+    table_ = ClaimTable();
+    pending_.clear();
+    pendingByResource_.clear();
+    caughtUp_ = false;
+    fullReads_ = 0;
+    eraBegan_ = now;
+}
+
 void OwnershipPlanner::onAppended(const std::string &id)
 {
     auto found = pending_.find(id);
@@ -317,6 +345,7 @@
         state.drained = false;
     }
     if (ours && !state.heldEpoch) {
+        state.reclaims = false;
         state.heldEpoch = owner->epoch;
         state.ownerRecordOffset = Offset();
         actions.gained.push_back({resource, owner->epoch});
@@ -412,10 +441,18 @@
     if (wasOurs && readySince_ && !stopping_ && !(newestIncarnation(self_.host) > self_.incarnation)) {
         return true; // no other host holds it, so there is no lease to wait for
     }
+    const bool isNewEra = eraBegan_ && now - *eraBegan_ < settings_.leaseWait;
+    const bool isSuperseded = newestIncarnation(self_.host) > self_.incarnation;
+    if (isNewEra && state.reclaims && !stopping_ && !isSuperseded) {
+        return true;
+    }
+    const bool isLeftToLastOwner = isNewEra && !owner && !state.lastOwner.empty() && state.lastOwner != self_.host;
+    if (isLeftToLastOwner) {
+        return false;
+    }
     auto startDelay = settings_.claimDelay.count() > 0 ? settings_.claimDelay : settings_.handoverDelay;
     bool started = readySince_ && now - *readySince_ >= startDelay;
-    bool superseded = newestIncarnation(self_.host) > self_.incarnation;
-    if (stopping_ || superseded || !started || state.preferredHost != self_.host) {
+    if (stopping_ || isSuperseded || !started || state.preferredHost != self_.host) {
         return false;
     }
     return !owner || owner->released || isReplaceable(*owner, state, now);
@@ -522,7 +559,7 @@
     auto owner = table_.ownerOf(resource);
     bool ours = owner && isOurs(*owner) && !owner->released && owner->epoch == epoch;
     bool awake = lastTick_ && now - *lastTick_ <= maxTickGap;
-    return ours && awake && (caughtUp_ || logDown_) && now >= found->second.actFrom;
+    return ours && awake && (caughtUp_ || logDown_) && now >= std::max(found->second.actFrom, earliestAction_);
 }
 
 bool OwnershipPlanner::isDraining(const Resource &resource) const
--- a/packages/ownership/planner.h
+++ b/packages/ownership/planner.h
@@ -24,6 +24,7 @@
 // During an outage of the log owners keep their ownership and nothing is claimed; after it, claims wait until the stream was read to its end.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -104,9 +105,15 @@
     void onRecords(Offset first,
                    Offset next,
                    const std::vector<StreamRecord>
-                       &records);           // a read of the claims stream from lastReadOffset().next(); at its end when `records` is empty or reaches `next`
-    void onLogDown();                       // a read or append failed; cleared by the next onRecords()
-    void onAppended(const std::string &id); // stored; takes effect when it is read back
+                       &records); // a read of the claims stream from lastReadOffset().next(); at its end when `records` is empty or reaches `next`
+    /// The log came back as an earlier copy: records, epochs and pending appends of the earlier era are dropped; all holdings are lost. The
+    /// next onRecords() must bring the whole copy. What this daemon held and the copy gives to nobody is claimed again at once; others
+    /// leave it to its last owner for a lease. What the copy gives to another daemon than the last known owner waits a lease before orders.
+    void beginEra(Instant now);
+    /// No resource is acted on before `until`, because an owner that this daemon doesn't know of may still act.
+    void delayActions(Instant until) { earliestAction_ = std::max(earliestAction_, until); }
+    void onLogDown();                            // a read or append failed; cleared by the next onRecords()
+    void onAppended(const std::string &id);      // stored; takes effect when it is read back
     void onAppendRefused(const std::string &id); // certainly not stored: 429 or 503
     void onAppendUnknown(const std::string &id); // no answer; retried after reading the stream
 
@@ -153,6 +160,7 @@
         std::optional<Epoch> heldEpoch; // held by this daemon, as last returned by tick()
         bool draining = false;          // handover started; work may still run
         bool drained = false;           // drained; to be released
+        bool reclaims = false;          // held when the log's era ended: claimed again unless the copy names this daemon as the owner
         bool renewing = false;          // renewEpoch() was called; cleared with the current epoch
         std::set<Epoch> lostEpochs;     // lost, not drained yet
         std::set<Epoch> epochsToRetire; // drained after a loss; a Retire record is to be appended
@@ -206,6 +214,8 @@
     std::uint64_t nextId_ = 1;
     std::int64_t appendBudgetMilli_ = 0; // in thousandths of an append
     std::optional<Instant> lastTick_;
+    Instant earliestAction_;              // see delayActions()
+    std::optional<Instant> eraBegan_;     // when this daemon saw the log's current era first; none: it started in it
     std::optional<Instant> readySince_;   // when the members were known and the stream was read
     std::map<HostId, Instant> deadSince_; // dead members and the first tick that saw them dead
     bool caughtUp_ = false;
--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -11,6 +11,7 @@
 
 using namespace baobabstall::ownership;
 using baobabstall::core::FakeClock;
+using baobabstall::core::StoreEra;
 using baobabstall::core::UpstreamId;
 using baobabstall::peers::Listing;
 using baobabstall::peers::Member;
@@ -26,6 +27,15 @@
 struct Log {
     std::vector<std::pair<std::int64_t, ClaimRecord>> records;
     bool down = false;
+    StoreEra era;
+
+    /// Comes back as a copy without the newest `lost` records.
+    void rewind(std::size_t lost)
+    {
+        records.resize(records.size() - std::min(lost, records.size()));
+        era = era.next();
+    }
+    [[nodiscard]] Offset offset(std::size_t position) const { return baobabstall::core::offsetOf(era, position); }
 };
 
 enum class AppendOutcome { Stored, Refused, Unanswered, LostButStored };
@@ -37,17 +47,23 @@
         , planner(self, options, retention)
     { }
 
-    void read(const Log &log)
+    void read(const Log &log, Instant now)
     {
+        if (now < readsFrom) {
+            return;
+        }
         if (log.down) {
             planner.onLogDown();
             return;
         }
+        if (std::exchange(era, log.era) < log.era) {
+            planner.beginEra(now);
+        }
         std::vector<StreamRecord> records;
-        for (auto at = planner.lastReadOffset().value(); at < log.records.size(); ++at) {
-            records.push_back({Offset(at + 1), log.records[at].first, log.records[at].second});
+        for (auto at = baobabstall::core::positionOf(planner.lastReadOffset()); at < log.records.size(); ++at) {
+            records.push_back({log.offset(at + 1), log.records[at].first, log.records[at].second});
         }
-        planner.onRecords(Offset(1), Offset(log.records.size() + 1), records);
+        planner.onRecords(Offset(1), log.offset(log.records.size() + 1), records);
     }
 
     void act(Log &log, Instant now)
@@ -69,7 +85,8 @@
 
     void append(Log &log, const ClaimRecord &record, Instant now)
     {
-        auto end = log.down ? AppendOutcome::Refused : nextOutcome();
+        const bool isPastEra = baobabstall::core::eraOf(record.lastReadOffset) < log.era; // the condition of the append fails
+        auto end = log.down || isPastEra ? AppendOutcome::Refused : nextOutcome();
         if (end == AppendOutcome::Stored || end == AppendOutcome::LostButStored) {
             log.records.emplace_back(now.sinceOrigin(), record);
         }
@@ -86,6 +103,8 @@
     OwnershipPlanner planner;
     std::function<AppendOutcome()> nextOutcome = [] { return AppendOutcome::Stored; };
     bool frozen = false;
+    Instant readsFrom; // reads nothing before
+    StoreEra era;
     std::size_t appends = 0;
     std::size_t handovers = 0;
     std::size_t lost = 0;
@@ -98,6 +117,7 @@
         daemons.erase(host);
         auto &daemon = *daemons.emplace(host, std::make_unique<Daemon>(host, zone, incarnation, options)).first->second;
         members[HostId(host)] = {HostId(host), ZoneId(zone), Incarnation(incarnation), 0, MemberState::Alive, Listing::Listed};
+        daemon.era = log.era;
         daemon.planner.setResources(resources);
         updateMembers();
         return daemon;
@@ -143,7 +163,7 @@
         for (auto end = clock.now() + length; clock.now() < end; clock.advance(step)) {
             for (auto &[host, daemon] : daemons) {
                 if (!daemon->frozen) {
-                    daemon->read(log);
+                    daemon->read(log, clock.now());
                     daemon->act(log, clock.now());
                 }
             }
@@ -304,9 +324,9 @@
     }
     auto &planner = daemon.planner;
     EXPECT_TRUE(planner.tick(clock.now()).appends.empty());
-    daemon.read(log);
+    daemon.read(log, clock.now());
     EXPECT_TRUE(planner.tick(clock.now()).appends.empty()) << "the read may have been in flight before the append";
-    daemon.read(log);
+    daemon.read(log, clock.now());
     EXPECT_EQ(planner.tick(clock.now()).appends.size(), 1U);
 }
 
@@ -515,12 +535,12 @@
     auto claimed = clock.now();
     while (log.records.size() < 2 * resources.size() && clock.now() < claimed + retention) {
         clock.advance(Milliseconds(1'000));
-        daemon.read(log);
+        daemon.read(log, clock.now());
         daemon.act(log, clock.now());
     }
     EXPECT_LT(clock.now() - claimed, retention / 2);
     EXPECT_EQ(owners(), before) << "with the same epochs";
-    daemon.read(log);
+    daemon.read(log, clock.now());
     daemon.planner.onRecords(Offset(resources.size() + 1), daemon.planner.lastReadOffset().next(), {});
     EXPECT_EQ(owners(), before) << "the refreshes keep them although the claims expired";
 }
@@ -815,3 +835,96 @@
     run(Milliseconds(5'000));
     EXPECT_LE(log.records.size(), records + 1) << "one claim, and one record that retires the former epoch";
 }
+
+// Pattern: the log comes back as a copy without the newest claims. Offsets, and with them epochs, are given out again.
+TEST_F(Planner, ALostClaimIsWrittenAgainByItsOwnerWithAHigherEpoch)
+{
+    options.claimsOf = "host";
+    options.claimDelay = Milliseconds(1'000);
+    options.leaseWait = Milliseconds(3'000);
+    startAll(4, 1, 12);
+    const auto before = owners();
+    log.rewind(log.records.size());
+    run(Milliseconds(1'000));
+    EXPECT_EQ(servedCount(), resources.size()) << "nobody else may have acted, so no lease passes";
+    for (const auto &[resource, owner] : owners()) {
+        EXPECT_EQ(owner.host, before.at(resource).host);
+        EXPECT_GT(owner.epoch, before.at(resource).epoch) << "replicas refuse a fencing number below one that they have seen";
+    }
+    EXPECT_EQ(log.records.size(), resources.size()) << "each record once, and no race";
+}
+
+TEST_F(Planner, AnEarlierOwnerThatTheCopyNamesWaitsALeaseBeforeItActs)
+{
+    options.claimsOf = "host";
+    options.claimDelay = Milliseconds(1'000);
+    options.leaseWait = Milliseconds(3'000);
+    startAll(3, 1, 9);
+    const auto records = log.records.size();
+    const auto moved = ownedBy("h1");
+    kill("h1");
+    run(Milliseconds(10'000));
+    const auto successor = owners()[moved].host;
+    ASSERT_NE(successor, HostId("h1"));
+    start("h1", "z0", 2);
+    run(Milliseconds(1'000));
+    ASSERT_EQ(owners()[moved].host, successor);
+    daemons.at(successor.value())->readsFrom = clock.now() + Milliseconds(2'000); // sees the new era last
+    log.rewind(log.records.size() - records);
+    run(Milliseconds(1'500));
+    EXPECT_EQ(daemons.at("h1")->planner.ownerOf(moved)->host, HostId("h1"));
+    run(Milliseconds(10'000));
+    EXPECT_EQ(servedCount(), resources.size());
+}
+
+TEST_F(Planner, AHostThatStandsStillWhileTheEraChangesWaitsALease)
+{
+    options.claimsOf = "host";
+    options.claimDelay = Milliseconds(1'000);
+    options.leaseWait = Milliseconds(3'000);
+    startAll(3, 1, 9);
+    const auto records = log.records.size();
+    daemons.at("h1")->frozen = true;
+    setState("h1", MemberState::Dead);
+    run(Milliseconds(10'000));
+    ASSERT_GT(log.records.size(), records) << "its resources were claimed by others";
+    for (const auto *host : {"h0", "h2"}) {
+        daemons.at(host)->readsFrom = clock.now() + Milliseconds(2'000);
+    }
+    log.rewind(log.records.size() - records);
+    daemons.at("h1")->frozen = false;
+    setState("h1", MemberState::Alive);
+    run(Milliseconds(12'000));
+    EXPECT_EQ(servedCount(), resources.size());
+}
+
+// run() checks at each step that no two hosts act. Hosts see a new era up to two seconds apart.
+TEST_F(Planner, RandomRewindsWithCrashesNeverCauseTwoActorsAndAlwaysRecover)
+{
+    options.claimsOf = "host";
+    options.claimDelay = Milliseconds(1'000);
+    options.leaseWait = Milliseconds(3'000);
+    startAll(5, 1, 20);
+    std::mt19937 random(11);
+    std::uint64_t incarnation = 1;
+    for (int round = 0; round < 60; ++round) {
+        const auto host = "h" + std::to_string(random() % 5);
+        const bool crashes = random() % 2 == 0;
+        if (crashes) {
+            kill(host);
+            run(Milliseconds(static_cast<std::int64_t>(random() % 6'000)));
+        }
+        for (auto &[name, daemon] : daemons) {
+            daemon->readsFrom = clock.now() + Milliseconds(static_cast<std::int64_t>(random() % 2'000));
+        }
+        log.rewind(random() % 12);
+        run(Milliseconds(static_cast<std::int64_t>(random() % 4'000)));
+        if (crashes) {
+            auto &started = start(host, "z0", ++incarnation);
+            started.planner.delayActions(clock.now() + options.leaseWait); // its era isn't settled
+            run(Milliseconds(static_cast<std::int64_t>(random() % 3'000)));
+        }
+    }
+    run(Milliseconds(20'000));
+    EXPECT_EQ(servedCount(), resources.size());
+}
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -63,12 +63,8 @@
             setReachable(false, why);
             co_return false;
         }
-        needsListing_ = false;
-        nextOffset_ = std::max(listing->nextOffset, core::Offset(1));
-        lastReadAt_ = node_.now();
         setReachable(true, why);
-        hasListing_ = true;
-        callbacks_.onListing(*listing);
+        applyListing(*listing);
         co_return true;
     }
     bool isExpired = false;
@@ -77,7 +73,7 @@
     node_.metrics.storeCalls.add({"read", page ? "good" : isExpired ? "expired" : "failed"});
     if (isExpired) {
         needsListing_ = true;
-        node_.log.warn("records_expired", {{"topic", topicText(topic_)}, {"read_to", from}});
+        node_.log.warn("records_expired", why, {{"topic", topicText(topic_)}, {"read_to", core::positionOf(from)}, {"era", core::eraOf(from)}});
         co_return false;
     }
     if (!page || !isRunning_) {
@@ -95,8 +91,31 @@
     co_return true;
 }
 
+/// Offsets of another era say nothing about this one, so whatever was read before is replaced by the listing.
+void TopicFollower::applyListing(const StoreListing &listing)
+{
+    const auto before = era();
+    needsListing_ = false;
+    nextOffset_ = std::max(listing.nextOffset, core::Offset(1));
+    lastReadAt_ = node_.now();
+    if (hasListing_ && era() > before) {
+        node_.metrics.beliefChanges.add({"store_era"});
+        node_.log.warn("store_era", {{"topic", topicText(topic_)}, {"era", era()}, {"before", before}, {"records", listing.records.size()}});
+        if (callbacks_.onNewEra) {
+            callbacks_.onNewEra(era());
+        }
+    }
+    hasListing_ = true;
+    callbacks_.onListing(listing);
+}
+
 void TopicFollower::feed(const SharedPage &shared)
 {
+    if (hasListing_ && !needsListing_ && core::eraOf(shared.page.nextOffset) > era()) {
+        needsListing_ = true;
+        hurry();
+        return;
+    }
     const bool isApplicable = hasListing_ && !needsListing_ && !isUrgent_ && shared.from <= nextOffset_ && shared.page.nextOffset >= nextOffset_;
     if (isApplicable) {
         lastReadAt_ = node_.now();
@@ -138,7 +157,7 @@
         isReachable_ = isReachable;
         node_.metrics.beliefChanges.add({isReachable ? "store_regained" : "store_lost"});
         if (isReachable) {
-            node_.log.info("store_regained", {{"topic", topicText(topic_)}, {"read_to", nextOffset_}});
+            node_.log.info("store_regained", {{"topic", topicText(topic_)}, {"read_to", core::positionOf(nextOffset_)}, {"era", era()}});
         } else {
             node_.log.warn("store_lost", why, {{"topic", topicText(topic_)}, {"last_read_ms_ago", node_.now() - lastReadAt_}});
         }
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -8,7 +8,8 @@
 // delay reads the store itself.
 //
 // Starts with a listing of the newest record of each key, then reads new records in order. Lists again when records expired before
-// they were read. Logs one line when reads start to fail and one when they succeed again.
+// they were read, and when the store came back as an earlier copy of itself (a new era): the own read or a page of another host shows it. Logs one line when
+// reads start to fail and one when they succeed again.
 #pragma once
 
 #include <functional>
@@ -35,6 +36,7 @@
 };
 
 struct TopicEvents {
+    std::function<void(core::StoreEra era)> onNewEra; // before the first listing of a later era than the one followed so far; may be empty
     std::function<void(const StoreListing &listing)> onListing;
     std::function<void(const StorePage &page)> onPage;    // also called for empty pages
     std::function<void(bool isReachable)> onReached;      // after each read or listing; false if it failed
@@ -57,15 +59,17 @@
     [[nodiscard]] std::string_view name() const { return topicText(topic_); }
     [[nodiscard]] bool isKnown() const { return hasListing_; } // the first listing has been read
     [[nodiscard]] bool isReached() const { return isReachable_; }
-    [[nodiscard]] Instant readAt() const { return lastReadAt_; } // last successful read, including pages from other hosts
+    [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
+    [[nodiscard]] Instant readAt() const { return lastReadAt_; }                  // last successful read, including pages from other hosts
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
-    /// that was buffered on the way doesn't prove that the topic was read to its current end.
+    /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
     void feed(const SharedPage &shared);
     void setTurn(Milliseconds readDelay) { readDelay_ = readDelay; } // 0: this host reads first
     void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; }          // reads don't wait for new records, because the caller needs to reach the end of the topic
 
 private:
     net::Task<bool> step();
+    void applyListing(const StoreListing &listing);
     void applyPage(const StorePage &page); // skips records before nextOffset_
     void setReachable(bool isReachable, const core::Error &why);
     net::Task<void> pause(Milliseconds time);
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -47,6 +48,7 @@
 
 constexpr std::string_view linkKeyRecord = "key";
 constexpr std::string_view hostPrefix = "host/";
+constexpr std::string_view settledEraKey = "settled_era";
 constexpr std::string_view upstreamCopyKey = "upstreams"; // used at start while the upstreams topic can't be read
 
 /// Long-polling reads. A host that does not read itself waits for the page that another host shares.
@@ -107,7 +109,8 @@
                       store,
                       Topic::Upstreams,
                       {.pause = settings.hosting.drain * upstreamsPausePercent / percent},
-                      {.onListing = [this](const StoreListing &listing) { applyUpstreamListing(listing); },
+                      {.onNewEra = [this](core::StoreEra) { node_.replicas.beginEra(node_.now()); },
+                       .onListing = [this](const StoreListing &listing) { applyUpstreamListing(listing); },
                        .onPage =
                            [this](const StorePage &page) {
                                node_.replicasReadAt = node_.now();
@@ -125,15 +128,8 @@
                     store,
                     Topic::Control,
                     longPolling(controlWait),
-                    {.onListing =
-                         [this](const StoreListing &listing) {
-                             auto records = listing.records;
-                             std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
-                             applyControlRecords(records, listing.nextOffset);
-                             const bool isFirst = planner_.table().ownedResources().empty();
-                             claimsStartAt_ = isFirst ? node_.now() + node_.settings.ownership.claimDelay : node_.now();
-                             claimStagger_ = isFirst ? firstClaimStagger : claimStagger;
-                         },
+                    {.onNewEra = [this](core::StoreEra) { beginControlEra(); },
+                     .onListing = [this](const StoreListing &listing) { applyControlListing(listing); },
                      .onPage = [this](const StorePage &page) { applyControlRecords(page.records, page.endOffset); },
                      .onReached =
                          [this](bool isReached) {
@@ -178,7 +174,7 @@
     spawn([this] { return operatorsTopic_.run(); });
     spawn([this] { return upstreamsTopic_.run(); });
     spawn([this] { return controlTopic_.run(); });
-    spawn([this] { return announceHost(); });
+    startAnnouncing();
     spawn([this] { return tickLoop(); });
     return true;
 }
@@ -410,6 +406,61 @@
 
 // ---- Control topic ----
 
+void HostedDaemon::applyControlListing(const StoreListing &listing)
+{
+    const bool isFirstListing = !std::exchange(hasControlListing_, true);
+    auto records = listing.records;
+    std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
+    applyControlRecords(records, listing.nextOffset);
+    const bool isFirst = planner_.table().ownedResources().empty();
+    claimsStartAt_ = isFirst ? node_.now() + node_.settings.ownership.claimDelay : node_.now();
+    claimStagger_ = isFirst ? firstClaimStagger : claimStagger;
+    const auto era = core::eraOf(listing.nextOffset);
+    if (isFirstListing && !records.empty() && settledEra_ < era) { // other hosts may not have seen this era yet and act on claims that are lost
+        planner_.delayActions(node_.now() + node_.settings.ownership.leaseWait);
+        settleEraAt_ = node_.now() + node_.settings.ownership.leaseWait;
+        node_.log.info("store_era_unsettled", {{"era", era}, {"settled", settledEra_}, {"orders_wait_ms", node_.settings.ownership.leaseWait}});
+    }
+    if (!isFirstListing) {
+        startAnnouncing();
+    }
+}
+
+/// The log came back as an earlier copy. What it lost of this host's records is written again once the copy has been listed.
+void HostedDaemon::beginControlEra()
+{
+    const auto now = node_.now();
+    planner_.beginEra(now);
+    isKeyStored_ = false;
+    isAnnounced_ = false;
+    upstreamCopy_.clear();
+    settleEraAt_ = now + node_.settings.ownership.leaseWait;
+}
+
+/// After a lease has passed in a new era, every host that reaches the store acts by the claims of this era. One host then records the era as
+/// settled, so that a host that starts later may act on its claims at once.
+net::Task<void> HostedDaemon::settleEra()
+{
+    const auto era = controlTopic_.era();
+    const auto leaders = groups_.leaders(settledEraKey);
+    const bool isFirst = !leaders.empty() && leaders.front() == node_.settings.host;
+    const bool isDue = settledEra_ < era && node_.now() >= settleEraAt_;
+    if (isSettlingEra_ || !isDue || !isFirst || node_.isStopping || !controlTopic_.isKnown() || !controlTopic_.isReached()) {
+        co_return;
+    }
+    isSettlingEra_ = true;
+    Error why;
+    Offset offset;
+    const auto outcome
+        = co_await store_.append(Topic::Control, {{std::string(settledEraKey), std::to_string(era.value())}}, planner_.lastReadOffset().next(), offset, why);
+    isSettlingEra_ = false;
+    node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
+    if (outcome == AppendOutcome::Done) {
+        node_.log.info("store_era_settled", {{"era", era}});
+    }
+    controlTopic_.hurry();
+}
+
 void HostedDaemon::applyControlRecords(const std::vector<StoreRecord> &records, Offset next)
 {
     std::vector<ownership::StreamRecord> claims;
@@ -418,6 +469,10 @@
             openLinks(record.value);
         } else if (record.key.starts_with(hostPrefix)) {
             applyHostAnnouncement(record);
+        } else if (record.key == settledEraKey) {
+            std::uint64_t era = 0;
+            std::from_chars(record.value.data(), record.value.data() + record.value.size(), era); // text that is no number names era 0: not settled
+            settledEra_ = core::StoreEra(era);
         } else if (record.key == upstreamCopyKey) {
             upstreamCopy_ = record.value;
             loadUpstreamCopy();
@@ -449,11 +504,13 @@
     std::optional<net::Address> address;
     std::string zone;
     double linkMbps = 0;
+    std::uint64_t incarnation = 0;
     try {
         if (value && value->is_object()) {
             address = net::Address::parse(value->value("peers", std::string()));
             zone = value->value("zone", std::string());
             linkMbps = value->value("link_mbps", 0.0);
+            incarnation = value->value("incarnation", std::uint64_t(0));
         }
     } catch (const nlohmann::json::exception &exception) { // a field has the wrong type
         address.reset();
@@ -463,6 +520,9 @@
         planner_.disownEarlierClaims(); // the host name belonged to another machine
         node_.log.info("earlier_claims_disowned", {{"earlier_address", address->text()}});
     }
+    if (host == node_.settings.host && incarnation == incarnation_.value()) {
+        isAnnounced_ = true; // in a new era: the copy of the log has kept it
+    }
     if (record.value.empty()) {
         announcedHosts_.erase(host);
     } else if (!address) {
@@ -484,9 +544,15 @@
 
 void HostedDaemon::openLinks(const std::string &key)
 {
-    if (links_) {
+    isKeyStored_ = true;
+    if (links_ && key == linkKey_) {
         return;
     }
+    if (links_) { // the log lost this key, and a host that had none wrote another first
+        node_.log.warn("links_key_replaced", {{"next", "links are opened again with the stored key"}});
+        links_->close();
+        links_.reset();
+    }
     linkKey_ = key;
     Error why;
     links_ = std::make_unique<peers::Links>(node_.io, peers::Links::Self{node_.settings.host, incarnation_, node_.settings.region}, key, linkHandlers());
@@ -546,23 +612,41 @@
     }
 }
 
-/// Appends the links' key if there is none, then this host's address.
+void HostedDaemon::startAnnouncing()
+{
+    if (!isAnnouncing_ && !(isAnnounced_ && isKeyStored_)) {
+        asio::co_spawn(
+            node_.io, [this] { return announceHost(); }, asio::detached);
+    }
+}
+
+/// Appends the links' key if there is none, then this host's address, unless the topic has them.
 net::Task<void> HostedDaemon::announceHost()
 {
-    while (isRunning_ && !isAnnounced_) {
+    isAnnouncing_ = true;
+    if (links_) { // in a new era all hosts may have records to write
+        co_await net::sleep(node_.io, appendDelay(node_.settings.host.value()));
+    }
+    while (isRunning_ && !(isAnnounced_ && isKeyStored_)) {
         co_await net::sleep(node_.io, controlTopic_.isKnown() ? tickInterval : announceRetryInterval);
         if (!controlTopic_.isKnown()) {
             continue;
         }
         Error why;
         Offset offset;
-        if (!links_) {
-            const auto nonce = peers::makeNonce();
-            if (!nonce) {
+        if (!isKeyStored_) {
+            const auto key = linkKey_.empty() ? peers::makeNonce() : std::optional(linkKey_);
+            if (!key) {
                 node_.log.error("no_random_key");
+                isAnnouncing_ = false;
                 co_return;
             }
-            const auto outcome = co_await store_.append(Topic::Control, {{std::string(linkKeyRecord), *nonce}}, planner_.lastReadOffset().next(), offset, why);
+            const bool isEmptyTopic = core::positionOf(planner_.lastReadOffset()) == 0; // nobody holds anything, so its era needs no lease to settle
+            std::vector<std::pair<std::string, std::string>> records = {{std::string(linkKeyRecord), *key}};
+            if (const auto era = controlTopic_.era(); isEmptyTopic && linkKey_.empty() && era.value() > 0) {
+                records.emplace_back(settledEraKey, std::to_string(era.value()));
+            }
+            const auto outcome = co_await store_.append(Topic::Control, std::move(records), planner_.lastReadOffset().next(), offset, why);
             node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
             node_.log.info("links_key_offered", {{"taken", outcome == AppendOutcome::Done}});
             controlTopic_.hurry();
@@ -581,6 +665,7 @@
             co_await net::sleep(node_.io, announceRetryInterval);
         }
     }
+    isAnnouncing_ = false;
 }
 
 Milliseconds HostedDaemon::appendDelay(const std::string &what) const
@@ -605,8 +690,9 @@
     node_.log.info("claims_written",
                    {{"records", records.size()},
                     {"outcome", texts.at(static_cast<std::size_t>(outcome))},
-                    {"read_to", records.front().lastReadOffset},
-                    {"offset", offset}});
+                    {"read_to", core::positionOf(records.front().lastReadOffset)},
+                    {"offset", core::positionOf(offset)},
+                    {"era", core::eraOf(records.front().lastReadOffset)}});
     for (const auto &record : records) {
         if (outcome == AppendOutcome::Done) {
             planner_.onAppended(record.id);
@@ -651,6 +737,8 @@
             updateResources();
             asio::co_spawn(
                 node_.io, [this] { return saveUpstreamCopy(); }, asio::detached);
+            asio::co_spawn(
+                node_.io, [this] { return settleEra(); }, asio::detached);
         }
         co_await net::sleep(node_.io, tickInterval);
     }
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -44,6 +44,8 @@
     net::Task<void> stop();
     /// Applies the settings that may change at run time; logs whether others need a restart.
     void reload(const settings::Settings &settings);
+    /// Logs that answers of the store name no readable era; offsets are taken as those of the last era.
+    void onUnreadableStoreEra(const core::Error &why) { node_.log.warn("store_era_unreadable", why); }
     /// Logs that the changed settings file is invalid; the current settings stay in force.
     void onSettingsRejected(const core::Error &why) { node_.log.error("settings_wrong", why); }
 
@@ -76,7 +78,11 @@
     void applyControlRecords(const std::vector<StoreRecord> &records, core::Offset next);
     void applyHostAnnouncement(const StoreRecord &record);
     void openLinks(const std::string &key);
+    void applyControlListing(const StoreListing &listing);
+    void beginControlEra();
+    void startAnnouncing();
     net::Task<void> announceHost();
+    net::Task<void> settleEra();
     [[nodiscard]] Milliseconds appendDelay(const std::string &key) const; // spreads appends that all hosts may attempt at once
     void loadUpstreamCopy();
     net::Task<void> saveUpstreamCopy();
@@ -130,6 +136,12 @@
     std::map<HostId, std::set<UpstreamId>> reportedUses_; // per owner: upstreams in the last report of adapters in use
     std::optional<engines::FallbackBudget> modelLoadBudget_;
     std::string linkKey_;
+    bool hasControlListing_ = false;
+    bool isKeyStored_ = false;  // the control topic, as far as read in its era, has a key for the links
+    core::StoreEra settledEra_; // see settleEra()
+    Instant settleEraAt_;
+    bool isSettlingEra_ = false;
+    bool isAnnouncing_ = false;
     std::string upstreamCopy_; // as stored in the control topic
     bool isSavingCopy_ = false;
     bool isAppendingClaims_ = false;
--- a/packages/serving/replicabook.cpp
+++ b/packages/serving/replicabook.cpp
@@ -30,8 +30,9 @@
 {
     const auto found = entries_.find(record.id);
     if (found == entries_.end()) {
-        const auto departed = departedRuns_.find(record.id);
-        if (departed != departedRuns_.end() && record.startTime.value() > 0 && record.startTime <= departed->second && !record.isLeaving) {
+        const auto removed = removedRuns_.find(record.id);
+        const bool hasLeft = removed != removedRuns_.end() && removed->second.wasLeaving;
+        if (hasLeft && record.startTime.value() > 0 && record.startTime <= removed->second.startTime && !record.isLeaving) {
             return BookChange::None;
         }
         ++version_;
@@ -75,7 +76,7 @@
         }
         return BookChange::None;
     }
-    departedRuns_[id] = found->second.record.isLeaving ? found->second.record.startTime : core::Ordinal<ReplicaStartTag>();
+    removedRuns_[id] = {found->second.record.startTime, found->second.record.isLeaving};
     entries_.erase(found);
     ++version_;
     return BookChange::Gone;
@@ -98,6 +99,10 @@
     std::map<UpstreamId, bool> listed;
     for (const auto &record : records) {
         listed[record.id] = true;
+        const auto removed = removedRuns_.find(record.id);
+        if (isCopyListed_ && removed != removedRuns_.end() && record.startTime <= removed->second.startTime && !entries_.contains(record.id)) {
+            continue;
+        }
         if (const auto change = apply(record); change != BookChange::None) {
             changes.emplace_back(record.id, change);
         }
@@ -109,9 +114,16 @@
             }
         }
     }
+    isCopyListed_ = false;
     return changes;
 }
 
+void ReplicaBook::beginEra(Instant now)
+{
+    isCopyListed_ = true;
+    storeReachableSince_ = now;
+}
+
 void ReplicaBook::noteStore(bool isReached, Instant now, Instant readAt)
 {
     const bool isStoreUp = isReached || now - readAt < lapseAfter;
@@ -127,6 +139,7 @@
     for (auto it = entries_.begin(); it != entries_.end();) {
         if (isStoreReached_ && it->second.graceEnd && now >= *it->second.graceEnd) {
             removed.push_back(it->first);
+            removedRuns_[it->first] = {it->second.record.startTime, it->second.record.isLeaving};
             it = entries_.erase(it);
             ++version_;
         } else {
--- a/packages/serving/replicabook.h
+++ b/packages/serving/replicabook.h
@@ -35,6 +35,9 @@
     BookChange markLeaving(const UpstreamId &id, ReplicaStartTime startTime);
     /// Applies a full listing; upstreams missing from it are removed. Returns the ids that changed.
     std::vector<std::pair<UpstreamId, BookChange>> assign(const std::vector<ReplicaRecord> &records, Instant now);
+    /// The store came back as an earlier copy; the next full listing is that copy. Upstreams missing from it get the grace period, in which
+    /// they write their records again, and its records of removed upstreams name runs that may have ended: only a new record brings them back.
+    void beginEra(Instant now);
     /// `readAt`: time of the last page, including pages read by other hosts. If the store is unreachable from this host only, no
     /// records expire, so this doesn't count as an outage.
     void noteStore(bool isReached, Instant now, Instant readAt = Instant());
@@ -57,7 +60,13 @@
     };
 
     std::map<UpstreamId, Entry> entries_;
-    std::map<UpstreamId, ReplicaStartTime> departedRuns_; // runs that were leaving when removed: records of them or of older runs are ignored
+    struct RemovedRun {
+        ReplicaStartTime startTime;
+        bool wasLeaving = false;
+    };
+
+    std::map<UpstreamId, RemovedRun> removedRuns_; // the last known run of each removed upstream
+    bool isCopyListed_ = false;                    // the next listing is an earlier copy of the store
     bool isStoreReached_ = true;
     std::optional<Instant> storeReachableSince_;
     std::uint64_t version_ = 0;
--- a/packages/serving/tests/followertest.cpp
+++ b/packages/serving/tests/followertest.cpp
@@ -35,16 +35,24 @@
         ++listingCount;
         co_await net::sleep(io_, shortDelay);
         why = {.step = core::Step::Log, .reason = "down"};
-        co_return isDown ? std::nullopt : std::optional(StoreListing{records, Offset(records.size() + 1)});
+        auto listed = records;
+        for (auto &each : listed) {
+            each.offset = inEra(each.offset);
+        }
+        co_return isDown ? std::nullopt : std::optional(StoreListing{listed, inEra(Offset(records.size() + 1))});
     }
     net::Task<std::optional<StorePage>> read(Topic, Offset from, Milliseconds wait, bool &isGone, core::Error &why) override
     {
         ++readCount;
+        if (core::eraOf(from) != era) {
+            isGone = true;
+            co_return std::nullopt;
+        }
         StorePage page;
-        page.oldestOffset = Offset(1);
+        page.oldestOffset = inEra(Offset(1));
         co_await net::sleep(io_, delay);
         const bool returnsEmpty = wait.count() > 0 && missedReads > 0;
-        for (Milliseconds waited(0); !returnsEmpty && records.size() < from.value() && waited < wait; waited = waited + shortDelay) {
+        for (Milliseconds waited(0); !returnsEmpty && records.size() < core::positionOf(from) && waited < wait; waited = waited + shortDelay) {
             co_await net::sleep(io_, shortDelay);
         }
         if (returnsEmpty) {
@@ -52,11 +60,15 @@
             co_await net::sleep(io_, wait);
         }
         for (const auto &each : records) {
-            if (!returnsEmpty && each.offset >= from) {
-                page.records.push_back(each);
+            if (!returnsEmpty && inEra(each.offset) >= from) {
+                page.records.push_back({inEra(each.offset), each.key, each.value});
             }
         }
-        page.endOffset = Offset(records.size() + 1);
+        if (core::eraOf(from) != era) { // while the read was held open
+            isGone = true;
+            co_return std::nullopt;
+        }
+        page.endOffset = inEra(Offset(records.size() + 1));
         page.nextOffset = page.records.empty() ? from : page.endOffset;
         isGone = isExpired;
         why = {.step = core::Step::Log, .reason = "down"};
@@ -67,7 +79,16 @@
         co_return AppendOutcome::Refused;
     }
 
-    std::vector<StoreRecord> records;
+    /// Comes back as a copy without the newest `lost` records.
+    void rewind(std::size_t lost)
+    {
+        records.resize(records.size() - lost);
+        era = era.next();
+    }
+    [[nodiscard]] Offset inEra(Offset offset) const { return core::offsetOf(era, core::positionOf(offset)); }
+
+    std::vector<StoreRecord> records; // with offsets of era 0
+    core::StoreEra era;
     Milliseconds delay = shortDelay;
     int missedReads = 0;
     int readCount = 0;
@@ -95,7 +116,8 @@
                                                     store_,
                                                     Topic::Control,
                                                     options,
-                                                    TopicEvents{.onListing = [this](const StoreListing &listing) { storeOffsets(listing.records); },
+                                                    TopicEvents{.onNewEra = [this](core::StoreEra era) { eras_.push_back(era.value()); },
+                                                                .onListing = [this](const StoreListing &listing) { storeOffsets(listing.records); },
                                                                 .onPage = [this](const StorePage &page) { storeOffsets(page.records); },
                                                                 .onReached = [](bool) {},
                                                                 .onRead = [this](const SharedPage &shared) { sharedPages_.push_back(shared); }});
@@ -121,7 +143,7 @@
     void storeOffsets(const std::vector<StoreRecord> &records)
     {
         for (const auto &each : records) {
-            receivedOffsets_.push_back(each.offset.value());
+            receivedOffsets_.push_back(core::positionOf(each.offset));
         }
     }
 
@@ -131,6 +153,7 @@
     Node node_{io_, settings_, codec_, log()};
     FakeStore store_{io_};
     std::vector<std::uint64_t> receivedOffsets_;
+    std::vector<std::uint64_t> eras_;
     std::deque<SharedPage> sharedPages_;
     std::unique_ptr<TopicFollower> follower_;
 };
@@ -249,4 +272,50 @@
     EXPECT_TRUE(runUntil([&] { return follower.isReached(); }));
 }
 
+// Pattern: the store comes back as a copy some records old and gives their offsets out again.
+TEST_F(FollowerTest, a_new_era_is_announced_and_listed_and_its_reused_offsets_are_delivered)
+{
+    store_.records = {makeRecord(1), makeRecord(2), makeRecord(3)};
+    startFollower({.wait = Milliseconds(40), .pause = Milliseconds(50)});
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 3; }));
+    store_.rewind(2);
+    ASSERT_TRUE(runUntil([this] { return !eras_.empty(); }));
+    EXPECT_EQ(receivedOffsets_.back(), 1U);
+    store_.records.push_back(makeRecord(2));
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.back() == 2; }));
+    EXPECT_EQ(eras_, std::vector<std::uint64_t>{1});
+    EXPECT_EQ(store_.listingCount, 2);
+}
+
+TEST_F(FollowerTest, two_new_eras_between_two_reads_are_one_change)
+{
+    store_.records = {makeRecord(1), makeRecord(2), makeRecord(3)};
+    startFollower({.wait = Milliseconds(40), .pause = Milliseconds(50)});
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 3; }));
+    store_.rewind(1);
+    store_.rewind(1);
+    ASSERT_TRUE(runUntil([this] { return !eras_.empty(); }));
+    EXPECT_EQ(eras_, std::vector<std::uint64_t>{2});
+    EXPECT_EQ(receivedOffsets_.back(), 1U);
+}
+
+// Pattern: a host whose own read is not due yet hears of the new era from the host that reads for all, and of the old one from a late page.
+TEST_F(FollowerTest, a_shared_page_of_a_later_era_makes_the_host_list_and_one_of_an_earlier_era_is_ignored)
+{
+    store_.records = {makeRecord(1), makeRecord(2)};
+    auto &follower = startFollower({.pause = Milliseconds(3'000)});
+    follower.setTurn(Milliseconds(1'000));
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 2; }));
+    runFor(Milliseconds(30));
+    const SharedPage late{Offset(3), {{makeRecord(3)}, Offset(1), Offset(4), Offset(4)}};
+    store_.rewind(1);
+    const auto end = core::offsetOf(store_.era, 2);
+    follower.feed({end, {{}, core::offsetOf(store_.era, 1), end, end}});
+    ASSERT_TRUE(runUntil([this] { return !eras_.empty(); }));
+    EXPECT_EQ(follower.era(), store_.era);
+    const auto received = receivedOffsets_.size();
+    follower.feed(late);
+    EXPECT_EQ(receivedOffsets_.size(), received);
+}
+
 } // namespace baobabstall::serving::tests
--- a/packages/serving/tests/replicabooktest.cpp
+++ b/packages/serving/tests/replicabooktest.cpp
@@ -97,5 +97,39 @@
     EXPECT_EQ(changes.size(), 2U);
 }
 
+// Pattern: the store comes back as a copy from before the upstream left and before another one came.
+TEST_F(ReplicaTableTest, a_copy_of_the_store_does_not_bring_back_a_removed_run_but_a_new_record_does)
+{
+    replicas_.noteStore(true, now_);
+    replicas_.apply(makeRecord("i-1", 5));
+    replicas_.remove(id_, now_ + Milliseconds(5'000));
+    ASSERT_FALSE(isUsable());
+    replicas_.beginEra(now_ + Milliseconds(6'000));
+    EXPECT_TRUE(replicas_.assign({makeRecord("i-1", 5)}, now_ + Milliseconds(6'000)).empty());
+    EXPECT_FALSE(isUsable()) << "the copy is older than the removal";
+    EXPECT_EQ(replicas_.apply(makeRecord("i-1", 5)), BookChange::Came) << "written in the new era, so the run is alive";
+    EXPECT_TRUE(isUsable());
+}
+
+TEST_F(ReplicaTableTest, an_upstream_missing_from_a_copy_of_the_store_stays_usable_for_the_grace_period)
+{
+    replicas_.noteStore(true, now_);
+    replicas_.apply(makeRecord("i-1", 5));
+    const auto eraBegin = now_ + Milliseconds(10'000);
+    replicas_.beginEra(eraBegin);
+    EXPECT_TRUE(replicas_.assign({}, eraBegin).empty());
+    EXPECT_TRUE(isUsable());
+    EXPECT_TRUE(replicas_.expire(eraBegin + ReplicaBook::lapseGrace - Milliseconds(1)).empty());
+    EXPECT_EQ(replicas_.expire(eraBegin + ReplicaBook::lapseGrace), std::vector<UpstreamId>{id_}) << "its record was not written again";
+}
+
+TEST_F(ReplicaTableTest, leaving_stays_final_when_a_copy_of_the_store_still_says_ready)
+{
+    replicas_.apply(makeRecord("i-1", 5, true));
+    replicas_.beginEra(now_);
+    replicas_.assign({makeRecord("i-1", 5)}, now_);
+    EXPECT_FALSE(isUsable());
+}
+
 } // namespace
 } // namespace baobabstall::serving
--- a/programs/baobabstalld/hosted.cpp
+++ b/programs/baobabstalld/hosted.cpp
@@ -116,8 +116,14 @@
     const core::Incarnation incarnation(static_cast<std::uint64_t>(core::civilMilliseconds()));
     const platform::PlatformCodec codec;
     net::HttpClient http(io);
-    platform::PlatformStore store(http, {.address = *net::Address::parse(settings->platform.address)});
+    serving::HostedDaemon *running = nullptr;
+    platform::PlatformStore store(http, {.address = *net::Address::parse(settings->platform.address), .onUnreadableEra = [&running](const core::Error &error) {
+                                             if (running != nullptr) {
+                                                 running->onUnreadableStoreEra(error);
+                                             }
+                                         }});
     serving::HostedDaemon daemon(io, *settings, codec, store, incarnation, std::move(*log));
+    running = &daemon;
     if (!daemon.start(why)) {
         std::cerr << why.text() << '\n';
         return exitFailed;
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -34,7 +34,7 @@
 
             def answer(self, status, body=b"", headers=()):
                 self.send_response(status)
-                for name, value in headers:
+                for name, value in [*headers, *outer.common_headers()]:
                     self.send_header(name, value)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
@@ -54,6 +54,10 @@
         self.address = "127.0.0.1:%d" % self.http.server_address[1]
         threading.Thread(target=self.http.serve_forever, daemon=True).start()
 
+    def common_headers(self):
+        """Header fields of every answer."""
+        return []
+
     def close(self):
         self.http.shutdown()
         self.http.server_close()
@@ -66,8 +70,20 @@
         self.down = False
         self.topics_down = set()
         self.calls = 0
+        self.era = 1
         super().__init__()
 
+    def common_headers(self):
+        return [("Store-Era", str(self.era))]
+
+    def rewind(self, lengths):
+        """Comes back as an earlier copy: each topic named keeps only its first records, and their offsets are given out again."""
+        with self.changed:
+            for topic, length in lengths.items():
+                del self.topics[topic][length:]
+            self.era += 1
+            self.changed.notify_all()
+
     def put(self, topic, key, value):
         with self.changed:
             self.topics.setdefault(topic, []).append((key, value if isinstance(value, bytes) else json.dumps(value).encode()))
@@ -106,10 +122,14 @@
         start = int(query["start_key"])
         until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         with self.changed:
-            while len(self.topics.get(query["topic"], [])) <= start and time.monotonic() < until and not self.down:
+            era = self.era
+            while len(self.topics.get(query["topic"], [])) <= start and time.monotonic() < until and not self.down and era == self.era:
                 self.changed.wait(until - time.monotonic())
             topic = self.topics.get(query["topic"], [])
             page = topic[start:]
+        if start > len(topic):
+            request.answer_json(410, {"start_offset": 0})
+            return
         answer = struct.pack(">QQ", len(topic), 0)
         for key, value in page:
             content = bytes([len(key)]) + key.encode() + value
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -311,6 +311,62 @@
         self.assertEqual(len(self.replicas[0].ran), before)
         self.assertTrue(wait_until(lambda: any(host.events("record_unreadable") for host in self.hosts), 3))
 
+    def control_keys(self):
+        return [key for key, _value in self.store.topics["keyed.control"]]
+
+    def rewind(self, lengths):
+        """The store loses what was written last; upstreams write their records again, as their heartbeat does."""
+        self.store.rewind(lengths)
+        for replica in (*self.replicas, self.shop):
+            replica.register()
+
+    def assert_fences_rise(self):
+        for replica in self.replicas:
+            fences = [order[2] for order in replica.orders]
+            self.assertEqual(fences, sorted(fences), "a replica saw a lower fencing number after a higher one")
+
+    def test_a_store_that_comes_back_as_an_earlier_copy_costs_no_request_and_gets_its_records_again(self):
+        self.start_all()
+        self.store.put("keyed.op", "config", configuration(9))
+        in_force = lambda host: [line["version"] for line in host.events("configuration_in_force")]  # noqa: E731
+        self.assertTrue(wait_until(lambda: all(9 in in_force(host) for host in self.hosts)))
+        self.assertTrue(wait_until(lambda: "upstreams" in self.control_keys()), "no copy of the upstreams")
+        keys = self.control_keys()
+        claimed = {key for key in keys if key.startswith("engine/")}
+        self.rewind({"keyed.control": keys.index("key") + 1, "keyed.op": 1, "keyed.servers": 1})
+        wrong = []
+        for number in range(40):
+            status = self.book(self.hosts[number % 2])[0]
+            wrong += [status] if status != 200 else []
+            time.sleep(0.05)
+        self.assertEqual(wrong, [])
+        written = {"host/" + host.name for host in self.hosts} | claimed | {"upstreams", "settled_era"}
+        self.assertTrue(wait_until(lambda: written <= set(self.control_keys())), self.control_keys())
+        for host in self.hosts:
+            self.assertEqual(self.control_keys().count("host/" + host.name), 1, "written again once")
+            self.assertTrue(wait_until(lambda: self.generate(host, "new-" + host.name)[0] == 200), self.states("nothing can be ordered"))
+            self.assertEqual(in_force(host), sorted(in_force(host)), "the configuration never goes back")
+        self.store.put("keyed.op", "config", configuration(9))
+        self.store.put("keyed.op", "config", configuration(12))
+        self.assertTrue(wait_until(lambda: all(in_force(host)[-1] == 12 for host in self.hosts), 3))
+        self.assert_fences_rise()
+
+    def test_a_host_that_starts_in_a_new_era_and_a_lost_key_of_the_links_leave_one_deployment(self):
+        self.start_all()
+        for era in (2, 3):
+            restarted = self.hosts[era % 2]
+            restarted.end(signal.SIGKILL)
+            self.rewind({"keyed.control": 0})
+            restarted.log.clear()
+            restarted.start()
+            self.assertTrue(wait_until(lambda: all(host.ready() for host in self.hosts)), self.states("not ready"))
+            self.assertTrue(wait_until(lambda: {"key", "host/entry-1", "host/entry-2"} <= set(self.control_keys())), self.control_keys())
+            for host in self.hosts:
+                adapter = "era%d-%s" % (era, host.name)
+                self.assertTrue(wait_until(lambda: self.generate(host, adapter)[0] == 200), self.states("nothing can be ordered"))
+            wait_until(lambda: "settled_era" in self.control_keys(), 5)
+        self.assert_fences_rise()
+
     def test_an_unread_standard_output_stops_nothing(self):
         for host in self.hosts:
             host.reads_log = False
