Prompts take turns at a replica, so that they don't pause its running streams together

Cause: on Kolkata a stream is late when one pause exceeds 250 ms, and a replica processes prompts between the tokens of its streams. Traces of the pauses: 3,000 to 8,500 prompt tokens (several prompts) within them, each 25.8 tokens a ms. Ruled out: adapter loads (no order near most of the pauses), a wrong rate (learnt 25.6 tokens/ms), choosing by load (sums are 200 ms old). The prefill rate is learnt; the fixed 38.1 is only its start.

--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -103,7 +103,14 @@
     std::int64_t onTimeMs = 0;  // until the caller's request misses its objective
 };
 
-using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall>;
+/// Asks the owner of a model replica for the turn of a prompt. A GrantReply starts the turn; it lasts until the call is cancelled.
+struct PrefillCall {
+    core::UpstreamId replica;
+    double promptTokens = 0;
+    std::int64_t waitMs = 0; // the turn starts after this at the latest
+};
+
+using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall>;
 
 /// How soon an engine would start a request.
 struct HintReply {
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -34,7 +34,6 @@
 constexpr double responseTimeoutShare = 0.75;      // of the latency objective; an unresponsive upstream is then given up if the request may go elsewhere
 constexpr double streamResponseTimeoutShare = 1.2; // the same for streams: prefill of a long prompt may take the whole objective
 constexpr Milliseconds minResponseTimeout{250};
-constexpr double promptTokensPerMs = 38.1;           // prefill rate of a replica, according to the specifications of both deployments
 constexpr double maxPrefillMs = 10'000;              // limit on the prefill time that a caller's headers imply: the longest deadline of both deployments
 constexpr double maxEngineFill = 1.6;                // running requests per slot; beyond it a request would wait longer than most objectives
 constexpr Milliseconds revisionGrace{1'000};         // after a new revision is published, before requests demand it; until then both revisions are accepted
@@ -42,6 +41,9 @@
 constexpr Milliseconds unavailableRetryAfter{1'000}; // Retry-After when nothing can be served yet: a failed listing of the store has been retried by then
 constexpr double residencyWaitShare = 0.85;          // of the remaining time, for waiting for weights; the rest is for the response
 constexpr double residencyObjectiveShare = 0.6;      // of the remaining latency objective, for the same when another upstream holds the weights
+constexpr double smallPromptShare = 1.0 / 8;         // of the prompt tokens that a replica may process at a time; a smaller prompt needs no turn
+constexpr double turnWaitShare = 0.5;                // of the time until a request is late, for waiting for its turn; the rest is for its prefill
+constexpr double lateTurnWaitShare = 0.1;            // the same of the remaining time of a request that is late
 constexpr double freeSlotFill = 1;                   // running requests per slot; below it a request starts immediately
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
@@ -324,12 +326,14 @@
         const bool isResend = std::find(sentTo_.begin(), sentTo_.end(), replica.id) != sentTo_.end();
         mayRetrySame_ = false;
         Error why;
-        auto connection = node_.pool.takeIdle(replica.id, node_.now());
         node_.chooser.beginSend(replica.id);
         if (namesAdapter()) {
             node_.adjustUseCount(replica.id, metadata_.weights, 1);
         }
         upstream_ = replica.id;
+        beginPrefill(replica.id);
+        co_await awaitPrefillTurn(replica.id);
+        auto connection = node_.pool.takeIdle(replica.id, node_.now());
         if (!connection) {
             connection = co_await node_.pool.open(
                 replica.id, replica.address, [this](const ConnectionPtr &opening) { connection_ = opening; }, why);
@@ -353,12 +357,26 @@
         ++sends_;
         wasSent_ = true;
         sentAt_ = node_.now();
-        beginPrefill(replica.id);
         beginWrite(replica);
         startResponseTimeout();
         co_return co_await readResponse(replica);
     }
 
+    /// A prompt that is processed between the tokens of other streams delays them, so it waits for its turn within a part of the objective.
+    net::Task<void> awaitPrefillTurn(UpstreamId replica)
+    {
+        const double limit = node_.prefillLimit(*service_);
+        if (!isEngine() || !route_->isStream || limit <= 0 || metadata_.promptTokens < limit * smallPromptShare) {
+            co_return;
+        }
+        const auto begin = node_.now();
+        const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - begin;
+        const bool isLate = timeUntilLate.count() <= 0;
+        const double maxWaitMs = static_cast<double>(isLate ? timeLeft().count() : timeUntilLate.count()) * (isLate ? lateTurnWaitShare : turnWaitShare);
+        turn_ = co_await node_.residency->takePrefillTurn({std::move(replica), metadata_.promptTokens, Milliseconds(static_cast<std::int64_t>(maxWaitMs))});
+        turnWait_ = turnWait_ + (node_.now() - begin);
+    }
+
     void beginWrite(const ReplicaRecord &replica)
     {
         auto &out = connection_->out;
@@ -700,6 +718,9 @@
             hasResponseBegun_ = true;
             status_ = 200;
             firstEvent_ = now - request_.arrivedAt;
+            if (isEngine() && sends_ == 1) {
+                node_.prefillRates[*service_].add(metadata_.promptTokens, now - sentAt_);
+            }
             node_.metrics.firstEvent.observe({service_->value()}, *firstEvent_);
             lastWrite_ = now;
             watchdog_.arm(deadline_, [this] { onDeadline(); });
@@ -788,12 +809,16 @@
     void beginPrefill(const UpstreamId &id)
     {
         if (isEngine()) {
-            prefillMs_ = static_cast<int>(std::clamp(metadata_.promptTokens / promptTokensPerMs, 0.0, maxPrefillMs));
+            prefillMs_ = static_cast<int>(std::clamp(metadata_.promptTokens / node_.prefillRates[*service_].tokensPerMs(), 0.0, maxPrefillMs));
             node_.chooser.beginPrefill(id, prefillMs_);
         }
     }
 
-    void endPrefill(const UpstreamId &id) { node_.chooser.endPrefill(id, std::exchange(prefillMs_, 0)); }
+    void endPrefill(const UpstreamId &id)
+    {
+        turn_.reset();
+        node_.chooser.endPrefill(id, std::exchange(prefillMs_, 0));
+    }
 
     void recordSend(const ReplicaRecord &replica, SendOutcome end, std::string_view outcome, const std::string &reason)
     {
@@ -836,6 +861,7 @@
                         {"events", events_},
                         {"took_ms", took},
                         {"weights_ms", residencyWait_},
+                        {"turn_ms", turnWait_},
                         {"first_event_ms", firstEvent_.value_or(Milliseconds(-1))},
                         {"longest_pause_ms", longestPause_},
                         {"config", routes_ ? routes_->version() : ConfigVersion()}});
@@ -881,6 +907,8 @@
     std::string reasonDetail_;
     std::string truncationReason_;
     Milliseconds residencyWait_;
+    PrefillTurn turn_;      // while the upstream processes the prompt
+    Milliseconds turnWait_; // for turns
     std::optional<Milliseconds> firstEvent_;
     Milliseconds longestPause_;
     Instant lastWrite_;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -77,6 +77,7 @@
     , membership_({settings.host, settings.zone, incarnation}, settings.membership, core::hashText(settings.host.value(), 0))
     , planner_({settings.host, settings.zone, incarnation}, settings.ownership, settings.platform.retention)
     , forwarder_(node_)
+    , prefillGate_(node_)
     , callerServer_(io,
                     {.limits = [this] { return node_.routes ? node_.routes->limits() : CallerLimits(); },
                      .onInvalidRequest =
@@ -861,6 +862,7 @@
         if (owned != ownedReplicas_.end() && owned->second->epoch() == holding.epoch) {
             owned->second->stop();
             ownedReplicas_.erase(owned);
+            prefillGate_.remove(*id);
         }
     }
     planner_.onDrained(holding);
@@ -918,6 +920,27 @@
     co_return isHeld ? std::optional(ResidencyGrant{request.minRevision, Instant()}) : std::nullopt;
 }
 
+/// Turns are a courtesy among the hosts: where they can't be counted, prompts are sent at once.
+net::Task<PrefillTurn> HostedDaemon::takePrefillTurn(PrefillRequest request)
+{
+    const auto owner = ownerOf(request.replica);
+    if (!owner) {
+        co_return nullptr;
+    }
+    if (*owner == node_.settings.host) {
+        co_return co_await prefillGate_.enter(request.replica, request.promptTokens, request.maxWait);
+    }
+    const auto backoff = turnBackoffUntil_.find(*owner);
+    if (!links_ || (backoff != turnBackoffUntil_.end() && node_.now() < backoff->second)) {
+        co_return nullptr;
+    }
+    auto turn = co_await prefillGate_.enterAtOwner(*links_, *owner, request);
+    if (!turn) {
+        turnBackoffUntil_[*owner] = node_.now() + ownerBackoff;
+    }
+    co_return turn;
+}
+
 /// Error: step Peer when the owner did not reply, else the owner's error.
 net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensureAtOwner(HostId owner, ResidencyRequest request, Error &why)
 {
@@ -972,6 +995,10 @@
 
 net::Task<void> HostedDaemon::handleCall(std::shared_ptr<peers::IncomingCall> call)
 {
+    if (const auto *prefillCall = std::get_if<peers::PrefillCall>(&call->body())) {
+        co_await prefillGate_.serve(call, *prefillCall);
+        co_return;
+    }
     const auto *residencyCall = std::get_if<peers::ResidencyCall>(&call->body());
     Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon does not support this call"};
     if (residencyCall != nullptr) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -24,6 +24,7 @@
 #include <serving/hostgroups.h>
 #include <serving/loadexchange.h>
 #include <serving/ownedreplica.h>
+#include <serving/prefillgate.h>
 
 namespace baobabstall::serving {
 
@@ -50,6 +51,7 @@
     void onSettingsRejected(const core::Error &why) { node_.log.error("settings_wrong", why); }
 
     net::Task<std::optional<ResidencyGrant>> ensure(ResidencyRequest request, core::Error &why) override;
+    net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) override;
     [[nodiscard]] bool canOrder(const UpstreamId &replica) const override;
 
 private:
@@ -119,6 +121,7 @@
     ownership::OwnershipPlanner planner_;
     std::unique_ptr<peers::Links> links_;
     Forwarder forwarder_;
+    PrefillGate prefillGate_;
     CallerServer callerServer_;
     net::HttpServer operatorServer_;
     net::HttpServer metricsServer_;
@@ -128,6 +131,7 @@
     core::Incarnation incarnation_;
     std::map<HostId, HostAnnouncement> announcedHosts_;
     std::map<HostId, Instant> unresponsiveUntil_;     // owners that did not respond
+    std::map<HostId, Instant> turnBackoffUntil_;      // owners that gave no turn in time
     std::map<UpstreamId, Instant> orderBackoffUntil_; // upstreams whose owner could not issue orders
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> ownedReplicas_;
     HostGroups groups_; // hosts that share store reads and counts of running requests
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -15,6 +15,7 @@
 constexpr double usedRetrySlack = 0.6;         // the rest covers restarted hosts, which begin with a full reserve
 constexpr Milliseconds demandHalfLife{10'000}; // of request counts by base model; spans several loads of base weights
 constexpr double holderOffset = 0.1;           // holders; makes a model without a holder about ten times as needed as one with a single holder
+constexpr double prefillPauseShare = 0.3;      // of the longest pause that counts as on time: two groups of prompts may follow each other within one pause
 constexpr int maxRetryAttempts = 16;           // high enough that the route's own limit applies
 
 } // namespace
@@ -25,6 +26,7 @@
     , firstEvent(registry.histogram({"first_event_seconds", "from a request's arrival to its first event", {"service"}, 32}, latencyBounds))
     , eventPause(registry.histogram({"event_pause_seconds", "between two writes of one stream", {"service"}, 32}, pauseBounds))
     , residencyWait(registry.histogram({"residency_wait_seconds", "wait until weights were held", {"outcome"}, 8}, latencyBounds))
+    , prefillWait(registry.histogram({"prefill_wait_seconds", "wait of a prompt for its turn at a replica", {"where"}, 8}, latencyBounds))
     , sends(registry.counter({"sends_total", "sends to upstreams by how they ended", {"service", "outcome"}, 256}))
     , orders(registry.counter({"orders_total", "orders to model replicas", {"kind", "outcome"}, 32}))
     , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
@@ -92,6 +94,20 @@
     return needed;
 }
 
+double Node::prefillLimit(const UpstreamId &replica) const
+{
+    const auto *record = replicas.find(replica);
+    return record == nullptr ? 0 : prefillLimit(record->service);
+}
+
+double Node::prefillLimit(const ServiceName &service) const
+{
+    const auto pause = routes ? routes->shortestPause(service) : Milliseconds(0);
+    const auto rate = prefillRates.find(service);
+    const double tokensPerMs = rate == prefillRates.end() ? PrefillRate::initialTokensPerMs : rate->second.tokensPerMs();
+    return static_cast<double>(pause.count()) * prefillPauseShare * tokensPerMs;
+}
+
 void Node::adjustUseCount(const UpstreamId &upstream, const AdapterKey &weights, int change)
 {
     auto &uses = useCounts[upstream];
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -19,6 +19,7 @@
 #include <metrics/registry.h>
 #include <serving/backoffs.h>
 #include <serving/chooser.h>
+#include <serving/prefillturns.h>
 #include <serving/protocol.h>
 #include <serving/replicabook.h>
 #include <serving/residency.h>
@@ -37,6 +38,7 @@
     metrics::Histogram &firstEvent;       // service
     metrics::Histogram &eventPause;       // service
     metrics::Histogram &residencyWait;    // outcome
+    metrics::Histogram &prefillWait;      // where
     metrics::Counter &sends;              // service, outcome
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
@@ -69,12 +71,29 @@
     Milliseconds timeUntilLate; // until the request misses its objective
 };
 
+/// A request's prompt is being processed by a replica, as far as its owner counts. Ends with its destruction.
+class TurnHolder
+{
+public:
+    virtual ~TurnHolder() = default;
+};
+using PrefillTurn = std::unique_ptr<TurnHolder>;
+
+/// A prompt that is to be sent to a replica.
+struct PrefillRequest {
+    UpstreamId replica;
+    double promptTokens = 0;
+    Milliseconds maxWait; // the prompt is sent after this at the latest
+};
+
 class ResidencySource
 {
 public:
     virtual ~ResidencySource() = default;
     /// Gets the weights loaded if the replica doesn't hold them. Nothing when that takes too long; the error names the host it waited for.
     virtual net::Task<std::optional<ResidencyGrant>> ensure(ResidencyRequest request, core::Error &error) = 0;
+    /// Waits until the prompt may be sent without pausing the replica's running streams for too long. Nullptr when no host counts them.
+    virtual net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) = 0;
     /// Whether some host can currently send load orders to the replica.
     [[nodiscard]] virtual bool canOrder(const UpstreamId &replica) const = 0;
 };
@@ -94,6 +113,9 @@
     void addDemand(const BaseModel &model);
     /// The model with the most recent requests for its number of holders. Nullptr when `models` is empty.
     [[nodiscard]] const ModelSpec *mostNeededModel(const std::vector<ModelSpec> &models) const;
+    /// Prompt tokens that one replica may process at a time without a pause of its streams beyond what their routes allow; 0: no limit is known.
+    [[nodiscard]] double prefillLimit(const UpstreamId &replica) const;
+    [[nodiscard]] double prefillLimit(const ServiceName &service) const;
     /// A request starts (1) or stops (-1) using weights at an upstream.
     void adjustUseCount(const UpstreamId &upstream, const AdapterKey &weights, int change);
     /// Whether anything may be sent to the upstream: it is known, not leaving, and has not asked this host to back off.
@@ -120,6 +142,7 @@
     UpstreamPool pool;
     std::map<AdapterKey, ActiveRevision> activeRevisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> useCounts; // running requests of this host, by the weights that they use
+    std::map<ServiceName, PrefillRate> prefillRates;           // learnt from the requests of this host
     std::map<BaseModel, admission::DecayingCount> demand;      // recent requests of this host by base model
     ResidencySource *residency = nullptr;                      // set before the first request
     int hostCount = 1;
--- a/packages/serving/routes.cpp
+++ b/packages/serving/routes.cpp
@@ -24,6 +24,12 @@
     const auto &routes = configuration_.routes;
     for (std::size_t i = 0; i < routes.size(); ++i) {
         routesByHost_[normalizedHost(routes[i].host)].push_back(i);
+        for (const auto &each : routes[i].services) {
+            if (routes[i].maxEventPause.count() > 0) {
+                auto &shortest = shortestPauses_.try_emplace(each.service, routes[i].maxEventPause).first->second;
+                shortest = std::min(shortest, routes[i].maxEventPause);
+            }
+        }
     }
     for (auto &[host, indices] : routesByHost_) {
         std::stable_sort(
@@ -31,6 +37,12 @@
     }
 }
 
+Milliseconds RouteTable::shortestPause(const ServiceName &service) const
+{
+    const auto found = shortestPauses_.find(service);
+    return found == shortestPauses_.end() ? Milliseconds(0) : found->second;
+}
+
 const ServiceSpec *RouteTable::service(const ServiceName &name) const
 {
     const auto &services = configuration_.services;
--- a/packages/serving/routes.h
+++ b/packages/serving/routes.h
@@ -28,12 +28,15 @@
     [[nodiscard]] const CallerLimits &limits() const { return configuration_.limits; }
     [[nodiscard]] const std::vector<ServiceSpec> &services() const { return configuration_.services; }
     [[nodiscard]] const ServiceSpec *service(const ServiceName &name) const;
+    /// The shortest pause between events that is on time on a route to the service; 0: no such route.
+    [[nodiscard]] Milliseconds shortestPause(const ServiceName &service) const;
     /// `host` may include a port and `target` a query string. The result is valid as long as the table.
     [[nodiscard]] const Route *find(std::string_view host, std::string_view target) const;
     [[nodiscard]] static const ServiceName &serviceOf(const Route &route, const RequestId &id);
 
 private:
     Configuration configuration_;
+    std::map<ServiceName, Milliseconds> shortestPauses_;
     std::unordered_map<std::string, std::vector<std::size_t>> routesByHost_; // indices into the configuration's routes, longest path prefix first
 };
 
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -138,6 +138,42 @@
     EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\n").status(), 200);
 }
 
+// Pattern: prompts of many hosts pause the running streams of one replica, so each takes its turn until its first event.
+TEST_F(ForwarderTest, a_prompt_holds_its_turn_from_before_it_is_sent_until_its_first_event)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1),
+                 {{Script{{streamHead() + chunk(event(1)), chunk(event(2)) + finalChunk}, false, false, Milliseconds(100)}}},
+                 true);
+    std::vector<std::size_t> sentAtBegin;
+    std::vector<std::size_t> sentAtEnd;
+    residency_.onTurnBegin = [&] { sentAtBegin.push_back(requestCount()); };
+    residency_.onTurnEnd = [&] { sentAtEnd.push_back(requestCount()); };
+    const auto response = sendRequest(getRequest("q", "Weights: m/a\r\nTokens: 4000\r\n"), event(1));
+    EXPECT_FALSE(response.hasFinalChunk());
+    EXPECT_EQ(sentAtBegin, std::vector<std::size_t>{0});
+    EXPECT_EQ(sentAtEnd, std::vector<std::size_t>{1}) << "while the stream still runs";
+    ASSERT_EQ(residency_.prefills.size(), 1U);
+    EXPECT_EQ(residency_.prefills[0].promptTokens, 4'000);
+    EXPECT_GT(residency_.prefills[0].maxWait, Milliseconds(0));
+    EXPECT_LE(residency_.prefills[0].maxWait, Milliseconds(200)) << "half of the objective";
+    runFor(Milliseconds(200));
+}
+
+TEST_F(ForwarderTest, short_prompts_and_requests_that_are_no_streams_take_no_turn)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{streamHead() + chunk(event(1)) + finalChunk}}}}, true);
+    sendRequest(getRequest("q", "Weights: m/a\r\nTokens: 100\r\n"), "\r\n0\r\n\r\n");
+    EXPECT_TRUE(residency_.prefills.empty());
+}
+
+TEST_F(ForwarderTest, a_failed_send_ends_its_turn)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{""}, true}}}, true);
+    EXPECT_EQ(sendRequest(getRequest("q", "Weights: m/a\r\nTokens: 4000\r\n"), "\r\n\r\n").status(), 502);
+    EXPECT_EQ(residency_.prefills.size(), 1U);
+    EXPECT_EQ(residency_.runningTurns, 0);
+}
+
 // Pattern: replicas under a burst refuse and say how long they want nothing from this host.
 TEST_F(ForwarderTest, an_upstream_that_asked_for_a_backoff_gets_nothing_until_it_ends)
 {
--- a/packages/serving/tests/routestest.cpp
+++ b/packages/serving/tests/routestest.cpp
@@ -48,5 +48,18 @@
     EXPECT_NEAR(secondCount, expected, tolerance);
 }
 
+TEST(RouteTable, knows_the_shortest_pause_that_is_on_time_for_each_service)
+{
+    auto slow = makeRoute("a.example", "/slow/", "llm");
+    slow.maxEventPause = Milliseconds(600);
+    auto fast = makeRoute("a.example", "/fast/", "llm");
+    fast.maxEventPause = Milliseconds(250);
+    fast.services.push_back({ServiceName("new"), 1});
+    const auto table = makeTable({slow, fast, makeRoute("a.example", "/plain/", "app")});
+    EXPECT_EQ(table.shortestPause(ServiceName("llm")), Milliseconds(250));
+    EXPECT_EQ(table.shortestPause(ServiceName("new")), Milliseconds(250));
+    EXPECT_EQ(table.shortestPause(ServiceName("app")), Milliseconds(0));
+}
+
 } // namespace
 } // namespace baobabstall::serving
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -93,8 +93,30 @@
             ? std::optional(ResidencyGrant{request.minRevision, core::SteadyClock().now() + Milliseconds(10'000)})
             : std::nullopt;
     }
+    net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) override
+    {
+        prefills.push_back(request);
+        auto turn = std::make_unique<FakeTurn>();
+        turn->residency = this;
+        ++runningTurns;
+        onTurnBegin();
+        co_return turn;
+    }
     [[nodiscard]] bool canOrder(const UpstreamId &) const override { return isGranting; }
 
+    struct FakeTurn final : TurnHolder {
+        ~FakeTurn() override
+        {
+            --residency->runningTurns;
+            residency->onTurnEnd();
+        }
+        FakeResidency *residency = nullptr;
+    };
+    std::vector<PrefillRequest> prefills;
+    int runningTurns = 0;
+    std::function<void()> onTurnBegin = [] {};
+    std::function<void()> onTurnEnd = [] {};
+
     bool isGranting = true;
     UpstreamId alwaysGrantedAt; // also when isGranting is false
     int calls = 0;
