--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -668,6 +668,24 @@
     return std::make_unique<AwaitedCall>(state);
 }
 
+void Links::setKey(std::string key)
+{
+    if (key == state_->key) {
+        return;
+    }
+    state_->key = std::move(key);
+    std::vector<std::shared_ptr<Link>> links; // closing one changes the maps
+    for (const auto &[host, link] : state_->outgoing) {
+        links.push_back(link);
+    }
+    for (const auto &[handle, link] : state_->incoming) {
+        links.push_back(link);
+    }
+    for (const auto &link : links) {
+        link->close("the key changed");
+    }
+}
+
 void Links::close()
 {
     if (std::exchange(state_->isClosed, true)) {
--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -85,6 +85,8 @@
 
     [[nodiscard]] std::optional<net::Address> listen(const net::Address &address, core::Error &error);
     void setAddress(const HostId &host, const net::Address &address);
+    /// Later handshakes use this key. Links that were opened with another one are closed and open again with their next frame.
+    void setKey(std::string key);
     void sendGossip(const HostId &to, MembershipMessage message);
     void notify(const HostId &to, Notice notice); // dropped when the link is down; for this daemon itself, calls its own handler
     [[nodiscard]] std::unique_ptr<OutgoingCall> call(const HostId &to, CallBody body);
--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -148,6 +148,28 @@
     EXPECT_EQ(rejected, "does not hold the deployment's key");
 }
 
+// Pattern: the store lost the deployment's key, and another host has written a new one.
+TEST_F(LinkTest, links_open_again_with_a_changed_key_and_calls_in_flight_end)
+{
+    const auto a = makeLinks("a", "old");
+    const auto b = makeLinks("b", "old", replyWithHint(7));
+    a->setAddress(HostId("b"), addresses_["b"]);
+    ASSERT_TRUE(callOnce(*a, "b", probe));
+    a->setKey("new");
+    b->setKey("new");
+    std::optional<ReplyBody> reply;
+    for (int attempt = 0; attempt < 100 && !reply; ++attempt) {
+        const auto call = a->call(HostId("b"), probe);
+        reply = run(call->next(core::Milliseconds(300), error_));
+        io_.run_for(std::chrono::milliseconds(20)); // until a link may be opened again
+        io_.restart();
+    }
+    EXPECT_TRUE(reply) << error_.reason;
+    const auto c = makeLinks("c", "old");
+    c->setAddress(HostId("b"), addresses_["b"]);
+    EXPECT_FALSE(callOnce(*c, "b", probe)) << "the old key is no longer accepted";
+}
+
 TEST_F(LinkTest, an_unreachable_host_means_not_run)
 {
     const auto a = makeLinks("a", "the key of a deployment");
--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -100,7 +100,8 @@
     cost += replica.zone == request.zone ? 0 : options_.otherZoneCost;
     cost += isBlocked(replica.id, now) ? blockedCost : 0;
     if (!candidate.holdsWeights) {
-        cost += candidate.canLoad ? options_.missingWeightsCost : options_.noOwnerCost;
+        const double loadCost = options_.missingWeightsCost + (rank > 0 ? options_.newHomeCost : 0);
+        cost += candidate.canLoad ? loadCost : options_.noOwnerCost;
     }
     cost += std::uniform_real_distribution<double>(0, tieSpread)(random_);
     return {&candidate, cost, occupied.running};
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -44,6 +44,7 @@
     std::size_t preferredDivisor = 8;
     double preferenceRankCost = 12;     // ms per position in the order of preference
     double missingWeightsCost = 130;    // ms; the weights must be loaded: half of a load from the store, as most are in the replica's cache
+    double newHomeCost = 120;           // ms; on top of it at all but the first preferred upstream, whose cache is the likely one to have them
     double noOwnerCost = 600;           // ms; the weights must be loaded, but no owner can order that at present
     double failureCost = 900;           // ms at a failure share of 1
     double otherZoneCost = 2;           // ms; round trip to another zone
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -40,12 +40,25 @@
             consecutiveFailures_ = 0;
             co_await waitUntilDue();
         } else if (!needsListing_ || consecutiveFailures_ > 0) {
-            const auto retryDelay = std::min(maxRetryDelay, minRetryDelay * (std::int64_t(1) << std::min(consecutiveFailures_ - 1, 3)));
-            co_await pause(retryDelay + readDelay_); // the host that reads first also retries first
+            const auto failedAt = lastReadAt_;
+            co_await pause(retryDelay() + readDelay_); // the host that reads first also retries first
+            if (lastReadAt_ > failedAt) {              // another host reaches the store and shared its page
+                consecutiveFailures_ = 0;
+                co_await waitUntilDue();
+            }
         }
     }
 }
 
+Milliseconds TopicFollower::retryDelay() const
+{
+    constexpr int maxDoublings = 6;
+    const bool isStandby = readDelay_.count() > 0 && !needsListing_;
+    const auto first = isStandby ? maxRetryDelay : minRetryDelay;
+    const auto longest = isStandby ? std::max(maxRetryDelay, options_.standbyRetry) : maxRetryDelay;
+    return std::min(longest, first * (std::int64_t(1) << std::clamp(consecutiveFailures_ - 1, 0, maxDoublings)));
+}
+
 void TopicFollower::stop()
 {
     isRunning_ = false;
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -24,8 +24,10 @@
 [[nodiscard]] std::string_view topicText(Topic topic);
 
 struct FollowOptions {
-    Milliseconds wait{0};     // how long the store may hold a read open until a record arrives; 0: it answers immediately
-    Milliseconds pause{0};    // between reads
+    Milliseconds wait{0};  // how long the store may hold a read open until a record arrives; 0: it answers immediately
+    Milliseconds pause{0}; // between reads
+    Milliseconds standbyRetry{
+        600};                 // longest time between failed reads of a host that does not read first: the first one shares its page when the store is back
     Milliseconds gather{200}; // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
 };
 
@@ -59,15 +61,18 @@
     [[nodiscard]] std::string_view name() const { return topicText(topic_); }
     [[nodiscard]] bool isKnown() const { return hasListing_; } // the first listing has been read
     [[nodiscard]] bool isReached() const { return isReachable_; }
+    [[nodiscard]] Milliseconds interval() const { return options_.pause; }        // between reads
     [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
     [[nodiscard]] Instant readAt() const { return lastReadAt_; }                  // last successful read, including pages from other hosts
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
     /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
     void feed(const SharedPage &shared);
     void setTurn(Milliseconds readDelay) { readDelay_ = readDelay; } // 0: this host reads first
+    void setGather(Milliseconds delay) { options_.gather = delay; }  // see FollowOptions
     void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; }          // reads don't wait for new records, because the caller needs to reach the end of the topic
 
 private:
+    [[nodiscard]] Milliseconds retryDelay() const;
     net::Task<bool> step();
     void applyListing(const StoreListing &listing);
     void applyPage(const StorePage &page); // skips records before nextOffset_
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -27,10 +27,11 @@
 constexpr int percent = 100;
 constexpr int operatorsWaitPercent = 45; // of hosting.configApply: a long-polling read can miss a record (scenario trouble-1), which the next read then returns
 constexpr Milliseconds controlWait{900};
-constexpr int upstreamsPausePercent = 40;              // of hosting.drain: leaves time for the longest failover delay, a read and queueing
-constexpr Milliseconds waitMargin{100};                // for the response of a long-polling read to reach the hosts that share it
-constexpr std::size_t loadsPerTick = 150;              // upstreams in one message of 3 kB; with more upstreams, loads are exchanged less often
-constexpr std::string_view loadsPurpose = "loads";     // purpose for electing a group's leader
+constexpr Milliseconds startGather{1'000};         // FollowOptions::gather of the control topic while all hosts write their addresses and none has links yet
+constexpr int upstreamsPausePercent = 40;          // of hosting.drain: leaves time for the longest failover delay, a read and queueing
+constexpr Milliseconds waitMargin{100};            // for the response of a long-polling read to reach the hosts that share it
+constexpr std::size_t loadsPerTick = 150;          // upstreams in one message of 3 kB; with more upstreams, loads are exchanged less often
+constexpr std::string_view loadsPurpose = "loads"; // purpose for electing a group's leader
 constexpr std::size_t maxSharedPageBytes = 256 * 1024; // each host reads a larger page itself
 constexpr Milliseconds announceRetryInterval{300};     // between attempts to append the links' key or this host's address
 constexpr Milliseconds peerReplyMargin{50};            // for an owner's reply to arrive
@@ -52,9 +53,9 @@
 constexpr std::string_view upstreamCopyKey = "upstreams"; // used at start while the upstreams topic can't be read
 
 /// Long-polling reads. A host that does not read itself waits for the page that another host shares.
-FollowOptions longPolling(Milliseconds wait)
+FollowOptions longPolling(Milliseconds wait, Milliseconds standbyRetry)
 {
-    return {.wait = wait, .pause = wait + waitMargin};
+    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = standbyRetry};
 }
 
 std::string_view changeText(BookChange change)
@@ -91,7 +92,7 @@
     , operatorsTopic_(node_,
                       store,
                       Topic::Operators,
-                      longPolling(settings.hosting.configApply * operatorsWaitPercent / percent),
+                      longPolling(settings.hosting.configApply * operatorsWaitPercent / percent, settings.hosting.configApply),
                       {.onListing =
                            [this](const StoreListing &listing) {
                                for (const auto &record : listing.records) {
@@ -109,12 +110,13 @@
     , upstreamsTopic_(node_,
                       store,
                       Topic::Upstreams,
-                      {.pause = settings.hosting.drain * upstreamsPausePercent / percent},
+                      {.pause = settings.hosting.drain * upstreamsPausePercent / percent, .standbyRetry = settings.hosting.drain},
                       {.onNewEra = [this](core::StoreEra) { node_.replicas.beginEra(node_.now()); },
                        .onListing = [this](const StoreListing &listing) { applyUpstreamListing(listing); },
                        .onPage =
                            [this](const StorePage &page) {
                                node_.replicasReadAt = node_.now();
+                               node_.replicas.noteStore(true, node_.now()); // also when another host read the page
                                for (const auto &record : page.records) {
                                    applyUpstreamRecord(record);
                                }
@@ -128,7 +130,7 @@
     , controlTopic_(node_,
                     store,
                     Topic::Control,
-                    longPolling(controlWait),
+                    longPolling(controlWait, settings.hosting.configApply),
                     {.onNewEra = [this](core::StoreEra) { beginControlEra(); },
                      .onListing = [this](const StoreListing &listing) { applyControlListing(listing); },
                      .onPage = [this](const StorePage &page) { applyControlRecords(page.records, page.endOffset); },
@@ -171,6 +173,7 @@
                     {"store", node_.settings.platform.address},
                     {"zone", node_.settings.zone},
                     {"incarnation", incarnation_}});
+    spreadFirstReads();
     const auto spawn = [this](auto run) { asio::co_spawn(node_.io, std::move(run), asio::detached); };
     spawn([this] { return operatorsTopic_.run(); });
     spawn([this] { return upstreamsTopic_.run(); });
@@ -180,6 +183,17 @@
     return true;
 }
 
+/// Until the links tell which host reads for all, every host reads by itself. Hosts of a deployment start together, so their first reads are
+/// spread over one interval; by then most have links.
+void HostedDaemon::spreadFirstReads()
+{
+    startedAt_ = node_.now();
+    for (auto *follower : {&operatorsTopic_, &upstreamsTopic_}) {
+        follower->setTurn(staggerDelay(1, follower->interval(), node_.settings.host.value() + std::string(follower->name())));
+    }
+    controlTopic_.setGather(startGather);
+}
+
 bool HostedDaemon::isReady() const
 {
     return isRunning_ && !node_.isStopping && node_.routes && (upstreamsTopic_.isKnown() || node_.replicas.size() > 0);
@@ -546,15 +560,15 @@
 void HostedDaemon::openLinks(const std::string &key)
 {
     isKeyStored_ = true;
-    if (links_ && key == linkKey_) {
-        return;
-    }
-    if (links_) { // the log lost this key, and a host that had none wrote another first
+    const bool isReplaced = links_ && key != linkKey_; // the log lost the key, and a host that had none wrote another first
+    linkKey_ = key;
+    if (isReplaced) {
         node_.log.warn("links_key_replaced", {{"next", "links are opened again with the stored key"}});
-        links_->close();
-        links_.reset();
+        links_->setKey(key);
+    }
+    if (links_) {
+        return;
     }
-    linkKey_ = key;
     Error why;
     links_ = std::make_unique<peers::Links>(node_.io, peers::Links::Self{node_.settings.host, incarnation_, node_.settings.region}, key, linkHandlers());
     if (!links_->listen(*net::Address::parse(node_.settings.listen.peers), why)) {
@@ -728,6 +742,9 @@
         if (now >= nextHousekeeping_) {
             nextHousekeeping_ = now + housekeepingInterval;
             node_.pool.expire(now);
+            if (!upstreamsTopic_.isReached()) { // reads that fail are far apart
+                node_.replicas.noteStore(false, now, upstreamsTopic_.readAt());
+            }
             node_.leases.expire(now);
             for (const auto &id : node_.backoffs.takeEnded(now)) {
                 node_.log.info("backoff_ended", {{"upstream", id}, {"next", "requests, orders and reports are sent again"}});
@@ -755,12 +772,32 @@
         planner_.setMembers(membership_.members());
         node_.setHostCount(static_cast<int>(membership_.live().size()));
         updateGroups();
+        logMembers(changes);
+    }
+    applyOwnershipActions(planner_.tick(now));
+    controlTopic_.setUrgent(!planner_.isCaughtUp());
+}
+
+/// One line for each member, or one for all when many changed at once.
+void HostedDaemon::logMembers(const std::vector<peers::Member> &changes) const
+{
+    constexpr std::size_t maxLines = 4;
+    if (changes.size() <= maxLines) {
         for (const auto &member : changes) {
             node_.log.info("member", {{"member", member.host}, {"state", static_cast<int>(member.state)}, {"incarnation", member.incarnation}});
         }
+        return;
     }
-    applyOwnershipActions(planner_.tick(now));
-    controlTopic_.setUrgent(!planner_.isCaughtUp());
+    const auto count = [&changes](peers::MemberState state) {
+        return std::count_if(changes.begin(), changes.end(), [state](const peers::Member &each) { return each.state == state; });
+    };
+    node_.log.info("members",
+                   {{"changed", changes.size()},
+                    {"alive", count(peers::MemberState::Alive)},
+                    {"suspect", count(peers::MemberState::Suspect)},
+                    {"dead", count(peers::MemberState::Dead)},
+                    {"leaving", count(peers::MemberState::Leaving)},
+                    {"live_hosts", membership_.live().size()}});
 }
 
 void HostedDaemon::sendMessages(std::vector<peers::OutgoingMessage> messages)
@@ -1043,7 +1080,12 @@
         live.push_back(announced == announcedHosts_.end() ? GroupedHost{member.host, member.zone, 0}
                                                           : GroupedHost{member.host, announced->second.zone, announced->second.linkMbps});
     }
+    const bool isAlone = live.size() < 2 && announcedHosts_.size() > 1;
     groups_.assign(std::move(live), node_.settings.host);
+    if (isAlone && node_.now() - startedAt_ < node_.settings.hosting.configApply) {
+        return; // links are still being opened
+    }
+    controlTopic_.setGather(FollowOptions().gather);
     for (auto *follower : {&operatorsTopic_, &upstreamsTopic_, &controlTopic_}) {
         follower->setTurn(groups_.failoverDelay(node_.settings.host, follower->name()));
     }
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -61,6 +61,7 @@
         double linkMbps = 0;
     };
 
+    void spreadFirstReads();
     [[nodiscard]] bool isReady() const;
     net::Task<void> handleOperatorRequest(net::Exchange &exchange);
     net::Task<void> handleMetricsRequest(net::Exchange &exchange);
@@ -92,6 +93,7 @@
     // Ownership.
     net::Task<void> tickLoop();
     void tick();
+    void logMembers(const std::vector<peers::Member> &changes) const;
     void sendMessages(std::vector<peers::OutgoingMessage> messages);
     void applyOwnershipActions(const ownership::OwnershipActions &actions);
     void onOwnershipGained(const ownership::Holding &holding);
@@ -154,6 +156,7 @@
     std::uint64_t resourcesVersion_ = ~std::uint64_t(0);
     Instant claimsStartAt_; // hosts that start together append their claims one after the other from this time on
     Milliseconds claimStagger_{0};
+    Instant startedAt_;
     Instant lastTick_;
     Instant nextHousekeeping_;
 };
--- a/packages/serving/tests/choosertest.cpp
+++ b/packages/serving/tests/choosertest.cpp
@@ -230,5 +230,32 @@
     EXPECT_LE(upstreams, 9);
 }
 
+// Pattern: rare adapters come one request at a time, and prompts of others make their first preferred upstream a little busier. Moving to the
+// next one would bring the adapter from the weight store once more, while the first one loads it from its cache.
+TEST_F(ChooserTest, an_adapter_that_nobody_holds_goes_to_its_first_preferred_upstream_although_that_one_is_busier)
+{
+    for (auto &each : candidates_) {
+        each.holdsWeights = false;
+    }
+    const auto affinityKey = core::hashText("rare", 1);
+    const PickRequest request{candidates_, affinityKey, ZoneId("a")};
+    const auto preferred = chooser_.preferredCandidates(request);
+    chooser_.beginPrefill(preferred[0]->replica->id, 250);
+    EXPECT_EQ(pick(affinityKey), preferred[0]->replica->id);
+    chooser_.beginPrefill(preferred[0]->replica->id, 250);
+    EXPECT_EQ(pick(affinityKey), preferred[1]->replica->id) << "half a second of prefill costs more than a load";
+}
+
+TEST_F(ChooserTest, an_adapter_held_by_a_later_preferred_upstream_is_used_there)
+{
+    const auto affinityKey = core::hashText("moved", 1);
+    const auto preferred = chooser_.preferredCandidates({candidates_, affinityKey, ZoneId("a")});
+    const auto holder = preferred[3]->replica->id;
+    for (auto &each : candidates_) {
+        each.holdsWeights = each.replica->id == holder;
+    }
+    EXPECT_EQ(pick(affinityKey), holder);
+}
+
 } // namespace
 } // namespace baobabstall::serving
--- a/packages/serving/tests/followertest.cpp
+++ b/packages/serving/tests/followertest.cpp
@@ -318,4 +318,33 @@
     EXPECT_EQ(receivedOffsets_.size(), received);
 }
 
+// Pattern: the store is out for all. Hundreds of hosts that each retried like the first reader would make thousands of calls in seconds.
+TEST_F(FollowerTest, a_host_that_does_not_read_first_retries_a_store_that_is_down_far_less_often)
+{
+    store_.records = {makeRecord(1)};
+    auto &follower = startFollower({.pause = Milliseconds(50), .standbyRetry = Milliseconds(2'400)});
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 1; }));
+    follower.setTurn(Milliseconds(30));
+    store_.isDown = true;
+    runFor(Milliseconds(2'000));
+    EXPECT_LE(store_.readCount, 4);
+}
+
+TEST_F(FollowerTest, a_page_of_another_host_ends_the_retries_of_one_whose_reads_fail)
+{
+    store_.records = {makeRecord(1)};
+    auto &follower = startFollower({.pause = Milliseconds(400), .standbyRetry = Milliseconds(2'400)});
+    follower.setTurn(Milliseconds(30));
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 1; }));
+    store_.isDown = true;
+    ASSERT_TRUE(runUntil([&] { return !follower.isReached(); }));
+    const auto reads = store_.readCount;
+    for (int i = 0; i < 8; ++i) {
+        follower.feed({Offset(2), {{}, Offset(1), Offset(2), Offset(2)}});
+        runFor(Milliseconds(100));
+    }
+    EXPECT_LE(store_.readCount, reads + 1);
+    EXPECT_LT(node_.now() - follower.readAt(), Milliseconds(200));
+}
+
 } // namespace baobabstall::serving::tests
