The story of a request tells leaving marks, backoffs and what its hosts learnt of the store

story left out the events that came with marks, backoffs and eras. Test: Story.has_what_the_upstream_said_of_itself_and_what_its_host_learnt_of_the_store.

--- a/programs/baobabstall/story.cpp
+++ b/programs/baobabstall/story.cpp
@@ -40,6 +40,7 @@
     std::vector<json> read;
     std::set<std::string> upstreams;
     std::set<std::string> minutes;
+    std::set<std::string> hosts; // that handled the request
     for (const auto &text : lines) {
         auto line = json::parse(text, nullptr, false);
         if (!line.is_object()) {
@@ -49,6 +50,7 @@
         if (textOf(line, "request_id") == requestId) {
             upstreams.insert(textOf(line, "upstream"));
             minutes.insert(textOf(line, "time").substr(0, minuteLength));
+            hosts.insert(textOf(line, "host"));
         }
         read.push_back(std::move(line));
     }
@@ -56,11 +58,24 @@
         return std::nullopt;
     }
     upstreams.erase("");
-    const std::set<std::string> beliefs = {"upstream_changed", "ownership", "owner_without_orders", "report_failed", "foreign_answer"};
+    const std::set<std::string> upstreamBeliefs = {"upstream_changed",
+                                                   "upstream_leaving",
+                                                   "backoff_begun",
+                                                   "backoff_ended",
+                                                   "backoff_unreadable",
+                                                   "replica_restarted",
+                                                   "ownership",
+                                                   "owner_without_orders",
+                                                   "report_failed",
+                                                   "foreign_answer"};
+    const std::set<std::string> hostBeliefs
+        = {"store_lost", "store_regained", "store_era", "store_era_unsettled", "store_era_settled", "links_key_replaced", "host_stood_still"};
     for (const auto &line : read) {
         const bool isOwn = textOf(line, "request_id") == requestId;
-        const bool isAbout = beliefs.contains(textOf(line, "event")) && upstreams.contains(textOf(line, "upstream"))
-            && minutes.contains(textOf(line, "time").substr(0, minuteLength));
+        const auto event = textOf(line, "event");
+        const bool isOfUpstream = upstreamBeliefs.contains(event) && upstreams.contains(textOf(line, "upstream"));
+        const bool isOfHost = hostBeliefs.contains(event) && hosts.contains(textOf(line, "host"));
+        const bool isAbout = (isOfUpstream || isOfHost) && minutes.contains(textOf(line, "time").substr(0, minuteLength));
         if (isOwn || isAbout) {
             story.lines.push_back(storyLineOf(line, isOwn));
         }
--- a/programs/baobabstall/tests/storytest.cpp
+++ b/programs/baobabstall/tests/storytest.cpp
@@ -32,6 +32,24 @@
     EXPECT_EQ(story->unreadable, 1U);
 }
 
+TEST(Story, has_what_the_upstream_said_of_itself_and_what_its_host_learnt_of_the_store)
+{
+    std::istringstream in(std::string(recorded)
+                          + R"({"event":"upstream_leaving","host":"entry-3","source":"answer","time":"2026-04-17T16:42:20.100Z","upstream":"i-a"}
+{"event":"backoff_begun","for_ms":2500,"host":"entry-2","time":"2026-04-17T16:42:21.100Z","upstream":"i-a"}
+{"event":"backoff_begun","for_ms":2500,"host":"entry-2","time":"2026-04-17T16:42:21.200Z","upstream":"i-b"}
+{"before":1,"era":2,"event":"store_era","host":"entry-2","time":"2026-04-17T16:42:22.100Z","topic":"control"}
+{"before":1,"era":2,"event":"store_era","host":"entry-9","time":"2026-04-17T16:42:22.200Z","topic":"control"}
+)");
+    const auto story = storyOf(readLines(in), "q1");
+    ASSERT_TRUE(story);
+    std::vector<std::string> events;
+    for (const auto &line : story->lines) {
+        events.push_back(line.event);
+    }
+    EXPECT_EQ(events, (std::vector<std::string>{"upstream_leaving", "backoff_begun", "store_era", "upstream_changed", "send_ended", "request"}));
+}
+
 TEST(Story, is_none_for_a_request_that_no_line_names)
 {
     std::istringstream in(recorded);
