--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -957,7 +957,7 @@
     co_return isHeld ? std::optional(ResidencyGrant{request.minRevision, Instant()}) : std::nullopt;
 }
 
-/// Turns are a courtesy among the hosts: where they can't be counted, prompts are sent at once.
+/// Nullptr without an owner that answers: the prompt is then sent at once.
 net::Task<PrefillTurn> HostedDaemon::takePrefillTurn(PrefillRequest request)
 {
     const auto owner = ownerOf(request.replica);
