--- a/packages/serving/prefillgate.h
+++ b/packages/serving/prefillgate.h
@@ -1,9 +1,9 @@
 // serving/prefillgate.h: gets a request its turn at a model replica, from the replica's owner. I/O; one thread.
 //
-//   auto turn = co_await gate.enter(replica, tokens, limit, maxWait);        // at the owner itself
-//   auto turn = co_await gate.enterAtOwner(links, owner, call, limit);       // at any other host
+//   auto turn = co_await gate.enter(replica, promptTokens, maxWait);     // at the owner itself
+//   auto turn = co_await gate.enterAtOwner(links, owner, request);       // at any other host; nullptr without an answer in time
 //   ... send the request ...
-//   turn.reset();                                                            // its first event arrived, or the send ended
+//   turn.reset();                                                        // its first event arrived, or the send ended
 //
 // A turn is held by an open call to the owner, so it also ends when the link or its host is lost. Without an answer in time the request
 // is sent without a turn.
--- a/packages/serving/prefillturns.h
+++ b/packages/serving/prefillturns.h
@@ -60,7 +60,7 @@
     /// `startBy`: the prompt starts then whatever else runs.
     TurnId request(double promptTokens, Instant startBy, Instant now);
     void end(TurnId id);
-    /// Starts what may start and returns it, the earliest `startBy` first. Call after each request and end, and at nextStartBy().
+    /// Starts what may start and returns it, the earliest `startBy` first. Call after each request and end, and at each `startBy`.
     std::vector<TurnId> start(Instant now);
 
     [[nodiscard]] bool isStarted(TurnId id) const;
