A former owner's statement no longer hides the owner from hosts that start

An owner that had been cut off and superseded wrote a Retire record for each epoch; the control topic keeps the newest record of each resource, so the listing of the new host held that statement and not the owner's claim. The fault is older than this work: the record and the topic are unchanged. Ruled out: links (all members alive), reads (pages arrived), a backoff (none logged). Change: with claims of hosts, which wait a lease in place of asking for evidence, a lost epoch is not retired in the log. Test: Planner.AHostThatStartsFromTheNewestRecordsFindsTheOwnerAfterAFormerOneCameBack failed before and passes; ownership_tests 52.

--- a/packages/ownership/planner.cpp
+++ b/packages/ownership/planner.cpp
@@ -232,7 +232,11 @@
     }
     auto &state = found->second;
     if (state.lostEpochs.erase(holding.epoch) > 0) {
-        state.epochsToRetire.insert(holding.epoch);
+        // Where claims outlive processes, a new owner waits for a lease and needs no statement of the former one. Such a log keeps the newest
+        // record of each resource only, so the statement would take the place of the owner's claim.
+        if (settings_.claimsOf != "host") {
+            state.epochsToRetire.insert(holding.epoch);
+        }
     } else if (state.draining && state.heldEpoch == holding.epoch) {
         state.drained = true;
     }
--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -928,3 +928,35 @@
     run(Milliseconds(20'000));
     EXPECT_EQ(servedCount(), resources.size());
 }
+
+// Pattern: an owner is cut off, loses its resources, comes back and retires its epochs. Where the log keeps the newest record of each resource
+// only, that statement takes the place of the new owner's claim, and a host that starts then finds no owner (fault soak, seed 10).
+TEST_F(Planner, AHostThatStartsFromTheNewestRecordsFindsTheOwnerAfterAFormerOneCameBack)
+{
+    options.claimsOf = "host";
+    options.claimDelay = Milliseconds(1'000);
+    options.leaseWait = Milliseconds(1'000);
+    startAll(3, 1, 9);
+    daemons.at("h1")->frozen = true;
+    setState("h1", MemberState::Dead);
+    run(Milliseconds(10'000));
+    daemons.at("h1")->frozen = false;
+    setState("h1", MemberState::Alive);
+    run(Milliseconds(1'000));
+    std::map<Resource, std::size_t> newest;
+    for (std::size_t at = 0; at < log.records.size(); ++at) {
+        newest[log.records[at].second.resource] = at;
+    }
+    ClaimTable listed;
+    std::set<std::size_t> offsets;
+    for (const auto &[resource, at] : newest) {
+        offsets.insert(at);
+    }
+    for (const auto at : offsets) {
+        listed.apply(log.offset(at + 1), log.records[at].second, log.records[at].first);
+    }
+    for (const auto &[resource, owner] : owners()) {
+        ASSERT_TRUE(listed.ownerOf(resource)) << resource.value();
+        EXPECT_EQ(listed.ownerOf(resource)->host, owner.host) << resource.value();
+    }
+}
