--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -17,20 +17,13 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <serving/node.h>
+#include <serving/readschedule.h>
 
 namespace baobabstall::serving {
 
 /// Used in log lines and shared pages; identical on all hosts.
 [[nodiscard]] std::string_view topicText(Topic topic);
 
-struct FollowOptions {
-    Milliseconds wait{0};  // how long the store may hold a read open until a record arrives; 0: it answers immediately
-    Milliseconds pause{0}; // between reads
-    Milliseconds standbyRetry{
-        600};                 // longest time between failed reads of a host that does not read first: the first one shares its page when the store is back
-    Milliseconds gather{200}; // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
-};
-
 /// A page read by another host.
 struct SharedPage {
     core::Offset from; // offset at which the read started
@@ -55,25 +48,24 @@
     /// Ends the current pause and reads immediately.
     void hurry()
     {
-        readNow_ = true;
+        schedule_.requestRead();
         timer_.cancel();
     }
     [[nodiscard]] std::string_view name() const { return topicText(topic_); }
     [[nodiscard]] bool isKnown() const { return hasListing_; } // the first listing has been read
     [[nodiscard]] bool isReached() const { return isReachable_; }
-    [[nodiscard]] Milliseconds interval() const { return options_.pause; }        // between reads
+    [[nodiscard]] Milliseconds interval() const { return schedule_.pause(); }     // between reads
     [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
-    [[nodiscard]] Instant readAt() const { return lastReadAt_; }                  // last successful read, including pages from other hosts
+    [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // last successful read, including pages from other hosts
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
     /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
     void feed(const SharedPage &shared);
-    void setTurn(Milliseconds readDelay) { readDelay_ = readDelay; } // 0: this host reads first
-    void setGather(Milliseconds delay) { options_.gather = delay; }  // see FollowOptions
-    void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; }          // reads don't wait for new records, because the caller needs to reach the end of the topic
+    void setTurn(Milliseconds readDelay) { schedule_.setTurn(readDelay); } // see ReadSchedule, also for the next two
+    void setGather(Milliseconds delay) { schedule_.setGather(delay); }
+    void setUrgent(bool isUrgent) { schedule_.setUrgent(isUrgent); }
 
 private:
-    [[nodiscard]] Milliseconds retryDelay() const;
-    net::Task<bool> step();
+    net::Task<void> step();
     void applyListing(const StoreListing &listing);
     void applyPage(const StorePage &page); // skips records before nextOffset_
     void setReachable(bool isReachable, const core::Error &why);
@@ -83,20 +75,14 @@
     Node &node_;
     AbstractStore &store_;
     Topic topic_;
-    FollowOptions options_;
+    ReadSchedule schedule_;
     TopicEvents callbacks_;
     boost::asio::steady_timer timer_;
     bool isRunning_ = true;
     bool hasListing_ = false;
     bool isReachable_ = true;
-    bool isUrgent_ = false;
-    bool readNow_ = false;
-    bool wasLastPageEmpty_ = true;
     bool needsListing_ = true;
-    int consecutiveFailures_ = 0;
-    Milliseconds readDelay_{0};
     core::Offset nextOffset_;
-    Instant lastReadAt_;
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1110,29 +1110,20 @@
     if (bytes > maxSharedPageBytes) {
         return;
     }
-    const auto members = groups_.members(page.topic);
-    sendStorePage(page, members);
-    if (!members.empty() && members.front() == node_.settings.host) {
-        sendStorePage(page, groups_.leaders(page.topic));
-    }
+    sendStorePage(page, groups_.shareTargets(page.topic));
 }
 
 void HostedDaemon::sendStorePage(const peers::StorePageNotice &page, const std::vector<HostId> &hosts)
 {
     for (const auto &host : hosts) {
-        if (host != node_.settings.host) {
-            links_->notify(host, {page});
-        }
+        links_->notify(host, {page});
     }
 }
 
 /// A group's leader forwards a page that came from another group to its own group.
 void HostedDaemon::handleStorePage(const HostId &from, const peers::StorePageNotice &page)
 {
-    const auto members = groups_.members(page.topic);
-    if (!groups_.isMember(from) && !members.empty() && members.front() == node_.settings.host) {
-        sendStorePage(page, members);
-    }
+    sendStorePage(page, groups_.forwardTargets(from, page.topic));
     SharedPage shared;
     shared.from = Offset(page.from);
     shared.page.oldestOffset = Offset(page.first);
--- a/packages/serving/hostgroups.cpp
+++ b/packages/serving/hostgroups.cpp
@@ -41,6 +41,7 @@
     const bool isSingleGroup = hosts.size() <= maxSingleGroupHosts;
     const auto zoneOf = [&](const GroupedHost &member) { return isSingleGroup ? ZoneId() : member.zone; };
     std::sort(hosts.begin(), hosts.end(), [&](const auto &a, const auto &b) { return std::tuple(zoneOf(a), a.host) < std::tuple(zoneOf(b), b.host); });
+    ownHost_ = ownHost;
     groups_.clear();
     for (auto begin = hosts.begin(); begin != hosts.end();) {
         const auto end = std::find_if(begin, hosts.end(), [&](const auto &member) { return zoneOf(member) != zoneOf(*begin); });
@@ -81,6 +82,27 @@
     return leader < static_cast<std::ptrdiff_t>(allLeaders.size()) ? delay : delay + memberDelayStep * member;
 }
 
+std::vector<HostId> HostGroups::shareTargets(std::string_view purpose) const
+{
+    auto targets = members(purpose);
+    if (isLeader(targets)) {
+        const auto others = leaders(purpose);
+        targets.insert(targets.end(), others.begin(), others.end());
+    }
+    std::erase(targets, ownHost_);
+    return targets;
+}
+
+std::vector<HostId> HostGroups::forwardTargets(const HostId &from, std::string_view purpose) const
+{
+    auto targets = members(purpose);
+    if (isMember(from) || !isLeader(targets)) {
+        return {};
+    }
+    std::erase(targets, ownHost_);
+    return targets;
+}
+
 bool HostGroups::isMember(const HostId &host) const
 {
     return ownGroup_ < groups_.size()
--- a/packages/serving/hostgroups.h
+++ b/packages/serving/hostgroups.h
@@ -42,6 +42,10 @@
     /// The leader of each group for the purpose, the overall leader first.
     [[nodiscard]] std::vector<HostId> leaders(std::string_view purpose) const;
     [[nodiscard]] bool isMember(const HostId &host) const; // in the own group
+    /// The other hosts that this host sends the result of shared work to: its group, and as the group's leader the other leaders.
+    [[nodiscard]] std::vector<HostId> shareTargets(std::string_view purpose) const;
+    /// The hosts that this host passes a result of `from` on to: as the group's leader its group, when `from` is of another group.
+    [[nodiscard]] std::vector<HostId> forwardTargets(const HostId &from, std::string_view purpose) const;
     /// How long `host` waits before it takes over work that the overall leader should do for all: first the other leaders in order,
     /// then the members of the own group.
     [[nodiscard]] Milliseconds failoverDelay(const HostId &host, std::string_view purpose) const;
@@ -53,6 +57,9 @@
 private:
     using Group = std::vector<GroupedHost>;
 
+    [[nodiscard]] bool isLeader(const std::vector<HostId> &members) const { return !members.empty() && members.front() == ownHost_; }
+
+    HostId ownHost_;
     std::vector<Group> groups_;
     std::size_t ownGroup_ = 0; // index; groups_.size(): this host is in no group
 };
--- /dev/null
+++ b/packages/serving/readschedule.cpp
@@ -0,0 +1,48 @@
+#include <serving/readschedule.h>
+
+#include <algorithm>
+
+namespace baobabstall::serving {
+
+void ReadSchedule::onRead(Instant now, bool hasRecords)
+{
+    consecutiveFailures_ = 0;
+    readAt_ = now;
+    endedAt_ = now;
+    isLastPageEmpty_ = !hasRecords;
+}
+
+void ReadSchedule::onReadFailed(Instant now, bool isKnown)
+{
+    ++consecutiveFailures_;
+    endedAt_ = now;
+    readAtOfFailure_ = readAt_;
+    retryAt_ = now + retryDelay(isKnown) + readDelay_; // the host that reads first also retries first
+}
+
+Milliseconds ReadSchedule::retryDelay(bool isKnown) const
+{
+    constexpr int maxDoublings = 6;
+    const bool isStandby = readDelay_.count() > 0 && isKnown;
+    const auto first = isStandby ? maxRetryDelay : minRetryDelay;
+    const auto longest = isStandby ? std::max(maxRetryDelay, options_.standbyRetry) : maxRetryDelay;
+    return std::min(longest, first * (std::int64_t(1) << std::clamp(consecutiveFailures_ - 1, 0, maxDoublings)));
+}
+
+Instant ReadSchedule::nextRead() const
+{
+    if (isReadRequested_) {
+        return {};
+    }
+    if (consecutiveFailures_ > 0 && readAt_ <= readAtOfFailure_) {
+        return retryAt_;
+    }
+    if (isUrgent_) {
+        return endedAt_ + urgentReadInterval;
+    }
+    const bool readsFirst = readDelay_.count() == 0 && options_.wait.count() > 0; // the store paces the reads by holding them open
+    const auto batchDelay = isLastPageEmpty_ ? Milliseconds(0) : options_.gather;
+    return readAt_ + (readsFirst ? batchDelay : options_.pause + readDelay_);
+}
+
+} // namespace baobabstall::serving
