Logs and metrics tell how old a configuration's topic is and who read it

A request refused by an older configuration could not be told from one that came before the topic was read: the log names neither the source of the version in force nor the age of the topic. configuration_in_force names the host whose page brought it and the age of this host's own read, request lines the age of the topic, and operators_age_seconds shows it as a gauge. The options of a topic with a bound are made in ReadSchedule.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -69,10 +69,12 @@
         co_return;
     }
     schedule_.onRead(node_.now(), !page->records.empty());
+    ownReadAt_ = node_.now();
+    source_ = HostId();
     setReachable(true, why);
     if (page->nextOffset > nextOffset_ || page->records.empty()) { // otherwise a page from another host was applied during the read
         applyPage(*page);
-        callbacks_.onRead({from, *page});
+        callbacks_.onRead({from, *page, node_.settings.host});
     }
 }
 
@@ -83,6 +85,8 @@
     needsListing_ = false;
     nextOffset_ = std::max(listing.nextOffset, core::Offset(1));
     schedule_.onRead(node_.now(), false);
+    ownReadAt_ = node_.now();
+    source_ = HostId();
     if (hasListing_ && era() > before) {
         node_.metrics.beliefChanges.add({"store_era"});
         node_.log.warn("store_era", {{"topic", topicText(topic_)}, {"era", era()}, {"before", before}, {"records", listing.records.size()}});
@@ -104,6 +108,7 @@
     const bool isApplicable = hasListing_ && !needsListing_ && !schedule_.isUrgent() && shared.from <= nextOffset_ && shared.page.nextOffset >= nextOffset_;
     if (isApplicable) {
         schedule_.onPage(node_.now());
+        source_ = shared.sender;
         applyPage(shared.page);
     }
 }
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -28,6 +28,7 @@
 struct SharedPage {
     core::Offset from; // offset at which the read started
     StorePage page;
+    HostId sender{}; // the host that this page came from
 };
 
 struct TopicEvents {
@@ -57,6 +58,8 @@
     [[nodiscard]] Milliseconds interval() const { return schedule_.pause(); }     // between reads
     [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
     [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // last successful read, including pages from other hosts
+    [[nodiscard]] Instant ownReadAt() const { return ownReadAt_; }                // last successful read or listing by this host
+    [[nodiscard]] const HostId &source() const { return source_; } // of the records being applied: the host that sent the page; empty: this host's own read
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
     /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
     void feed(const SharedPage &shared);
@@ -83,6 +86,8 @@
     bool isReachable_ = true;
     bool needsListing_ = true;
     core::Offset nextOffset_;
+    Instant ownReadAt_;
+    HostId source_;
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -864,7 +864,8 @@
                         {"turn_ms", turnWait_},
                         {"first_event_ms", firstEvent_.value_or(Milliseconds(-1))},
                         {"longest_pause_ms", longestPause_},
-                        {"config", routes_ ? routes_->version() : ConfigVersion()}});
+                        {"config", routes_ ? routes_->version() : ConfigVersion()},
+                        {"config_read_ms_ago", node_.now() - node_.operatorsReadAt}});
     }
 
     Node &node_;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -25,7 +25,6 @@
 constexpr Milliseconds suspensionThreshold{500};  // a tick this late means that the host or process was suspended
 constexpr Milliseconds housekeepingInterval{500}; // expires idle connections, leases and lapsed records
 constexpr int percent = 100;
-constexpr int operatorsWaitPercent = 45; // of hosting.configApply: a long-polling read can miss a record (scenario trouble-1), which the next read then returns
 constexpr Milliseconds controlWait{900};
 constexpr Milliseconds startGather{1'000};         // FollowOptions::gather of the control topic while all hosts write their addresses and none has links yet
 constexpr int upstreamsPausePercent = 40;          // of hosting.drain: leaves time for the longest failover delay, a read and queueing
@@ -92,7 +91,7 @@
     , operatorsTopic_(node_,
                       store,
                       Topic::Operators,
-                      longPolling(settings.hosting.configApply * operatorsWaitPercent / percent, settings.hosting.configApply),
+                      optionsWithin(settings.hosting.configApply),
                       {.onListing =
                            [this](const StoreListing &listing) {
                                for (const auto &record : listing.records) {
@@ -101,6 +100,7 @@
                            },
                        .onPage =
                            [this](const StorePage &page) {
+                               node_.operatorsReadAt = operatorsTopic_.readAt();
                                for (const auto &record : page.records) {
                                    applyOperatorRecord(record);
                                }
@@ -270,6 +270,7 @@
     const auto now = node_.now();
     metrics.configVersion.set(node_.routes ? static_cast<double>(node_.routes->version().value()) : 0);
     metrics.configAge.set(static_cast<double>((now - node_.routesActiveSince).count()) / msPerSecond);
+    metrics.operatorsAge.set(static_cast<double>((now - node_.operatorsReadAt).count()) / msPerSecond);
     metrics.upstreamsAge.set(static_cast<double>((now - node_.replicasReadAt).count()) / msPerSecond);
     metrics.knownUpstreams.set(static_cast<double>(node_.replicas.size()));
     metrics.ownedUpstreams.set(static_cast<double>(ownedReplicas_.size()));
@@ -330,7 +331,12 @@
     node_.routes = std::make_shared<const RouteTable>(std::move(*configuration));
     node_.routesActiveSince = node_.now();
     node_.metrics.beliefChanges.add({"configuration"});
-    node_.log.info("configuration_in_force", {{"version", node_.routes->version()}, {"before", before}, {"offset", record.offset}});
+    node_.log.info("configuration_in_force",
+                   {{"version", node_.routes->version()},
+                    {"before", before},
+                    {"offset", record.offset},
+                    {"source", operatorsTopic_.source()},
+                    {"own_read_ms_ago", node_.now() - operatorsTopic_.ownReadAt()}});
     resourcesVersion_ = ~std::uint64_t(0);
     updateResources();
 }
@@ -1125,6 +1131,7 @@
 {
     sendStorePage(page, groups_.forwardTargets(from, page.topic));
     SharedPage shared;
+    shared.sender = from;
     shared.from = Offset(page.from);
     shared.page.oldestOffset = Offset(page.first);
     shared.page.endOffset = Offset(page.next);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -47,6 +47,7 @@
     metrics::Gauge &retryBudget;          // service
     metrics::Gauge &configVersion;
     metrics::Gauge &configAge;
+    metrics::Gauge &operatorsAge;
     metrics::Gauge &upstreamsAge;
     metrics::Gauge &knownUpstreams;
     metrics::Gauge &ownedUpstreams;
@@ -133,6 +134,7 @@
     ServingMetrics metrics;
     std::shared_ptr<const RouteTable> routes; // null until the first configuration has been read
     Instant routesActiveSince;
+    Instant operatorsReadAt; // when the operators topic was last read, by this host or the one whose page it applied
     ReplicaBook replicas;
     Instant replicasReadAt;
     Chooser chooser;
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -4,6 +4,20 @@
 
 namespace baobabstall::serving {
 
+namespace {
+
+constexpr int percent = 100;
+constexpr int waitPercent = 45;         // of the bound: a long-polling read can miss a record, which the next read then returns
+constexpr Milliseconds waitMargin{100}; // for the response of a long-polling read to reach the hosts that share it
+
+} // namespace
+
+FollowOptions optionsWithin(Milliseconds bound)
+{
+    const auto wait = bound * waitPercent / percent;
+    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = bound};
+}
+
 void ReadSchedule::onRead(Instant now, bool hasRecords)
 {
     consecutiveFailures_ = 0;
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -25,6 +25,9 @@
     Milliseconds gather{200}; // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
 };
 
+/// For a topic whose records must have reached every host `bound` after they were appended.
+[[nodiscard]] FollowOptions optionsWithin(Milliseconds bound);
+
 class ReadSchedule
 {
 public:
