After an outage of the store every host reads within the bound of its topic

Cause: a host that does not read first waited up to standby_retry plus its turn after a failed read (4 s on 87 hosts), on top of the failed call's own time-out (2.85 s when the store is silent), and nothing shortened that when the host that reads first was lost. Class: a wait that suits the common case (somebody else reads and shares) without a bound for the case that nobody does. Now a failed read is followed by the next within the topic's bound, counted from its begin; reads after a failure are not held open; and a changed turn takes effect at once. The bound holds for all three topics.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -26,12 +26,21 @@
 net::Task<void> TopicFollower::run()
 {
     while (isRunning_) {
-        schedule_.onReadBegun();
+        schedule_.onReadBegun(node_.now());
         co_await step();
         co_await waitUntilDue();
     }
 }
 
+void TopicFollower::setTurn(Milliseconds readDelay)
+{
+    const auto before = schedule_.nextRead();
+    schedule_.setTurn(readDelay);
+    if (schedule_.nextRead() < before) {
+        timer_.cancel();
+    }
+}
+
 void TopicFollower::stop()
 {
     isRunning_ = false;
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -63,7 +63,7 @@
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
     /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
     void feed(const SharedPage &shared);
-    void setTurn(Milliseconds readDelay) { schedule_.setTurn(readDelay); } // see ReadSchedule, also for the next two
+    void setTurn(Milliseconds readDelay); // see ReadSchedule, also for the next two
     void setGather(Milliseconds delay) { schedule_.setGather(delay); }
     void setUrgent(bool isUrgent) { schedule_.setUrgent(isUrgent); }
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -54,7 +54,7 @@
 /// Long-polling reads. A host that does not read itself waits for the page that another host shares.
 FollowOptions longPolling(Milliseconds wait, Milliseconds standbyRetry)
 {
-    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = standbyRetry};
+    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = standbyRetry, .retryBound = standbyRetry};
 }
 
 std::string_view changeText(BookChange change)
@@ -107,26 +107,27 @@
                            },
                        .onReached = [](bool) {},
                        .onRead = [this](const SharedPage &shared) { shareStorePage(Topic::Operators, shared); }})
-    , upstreamsTopic_(node_,
-                      store,
-                      Topic::Upstreams,
-                      {.pause = settings.hosting.drain * upstreamsPausePercent / percent, .standbyRetry = settings.hosting.drain},
-                      {.onNewEra = [this](core::StoreEra) { node_.replicas.beginEra(node_.now()); },
-                       .onListing = [this](const StoreListing &listing) { applyUpstreamListing(listing); },
-                       .onPage =
-                           [this](const StorePage &page) {
-                               node_.replicasReadAt = node_.now();
-                               node_.replicas.noteStore(true, node_.now()); // also when another host read the page
-                               for (const auto &record : page.records) {
-                                   applyUpstreamRecord(record);
-                               }
-                           },
-                       .onReached =
-                           [this](bool isReached) {
-                               node_.replicas.noteStore(isReached, node_.now(), upstreamsTopic_.readAt());
-                               loadUpstreamCopy();
-                           },
-                       .onRead = [this](const SharedPage &shared) { shareStorePage(Topic::Upstreams, shared); }})
+    , upstreamsTopic_(
+          node_,
+          store,
+          Topic::Upstreams,
+          {.pause = settings.hosting.drain * upstreamsPausePercent / percent, .standbyRetry = settings.hosting.drain, .retryBound = settings.hosting.drain},
+          {.onNewEra = [this](core::StoreEra) { node_.replicas.beginEra(node_.now()); },
+           .onListing = [this](const StoreListing &listing) { applyUpstreamListing(listing); },
+           .onPage =
+               [this](const StorePage &page) {
+                   node_.replicasReadAt = node_.now();
+                   node_.replicas.noteStore(true, node_.now()); // also when another host read the page
+                   for (const auto &record : page.records) {
+                       applyUpstreamRecord(record);
+                   }
+               },
+           .onReached =
+               [this](bool isReached) {
+                   node_.replicas.noteStore(isReached, node_.now(), upstreamsTopic_.readAt());
+                   loadUpstreamCopy();
+               },
+           .onRead = [this](const SharedPage &shared) { shareStorePage(Topic::Upstreams, shared); }})
     , controlTopic_(node_,
                     store,
                     Topic::Control,
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -15,7 +15,13 @@
 FollowOptions optionsWithin(Milliseconds bound)
 {
     const auto wait = bound * waitPercent / percent;
-    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = bound};
+    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = bound, .retryBound = bound};
+}
+
+void ReadSchedule::onReadBegun(Instant now)
+{
+    isReadRequested_ = false;
+    begunAt_ = now;
 }
 
 void ReadSchedule::onRead(Instant now, bool hasRecords)
@@ -30,26 +36,33 @@
 {
     ++consecutiveFailures_;
     endedAt_ = now;
+    isKnown_ = isKnown;
     readAtOfFailure_ = readAt_;
-    retryAt_ = now + retryDelay(isKnown) + readDelay_; // the host that reads first also retries first
 }
 
-Milliseconds ReadSchedule::retryDelay(bool isKnown) const
+Milliseconds ReadSchedule::retryDelay() const
 {
     constexpr int maxDoublings = 6;
-    const bool isStandby = readDelay_.count() > 0 && isKnown;
+    const bool isStandby = readDelay_.count() > 0 && isKnown_;
     const auto first = isStandby ? maxRetryDelay : minRetryDelay;
     const auto longest = isStandby ? std::max(maxRetryDelay, options_.standbyRetry) : maxRetryDelay;
     return std::min(longest, first * (std::int64_t(1) << std::clamp(consecutiveFailures_ - 1, 0, maxDoublings)));
 }
 
+Instant ReadSchedule::nextRetry() const
+{
+    const auto retry = endedAt_ + retryDelay() + readDelay_; // the host that reads first also retries first
+    const bool isBounded = options_.retryBound.count() > 0;
+    return isBounded ? std::min(retry, std::max(endedAt_ + minRetryDelay, begunAt_ + options_.retryBound)) : retry;
+}
+
 Instant ReadSchedule::nextRead() const
 {
     if (isReadRequested_) {
         return {};
     }
-    if (consecutiveFailures_ > 0 && readAt_ <= readAtOfFailure_) {
-        return retryAt_;
+    if (isRetrying()) {
+        return nextRetry();
     }
     if (isUrgent_) {
         return endedAt_ + urgentReadInterval;
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -21,8 +21,9 @@
     Milliseconds wait{0};  // how long the store may hold a read open until a record arrives; 0: it answers immediately
     Milliseconds pause{0}; // between reads
     Milliseconds standbyRetry{
-        600};                 // longest time between failed reads of a host that does not read first: the first one shares its page when the store is back
-    Milliseconds gather{200}; // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
+        600};                   // longest time between failed reads of a host that does not read first: the first one shares its page when the store is back
+    Milliseconds retryBound{0}; // longest time from the begin of a failed read to the next one, turn included; 0: none
+    Milliseconds gather{200};   // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
 };
 
 /// For a topic whose records must have reached every host `bound` after they were appended.
@@ -36,7 +37,7 @@
     { }
 
     // Events.
-    void onReadBegun() { isReadRequested_ = false; }
+    void onReadBegun(Instant now);
     void onRead(Instant now, bool hasRecords);
     void onReadFailed(Instant now, bool isKnown); // `isKnown`: the topic has been listed, so only new records are missing
     void onExpired() { isReadRequested_ = true; } // the records to read are gone; the topic must be listed
@@ -50,7 +51,8 @@
     /// When the next read is due; changes with every event.
     [[nodiscard]] Instant nextRead() const;
     [[nodiscard]] Instant readAt() const { return readAt_; } // last successful read, including pages from other hosts
-    [[nodiscard]] Milliseconds wait() const { return isUrgent_ ? Milliseconds(0) : options_.wait; }
+    /// For the next read. After a failure the answer alone matters, and a call that the store does not answer ends sooner.
+    [[nodiscard]] Milliseconds wait() const { return isUrgent_ || isRetrying() ? Milliseconds(0) : options_.wait; }
     [[nodiscard]] Milliseconds pause() const { return options_.pause; }
     [[nodiscard]] bool isUrgent() const { return isUrgent_; }
 
@@ -59,15 +61,18 @@
     static constexpr Milliseconds urgentReadInterval{20}; // between reads in urgent mode
 
 private:
-    [[nodiscard]] Milliseconds retryDelay(bool isKnown) const;
+    [[nodiscard]] bool isRetrying() const { return consecutiveFailures_ > 0 && readAt_ <= readAtOfFailure_; }
+    [[nodiscard]] Milliseconds retryDelay() const;
+    [[nodiscard]] Instant nextRetry() const;
 
     FollowOptions options_;
     Milliseconds readDelay_{0};
     Instant readAt_;
-    Instant endedAt_; // last own read, successful or not
-    Instant retryAt_;
+    Instant begunAt_;         // last own read
+    Instant endedAt_;         // the same, successful or not
     Instant readAtOfFailure_; // readAt_ when the last read failed; a later page ends the retries
     int consecutiveFailures_ = 0;
+    bool isKnown_ = false; // see onReadFailed()
     bool isLastPageEmpty_ = true;
     bool isReadRequested_ = true;
     bool isUrgent_ = false;
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -206,7 +206,7 @@
     {
         ++reads_;
         host.isReading = true;
-        host.schedule.onReadBegun();
+        host.schedule.onReadBegun(now_);
         const auto begunAt = now_;
         const auto wait = host.schedule.wait();
         if (outage_ == Outage::Refusing && !host.isCut) {
