A shared page is as old as its read, whenever it arrives

Cause: a host took the arrival of a page for the time at which the topic had been read, so pages that waited in a group's leader, a link or a suspended process kept putting off its own read, however old they were; a reader took the answer of the store for just read in the same way. With two levels of hosts the distance of such pages stays regular, so nothing ever noticed. Class: freshness counted from the receipt of data. How long reads are held open follows from the bound and the longest turn in the deployment. Pages move to storepages.h. The same cause elsewhere: the age of the upstreams' records and the judgement whether their store is reachable counted from the receipt as well.

--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -77,7 +77,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UpstreamUses, upstream, adapters)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UsesNotice, uses)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadsNotice, scope, loads)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StorePageNotice, topic, from, first, next, readTo, records)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StorePageNotice, topic, from, first, next, readTo, records, sentAt, ageMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockQuery, askedAt)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockAnswer, askedAt, clock)
 
 namespace {
 
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -3,7 +3,7 @@
 // Index
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
-//   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice
+//   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -210,10 +210,22 @@
     std::uint64_t next = 0;                                   // end of the topic at the time of the read
     std::uint64_t readTo = 0;                                 // where the next read continues
     std::vector<std::pair<std::string, std::string>> records; // key and value
+    std::int64_t sentAt = 0;                                  // by the sender's monotonic clock
+    std::int64_t ageMs = 0;                                   // at sentAt, since the read began; negative: not known
+};
+
+/// Asks for the receiver's monotonic clock.
+struct ClockQuery {
+    std::int64_t askedAt = 0; // by the sender's monotonic clock
+};
+
+struct ClockAnswer {
+    std::int64_t askedAt = 0; // of the query
+    std::int64_t clock = 0;   // the sender's, when it had the query
 };
 
 struct Notice {
-    std::variant<WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice> body;
+    std::variant<WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer> body;
 };
 
 /// A call; its id is unique among the calls of one side of the link.
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -32,10 +32,10 @@
     }
 }
 
-void TopicFollower::setTurn(Milliseconds readDelay)
+void TopicFollower::setTurn(Milliseconds readDelay, Milliseconds longestTurn)
 {
     const auto before = schedule_.nextRead();
-    schedule_.setTurn(readDelay);
+    schedule_.setTurn(readDelay, longestTurn);
     if (schedule_.nextRead() < before) {
         timer_.cancel();
     }
@@ -83,7 +83,7 @@
     setReachable(true, why);
     if (page->nextOffset > nextOffset_ || page->records.empty()) { // otherwise a page from another host was applied during the read
         applyPage(*page);
-        callbacks_.onRead({from, *page, node_.settings.host});
+        callbacks_.onRead({from, *page, node_.settings.host, schedule_.begunAt()});
     }
 }
 
@@ -107,19 +107,22 @@
     callbacks_.onListing(listing);
 }
 
-void TopicFollower::feed(const SharedPage &shared)
+bool TopicFollower::feed(const SharedPage &shared)
 {
     if (hasListing_ && !needsListing_ && core::eraOf(shared.page.nextOffset) > era()) {
         needsListing_ = true;
         hurry();
-        return;
+        return false;
     }
     const bool isApplicable = hasListing_ && !needsListing_ && !schedule_.isUrgent() && shared.from <= nextOffset_ && shared.page.nextOffset >= nextOffset_;
     if (isApplicable) {
-        schedule_.onPage(node_.now());
+        if (shared.readAt) {
+            schedule_.onPage(*shared.readAt);
+        }
         source_ = shared.sender;
         applyPage(shared.page);
     }
+    return isApplicable;
 }
 
 void TopicFollower::applyPage(const StorePage &page)
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -28,7 +28,8 @@
 struct SharedPage {
     core::Offset from; // offset at which the read started
     StorePage page;
-    HostId sender{}; // the host that this page came from
+    HostId sender{};                 // the host that this page came from
+    std::optional<Instant> readAt{}; // when the read began at the latest, by this host's clock; nothing: not known, so the page proves no freshness
 };
 
 struct TopicEvents {
@@ -57,13 +58,16 @@
     [[nodiscard]] bool isReached() const { return isReachable_; }
     [[nodiscard]] Milliseconds interval() const { return schedule_.pause(); }     // between reads
     [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
-    [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // last successful read, including pages from other hosts
+    [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // begin of the newest read known, including those of other hosts
     [[nodiscard]] Instant ownReadAt() const { return ownReadAt_; }                // last successful read or listing by this host
     [[nodiscard]] const HostId &source() const { return source_; } // of the records being applied: the host that sent the page; empty: this host's own read
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
     /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
-    void feed(const SharedPage &shared);
-    void setTurn(Milliseconds readDelay); // see ReadSchedule, also for the next two
+    /// Returns whether the page was applied.
+    bool feed(const SharedPage &shared);
+    /// A page that was applied without its time was read at `readAt`.
+    void onPageDated(Instant readAt) { schedule_.onPage(readAt); }
+    void setTurn(Milliseconds readDelay, Milliseconds longestTurn); // see ReadSchedule, also for the next two
     void setGather(Milliseconds delay) { schedule_.setGather(delay); }
     void setUrgent(bool isUrgent) { schedule_.setUrgent(isUrgent); }
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -25,38 +25,32 @@
 constexpr Milliseconds suspensionThreshold{500};  // a tick this late means that the host or process was suspended
 constexpr Milliseconds housekeepingInterval{500}; // expires idle connections, leases and lapsed records
 constexpr int percent = 100;
-constexpr Milliseconds controlWait{900};
-constexpr Milliseconds startGather{1'000};         // FollowOptions::gather of the control topic while all hosts write their addresses and none has links yet
-constexpr int upstreamsPausePercent = 40;          // of hosting.drain: leaves time for the longest failover delay, a read and queueing
-constexpr Milliseconds waitMargin{100};            // for the response of a long-polling read to reach the hosts that share it
-constexpr std::size_t loadsPerTick = 150;          // upstreams in one message of 3 kB; with more upstreams, loads are exchanged less often
-constexpr std::string_view loadsPurpose = "loads"; // purpose for electing a group's leader
-constexpr std::size_t maxSharedPageBytes = 256 * 1024; // each host reads a larger page itself
-constexpr Milliseconds announceRetryInterval{300};     // between attempts to append the links' key or this host's address
-constexpr Milliseconds peerReplyMargin{50};            // for an owner's reply to arrive
-constexpr Milliseconds firstReplyTimeout{200};         // for an owner to reply that the weights are held or awaited: some round trips and a busy host
-constexpr Milliseconds ownerBackoff{800};              // after an owner did not reply or could not issue orders
-constexpr Milliseconds unlinkedOwnerBackoff{150};      // the same when no link could be opened: all hosts of a deployment start within 0.3 s
-constexpr Milliseconds claimRetryDelay{25};            // a read of the store (4 ms to respond) and the network delay
-constexpr Milliseconds claimStagger{8};                // per host: an append, and the read that other hosts need before their next append
-constexpr Milliseconds firstClaimStagger{30};          // the same when nothing is claimed yet: the whole system starts, seconds before callers connect
-constexpr Milliseconds unownedRetryAfter{1'500};       // Retry-After while an upstream has no owner: a claim and most of a lease
-constexpr Milliseconds balancerDetectionTime{2'600};   // two failed health checks of the load balancer, one per second
-constexpr Milliseconds stopMargin{600};                // before the platform sends SIGKILL
-constexpr Milliseconds drainPollInterval{20};          // while stopping
-constexpr Milliseconds releaseTimeout{500};            // for the last records of a stopping host; an unreachable store must not delay its end
+constexpr Milliseconds controlWait{450};
+constexpr Milliseconds startGather{1'000};           // FollowOptions::gather of the control topic while all hosts write their addresses and none has links yet
+constexpr int upstreamsPausePercent = 40;            // of hosting.drain: leaves time for the longest failover delay, a read and queueing
+constexpr Milliseconds controlPause{1'000};          // two reads, and the time for a page to reach the hosts that share it
+constexpr std::int64_t firstReadsShare = 3;          // of hosting.configApply: the first reads of hosts that start together are spread over a third of it
+constexpr std::size_t loadsPerTick = 150;            // upstreams in one message of 3 kB; with more upstreams, loads are exchanged less often
+constexpr std::string_view loadsPurpose = "loads";   // purpose for electing a group's leader
+constexpr Milliseconds announceRetryInterval{300};   // between attempts to append the links' key or this host's address
+constexpr Milliseconds peerReplyMargin{50};          // for an owner's reply to arrive
+constexpr Milliseconds firstReplyTimeout{200};       // for an owner to reply that the weights are held or awaited: some round trips and a busy host
+constexpr Milliseconds ownerBackoff{800};            // after an owner did not reply or could not issue orders
+constexpr Milliseconds unlinkedOwnerBackoff{150};    // the same when no link could be opened: all hosts of a deployment start within 0.3 s
+constexpr Milliseconds claimRetryDelay{25};          // a read of the store (4 ms to respond) and the network delay
+constexpr Milliseconds claimStagger{8};              // per host: an append, and the read that other hosts need before their next append
+constexpr Milliseconds firstClaimStagger{30};        // the same when nothing is claimed yet: the whole system starts, seconds before callers connect
+constexpr Milliseconds unownedRetryAfter{1'500};     // Retry-After while an upstream has no owner: a claim and most of a lease
+constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
+constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
+constexpr Milliseconds drainPollInterval{20};        // while stopping
+constexpr Milliseconds releaseTimeout{500};          // for the last records of a stopping host; an unreachable store must not delay its end
 
 constexpr std::string_view linkKeyRecord = "key";
 constexpr std::string_view hostPrefix = "host/";
 constexpr std::string_view settledEraKey = "settled_era";
 constexpr std::string_view upstreamCopyKey = "upstreams"; // used at start while the upstreams topic can't be read
 
-/// Long-polling reads. A host that does not read itself waits for the page that another host shares.
-FollowOptions longPolling(Milliseconds wait, Milliseconds standbyRetry)
-{
-    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = standbyRetry, .retryBound = standbyRetry};
-}
-
 std::string_view changeText(BookChange change)
 {
     constexpr std::array<std::string_view, 6> texts = {"none", "came", "restarted", "leaving", "gone", "back"};
@@ -91,7 +85,7 @@
     , operatorsTopic_(node_,
                       store,
                       Topic::Operators,
-                      optionsWithin(settings.hosting.configApply),
+                      {.standbyRetry = settings.hosting.configApply, .retryBound = settings.hosting.configApply, .bound = settings.hosting.configApply},
                       {.onListing =
                            [this](const StoreListing &listing) {
                                for (const auto &record : listing.records) {
@@ -106,7 +100,7 @@
                                }
                            },
                        .onReached = [](bool) {},
-                       .onRead = [this](const SharedPage &shared) { shareStorePage(Topic::Operators, shared); }})
+                       .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Operators, shared); }})
     , upstreamsTopic_(
           node_,
           store,
@@ -127,11 +121,11 @@
                    node_.replicas.noteStore(isReached, node_.now(), upstreamsTopic_.readAt());
                    loadUpstreamCopy();
                },
-           .onRead = [this](const SharedPage &shared) { shareStorePage(Topic::Upstreams, shared); }})
+           .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Upstreams, shared); }})
     , controlTopic_(node_,
                     store,
                     Topic::Control,
-                    longPolling(controlWait, settings.hosting.configApply),
+                    {.wait = controlWait, .pause = controlPause, .standbyRetry = settings.hosting.configApply, .retryBound = settings.hosting.configApply},
                     {.onNewEra = [this](core::StoreEra) { beginControlEra(); },
                      .onListing = [this](const StoreListing &listing) { applyControlListing(listing); },
                      .onPage = [this](const StorePage &page) { applyControlRecords(page.records, page.endOffset); },
@@ -141,8 +135,9 @@
                                  planner_.onLogDown();
                              }
                          },
-                     .onRead = [this](const SharedPage &shared) { shareStorePage(Topic::Control, shared); }})
+                     .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Control, shared); }})
     , incarnation_(incarnation)
+    , storePages_(node_, groups_, {&operatorsTopic_, &upstreamsTopic_, &controlTopic_})
     , loadExchange_(settings.host)
 {
     node_.residency = this;
@@ -185,12 +180,13 @@
 }
 
 /// Until the links tell which host reads for all, every host reads by itself. Hosts of a deployment start together, so their first reads are
-/// spread over one interval; by then most have links.
+/// spread; by then most have links.
 void HostedDaemon::spreadFirstReads()
 {
     startedAt_ = node_.now();
+    const auto spread = node_.settings.hosting.configApply / firstReadsShare;
     for (auto *follower : {&operatorsTopic_, &upstreamsTopic_}) {
-        follower->setTurn(staggerDelay(1, follower->interval(), node_.settings.host.value() + std::string(follower->name())));
+        follower->setTurn(staggerDelay(1, spread, node_.settings.host.value() + std::string(follower->name())), spread);
     }
     controlTopic_.setGather(startGather);
 }
@@ -581,6 +577,7 @@
     if (!links_->listen(*net::Address::parse(node_.settings.listen.peers), why)) {
         node_.log.error("peers_not_listening", why);
     }
+    storePages_.setLinks(*links_);
     for (const auto &[host, announced] : announcedHosts_) {
         if (host != node_.settings.host) {
             links_->setAddress(host, announced.peerAddress);
@@ -1066,7 +1063,11 @@
     if (const auto *uses = std::get_if<peers::UsesNotice>(&notice.body)) {
         handleAdapterUses(from, *uses);
     } else if (const auto *page = std::get_if<peers::StorePageNotice>(&notice.body)) {
-        handleStorePage(from, *page);
+        storePages_.onPage(from, *page);
+    } else if (const auto *query = std::get_if<peers::ClockQuery>(&notice.body)) {
+        storePages_.onClockQuery(from, *query);
+    } else if (const auto *answer = std::get_if<peers::ClockAnswer>(&notice.body)) {
+        storePages_.onClockAnswer(from, *answer);
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
         UpstreamLoads loads;
         for (const auto &[id, running, prefillMs] : update->loads) {
@@ -1077,7 +1078,7 @@
     }
 }
 
-// ---- Shared store pages ----
+// ---- Groups of hosts ----
 
 void HostedDaemon::updateGroups()
 {
@@ -1094,62 +1095,7 @@
     }
     controlTopic_.setGather(FollowOptions().gather);
     for (auto *follower : {&operatorsTopic_, &upstreamsTopic_, &controlTopic_}) {
-        follower->setTurn(groups_.failoverDelay(node_.settings.host, follower->name()));
-    }
-}
-
-void HostedDaemon::shareStorePage(Topic topic, const SharedPage &shared)
-{
-    if (!links_ || node_.isStopping) {
-        return;
-    }
-    peers::StorePageNotice page;
-    page.topic = topicText(topic);
-    page.from = shared.from.value();
-    page.first = shared.page.oldestOffset.value();
-    page.next = shared.page.endOffset.value();
-    page.readTo = shared.page.nextOffset.value();
-    std::size_t bytes = 0;
-    for (const auto &record : shared.page.records) {
-        bytes += record.key.size() + record.value.size();
-        page.records.emplace_back(record.key, record.value);
-    }
-    if (bytes > maxSharedPageBytes) {
-        return;
-    }
-    sendStorePage(page, groups_.shareTargets(page.topic));
-}
-
-void HostedDaemon::sendStorePage(const peers::StorePageNotice &page, const std::vector<HostId> &hosts)
-{
-    for (const auto &host : hosts) {
-        links_->notify(host, {page});
-    }
-}
-
-/// A group's leader forwards a page that came from another group to its own group.
-void HostedDaemon::handleStorePage(const HostId &from, const peers::StorePageNotice &page)
-{
-    sendStorePage(page, groups_.forwardTargets(from, page.topic));
-    SharedPage shared;
-    shared.sender = from;
-    shared.from = Offset(page.from);
-    shared.page.oldestOffset = Offset(page.first);
-    shared.page.endOffset = Offset(page.next);
-    shared.page.nextOffset = Offset(page.readTo);
-    auto offset = shared.from;
-    for (const auto &[key, value] : page.records) {
-        shared.page.records.push_back({offset, key, value});
-        offset = offset.next();
-    }
-    if (offset != shared.page.nextOffset) {
-        node_.log.warn("feed_unsound", {{"topic", settings::printableText(page.topic)}, {"from", page.from}, {"read_to", page.readTo}});
-        return;
-    }
-    for (auto *follower : {&operatorsTopic_, &upstreamsTopic_, &controlTopic_}) {
-        if (follower->name() == page.topic) {
-            follower->feed(shared);
-        }
+        follower->setTurn(groups_.failoverDelay(node_.settings.host, follower->name()), groups_.longestFailoverDelay());
     }
 }
 
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -25,6 +25,7 @@
 #include <serving/loadexchange.h>
 #include <serving/ownedreplica.h>
 #include <serving/prefillgate.h>
+#include <serving/storepages.h>
 
 namespace baobabstall::serving {
 
@@ -111,9 +112,6 @@
     void sendAdapterUses();
     void exchangeLoads();
     void applyLoads();
-    void shareStorePage(Topic topic, const SharedPage &shared);
-    void sendStorePage(const peers::StorePageNotice &page, const std::vector<HostId> &hosts);
-    void handleStorePage(const HostId &from, const peers::StorePageNotice &page);
     void updateGroups();
 
     Node node_;
@@ -137,6 +135,7 @@
     std::map<UpstreamId, Instant> orderBackoffUntil_; // upstreams whose owner could not issue orders
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> ownedReplicas_;
     HostGroups groups_; // hosts that share store reads and counts of running requests
+    StorePages storePages_;
     LoadExchange loadExchange_;
     std::uint64_t loadExchangeTicks_ = 0;
     std::map<HostId, std::set<UpstreamId>> reportedUses_; // per owner: upstreams in the last report of adapters in use
--- a/packages/serving/hostgroups.cpp
+++ b/packages/serving/hostgroups.cpp
@@ -82,6 +82,16 @@
     return leader < static_cast<std::ptrdiff_t>(allLeaders.size()) ? delay : delay + memberDelayStep * member;
 }
 
+Milliseconds HostGroups::longestFailoverDelay() const
+{
+    std::size_t largest = 1;
+    for (const auto &group : groups_) {
+        largest = std::max(largest, group.size());
+    }
+    return leaderDelayStep * std::min<std::int64_t>(static_cast<std::int64_t>(groups_.size()), maxLeaderSteps)
+        + memberDelayStep * static_cast<std::int64_t>(largest - 1);
+}
+
 std::vector<HostId> HostGroups::shareTargets(std::string_view purpose) const
 {
     auto targets = members(purpose);
--- a/packages/serving/hostgroups.h
+++ b/packages/serving/hostgroups.h
@@ -50,6 +50,8 @@
     /// then the members of the own group.
     [[nodiscard]] Milliseconds failoverDelay(const HostId &host, std::string_view purpose) const;
 
+    [[nodiscard]] Milliseconds longestFailoverDelay() const; // of any host, whatever the purpose
+
     static constexpr Milliseconds leaderDelayStep{200}; // between two leaders: covers a read of the store, the transfer of a page and a busy host
     static constexpr std::int64_t maxLeaderSteps = 4;   // later leaders and members wait no longer, which bounds the age of shared data
     static constexpr Milliseconds memberDelayStep{10};  // between two members of a group: covers an answer of the store and its transfer
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -6,16 +6,27 @@
 
 namespace {
 
-constexpr int percent = 100;
-constexpr int waitPercent = 45;         // of the bound: a long-polling read can miss a record, which the next read then returns
-constexpr Milliseconds waitMargin{100}; // for the response of a long-polling read to reach the hosts that share it
+constexpr Milliseconds pageMargin{100}; // for a page to reach the hosts that share it
+constexpr Milliseconds readMargin{150}; // for a read of the store at a busy host
+constexpr Milliseconds minWait{100};
 
 } // namespace
 
-FollowOptions optionsWithin(Milliseconds bound)
+ReadSchedule::ReadSchedule(FollowOptions options)
+    : options_(options)
 {
-    const auto wait = bound * waitPercent / percent;
-    return {.wait = wait, .pause = wait + waitMargin, .standbyRetry = bound, .retryBound = bound};
+    setTurn(Milliseconds(0), Milliseconds(0));
+}
+
+/// A record that was appended right after a read began comes with the page of the next read. A host that gets neither page reads after its
+/// turn, also the last one, within the bound.
+void ReadSchedule::setTurn(Milliseconds readDelay, Milliseconds longestTurn)
+{
+    readDelay_ = readDelay;
+    if (options_.bound.count() > 0) {
+        options_.wait = std::max(minWait, (options_.bound - longestTurn - pageMargin - readMargin) / 2);
+        options_.pause = options_.wait * 2 + pageMargin;
+    }
 }
 
 void ReadSchedule::onReadBegun(Instant now)
@@ -27,7 +38,7 @@
 void ReadSchedule::onRead(Instant now, bool hasRecords)
 {
     consecutiveFailures_ = 0;
-    readAt_ = now;
+    readAt_ = std::max(readAt_, begunAt_);
     endedAt_ = now;
     isLastPageEmpty_ = !hasRecords;
 }
@@ -69,7 +80,7 @@
     }
     const bool readsFirst = readDelay_.count() == 0 && options_.wait.count() > 0; // the store paces the reads by holding them open
     const auto batchDelay = isLastPageEmpty_ ? Milliseconds(0) : options_.gather;
-    return readAt_ + (readsFirst ? batchDelay : options_.pause + readDelay_);
+    return readsFirst ? endedAt_ + batchDelay : readAt_ + options_.pause + readDelay_;
 }
 
 } // namespace baobabstall::serving
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -3,13 +3,16 @@
 //   ReadSchedule schedule({.wait = Milliseconds(2'000), .pause = Milliseconds(2'100)});
 //   schedule.setTurn(groups.failoverDelay(ownHost, topic));
 //   schedule.onRead(now, hasRecords);    // an own read or listing succeeded
-//   schedule.onPage(now);                // a page of another host was applied
+//   schedule.onPage(readAt);             // a page of another host was applied; that host's read began then
 //   schedule.onReadFailed(now, isKnown);
 //   if (now >= schedule.nextRead()) { schedule.onReadBegun(); ... }
 //
-// The host whose turn is 0 reads continuously and shares its pages. Any other host reads when it has got no page for `pause` plus its turn.
+// The host whose turn is 0 reads continuously and shares its pages. Any other host reads when the newest read that it knows of began longer
+// than `pause` plus its turn ago. Times count from the begin of a read: what was appended before is in its page, however late the page comes.
 #pragma once
 
+#include <algorithm>
+
 #include <core/types.h>
 
 namespace baobabstall::serving {
@@ -19,38 +22,36 @@
 
 struct FollowOptions {
     Milliseconds wait{0};  // how long the store may hold a read open until a record arrives; 0: it answers immediately
-    Milliseconds pause{0}; // between reads
+    Milliseconds pause{0}; // from the begin of one read to that of the next
     Milliseconds standbyRetry{
         600};                   // longest time between failed reads of a host that does not read first: the first one shares its page when the store is back
     Milliseconds retryBound{0}; // longest time from the begin of a failed read to the next one, turn included; 0: none
+    Milliseconds bound{0};      // from an append until every host has the record; above 0 it sets `wait` and `pause` by the longest turn of any host
     Milliseconds gather{200};   // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
 };
 
-/// For a topic whose records must have reached every host `bound` after they were appended.
-[[nodiscard]] FollowOptions optionsWithin(Milliseconds bound);
-
 class ReadSchedule
 {
 public:
-    explicit ReadSchedule(FollowOptions options)
-        : options_(options)
-    { }
+    explicit ReadSchedule(FollowOptions options);
 
     // Events.
     void onReadBegun(Instant now);
     void onRead(Instant now, bool hasRecords);
     void onReadFailed(Instant now, bool isKnown); // `isKnown`: the topic has been listed, so only new records are missing
     void onExpired() { isReadRequested_ = true; } // the records to read are gone; the topic must be listed
-    void onPage(Instant now) { readAt_ = now; }
+    void onPage(Instant readAt) { readAt_ = std::max(readAt_, readAt); }
     void requestRead() { isReadRequested_ = true; }
 
-    void setTurn(Milliseconds readDelay) { readDelay_ = readDelay; } // 0: this host reads first
+    /// `readDelay`: 0: this host reads first. `longestTurn`: the longest such delay of any host.
+    void setTurn(Milliseconds readDelay, Milliseconds longestTurn);
     void setGather(Milliseconds delay) { options_.gather = delay; }
     void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; } // reads don't wait for new records, because the caller needs to reach the end of the topic
 
     /// When the next read is due; changes with every event.
     [[nodiscard]] Instant nextRead() const;
-    [[nodiscard]] Instant readAt() const { return readAt_; } // last successful read, including pages from other hosts
+    [[nodiscard]] Instant readAt() const { return readAt_; }   // begin of the newest successful read, of this host or of one whose page it applied
+    [[nodiscard]] Instant begunAt() const { return begunAt_; } // last own read, successful or not
     /// For the next read. After a failure the answer alone matters, and a call that the store does not answer ends sooner.
     [[nodiscard]] Milliseconds wait() const { return isUrgent_ || isRetrying() ? Milliseconds(0) : options_.wait; }
     [[nodiscard]] Milliseconds pause() const { return options_.pause; }
--- a/packages/serving/tests/followertest.cpp
+++ b/packages/serving/tests/followertest.cpp
@@ -216,10 +216,10 @@
 TEST_F(FollowerTest, a_host_that_receives_shared_pages_does_not_read_the_store)
 {
     auto &follower = startFollower({.pause = Milliseconds(300)});
-    follower.setTurn(Milliseconds(300));
+    follower.setTurn(Milliseconds(300), Milliseconds(300));
     ASSERT_TRUE(runUntil([&] { return follower.isKnown(); }));
     for (std::uint64_t offset = 1; offset <= 4; ++offset) {
-        follower.feed({Offset(offset), {{makeRecord(offset)}, Offset(1), Offset(offset + 1), Offset(offset + 1)}});
+        follower.feed({Offset(offset), {{makeRecord(offset)}, Offset(1), Offset(offset + 1), Offset(offset + 1)}, HostId("entry-2"), node_.now()});
         runFor(Milliseconds(200));
     }
     EXPECT_EQ(store_.readCount, 0);
@@ -228,6 +228,39 @@
     ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 5; })) << "without shared pages it reads the store itself";
 }
 
+// Guards against a host that takes the configuration of some seconds ago for the present one (issue 23, CONFIG): pages that arrived late, one
+// after the other, each put off its own read.
+TEST_F(FollowerTest, a_page_that_arrives_late_or_without_its_time_is_applied_and_puts_off_no_read)
+{
+    for (const bool isDated : {true, false}) {
+        auto &follower = startFollower({.pause = Milliseconds(300)});
+        follower.setTurn(Milliseconds(200), Milliseconds(200));
+        ASSERT_TRUE(runUntil([&] { return follower.isKnown(); }));
+        const int readsBefore = store_.readCount;
+        const auto begin = node_.now();
+        for (int i = 0; i < 7; ++i) {
+            follower.feed({Offset(1), {{}, Offset(1), Offset(1), Offset(1)}, HostId("entry-2"), isDated ? std::optional(begin) : std::nullopt});
+            runFor(Milliseconds(100));
+        }
+        EXPECT_EQ(store_.readCount, readsBefore + 1);
+        follower.stop();
+        runFor(shortDelay);
+    }
+}
+
+TEST_F(FollowerTest, the_time_of_a_page_that_is_learnt_later_puts_off_the_read)
+{
+    auto &follower = startFollower({.pause = Milliseconds(300)});
+    follower.setTurn(Milliseconds(200), Milliseconds(200));
+    ASSERT_TRUE(runUntil([&] { return follower.isKnown(); }));
+    for (int i = 0; i < 7; ++i) {
+        ASSERT_TRUE(follower.feed({Offset(1), {{}, Offset(1), Offset(1), Offset(1)}, HostId("entry-2")}));
+        follower.onPageDated(node_.now());
+        runFor(Milliseconds(100));
+    }
+    EXPECT_EQ(store_.readCount, 0);
+}
+
 TEST_F(FollowerTest, a_shared_page_after_a_gap_is_ignored)
 {
     auto &follower = startFollower({.pause = Milliseconds(500)});
@@ -241,7 +274,7 @@
 TEST_F(FollowerTest, a_host_with_a_longer_read_delay_retries_less_often_during_an_outage)
 {
     auto &follower = startFollower({.pause = shortDelay});
-    follower.setTurn(Milliseconds(900));
+    follower.setTurn(Milliseconds(900), Milliseconds(900));
     ASSERT_TRUE(runUntil([&] { return follower.isKnown(); }));
     store_.isDown = true;
     ASSERT_TRUE(runUntil([&] { return !follower.isReached(); }));
@@ -304,7 +337,7 @@
 {
     store_.records = {makeRecord(1), makeRecord(2)};
     auto &follower = startFollower({.pause = Milliseconds(3'000)});
-    follower.setTurn(Milliseconds(1'000));
+    follower.setTurn(Milliseconds(1'000), Milliseconds(1'000));
     ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 2; }));
     runFor(Milliseconds(30));
     const SharedPage late{Offset(3), {{makeRecord(3)}, Offset(1), Offset(4), Offset(4)}};
@@ -324,7 +357,7 @@
     store_.records = {makeRecord(1)};
     auto &follower = startFollower({.pause = Milliseconds(50), .standbyRetry = Milliseconds(2'400)});
     ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 1; }));
-    follower.setTurn(Milliseconds(30));
+    follower.setTurn(Milliseconds(30), Milliseconds(30));
     store_.isDown = true;
     runFor(Milliseconds(2'000));
     EXPECT_LE(store_.readCount, 4);
@@ -334,13 +367,13 @@
 {
     store_.records = {makeRecord(1)};
     auto &follower = startFollower({.pause = Milliseconds(400), .standbyRetry = Milliseconds(2'400)});
-    follower.setTurn(Milliseconds(30));
+    follower.setTurn(Milliseconds(30), Milliseconds(30));
     ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 1; }));
     store_.isDown = true;
     ASSERT_TRUE(runUntil([&] { return !follower.isReached(); }));
     const auto reads = store_.readCount;
     for (int i = 0; i < 8; ++i) {
-        follower.feed({Offset(2), {{}, Offset(1), Offset(2), Offset(2)}});
+        follower.feed({Offset(2), {{}, Offset(1), Offset(2), Offset(2)}, HostId("entry-2"), node_.now()});
         runFor(Milliseconds(100));
     }
     EXPECT_LE(store_.readCount, reads + 1);
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -23,6 +23,7 @@
         int hosts = 87;
         FollowOptions follow;
         Milliseconds callTimeout{1'500}; // of a call to the store, besides the time that a read is held open
+        bool arePagesShared = true;      // false: pages are too large
     };
     enum class Outage { None, Refusing, Silent };
 
@@ -114,7 +115,7 @@
     {
         std::vector<HostId> late;
         for (const auto &[id, host] : hosts_) {
-            const bool isCalm = host->isAlive && host->harmedAt < since && host->sendDelay.count() == 0 && !host->isCut;
+            const bool isCalm = host->isAlive && host->harmedAt < since && host->suspendedUntil < since && host->sendDelay.count() == 0 && !host->isCut;
             const auto applied = host->appliedAt.find(number);
             if (isCalm && (applied == host->appliedAt.end() || applied->second > deadline)) {
                 late.push_back(id);
@@ -167,7 +168,7 @@
     {
         for (auto &[id, host] : hosts_) {
             host->groups.assign(grouped_, id);
-            host->schedule.setTurn(host->groups.failoverDelay(id, topic));
+            host->schedule.setTurn(host->groups.failoverDelay(id, topic), host->groups.longestFailoverDelay());
             wake(*host);
         }
     }
@@ -247,7 +248,9 @@
         host.schedule.onRead(now_, hasRecords);
         if (page->to > host.known || !hasRecords) {
             apply(host, *page);
-            send(host, host.groups.shareTargets(topic), *page);
+            if (options_.arePagesShared) {
+                send(host, host.groups.shareTargets(topic), *page);
+            }
         }
         wake(host);
     }
@@ -268,7 +271,7 @@
     {
         send(host, host.groups.forwardTargets(from, topic), page);
         if (page.from <= host.known && page.to >= host.known) {
-            host.schedule.onPage(now_);
+            host.schedule.onPage(page.readAt);
             apply(host, page);
         }
     }
--- a/packages/serving/tests/topicspreadtest.cpp
+++ b/packages/serving/tests/topicspreadtest.cpp
@@ -12,7 +12,7 @@
 
 TopicSpread::Options largeDeployment()
 {
-    return {.zones = 3, .hosts = 87, .follow = optionsWithin(configApply)};
+    return {.zones = 3, .hosts = 87, .follow = {.standbyRetry = configApply, .retryBound = configApply, .bound = configApply}};
 }
 
 /// Plays one configuration every 700 ms from `from` to `to` and returns the number of times that a calm host had one too late.
@@ -95,6 +95,29 @@
     }
 }
 
+// Pattern: configurations with so many routes that a page is too large to share.
+TEST(TopicSpread, hosts_that_get_no_pages_have_a_configuration_in_time)
+{
+    for (const int hosts : {8, 87, 195}) {
+        auto options = largeDeployment();
+        options.hosts = hosts;
+        options.arePagesShared = false;
+        TopicSpread spread(options);
+        EXPECT_EQ(lateApplications(spread, Instant(5'000), Instant(25'000)), 0) << hosts << " hosts";
+    }
+}
+
+// Pattern: one host reads for all, and nothing happens.
+TEST(TopicSpread, a_calm_deployment_reads_the_store_about_as_often_as_its_reader)
+{
+    TopicSpread spread(largeDeployment());
+    spread.runUntil(Instant(4'000));
+    const int before = spread.reads();
+    spread.runUntil(Instant(34'000));
+    constexpr int readsPerSecond = 2;
+    EXPECT_LE(spread.reads() - before, 30 * readsPerSecond);
+}
+
 // Pattern: some hosts of every kind are slow, suspended, cut from the store or lost while configurations come in quick succession.
 TEST(TopicSpread, calm_hosts_have_configurations_in_time_whatever_befalls_a_tenth_of_the_others)
 {
