--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -275,6 +275,7 @@
     metrics.upstreamConnections.set({"opened"}, static_cast<double>(node_.pool.opened()));
     metrics.callerConnections.set({"open"}, static_cast<double>(callerServer_.connections()));
     metrics.callerConnections.set({"busy"}, static_cast<double>(callerServer_.busyConnections()));
+    metrics.limitedUpstreams.set(static_cast<double>(node_.limits.size()));
     metrics.residencyLeases.set(static_cast<double>(node_.leases.size()));
     metrics.logLinesDropped.set(static_cast<double>(logging::Log::droppedLines()));
     if (node_.routes) {
@@ -395,6 +396,9 @@
     if (change == BookChange::Restarted) {
         node_.backoffs.end(id);
     }
+    if (change == BookChange::Restarted || change == BookChange::Gone) {
+        node_.limits.end(id);
+    }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
         node_.leases.drop(id);
         node_.pool.forget(id);
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -171,6 +171,8 @@
     bool isMisdirected = false;          // with notRun: the replica or its weights are not the expected ones
     bool isLeaving = false;              // the upstream will stop soon and wants no further requests
     std::optional<Milliseconds> backoff; // with a refusal: the upstream wants nothing from this host for so long
+    std::optional<double> requestLimit;  // requests a second that the upstream takes from all hosts together
+    std::string unreadableLimit;         // the field's text when it is not a number; the limit known so far stays
     std::string unreadableBackoff;       // the field's text when it is not a number of seconds; the refusal then names no delay
 };
 
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -39,6 +39,7 @@
     , upstreamsAge(registry.gauge({"upstreams_age_seconds", "since upstreams' records were last read", {}, 1}))
     , knownUpstreams(registry.gauge({"upstreams", "upstreams known", {}, 1}))
     , ownedUpstreams(registry.gauge({"owned_upstreams", "upstreams that this host may order about", {}, 1}))
+    , limitedUpstreams(registry.gauge({"limited_upstreams", "upstreams that named a number of requests a second for all hosts", {}, 1}))
     , upstreamConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
     , callerConnections(registry.gauge({"caller_connections", "connections of callers", {"state"}, 4}))
     , residencyLeases(registry.gauge({"residency_leases", "weights promised to this host", {}, 1}))
@@ -140,6 +141,7 @@
     if (!answer.unreadableBackoff.empty()) {
         log.warn("backoff_unreadable", {{"upstream", id}, {"value", settings::printableText(answer.unreadableBackoff)}, {"next", "no backoff"}});
     }
+    applyLimit(id, answer);
     bool isContactEnded = false;
     if (answer.isLeaving && replicas.markLeaving(id, startTime) == BookChange::Leaving) {
         metrics.beliefChanges.add({"leaving_by_answer"});
@@ -169,6 +171,30 @@
     applyUpstreamState(replica, codec.readAnswer(answer.status, headers));
 }
 
+void Node::applyLimit(const UpstreamId &id, const ResponseMetadata &answer)
+{
+    if (!answer.unreadableLimit.empty()) {
+        log.warn("limit_unreadable", {{"upstream", id}, {"value", settings::printableText(answer.unreadableLimit)}, {"next", "the limit known so far"}});
+        return;
+    }
+    const auto before = limits.find(id);
+    switch (limits.onAnswer(id, answer.requestLimit, now())) {
+    case UpstreamLimits::Change::None:
+        break;
+    case UpstreamLimits::Change::Begun:
+        metrics.beliefChanges.add({"limit_begun"});
+        log.info("limit_begun", {{"upstream", id}, {"per_second", *answer.requestLimit}, {"limits", limits.size()}});
+        break;
+    case UpstreamLimits::Change::Changed:
+        log.info("limit_changed", {{"upstream", id}, {"per_second", *answer.requestLimit}, {"before", before->perSecond}});
+        break;
+    case UpstreamLimits::Change::Ended:
+        metrics.beliefChanges.add({"limit_ended"});
+        log.info("limit_ended", {{"upstream", id}, {"source", "answer"}, {"named_ms_ago", now() - before->namedAt}});
+        break;
+    }
+}
+
 void Node::setHostCount(int count)
 {
     hostCount = std::max(1, count);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -24,6 +24,7 @@
 #include <serving/replicabook.h>
 #include <serving/residency.h>
 #include <serving/routes.h>
+#include <serving/upstreamlimits.h>
 #include <serving/upstreams.h>
 #include <settings/settings.h>
 
@@ -51,6 +52,7 @@
     metrics::Gauge &upstreamsAge;
     metrics::Gauge &knownUpstreams;
     metrics::Gauge &ownedUpstreams;
+    metrics::Gauge &limitedUpstreams;
     metrics::Gauge &upstreamConnections; // state
     metrics::Gauge &callerConnections;   // state
     metrics::Gauge &residencyLeases;
@@ -125,6 +127,7 @@
     void applyUpstreamState(const ReplicaRecord &replica, const ResponseMetadata &answer);
     /// The same for the answer to an order or a report.
     void applyUpstreamState(const ReplicaRecord &replica, const net::HttpResponse &answer);
+    void applyLimit(const UpstreamId &id, const ResponseMetadata &answer);
     [[nodiscard]] std::vector<AdapterKey> weightsInUse(const UpstreamId &upstream) const; // by requests of this host
 
     boost::asio::io_context &io;
@@ -140,6 +143,7 @@
     Chooser chooser;
     LeaseTable leases;
     Backoffs backoffs;
+    UpstreamLimits limits;
     std::function<void(const UpstreamId &)> onNoContact; // the upstream is leaving or asked this host to back off; may be empty
     UpstreamPool pool;
     std::map<AdapterKey, ActiveRevision> activeRevisions;
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -24,8 +24,8 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Tokens, Last, Seal, Not-Run, Replica, Leaving, Backoff (ms). Set by the forwarder:
-/// To, Left, Revision.
+/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Tokens, Last, Seal, Not-Run, Replica, Leaving, Backoff (ms), Limit (a second). Set
+/// by the forwarder: To, Left, Revision.
 class FakeCodec : public Codec
 {
 public:
@@ -66,6 +66,7 @@
             facts.notRun = facts.notRun || name == "Not-Run";
             facts.isLeaving = facts.isLeaving || name == "Leaving";
             facts.backoff = name == "Backoff" ? std::optional(Milliseconds(std::stoll(std::string(value)))) : facts.backoff;
+            facts.requestLimit = name == "Limit" ? std::optional(std::stod(std::string(value))) : facts.requestLimit;
             facts.upstream = name == "Replica" ? UpstreamId(std::string(value)) : facts.upstream;
         }
         return facts;
--- a/programs/baobabstall/story.cpp
+++ b/programs/baobabstall/story.cpp
@@ -60,6 +60,10 @@
     upstreams.erase("");
     const std::set<std::string> upstreamBeliefs = {"upstream_changed",
                                                    "upstream_leaving",
+                                                   "limit_begun",
+                                                   "limit_changed",
+                                                   "limit_ended",
+                                                   "limit_unreadable",
                                                    "backoff_begun",
                                                    "backoff_ended",
                                                    "backoff_unreadable",
