The owner of a limited upstream gives out its requests to all hosts

Cause: nothing read the limit; and no rule of a host for itself bounds the sum over hosts. Class: a bound over all hosts without one place that counts. Change: a host that was told a limit asks the upstream's owner before each send (sendrate.h counts, sendgate.h asks). The owner grants the limit's rate from one count, with no stock after a change of the owner; what it refuses goes to other upstreams, or is refused at once with the time of the next permit. Without an owner that answers nothing is sent to that upstream. The end of a limit goes through the owner too, so that hosts without a permit hear of it. A limited upstream is not chosen for adapters that it would have to load.

--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -3,7 +3,7 @@
 // Index
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
-//   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer
+//   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -11,6 +11,7 @@
 //     ServiceCall    run this keyed call in its partition             -> ServiceReply
 //     ListsCall      which lists are active on the peer?              -> ListsReply
 //     ResidencyCall  load these weights on this replica               -> WaitingReply, ResidencyReply
+//     SendCall       may this request be sent to this limited upstream? -> SendReply
 //     any of them                                                     -> ErrorReply instead
 //   encode(), decode()
 //
@@ -110,7 +111,15 @@
     std::int64_t waitMs = 0; // the turn starts after this at the latest
 };
 
-using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall>;
+/// Asks the owner of an upstream that named a limit for all hosts together whether one request may be sent to it.
+struct SendCall {
+    core::UpstreamId upstream;
+    double perSecond = 0;       // the limit, as the caller knows it
+    std::int64_t ageMs = 0;     // since the upstream last named it
+    std::int64_t maxWaitMs = 0; // how long the request may wait for its permit
+};
+
+using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall, SendCall>;
 
 /// How soon an engine would start a request.
 struct HintReply {
@@ -167,7 +176,14 @@
     std::int64_t expectedMs = 0; // counted from the reply
 };
 
-using ReplyBody = std::variant<HintReply, StartedReply, DataReply, EndReply, GrantReply, ServiceReply, ListsReply, ErrorReply, ResidencyReply, WaitingReply>;
+struct SendReply {
+    bool isLimited = true; // false: the limit has ended; send without asking
+    bool isGranted = false;
+    std::int64_t waitMs = 0; // until the request may be sent; without a grant, until asking again makes sense
+};
+
+using ReplyBody
+    = std::variant<HintReply, StartedReply, DataReply, EndReply, GrantReply, ServiceReply, ListsReply, ErrorReply, ResidencyReply, WaitingReply, SendReply>;
 
 /// Number of replicas that an adapter should be resident on, where it differs from the usual one.
 struct WidthNotice {
@@ -224,8 +240,13 @@
     std::int64_t clock = 0;   // the sender's, when it had the query
 };
 
+/// Tells the owner of an upstream that an answer of it named no limit any more.
+struct LimitEndNotice {
+    core::UpstreamId upstream;
+};
+
 struct Notice {
-    std::variant<WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer> body;
+    std::variant<WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice> body;
 };
 
 /// A call; its id is unique among the calls of one side of the link.
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -44,6 +44,9 @@
 constexpr double smallPromptShare = 1.0 / 8;         // of the prompt tokens that a replica may process at a time; a smaller prompt needs no turn
 constexpr double turnWaitShare = 0.5;                // of the time until a request is late, for waiting for its turn; the rest is for its prefill
 constexpr double lateTurnWaitShare = 0.1;            // the same of the remaining time of a request that is late
+constexpr double permitWaitShare = 0.5;              // of the time until a request is late, for waiting for a permit when every upstream is limited
+constexpr Milliseconds maxPermitDelay{250};          // a permit that this host comes to use later than this after its time is not used
+constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
 constexpr double freeSlotFill = 1;                   // running requests per slot; below it a request starts immediately
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
@@ -145,14 +148,13 @@
             const bool isExcluded = std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
             const bool isFull = serviceSpec_ != nullptr && serviceSpec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.localOccupancy(id).running >= connectionShare();
-            if (isExcluded || isFull || node_.backoffs.isActive(id, node_.now()) || (needsModel && !record->holds(model))
-                || (onlyHolders_ && !isHeld(*record))) {
+            if (isExcluded || isFull || !node_.maySend(id) || (needsModel && !record->holds(model)) || (onlyHolders_ && !isHeld(*record))) {
                 continue;
             }
             Candidate candidate{record, true, true};
             if (isEngine() && !metadata_.weights.model.empty()) {
                 candidate.holdsWeights = isHeld(*record);
-                candidate.canLoad = node_.residency->canOrder(id);
+                candidate.canLoad = node_.residency->canOrder(id) && !node_.limits.find(id);
             }
             found.push_back(candidate);
         }
@@ -192,12 +194,12 @@
         return std::max(minFill, static_cast<double>(route_->latencyObjective.count()) / typicalWorkMs);
     }
 
-    /// Until the first upstream of the service accepts requests again; nullopt unless all of them asked this host for a backoff.
-    [[nodiscard]] std::optional<Milliseconds> shortestBackoff() const
+    /// Until the first upstream of the service accepts requests again; nullopt unless all of them back off or are at their limits.
+    [[nodiscard]] std::optional<Milliseconds> shortestPause() const
     {
         std::optional<Milliseconds> shortest;
         for (const auto &id : node_.replicas.usable(*service_)) {
-            const auto remaining = node_.backoffs.remaining(id, node_.now());
+            const auto remaining = node_.remainingPause(id);
             shortest = shortest ? std::min(*shortest, remaining) : remaining;
         }
         return shortest && shortest->count() > 0 ? shortest : std::nullopt;
@@ -325,6 +327,10 @@
         wasSent_ = false;
         const bool isResend = std::find(sentTo_.begin(), sentTo_.end(), replica.id) != sentTo_.end();
         mayRetrySame_ = false;
+        if (!co_await takeSendPermit(replica)) {
+            excluded_.push_back(replica.id);
+            co_return false;
+        }
         Error why;
         node_.chooser.beginSend(replica.id);
         if (namesAdapter()) {
@@ -362,6 +368,39 @@
         co_return co_await readResponse(replica);
     }
 
+    /// False: all hosts together have sent the upstream what it takes at present.
+    net::Task<bool> takeSendPermit(const ReplicaRecord &replica)
+    {
+        const auto limit = node_.limits.find(replica.id);
+        if (!limit) {
+            co_return true;
+        }
+        const auto begin = node_.now();
+        const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - begin;
+        const double maxWaitMs = hasUnlimitedCandidate() ? 0 : std::max(0.0, static_cast<double>(timeUntilLate.count()) * permitWaitShare);
+        const auto permit = co_await node_.residency->takeSendPermit(replica.id, *limit, Milliseconds(static_cast<std::int64_t>(maxWaitMs)));
+        if (!permit.isLimited) {
+            node_.endLimit(replica.id);
+            co_return true;
+        }
+        if (!permit.isGranted) {
+            node_.limits.block(replica.id, node_.now() + std::min(permit.wait, maxPermitBlock));
+            refusalReason_ = "upstream_limited";
+            retryAfter_ = permit.wait;
+            co_return false;
+        }
+        if (permit.wait.count() > 0) {
+            co_await net::sleep(node_.io, permit.wait);
+        }
+        co_return node_.now() - begin <= permit.wait + maxPermitDelay && !isFinished() && node_.mayContact(replica.id);
+    }
+
+    [[nodiscard]] bool hasUnlimitedCandidate() const
+    {
+        const auto all = candidates();
+        return std::any_of(all.begin(), all.end(), [this](const Candidate &each) { return !node_.limits.find(each.replica->id); });
+    }
+
     /// A prompt that is processed between the tokens of other streams delays them, so it waits for its turn within a part of the objective.
     net::Task<void> awaitPrefillTurn(UpstreamId replica)
     {
@@ -772,9 +811,9 @@
             co_return;
         }
         const bool isDeadlinePassed = timeLeft() < minSendTime;
-        if (const auto backoff = shortestBackoff(); backoff && !isDeadlinePassed) {
-            refusalReason_ = "upstreams_backing_off";
-            retryAfter_ = backoff;
+        if (const auto pause = shortestPause(); pause && !isDeadlinePassed) {
+            refusalReason_ = "upstreams_pausing";
+            retryAfter_ = pause;
         }
         if (mayHaveRun_) {
             co_await refuse(isDeadlinePassed ? 504 : 502, isDeadlinePassed ? "deadline" : refusalReason_, std::nullopt);
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -40,6 +40,7 @@
 constexpr Milliseconds claimRetryDelay{25};          // a read of the store (4 ms to respond) and the network delay
 constexpr Milliseconds claimStagger{8};              // per host: an append, and the read that other hosts need before their next append
 constexpr Milliseconds firstClaimStagger{30};        // the same when nothing is claimed yet: the whole system starts, seconds before callers connect
+constexpr Milliseconds unownedSendWait{300};         // before the owner of a limited upstream is looked for again
 constexpr Milliseconds unownedRetryAfter{1'500};     // Retry-After while an upstream has no owner: a claim and most of a lease
 constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
 constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
@@ -72,6 +73,7 @@
     , planner_({settings.host, settings.zone, incarnation}, settings.ownership, settings.platform.retention)
     , forwarder_(node_)
     , prefillGate_(node_)
+    , sendGate_(node_)
     , callerServer_(io,
                     {.limits = [this] { return node_.routes ? node_.routes->limits() : CallerLimits(); },
                      .onInvalidRequest =
@@ -146,6 +148,7 @@
             owned->second->onNoContact();
         }
     };
+    node_.onLimitEnded = [this](const UpstreamId &id) { tellLimitEnded(id); };
 }
 
 HostedDaemon::~HostedDaemon() = default;
@@ -901,6 +904,7 @@
 {
     const auto id = ownership::engineOf(holding.resource);
     if (id) {
+        sendGate_.remove(*id);
         node_.log.info("ownership", {{"upstream", *id}, {"epoch", holding.epoch}, {"change", change}});
         node_.metrics.beliefChanges.add({change});
         const auto owned = ownedReplicas_.find(*id);
@@ -986,6 +990,37 @@
     co_return turn;
 }
 
+bool HostedDaemon::mayGrantSends(const UpstreamId &id) const
+{
+    const auto resource = ownership::engineResource(id);
+    const auto owner = planner_.ownerOf(resource);
+    return owner && owner->host == node_.settings.host && planner_.mayAct(resource, owner->epoch, node_.now());
+}
+
+/// Without an owner that answers nothing is sent: what a host by itself takes for its share does not bound the sum.
+net::Task<SendPermit> HostedDaemon::takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait)
+{
+    const SendPermit refusal{.wait = unownedSendWait};
+    const auto owner = ownerOf(upstream);
+    if (!owner || !links_) {
+        co_return refusal;
+    }
+    if (*owner == node_.settings.host) {
+        co_return mayGrantSends(upstream) ? sendGate_.request(upstream, limit, maxWait) : refusal;
+    }
+    co_return (co_await sendGate_.requestAtOwner(*links_, *owner, upstream, limit, maxWait)).value_or(refusal);
+}
+
+void HostedDaemon::tellLimitEnded(const UpstreamId &id)
+{
+    const auto owner = ownerOf(id);
+    if (owner && *owner == node_.settings.host) {
+        sendGate_.onLimitEnded(id);
+    } else if (owner && links_) {
+        links_->notify(*owner, {peers::LimitEndNotice{id}});
+    }
+}
+
 /// Error: step Peer when the owner did not reply, else the owner's error.
 net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensureAtOwner(HostId owner, ResidencyRequest request, Error &why)
 {
@@ -1044,8 +1079,12 @@
         co_await prefillGate_.serve(call, *prefillCall);
         co_return;
     }
+    if (const auto *sendCall = std::get_if<peers::SendCall>(&call->body()); sendCall != nullptr && mayGrantSends(sendCall->upstream)) {
+        sendGate_.serve(*call, *sendCall);
+        co_return;
+    }
     const auto *residencyCall = std::get_if<peers::ResidencyCall>(&call->body());
-    Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon does not support this call"};
+    Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon does not support this call, or does not own the upstream"};
     if (residencyCall != nullptr) {
         const auto onWaiting = [&call](Milliseconds expected) { call->send(peers::WaitingReply{expected.count()}); };
         const ResidencyRequest request{residencyCall->replica,
@@ -1072,6 +1111,8 @@
         storePages_.onClockQuery(from, *query);
     } else if (const auto *answer = std::get_if<peers::ClockAnswer>(&notice.body)) {
         storePages_.onClockAnswer(from, *answer);
+    } else if (const auto *limitEnd = std::get_if<peers::LimitEndNotice>(&notice.body)) {
+        sendGate_.onLimitEnded(limitEnd->upstream);
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
         UpstreamLoads loads;
         for (const auto &[id, running, prefillMs] : update->loads) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -25,6 +25,7 @@
 #include <serving/loadexchange.h>
 #include <serving/ownedreplica.h>
 #include <serving/prefillgate.h>
+#include <serving/sendgate.h>
 #include <serving/storepages.h>
 
 namespace baobabstall::serving {
@@ -53,6 +54,7 @@
 
     net::Task<std::optional<ResidencyGrant>> ensure(ResidencyRequest request, core::Error &why) override;
     net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) override;
+    net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) override;
     [[nodiscard]] bool canOrder(const UpstreamId &replica) const override;
 
 private:
@@ -100,6 +102,8 @@
     void onOwnershipGained(const ownership::Holding &holding);
     void onOwnershipLost(const ownership::Holding &holding, std::string_view change);
     [[nodiscard]] std::optional<ResidencyOptions> residencyOptions(const ReplicaRecord &record, ModelSpec &model) const;
+    void tellLimitEnded(const UpstreamId &id);
+    [[nodiscard]] bool mayGrantSends(const UpstreamId &id) const; // this host owns the upstream, and the ownership is valid now
     [[nodiscard]] std::optional<HostId> ownerOf(const UpstreamId &replica) const;
     // Peers.
     [[nodiscard]] peers::LinkHandlers linkHandlers();
@@ -122,6 +126,7 @@
     std::unique_ptr<peers::Links> links_;
     Forwarder forwarder_;
     PrefillGate prefillGate_;
+    SendGate sendGate_;
     CallerServer callerServer_;
     net::HttpServer operatorServer_;
     net::HttpServer metricsServer_;
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -28,6 +28,7 @@
     , residencyWait(registry.histogram({"residency_wait_seconds", "wait until weights were held", {"outcome"}, 8}, latencyBounds))
     , prefillWait(registry.histogram({"prefill_wait_seconds", "wait of a prompt for its turn at a replica", {"where"}, 8}, latencyBounds))
     , sends(registry.counter({"sends_total", "sends to upstreams by how they ended", {"service", "outcome"}, 256}))
+    , sendPermits(registry.counter({"send_permits_total", "permits for requests to limited upstreams that this host was asked for", {"outcome"}, 8}))
     , orders(registry.counter({"orders_total", "orders to model replicas", {"kind", "outcome"}, 32}))
     , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
     , unreadableRequests(registry.counter({"unreadable_total", "requests that could not be read", {"status"}, 8}))
@@ -177,6 +178,9 @@
         log.warn("limit_unreadable", {{"upstream", id}, {"value", settings::printableText(answer.unreadableLimit)}, {"next", "the limit known so far"}});
         return;
     }
+    if (!answer.requestLimit && !answer.isSealed) {
+        return; // a damaged answer, or one to an order or a report, ends no limit
+    }
     const auto before = limits.find(id);
     switch (limits.onAnswer(id, answer.requestLimit, now())) {
     case UpstreamLimits::Change::None:
@@ -191,10 +195,22 @@
     case UpstreamLimits::Change::Ended:
         metrics.beliefChanges.add({"limit_ended"});
         log.info("limit_ended", {{"upstream", id}, {"source", "answer"}, {"named_ms_ago", now() - before->namedAt}});
+        if (onLimitEnded) {
+            onLimitEnded(id);
+        }
         break;
     }
 }
 
+void Node::endLimit(const UpstreamId &id)
+{
+    if (const auto limit = limits.find(id)) {
+        limits.end(id);
+        metrics.beliefChanges.add({"limit_ended"});
+        log.info("limit_ended", {{"upstream", id}, {"source", "owner"}, {"named_ms_ago", now() - limit->namedAt}});
+    }
+}
+
 void Node::setHostCount(int count)
 {
     hostCount = std::max(1, count);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -24,6 +24,7 @@
 #include <serving/replicabook.h>
 #include <serving/residency.h>
 #include <serving/routes.h>
+#include <serving/sendrate.h>
 #include <serving/upstreamlimits.h>
 #include <serving/upstreams.h>
 #include <settings/settings.h>
@@ -41,6 +42,7 @@
     metrics::Histogram &residencyWait;    // outcome
     metrics::Histogram &prefillWait;      // where
     metrics::Counter &sends;              // service, outcome
+    metrics::Counter &sendPermits;        // outcome
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
     metrics::Counter &unreadableRequests; // status
@@ -97,6 +99,8 @@
     virtual net::Task<std::optional<ResidencyGrant>> ensure(ResidencyRequest request, core::Error &error) = 0;
     /// Waits until the prompt may be sent without pausing the replica's running streams for too long. Nullptr when no host counts them.
     virtual net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) = 0;
+    /// Asks for one request to an upstream that named `limit`.
+    virtual net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) = 0;
     /// Whether some host can currently send load orders to the replica.
     [[nodiscard]] virtual bool canOrder(const UpstreamId &replica) const = 0;
 };
@@ -123,6 +127,12 @@
     void adjustUseCount(const UpstreamId &upstream, const AdapterKey &weights, int change);
     /// Whether anything may be sent to the upstream: it is known, not leaving, and has not asked this host to back off.
     [[nodiscard]] bool mayContact(const UpstreamId &id) const { return replicas.isUsable(id) && !backoffs.isActive(id, now()); }
+    /// The same for a request: besides, no permit was refused a moment ago for the upstream's limit.
+    [[nodiscard]] bool maySend(const UpstreamId &id) const { return mayContact(id) && !limits.isBlocked(id, now()); }
+    /// Until maySend() may hold again for an upstream that stays; 0: it does.
+    [[nodiscard]] Milliseconds remainingPause(const UpstreamId &id) const { return std::max(backoffs.remaining(id, now()), limits.remainingBlock(id, now())); }
+    /// The owner of the upstream knows that its limit has ended.
+    void endLimit(const UpstreamId &id);
     /// Applies what an answer says about the upstream itself. `replica` is the record that the call was sent with.
     void applyUpstreamState(const ReplicaRecord &replica, const ResponseMetadata &answer);
     /// The same for the answer to an order or a report.
@@ -144,7 +154,8 @@
     LeaseTable leases;
     Backoffs backoffs;
     UpstreamLimits limits;
-    std::function<void(const UpstreamId &)> onNoContact; // the upstream is leaving or asked this host to back off; may be empty
+    std::function<void(const UpstreamId &)> onNoContact;  // the upstream is leaving or asked this host to back off; may be empty
+    std::function<void(const UpstreamId &)> onLimitEnded; // an answer named no limit any more; may be empty
     UpstreamPool pool;
     std::map<AdapterKey, ActiveRevision> activeRevisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> useCounts; // running requests of this host, by the weights that they use
--- /dev/null
+++ b/packages/serving/sendrate.h
@@ -0,0 +1,45 @@
+// serving/sendrate.h: divides the requests that a limited upstream takes among all hosts, at the host that owns the upstream. No I/O.
+//
+//   SendRate rate;                                               // one for each owned upstream
+//   auto permit = rate.request({.perSecond = 2.5, .namedAt = ...}, maxWait, now);
+//   if (!permit.isLimited) ...                                   // the limit has ended in the meantime: send without permits
+//   if (permit.isGranted) ...                                    // send after permit.wait
+//   else ...                                                     // ask again after permit.wait
+//   rate.onLimitEnded(now);                                      // a host got an answer that names no limit
+//
+// One count for all hosts bounds their sum, whatever each knows of the others. A new owner, also after a restart, begins without a stock of
+// permits, so a change of the owner adds nothing. A permit that is not used is lost.
+#pragma once
+
+#include <optional>
+
+#include <serving/upstreamlimits.h>
+
+namespace baobabstall::serving {
+
+struct SendPermit {
+    bool isLimited = true;
+    bool isGranted = false;
+    Milliseconds wait{0};
+};
+
+class SendRate
+{
+public:
+    static constexpr double burstSeconds = 0.25; // permits that may be given at once, as a share of a second's; at least one
+    static constexpr double minPerSecond = 0.25; // also of an upstream that takes none: some request must learn that it takes requests again
+
+    /// `limit`: as the asking host knows it, with times of this host's clock. `maxWait`: how long the request may wait for its permit.
+    [[nodiscard]] SendPermit request(const UpstreamLimits::Limit &limit, Milliseconds maxWait, Instant now);
+    void onLimitEnded(Instant now);
+
+private:
+    void refill(Instant now);
+
+    std::optional<UpstreamLimits::Limit> limit_;
+    std::optional<Instant> endedAt_;
+    double permits_ = 0; // below 0: promised to requests that wait
+    Instant refilledAt_;
+};
+
+} // namespace baobabstall::serving
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -201,6 +201,60 @@
     EXPECT_EQ(requestCount(), 2U);
 }
 
+// Guards against requests beyond a limit that the upstream named (issue 23, LIMIT).
+TEST_F(ForwarderTest, a_limited_upstream_without_a_permit_is_left_to_others_and_not_asked_for_again_at_once)
+{
+    const std::string limited = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLimit: 2.5\r\nContent-Length: 2\r\n\r\nok";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{limited}}}, {Script{{completeResponse("other")}}}});
+    int asked = 0;
+    residency_.onSendPermit = [&asked](const UpstreamId &id, const UpstreamLimits::Limit &limit, Milliseconds maxWait) {
+        ++asked;
+        EXPECT_EQ(id, UpstreamId("r1"));
+        EXPECT_EQ(limit.perSecond, 2.5);
+        EXPECT_EQ(maxWait, Milliseconds(0)) << "another upstream is free";
+        return SendPermit{.wait = Milliseconds(400)};
+    };
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(sendRequest(getRequest("q" + std::to_string(i)), "\r\n\r\n").status(), 200);
+    }
+    EXPECT_EQ(upstream(1).requests.size(), 1U);
+    EXPECT_EQ(asked, 1);
+    EXPECT_TRUE(node_.mayContact(UpstreamId("r1"))) << "orders and reports go on";
+}
+
+TEST_F(ForwarderTest, when_all_upstreams_are_at_their_limits_a_request_waits_for_a_permit_or_is_refused_at_once)
+{
+    const std::string limited = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLimit: 2.5\r\nContent-Length: 2\r\n\r\nok";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{limited}}}});
+    EXPECT_EQ(sendRequest(getRequest("a"), "\r\n\r\n").status(), 200);
+    residency_.onSendPermit = [](const auto &...) { return SendPermit{.isGranted = true, .wait = Milliseconds(100)}; };
+    auto begin = node_.now();
+    EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\n").status(), 200);
+    EXPECT_GE(node_.now() - begin, Milliseconds(100));
+    residency_.onSendPermit = [](const auto &...) { return SendPermit{.wait = Milliseconds(700)}; };
+    begin = node_.now();
+    const auto refusal = sendRequest(getRequest("c"), "\r\n\r\n");
+    EXPECT_EQ(refusal.status(), 503);
+    EXPECT_TRUE(refusal.contains("Retry-After: 0.7") || refusal.contains("Retry-After: 0.69")) << refusal.bytes;
+    EXPECT_LT(node_.now() - begin, Milliseconds(200));
+    EXPECT_EQ(requestCount(), 2U);
+}
+
+TEST_F(ForwarderTest, an_upstream_whose_owner_knows_that_the_limit_has_ended_is_sent_to_without_permits)
+{
+    const std::string limited = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLimit: 2.5\r\nContent-Length: 2\r\n\r\nok";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{limited}}, Script{{completeResponse("x")}}}});
+    int asked = 0;
+    residency_.onSendPermit = [&asked](const auto &...) {
+        ++asked;
+        return SendPermit{.isLimited = false};
+    };
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(sendRequest(getRequest("q" + std::to_string(i)), "\r\n\r\n").status(), 200);
+    }
+    EXPECT_EQ(asked, 1);
+}
+
 TEST_F(ForwarderTest, no_503_is_returned_after_an_upstream_may_have_run_the_request)
 {
     const std::string full = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
--- a/packages/serving/tests/limitedupstreamtest.cpp
+++ b/packages/serving/tests/limitedupstreamtest.cpp
@@ -42,6 +42,10 @@
     {
         for (int i = 0; i < count; ++i) {
             hosts_.push_back(std::make_unique<EntryHost>(io_, settings(), codec_, log(), node_));
+            auto &node = hosts_.back()->node;
+            node.onLimitEnded = [this](const UpstreamId &) { rate_.onLimitEnded(node_.now()); };
+            hosts_.back()->residency.onSendPermit
+                = [this](const UpstreamId &, const UpstreamLimits::Limit &limit, Milliseconds maxWait) { return rate_.request(limit, maxWait, node_.now()); };
         }
     }
     /// One request after the other at each host, `interval` apart.
@@ -60,6 +64,7 @@
         }
     }
 
+    SendRate rate_; // at the owner of the upstream
     std::vector<std::unique_ptr<EntryHost>> hosts_;
     int served_ = 0;
     int refused_ = 0;
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -103,6 +103,12 @@
         onTurnBegin();
         co_return turn;
     }
+    net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) override
+    {
+        co_return onSendPermit(upstream, limit, maxWait);
+    }
+    std::function<SendPermit(const UpstreamId &, const UpstreamLimits::Limit &, Milliseconds)> onSendPermit
+        = [](const auto &...) { return SendPermit{.isGranted = true}; };
     [[nodiscard]] bool canOrder(const UpstreamId &) const override { return isGranting; }
 
     struct FakeTurn final : TurnHolder {
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -159,10 +159,15 @@
         self.fence = 0
         self.orders = []  # (time, holder, fence, operation, adapter)
         self.ran = []  # ids of requests
+        self.limit = None  # requests a second, named in all answers
+        self.arrivals = []  # times of requests
         self.violations = []
         super().__init__()
         self.register()
 
+    def common_headers(self):
+        return [("Server-Limit", str(self.limit))] if self.limit is not None else []
+
     def register(self, state="ready"):
         models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}] if self.model else []
         record = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8, "state": state}
@@ -205,6 +210,7 @@
     def run(self, request):
         attempt = request.headers.get("X-Attempt-Id")
         seal = [("X-Attempt-Id", attempt), ("X-Response-Seal", "seal-of-" + attempt)]
+        self.arrivals.append(time.monotonic())
         wanted = request.headers.get("X-Model-Id")
         if wanted and "/" in wanted and self.held.get(wanted.split("/")[1], float("inf")) > time.monotonic():
             request.answer(421, headers=[("X-Replica-Id", self.name)])
@@ -214,7 +220,7 @@
             request.answer_json(200, {"by": self.name, "echo": request.body.decode()}, seal)
             return
         request.send_response(200)
-        for name, value in [*seal, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+        for name, value in [*seal, *self.common_headers(), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
             request.send_header(name, value)
         request.end_headers()
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -311,6 +311,48 @@
         self.assertEqual(len(self.replicas[0].ran), before)
         self.assertTrue(wait_until(lambda: any(host.events("record_unreadable") for host in self.hosts), 3))
 
+    def test_all_hosts_together_keep_to_the_limits_that_upstreams_name_and_send_freely_after_them(self):
+        self.start_all()
+        self.replicas[0].limit = limit = 2.5
+        self.shop.limit = 4.0
+        stop = threading.Event()
+        refused, wrong = [], []
+
+        def work(number):
+            host = self.hosts[number % 2]
+            while not stop.is_set():
+                status = self.book(host)[0] if number < 4 else self.generate(host, "a%d" % (number % 4))[0]
+                if status == 503:
+                    refused.append(number)
+                elif status != 200:
+                    wrong.append((number, status))
+                time.sleep(0.05)
+
+        threads = [threading.Thread(target=work, args=(number,)) for number in range(12)]
+        for thread in threads:
+            thread.start()
+        try:
+            time.sleep(2.0)
+            begin = time.monotonic()
+            time.sleep(6.0)
+            for server, bound in ((self.replicas[0], 1.5 * 4 * limit + 5), (self.shop, 1.5 * 4 * self.shop.limit + 5)):
+                times = [moment for moment in server.arrivals if moment >= begin]
+                most = max((sum(1 for other in times if 0 <= other - moment < 4) for moment in times), default=0)
+                self.assertLessEqual(most, bound, server.name)
+                self.assertGreater(most, 4 * server.limit * 0.5, "what the upstream takes is sent to it")
+            self.assertTrue(refused, "callers of a service whose only upstream is at its limit are refused")
+            self.assertTrue(all(host.events("limit_begun") for host in self.hosts))
+            self.shop.limit = None
+            self.assertTrue(wait_until(lambda: all(host.events("limit_ended") for host in self.hosts), 6), "both hosts hear of the end")
+            count = len(self.shop.arrivals)
+            time.sleep(1.0)
+            self.assertGreater(len(self.shop.arrivals) - count, 4 * 4, "sent freely again")
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        self.assertEqual(wrong, [])
+
     def control_keys(self):
         return [key for key, _value in self.store.topics["keyed.control"]]
 
