An HTTP answer without end is bounded in memory and time in every part

Class: an external party decides how much is kept. Change: the unparsed part is bounded too, the failure of a stream has the head's deadline and the body's limit, interim answers fail, and errors say which bound was met.

--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -145,13 +145,14 @@
 struct CallOptions {
     core::Milliseconds connectTimeout{1'000};    // to open a connection
     core::Milliseconds timeout{30'000};          // whole call; for a stream: longest silence
-    std::size_t maxBodyBytes = 64 * 1024 * 1024; // over it the call fails
+    std::size_t maxBodyBytes = 64 * 1024 * 1024; // over it the call fails; for a stream: of any other answer than 200
     bool freshConnection = false;                // for what may not run twice: a reused connection may close under the call, outcome unknown
 };
 
 /// Calls servers by address; keeps idle connections for reuse. Errors: step Connect (nothing was sent, outcome NotRun),
 /// Send or Receive (outcome Unknown). A call on a reused connection that had closed meanwhile is sent again on a new one
-/// only when not one byte of the request could be written.
+/// only when not one byte of the request could be written. Answers are bounded in each part (head, chunk framing, trailer, body) and by the
+/// time-out, also when the server sends without end; so is the failure that answers a stream. Interim answers (1xx) fail.
 class HttpClient
 {
 public:
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -20,6 +20,9 @@
 
 constexpr std::size_t maxIdlePerAddress = 32;
 constexpr std::size_t chunkBytes = 16 * 1024;
+constexpr std::size_t maxHeadBytes = 16 * 1024;
+constexpr std::size_t maxUnparsedBytes = 128 * 1024; // of an answer; the framing of one chunk and a trailer have to fit
+constexpr int minFinalStatus = 200;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
 using Deadline = std::chrono::steady_clock::time_point;
@@ -60,6 +63,26 @@
     return response;
 }
 
+/// Says which bound a read failed on.
+std::string readFailure(error_code failed, std::size_t maxBodyBytes)
+{
+    if (failed == http::error::header_limit) {
+        return "the head of the answer exceeds " + std::to_string(maxHeadBytes) + " bytes";
+    }
+    if (failed == http::error::body_limit) {
+        return "the body of the answer exceeds " + std::to_string(maxBodyBytes) + " bytes";
+    }
+    if (failed == http::error::buffer_overflow) {
+        return "the framing of the answer's body exceeds " + std::to_string(maxUnparsedBytes) + " bytes";
+    }
+    return failed.message();
+}
+
+std::string interimFailure(int status)
+{
+    return "an interim answer of status " + std::to_string(status);
+}
+
 /// An idle connection that has something to read was closed by its peer or is out of step.
 bool isReusable(beast::tcp_stream &stream)
 {
@@ -171,13 +194,18 @@
     if (!stream) {
         co_return std::nullopt;
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxUnparsedBytes);
     http::response_parser<http::string_body> parser;
+    parser.header_limit(maxHeadBytes);
     parser.body_limit(options.maxBodyBytes);
     stream->expires_at(deadline);
     const auto [failed, count] = co_await http::async_read(*stream, buffer, parser, tuple);
     if (failed) {
-        why = errorAt(core::Step::Receive, address, failed.message());
+        why = errorAt(core::Step::Receive, address, readFailure(failed, options.maxBodyBytes));
+        co_return std::nullopt;
+    }
+    if (parser.get().result_int() < minFinalStatus) {
+        why = errorAt(core::Step::Receive, address, interimFailure(parser.get().result_int()));
         co_return std::nullopt;
     }
     HttpResponse response = headOf(parser.get());
@@ -195,13 +223,19 @@
     if (!stream) {
         co_return std::nullopt;
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxUnparsedBytes);
     http::response_parser<http::buffer_body> parser;
+    parser.header_limit(maxHeadBytes);
     parser.body_limit(boost::none);
-    stream->expires_at(deadlineAfter(options.timeout));
+    const Deadline headDeadline = deadlineAfter(options.timeout);
+    stream->expires_at(headDeadline);
     auto [failed, count] = co_await http::async_read_header(*stream, buffer, parser, tuple);
     if (failed) {
-        why = errorAt(core::Step::Receive, address, failed.message());
+        why = errorAt(core::Step::Receive, address, readFailure(failed, options.maxBodyBytes));
+        co_return std::nullopt;
+    }
+    if (parser.get().result_int() < minFinalStatus) {
+        why = errorAt(core::Step::Receive, address, interimFailure(parser.get().result_int()));
         co_return std::nullopt;
     }
     HttpResponse response = headOf(parser.get());
@@ -210,18 +244,22 @@
     while (!parser.is_done()) {
         parser.get().body().data = data.data();
         parser.get().body().size = data.size();
-        stream->expires_at(deadlineAfter(options.timeout));
+        stream->expires_at(isStream ? deadlineAfter(options.timeout) : headDeadline);
         std::tie(failed, count) = co_await http::async_read_some(*stream, buffer, parser, tuple);
         if (failed == http::error::need_buffer) {
             failed = {};
         }
+        const bool isTooLong = !isStream && response.body.size() + data.size() - parser.get().body().size > options.maxBodyBytes;
+        if (isTooLong) {
+            failed = http::error::body_limit;
+        }
         if (failed) {
-            why = errorAt(core::Step::Receive, address, failed.message());
+            why = errorAt(core::Step::Receive, address, readFailure(failed, options.maxBodyBytes));
             co_return std::nullopt;
         }
         const std::string_view piece(data.data(), data.size() - parser.get().body().size);
         if (!isStream) {
-            response.body.append(piece.substr(0, options.maxBodyBytes - std::min(options.maxBodyBytes, response.body.size())));
+            response.body.append(piece);
         } else if (!piece.empty() && !co_await onChunk(piece)) {
             co_return response;
         }
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -9,6 +9,8 @@
 
 #include <net/http.h>
 
+#include "endlessserver.h"
+
 namespace baobabstall::net {
 
 namespace {
@@ -213,4 +215,50 @@
     EXPECT_EQ(run(client_.call(address, {.target = "/"}, {}, why_))->status, 200);
 }
 
+// Guards against a faulty server whose answer never ends: without bounds the client would keep all of it, or wait for ever.
+TEST_F(HttpTest, an_answer_without_end_fails_within_its_limits_and_its_deadline)
+{
+    constexpr core::Milliseconds deadline{800};
+    constexpr std::size_t maxBodyBytes = 256 * 1024;
+    for (const bool isSlow : {false, true}) {
+        for (const auto &answer : tests::endlessAnswers()) {
+            tests::EndlessServer server(
+                io_, isSlow ? tests::EndlessAnswer{answer.name, answer.prefix, answer.filler.substr(0, 10)} : answer, core::Milliseconds(isSlow ? 50 : 0));
+            core::Error why;
+            const auto begin = std::chrono::steady_clock::now();
+            const auto response = run(client_.call(server.address(), {}, {.timeout = deadline, .maxBodyBytes = maxBodyBytes}, why));
+            const auto took = std::chrono::steady_clock::now() - begin;
+            EXPECT_FALSE(response) << answer.name;
+            EXPECT_EQ(why.step, core::Step::Receive) << answer.name;
+            EXPECT_EQ(why.outcome, core::Outcome::Unknown) << answer.name;
+            EXPECT_FALSE(why.reason.empty()) << answer.name;
+            EXPECT_LT(took, chronoOf(deadline) * 2) << answer.name;
+            if (!isSlow) {
+                EXPECT_LT(server.sentBytes, maxBodyBytes + tests::EndlessServer::socketBufferBytes) << answer.name;
+                EXPECT_LT(took, chronoOf(deadline)) << answer.name << " is given up at the limit, not at the deadline: " << why.reason;
+            }
+        }
+    }
+}
+
+TEST_F(HttpTest, a_failure_without_end_that_answers_a_stream_fails_too)
+{
+    constexpr core::Milliseconds silence{400};
+    constexpr std::size_t maxBodyBytes = 256 * 1024;
+    for (const bool isSlow : {false, true}) {
+        for (const auto &answer : tests::endlessAnswers({}, 500)) {
+            tests::EndlessServer server(
+                io_, isSlow ? tests::EndlessAnswer{answer.name, answer.prefix, answer.filler.substr(0, 10)} : answer, core::Milliseconds(isSlow ? 50 : 0));
+            core::Error why;
+            const auto begin = std::chrono::steady_clock::now();
+            const auto onChunk = [](std::string_view) -> Task<bool> { co_return true; };
+            const auto response = run(client_.stream(server.address(), {}, {.timeout = silence, .maxBodyBytes = maxBodyBytes}, onChunk, why));
+            EXPECT_FALSE(response) << answer.name;
+            EXPECT_EQ(why.step, core::Step::Receive) << answer.name;
+            EXPECT_LT(std::chrono::steady_clock::now() - begin, chronoOf(silence) * 4) << answer.name;
+            EXPECT_LT(server.sentBytes, maxBodyBytes + tests::EndlessServer::socketBufferBytes) << answer.name;
+        }
+    }
+}
+
 } // namespace baobabstall::net
