Responses without end take bounded memory of a host and no caller's time

Cause: a response was bounded by itself (16 MB), not all of them together, which on a host of 160 MB is ten; the framing of chunked bodies was not bounded at all; and a refusal was acted on only when its body had ended, at the caller's deadline when it never did. Class: an external party decides how much is kept, or how long. Tests: EndlessAnswerTest (twelve places in which an answer may go on without end; as a refusal, slowly), EndlessStreamTest.

--- a/packages/net/tests/endlessserver.h
+++ b/packages/net/tests/endlessserver.h
@@ -1,7 +1,9 @@
 // A faulty server: answers each connection with a prefix and then with bytes without end, until the client closes.
 #pragma once
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,67 +47,80 @@
 class EndlessServer
 {
 public:
-    /// `pause`: between two pieces; 0: as fast as the client reads. `isSilentFirst`: waits for a request's head.
-    EndlessServer(boost::asio::io_context &io, EndlessAnswer answer, core::Milliseconds pause = core::Milliseconds(0), bool isSilentFirst = true)
-        : io_(io)
-        , answer_(std::move(answer))
-        , pause_(pause)
-        , isSilentFirst_(isSilentFirst)
-        , acceptor_(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    /// `pause`: between two pieces; 0: as fast as the client reads. `waitsForRequest`: sends nothing before a request's head has arrived.
+    EndlessServer(boost::asio::io_context &io, EndlessAnswer answer, core::Milliseconds pause = core::Milliseconds(0), bool waitsForRequest = true)
+        : state_(std::make_shared<State>(io, std::move(answer), pause, waitsForRequest))
     {
         constexpr std::size_t pieceBytes = 64 * 1024;
-        while (pause.count() == 0 && answer_.filler.size() < pieceBytes) {
-            answer_.filler += answer_.filler;
+        while (pause.count() == 0 && state_->answer.filler.size() < pieceBytes) {
+            state_->answer.filler += state_->answer.filler;
         }
-        boost::asio::co_spawn(io_, accept(), boost::asio::detached);
+        boost::asio::co_spawn(io, accept(state_), boost::asio::detached);
     }
+    ~EndlessServer() { state_->acceptor.close(); }
+    EndlessServer(const EndlessServer &) = delete;
+    EndlessServer &operator=(const EndlessServer &) = delete;
 
-    [[nodiscard]] Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
-
-    std::size_t sentBytes = 0; // over all connections
-    int connections = 0;
-    int closedByClient = 0;
+    [[nodiscard]] Address address() const { return {"127.0.0.1", state_->acceptor.local_endpoint().port()}; }
+    [[nodiscard]] std::size_t sentBytes() const { return state_->sentBytes; } // over all connections
+    [[nodiscard]] int connections() const { return state_->connections; }
+    [[nodiscard]] int closedByClient() const { return state_->closedByClient; }
 
     static constexpr std::size_t socketBufferBytes = 16 * 1024 * 1024; // at most in the sockets' buffers of one connection
 
 private:
-    Task<void> accept()
+    struct State {
+        State(boost::asio::io_context &context, EndlessAnswer endless, core::Milliseconds pauseTime, bool waits)
+            : io(context)
+            , answer(std::move(endless))
+            , pause(pauseTime)
+            , waitsForRequest(waits)
+            , acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0})
+        { }
+
+        boost::asio::io_context &io;
+        EndlessAnswer answer;
+        core::Milliseconds pause;
+        bool waitsForRequest;
+        boost::asio::ip::tcp::acceptor acceptor;
+        std::size_t sentBytes = 0;
+        int connections = 0;
+        int closedByClient = 0;
+    };
+
+    static Task<void> accept(std::shared_ptr<State> state)
     {
         while (true) {
-            auto [failed, socket] = co_await acceptor_.async_accept(tuple);
+            auto [failed, socket] = co_await state->acceptor.async_accept(tuple);
             if (failed) {
                 co_return;
             }
-            ++connections;
-            boost::asio::co_spawn(io_, serve(std::move(socket)), boost::asio::detached);
+            ++state->connections;
+            boost::asio::co_spawn(state->io, serve(state, std::move(socket)), boost::asio::detached);
         }
     }
 
-    Task<void> serve(boost::asio::ip::tcp::socket socket)
+    static Task<void> serve(std::shared_ptr<State> state, boost::asio::ip::tcp::socket socket)
     {
         std::string request;
-        if (isSilentFirst_) {
+        if (state->waitsForRequest) {
             co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", tuple);
         }
-        co_await boost::asio::async_write(socket, boost::asio::buffer(answer_.prefix), tuple);
+        co_await boost::asio::async_write(socket, boost::asio::buffer(state->answer.prefix), tuple);
         while (true) {
-            const auto [failed, count] = co_await boost::asio::async_write(socket, boost::asio::buffer(answer_.filler), tuple);
-            sentBytes += count;
+            const auto [failed, count] = co_await boost::asio::async_write(socket, boost::asio::buffer(state->answer.filler), tuple);
+            state->sentBytes += count;
             if (failed) {
-                ++closedByClient;
+                ++state->closedByClient;
                 co_return;
             }
-            if (pause_.count() > 0) {
-                co_await sleep(io_, pause_);
+            if (state->pause.count() > 0) {
+                co_await sleep(state->io, state->pause);
             }
         }
     }
 
-    boost::asio::io_context &io_;
-    EndlessAnswer answer_;
-    core::Milliseconds pause_;
-    bool isSilentFirst_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    std::shared_ptr<State> state_;
 };
 
 } // namespace baobabstall::net::tests
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -234,7 +234,7 @@
             EXPECT_FALSE(why.reason.empty()) << answer.name;
             EXPECT_LT(took, chronoOf(deadline) * 2) << answer.name;
             if (!isSlow) {
-                EXPECT_LT(server.sentBytes, maxBodyBytes + tests::EndlessServer::socketBufferBytes) << answer.name;
+                EXPECT_LT(server.sentBytes(), maxBodyBytes + tests::EndlessServer::socketBufferBytes) << answer.name;
                 EXPECT_LT(took, chronoOf(deadline)) << answer.name << " is given up at the limit, not at the deadline: " << why.reason;
             }
         }
@@ -256,7 +256,7 @@
             EXPECT_FALSE(response) << answer.name;
             EXPECT_EQ(why.step, core::Step::Receive) << answer.name;
             EXPECT_LT(std::chrono::steady_clock::now() - begin, chronoOf(silence) * 4) << answer.name;
-            EXPECT_LT(server.sentBytes, maxBodyBytes + tests::EndlessServer::socketBufferBytes) << answer.name;
+            EXPECT_LT(server.sentBytes(), maxBodyBytes + tests::EndlessServer::socketBufferBytes) << answer.name;
         }
     }
 }
--- a/packages/serving/events.h
+++ b/packages/serving/events.h
@@ -28,6 +28,7 @@
     void feed(std::string_view bytes);
     [[nodiscard]] std::optional<StreamEvent> next();
     [[nodiscard]] bool hasRest() const { return position_ < buffer_.size(); } // an incomplete event is buffered
+    [[nodiscard]] std::size_t heldBytes() const { return buffer_.size(); }
     [[nodiscard]] bool isBroken() const { return buffer_.size() - position_ > maxEventBytes; }
 
 private:
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -26,11 +26,15 @@
 
 constexpr std::size_t chunkBytes = 16 * 1024;
 constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024; // of a response that is not a stream; a larger one counts as truncated
-constexpr int maxChoices = 8;                              // upstream choices for one request, whether or not it is sent
-constexpr int maxWeightsMisses = 2;                        // after more responses that the upstream lacks weights reported as held, its owner counts as wrong
-constexpr int maxForeignResponses = 2;                     // responses to other requests that are discarded before the connection counts as out of sync
-constexpr Milliseconds refusalTimeout{1'000};              // for a request without a route; needed only when the caller does not read
-constexpr Milliseconds minSendTime{5};                     // a request with less time left is not sent
+constexpr std::uint32_t maxHeadBytes = 16 * 1024;          // of a response
+constexpr std::size_t maxRefusalBytes = 64 * 1024;         // of the body of a refusal, which is read only for the connection to be used again
+constexpr Milliseconds refusalBodyTimeout{100};            // the same
+constexpr int minFinalStatus = 200;
+constexpr int maxChoices = 8;                      // upstream choices for one request, whether or not it is sent
+constexpr int maxWeightsMisses = 2;                // after more responses that the upstream lacks weights reported as held, its owner counts as wrong
+constexpr int maxForeignResponses = 2;             // responses to other requests that are discarded before the connection counts as out of sync
+constexpr Milliseconds refusalTimeout{1'000};      // for a request without a route; needed only when the caller does not read
+constexpr Milliseconds minSendTime{5};             // a request with less time left is not sent
 constexpr double responseTimeoutShare = 0.75;      // of the latency objective; an unresponsive upstream is then given up if the request may go elsewhere
 constexpr double streamResponseTimeoutShare = 1.2; // the same for streams: prefill of a long prompt may take the whole objective
 constexpr Milliseconds minResponseTimeout{250};
@@ -501,6 +505,7 @@
         for (int foreign = 0; foreign <= maxForeignResponses; ++foreign) {
             Parser parser;
             parser.body_limit(boost::none);
+            parser.header_limit(maxHeadBytes);
             const auto connection = connection_;
             auto [failed, count] = co_await http::async_read_header(connection->socket, connection->buffer, parser, net::tuple);
             if (failed) {
@@ -512,6 +517,9 @@
                 responseHeaders_.push_back({{field.name_string().data(), field.name_string().size()}, {field.value().data(), field.value().size()}});
             }
             const int status = head.result_int();
+            if (status < minFinalStatus) {
+                co_return onTruncated(replica, "an interim answer of status " + std::to_string(status));
+            }
             response_ = node_.codec.readAnswer(status, responseHeaders_);
             node_.applyUpstreamState(replica, response_);
             applyKeepAlive(head);
@@ -546,7 +554,7 @@
         }
         std::string body;
         if (!co_await readBody(parser, body)) {
-            co_return onTruncated(replica, "the response body was truncated");
+            co_return onTruncated(replica, "the response body was truncated: " + truncationReason_);
         }
         const bool isReusable = parser.get().keep_alive();
         if (hasResponseBegun_) { // resuming the stream returned an error
@@ -581,8 +589,7 @@
 
     net::Task<bool> handleNotRun(const ReplicaRecord &replica, Parser &parser, int status)
     {
-        std::string body;
-        const bool isComplete = co_await readBody(parser, body);
+        const bool isComplete = co_await drainRefusal(parser);
         const bool isReusable = isComplete && parser.get().keep_alive();
         constexpr int badRequest = 400;
         if (status == badRequest) {
@@ -636,9 +643,16 @@
     net::Task<bool> readBody(Parser &parser, std::string &body)
     {
         std::array<char, chunkBytes> buffer{};
+        ResponseBudget::Share share(node_.responseBudget);
         while (!parser.is_done()) {
             const auto bytes = co_await readSome(parser, buffer);
-            if (!bytes || body.size() > maxResponseBytes) {
+            if (!bytes) {
+                co_return false;
+            }
+            const auto size = body.size() + bytes->size();
+            if (size > maxResponseBytes || !share.resize(size)) {
+                truncationReason_ = size > maxResponseBytes ? "the body exceeds " + std::to_string(maxResponseBytes) + " bytes"
+                                                            : "this host holds too many bytes of responses";
                 co_return false;
             }
             body.append(*bytes);
@@ -646,6 +660,23 @@
         co_return true;
     }
 
+    /// Reads the rest of a refusal when it is there or close: its status alone decides, and the caller may be served elsewhere meanwhile.
+    net::Task<bool> drainRefusal(Parser &parser)
+    {
+        watchdog_.arm(std::min(deadline_, node_.now() + refusalBodyTimeout), [this] { cancelSend(); });
+        std::array<char, chunkBytes> buffer{};
+        std::size_t size = 0;
+        while (!parser.is_done() && size <= maxRefusalBytes) {
+            const auto bytes = co_await readSome(parser, buffer);
+            if (!bytes) {
+                break;
+            }
+            size += bytes->size();
+        }
+        watchdog_.arm(deadline_, [this] { onDeadline(); });
+        co_return parser.is_done();
+    }
+
     /// Returns decoded bytes of the body, possibly none, or nullopt when the body was truncated.
     net::Task<std::optional<std::string_view>> readSome(Parser &parser, std::array<char, chunkBytes> &buffer)
     {
@@ -658,7 +689,9 @@
         }
         auto [failed, count] = co_await http::async_read_some(connection->socket, connection->buffer, parser, net::tuple);
         if (failed && failed != http::error::need_buffer && failed != http::error::end_of_stream) {
-            truncationReason_ = failed.message();
+            truncationReason_ = failed == http::error::buffer_overflow
+                ? "the framing of the body exceeds " + std::to_string(UpstreamConnection::maxUnparsedBytes) + " bytes"
+                : failed.message();
             co_return std::nullopt;
         }
         co_return std::string_view(buffer.data(), buffer.size() - parser.get().body().size);
@@ -698,6 +731,7 @@
     net::Task<bool> relayStream(const ReplicaRecord &replica, Parser &parser, int status)
     {
         EventScanner scanner;
+        ResponseBudget::Share share(node_.responseBudget);
         std::array<char, chunkBytes> buffer{};
         const std::string head = hasResponseBegun_ ? std::string() : responseHead(status, std::nullopt);
         while (!parser.is_done()) {
@@ -714,6 +748,9 @@
                 finishDisconnected();
                 co_return true;
             }
+            if (!share.resize(scanner.heldBytes())) {
+                co_return onTruncated(replica, "this host holds too many bytes of responses");
+            }
             if (scanner.isBroken()) {
                 co_return onTruncated(replica, "an event exceeds " + std::to_string(EventScanner::maxEventBytes) + " bytes");
             }
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -23,6 +23,7 @@
 #include <serving/protocol.h>
 #include <serving/replicabook.h>
 #include <serving/residency.h>
+#include <serving/responsebudget.h>
 #include <serving/routes.h>
 #include <serving/sendrate.h>
 #include <serving/upstreamlimits.h>
@@ -154,6 +155,7 @@
     LeaseTable leases;
     Backoffs backoffs;
     UpstreamLimits limits;
+    ResponseBudget responseBudget;
     std::function<void(const UpstreamId &)> onNoContact;  // the upstream is leaving or asked this host to back off; may be empty
     std::function<void(const UpstreamId &)> onLimitEnded; // an answer named no limit any more; may be empty
     UpstreamPool pool;
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -1,4 +1,6 @@
+#include <net/tests/endlessserver.h>
 #include <serving/events.h>
+#include <serving/responsebudget.h>
 
 #include "servingfixture.h"
 
@@ -255,6 +257,23 @@
     EXPECT_EQ(asked, 1);
 }
 
+// Guards against many answers without end that together take the memory of the host.
+TEST(ResponseBudget, bounds_the_bytes_of_all_responses_together)
+{
+    ResponseBudget budget;
+    ResponseBudget::Share first(budget);
+    EXPECT_TRUE(first.resize(ResponseBudget::maxTotalBytes - 10));
+    {
+        ResponseBudget::Share second(budget);
+        EXPECT_TRUE(second.resize(10));
+        EXPECT_FALSE(second.resize(11));
+        EXPECT_TRUE(second.resize(5));
+        EXPECT_FALSE(first.resize(ResponseBudget::maxTotalBytes));
+    }
+    EXPECT_TRUE(first.resize(ResponseBudget::maxTotalBytes));
+    EXPECT_FALSE(first.resize(ResponseBudget::maxTotalBytes + 1));
+}
+
 TEST_F(ForwarderTest, no_503_is_returned_after_an_upstream_may_have_run_the_request)
 {
     const std::string full = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -534,5 +553,89 @@
     EXPECT_EQ(server_.connections(), 0U);
 }
 
+/// The first choice of requests, r1, answers without end.
+class EndlessUpstreamFixture : public ServingFixture
+{
+protected:
+    net::tests::EndlessServer &setUpEndless(Route route, net::tests::EndlessAnswer answer, Milliseconds pause = Milliseconds(0))
+    {
+        setUpService(std::move(route), {{Script{{completeResponse("unused")}}}, {Script{{completeResponse("other")}}}});
+        if (pause.count() > 0) {
+            answer.filler.resize(8);
+        }
+        server_ = std::make_unique<net::tests::EndlessServer>(io_, std::move(answer), pause);
+        auto record = *node_.replicas.find(UpstreamId("r1"));
+        record.address = server_->address();
+        node_.replicas.apply(record);
+        return *server_;
+    }
+
+    std::unique_ptr<net::tests::EndlessServer> server_;
+};
+
+class EndlessAnswerTest : public EndlessUpstreamFixture, public testing::WithParamInterface<std::size_t>
+{ };
+
+std::string nameOfAnswer(const testing::TestParamInfo<std::size_t> &info)
+{
+    auto name = net::tests::endlessAnswers().at(info.param).name;
+    std::replace(name.begin(), name.end(), ' ', '_');
+    return name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Places, EndlessAnswerTest, testing::Range<std::size_t>(0, net::tests::endlessAnswers().size()), nameOfAnswer);
+
+// Guards against an upstream in trouble whose answer never ends: the host would keep all of it, and the caller would wait until its deadline.
+TEST_P(EndlessAnswerTest, is_given_up_at_its_limits_and_the_request_goes_elsewhere)
+{
+    const auto &server = setUpEndless(route(RetryPolicy::Idempotent, false, 2), net::tests::endlessAnswers("Seal: s\r\nId: q\r\n").at(GetParam()));
+    const auto response = sendRequest(getRequest("q", "Deadline: 3000\r\n"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 200) << response.bytes;
+    runFor(Milliseconds(20));
+    EXPECT_EQ(server.connections(), 1);
+    EXPECT_EQ(server.closedByClient(), 1);
+    EXPECT_LT(server.sentBytes(), ResponseBudget::maxTotalBytes + net::tests::EndlessServer::socketBufferBytes);
+}
+
+// Guards against a refusal that is held back until its body ends: the caller could have been served elsewhere meanwhile.
+TEST_P(EndlessAnswerTest, to_a_refusal_is_cut_and_the_request_goes_elsewhere_at_once)
+{
+    const auto answer = net::tests::endlessAnswers("Not-Run: 1\r\nId: q\r\n", 503).at(GetParam());
+    if (answer.isInHead) {
+        return; // it has refused nothing
+    }
+    const auto &server = setUpEndless(route(RetryPolicy::AtMostOnce, false, 2), answer, Milliseconds(50));
+    const auto begin = node_.now();
+    EXPECT_EQ(sendRequest(getRequest("q", "Deadline: 3000\r\n"), "\r\n\r\n").status(), 200);
+    EXPECT_LT(node_.now() - begin, Milliseconds(400));
+    runFor(Milliseconds(120));
+    EXPECT_EQ(server.closedByClient(), 1);
+}
+
+class EndlessStreamTest : public EndlessUpstreamFixture
+{
+protected:
+    static constexpr auto chunked = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: q\r\nTransfer-Encoding: chunked\r\n\r\n";
+};
+
+TEST_F(EndlessStreamTest, without_events_is_given_up_at_its_bound)
+{
+    const auto &server = setUpEndless(route(RetryPolicy::AtMostOnce, true, 1), {"stream", chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n"});
+    EXPECT_EQ(sendRequest(getRequest("q", "Deadline: 1500\r\n"), "\r\n\r\n").status(), 502);
+    runFor(Milliseconds(50));
+    EXPECT_EQ(server.closedByClient(), 1);
+    EXPECT_LT(server.sentBytes(), EventScanner::maxEventBytes * 2 + net::tests::EndlessServer::socketBufferBytes);
+}
+
+TEST_F(EndlessStreamTest, of_events_is_cut_at_the_deadline)
+{
+    const auto &server = setUpEndless(route(RetryPolicy::AtMostOnce, true, 1), {"stream", chunked, chunk(event(1))});
+    const auto begin = node_.now();
+    EXPECT_FALSE(sendRequest(getRequest("q", "Deadline: 700\r\n")).hasFinalChunk());
+    EXPECT_LT(node_.now() - begin, Milliseconds(1'500));
+    runFor(Milliseconds(50));
+    EXPECT_EQ(server.closedByClient(), 1);
+}
+
 } // namespace
 } // namespace baobabstall::serving::tests
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -29,7 +29,9 @@
     { }
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    static constexpr std::size_t maxUnparsedBytes = 128 * 1024; // of a response; its head, the framing of one chunk and a trailer have to fit
+
+    boost::beast::flat_buffer buffer{maxUnparsedBytes};
     std::string out; // data being written; must stay valid until the write completes
     bool isWriting = false;
     bool isReused = false;
