--- a/packages/gateway/callers.cpp
+++ b/packages/gateway/callers.cpp
@@ -576,6 +576,7 @@
     const std::string path = "/v1/streams/" + attemptId() + "?from=" + std::to_string(check_->events());
     net::CallOptions options;
     options.timeout = engineSilence;
+    options.maxBodyBytes = maxEngineReplyBytes;
     const auto response = co_await node_.http.stream(engine->second.address, {.target = path}, options, onChunk, why);
     if (!isGood) {
         cancelOnEngine(target);
@@ -604,6 +605,7 @@
         Error ignored;
         net::CallOptions options;
         options.timeout = cancelTimeout;
+        options.maxBodyBytes = maxEngineReplyBytes;
         co_await node.http.call(address, {.method = "POST", .target = path}, options, ignored);
     };
     asio::co_spawn(node_.io, cancel, asio::detached);
--- a/packages/gateway/enginehost.cpp
+++ b/packages/gateway/enginehost.cpp
@@ -215,6 +215,7 @@
     Error why;
     net::CallOptions options;
     options.timeout = std::min(engineSilence, Milliseconds(run.timeoutMs));
+    options.maxBodyBytes = maxEngineReplyBytes;
     options.freshConnection = true;
     node_.trace(Node::requestOfAttempt(run.request), Step::Upstream, table_.engine().id.value(), "started on " + ranAs);
     auto response = co_await node_.http.stream(address_, std::move(request), options, onChunk, why);
@@ -285,6 +286,7 @@
     Error ignored;
     net::CallOptions options;
     options.timeout = orderTimeout;
+    options.maxBodyBytes = maxEngineReplyBytes;
     co_await node_.http.call(address_, {.method = "POST", .target = "/v1/streams/" + attempt.value() + "/cancel"}, options, ignored);
 }
 
@@ -371,6 +373,7 @@
     request.headers.set("X-Fencing-Number", std::to_string(table_.epoch().value()));
     net::CallOptions options;
     options.timeout = node_.settings.loads.timeout;
+    options.maxBodyBytes = maxEngineReplyBytes;
     options.freshConnection = true;
     co_return co_await node_.http.call(address_, std::move(request), options, why);
 }
@@ -456,6 +459,7 @@
     Error why;
     net::CallOptions options;
     options.timeout = orderTimeout;
+    options.maxBodyBytes = maxEngineReplyBytes;
     const auto response = co_await node_.http.call(address_, {.target = "/v1/models"}, options, why);
     const auto listing = response && response->status == httpOk ? listingOf(response->body) : std::nullopt;
     if (listing) {
--- a/packages/gateway/node.h
+++ b/packages/gateway/node.h
@@ -34,6 +34,8 @@
 
 namespace baobabstall::gateway {
 
+constexpr std::size_t maxEngineReplyBytes = 4 * 1024 * 1024; // of an answer that is no completion: a listing of adapters, an error, the answer to an order
+
 namespace asio = boost::asio;
 
 /// A model engine of this region.
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -14,9 +14,11 @@
 
 constexpr Milliseconds orderTimeout{150}; // orders are usually answered within 1 to 9 ms; an unanswered one may still be executed
 constexpr Milliseconds reportTimeout{800};
-constexpr Milliseconds lateCheckInterval{250}; // between checks whether a late request can still be served before its deadline
-constexpr Milliseconds idleInterval{1'000};    // when nothing is due
-constexpr Milliseconds inactiveInterval{100};  // until the ownership is valid or a load permit is available
+constexpr std::size_t maxOrderAnswerBytes = 64 * 1024;
+constexpr std::size_t maxReportBytes = 1024 * 1024; // some hundred adapters and as many running requests
+constexpr Milliseconds lateCheckInterval{250};      // between checks whether a late request can still be served before its deadline
+constexpr Milliseconds idleInterval{1'000};         // when nothing is due
+constexpr Milliseconds inactiveInterval{100};       // until the ownership is valid or a load permit is available
 
 std::string_view kindText(OrderKind kind)
 {
@@ -216,6 +218,7 @@
     core::Error why;
     net::CallOptions options;
     options.timeout = reportTimeout;
+    options.maxBodyBytes = maxReportBytes;
     const auto target = record_;
     const auto answer = co_await httpClient_.call(target.address, node_.codec.reportRequest(target.id), options, why);
     const auto report = answer ? node_.codec.readReport(*answer, why) : std::nullopt;
@@ -250,6 +253,7 @@
     core::Error why;
     net::CallOptions options;
     options.timeout = orderTimeout;
+    options.maxBodyBytes = maxOrderAnswerBytes;
     const auto target = record_;
     const auto sentAt = node_.now();
     const auto answer = co_await httpClient_.call(target.address, node_.codec.orderRequest(target.id, order, node_.settings.host, epoch_), options, why);
--- a/packages/serving/tests/ownedreplicatest.cpp
+++ b/packages/serving/tests/ownedreplicatest.cpp
@@ -1,5 +1,7 @@
 #include <serving/ownedreplica.h>
 
+#include <net/tests/endlessserver.h>
+
 #include "servingfixture.h"
 
 namespace baobabstall::serving::tests {
@@ -59,5 +61,35 @@
     runFor(Milliseconds(150));
 }
 
+// Guards against a replica in trouble whose answer to a report or an order never ends: the owner would keep all of it, or wait for ever.
+TEST_F(OwnedReplicaTest, reports_and_orders_whose_answers_never_end_fail_in_time_and_keep_little)
+{
+    const ReportCodec codec;
+    Node node(io_, settings(), codec, log());
+    for (const auto &answer : net::tests::endlessAnswers()) {
+        net::tests::EndlessServer replica(io_, answer);
+        net::HttpClient http(io_);
+        ReplicaRecord record;
+        record.id = UpstreamId("r1");
+        record.address = replica.address();
+        OwnedReplicaCallbacks guards;
+        guards.mayAct = [] { return true; };
+        guards.acquireLoadPermit = [] { return std::nullopt; };
+        guards.releaseLoadPermit = [](std::uint64_t) {};
+        guards.onRestart = [] {};
+        const auto owned = std::make_shared<OwnedReplica>(
+            node, http, record, ResidencyOptions(), ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(1), Milliseconds(1)}, core::Epoch(7), std::move(guards));
+        owned->start();
+        runFor(Milliseconds(300));
+        owned->stop();
+        runFor(Milliseconds(120));
+        EXPECT_GE(replica.closedByClient(), 1) << answer.name;
+        constexpr std::size_t maxKept = 1024 * 1024;
+        EXPECT_LT(replica.sentBytes(), static_cast<std::size_t>(replica.connections()) * (maxKept + net::tests::EndlessServer::socketBufferBytes))
+            << answer.name;
+        EXPECT_FALSE(owned->residency().isReachable()) << answer.name;
+    }
+}
+
 } // namespace
 } // namespace baobabstall::serving::tests
