A link keeps little of what comes before its peer's proof, and gives up a handshake without end

Class: limits meant for trusted peers applied to everybody. Change: frames of 16 KB until the proof, the WebSocket's own handshake ends with the link's.

--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -175,6 +175,7 @@
 struct Socket {
     std::function<bool(const std::string &bytes)> send; // false: nothing was queued
     std::function<void(const std::string &reason)> close;
+    std::function<void(std::size_t bytes)> setMaxFrameBytes; // of received frames
 };
 
 template<typename ConnectionPointer>
@@ -189,7 +190,8 @@
                 [connection](const std::string &reason) {
                     websocketpp::lib::error_code ignored;
                     connection->close(websocketpp::close::status::policy_violation, reason, ignored);
-                }};
+                },
+            .setMaxFrameBytes = [connection](std::size_t bytes) { connection->set_max_message_size(bytes); }};
 }
 
 } // namespace
@@ -398,6 +400,7 @@
         return;
     }
     isAuthenticated_ = true;
+    socket_.setMaxFrameBytes(Links::maxFrameBytes);
     handshakeTimer_.cancel();
     if (links_->handlers.onAuthenticated) {
         links_->handlers.onAuthenticated(peerHello_->host, peerHello_->incarnation);
@@ -506,8 +509,13 @@
     server.init_asio(&io);
     client.init_asio(&io);
     server.set_reuse_addr(true);
-    server.set_max_message_size(maxFrameBytes);
-    client.set_max_message_size(maxFrameBytes);
+    const auto bound = [](auto &endpoint) { // until the peer's proof
+        endpoint.set_max_message_size(maxHandshakeBytes);
+        endpoint.set_max_http_body_size(maxHandshakeBytes);
+        endpoint.set_open_handshake_timeout(static_cast<long>(handshakeTimeout.count()));
+    };
+    bound(server);
+    bound(client);
     server.set_open_handler([this](const connection_hdl &handle) {
         const auto link = std::make_shared<Link>(shared_from_this(), HostId());
         incoming[handle] = link;
--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -98,6 +98,7 @@
     [[nodiscard]] std::size_t openLinks() const;
 
     static constexpr core::Milliseconds handshakeTimeout{3'000};    // from the start of the connection to the peer's proof
+    static constexpr std::size_t maxHandshakeBytes = 16 * 1024;     // of a frame before the peer's proof
     static constexpr std::size_t maxFrameBytes = 8 * 1024 * 1024;   // the link is closed beyond it
     static constexpr std::size_t maxQueuedBytes = 32 * 1024 * 1024; // not yet read by the peer; frames beyond it are refused
     static constexpr std::size_t maxUnreadReplies = 4'096;          // of one call; the call fails beyond it
--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
+#include <net/tests/endlessserver.h>
 #include <peers/link.h>
 
 namespace baobabstall::peers {
@@ -49,6 +51,12 @@
         return run(call->next(longWait, error_));
     }
 
+    net::Task<bool> sleepFor(core::Milliseconds time)
+    {
+        co_await net::sleep(io_, time);
+        co_return true;
+    }
+
     asio::io_context io_;
     std::map<std::string, net::Address> addresses_;
     core::Error error_;
@@ -247,4 +255,81 @@
     EXPECT_GT(a->gossipBytes(), 0U);
 }
 
+// Guards against a peer, or whatever took its address, that sends without end: the host would keep all of it, or wait for ever.
+TEST_F(LinkTest, a_peer_that_sends_without_end_fails_a_call_in_time_and_little_is_kept)
+{
+    const auto answers = net::tests::endlessAnswers();
+    for (const bool isSlow : {false, true}) {
+        std::vector<std::unique_ptr<net::tests::EndlessServer>> servers;
+        const auto links = makeLinks("a", "key");
+        std::vector<std::unique_ptr<OutgoingCall>> calls;
+        for (std::size_t i = 0; i < answers.size(); ++i) {
+            auto answer = answers[i];
+            answer.filler.resize(isSlow ? 8 : answer.filler.size());
+            servers.push_back(std::make_unique<net::tests::EndlessServer>(io_, answer, core::Milliseconds(isSlow ? 50 : 0)));
+            const HostId host("peer-" + std::to_string(i));
+            links->setAddress(host, servers.back()->address());
+            calls.push_back(links->call(host, probe));
+        }
+        const auto begin = std::chrono::steady_clock::now();
+        for (std::size_t i = 0; i < calls.size(); ++i) {
+            EXPECT_FALSE(run(calls[i]->next(longWait, error_))) << answers[i].name;
+            EXPECT_EQ(error_.step, core::Step::Peer);
+            EXPECT_NE(error_.reason, "") << answers[i].name;
+        }
+        EXPECT_LT(std::chrono::steady_clock::now() - begin, net::chronoOf(Links::handshakeTimeout) * 2);
+        run(sleepFor(core::Milliseconds(200)));
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            EXPECT_EQ(servers[i]->closedByClient(), servers[i]->connections()) << answers[i].name;
+            EXPECT_LT(servers[i]->sentBytes(), Links::maxHandshakeBytes + net::tests::EndlessServer::socketBufferBytes) << answers[i].name;
+        }
+    }
+}
+
+/// Sends `text` to the host's port, then `filler` without end. Returns the bytes that were taken until the host closed; nothing if it did not in time.
+std::optional<std::size_t> sendWithoutEnd(asio::io_context &io, const net::Address &address, const std::string &text, const std::string &filler)
+{
+    constexpr core::Milliseconds timeout{10'000};
+    std::optional<std::size_t> taken;
+    const auto sender = [&]() -> net::Task<void> {
+        asio::ip::tcp::socket socket(io);
+        co_await socket.async_connect({asio::ip::make_address(address.ip), address.port}, net::tuple);
+        co_await asio::async_write(socket, asio::buffer(text), net::tuple);
+        std::size_t sent = 0;
+        while (true) {
+            const auto [failed, count] = co_await asio::async_write(socket, asio::buffer(filler), net::tuple);
+            sent += count;
+            if (failed) {
+                taken = sent;
+                io.stop();
+                co_return;
+            }
+        }
+    };
+    asio::co_spawn(io, sender, asio::detached);
+    io.run_for(net::chronoOf(timeout));
+    io.restart();
+    return taken;
+}
+
+TEST_F(LinkTest, a_connection_that_sends_without_end_before_its_proof_is_closed_and_little_is_kept)
+{
+    const auto links = makeLinks("a", "key");
+    const std::string filler(64 * 1024, 'x');
+    const std::string upgrade = "GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+                                "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+    const std::string frameHead("\x82\xff\x00\x00\x00\x00\x00\x7f\xff\xff\x01\x02\x03\x04", 14); // 8 MB, within the limit for frames of peers
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"no request", ""},
+        {"a header field", "GET / HTTP/1.1\r\nMore: "},
+        {"a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000000\r\n\r\n"},
+        {"a frame", upgrade + frameHead},
+    };
+    for (const auto &[name, text] : cases) {
+        const auto taken = sendWithoutEnd(io_, addresses_.at("a"), text, filler);
+        ASSERT_TRUE(taken) << name;
+        EXPECT_LT(*taken, 4 * 1024 * 1024) << name;
+    }
+}
+
 } // namespace baobabstall::peers
