--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -96,7 +96,6 @@
                            },
                        .onPage =
                            [this](const StorePage &page) {
-                               node_.operatorsReadAt = operatorsTopic_.readAt();
                                for (const auto &record : page.records) {
                                    applyOperatorRecord(record);
                                }
@@ -112,8 +111,9 @@
            .onListing = [this](const StoreListing &listing) { applyUpstreamListing(listing); },
            .onPage =
                [this](const StorePage &page) {
-                   node_.replicasReadAt = node_.now();
-                   node_.replicas.noteStore(true, node_.now()); // also when another host read the page
+                   if (node_.now() - upstreamsTopic_.readAt() < ReplicaBook::lapseAfter) { // an old page says nothing about the store
+                       node_.replicas.noteStore(true, node_.now());                        // also when another host read the page
+                   }
                    for (const auto &record : page.records) {
                        applyUpstreamRecord(record);
                    }
@@ -346,7 +346,6 @@
 
 void HostedDaemon::applyUpstreamListing(const StoreListing &listing)
 {
-    node_.replicasReadAt = node_.now();
     std::vector<ReplicaRecord> records;
     for (const auto &each : listing.records) {
         if (auto record = parseUpstreamRecord(each)) {
@@ -776,6 +775,8 @@
 void HostedDaemon::tick()
 {
     const auto now = node_.now();
+    node_.operatorsReadAt = operatorsTopic_.readAt();
+    node_.replicasReadAt = upstreamsTopic_.readAt();
     if (links_) {
         sendMessages(membership_.tick(now));
     }
