--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -231,7 +231,7 @@
         if (records_ > from) {
             answer();
         } else {
-            heldReads_.push_back(answer);
+            heldReads_.emplace_back(answer);
             at(now_ + wait, answer);
         }
     }
