--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -58,7 +58,7 @@
     [[nodiscard]] bool isReached() const { return isReachable_; }
     [[nodiscard]] Milliseconds interval() const { return schedule_.pause(); }     // between reads
     [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
-    [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // begin of the newest read known, including those of other hosts
+    [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // start of the newest read known, including those of other hosts
     [[nodiscard]] Instant ownReadAt() const { return ownReadAt_; }                // last successful read or listing by this host
     [[nodiscard]] const HostId &source() const { return source_; } // of the records being applied: the host that sent the page; empty: this host's own read
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -1,14 +1,15 @@
 // serving/readschedule.h: when a host reads a topic of the store that one host usually reads for all. No I/O.
 //
 //   ReadSchedule schedule({.wait = Milliseconds(2'000), .pause = Milliseconds(2'100)});
-//   schedule.setTurn(groups.failoverDelay(ownHost, topic));
+//   schedule.setTurn(groups.failoverDelay(ownHost, topic), groups.longestFailoverDelay());
 //   schedule.onRead(now, hasRecords);    // an own read or listing succeeded
 //   schedule.onPage(readAt);             // a page of another host was applied; that host's read began then
 //   schedule.onReadFailed(now, isKnown);
-//   if (now >= schedule.nextRead()) { schedule.onReadBegun(); ... }
+//   if (now >= schedule.nextRead()) { schedule.onReadBegun(now); ... }
 //
-// The host whose turn is 0 reads continuously and shares its pages. Any other host reads when the newest read that it knows of began longer
-// than `pause` plus its turn ago. Times count from the begin of a read: what was appended before is in its page, however late the page comes.
+// A topic with a bound (FollowOptions::bound) sets the times by itself: two reads, the transfer of a page, the longest turn of any host and
+// an own read fit into it. The host whose turn is 0 reads continuously and shares its pages. Any other host reads when the newest read that it knows of began
+// longer than `pause` plus its turn ago. Times count from the start of a read: what was appended before is in its page, however late the page comes.
 #pragma once
 
 #include <algorithm>
@@ -22,10 +23,10 @@
 
 struct FollowOptions {
     Milliseconds wait{0};  // how long the store may hold a read open until a record arrives; 0: it answers immediately
-    Milliseconds pause{0}; // from the begin of one read to that of the next
+    Milliseconds pause{0}; // from the start of one read to that of the next
     Milliseconds standbyRetry{
         600};                   // longest time between failed reads of a host that does not read first: the first one shares its page when the store is back
-    Milliseconds retryBound{0}; // longest time from the begin of a failed read to the next one, turn included; 0: none
+    Milliseconds retryBound{0}; // longest time from the start of a failed read to the next one, turn included; 0: none
     Milliseconds bound{0};      // from an append until every host has the record; above 0 it sets `wait` and `pause` by the longest turn of any host
     Milliseconds gather{200};   // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
 };
@@ -50,7 +51,7 @@
 
     /// When the next read is due; changes with every event.
     [[nodiscard]] Instant nextRead() const;
-    [[nodiscard]] Instant readAt() const { return readAt_; }   // begin of the newest successful read, of this host or of one whose page it applied
+    [[nodiscard]] Instant readAt() const { return readAt_; }   // start of the newest successful read, of this host or of one whose page it applied
     [[nodiscard]] Instant begunAt() const { return begunAt_; } // last own read, successful or not
     /// For the next read. After a failure the answer alone matters, and a call that the store does not answer ends sooner.
     [[nodiscard]] Milliseconds wait() const { return isUrgent_ || isRetrying() ? Milliseconds(0) : options_.wait; }
--- a/packages/serving/storepages.h
+++ b/packages/serving/storepages.h
@@ -43,7 +43,7 @@
 
     void send(const peers::StorePageNotice &page, const std::vector<HostId> &hosts);
     void queryClock(const HostId &host);
-    /// The begin of the page's read by this host's clock; nothing when the ages or clocks on its way are not known.
+    /// The start of the page's read by this host's clock; nothing when the ages or clocks on its way are not known.
     [[nodiscard]] std::optional<Instant> dateOf(const HostId &from, const peers::StorePageNotice &page) const;
     [[nodiscard]] TopicFollower *followerOf(std::string_view topic) const;
 
