--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -259,15 +259,15 @@
 TEST_F(LinkTest, a_peer_that_sends_without_end_fails_a_call_in_time_and_little_is_kept)
 {
     const auto answers = net::tests::endlessAnswers();
+    const auto links = makeLinks("a", "key"); // its port is accepted on as long as io_ runs
     for (const bool isSlow : {false, true}) {
         std::vector<std::unique_ptr<net::tests::EndlessServer>> servers;
-        const auto links = makeLinks("a", "key");
         std::vector<std::unique_ptr<OutgoingCall>> calls;
         for (std::size_t i = 0; i < answers.size(); ++i) {
             auto answer = answers[i];
             answer.filler.resize(isSlow ? 8 : answer.filler.size());
             servers.push_back(std::make_unique<net::tests::EndlessServer>(io_, answer, core::Milliseconds(isSlow ? 50 : 0)));
-            const HostId host("peer-" + std::to_string(i));
+            const HostId host((isSlow ? "slow-" : "fast-") + std::to_string(i));
             links->setAddress(host, servers.back()->address());
             calls.push_back(links->call(host, probe));
         }
