--- a/packages/serving/tests/sendratetest.cpp
+++ b/packages/serving/tests/sendratetest.cpp
@@ -5,18 +5,19 @@
 #include <deque>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <random>
 
 #include <gtest/gtest.h>
 
+#include "virtualtime.h"
+
 namespace baobabstall::serving {
 namespace {
 
 const UpstreamId upstream("i-1");
 constexpr Milliseconds window{4'000};
 
-class LimitedFleet
+class LimitedFleet : public tests::VirtualTime
 {
 public:
     LimitedFleet(int hosts, double perSecond, double demand, int seed)
@@ -29,18 +30,6 @@
         scheduleNextRequest();
     }
 
-    void at(Instant time, std::function<void()> action) { events_.push({time, sequence_++, std::move(action)}); }
-    void runUntil(Instant end)
-    {
-        while (!events_.empty() && events_.top().time <= end) {
-            const auto event = events_.top();
-            events_.pop();
-            now_ = event.time;
-            event.action();
-        }
-        now_ = end;
-    }
-
     void setLimited(bool isLimited) { isLimited_ = isLimited; }
     /// Another host becomes owner, or the owner starts again.
     void replaceOwner() { owner_ = std::make_unique<SendRate>(); }
@@ -93,13 +82,6 @@
         Instant at;
         bool isTold = false;
     };
-    struct Event {
-        Instant time;
-        std::uint64_t sequence = 0;
-        std::function<void()> action;
-        bool operator<(const Event &other) const { return std::pair(time, sequence) > std::pair(other.time, other.sequence); }
-    };
-
     void scheduleNextRequest()
     {
         const auto gap = std::exponential_distribution<double>(demand_ / 1'000)(random_);
@@ -112,7 +94,7 @@
 
     void onRequest(Host &host)
     {
-        if (now_ < host.suspendedUntil) {
+        if (now() < host.suspendedUntil) {
             return;
         }
         const auto limit = host.limits.find(upstream);
@@ -120,19 +102,19 @@
             send(host);
             return;
         }
-        if (host.limits.isBlocked(upstream, now_)) {
+        if (host.limits.isBlocked(upstream, now())) {
             return;
         }
         if (!host.isOwnerReached) {
-            host.limits.block(upstream, now_ + Milliseconds(300));
+            host.limits.block(upstream, now() + Milliseconds(300));
             return;
         }
-        const auto permit = owner_->request(*limit, Milliseconds(0), now_);
+        const auto permit = owner_->request(*limit, Milliseconds(0), now());
         if (!permit.isLimited) {
             host.limits.end(upstream);
             send(host);
         } else if (!permit.isGranted) {
-            host.limits.block(upstream, now_ + std::min(permit.wait, Milliseconds(1'000)));
+            host.limits.block(upstream, now() + std::min(permit.wait, Milliseconds(1'000)));
         } else {
             send(host);
         }
@@ -141,26 +123,26 @@
     /// The request arrives after the time for a connection, at a suspended host after its resumption; its answer comes later.
     void send(Host &host)
     {
-        const auto sentAt = std::max(now_, host.suspendedUntil);
+        const auto sentAt = std::max(now(), host.suspendedUntil);
         at(sentAt + Milliseconds(draw(1, 60)), [this, &host] {
-            const bool isTold = isLimited_ && host.toldAt && now_ - *host.toldAt >= Milliseconds(500);
-            arrivals_.push_back({now_, isTold});
+            const bool isTold = isLimited_ && host.toldAt && now() - *host.toldAt >= Milliseconds(500);
+            arrivals_.push_back({now(), isTold});
             const auto named = isLimited_ ? std::optional(perSecond_) : std::nullopt;
-            at(now_ + Milliseconds(draw(20, 400)), [this, &host, named] { answer(host, named); });
+            at(now() + Milliseconds(draw(20, 400)), [this, &host, named] { answer(host, named); });
         });
     }
 
     void answer(Host &host, std::optional<double> named)
     {
-        if (now_ < host.suspendedUntil) {
+        if (now() < host.suspendedUntil) {
             at(host.suspendedUntil, [this, &host, named] { answer(host, named); });
             return;
         }
-        if (host.limits.onAnswer(upstream, named, now_) == UpstreamLimits::Change::Ended) {
-            owner_->onLimitEnded(now_);
+        if (host.limits.onAnswer(upstream, named, now()) == UpstreamLimits::Change::Ended) {
+            owner_->onLimitEnded(now());
         }
         if (named && !host.toldAt) {
-            host.toldAt = now_;
+            host.toldAt = now();
         }
     }
 
@@ -172,9 +154,6 @@
     std::unique_ptr<SendRate> owner_;
     bool isLimited_ = false;
     std::vector<Arrival> arrivals_;
-    std::priority_queue<Event> events_;
-    std::uint64_t sequence_ = 0;
-    Instant now_;
 };
 
 // Guards against the sum over all hosts exceeding a limit that each host alone keeps to (issue 23, LIMIT).
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -13,9 +12,11 @@
 #include <serving/hostgroups.h>
 #include <serving/readschedule.h>
 
+#include "virtualtime.h"
+
 namespace baobabstall::serving::tests {
 
-class TopicSpread
+class TopicSpread : public VirtualTime
 {
 public:
     struct Options {
@@ -40,29 +41,15 @@
         }
         assignGroups();
         for (auto &[id, host] : hosts_) {
-            host->schedule.onRead(now_, false);
+            host->schedule.onRead(now(), false);
             wake(*host);
         }
     }
 
-    void at(Instant time, std::function<void()> action) { events_.push({time, nextSequence_++, std::move(action)}); }
-    void runUntil(Instant end)
-    {
-        while (!events_.empty() && events_.top().time <= end) {
-            const auto event = events_.top();
-            events_.pop();
-            now_ = event.time;
-            event.action();
-        }
-        now_ = end;
-    }
-    [[nodiscard]] Instant now() const { return now_; }
-
     // The store.
     void append()
     {
         ++records_;
-        appendedAt_.push_back(now_);
         for (auto &answer : std::exchange(heldReads_, {})) {
             answer();
         }
@@ -85,7 +72,7 @@
     {
         hosts_.at(id)->isAlive = false;
         markHarmed(id);
-        at(now_ + detection, [this, id] {
+        at(now() + detection, [this, id] {
             std::erase_if(grouped_, [&](const auto &each) { return each.host == id; });
             assignGroups();
         });
@@ -93,9 +80,9 @@
     /// What arrives meanwhile is handled at the end, in order.
     void suspend(const HostId &id, Milliseconds duration)
     {
-        hosts_.at(id)->suspendedUntil = now_ + duration;
+        hosts_.at(id)->suspendedUntil = now() + duration;
         markHarmed(id);
-        at(now_ + duration, [this, id] { markHarmed(id); });
+        at(now() + duration, [this, id] { markHarmed(id); });
     }
     /// Whatever the host sends to other hosts takes so much longer.
     void delaySends(const HostId &id, Milliseconds delay)
@@ -152,17 +139,10 @@
         int to = 0;
         Instant readAt;
     };
-    struct Event {
-        Instant time;
-        std::uint64_t sequence = 0;
-        std::function<void()> action;
-        bool operator<(const Event &other) const { return std::pair(time, sequence) > std::pair(other.time, other.sequence); }
-    };
-
     static constexpr Milliseconds storeLatency{4};
     static constexpr Milliseconds linkLatency{2};
 
-    void markHarmed(const HostId &id) { hosts_.at(id)->harmedAt = now_; }
+    void markHarmed(const HostId &id) { hosts_.at(id)->harmedAt = now(); }
 
     void assignGroups()
     {
@@ -179,7 +159,7 @@
         if (!host.isAlive) {
             return;
         }
-        if (now_ < host.suspendedUntil) {
+        if (now() < host.suspendedUntil) {
             at(host.suspendedUntil, [this, &host, action] { onHost(host, action); });
             return;
         }
@@ -189,12 +169,12 @@
     void wake(Host &host)
     {
         const auto timer = ++host.timer;
-        at(std::max(now_, host.schedule.nextRead()), [this, &host, timer] {
+        at(std::max(now(), host.schedule.nextRead()), [this, &host, timer] {
             onHost(host, [this, &host, timer] {
                 if (timer != host.timer || host.isReading) {
                     return;
                 }
-                if (now_ >= host.schedule.nextRead()) {
+                if (now() >= host.schedule.nextRead()) {
                     read(host);
                 } else {
                     wake(host);
@@ -207,15 +187,15 @@
     {
         ++reads_;
         host.isReading = true;
-        host.schedule.onReadBegun(now_);
-        const auto begunAt = now_;
+        host.schedule.onReadBegun(now());
+        const auto begunAt = now();
         const auto wait = host.schedule.wait();
         if (outage_ == Outage::Refusing && !host.isCut) {
-            at(now_ + storeLatency, [this, &host] { onHost(host, [this, &host] { finishRead(host, nullptr); }); });
+            at(now() + storeLatency, [this, &host] { onHost(host, [this, &host] { finishRead(host, nullptr); }); });
             return;
         }
         if (outage_ == Outage::Silent || host.isCut) {
-            at(now_ + wait + options_.callTimeout, [this, &host] { onHost(host, [this, &host] { finishRead(host, nullptr); }); });
+            at(now() + wait + options_.callTimeout, [this, &host] { onHost(host, [this, &host] { finishRead(host, nullptr); }); });
             return;
         }
         const auto from = host.known;
@@ -226,13 +206,13 @@
             }
             const bool isLost = outage_ == Outage::Silent || host.isCut;
             const auto page = isLost ? nullptr : std::make_shared<Page>(Page{from, records_, begunAt});
-            at(now_ + (isLost ? options_.callTimeout : storeLatency), [this, &host, page] { onHost(host, [this, &host, page] { finishRead(host, page); }); });
+            at(now() + (isLost ? options_.callTimeout : storeLatency), [this, &host, page] { onHost(host, [this, &host, page] { finishRead(host, page); }); });
         };
         if (records_ > from) {
             answer();
         } else {
             heldReads_.emplace_back(answer);
-            at(now_ + wait, answer);
+            at(now() + wait, answer);
         }
     }
 
@@ -240,12 +220,12 @@
     {
         host.isReading = false;
         if (!page) {
-            host.schedule.onReadFailed(now_, true);
+            host.schedule.onReadFailed(now(), true);
             wake(host);
             return;
         }
         const bool hasRecords = page->to > page->from;
-        host.schedule.onRead(now_, hasRecords);
+        host.schedule.onRead(now(), hasRecords);
         if (page->to > host.known || !hasRecords) {
             apply(host, *page);
             if (options_.arePagesShared) {
@@ -259,7 +239,7 @@
     {
         for (const auto &target : targets) {
             auto &arrival = host.lastArrival[target];
-            arrival = std::max(arrival, now_ + linkLatency + host.sendDelay);
+            arrival = std::max(arrival, now() + linkLatency + host.sendDelay);
             at(arrival, [this, from = host.id, target, page] {
                 auto &receiver = *hosts_.at(target);
                 onHost(receiver, [this, from, &receiver, page] { receive(receiver, from, page); });
@@ -279,7 +259,7 @@
     void apply(Host &host, const Page &page)
     {
         for (int number = host.known + 1; number <= page.to; ++number) {
-            host.appliedAt[number] = now_;
+            host.appliedAt[number] = now();
         }
         host.known = std::max(host.known, page.to);
     }
@@ -287,11 +267,7 @@
     Options options_;
     std::vector<GroupedHost> grouped_; // live ones
     std::map<HostId, std::unique_ptr<Host>> hosts_;
-    std::priority_queue<Event> events_;
-    std::uint64_t nextSequence_ = 0;
-    Instant now_;
     int records_ = 0;
-    std::vector<Instant> appendedAt_;
     std::vector<std::function<void()>> heldReads_;
     Outage outage_ = Outage::None;
     int reads_ = 0;
