Failing test: hosts fall behind a topic whose pages the store cuts

TopicSpread gets sizes of records and pages, links of hosts and store, and the time that a record takes to apply.

--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -11,6 +11,7 @@
 
 #include <serving/hostgroups.h>
 #include <serving/readschedule.h>
+#include <serving/storepages.h>
 
 #include "virtualtime.h"
 
@@ -25,6 +26,13 @@
         FollowOptions follow;
         Milliseconds callTimeout{1'500}; // of a call to the store, besides the time that a read is held open
         bool arePagesShared = true;      // false: pages are too large
+        int fastHostDistance = 5;        // each so many hosts, one has a fast link and leads its group while it lives
+        double fastMbps = 200;
+        double slowMbps = 50;
+        double storeMbps = 0;                // link of the store, for all reads together; 0: transfers take no time
+        std::int64_t recordBytes = 0;        // of each record
+        std::int64_t maxPageBytes = 1 << 20; // the store ends an answer with the record that exceeds it
+        Milliseconds applyTime{0};           // of one record, during which the host does nothing else
     };
     enum class Outage { None, Refusing, Silent };
 
@@ -34,10 +42,10 @@
         for (int i = 0; i < options.hosts; ++i) {
             const auto name = "host-" + std::to_string(i);
             const auto zone = "zone-" + std::to_string(i % options.zones);
-            grouped_.push_back({HostId(name), ZoneId(zone), i % 5 == 0 ? 200.0 : 50.0});
+            grouped_.push_back({HostId(name), ZoneId(zone), i % options.fastHostDistance == 0 ? options.fastMbps : options.slowMbps});
         }
         for (const auto &each : grouped_) {
-            hosts_.emplace(each.host, std::make_unique<Host>(each.host, options.follow));
+            hosts_.emplace(each.host, std::make_unique<Host>(each, options.follow));
         }
         assignGroups();
         for (auto &[id, host] : hosts_) {
@@ -115,12 +123,15 @@
 
 private:
     struct Host {
-        Host(HostId host, const FollowOptions &options)
-            : id(std::move(host))
+        Host(const GroupedHost &host, const FollowOptions &options)
+            : id(host.host)
+            , linkMbps(host.linkMbps)
             , schedule(options)
         { }
 
         HostId id;
+        double linkMbps = 0;
+        Instant linkFreeAt;
         HostGroups groups;
         ReadSchedule schedule;
         int known = 0; // records
@@ -129,6 +140,7 @@
         bool isReading = false;
         bool isCut = false;
         Instant suspendedUntil;
+        Instant busyUntil; // with the records of pages
         Instant harmedAt{-1'000'000};
         Milliseconds sendDelay{0};
         std::map<HostId, Instant> lastArrival; // by receiver; a link keeps the order
@@ -137,6 +149,7 @@
     struct Page {
         int from = 0;
         int to = 0;
+        int end = 0; // of the topic
         Instant readAt;
     };
     static constexpr Milliseconds storeLatency{4};
@@ -159,8 +172,8 @@
         if (!host.isAlive) {
             return;
         }
-        if (now() < host.suspendedUntil) {
-            at(host.suspendedUntil, [this, &host, action] { onHost(host, action); });
+        if (const auto free = std::max(host.suspendedUntil, host.busyUntil); now() < free) {
+            at(free, [this, &host, action] { onHost(host, action); });
             return;
         }
         action();
@@ -205,8 +218,9 @@
                 return;
             }
             const bool isLost = outage_ == Outage::Silent || host.isCut;
-            const auto page = isLost ? nullptr : std::make_shared<Page>(Page{from, records_, begunAt});
-            at(now() + (isLost ? options_.callTimeout : storeLatency), [this, &host, page] { onHost(host, [this, &host, page] { finishRead(host, page); }); });
+            const auto page = isLost ? nullptr : std::make_shared<Page>(pageFrom(from, begunAt));
+            const auto arrival = isLost ? now() + options_.callTimeout : transfer(host, *page);
+            at(arrival, [this, &host, page] { onHost(host, [this, &host, page] { finishRead(host, page); }); });
         };
         if (records_ > from) {
             answer();
@@ -216,6 +230,31 @@
         }
     }
 
+    [[nodiscard]] Page pageFrom(int from, Instant begunAt) const
+    {
+        int to = records_;
+        if (options_.recordBytes > 0) {
+            to = std::min<int>(to, from + 1 + static_cast<int>(options_.maxPageBytes / options_.recordBytes));
+        }
+        return {from, to, records_, begunAt};
+    }
+
+    /// When the host has the whole page: the links of store and host each carry one page after the other.
+    Instant transfer(Host &host, const Page &page)
+    {
+        const auto bits = static_cast<double>((page.to - page.from) * options_.recordBytes * 8);
+        const auto duration = [bits](double mbps) {
+            constexpr double bitsPerMsAndMbps = 1'000;
+            return Milliseconds(mbps > 0 ? static_cast<std::int64_t>(bits / (mbps * bitsPerMsAndMbps)) : 0);
+        };
+        if (options_.storeMbps <= 0) {
+            return now() + storeLatency;
+        }
+        storeFreeAt_ = std::max(storeFreeAt_, now()) + duration(options_.storeMbps);
+        host.linkFreeAt = std::max(host.linkFreeAt, now()) + duration(host.linkMbps);
+        return std::max(storeFreeAt_, host.linkFreeAt) + storeLatency;
+    }
+
     void finishRead(Host &host, const std::shared_ptr<Page> &page)
     {
         host.isReading = false;
@@ -228,7 +267,8 @@
         host.schedule.onRead(now(), hasRecords);
         if (page->to > host.known || !hasRecords) {
             apply(host, *page);
-            if (options_.arePagesShared) {
+            const bool isSmall = static_cast<std::size_t>((page->to - page->from) * options_.recordBytes) <= StorePages::maxSharedPageBytes;
+            if (options_.arePagesShared && isSmall) {
                 send(host, host.groups.shareTargets(topic), *page);
             }
         }
@@ -258,8 +298,10 @@
 
     void apply(Host &host, const Page &page)
     {
+        const auto busyFrom = std::max(now(), host.busyUntil);
+        host.busyUntil = busyFrom + options_.applyTime * std::max(0, page.to - host.known);
         for (int number = host.known + 1; number <= page.to; ++number) {
-            host.appliedAt[number] = now();
+            host.appliedAt[number] = host.busyUntil;
         }
         host.known = std::max(host.known, page.to);
     }
@@ -268,6 +310,7 @@
     std::vector<GroupedHost> grouped_; // live ones
     std::map<HostId, std::unique_ptr<Host>> hosts_;
     int records_ = 0;
+    Instant storeFreeAt_;
     std::vector<std::function<void()>> heldReads_;
     Outage outage_ = Outage::None;
     int reads_ = 0;
--- a/packages/serving/tests/topicspreadtest.cpp
+++ b/packages/serving/tests/topicspreadtest.cpp
@@ -16,9 +16,8 @@
 }
 
 /// Plays one configuration every 700 ms from `from` to `to` and returns the number of times that a calm host had one too late.
-int lateApplications(TopicSpread &spread, Instant from, Instant to)
+int lateApplications(TopicSpread &spread, Instant from, Instant to, Milliseconds bound = configApply, Milliseconds interval = Milliseconds(700))
 {
-    constexpr Milliseconds interval{700};
     struct Sent {
         int number;
         Instant at;
@@ -31,13 +30,26 @@
         sent.push_back({++number, time});
     }
     for (const auto &[record, time] : sent) {
-        const auto deadline = time + configApply;
+        const auto deadline = time + bound;
         spread.runUntil(deadline + Milliseconds(1));
         late += static_cast<int>(spread.calmHostsWithout(record, deadline - contact, deadline).size());
     }
     return late;
 }
 
+// Bound of the deployment with 195 hosts in five zones, whose configurations with 1,500 routes have 450 KB. Its store's link carries 4,000 Mbit/s.
+constexpr Milliseconds hugeConfigApply{4'000};
+
+TopicSpread::Options hugeDeployment()
+{
+    return {.zones = 5,
+            .hosts = 195,
+            .follow = {.standbyRetry = hugeConfigApply, .retryBound = hugeConfigApply, .bound = hugeConfigApply},
+            .fastHostDistance = 13,
+            .slowMbps = 20,
+            .recordBytes = 450'000};
+}
+
 // Guards against a configuration that is not in force in time at calm hosts (issue 23, CONFIG): pages that came late counted as just read.
 TEST(TopicSpread, members_of_a_group_whose_leader_passes_pages_on_late_have_a_configuration_in_time)
 {
@@ -107,6 +119,18 @@
     }
 }
 
+// Guards against hosts that fall behind further and further (issue 26, CONFIG): after a page that the store cut at its size they waited as
+// long as after a complete one.
+TEST(TopicSpread, hosts_read_on_after_a_page_that_ends_before_the_topic)
+{
+    auto options = hugeDeployment();
+    options.arePagesShared = false;
+    for (const int interval : {330, 700}) {
+        TopicSpread spread(options);
+        EXPECT_EQ(lateApplications(spread, Instant(4'000), Instant(18'000), hugeConfigApply, Milliseconds(interval)), 0) << "one each " << interval << " ms";
+    }
+}
+
 // Pattern: one host reads for all, and nothing happens.
 TEST(TopicSpread, a_calm_deployment_reads_the_store_about_as_often_as_its_reader)
 {
