Log of a configuration: time of the read, records left in the topic, routes, time to apply

Tells the hypotheses of docs/incidents/config-at-scale.md apart: 1 by records_left, 3 by own_read_took_ms, 4 by took_ms; 2 by the source, which was there.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -79,6 +79,7 @@
     }
     schedule_.onRead(node_.now(), !page->records.empty());
     ownReadAt_ = node_.now();
+    readTime_ = ownReadAt_ - schedule_.begunAt();
     source_ = HostId();
     setReachable(true, why);
     if (page->nextOffset > nextOffset_ || page->records.empty()) { // otherwise a page from another host was applied during the read
@@ -95,6 +96,8 @@
     nextOffset_ = std::max(listing.nextOffset, core::Offset(1));
     schedule_.onRead(node_.now(), false);
     ownReadAt_ = node_.now();
+    readTime_ = ownReadAt_ - schedule_.begunAt();
+    recordsLeft_ = 0;
     source_ = HostId();
     if (hasListing_ && era() > before) {
         node_.metrics.beliefChanges.add({"store_era"});
@@ -130,6 +133,7 @@
     StorePage newRecords = page;
     std::erase_if(newRecords.records, [this](const StoreRecord &record) { return record.offset < nextOffset_; });
     nextOffset_ = std::max(nextOffset_, page.nextOffset);
+    recordsLeft_ = page.endOffset > nextOffset_ ? page.endOffset.value() - nextOffset_.value() : 0;
     callbacks_.onPage(newRecords);
 }
 
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -59,6 +59,8 @@
     [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
     [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // start of the newest read known, including those of other hosts
     [[nodiscard]] Instant ownReadAt() const { return ownReadAt_; }                // last successful read or listing by this host
+    [[nodiscard]] Milliseconds readTime() const { return readTime_; }             // how long that one took, waiting for a record included
+    [[nodiscard]] std::uint64_t recordsLeft() const { return recordsLeft_; }      // in the topic after the page being applied, when it was read
     [[nodiscard]] const HostId &source() const { return source_; } // of the records being applied: the host that sent the page; empty: this host's own read
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
     /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
@@ -90,6 +92,8 @@
     bool needsListing_ = true;
     core::Offset nextOffset_;
     Instant ownReadAt_;
+    Milliseconds readTime_;
+    std::uint64_t recordsLeft_ = 0;
     HostId source_;
 };
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -319,6 +319,7 @@
 
 void HostedDaemon::applyConfiguration(const StoreRecord &record)
 {
+    const auto begin = node_.now();
     Error why;
     auto configuration = node_.codec.readConfiguration(record.value, why);
     if (!configuration) {
@@ -337,7 +338,11 @@
                     {"before", before},
                     {"offset", record.offset},
                     {"source", operatorsTopic_.source()},
-                    {"own_read_ms_ago", node_.now() - operatorsTopic_.ownReadAt()}});
+                    {"own_read_ms_ago", node_.now() - operatorsTopic_.ownReadAt()},
+                    {"own_read_took_ms", operatorsTopic_.readTime()},
+                    {"records_left", operatorsTopic_.recordsLeft()},
+                    {"routes", node_.routes->size()},
+                    {"took_ms", node_.now() - begin}});
     resourcesVersion_ = ~std::uint64_t(0);
     updateResources();
 }
--- a/packages/serving/routes.h
+++ b/packages/serving/routes.h
@@ -25,6 +25,7 @@
     explicit RouteTable(Configuration configuration);
 
     [[nodiscard]] ConfigVersion version() const { return configuration_.version; }
+    [[nodiscard]] std::size_t size() const { return configuration_.routes.size(); }
     [[nodiscard]] const CallerLimits &limits() const { return configuration_.limits; }
     [[nodiscard]] const std::vector<ServiceSpec> &services() const { return configuration_.services; }
     [[nodiscard]] const ServiceSpec *service(const ServiceName &name) const;
