A page of the store that ends before the topic is read on at once

Cause: the schedule knew only whether a page was empty. After a page that the store cut at 1 MB, a host that does not read first waited its whole pause, up to 3.85 s with 195 hosts. Three configurations of 450 kB fill a page, five came meanwhile, so the backlog grew. Change: the schedule is told the extent of a page; a cut one is followed by the next read at once.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -77,7 +77,7 @@
         setReachable(false, why);
         co_return;
     }
-    schedule_.onRead(node_.now(), !page->records.empty());
+    schedule_.onRead(node_.now(), page->records.empty() ? PageExtent::Empty : page->nextOffset < page->endOffset ? PageExtent::Cut : PageExtent::Whole);
     ownReadAt_ = node_.now();
     readTime_ = ownReadAt_ - schedule_.begunAt();
     source_ = HostId();
@@ -94,7 +94,7 @@
     const auto before = era();
     needsListing_ = false;
     nextOffset_ = std::max(listing.nextOffset, core::Offset(1));
-    schedule_.onRead(node_.now(), false);
+    schedule_.onRead(node_.now(), PageExtent::Empty);
     ownReadAt_ = node_.now();
     readTime_ = ownReadAt_ - schedule_.begunAt();
     recordsLeft_ = 0;
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -35,12 +35,13 @@
     begunAt_ = now;
 }
 
-void ReadSchedule::onRead(Instant now, bool hasRecords)
+void ReadSchedule::onRead(Instant now, PageExtent extent)
 {
     consecutiveFailures_ = 0;
     readAt_ = std::max(readAt_, begunAt_);
     endedAt_ = now;
-    isLastPageEmpty_ = !hasRecords;
+    lastExtent_ = extent;
+    isReadRequested_ = isReadRequested_ || extent == PageExtent::Cut;
 }
 
 void ReadSchedule::onReadFailed(Instant now, bool isKnown)
@@ -79,7 +80,7 @@
         return endedAt_ + urgentReadInterval;
     }
     const bool readsFirst = readDelay_.count() == 0 && options_.wait.count() > 0; // the store paces the reads by holding them open
-    const auto batchDelay = isLastPageEmpty_ ? Milliseconds(0) : options_.gather;
+    const auto batchDelay = lastExtent_ == PageExtent::Empty ? Milliseconds(0) : options_.gather;
     return readsFirst ? endedAt_ + batchDelay : readAt_ + options_.pause + readDelay_;
 }
 
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -2,7 +2,7 @@
 //
 //   ReadSchedule schedule({.wait = Milliseconds(2'000), .pause = Milliseconds(2'100)});
 //   schedule.setTurn(groups.failoverDelay(ownHost, topic), groups.longestFailoverDelay());
-//   schedule.onRead(now, hasRecords);    // an own read or listing succeeded
+//   schedule.onRead(now, PageExtent::Whole); // an own read or listing succeeded
 //   schedule.onPage(readAt);             // a page of another host was applied; that host's read began then
 //   schedule.onReadFailed(now, isKnown);
 //   if (now >= schedule.nextRead()) { schedule.onReadBegun(now); ... }
@@ -31,6 +31,13 @@
     Milliseconds gather{200};   // pause after a page with records, so that concurrent appends of many hosts arrive in one page rather than one by one
 };
 
+/// What an answer of the store has of the records that the topic had from the offset asked for.
+enum class PageExtent : std::uint8_t {
+    Empty, // there are none
+    Whole,
+    Cut, // the rest exceeds the size of an answer; it is read at once
+};
+
 class ReadSchedule
 {
 public:
@@ -38,7 +45,7 @@
 
     // Events.
     void onReadBegun(Instant now);
-    void onRead(Instant now, bool hasRecords);
+    void onRead(Instant now, PageExtent extent);
     void onReadFailed(Instant now, bool isKnown); // `isKnown`: the topic has been listed, so only new records are missing
     void onExpired() { isReadRequested_ = true; } // the records to read are gone; the topic must be listed
     void onPage(Instant readAt) { readAt_ = std::max(readAt_, readAt); }
@@ -75,7 +82,7 @@
     Instant readAtOfFailure_; // readAt_ when the last read failed; a later page ends the retries
     int consecutiveFailures_ = 0;
     bool isKnown_ = false; // see onReadFailed()
-    bool isLastPageEmpty_ = true;
+    PageExtent lastExtent_ = PageExtent::Empty;
     bool isReadRequested_ = true;
     bool isUrgent_ = false;
 };
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -49,7 +49,7 @@
         }
         assignGroups();
         for (auto &[id, host] : hosts_) {
-            host->schedule.onRead(now(), false);
+            host->schedule.onRead(now(), PageExtent::Empty);
             wake(*host);
         }
     }
@@ -264,7 +264,7 @@
             return;
         }
         const bool hasRecords = page->to > page->from;
-        host.schedule.onRead(now(), hasRecords);
+        host.schedule.onRead(now(), !hasRecords ? PageExtent::Empty : page->to < page->end ? PageExtent::Cut : PageExtent::Whole);
         if (page->to > host.known || !hasRecords) {
             apply(host, *page);
             const bool isSmall = static_cast<std::size_t>((page->to - page->from) * options_.recordBytes) <= StorePages::maxSharedPageBytes;
