Hosts hear at once of records that are too large to pass on

Cause: a page over 256 kB was not mentioned to the other hosts, and a page that left a gap was ignored, so each host found the records at the end of its own pause and turn, 3.85 s with 195 hosts, and the transfer of the records no longer fitted into the bound. Change: the extent of such a page is passed on like the page itself, and a host that hears of records it lacks reads them after a quarter of its turn.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -117,6 +117,11 @@
         hurry();
         return false;
     }
+    const bool isLeftOut = shared.page.records.empty() && shared.page.nextOffset > shared.from;
+    if (hasListing_ && !needsListing_ && (isLeftOut || shared.from > nextOffset_)) {
+        readSoon(shared.page.nextOffset);
+        return false;
+    }
     const bool isApplicable = hasListing_ && !needsListing_ && !schedule_.isUrgent() && shared.from <= nextOffset_ && shared.page.nextOffset >= nextOffset_;
     if (isApplicable) {
         if (shared.readAt) {
@@ -128,11 +133,27 @@
     return isApplicable;
 }
 
+void TopicFollower::readSoon(core::Offset end)
+{
+    if (core::eraOf(end) != era() || end <= nextOffset_) {
+        return;
+    }
+    knownEnd_ = std::max(knownEnd_, end);
+    const auto before = schedule_.nextRead();
+    schedule_.onAppended(node_.now());
+    if (schedule_.nextRead() < before) {
+        timer_.cancel();
+    }
+}
+
 void TopicFollower::applyPage(const StorePage &page)
 {
     StorePage newRecords = page;
     std::erase_if(newRecords.records, [this](const StoreRecord &record) { return record.offset < nextOffset_; });
     nextOffset_ = std::max(nextOffset_, page.nextOffset);
+    if (nextOffset_ >= knownEnd_) {
+        schedule_.onCaughtUp();
+    }
     recordsLeft_ = page.endOffset > nextOffset_ ? page.endOffset.value() - nextOffset_.value() : 0;
     callbacks_.onPage(newRecords);
 }
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -26,8 +26,8 @@
 
 /// A page read by another host.
 struct SharedPage {
-    core::Offset from; // offset at which the read started
-    StorePage page;
+    core::Offset from;               // offset at which the read started
+    StorePage page;                  // no records although the page has an extent: they are too large to pass on
     HostId sender{};                 // the host that this page came from
     std::optional<Instant> readAt{}; // when the read began at the latest, by this host's clock; nothing: not known, so the page proves no freshness
 };
@@ -64,7 +64,8 @@
     [[nodiscard]] const HostId &source() const { return source_; } // of the records being applied: the host that sent the page; empty: this host's own read
     /// Applies a page read by another host if it continues at this host's offset without a gap. Ignored in urgent mode, because a page
     /// that was buffered on the way doesn't prove that the topic was read to its current end. A page of a later era makes this host list.
-    /// Returns whether the page was applied.
+    /// Returns whether the page was applied. A page that leaves a gap, or whose records are left out because of their size, makes this host
+    /// read them itself soon.
     bool feed(const SharedPage &shared);
     /// A page that was applied without its time was read at `readAt`.
     void onPageDated(Instant readAt) { schedule_.onPage(readAt); }
@@ -74,6 +75,7 @@
 
 private:
     net::Task<void> step();
+    void readSoon(core::Offset end); // the topic is known to have records up to there
     void applyListing(const StoreListing &listing);
     void applyPage(const StorePage &page); // skips records before nextOffset_
     void setReachable(bool isReachable, const core::Error &why);
@@ -91,6 +93,7 @@
     bool isReachable_ = true;
     bool needsListing_ = true;
     core::Offset nextOffset_;
+    core::Offset knownEnd_; // of the topic, by pages of other hosts
     Instant ownReadAt_;
     Milliseconds readTime_;
     std::uint64_t recordsLeft_ = 0;
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -32,6 +32,7 @@
 void ReadSchedule::onReadBegun(Instant now)
 {
     isReadRequested_ = false;
+    catchUpAt_.reset();
     begunAt_ = now;
 }
 
@@ -81,7 +82,8 @@
     }
     const bool readsFirst = readDelay_.count() == 0 && options_.wait.count() > 0; // the store paces the reads by holding them open
     const auto batchDelay = lastExtent_ == PageExtent::Empty ? Milliseconds(0) : options_.gather;
-    return readsFirst ? endedAt_ + batchDelay : readAt_ + options_.pause + readDelay_;
+    const auto regular = readsFirst ? endedAt_ + batchDelay : readAt_ + options_.pause + readDelay_;
+    return catchUpAt_ ? std::min(regular, *catchUpAt_) : regular;
 }
 
 } // namespace baobabstall::serving
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -5,6 +5,7 @@
 //   schedule.onRead(now, PageExtent::Whole); // an own read or listing succeeded
 //   schedule.onPage(readAt);             // a page of another host was applied; that host's read began then
 //   schedule.onReadFailed(now, isKnown);
+//   schedule.onAppended(now);            // another host has read records that it does not pass on: this host reads them soon
 //   if (now >= schedule.nextRead()) { schedule.onReadBegun(now); ... }
 //
 // A topic with a bound (FollowOptions::bound) sets the times by itself: two reads, the transfer of a page, the longest turn of any host and
@@ -13,6 +14,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 
 #include <core/types.h>
 
@@ -50,6 +52,9 @@
     void onExpired() { isReadRequested_ = true; } // the records to read are gone; the topic must be listed
     void onPage(Instant readAt) { readAt_ = std::max(readAt_, readAt); }
     void requestRead() { isReadRequested_ = true; }
+    /// Records are known to wait in the topic. Hosts that hear of them at the same moment read a part of their turn apart.
+    void onAppended(Instant now) { catchUpAt_ = std::min(catchUpAt_.value_or(now + readDelay_), now + readDelay_ / catchUpDivisor); }
+    void onCaughtUp() { catchUpAt_.reset(); } // this host has the records that onAppended() told of
 
     /// `readDelay`: 0: this host reads first. `longestTurn`: the longest such delay of any host.
     void setTurn(Milliseconds readDelay, Milliseconds longestTurn);
@@ -68,6 +73,7 @@
     static constexpr Milliseconds minRetryDelay{150};     // after the first failed read
     static constexpr Milliseconds maxRetryDelay{600};     // limits how late the return of the store is detected
     static constexpr Milliseconds urgentReadInterval{20}; // between reads in urgent mode
+    static constexpr std::int64_t catchUpDivisor = 4;
 
 private:
     [[nodiscard]] bool isRetrying() const { return consecutiveFailures_ > 0 && readAt_ <= readAtOfFailure_; }
@@ -81,7 +87,8 @@
     Instant endedAt_;         // the same, successful or not
     Instant readAtOfFailure_; // readAt_ when the last read failed; a later page ends the retries
     int consecutiveFailures_ = 0;
-    bool isKnown_ = false; // see onReadFailed()
+    bool isKnown_ = false;             // see onReadFailed()
+    std::optional<Instant> catchUpAt_; // see onAppended()
     PageExtent lastExtent_ = PageExtent::Empty;
     bool isReadRequested_ = true;
     bool isUrgent_ = false;
--- a/packages/serving/storepages.cpp
+++ b/packages/serving/storepages.cpp
@@ -29,7 +29,10 @@
         bytes += record.key.size() + record.value.size();
         page.records.emplace_back(record.key, record.value);
     }
-    if (bytes <= maxSharedPageBytes && !node_.isStopping) {
+    if (bytes > maxSharedPageBytes) {
+        page.records.clear();
+    }
+    if (!node_.isStopping) {
         send(page, groups_.shareTargets(page.topic));
     }
 }
@@ -65,7 +68,8 @@
         shared.page.records.push_back({offset, key, value});
         offset = offset.next();
     }
-    if (offset != shared.page.nextOffset) {
+    const bool isLeftOut = page.records.empty() && shared.page.nextOffset > shared.from;
+    if (offset != shared.page.nextOffset && !isLeftOut) {
         node_.log.warn("feed_unsound", {{"topic", settings::printableText(page.topic)}, {"from", page.from}, {"read_to", page.readTo}});
         return;
     }
--- a/packages/serving/storepages.h
+++ b/packages/serving/storepages.h
@@ -31,7 +31,7 @@
     void onClockQuery(const HostId &from, const peers::ClockQuery &query);
     void onClockAnswer(const HostId &from, const peers::ClockAnswer &answer);
 
-    static constexpr std::size_t maxSharedPageBytes = 256 * 1024; // each host reads a larger page itself
+    static constexpr std::size_t maxSharedPageBytes = 256 * 1024; // of a larger page only the extent is passed on, and each host reads it itself
 
 private:
     /// The newest page of a topic, applied before its sender's clock was known.
--- a/packages/serving/tests/followertest.cpp
+++ b/packages/serving/tests/followertest.cpp
@@ -269,6 +269,22 @@
     EXPECT_TRUE(receivedOffsets_.empty());
 }
 
+// Guards against hosts that learn of a record too large to share only at the end of their own pause (issue 26, CONFIG).
+TEST_F(FollowerTest, a_shared_page_whose_records_are_left_out_or_that_leaves_a_gap_makes_the_host_read_soon)
+{
+    auto &follower = startFollower({.pause = Milliseconds(60'000)});
+    follower.setTurn(Milliseconds(80), Milliseconds(80));
+    ASSERT_TRUE(runUntil([&] { return follower.isKnown(); }));
+    runFor(shortDelay);
+    store_.records = {makeRecord(1)};
+    EXPECT_FALSE(follower.feed({Offset(1), {{}, Offset(1), Offset(2), Offset(2)}, HostId("entry-2"), node_.now()}));
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 1; })) << "left out";
+    store_.records = {makeRecord(1), makeRecord(2), makeRecord(3)};
+    EXPECT_FALSE(follower.feed({Offset(3), {{makeRecord(3)}, Offset(1), Offset(4), Offset(4)}, HostId("entry-2"), node_.now()}));
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() == 3; })) << "gap";
+    EXPECT_EQ(store_.readCount, 2);
+}
+
 // Guards against every host of a large deployment retrying during a store outage (incident inc-f974: 430 failed calls per second from
 // 87 hosts).
 TEST_F(FollowerTest, a_host_with_a_longer_read_delay_retries_less_often_during_an_outage)
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -134,7 +134,8 @@
         Instant linkFreeAt;
         HostGroups groups;
         ReadSchedule schedule;
-        int known = 0; // records
+        int known = 0;    // records
+        int knownEnd = 0; // records of the topic, by pages of other hosts
         std::map<int, Instant> appliedAt;
         bool isAlive = true;
         bool isReading = false;
@@ -267,8 +268,7 @@
         host.schedule.onRead(now(), !hasRecords ? PageExtent::Empty : page->to < page->end ? PageExtent::Cut : PageExtent::Whole);
         if (page->to > host.known || !hasRecords) {
             apply(host, *page);
-            const bool isSmall = static_cast<std::size_t>((page->to - page->from) * options_.recordBytes) <= StorePages::maxSharedPageBytes;
-            if (options_.arePagesShared && isSmall) {
+            if (options_.arePagesShared) {
                 send(host, host.groups.shareTargets(topic), *page);
             }
         }
@@ -290,6 +290,15 @@
     void receive(Host &host, const HostId &from, const Page &page)
     {
         send(host, host.groups.forwardTargets(from, topic), page);
+        const bool isLeftOut = static_cast<std::size_t>((page.to - page.from) * options_.recordBytes) > StorePages::maxSharedPageBytes;
+        if (isLeftOut || page.from > host.known) {
+            if (page.to > host.known) {
+                host.knownEnd = std::max(host.knownEnd, page.to);
+                host.schedule.onAppended(now());
+                wake(host);
+            }
+            return;
+        }
         if (page.from <= host.known && page.to >= host.known) {
             host.schedule.onPage(page.readAt);
             apply(host, page);
@@ -304,6 +313,9 @@
             host.appliedAt[number] = host.busyUntil;
         }
         host.known = std::max(host.known, page.to);
+        if (host.known >= host.knownEnd) {
+            host.schedule.onCaughtUp();
+        }
     }
 
     Options options_;
