The schedule of reads leaves room for the transfer of what is read

Cause: the schedule counted 150 ms for a read whatever its size; 1 MB takes 420 ms on a link of 20 Mbit/s, and a host that read nothing for 3.85 s had several pages to read. Change: the times of reads leave room for the transfer of the largest backlog met so far, of at least one page, over the slowest link of any host (all hosts must use the same times). Where no link is known nothing changes.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -1,5 +1,7 @@
 #include <serving/follower.h>
 
+#include <numeric>
+
 namespace baobabstall::serving {
 
 std::string_view topicText(Topic topic)
@@ -14,6 +16,12 @@
     }
 }
 
+std::size_t bytesOf(const StorePage &page)
+{
+    return std::accumulate(
+        page.records.begin(), page.records.end(), std::size_t(0), [](std::size_t sum, const auto &each) { return sum + each.key.size() + each.value.size(); });
+}
+
 TopicFollower::TopicFollower(Node &node, AbstractStore &store, Topic topic, FollowOptions options, TopicEvents callbacks)
     : node_(node)
     , store_(store)
@@ -32,10 +40,10 @@
     }
 }
 
-void TopicFollower::setTurn(Milliseconds readDelay, Milliseconds longestTurn)
+void TopicFollower::setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps)
 {
     const auto before = schedule_.nextRead();
-    schedule_.setTurn(readDelay, longestTurn);
+    schedule_.setTurn(readDelay, longestTurn, slowestLinkMbps);
     if (schedule_.nextRead() < before) {
         timer_.cancel();
     }
@@ -77,7 +85,8 @@
         setReachable(false, why);
         co_return;
     }
-    schedule_.onRead(node_.now(), page->records.empty() ? PageExtent::Empty : page->nextOffset < page->endOffset ? PageExtent::Cut : PageExtent::Whole);
+    const bool isCut = page->nextOffset < page->endOffset;
+    schedule_.onRead(node_.now(), page->records.empty() ? PageExtent::Empty : isCut ? PageExtent::Cut : PageExtent::Whole, bytesOf(*page));
     ownReadAt_ = node_.now();
     readTime_ = ownReadAt_ - schedule_.begunAt();
     source_ = HostId();
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -23,6 +23,8 @@
 
 /// Used in log lines and shared pages; identical on all hosts.
 [[nodiscard]] std::string_view topicText(Topic topic);
+/// Of the keys and values of the page's records.
+[[nodiscard]] std::size_t bytesOf(const StorePage &page);
 
 /// A page read by another host.
 struct SharedPage {
@@ -69,7 +71,7 @@
     bool feed(const SharedPage &shared);
     /// A page that was applied without its time was read at `readAt`.
     void onPageDated(Instant readAt) { schedule_.onPage(readAt); }
-    void setTurn(Milliseconds readDelay, Milliseconds longestTurn); // see ReadSchedule, also for the next two
+    void setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps = 0); // see ReadSchedule, also for the next two
     void setGather(Milliseconds delay) { schedule_.setGather(delay); }
     void setUrgent(bool isUrgent) { schedule_.setUrgent(isUrgent); }
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1146,7 +1146,7 @@
     }
     controlTopic_.setGather(FollowOptions().gather);
     for (auto *follower : {&operatorsTopic_, &upstreamsTopic_, &controlTopic_}) {
-        follower->setTurn(groups_.failoverDelay(node_.settings.host, follower->name()), groups_.longestFailoverDelay());
+        follower->setTurn(groups_.failoverDelay(node_.settings.host, follower->name()), groups_.longestFailoverDelay(), groups_.slowestLinkMbps());
     }
 }
 
--- a/packages/serving/hostgroups.cpp
+++ b/packages/serving/hostgroups.cpp
@@ -92,6 +92,19 @@
         + memberDelayStep * static_cast<std::int64_t>(largest - 1);
 }
 
+double HostGroups::slowestLinkMbps() const
+{
+    double slowest = 0;
+    for (const auto &group : groups_) {
+        for (const auto &host : group) {
+            if (host.linkMbps > 0 && (slowest == 0 || host.linkMbps < slowest)) {
+                slowest = host.linkMbps;
+            }
+        }
+    }
+    return slowest;
+}
+
 std::vector<HostId> HostGroups::shareTargets(std::string_view purpose) const
 {
     auto targets = members(purpose);
--- a/packages/serving/hostgroups.h
+++ b/packages/serving/hostgroups.h
@@ -52,6 +52,8 @@
 
     [[nodiscard]] Milliseconds longestFailoverDelay() const; // of any host, whatever the purpose
 
+    [[nodiscard]] double slowestLinkMbps() const; // of any host whose link is known; 0: none is
+
     static constexpr Milliseconds leaderDelayStep{200}; // between two leaders: covers a read of the store, the transfer of a page and a busy host
     static constexpr std::int64_t maxLeaderSteps = 4;   // later leaders and members wait no longer, which bounds the age of shared data
     static constexpr Milliseconds memberDelayStep{10};  // between two members of a group: covers an answer of the store and its transfer
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -18,15 +18,27 @@
     setTurn(Milliseconds(0), Milliseconds(0));
 }
 
-/// A record that was appended right after a read began comes with the page of the next read. A host that gets neither page reads after its
-/// turn, also the last one, within the bound.
-void ReadSchedule::setTurn(Milliseconds readDelay, Milliseconds longestTurn)
+void ReadSchedule::setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps)
 {
     readDelay_ = readDelay;
-    if (options_.bound.count() > 0) {
-        options_.wait = std::max(minWait, (options_.bound - longestTurn - pageMargin - readMargin) / 2);
-        options_.pause = options_.wait * 2 + pageMargin;
+    longestTurn_ = longestTurn;
+    slowestLinkMbps_ = slowestLinkMbps;
+    applyBound();
+}
+
+/// A record that was appended right after a read began comes with the page of the next read. A host that gets neither page reads after its
+/// turn, also the last one, within the bound, and the transfer of what it reads fits in as well.
+void ReadSchedule::applyBound()
+{
+    if (options_.bound.count() == 0) {
+        return;
     }
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMsAndMbps = 1'000;
+    const double transferMs = slowestLinkMbps_ > 0 ? static_cast<double>(largestBacklogBytes_) * bitsPerByte / (slowestLinkMbps_ * bitsPerMsAndMbps) : 0;
+    const auto transfer = std::min(options_.bound, Milliseconds(static_cast<std::int64_t>(transferMs)));
+    options_.wait = std::max(minWait, (options_.bound - longestTurn_ - pageMargin - readMargin - transfer) / 2);
+    options_.pause = options_.wait * 2 + pageMargin;
 }
 
 void ReadSchedule::onReadBegun(Instant now)
@@ -36,12 +48,19 @@
     begunAt_ = now;
 }
 
-void ReadSchedule::onRead(Instant now, PageExtent extent)
+void ReadSchedule::onRead(Instant now, PageExtent extent, std::size_t bytes)
 {
     consecutiveFailures_ = 0;
     readAt_ = std::max(readAt_, begunAt_);
     endedAt_ = now;
     lastExtent_ = extent;
+    bytesInARow_ += bytes;
+    if (extent != PageExtent::Cut) {
+        bytesInARow_ = 0;
+    } else if (bytesInARow_ + maxPageBytes > largestBacklogBytes_) {
+        largestBacklogBytes_ = bytesInARow_ + maxPageBytes;
+        applyBound();
+    }
     isReadRequested_ = isReadRequested_ || extent == PageExtent::Cut;
 }
 
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -1,7 +1,7 @@
 // serving/readschedule.h: when a host reads a topic of the store that one host usually reads for all. No I/O.
 //
 //   ReadSchedule schedule({.wait = Milliseconds(2'000), .pause = Milliseconds(2'100)});
-//   schedule.setTurn(groups.failoverDelay(ownHost, topic), groups.longestFailoverDelay());
+//   schedule.setTurn(groups.failoverDelay(ownHost, topic), groups.longestFailoverDelay(), groups.slowestLinkMbps());
 //   schedule.onRead(now, PageExtent::Whole); // an own read or listing succeeded
 //   schedule.onPage(readAt);             // a page of another host was applied; that host's read began then
 //   schedule.onReadFailed(now, isKnown);
@@ -47,7 +47,7 @@
 
     // Events.
     void onReadBegun(Instant now);
-    void onRead(Instant now, PageExtent extent);
+    void onRead(Instant now, PageExtent extent, std::size_t bytes = 0);
     void onReadFailed(Instant now, bool isKnown); // `isKnown`: the topic has been listed, so only new records are missing
     void onExpired() { isReadRequested_ = true; } // the records to read are gone; the topic must be listed
     void onPage(Instant readAt) { readAt_ = std::max(readAt_, readAt); }
@@ -56,8 +56,8 @@
     void onAppended(Instant now) { catchUpAt_ = std::min(catchUpAt_.value_or(now + readDelay_), now + readDelay_ / catchUpDivisor); }
     void onCaughtUp() { catchUpAt_.reset(); } // this host has the records that onAppended() told of
 
-    /// `readDelay`: 0: this host reads first. `longestTurn`: the longest such delay of any host.
-    void setTurn(Milliseconds readDelay, Milliseconds longestTurn);
+    /// `readDelay`: 0: this host reads first. `longestTurn`: the longest such delay of any host. `slowestLinkMbps`: of any host; 0: not known.
+    void setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps = 0);
     void setGather(Milliseconds delay) { options_.gather = delay; }
     void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; } // reads don't wait for new records, because the caller needs to reach the end of the topic
 
@@ -74,14 +74,20 @@
     static constexpr Milliseconds maxRetryDelay{600};     // limits how late the return of the store is detected
     static constexpr Milliseconds urgentReadInterval{20}; // between reads in urgent mode
     static constexpr std::int64_t catchUpDivisor = 4;
+    static constexpr std::size_t maxPageBytes = 1024 * 1024; // of an answer of the store
 
 private:
     [[nodiscard]] bool isRetrying() const { return consecutiveFailures_ > 0 && readAt_ <= readAtOfFailure_; }
     [[nodiscard]] Milliseconds retryDelay() const;
     [[nodiscard]] Instant nextRetry() const;
+    void applyBound();
 
     FollowOptions options_;
     Milliseconds readDelay_{0};
+    Milliseconds longestTurn_{0};
+    double slowestLinkMbps_ = 0;
+    std::size_t bytesInARow_ = 0;                    // of pages since the last one that was not cut
+    std::size_t largestBacklogBytes_ = maxPageBytes; // that one host had to read at a time
     Instant readAt_;
     Instant begunAt_;         // last own read
     Instant endedAt_;         // the same, successful or not
--- a/packages/serving/storepages.cpp
+++ b/packages/serving/storepages.cpp
@@ -24,13 +24,10 @@
     page.readTo = shared.page.nextOffset.value();
     page.sentAt = node_.now().sinceOrigin();
     page.ageMs = shared.readAt ? (node_.now() - *shared.readAt).count() : -1;
-    std::size_t bytes = 0;
-    for (const auto &record : shared.page.records) {
-        bytes += record.key.size() + record.value.size();
-        page.records.emplace_back(record.key, record.value);
-    }
-    if (bytes > maxSharedPageBytes) {
-        page.records.clear();
+    if (bytesOf(shared.page) <= maxSharedPageBytes) {
+        for (const auto &record : shared.page.records) {
+            page.records.emplace_back(record.key, record.value);
+        }
     }
     if (!node_.isStopping) {
         send(page, groups_.shareTargets(page.topic));
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -162,7 +162,8 @@
     {
         for (auto &[id, host] : hosts_) {
             host->groups.assign(grouped_, id);
-            host->schedule.setTurn(host->groups.failoverDelay(id, topic), host->groups.longestFailoverDelay());
+            host->schedule.setTurn(
+                host->groups.failoverDelay(id, topic), host->groups.longestFailoverDelay(), options_.storeMbps > 0 ? host->groups.slowestLinkMbps() : 0);
             wake(*host);
         }
     }
@@ -265,7 +266,11 @@
             return;
         }
         const bool hasRecords = page->to > page->from;
-        host.schedule.onRead(now(), !hasRecords ? PageExtent::Empty : page->to < page->end ? PageExtent::Cut : PageExtent::Whole);
+        host.schedule.onRead(now(),
+                             !hasRecords                ? PageExtent::Empty
+                                 : page->to < page->end ? PageExtent::Cut
+                                                        : PageExtent::Whole,
+                             static_cast<std::size_t>((page->to - page->from) * options_.recordBytes));
         if (page->to > host.known || !hasRecords) {
             apply(host, *page);
             if (options_.arePagesShared) {
