--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -88,18 +88,8 @@
                       store,
                       Topic::Operators,
                       {.standbyRetry = settings.hosting.configApply, .retryBound = settings.hosting.configApply, .bound = settings.hosting.configApply},
-                      {.onListing =
-                           [this](const StoreListing &listing) {
-                               for (const auto &record : listing.records) {
-                                   applyOperatorRecord(record);
-                               }
-                           },
-                       .onPage =
-                           [this](const StorePage &page) {
-                               for (const auto &record : page.records) {
-                                   applyOperatorRecord(record);
-                               }
-                           },
+                      {.onListing = [this](const StoreListing &listing) { applyOperatorRecords(listing.records); },
+                       .onPage = [this](const StorePage &page) { applyOperatorRecords(page.records); },
                        .onReached = [](bool) {},
                        .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Operators, shared); }})
     , upstreamsTopic_(
@@ -290,13 +280,23 @@
 
 // ---- Operators topic ----
 
-void HostedDaemon::applyOperatorRecord(const StoreRecord &record)
+void HostedDaemon::applyOperatorRecords(std::span<const StoreRecord> records)
 {
-    if (node_.codec.isConfigurationKey(record.key)) {
-        applyConfiguration(record);
-        return;
+    const auto begin = node_.now();
+    const auto onUnreadable = [this](const StoreRecord &record, const Error &why) {
+        node_.log.warn("configuration_unreadable", why, {{"offset", record.offset}});
+    };
+    if (auto newest = newestConfiguration(records, node_.codec, onUnreadable)) {
+        applyConfiguration(std::move(*newest), begin);
     }
-    if (record.key.empty() || record.value.empty()) {
+    for (const auto &record : records) {
+        applyRevision(record);
+    }
+}
+
+void HostedDaemon::applyRevision(const StoreRecord &record)
+{
+    if (record.key.empty() || record.value.empty() || node_.codec.isConfigurationKey(record.key)) {
         return;
     }
     Error why;
@@ -317,26 +317,19 @@
     }
 }
 
-void HostedDaemon::applyConfiguration(const StoreRecord &record)
+void HostedDaemon::applyConfiguration(PlacedConfiguration newest, Instant begin)
 {
-    const auto begin = node_.now();
-    Error why;
-    auto configuration = node_.codec.readConfiguration(record.value, why);
-    if (!configuration) {
-        node_.log.warn("configuration_unreadable", why, {{"offset", record.offset}});
-        return;
-    }
     const auto before = node_.routes ? node_.routes->version() : ConfigVersion();
-    if (node_.routes && configuration->version <= before) {
+    if (node_.routes && newest.configuration.version <= before) {
         return;
     }
-    node_.routes = std::make_shared<const RouteTable>(std::move(*configuration));
+    node_.routes = std::make_shared<const RouteTable>(std::move(newest.configuration));
     node_.routesActiveSince = node_.now();
     node_.metrics.beliefChanges.add({"configuration"});
     node_.log.info("configuration_in_force",
                    {{"version", node_.routes->version()},
                     {"before", before},
-                    {"offset", record.offset},
+                    {"offset", newest.offset},
                     {"source", operatorsTopic_.source()},
                     {"own_read_ms_ago", node_.now() - operatorsTopic_.ownReadAt()},
                     {"own_read_took_ms", operatorsTopic_.readTime()},
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 
 #include <engines/loadbudget.h>
 #include <ownership/planner.h>
@@ -23,6 +24,7 @@
 #include <serving/forwarder.h>
 #include <serving/hostgroups.h>
 #include <serving/loadexchange.h>
+#include <serving/newestconfiguration.h>
 #include <serving/ownedreplica.h>
 #include <serving/prefillgate.h>
 #include <serving/sendgate.h>
@@ -71,8 +73,9 @@
     void updateGauges();
 
     // Operators topic.
-    void applyOperatorRecord(const StoreRecord &record);
-    void applyConfiguration(const StoreRecord &record);
+    void applyOperatorRecords(std::span<const StoreRecord> records);
+    void applyRevision(const StoreRecord &record);
+    void applyConfiguration(PlacedConfiguration newest, Instant begin); // `begin`: of the work on its page
     // Upstreams topic.
     void applyUpstreamListing(const StoreListing &listing);
     void applyUpstreamRecord(const StoreRecord &record);
