Failing test: a part of prompts crashes one upstream after the other

All 17 requests with the part are sent, to two upstreams each. The codec reads the parts that requests share, and send_ended names them and the events relayed, which tells the hypotheses apart.

--- a/packages/core/types.h
+++ b/packages/core/types.h
@@ -48,6 +48,7 @@
 using RegionId = Id<struct RegionTag>;               // several zones with one set of claims
 using UpstreamId = Id<struct UpstreamTag>;           // a model engine or a plain service replica
 using ServiceName = Id<struct ServiceNameTag>;       // a group of plain service replicas
+using PromptPart = Id<struct PromptPartTag>;         // a part of a prompt that requests may share
 using RequestId = Id<struct RequestTag>;             // unique for each request of a caller
 
 /// A counter that only rises. Zero means "none yet".
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -12,6 +12,7 @@
 #include <core/hash.h>
 #include <serving/events.h>
 #include <serving/watchdog.h>
+#include <settings/json.h>
 
 namespace baobabstall::serving {
 
@@ -910,12 +911,23 @@
                             {"upstream", replica.id},
                             {"outcome", outcome},
                             {"why", reason},
+                            {"shared_parts", partsText()},
+                            {"events", events_},
                             {"took_ms", node_.now() - sentAt_},
                             {"left_ms", timeLeft()},
                             {"upstreams_age_ms", node_.now() - node_.replicasReadAt}});
         }
     }
 
+    [[nodiscard]] std::string partsText() const
+    {
+        std::string text;
+        for (const auto &part : metadata_.sharedParts) {
+            text.append(text.empty() ? "" : ",").append(settings::printableText(part.value()));
+        }
+        return text;
+    }
+
     void logRequest()
     {
         const std::string_view service = service_ == nullptr ? std::string_view("none") : std::string_view(service_->value());
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -25,6 +25,7 @@
 using core::HostId;
 using core::Instant;
 using core::Milliseconds;
+using core::PromptPart;
 using core::RequestId;
 using core::ServiceName;
 using core::UpstreamId;
@@ -157,8 +158,11 @@
     AdapterKey weights;                   // empty model: the request names no weights
     double promptTokens = 0;
     double maxOutputTokens = 0;
-    std::string promptPrefix; // shared prefix of the prompt; empty: none
+    std::string promptPrefix;            // shared prefix of the prompt; empty: none
+    std::vector<PromptPart> sharedParts; // of the prompt: all but the last, which is the request's own
     std::optional<std::uint64_t> lastEventId;
+
+    static constexpr std::size_t maxSharedParts = 32; // later ones are not read
 };
 
 /// Parsed headers of an upstream's response.
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -84,6 +84,27 @@
     EXPECT_EQ(requestCount(), 4U) << "an at-most-once request is not sent again";
 }
 
+// Guards against requests with one part in their prompts that crash one upstream after the other (issue 26, BUDGET).
+TEST_F(ForwarderTest, requests_with_a_part_that_crashes_upstreams_are_refused_and_others_are_not)
+{
+    const Script crash{{streamHead() + chunk("id: 1\nda")}, false, true};
+    setUpService(route(RetryPolicy::Idempotent, true, 2), {{crash}, {crash}, {crash}, {crash}});
+    constexpr int requests = 16;
+    std::size_t reachedBefore = 0;
+    for (int i = 0; i < requests; ++i) {
+        reachedBefore = i == requests / 2 ? requestCount() : reachedBefore;
+        sendRequest(getRequest("q" + std::to_string(i), "Parts: first,bad,other" + std::to_string(i) + "\r\n"), "\r\n\r\n");
+        runFor(Milliseconds(250));
+    }
+    EXPECT_GE(reachedBefore, 3U);
+    EXPECT_EQ(requestCount(), reachedBefore);
+    const auto response = sendRequest(getRequest("p", "Parts: first,bad\r\n"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After: "));
+    sendRequest(getRequest("s", "Parts: first,sound\r\n"), "\r\n\r\n");
+    EXPECT_GT(requestCount(), reachedBefore);
+}
+
 TEST_F(ForwarderTest, a_response_delimited_by_connection_close_is_complete)
 {
     setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\n\r\nunframed"}, true}}});
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -24,8 +24,8 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Tokens, Last, Seal, Not-Run, Replica, Leaving, Backoff (ms), Limit (a second). Set
-/// by the forwarder: To, Left, Revision.
+/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, Last, Seal, Not-Run, Replica, Leaving, Backoff (ms),
+/// Limit (a second). Set by the forwarder: To, Left, Revision.
 class FakeCodec : public Codec
 {
 public:
@@ -39,6 +39,8 @@
                 facts.deadline = Milliseconds(std::stoll(std::string(value)));
             } else if (name == "Tokens") {
                 facts.promptTokens = std::stod(std::string(value));
+            } else if (name == "Parts") {
+                facts.sharedParts = partsOf(value);
             } else if (name == "Weights") {
                 const auto slash = value.find('/');
                 facts.weights = {BaseModel(std::string(value.substr(0, slash))), AdapterName(std::string(value.substr(slash + 1)))};
@@ -47,6 +49,15 @@
         why.reason = "no id";
         return facts.id.empty() ? std::nullopt : std::optional(facts);
     }
+    static std::vector<core::PromptPart> partsOf(std::string_view text)
+    {
+        std::vector<core::PromptPart> parts;
+        for (std::size_t comma = 0; !text.empty(); text.remove_prefix(std::min(text.size(), comma + 1))) {
+            comma = std::min(text.size(), text.find(','));
+            parts.emplace_back(std::string(text.substr(0, comma)));
+        }
+        return parts;
+    }
     std::string_view requestIdField() const override { return "Id"; }
     bool isForwardedField(std::string_view field) const override { return field != "To" && field != "Secret"; }
     void appendForwardHeaders(const ForwardHeaders &facts, std::string &head) const override
