A page is passed on when its sending takes little time, whatever its size

Cause: 256 kB as the bound of a shared page, whatever the link of the host that passes it on. Change: up to 750 ms of sending over the own link to all receivers; beyond it the extent alone.

--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -152,6 +152,7 @@
         int to = 0;
         int end = 0; // of the topic
         Instant readAt;
+        bool isLeftOut = false; // the records were too large to pass on
     };
     static constexpr Milliseconds storeLatency{4};
     static constexpr Milliseconds linkLatency{2};
@@ -241,19 +242,22 @@
         return {from, to, records_, begunAt};
     }
 
+    static Milliseconds duration(std::int64_t bytes, double mbps)
+    {
+        constexpr double bitsPerByte = 8;
+        constexpr double bitsPerMsAndMbps = 1'000;
+        return Milliseconds(mbps > 0 ? static_cast<std::int64_t>(static_cast<double>(bytes) * bitsPerByte / (mbps * bitsPerMsAndMbps)) : 0);
+    }
+
     /// When the host has the whole page: the links of store and host each carry one page after the other.
     Instant transfer(Host &host, const Page &page)
     {
-        const auto bits = static_cast<double>((page.to - page.from) * options_.recordBytes * 8);
-        const auto duration = [bits](double mbps) {
-            constexpr double bitsPerMsAndMbps = 1'000;
-            return Milliseconds(mbps > 0 ? static_cast<std::int64_t>(bits / (mbps * bitsPerMsAndMbps)) : 0);
-        };
+        const auto bytes = (page.to - page.from) * options_.recordBytes;
         if (options_.storeMbps <= 0) {
             return now() + storeLatency;
         }
-        storeFreeAt_ = std::max(storeFreeAt_, now()) + duration(options_.storeMbps);
-        host.linkFreeAt = std::max(host.linkFreeAt, now()) + duration(host.linkMbps);
+        storeFreeAt_ = std::max(storeFreeAt_, now()) + duration(bytes, options_.storeMbps);
+        host.linkFreeAt = std::max(host.linkFreeAt, now()) + duration(bytes, host.linkMbps);
         return std::max(storeFreeAt_, host.linkFreeAt) + storeLatency;
     }
 
@@ -282,10 +286,20 @@
 
     void send(Host &host, const std::vector<HostId> &targets, const Page &page)
     {
+        const auto bytes = (page.to - page.from) * options_.recordBytes;
+        const double linkMbps = options_.storeMbps > 0 ? host.linkMbps : 0;
+        const bool isLeftOut = page.isLeftOut || static_cast<std::size_t>(bytes) > StorePages::maxSharedPageBytes(linkMbps, targets.size());
         for (const auto &target : targets) {
             auto &arrival = host.lastArrival[target];
             arrival = std::max(arrival, now() + linkLatency + host.sendDelay);
-            at(arrival, [this, from = host.id, target, page] {
+            if (!isLeftOut && options_.storeMbps > 0) {
+                auto &receiver = *hosts_.at(target);
+                host.linkFreeAt = std::max(host.linkFreeAt, now()) + duration(bytes, host.linkMbps);
+                receiver.linkFreeAt = std::max(receiver.linkFreeAt, now()) + duration(bytes, receiver.linkMbps);
+                arrival = std::max({arrival, host.linkFreeAt, receiver.linkFreeAt});
+            }
+            at(arrival, [this, from = host.id, target, page = Page(page), isLeftOut]() mutable {
+                page.isLeftOut = isLeftOut;
                 auto &receiver = *hosts_.at(target);
                 onHost(receiver, [this, from, &receiver, page] { receive(receiver, from, page); });
             });
@@ -295,8 +309,7 @@
     void receive(Host &host, const HostId &from, const Page &page)
     {
         send(host, host.groups.forwardTargets(from, topic), page);
-        const bool isLeftOut = static_cast<std::size_t>((page.to - page.from) * options_.recordBytes) > StorePages::maxSharedPageBytes;
-        if (isLeftOut || page.from > host.known) {
+        if (page.isLeftOut || page.from > host.known) {
             if (page.to > host.known) {
                 host.knownEnd = std::max(host.knownEnd, page.to);
                 host.schedule.onAppended(now());
