--- a/packages/serving/storepages.cpp
+++ b/packages/serving/storepages.cpp
@@ -24,35 +24,18 @@
     page.readTo = shared.page.nextOffset.value();
     page.sentAt = node_.now().sinceOrigin();
     page.ageMs = shared.readAt ? (node_.now() - *shared.readAt).count() : -1;
-    for (const auto &record : shared.page.records) {
-        page.records.emplace_back(record.key, record.value);
+    if (bytesOf(shared.page) <= maxSharedPageBytes) {
+        for (const auto &record : shared.page.records) {
+            page.records.emplace_back(record.key, record.value);
+        }
     }
     if (!node_.isStopping) {
-        send(std::move(page), groups_.shareTargets(std::string(page.topic)));
-    }
-}
-
-std::size_t StorePages::maxSharedPageBytes(double linkMbps, std::size_t targets)
-{
-    if (linkMbps <= 0) {
-        return unknownLinkPageBytes;
+        send(page, groups_.shareTargets(page.topic));
     }
-    constexpr double bitsPerByte = 8;
-    constexpr double bitsPerMsAndMbps = 1'000;
-    const double bytes
-        = static_cast<double>(maxShareTime.count()) * linkMbps * bitsPerMsAndMbps / bitsPerByte / static_cast<double>(std::max<std::size_t>(1, targets));
-    return std::clamp(static_cast<std::size_t>(bytes), minSharedPageBytes, largestSharedPageBytes);
 }
 
-void StorePages::send(peers::StorePageNotice page, const std::vector<HostId> &hosts)
+void StorePages::send(const peers::StorePageNotice &page, const std::vector<HostId> &hosts)
 {
-    std::size_t bytes = 0;
-    for (const auto &[key, value] : page.records) {
-        bytes += key.size() + value.size();
-    }
-    if (bytes > maxSharedPageBytes(node_.settings.hosting.linkMbps, hosts.size())) {
-        page.records.clear();
-    }
     if (links_ != nullptr) {
         for (const auto &host : hosts) {
             links_->notify(host, {page});
@@ -68,7 +51,7 @@
         auto forwarded = page;
         forwarded.sentAt = node_.now().sinceOrigin();
         forwarded.ageMs = readAt ? (node_.now() - *readAt).count() : -1;
-        send(std::move(forwarded), targets);
+        send(forwarded, targets);
     }
     SharedPage shared;
     shared.sender = from;
--- a/packages/serving/storepages.h
+++ b/packages/serving/storepages.h
@@ -31,14 +31,7 @@
     void onClockQuery(const HostId &from, const peers::ClockQuery &query);
     void onClockAnswer(const HostId &from, const peers::ClockAnswer &answer);
 
-    /// The largest page that a host with this link passes on to so many hosts: it takes up to maxShareTime to send. Of a larger page only the
-    /// extent is passed on, and each host reads it itself. `linkMbps`: 0: not known.
-    [[nodiscard]] static std::size_t maxSharedPageBytes(double linkMbps, std::size_t targets);
-
-    static constexpr Milliseconds maxShareTime{750};                       // less than a host waits before it reads for itself
-    static constexpr std::size_t minSharedPageBytes = 32 * 1024;           // over any link
-    static constexpr std::size_t unknownLinkPageBytes = 256 * 1024;        // over a link that is not known
-    static constexpr std::size_t largestSharedPageBytes = 2 * 1024 * 1024; // over any link: half of what a link queues
+    static constexpr std::size_t maxSharedPageBytes = 256 * 1024; // of a larger page only the extent is passed on, and each host reads it itself
 
 private:
     /// The newest page of a topic, applied before its sender's clock was known.
@@ -48,7 +41,7 @@
         Milliseconds age;
     };
 
-    void send(peers::StorePageNotice page, const std::vector<HostId> &hosts);
+    void send(const peers::StorePageNotice &page, const std::vector<HostId> &hosts);
     void queryClock(const HostId &host);
     /// The start of the page's read by this host's clock; nothing when the ages or clocks on its way are not known.
     [[nodiscard]] std::optional<Instant> dateOf(const HostId &from, const peers::StorePageNotice &page) const;
