Tests of answers that end with their connection

The forwarder, the HTTP client (calls and streams of the store, orders, reports and engines) and the check of engines' answers behave so already; own tests for each: complete, ended inside an event, reset.

--- a/packages/gateway/tests/openaitest.cpp
+++ b/packages/gateway/tests/openaitest.cpp
@@ -100,6 +100,16 @@
     EXPECT_FALSE(check.checkEvent(R"({"id":"r-1","model":"a/b@c#7"})", why));
 }
 
+// Guards against a stream that ends with its connection and passes for complete: an engine's answer is whole with its end event only.
+TEST(AnswerCheck, a_stream_without_its_end_event_is_not_ended)
+{
+    core::Error why;
+    auto check = checkOf();
+    EXPECT_FALSE(check.isEnded());
+    ASSERT_TRUE(check.checkEvent("[DONE]", why));
+    EXPECT_TRUE(check.isEnded());
+}
+
 TEST(CompletionBody, refuses_a_body_that_is_nested_too_deeply)
 {
     const auto nested = [](int depth) {
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -135,6 +136,40 @@
     EXPECT_EQ(why_.outcome, core::Outcome::Unknown);
 }
 
+// Pattern: an answer has neither a length nor chunks; the end of its connection completes it, and a reset does not.
+TEST_F(HttpTest, an_answer_that_ends_with_its_connection_is_whole_and_one_that_is_reset_is_not)
+{
+    for (const bool isReset : {false, true}) {
+        asio::ip::tcp::acceptor acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
+        const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+        const auto serve = [&]() -> asio::awaitable<void> {
+            while (true) {
+                auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+                std::string head;
+                co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\nwhole")), asio::use_awaitable);
+                if (isReset) {
+                    socket.set_option(asio::socket_base::linger(true, 0));
+                }
+                socket.close();
+            }
+        };
+        asio::co_spawn(io_, serve(), [](const std::exception_ptr &) {});
+        const auto response = run(client_.call(address, {}, {}, why_));
+        EXPECT_EQ(response.has_value(), !isReset);
+        EXPECT_EQ(response ? response->body : "", isReset ? "" : "whole");
+        std::string streamed;
+        const auto onChunk = [&](std::string_view piece) -> Task<bool> {
+            streamed += piece;
+            co_return true;
+        };
+        const auto stream = run(client_.stream(address, {}, {}, onChunk, why_));
+        EXPECT_EQ(stream.has_value(), !isReset);
+        EXPECT_EQ(streamed, "whole");
+        acceptor.close();
+    }
+}
+
 TEST_F(HttpTest, tells_the_handler_when_the_caller_is_gone)
 {
     bool isGone = false;
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -129,6 +129,40 @@
     EXPECT_TRUE(response.contains("Content-Length: 8"));
 }
 
+constexpr auto unframedStreamHead = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nContent-Type: text/event-stream\r\n\r\n";
+
+// Pattern: an answer has neither a length nor chunks and ends with its connection.
+TEST_F(ForwarderTest, a_stream_delimited_by_connection_close_is_complete)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{unframedStreamHead + event(1), event(2)}, true}}});
+    const auto response = sendRequest(getRequest("q"), finalChunk);
+    EXPECT_EQ(response.status(), 200);
+    EXPECT_TRUE(response.contains(event(1)) && response.contains(event(2)));
+    EXPECT_TRUE(response.hasFinalChunk());
+}
+
+// Guards against a stream that broke off inside an event and passes for complete, because the end of its connection ends it as well (issue 26).
+TEST_F(ForwarderTest, a_stream_delimited_by_connection_close_that_ends_inside_an_event_was_broken_off)
+{
+    for (const auto *rest : {"id: 2\nda", "id: 2\ndata: e2\n", "i"}) {
+        upstreams_.clear();
+        setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{unframedStreamHead + event(1), rest}, true}}});
+        const auto response = sendRequest(getRequest("q"));
+        EXPECT_TRUE(response.contains(event(1)));
+        EXPECT_FALSE(response.hasFinalChunk()) << rest;
+        EXPECT_TRUE(response.isClosed) << rest;
+    }
+}
+
+TEST_F(ForwarderTest, a_response_without_length_whose_connection_is_reset_was_broken_off)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{unframedStreamHead + event(1)}, false, true}}});
+    EXPECT_FALSE(sendRequest(getRequest("q")).hasFinalChunk());
+    upstreams_.clear();
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\n\r\nunframed"}, false, true}}});
+    EXPECT_EQ(sendRequest(getRequest("r"), "\r\n\r\n").status(), 502);
+}
+
 TEST_F(ForwarderTest, a_request_that_was_not_run_is_retried_elsewhere_and_gets_503_with_retry_after_when_all_are_full)
 {
     const std::string full = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
