--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -3,6 +3,7 @@
 violations of the platform's rules, which a test expects to be empty."""
 import base64
 import json
+import socket
 import struct
 import threading
 import time
@@ -161,6 +162,8 @@
         self.ran = []  # ids of requests
         self.limit = None  # requests a second, named in all answers
         self.arrivals = []  # times of requests
+        self.crashing_part = None  # of prompts: the connection is reset once the answer has begun
+        self.crashed = []  # times of requests with that part
         self.violations = []
         super().__init__()
         self.register()
@@ -223,6 +226,15 @@
         for name, value in [*seal, *self.common_headers(), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
             request.send_header(name, value)
         request.end_headers()
+        parts = [part.split(":")[0] for part in (request.headers.get("X-Prompt-Prefix") or "").split(",")]
+        if self.crashing_part in parts[:-1]:
+            self.crashed.append(time.monotonic())
+            request.wfile.write(b"10\r\nid: 1\nda")
+            request.wfile.flush()
+            request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            request.connection.close()
+            request.close_connection = True
+            return
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, self.events + 1):
             time.sleep(self.event_seconds)
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -157,9 +157,10 @@
 
         return Text()
 
-    def generate(self, host, adapter, timeout=10):
+    def generate(self, host, adapter, timeout=10, parts=None):
         attempt = "q%d" % next(self.numbers)
         headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
+        headers |= {"X-Prompt-Prefix": parts} if parts else {}
         status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt", timeout)
         return status, answer_headers, body, attempt
 
@@ -353,6 +354,32 @@
                 thread.join()
         self.assertEqual(wrong, [])
 
+    # Guards against a part of prompts that goes on crashing replicas because each host counts for itself (issue 26, BUDGET).
+    def test_all_hosts_together_find_a_part_that_crashes_replicas_and_serve_the_others(self):
+        self.start_all()
+        for replica in self.replicas:
+            replica.crashing_part = "bad"
+
+        def crash(number):
+            return self.generate(self.hosts[number % 2], "a1", parts="f1:800,bad:400,own%d:10" % number)
+
+        def sound(number):
+            return self.generate(self.hosts[number % 2], "a1", parts="f1:800,m1:400,own%d:10" % number)[0]
+
+        for number in range(6):
+            crash(number)
+            sound(number)
+            time.sleep(1.1)  # a replica that crashed is back after this; what breaks off there sooner counts as one crash
+        reached = sum(len(replica.crashed) for replica in self.replicas)
+        self.assertGreaterEqual(reached, 3)
+        answers = [crash(number) for number in range(6, 14)]
+        self.assertEqual(sum(len(replica.crashed) for replica in self.replicas), reached, "requests with the part are not sent any more")
+        self.assertEqual({status for status, *_ in answers}, {503})
+        self.assertTrue(all(float(headers["Retry-After"]) > 0 for _, headers, *_ in answers))
+        self.assertEqual([sound(number) for number in range(6, 14)], [200] * 8)
+        self.assertEqual(sum(len(host.events("part_blamed")) for host in self.hosts), 1, "one host counts for all")
+        self.assertTrue(all(host.events("parts_refused") for host in self.hosts))
+
     def control_keys(self):
         return [key for key, _value in self.store.topics["keyed.control"]]
 
