--- a/packages/serving/newestconfiguration.h
+++ b/packages/serving/newestconfiguration.h
@@ -23,15 +23,16 @@
 [[nodiscard]] inline std::optional<PlacedConfiguration>
 newestConfiguration(std::span<const StoreRecord> records, const Codec &codec, const std::function<void(const StoreRecord &, const core::Error &)> &onUnreadable)
 {
-    for (auto record = records.rbegin(); record != records.rend(); ++record) {
-        if (!codec.isConfigurationKey(record->key)) {
+    for (std::size_t i = records.size(); i-- > 0;) {
+        const auto &record = records[i];
+        if (!codec.isConfigurationKey(record.key)) {
             continue;
         }
         core::Error why;
-        if (auto configuration = codec.readConfiguration(record->value, why)) {
-            return PlacedConfiguration{std::move(*configuration), record->offset};
+        if (auto configuration = codec.readConfiguration(record.value, why)) {
+            return PlacedConfiguration{std::move(*configuration), record.offset};
         }
-        onUnreadable(*record, why);
+        onUnreadable(record, why);
     }
     return std::nullopt;
 }
--- a/packages/serving/tests/crashspreadtest.cpp
+++ b/packages/serving/tests/crashspreadtest.cpp
@@ -143,8 +143,10 @@
     PartWatch watch(HostId("host-1"));
     Instant now(1'000);
     for (int i = 0; i < 600; ++i, now = now + Milliseconds(70)) {
+        constexpr int partsPerRequest = 20;
         std::vector<PromptPart> parts;
-        for (int j = 0; j < 20; ++j) {
+        parts.reserve(partsPerRequest);
+        for (int j = 0; j < partsPerRequest; ++j) {
             parts.emplace_back(std::to_string(i % 300) + "-" + std::to_string(j));
         }
         counter.onCrash(UpstreamId("u" + std::to_string(i)), now, parts, now);
