Groups of hosts remember their rankings

The exchange of crash reports ranked all hosts every 100 ms at each host to find who counts, as the exchange of loads does already: a sort with hashes and copies of 195 hosts for an answer that changes only with the set of live hosts. HostGroups now keeps the ranking of a purpose until the next assign(), for all who ask.

--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -466,8 +466,7 @@
 net::Task<void> HostedDaemon::settleEra()
 {
     const auto era = controlTopic_.era();
-    const auto leaders = groups_.leaders(settledEraKey);
-    const bool isFirst = !leaders.empty() && leaders.front() == node_.settings.host;
+    const bool isFirst = groups_.isOverallLeader(settledEraKey);
     const bool isDue = settledEra_ < era && node_.now() >= settleEraAt_;
     if (isSettlingEra_ || !isDue || !isFirst || node_.isStopping || !controlTopic_.isKnown() || !controlTopic_.isReached()) {
         co_return;
@@ -615,8 +614,7 @@
 /// The first leader stores a copy of the known upstreams when it differs from the stored one.
 net::Task<void> HostedDaemon::saveUpstreamCopy()
 {
-    const auto leaders = groups_.leaders(upstreamCopyKey);
-    const bool isFirst = !leaders.empty() && leaders.front() == node_.settings.host;
+    const bool isFirst = groups_.isOverallLeader(upstreamCopyKey);
     const bool isKnown = upstreamsTopic_.isKnown() && upstreamsTopic_.isReached() && controlTopic_.isKnown() && controlTopic_.isReached();
     if (isSavingCopy_ || !isFirst || !isKnown || node_.isStopping || node_.replicas.size() == 0) {
         co_return;
--- a/packages/serving/hostgroups.cpp
+++ b/packages/serving/hostgroups.cpp
@@ -42,6 +42,7 @@
     const auto zoneOf = [&](const GroupedHost &member) { return isSingleGroup ? ZoneId() : member.zone; };
     std::sort(hosts.begin(), hosts.end(), [&](const auto &a, const auto &b) { return std::tuple(zoneOf(a), a.host) < std::tuple(zoneOf(b), b.host); });
     ownHost_ = ownHost;
+    rankings_.clear();
     groups_.clear();
     for (auto begin = hosts.begin(); begin != hosts.end();) {
         const auto end = std::find_if(begin, hosts.end(), [&](const auto &member) { return zoneOf(member) != zoneOf(*begin); });
@@ -58,24 +59,31 @@
     ownGroup_ = static_cast<std::size_t>(std::find_if(groups_.begin(), groups_.end(), isOwn) - groups_.begin());
 }
 
-std::vector<HostId> HostGroups::members(std::string_view purpose) const
-{
-    return ownGroup_ == groups_.size() ? std::vector<HostId>() : idsOf(ranked(groups_[ownGroup_], purpose));
-}
-
-std::vector<HostId> HostGroups::leaders(std::string_view purpose) const
+const HostGroups::Ranking &HostGroups::ranking(std::string_view purpose) const
 {
+    if (const auto known = rankings_.find(purpose); known != rankings_.end()) {
+        return known->second;
+    }
+    if (rankings_.size() == maxRankings) {
+        rankings_.clear();
+    }
+    Ranking ranking;
     std::vector<GroupedHost> allLeaders;
-    for (const auto &group : groups_) {
-        allLeaders.push_back(ranked(group, purpose).front());
+    for (std::size_t i = 0; i < groups_.size(); ++i) {
+        const auto group = ranked(groups_[i], purpose);
+        allLeaders.push_back(group.front());
+        if (i == ownGroup_) {
+            ranking.members = idsOf(group);
+        }
     }
-    return idsOf(ranked(std::move(allLeaders), purpose));
+    ranking.leaders = idsOf(ranked(std::move(allLeaders), purpose));
+    return rankings_.emplace(purpose, std::move(ranking)).first->second;
 }
 
 Milliseconds HostGroups::failoverDelay(const HostId &host, std::string_view purpose) const
 {
-    const auto allLeaders = leaders(purpose);
-    const auto group = members(purpose);
+    const auto &allLeaders = leaders(purpose);
+    const auto &group = members(purpose);
     const auto leader = std::find(allLeaders.begin(), allLeaders.end(), host) - allLeaders.begin();
     const auto member = std::find(group.begin(), group.end(), host) - group.begin();
     const auto delay = leaderDelayStep * std::min<std::int64_t>(leader, maxLeaderSteps); // a member counts as placed after all leaders
@@ -109,7 +117,7 @@
 {
     auto targets = members(purpose);
     if (isLeader(targets)) {
-        const auto others = leaders(purpose);
+        const auto &others = leaders(purpose);
         targets.insert(targets.end(), others.begin(), others.end());
     }
     std::erase(targets, ownHost_);
--- a/packages/serving/hostgroups.h
+++ b/packages/serving/hostgroups.h
@@ -11,6 +11,8 @@
 // see the same set of live hosts compute the same groups.
 #pragma once
 
+#include <map>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -37,11 +39,13 @@
 
     void assign(std::vector<GroupedHost> hosts, const HostId &ownHost);
 
-    /// The own group, its leader for the purpose first. Empty until this host is among the assigned ones.
-    [[nodiscard]] std::vector<HostId> members(std::string_view purpose) const;
-    /// The leader of each group for the purpose, the overall leader first.
-    [[nodiscard]] std::vector<HostId> leaders(std::string_view purpose) const;
-    [[nodiscard]] bool isMember(const HostId &host) const; // in the own group
+    /// The own group, its leader for the purpose first. Empty until this host is among the assigned ones. Valid until the next call with
+    /// another purpose, or assign().
+    [[nodiscard]] const std::vector<HostId> &members(std::string_view purpose) const { return ranking(purpose).members; }
+    /// The leader of each group for the purpose, the overall leader first. Valid as long.
+    [[nodiscard]] const std::vector<HostId> &leaders(std::string_view purpose) const { return ranking(purpose).leaders; }
+    [[nodiscard]] bool isOverallLeader(std::string_view purpose) const { return isLeader(leaders(purpose)); } // this host
+    [[nodiscard]] bool isMember(const HostId &host) const;                                                    // in the own group
     /// The other hosts that this host sends the result of shared work to: its group, and as the group's leader the other leaders.
     [[nodiscard]] std::vector<HostId> shareTargets(std::string_view purpose) const;
     /// The hosts that this host passes a result of `from` on to: as the group's leader its group, when `from` is of another group.
@@ -60,12 +64,19 @@
 
 private:
     using Group = std::vector<GroupedHost>;
+    struct Ranking {
+        std::vector<HostId> members;
+        std::vector<HostId> leaders;
+    };
+    static constexpr std::size_t maxRankings = 16; // purposes may come from peers
 
-    [[nodiscard]] bool isLeader(const std::vector<HostId> &members) const { return !members.empty() && members.front() == ownHost_; }
+    [[nodiscard]] const Ranking &ranking(std::string_view purpose) const;
+    [[nodiscard]] bool isLeader(const std::vector<HostId> &ranked) const { return !ranked.empty() && ranked.front() == ownHost_; }
 
     HostId ownHost_;
     std::vector<Group> groups_;
-    std::size_t ownGroup_ = 0; // index; groups_.size(): this host is in no group
+    std::size_t ownGroup_ = 0;                                     // index; groups_.size(): this host is in no group
+    mutable std::map<std::string, Ranking, std::less<>> rankings_; // by purpose, as asked for since assign()
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/partexchange.cpp
+++ b/packages/serving/partexchange.cpp
@@ -72,7 +72,7 @@
 void PartExchange::tick()
 {
     const auto now = node_.now();
-    const auto leaders = groups_.leaders(purpose);
+    const auto &leaders = groups_.leaders(purpose);
     const bool isCounter = links_ == nullptr || leaders.empty() || leaders.front() == node_.settings.host;
     const auto counter = isCounter ? node_.settings.host : leaders.front();
     updateCounter(isCounter);
