One check for each of: a page without its records, a record's size, an earlier read, a response that broke off

Read again: whether a shared page lacks its records was worked out in StorePages and in TopicFollower; the size of a record in two lambdas; the wake-up after a change of the schedule stood twice; and each of four places that found a response broken off called two functions in a row and judged by itself who ended it. Each is one function now. The index of messages names the notices of crash reports.

--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -3,7 +3,8 @@
 // Index
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
-//   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice
+//   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice,
+//                    PartReportNotice, PartVerdictsNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
--- a/packages/serving/crashcounter.h
+++ b/packages/serving/crashcounter.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <serving/model.h>
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -19,8 +19,7 @@
 
 std::size_t bytesOf(const std::vector<StoreRecord> &records)
 {
-    return std::accumulate(
-        records.begin(), records.end(), std::size_t(0), [](std::size_t sum, const auto &each) { return sum + each.key.size() + each.value.size(); });
+    return std::accumulate(records.begin(), records.end(), std::size_t(0), [](std::size_t sum, const auto &each) { return sum + each.bytes(); });
 }
 
 TopicFollower::TopicFollower(Node &node, AbstractStore &store, Topic topic, FollowOptions options, TopicEvents callbacks)
@@ -45,9 +44,7 @@
 {
     const auto before = schedule_.nextRead();
     schedule_.setTurn(readDelay, longestTurn, slowestLinkMbps);
-    if (schedule_.nextRead() < before) {
-        timer_.cancel();
-    }
+    wakeIfEarlier(before);
 }
 
 void TopicFollower::stop()
@@ -86,15 +83,15 @@
         setReachable(false, why);
         co_return;
     }
-    const bool isCut = page->nextOffset < page->endOffset;
-    schedule_.onRead(node_.now(), page->records.empty() ? PageExtent::Empty : isCut ? PageExtent::Cut : PageExtent::Whole, bytesOf(page->records));
+    const auto extent = page->records.empty() ? PageExtent::Empty : page->nextOffset < page->endOffset ? PageExtent::Cut : PageExtent::Whole;
+    schedule_.onRead(node_.now(), extent, bytesOf(page->records));
     ownReadAt_ = node_.now();
     readTime_ = ownReadAt_ - schedule_.begunAt();
     source_ = HostId();
     setReachable(true, why);
     if (page->nextOffset > nextOffset_ || page->records.empty()) { // otherwise a page from another host was applied during the read
         applyPage(*page);
-        if (isCut) {
+        if (extent == PageExtent::Cut) {
             chooseListing(*page);
         }
         callbacks_.onRead({from, *page, node_.settings.host, schedule_.begunAt()});
@@ -103,13 +100,9 @@
 
 void TopicFollower::chooseListing(const StorePage &page)
 {
-    const auto sizeOf = [](const StoreRecord &each) { return each.key.size() + each.value.size(); };
-    const auto largest = std::max_element(page.records.begin(), page.records.end(), [&](const auto &a, const auto &b) { return sizeOf(a) < sizeOf(b); });
-    if (largest == page.records.end()) {
-        return;
-    }
+    const auto largest = std::max_element(page.records.begin(), page.records.end(), [](const auto &a, const auto &b) { return a.bytes() < b.bytes(); });
     const auto bytesLeft = bytesOf(page.records) / page.records.size() * recordsLeft_;
-    if (isListingSooner(bytesLeft, listingBytes_ + sizeOf(*largest))) {
+    if (isListingSooner(bytesLeft, listingBytes_ + largest->bytes())) {
         needsListing_ = true;
         node_.log.info("listing_instead_of_backlog", {{"topic", topicText(topic_)}, {"records_left", recordsLeft_}, {"bytes_left", bytesLeft}});
     }
@@ -145,8 +138,7 @@
         hurry();
         return false;
     }
-    const bool isLeftOut = shared.page.records.empty() && shared.page.nextOffset > shared.from;
-    if (hasListing_ && !needsListing_ && (isLeftOut || shared.from > nextOffset_)) {
+    if (hasListing_ && !needsListing_ && (shared.isLeftOut() || shared.from > nextOffset_)) {
         readSoon(shared.page.nextOffset);
         return false;
     }
@@ -169,6 +161,11 @@
     knownEnd_ = std::max(knownEnd_, end);
     const auto before = schedule_.nextRead();
     schedule_.onAppended(node_.now());
+    wakeIfEarlier(before);
+}
+
+void TopicFollower::wakeIfEarlier(Instant before)
+{
     if (schedule_.nextRead() < before) {
         timer_.cancel();
     }
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -28,10 +28,12 @@
 
 /// A page read by another host.
 struct SharedPage {
-    core::Offset from;               // offset at which the read started
-    StorePage page;                  // no records although the page has an extent: they are too large to pass on
+    core::Offset from; // offset at which the read started
+    StorePage page;
     HostId sender{};                 // the host that this page came from
     std::optional<Instant> readAt{}; // when the read began at the latest, by this host's clock; nothing: not known, so the page proves no freshness
+
+    [[nodiscard]] bool isLeftOut() const { return page.records.empty() && page.nextOffset > from; } // the records are too large to pass on
 };
 
 struct TopicEvents {
@@ -77,7 +79,8 @@
 
 private:
     net::Task<void> step();
-    void readSoon(core::Offset end); // the topic is known to have records up to there
+    void readSoon(core::Offset end);    // the topic is known to have records up to there
+    void wakeIfEarlier(Instant before); // the next read was due then before the schedule changed
     /// `page` ended before the topic: lists it instead of reading on where that is sooner.
     void chooseListing(const StorePage &page);
     void applyListing(const StoreListing &listing);
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -528,8 +528,7 @@
             const auto connection = connection_;
             auto [failed, count] = co_await http::async_read_header(connection->socket, connection->buffer, parser, net::tuple);
             if (failed) {
-                recordCut(replica);
-                co_return onTruncated(replica, failed.message());
+                co_return onCut(replica, failed.message());
             }
             const auto &head = parser.get();
             responseHeaders_.clear();
@@ -574,8 +573,7 @@
         }
         std::string body;
         if (!co_await readBody(parser, body)) {
-            recordCut(replica);
-            co_return onTruncated(replica, "the response body was truncated: " + truncationReason_);
+            co_return onCut(replica, "the response body was truncated: " + truncationReason_);
         }
         const bool isReusable = parser.get().keep_alive();
         if (hasResponseBegun_) { // resuming the stream returned an error
@@ -760,8 +758,7 @@
         while (!parser.is_done()) {
             const auto bytes = co_await readSome(parser, buffer);
             if (!bytes) {
-                recordCut(replica);
-                co_return onTruncated(replica, "the stream was cut: " + truncationReason_);
+                co_return onCut(replica, "the stream was cut: " + truncationReason_);
             }
             scanner.feed(*bytes);
             std::string events;
@@ -780,8 +777,7 @@
             }
         }
         if (scanner.hasRest()) {
-            recordCut(replica);
-            co_return onTruncated(replica, "the stream ended in the middle of an event");
+            co_return onCut(replica, "the stream ended in the middle of an event");
         }
         recordSend(replica, SendOutcome::Succeeded, "good", {});
         releaseConnection(parser.get().keep_alive());
@@ -837,15 +833,6 @@
 
     // ---- Failures ----
 
-    /// The response broke off. What this host ended itself says nothing about the upstream.
-    void recordCut(const ReplicaRecord &replica)
-    {
-        const bool isOwnEnd = isDisconnected_ || caller_.isDisconnected() || isDeadlineReached_ || isResponseOverdue_ || isTooLarge_;
-        if (!isOwnEnd) {
-            node_.parts.onCut(replica.id, metadata_.sharedParts, node_.now());
-        }
-    }
-
     /// A response that ends with its connection may lack its end, so it says nothing.
     void recordServed(const Parser &parser)
     {
@@ -854,13 +841,14 @@
         }
     }
 
+    [[nodiscard]] bool isCallerFault() const { return isDisconnected_ || caller_.isDisconnected() || isDeadlineReached_; }
+
     /// Handles a send that ended without a complete response. Returns false: sendTo() has no response for the caller.
     bool onTruncated(const ReplicaRecord &replica, const std::string &reason)
     {
         const bool wasSent = !connection_ || connection_->isWriting || connection_->written > 0 || !connection_->writeError;
-        const bool isCallerFault = isDisconnected_ || caller_.isDisconnected() || isDeadlineReached_;
         recordSend(replica,
-                   isCallerFault            ? SendOutcome::Abandoned
+                   isCallerFault()          ? SendOutcome::Abandoned
                        : isResponseOverdue_ ? SendOutcome::NoAnswer
                                             : SendOutcome::Failed,
                    "cut",
@@ -875,6 +863,15 @@
         return false;
     }
 
+    /// The same, where the upstream broke off the response unless this host ended it itself.
+    bool onCut(const ReplicaRecord &replica, const std::string &reason)
+    {
+        if (!isCallerFault() && !isResponseOverdue_ && !isTooLarge_) {
+            node_.parts.onCut(replica.id, metadata_.sharedParts, node_.now());
+        }
+        return onTruncated(replica, reason);
+    }
+
     void finishDisconnected() { reason_ = "caller_gone"; }
 
     net::Task<void> fail()
--- a/packages/serving/partwatch.h
+++ b/packages/serving/partwatch.h
@@ -12,10 +12,11 @@
 // A verdict stays in force while the host that counts is away.
 #pragma once
 
+#include <deque>
 #include <list>
 #include <map>
 #include <optional>
-#include <unordered_map>
+#include <set>
 #include <vector>
 
 #include <serving/crashcounter.h>
--- a/packages/serving/protocol.h
+++ b/packages/serving/protocol.h
@@ -39,6 +39,8 @@
     core::Offset offset; // from 1
     std::string key;     // empty in a topic without keys
     std::string value;   // empty: the key was deleted
+
+    [[nodiscard]] std::size_t bytes() const { return key.size() + value.size(); }
 };
 
 /// A record of the operators' topic: the active revision of an adapter.
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -84,7 +84,8 @@
 Instant ReadSchedule::nextRetry() const
 {
     const auto retry = endedAt_ + retryDelay() + readDelay_; // the host that reads first also retries first
-    if (catchUpAt_) {                                        // another host reaches the store
+    if (catchUpAt_) {
+        // Another host reaches the store.
         return std::min(retry, std::max(endedAt_ + maxRetryDelay, *catchUpAt_));
     }
     const bool isBounded = options_.retryBound.count() > 0;
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -60,7 +60,11 @@
     void onPage(Instant readAt) { readAt_ = std::max(readAt_, readAt); }
     void requestRead() { isReadRequested_ = true; }
     /// Records are known to wait in the topic. Hosts that hear of them at the same moment read a part of their turn apart.
-    void onAppended(Instant now) { catchUpAt_ = std::min(catchUpAt_.value_or(now + readDelay_), now + readDelay_ / catchUpDivisor); }
+    void onAppended(Instant now)
+    {
+        const auto readAt = now + readDelay_ / catchUpDivisor;
+        catchUpAt_ = std::min(catchUpAt_.value_or(readAt), readAt);
+    }
     void onCaughtUp() { catchUpAt_.reset(); } // this host has the records that onAppended() told of
 
     /// `readDelay`: 0: this host reads first. `longestTurn`: the longest such delay of any host. `slowestLinkMbps`: of any host; 0: not known.
--- a/packages/serving/storepages.cpp
+++ b/packages/serving/storepages.cpp
@@ -65,8 +65,7 @@
         shared.page.records.push_back({offset, key, value});
         offset = offset.next();
     }
-    const bool isLeftOut = page.records.empty() && shared.page.nextOffset > shared.from;
-    if (offset != shared.page.nextOffset && !isLeftOut) {
+    if (offset != shared.page.nextOffset && !shared.isLeftOut()) {
         node_.log.warn("feed_unsound", {{"topic", settings::printableText(page.topic)}, {"from", page.from}, {"read_to", page.readTo}});
         return;
     }
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -29,10 +29,10 @@
         int fastHostDistance = 5;        // each so many hosts, one has a fast link and leads its group while it lives
         double fastMbps = 200;
         double slowMbps = 50;
-        double storeMbps = 0;                // link of the store, for all reads together; 0: transfers take no time
-        std::int64_t recordBytes = 0;        // of each record
-        std::int64_t maxPageBytes = 1 << 20; // the store ends an answer with the record that exceeds it
-        Milliseconds applyTime{0};           // of one record, during which the host does nothing else
+        double storeMbps = 0;                                   // link of the store, for all reads together; 0: transfers take no time
+        std::int64_t recordBytes = 0;                           // of each record
+        std::int64_t maxPageBytes = ReadSchedule::maxPageBytes; // the store ends an answer with the record that exceeds it
+        Milliseconds applyTime{0};                              // of a page's newest record, during which the host does nothing else
     };
     enum class Outage { None, Refusing, Silent };
 
