The test of crash reports plays the code that runs, not a copy of it

CrashSpread had its own form of what PartExchange does: who counts, taking over verdicts, applying reports, when a list is due. The two had begun to differ (the copy told a list again by its length alone). What decides is now PartCounting, without I/O as LoadExchange is; PartExchange turns its messages into notices, sends and logs them, and CrashSpread drives it on virtual time. No behaviour of the daemon changed.

--- a/packages/serving/partexchange.cpp
+++ b/packages/serving/partexchange.cpp
@@ -1,7 +1,5 @@
 #include <serving/partexchange.h>
 
-#include <algorithm>
-
 #include <settings/json.h>
 
 namespace baobabstall::serving {
@@ -59,110 +57,65 @@
                        now - Milliseconds(entry.proberAgeMs)};
 }
 
-/// Whether hosts have to hear of the difference at once.
-bool isSameList(const std::vector<PartVerdict> &a, const std::vector<PartVerdict> &b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const PartVerdict &x, const PartVerdict &y) {
-        return x.part == y.part && x.state == y.state && x.until == y.until && x.prober == y.prober;
-    });
-}
-
 } // namespace
 
 void PartExchange::tick()
 {
     const auto now = node_.now();
-    const auto &leaders = groups_.leaders(purpose);
-    const bool isCounter = links_ == nullptr || leaders.empty() || leaders.front() == node_.settings.host;
-    const auto counter = isCounter ? node_.settings.host : leaders.front();
-    updateCounter(isCounter);
-    const auto report = node_.parts.takeReport(counter, now);
-    const bool isEmpty = report.crashes.empty() && report.served.empty() && report.refused.empty();
-    if (isCounter) {
-        applyReport(node_.settings.host, report);
-        shareVerdicts(counter_->tick(now));
-    } else if (!isEmpty) {
-        links_->notify(counter, {noticeOf(report, now)});
-    }
-}
-
-void PartExchange::updateCounter(bool isCounter)
-{
-    if (isCounter && !counter_) {
-        counter_.emplace();
-        counter_->adopt(node_.parts.verdicts(node_.now()), node_.now());
-    } else if (!isCounter) {
-        counter_.reset();
+    const auto before = node_.parts.blamedParts();
+    const auto messages = counting_.tick(now, links_ == nullptr);
+    logChanges(messages.changes);
+    logRefusedParts(before);
+    if (messages.report) {
+        links_->notify(messages.counter, {noticeOf(*messages.report, now)});
+    }
+    if (messages.verdicts) {
+        peers::PartVerdictsNotice notice;
+        for (const auto &verdict : *messages.verdicts) {
+            notice.verdicts.push_back(entryOf(verdict, now));
+        }
+        send(notice, groups_.shareTargets(PartCounting::purpose));
     }
 }
 
 void PartExchange::onReport(const HostId &from, const peers::PartReportNotice &notice)
-{
-    if (counter_) { // else the reports come again once both hosts know the same leader
-        applyReport(from, reportOf(notice, node_.now()));
-    }
-}
-
-void PartExchange::applyReport(const HostId &from, const PartReport &report)
 {
     const auto now = node_.now();
-    for (const auto &crash : report.crashes) {
-        counter_->onCrash(crash.upstream, crash.at, crash.parts, now);
-    }
-    for (const auto &[part, at] : report.served) {
-        counter_->onServed(part, at, now);
-    }
-    for (const auto &part : report.refused) {
-        counter_->onRefused(from, part, now);
-    }
+    counting_.onReport(from, reportOf(notice, now), now);
 }
 
-void PartExchange::shareVerdicts(const std::vector<PartVerdict> &verdicts)
+void PartExchange::onVerdicts(const HostId &from, const peers::PartVerdictsNotice &notice)
 {
+    send(notice, groups_.forwardTargets(from, PartCounting::purpose));
     const auto now = node_.now();
-    for (const auto &change : counter_->takeChanges()) {
-        const bool isBlamed = change.state == PartVerdict::State::Blamed;
-        node_.metrics.beliefChanges.add({isBlamed ? "part_blamed" : "part_cleared"});
-        if (isBlamed) {
-            node_.log.warn("part_blamed",
-                           {{"part", settings::printableText(change.part.value())},
-                            {"for_ms", change.until - now},
-                            {"probes", change.probes},
-                            {"next", "requests with it are refused"}});
-        } else {
-            node_.log.info("part_cleared", {{"part", settings::printableText(change.part.value())}});
+    std::vector<PartVerdict> verdicts;
+    for (const auto &entry : notice.verdicts) {
+        if (auto verdict = verdictOf(entry, now)) {
+            verdicts.push_back(std::move(*verdict));
         }
     }
-    const bool isSame = isSameList(verdicts, shared_);
-    if (isSame && (verdicts.empty() || now - sharedAt_ < verdictInterval)) {
-        return;
-    }
-    shared_ = verdicts;
-    sharedAt_ = now;
-    applyVerdicts(verdicts);
-    peers::PartVerdictsNotice notice;
-    for (const auto &verdict : verdicts) {
-        notice.verdicts.push_back(entryOf(verdict, now));
-    }
-    send(notice, groups_.shareTargets(purpose));
+    const auto before = node_.parts.blamedParts();
+    counting_.onVerdicts(verdicts, now);
+    logRefusedParts(before);
 }
 
-void PartExchange::onVerdicts(const HostId &from, const peers::PartVerdictsNotice &notice)
+void PartExchange::logChanges(const std::vector<PartVerdict> &changes)
 {
-    send(notice, groups_.forwardTargets(from, purpose));
-    std::vector<PartVerdict> verdicts;
-    for (const auto &entry : notice.verdicts) {
-        if (auto verdict = verdictOf(entry, node_.now())) {
-            verdicts.push_back(std::move(*verdict));
+    for (const auto &change : changes) {
+        const auto part = settings::printableText(change.part.value());
+        if (change.state == PartVerdict::State::Blamed) {
+            node_.metrics.beliefChanges.add({"part_blamed"});
+            node_.log.warn("part_blamed",
+                           {{"part", part}, {"for_ms", change.until - node_.now()}, {"probes", change.probes}, {"next", "requests with it are refused"}});
+        } else {
+            node_.metrics.beliefChanges.add({"part_cleared"});
+            node_.log.info("part_cleared", {{"part", part}});
         }
     }
-    applyVerdicts(verdicts);
 }
 
-void PartExchange::applyVerdicts(const std::vector<PartVerdict> &verdicts)
+void PartExchange::logRefusedParts(std::size_t before)
 {
-    const auto before = node_.parts.blamedParts();
-    node_.parts.onVerdicts(verdicts, node_.now());
     if (const auto blamed = node_.parts.blamedParts(); blamed != before) {
         node_.log.info("parts_refused", {{"parts", blamed}, {"before", before}});
     }
--- a/packages/serving/partwatch.h
+++ b/packages/serving/partwatch.h
@@ -39,6 +39,8 @@
     std::vector<CrashSighting> crashes;
     std::vector<std::pair<PromptPart, Instant>> served; // parts of the crashes and suspects, and their last success
     std::vector<PromptPart> refused;                    // blamed parts of requests that came since the last report
+
+    [[nodiscard]] bool isEmpty() const { return crashes.empty() && served.empty() && refused.empty(); }
 };
 
 class PartWatch
--- a/packages/serving/tests/crashspread.h
+++ b/packages/serving/tests/crashspread.h
@@ -1,4 +1,4 @@
-// Hosts that send requests with and without a crashing part to the same upstreams, on virtual time: real watches, counters and groups; the
+// Hosts that send requests with and without a crashing part to the same upstreams, on virtual time: real watches, counting and groups; the
 // upstreams, the links and the faults are simulated.
 #pragma once
 
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-#include <serving/hostgroups.h>
-#include <serving/partwatch.h>
+#include <serving/partcounting.h>
 
 #include "virtualtime.h"
 
@@ -61,7 +60,7 @@
             assignGroups();
         });
     }
-    [[nodiscard]] HostId counter() const { return hosts_.begin()->second->groups.leaders(purpose).front(); }
+    [[nodiscard]] HostId counter() const { return hosts_.begin()->second->groups.leaders(PartCounting::purpose).front(); }
     /// An upstream crashes for a reason of its own.
     void crash(std::size_t upstream) { crashUpstream(upstream); }
     [[nodiscard]] std::size_t upstreamCount() const { return upstreams_.size(); }
@@ -73,18 +72,15 @@
 
     int draw(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random_); }
 
-    static constexpr std::string_view purpose = "crashes";
-
 private:
     struct Host {
         explicit Host(const HostId &id)
             : watch(id)
+            , counting(id, watch, groups)
         { }
         PartWatch watch;
         HostGroups groups;
-        std::optional<CrashCounter> counter;
-        std::vector<PartVerdict> shared;
-        Instant sharedAt;
+        PartCounting counting;
         bool isAlive = true;
     };
     struct Running {
@@ -110,64 +106,32 @@
         if (!host.isAlive) {
             return;
         }
-        const auto counter = host.groups.leaders(purpose).front();
-        const auto report = host.watch.takeReport(counter, now());
-        if (counter == id) {
-            if (!host.counter) {
-                host.counter.emplace();
-                host.counter->adopt(host.watch.verdicts(now()), now());
-            }
-            apply(host, id, report);
-            const auto verdicts = host.counter->tick(now());
-            host.watch.onVerdicts(verdicts, now());
-            share(host, host.groups.shareTargets(purpose), verdicts);
-        } else {
-            host.counter.reset();
-            at(now() + options_.linkLatency, [this, id, counter, report] {
-                auto &receiver = *hosts_.at(counter);
-                if (receiver.isAlive && receiver.counter) {
-                    apply(receiver, id, report);
+        const auto messages = host.counting.tick(now());
+        if (messages.report) {
+            at(now() + options_.linkLatency, [this, id, messages] {
+                if (auto &receiver = *hosts_.at(messages.counter); receiver.isAlive) {
+                    receiver.counting.onReport(id, *messages.report, now());
                 }
             });
         }
+        if (messages.verdicts) {
+            share(id, host.groups.shareTargets(PartCounting::purpose), *messages.verdicts);
+        }
         constexpr Milliseconds interval{100};
         at(now() + interval, [this, id] { tick(id); });
     }
 
-    void apply(Host &host, const HostId &from, const PartReport &report)
-    {
-        for (const auto &crash : report.crashes) {
-            host.counter->onCrash(crash.upstream, crash.at, crash.parts, now());
-        }
-        for (const auto &[part, at] : report.served) {
-            host.counter->onServed(part, at, now());
-        }
-        for (const auto &part : report.refused) {
-            host.counter->onRefused(from, part, now());
-        }
-    }
-
-    void share(Host & /*from*/, const std::vector<HostId> &targets, const std::vector<PartVerdict> &verdicts, const HostId &sender)
+    void share(const HostId &sender, const std::vector<HostId> &targets, const std::vector<PartVerdict> &verdicts)
     {
         for (const auto &target : targets) {
             at(now() + options_.linkLatency, [this, target, verdicts, sender] {
-                auto &receiver = *hosts_.at(target);
-                if (receiver.isAlive) {
-                    share(receiver, receiver.groups.forwardTargets(sender, purpose), verdicts, target);
-                    receiver.watch.onVerdicts(verdicts, now());
+                if (auto &receiver = *hosts_.at(target); receiver.isAlive) {
+                    share(target, receiver.groups.forwardTargets(sender, PartCounting::purpose), verdicts);
+                    receiver.counting.onVerdicts(verdicts, now());
                 }
             });
         }
     }
-    void share(Host &host, const std::vector<HostId> &targets, const std::vector<PartVerdict> &verdicts)
-    {
-        constexpr Milliseconds interval{500};
-        if (verdicts.size() != host.shared.size() || (!verdicts.empty() && now() - host.sharedAt >= interval)) {
-            share(host, targets, verdicts, counter());
-            host.shared = verdicts;
-            host.sharedAt = now();
-        }
-    }
 
     void sendSound()
     {
