Log the key that tries of one request share

The logs of hosts could not tell a request that comes again from another request of its route: neither path nor caller nor body is named. Left out is what differs from try to try.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -11,6 +11,7 @@
 
 #include <core/hash.h>
 #include <serving/events.h>
+#include <serving/requestkey.h>
 #include <serving/watchdog.h>
 #include <settings/json.h>
 
@@ -130,6 +131,7 @@
         serviceSpec_ = routes_->service(*service_);
         deadline_ = request_.arrivedAt + std::min(route_->timeout, metadata_.deadline.value_or(route_->timeout));
         lastEventId_ = metadata_.lastEventId;
+        requestKey_ = requestKeyOf({request_.method, request_.host, request_.target, metadata_.caller, metadata_.weights.text(), request_.body});
         if (isEngine() && !metadata_.weights.model.empty()) {
             node_.addDemand(metadata_.weights.model);
         }
@@ -950,6 +952,7 @@
                             {"upstream", replica.id},
                             {"outcome", outcome},
                             {"why", reason},
+                            {"request_key", requestKey_},
                             {"shared_parts", partsText()},
                             {"events", events_},
                             {"took_ms", node_.now() - sentAt_},
@@ -1004,6 +1007,7 @@
     const ServiceName *service_ = nullptr;
     const ServiceSpec *serviceSpec_ = nullptr;
     RequestMetadata metadata_;
+    RequestKey requestKey_;
     Instant deadline_;
 
     ConnectionPtr connection_;
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -154,6 +154,7 @@
 /// Parsed headers of a caller's request.
 struct RequestMetadata {
     RequestId id;
+    std::string caller;                   // what tells callers apart for the upstream; empty: nothing does
     std::optional<Milliseconds> deadline; // relative to the arrival
     AdapterKey weights;                   // empty model: the request names no weights
     double promptTokens = 0;
