--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -121,6 +121,37 @@
     EXPECT_TRUE(response.contains("Retry-After: "));
 }
 
+// Guards against one request that crashes one upstream after the other because only parts of prompts are counted (issue 29, BUDGET): its route
+// has no prompts, it comes again with another id, and each try may be sent to two upstreams.
+TEST_F(ForwarderTest, a_request_that_crashes_upstreams_is_refused_after_three_crashes_and_others_are_not)
+{
+    Script script{{completeResponse("ok")}};
+    script.crashesOn = "GET /bad ";
+    setUpService(route(RetryPolicy::Idempotent, false, 2), {{script}, {script}, {script}, {script}, {script}, {script}, {script}, {script}});
+    const auto crashes = [this] {
+        std::size_t count = 0;
+        for (const auto &each : upstreams_) {
+            count += static_cast<std::size_t>(std::count_if(
+                each->requests.begin(), each->requests.end(), [](const auto &request) { return request.head.find("GET /bad ") != std::string::npos; }));
+        }
+        return count;
+    };
+    constexpr int rounds = 10;
+    constexpr std::size_t knownAfter = 3;
+    int served = 0;
+    for (int i = 0; i < rounds; ++i) {
+        const auto id = "Id: q" + std::to_string(i);
+        sendRequest("GET /bad HTTP/1.1\r\nHost: h\r\n" + id + "\r\n\r\n", "\r\n\r\n");
+        served += sendRequest("GET /good HTTP/1.1\r\nHost: h\r\n" + id + "s\r\n\r\n", "ok").status() == 200 ? 1 : 0;
+        runFor(Milliseconds(450));
+    }
+    EXPECT_EQ(crashes(), knownAfter);
+    EXPECT_EQ(served, rounds);
+    const auto response = sendRequest("GET /bad HTTP/1.1\r\nHost: h\r\nId: last\r\n\r\n", "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After: "));
+}
+
 TEST_F(ForwarderTest, a_response_delimited_by_connection_close_is_complete)
 {
     setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\n\r\nunframed"}, true}}});
