--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -4,7 +4,7 @@
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
 //   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice,
-//                    PartReportNotice, PartVerdictsNotice
+//                    CrashReportNotice, CrashVerdictsNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -247,23 +247,23 @@
 };
 
 /// Requests of the sender that an upstream broke off at one moment, by the parts of their prompts.
-struct CrashedParts {
+struct CrashEntry {
     core::UpstreamId upstream;
     std::int64_t ageMs = 0;
     std::vector<core::PromptPart> parts;
 };
 
 /// Tells the host that counts crashes by parts of prompts what the sender saw. Ages count from the sending.
-struct PartReportNotice {
-    std::vector<CrashedParts> crashes;
+struct CrashReportNotice {
+    std::vector<CrashEntry> crashes;
     std::vector<std::pair<core::PromptPart, std::int64_t>> served; // age of the part's last success
     std::vector<core::PromptPart> refused;                         // blamed parts of requests that still come
 };
 
 /// What the host that counts holds of a part of prompts. Times count from the sending.
-struct PartVerdictEntry {
+struct CrashVerdictEntry {
     core::PromptPart part;
-    int state = 0; // serving::PartVerdict::State
+    int state = 0; // serving::CrashVerdict::State
     std::int64_t sinceAgeMs = 0;
     std::int64_t remainingMs = 0; // negative: it is over
     int probes = 0;
@@ -272,8 +272,8 @@
 };
 
 /// All verdicts in force, from the host that counts to all others.
-struct PartVerdictsNotice {
-    std::vector<PartVerdictEntry> verdicts;
+struct CrashVerdictsNotice {
+    std::vector<CrashVerdictEntry> verdicts;
 };
 
 struct Notice {
@@ -285,8 +285,8 @@
                  ClockQuery,
                  ClockAnswer,
                  LimitEndNotice,
-                 PartReportNotice,
-                 PartVerdictsNotice>
+                 CrashReportNotice,
+                 CrashVerdictsNotice>
         body;
 };
 
--- a/packages/serving/crashcounter.cpp
+++ b/packages/serving/crashcounter.cpp
@@ -45,21 +45,21 @@
     }
 }
 
-void CrashCounter::adopt(const std::vector<PartVerdict> &verdicts, Instant now)
+void CrashCounter::adopt(const std::vector<CrashVerdict> &verdicts, Instant now)
 {
     for (const auto &verdict : verdicts) {
-        if (verdict.state == PartVerdict::State::Blamed && blames_.size() < maxBlamedParts) {
+        if (verdict.state == CrashVerdict::State::Blamed && blames_.size() < maxBlamedParts) {
             blames_.try_emplace(verdict.part, Blame{verdict, now, {}});
         }
     }
 }
 
-std::vector<PartVerdict> CrashCounter::tick(Instant now)
+std::vector<CrashVerdict> CrashCounter::tick(Instant now)
 {
     expire(now);
     blameConfirmed(now);
     updateProbers(now);
-    std::vector<PartVerdict> verdicts;
+    std::vector<CrashVerdict> verdicts;
     for (const auto &[part, blame] : blames_) {
         verdicts.push_back(blame.verdict);
     }
@@ -153,7 +153,7 @@
     }
     auto &blamed = blames_.try_emplace(part, Blame{{.part = part}, now, {}}).first->second;
     constexpr int maxDoublings = 10;
-    blamed.verdict.state = PartVerdict::State::Blamed;
+    blamed.verdict.state = CrashVerdict::State::Blamed;
     blamed.verdict.since = now;
     blamed.verdict.until = now + std::min(maxBlameTime, firstBlameTime * (std::int64_t(1) << std::min(blamed.verdict.probes, maxDoublings)));
     blamed.verdict.prober = HostId();
@@ -167,7 +167,7 @@
     auto verdict = blames_.at(part).verdict;
     blames_.erase(part);
     areCountsStale_ = true;
-    verdict.state = PartVerdict::State::Cleared;
+    verdict.state = CrashVerdict::State::Cleared;
     verdict.until = now + clearedLifetime;
     verdict.prober = HostId();
     cleared_[part] = verdict;
--- a/packages/serving/crashcounter.h
+++ b/packages/serving/crashcounter.h
@@ -28,7 +28,7 @@
 
 using core::PromptPart;
 
-struct PartVerdict {
+struct CrashVerdict {
     enum class State : std::uint8_t {
         Suspect, // hosts report whether a request with it ended well after `since`
         Blamed,  // hosts refuse requests with it, but for `prober`
@@ -68,11 +68,11 @@
     void onServed(const PromptPart &part, Instant at, Instant now);
     void onRefused(const HostId &host, const PromptPart &part, Instant now);
     /// This host begins to count: takes over what an earlier counter told.
-    void adopt(const std::vector<PartVerdict> &verdicts, Instant now);
+    void adopt(const std::vector<CrashVerdict> &verdicts, Instant now);
     /// All verdicts in force.
-    [[nodiscard]] std::vector<PartVerdict> tick(Instant now);
+    [[nodiscard]] std::vector<CrashVerdict> tick(Instant now);
     /// Parts blamed or cleared by calls since the last one, for the log.
-    [[nodiscard]] std::vector<PartVerdict> takeChanges() { return std::exchange(changes_, {}); }
+    [[nodiscard]] std::vector<CrashVerdict> takeChanges() { return std::exchange(changes_, {}); }
 
 private:
     struct Crash {
@@ -81,7 +81,7 @@
         std::set<PromptPart> parts;
     };
     struct Blame {
-        PartVerdict verdict;
+        CrashVerdict verdict;
         Instant refusedAt; // last refusal of any host
         std::map<HostId, Instant> refusers;
     };
@@ -107,8 +107,8 @@
     bool areCountsStale_ = true;
     std::map<PromptPart, Instant> suspectSince_;
     std::map<PromptPart, Blame> blames_;
-    std::map<PromptPart, PartVerdict> cleared_;
-    std::vector<PartVerdict> changes_;
+    std::map<PromptPart, CrashVerdict> cleared_;
+    std::vector<CrashVerdict> changes_;
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/partcounting.cpp
+++ b/packages/serving/crashcounting.cpp
@@ -1,10 +1,10 @@
-#include <serving/partcounting.h>
+#include <serving/crashcounting.h>
 
 #include <algorithm>
 
 namespace baobabstall::serving {
 
-PartCounting::Messages PartCounting::tick(Instant now, bool isAlone)
+CrashCounting::Messages CrashCounting::tick(Instant now, bool isAlone)
 {
     const auto &leaders = groups_.leaders(purpose);
     const bool isCounter = isAlone || leaders.empty() || leaders.front() == ownHost_;
@@ -29,7 +29,7 @@
     return messages;
 }
 
-void PartCounting::updateCounter(bool isCounter, Instant now)
+void CrashCounting::updateCounter(bool isCounter, Instant now)
 {
     if (isCounter && !counter_) {
         counter_.emplace();
@@ -39,15 +39,15 @@
     }
 }
 
-bool PartCounting::isDue(const std::vector<PartVerdict> &verdicts, Instant now) const
+bool CrashCounting::isDue(const std::vector<CrashVerdict> &verdicts, Instant now) const
 {
-    const bool isSame = std::equal(verdicts.begin(), verdicts.end(), shared_.begin(), shared_.end(), [](const PartVerdict &a, const PartVerdict &b) {
+    const bool isSame = std::equal(verdicts.begin(), verdicts.end(), shared_.begin(), shared_.end(), [](const CrashVerdict &a, const CrashVerdict &b) {
         return a.part == b.part && a.state == b.state && a.until == b.until && a.prober == b.prober;
     });
     return !isSame || (!verdicts.empty() && now - sharedAt_ >= verdictInterval);
 }
 
-void PartCounting::onReport(const HostId &from, const PartReport &report, Instant now)
+void CrashCounting::onReport(const HostId &from, const CrashReport &report, Instant now)
 {
     if (!counter_) {
         return; // the reports come again once both hosts know the same leader
--- a/packages/serving/partexchange.cpp
+++ b/packages/serving/crashexchange.cpp
@@ -1,4 +1,4 @@
-#include <serving/partexchange.h>
+#include <serving/crashexchange.h>
 
 #include <settings/json.h>
 
@@ -6,9 +6,9 @@
 
 namespace {
 
-peers::PartReportNotice noticeOf(const PartReport &report, Instant now)
+peers::CrashReportNotice noticeOf(const CrashReport &report, Instant now)
 {
-    peers::PartReportNotice notice;
+    peers::CrashReportNotice notice;
     for (const auto &crash : report.crashes) {
         notice.crashes.push_back({crash.upstream, (now - crash.at).count(), crash.parts});
     }
@@ -19,9 +19,9 @@
     return notice;
 }
 
-PartReport reportOf(const peers::PartReportNotice &notice, Instant now)
+CrashReport reportOf(const peers::CrashReportNotice &notice, Instant now)
 {
-    PartReport report;
+    CrashReport report;
     for (const auto &crash : notice.crashes) {
         report.crashes.push_back({crash.upstream, now - Milliseconds(crash.ageMs), crash.parts});
     }
@@ -32,7 +32,7 @@
     return report;
 }
 
-peers::PartVerdictEntry entryOf(const PartVerdict &verdict, Instant now)
+peers::CrashVerdictEntry entryOf(const CrashVerdict &verdict, Instant now)
 {
     return {verdict.part,
             static_cast<int>(verdict.state),
@@ -43,26 +43,26 @@
             (now - verdict.proberAt).count()};
 }
 
-std::optional<PartVerdict> verdictOf(const peers::PartVerdictEntry &entry, Instant now)
+std::optional<CrashVerdict> verdictOf(const peers::CrashVerdictEntry &entry, Instant now)
 {
-    if (entry.state < static_cast<int>(PartVerdict::State::Suspect) || entry.state > static_cast<int>(PartVerdict::State::Cleared)) {
+    if (entry.state < static_cast<int>(CrashVerdict::State::Suspect) || entry.state > static_cast<int>(CrashVerdict::State::Cleared)) {
         return std::nullopt;
     }
-    return PartVerdict{entry.part,
-                       static_cast<PartVerdict::State>(entry.state),
-                       now - Milliseconds(entry.sinceAgeMs),
-                       now + Milliseconds(entry.remainingMs),
-                       entry.probes,
-                       entry.prober,
-                       now - Milliseconds(entry.proberAgeMs)};
+    return CrashVerdict{entry.part,
+                        static_cast<CrashVerdict::State>(entry.state),
+                        now - Milliseconds(entry.sinceAgeMs),
+                        now + Milliseconds(entry.remainingMs),
+                        entry.probes,
+                        entry.prober,
+                        now - Milliseconds(entry.proberAgeMs)};
 }
 
 } // namespace
 
-void PartExchange::tick()
+void CrashExchange::tick()
 {
     const auto now = node_.now();
-    const auto before = node_.parts.blamedParts();
+    const auto before = node_.crashes.blamedParts();
     const auto messages = counting_.tick(now, links_ == nullptr);
     logChanges(messages.changes);
     logRefusedParts(before);
@@ -70,40 +70,40 @@
         links_->notify(messages.counter, {noticeOf(*messages.report, now)});
     }
     if (messages.verdicts) {
-        peers::PartVerdictsNotice notice;
+        peers::CrashVerdictsNotice notice;
         for (const auto &verdict : *messages.verdicts) {
             notice.verdicts.push_back(entryOf(verdict, now));
         }
-        send(notice, groups_.shareTargets(PartCounting::purpose));
+        send(notice, groups_.shareTargets(CrashCounting::purpose));
     }
 }
 
-void PartExchange::onReport(const HostId &from, const peers::PartReportNotice &notice)
+void CrashExchange::onReport(const HostId &from, const peers::CrashReportNotice &notice)
 {
     const auto now = node_.now();
     counting_.onReport(from, reportOf(notice, now), now);
 }
 
-void PartExchange::onVerdicts(const HostId &from, const peers::PartVerdictsNotice &notice)
+void CrashExchange::onVerdicts(const HostId &from, const peers::CrashVerdictsNotice &notice)
 {
-    send(notice, groups_.forwardTargets(from, PartCounting::purpose));
+    send(notice, groups_.forwardTargets(from, CrashCounting::purpose));
     const auto now = node_.now();
-    std::vector<PartVerdict> verdicts;
+    std::vector<CrashVerdict> verdicts;
     for (const auto &entry : notice.verdicts) {
         if (auto verdict = verdictOf(entry, now)) {
             verdicts.push_back(std::move(*verdict));
         }
     }
-    const auto before = node_.parts.blamedParts();
+    const auto before = node_.crashes.blamedParts();
     counting_.onVerdicts(verdicts, now);
     logRefusedParts(before);
 }
 
-void PartExchange::logChanges(const std::vector<PartVerdict> &changes)
+void CrashExchange::logChanges(const std::vector<CrashVerdict> &changes)
 {
     for (const auto &change : changes) {
         const auto part = settings::printableText(change.part.value());
-        if (change.state == PartVerdict::State::Blamed) {
+        if (change.state == CrashVerdict::State::Blamed) {
             node_.metrics.beliefChanges.add({"part_blamed"});
             node_.log.warn("part_blamed",
                            {{"part", part}, {"for_ms", change.until - node_.now()}, {"probes", change.probes}, {"next", "requests with it are refused"}});
@@ -114,14 +114,14 @@
     }
 }
 
-void PartExchange::logRefusedParts(std::size_t before)
+void CrashExchange::logRefusedParts(std::size_t before)
 {
-    if (const auto blamed = node_.parts.blamedParts(); blamed != before) {
+    if (const auto blamed = node_.crashes.blamedParts(); blamed != before) {
         node_.log.info("parts_refused", {{"parts", blamed}, {"before", before}});
     }
 }
 
-void PartExchange::send(const peers::PartVerdictsNotice &notice, const std::vector<HostId> &hosts)
+void CrashExchange::send(const peers::CrashVerdictsNotice &notice, const std::vector<HostId> &hosts)
 {
     if (links_ != nullptr) {
         for (const auto &host : hosts) {
--- a/packages/serving/partexchange.h
+++ b/packages/serving/crashexchange.h
@@ -1,6 +1,6 @@
-// serving/partexchange.h: sends what partcounting.h has for other hosts over the links, and logs what changes. I/O; one thread.
+// serving/crashexchange.h: sends what crashcounting.h has for other hosts over the links, and logs what changes. I/O; one thread.
 //
-//   PartExchange exchange(node, groups);
+//   CrashExchange exchange(node, groups);
 //   exchange.setLinks(links);            // until then this host counts for itself
 //   exchange.tick();                     // every 100 ms
 //   exchange.onReport(from, notice);     // a peer saw crashes
@@ -8,33 +8,33 @@
 #pragma once
 
 #include <peers/link.h>
+#include <serving/crashcounting.h>
 #include <serving/node.h>
-#include <serving/partcounting.h>
 
 namespace baobabstall::serving {
 
-class PartExchange
+class CrashExchange
 {
 public:
-    PartExchange(Node &node, const HostGroups &groups)
+    CrashExchange(Node &node, const HostGroups &groups)
         : node_(node)
         , groups_(groups)
-        , counting_(node.settings.host, node.parts, groups)
+        , counting_(node.settings.host, node.crashes, groups)
     { }
 
     void setLinks(peers::Links &links) { links_ = &links; }
     void tick();
-    void onReport(const HostId &from, const peers::PartReportNotice &notice);
-    void onVerdicts(const HostId &from, const peers::PartVerdictsNotice &notice);
+    void onReport(const HostId &from, const peers::CrashReportNotice &notice);
+    void onVerdicts(const HostId &from, const peers::CrashVerdictsNotice &notice);
 
 private:
-    void logChanges(const std::vector<PartVerdict> &changes);
+    void logChanges(const std::vector<CrashVerdict> &changes);
     void logRefusedParts(std::size_t before); // when their number changed
-    void send(const peers::PartVerdictsNotice &notice, const std::vector<HostId> &hosts);
+    void send(const peers::CrashVerdictsNotice &notice, const std::vector<HostId> &hosts);
 
     Node &node_;
     const HostGroups &groups_;
-    PartCounting counting_;
+    CrashCounting counting_;
     peers::Links *links_ = nullptr;
 };
 
--- a/packages/serving/partwatch.cpp
+++ b/packages/serving/crashwatch.cpp
@@ -1,14 +1,14 @@
-#include <serving/partwatch.h>
+#include <serving/crashwatch.h>
 
 #include <algorithm>
 
 namespace baobabstall::serving {
 
-using State = PartVerdict::State;
+using State = CrashVerdict::State;
 
-PartAdmission PartWatch::admit(const std::vector<PromptPart> &parts, Instant now)
+CrashAdmission CrashWatch::admit(const std::vector<PromptPart> &parts, Instant now)
 {
-    PartAdmission admission;
+    CrashAdmission admission;
     for (const auto &part : parts) {
         const auto held = verdicts_.find(part);
         if (held == verdicts_.end() || held->second.verdict.state != State::Blamed) {
@@ -26,7 +26,7 @@
     return admission;
 }
 
-void PartWatch::onCut(const UpstreamId &upstream, const std::vector<PromptPart> &parts, Instant now)
+void CrashWatch::onCut(const UpstreamId &upstream, const std::vector<PromptPart> &parts, Instant now)
 {
     if (parts.empty()) {
         return;
@@ -48,7 +48,7 @@
     }
 }
 
-void PartWatch::onServed(const std::vector<PromptPart> &parts, Instant now)
+void CrashWatch::onServed(const std::vector<PromptPart> &parts, Instant now)
 {
     for (const auto &part : parts) {
         if (const auto known = served_.find(part); known != served_.end()) {
@@ -68,10 +68,10 @@
     }
 }
 
-PartReport PartWatch::takeReport(const HostId &counter, Instant now)
+CrashReport CrashWatch::takeReport(const HostId &counter, Instant now)
 {
     expire(now);
-    PartReport report;
+    CrashReport report;
     for (auto &[sighting, reportedTo, reportedAt] : sightings_) {
         if (reportedTo == counter && now - reportedAt < repeatInterval) {
             continue;
@@ -92,7 +92,7 @@
     return report;
 }
 
-void PartWatch::onVerdicts(const std::vector<PartVerdict> &verdicts, Instant now)
+void CrashWatch::onVerdicts(const std::vector<CrashVerdict> &verdicts, Instant now)
 {
     for (const auto &verdict : verdicts) {
         if (verdict.state == State::Cleared) {
@@ -109,29 +109,29 @@
     expire(now);
 }
 
-std::vector<PartVerdict> PartWatch::verdicts(Instant now)
+std::vector<CrashVerdict> CrashWatch::verdicts(Instant now)
 {
     expire(now);
-    std::vector<PartVerdict> all;
+    std::vector<CrashVerdict> all;
     for (const auto &[part, held] : verdicts_) {
         all.push_back(held.verdict);
     }
     return all;
 }
 
-std::size_t PartWatch::blamedParts() const
+std::size_t CrashWatch::blamedParts() const
 {
     return static_cast<std::size_t>(
         std::count_if(verdicts_.begin(), verdicts_.end(), [](const auto &each) { return each.second.verdict.state == State::Blamed; }));
 }
 
-std::optional<Instant> PartWatch::servedAt(const PromptPart &part) const
+std::optional<Instant> CrashWatch::servedAt(const PromptPart &part) const
 {
     const auto known = served_.find(part);
     return known == served_.end() ? std::nullopt : std::optional(known->second.at);
 }
 
-void PartWatch::expire(Instant now)
+void CrashWatch::expire(Instant now)
 {
     std::erase_if(sightings_, [now](const auto &each) { return now - each.sighting.at > sightingLifetime; });
     std::erase_if(verdicts_, [now](const auto &each) {
--- a/packages/serving/partwatch.h
+++ b/packages/serving/crashwatch.h
@@ -1,7 +1,7 @@
-// serving/partwatch.h: what one host knows about parts of prompts that crash upstreams, and what it reports to the host that counts
+// serving/crashwatch.h: what one host knows about parts of prompts that crash upstreams, and what it reports to the host that counts
 // (crashcounter.h). No I/O.
 //
-//   PartWatch watch(ownHost);
+//   CrashWatch watch(ownHost);
 //   const auto admission = watch.admit(parts, now);  // before a request is sent; a blocked one is refused
 //   watch.onCut(upstream, parts, now);               // the upstream broke off a request with these parts
 //   watch.onServed(parts, now);                      // a request with them ended well
@@ -23,7 +23,7 @@
 
 namespace baobabstall::serving {
 
-struct PartAdmission {
+struct CrashAdmission {
     std::optional<Milliseconds> blockedFor{}; // until a request with the parts is let through again
     bool isProbe = false;                     // this request tells whether a blamed part still crashes upstreams; it is sent once
 };
@@ -35,7 +35,7 @@
     std::vector<PromptPart> parts;
 };
 
-struct PartReport {
+struct CrashReport {
     std::vector<CrashSighting> crashes;
     std::vector<std::pair<PromptPart, Instant>> served; // parts of the crashes and suspects, and their last success
     std::vector<PromptPart> refused;                    // blamed parts of requests that came since the last report
@@ -43,7 +43,7 @@
     [[nodiscard]] bool isEmpty() const { return crashes.empty() && served.empty() && refused.empty(); }
 };
 
-class PartWatch
+class CrashWatch
 {
 public:
     static constexpr std::size_t maxServedParts = 4'096; // whose last success is remembered
@@ -53,28 +53,28 @@
     static constexpr Milliseconds repeatInterval{1'000};    // of a report, as it may get lost
     static constexpr Milliseconds mergeTime{100};           // requests cut within this at one upstream are one sighting
     static constexpr Milliseconds suspectLifetime{2'000};   // after the last verdict that names it
-    static constexpr Milliseconds blameLifetime{30'000};    // the same, after PartVerdict::until
+    static constexpr Milliseconds blameLifetime{30'000};    // the same, after CrashVerdict::until
     static constexpr Milliseconds minBlock{1'000};          // told to callers
 
-    explicit PartWatch(HostId ownHost)
+    explicit CrashWatch(HostId ownHost)
         : ownHost_(std::move(ownHost))
     { }
 
-    [[nodiscard]] PartAdmission admit(const std::vector<PromptPart> &parts, Instant now);
+    [[nodiscard]] CrashAdmission admit(const std::vector<PromptPart> &parts, Instant now);
     void onCut(const UpstreamId &upstream, const std::vector<PromptPart> &parts, Instant now);
     void onServed(const std::vector<PromptPart> &parts, Instant now);
 
     /// What `counter` has not heard yet; nothing to report: an empty report.
-    [[nodiscard]] PartReport takeReport(const HostId &counter, Instant now);
+    [[nodiscard]] CrashReport takeReport(const HostId &counter, Instant now);
     /// The whole list of the host that counts. A blamed part that it doesn't name stays blamed for a while.
-    void onVerdicts(const std::vector<PartVerdict> &verdicts, Instant now);
+    void onVerdicts(const std::vector<CrashVerdict> &verdicts, Instant now);
     /// In force at this host, for a host that begins to count.
-    [[nodiscard]] std::vector<PartVerdict> verdicts(Instant now);
+    [[nodiscard]] std::vector<CrashVerdict> verdicts(Instant now);
     [[nodiscard]] std::size_t blamedParts() const;
 
 private:
     struct HeldVerdict {
-        PartVerdict verdict;
+        CrashVerdict verdict;
         Instant confirmedAt;
         bool isProbeSent = false;
     };
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -264,7 +264,7 @@
         if (isProbe_) {
             return sends_ == 0;
         }
-        const auto admission = node_.parts.admit(metadata_.sharedParts, node_.now());
+        const auto admission = node_.crashes.admit(metadata_.sharedParts, node_.now());
         isProbe_ = admission.isProbe;
         if (admission.blockedFor) {
             refusalReason_ = "part_blamed";
@@ -839,7 +839,7 @@
     void recordServed(const Parser &parser)
     {
         if (!parser.need_eof()) {
-            node_.parts.onServed(metadata_.sharedParts, node_.now());
+            node_.crashes.onServed(metadata_.sharedParts, node_.now());
         }
     }
 
@@ -869,7 +869,7 @@
     bool onCut(const ReplicaRecord &replica, const std::string &reason)
     {
         if (!isCallerFault() && !isResponseOverdue_ && !isTooLarge_) {
-            node_.parts.onCut(replica.id, metadata_.sharedParts, node_.now());
+            node_.crashes.onCut(replica.id, metadata_.sharedParts, node_.now());
         }
         return onTruncated(replica, reason);
     }
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -130,7 +130,7 @@
                      .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Control, shared); }})
     , incarnation_(incarnation)
     , storePages_(node_, groups_, {&operatorsTopic_, &upstreamsTopic_, &controlTopic_})
-    , partExchange_(node_, groups_)
+    , crashExchange_(node_, groups_)
     , loadExchange_(settings.host)
 {
     node_.residency = this;
@@ -270,7 +270,7 @@
     metrics.callerConnections.set({"open"}, static_cast<double>(callerServer_.connections()));
     metrics.callerConnections.set({"busy"}, static_cast<double>(callerServer_.busyConnections()));
     metrics.limitedUpstreams.set(static_cast<double>(node_.limits.size()));
-    metrics.blamedParts.set(static_cast<double>(node_.parts.blamedParts()));
+    metrics.blamedParts.set(static_cast<double>(node_.crashes.blamedParts()));
     metrics.residencyLeases.set(static_cast<double>(node_.leases.size()));
     metrics.logLinesDropped.set(static_cast<double>(logging::Log::droppedLines()));
     if (node_.routes) {
@@ -583,7 +583,7 @@
         node_.log.error("peers_not_listening", why);
     }
     storePages_.setLinks(*links_);
-    partExchange_.setLinks(*links_);
+    crashExchange_.setLinks(*links_);
     for (const auto &[host, announced] : announcedHosts_) {
         if (host != node_.settings.host) {
             links_->setAddress(host, announced.peerAddress);
@@ -748,7 +748,7 @@
         tick();
         sendAdapterUses();
         exchangeLoads();
-        partExchange_.tick();
+        crashExchange_.tick();
         if (now >= nextHousekeeping_) {
             nextHousekeeping_ = now + housekeepingInterval;
             node_.pool.expire(now);
@@ -1114,10 +1114,10 @@
         storePages_.onClockAnswer(from, *answer);
     } else if (const auto *limitEnd = std::get_if<peers::LimitEndNotice>(&notice.body)) {
         sendGate_.onLimitEnded(limitEnd->upstream);
-    } else if (const auto *report = std::get_if<peers::PartReportNotice>(&notice.body)) {
-        partExchange_.onReport(from, *report);
-    } else if (const auto *verdicts = std::get_if<peers::PartVerdictsNotice>(&notice.body)) {
-        partExchange_.onVerdicts(from, *verdicts);
+    } else if (const auto *report = std::get_if<peers::CrashReportNotice>(&notice.body)) {
+        crashExchange_.onReport(from, *report);
+    } else if (const auto *verdicts = std::get_if<peers::CrashVerdictsNotice>(&notice.body)) {
+        crashExchange_.onVerdicts(from, *verdicts);
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
         UpstreamLoads loads;
         for (const auto &[id, running, prefillMs] : update->loads) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -20,13 +20,13 @@
 #include <peers/link.h>
 #include <peers/membership.h>
 #include <serving/callers.h>
+#include <serving/crashexchange.h>
 #include <serving/follower.h>
 #include <serving/forwarder.h>
 #include <serving/hostgroups.h>
 #include <serving/loadexchange.h>
 #include <serving/newestconfiguration.h>
 #include <serving/ownedreplica.h>
-#include <serving/partexchange.h>
 #include <serving/prefillgate.h>
 #include <serving/sendgate.h>
 #include <serving/storepages.h>
@@ -145,7 +145,7 @@
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> ownedReplicas_;
     HostGroups groups_; // hosts that share store reads and counts of running requests
     StorePages storePages_;
-    PartExchange partExchange_;
+    CrashExchange crashExchange_;
     LoadExchange loadExchange_;
     std::uint64_t loadExchangeTicks_ = 0;
     std::map<HostId, std::set<UpstreamId>> reportedUses_; // per owner: upstreams in the last report of adapters in use
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -54,7 +54,7 @@
     , codec(platformCodec)
     , log(std::move(hostLog))
     , chooser(ChooserOptions(), core::hashText(hostSettings.host.value(), 0))
-    , parts(hostSettings.host)
+    , crashes(hostSettings.host)
     , pool(context, PoolOptions())
 { }
 
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -19,7 +19,7 @@
 #include <metrics/registry.h>
 #include <serving/backoffs.h>
 #include <serving/chooser.h>
-#include <serving/partwatch.h>
+#include <serving/crashwatch.h>
 #include <serving/prefillturns.h>
 #include <serving/protocol.h>
 #include <serving/replicabook.h>
@@ -158,7 +158,7 @@
     Backoffs backoffs;
     UpstreamLimits limits;
     ResponseBudget responseBudget;
-    PartWatch parts;
+    CrashWatch crashes;
     std::function<void(const UpstreamId &)> onNoContact;  // the upstream is leaving or asked this host to back off; may be empty
     std::function<void(const UpstreamId &)> onLimitEnded; // an answer named no limit any more; may be empty
     UpstreamPool pool;
--- a/packages/serving/tests/crashspread.h
+++ b/packages/serving/tests/crashspread.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include <serving/partcounting.h>
+#include <serving/crashcounting.h>
 
 #include "virtualtime.h"
 
@@ -60,7 +60,7 @@
             assignGroups();
         });
     }
-    [[nodiscard]] HostId counter() const { return hosts_.begin()->second->groups.leaders(PartCounting::purpose).front(); }
+    [[nodiscard]] HostId counter() const { return hosts_.begin()->second->groups.leaders(CrashCounting::purpose).front(); }
     /// An upstream crashes for a reason of its own.
     void crash(std::size_t upstream) { crashUpstream(upstream); }
     [[nodiscard]] std::size_t upstreamCount() const { return upstreams_.size(); }
@@ -78,9 +78,9 @@
             : watch(id)
             , counting(id, watch, groups)
         { }
-        PartWatch watch;
+        CrashWatch watch;
         HostGroups groups;
-        PartCounting counting;
+        CrashCounting counting;
         bool isAlive = true;
     };
     struct Running {
@@ -115,18 +115,18 @@
             });
         }
         if (messages.verdicts) {
-            share(id, host.groups.shareTargets(PartCounting::purpose), *messages.verdicts);
+            share(id, host.groups.shareTargets(CrashCounting::purpose), *messages.verdicts);
         }
         constexpr Milliseconds interval{100};
         at(now() + interval, [this, id] { tick(id); });
     }
 
-    void share(const HostId &sender, const std::vector<HostId> &targets, const std::vector<PartVerdict> &verdicts)
+    void share(const HostId &sender, const std::vector<HostId> &targets, const std::vector<CrashVerdict> &verdicts)
     {
         for (const auto &target : targets) {
             at(now() + options_.linkLatency, [this, target, verdicts, sender] {
                 if (auto &receiver = *hosts_.at(target); receiver.isAlive) {
-                    share(target, receiver.groups.forwardTargets(sender, PartCounting::purpose), verdicts);
+                    share(target, receiver.groups.forwardTargets(sender, CrashCounting::purpose), verdicts);
                     receiver.counting.onVerdicts(verdicts, now());
                 }
             });
--- a/packages/serving/tests/crashspreadtest.cpp
+++ b/packages/serving/tests/crashspreadtest.cpp
@@ -102,9 +102,9 @@
     const PromptPart part("bad");
     const HostId host("host-1");
     Instant now(1'000);
-    const auto blamed = [&]() -> std::optional<PartVerdict> {
+    const auto blamed = [&]() -> std::optional<CrashVerdict> {
         for (const auto &verdict : counter.tick(now)) {
-            if (verdict.state == PartVerdict::State::Blamed) {
+            if (verdict.state == CrashVerdict::State::Blamed) {
                 return verdict;
             }
         }
@@ -140,7 +140,7 @@
 TEST(CrashCounter, state_is_bounded_and_ends)
 {
     CrashCounter counter;
-    PartWatch watch(HostId("host-1"));
+    CrashWatch watch(HostId("host-1"));
     Instant now(1'000);
     for (int i = 0; i < 600; ++i, now = now + Milliseconds(70)) {
         constexpr int partsPerRequest = 20;
@@ -155,7 +155,7 @@
         const auto verdicts = counter.tick(now);
         EXPECT_LE(verdicts.size(), CrashCounter::maxBlamedParts + CrashCounter::maxSuspects);
         watch.onVerdicts(verdicts, now);
-        EXPECT_LE(watch.takeReport(HostId("host-2"), now).crashes.size(), PartWatch::maxSightings);
+        EXPECT_LE(watch.takeReport(HostId("host-2"), now).crashes.size(), CrashWatch::maxSightings);
     }
     now = now + CrashCounter::forgetAfter + CrashCounter::maxBlameTime;
     static_cast<void>(counter.tick(now));
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -17,8 +17,8 @@
 #include <boost/asio/write.hpp>
 
 #include <serving/callers.h>
+#include <serving/crashexchange.h>
 #include <serving/forwarder.h>
-#include <serving/partexchange.h>
 
 namespace baobabstall::serving::tests {
 
@@ -292,7 +292,7 @@
         node_.residency = &residency_;
         core::Error why;
         address_ = *server_.listen({"127.0.0.1", 0}, why);
-        asio::co_spawn(io_, tickParts(), asio::detached);
+        asio::co_spawn(io_, tickCrashes(), asio::detached);
     }
 
     static settings::Settings settings()
@@ -408,7 +408,7 @@
     FakeResidency residency_;
     Node node_;
     HostGroups groups_;
-    PartExchange partExchange_{node_, groups_};
+    CrashExchange crashExchange_{node_, groups_};
     Forwarder forwarder_;
     CallerServer server_;
     net::Address address_;
@@ -416,12 +416,12 @@
     int invalidRequests_ = 0;
 
 private:
-    net::Task<void> tickParts()
+    net::Task<void> tickCrashes()
     {
         constexpr Milliseconds interval{100};
         while (true) {
             co_await net::sleep(io_, interval);
-            partExchange_.tick();
+            crashExchange_.tick();
         }
     }
 
