A request that crashes upstreams is found over all hosts and refused

Cause: crashes were counted by shared parts of prompts only, and that route has no prompts. Had it been counted, its crashes, 20 to 180 ms apart, would have counted once (`minDistance`), the count would have been lost with the host that counted, and probes would have gone on without an end.

Between equal counts a request goes before a part; what a blamed request explains counts once against a part. - Each host holds what was counted, reports what the host that counts does not name, and what its word shows it to lack.

--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -81,10 +81,42 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UsesNotice, uses)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadsNotice, scope, loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StorePageNotice, topic, from, first, next, readTo, records, sentAt, ageMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashEntry, upstream, ageMs, parts)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashReportNotice, crashes, served, refused)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashVerdictEntry, part, state, sinceAgeMs, remainingMs, probes, prober, proberAgeMs)
+
+// Hosts tell each other many of these, so they are arrays without names of fields.
+void to_json(nlohmann::json &to, const CrashCauseEntry &from)
+{
+    to = nlohmann::json::array({from.kind, from.id});
+}
+
+void from_json(const nlohmann::json &from, CrashCauseEntry &to)
+{
+    to = {from.at(0).get<int>(), from.at(1).get<std::string>()};
+}
+
+void to_json(nlohmann::json &to, const CrashVerdictEntry &from)
+{
+    to = nlohmann::json::array(
+        {from.cause, from.state, from.sinceAgeMs, from.remainingMs, from.crashes, from.lastCrashAgeMs, from.lastUpstream, from.probesLeft});
+}
+
+void from_json(const nlohmann::json &from, CrashVerdictEntry &to)
+{
+    std::size_t place = 0;
+    from.at(place++).get_to(to.cause);
+    from.at(place++).get_to(to.state);
+    from.at(place++).get_to(to.sinceAgeMs);
+    from.at(place++).get_to(to.remainingMs);
+    from.at(place++).get_to(to.crashes);
+    from.at(place++).get_to(to.lastCrashAgeMs);
+    from.at(place++).get_to(to.lastUpstream);
+    from.at(place++).get_to(to.probesLeft);
+}
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashEntry, upstream, ageMs, cuts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashReportNotice, crashes, served, refused, held)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashVerdictsNotice, verdicts)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashProbeCall, causes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashProbeReply, isGranted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockQuery, askedAt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockAnswer, askedAt, clock)
 
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -13,6 +13,7 @@
 //     ListsCall      which lists are active on the peer?              -> ListsReply
 //     ResidencyCall  load these weights on this replica               -> WaitingReply, ResidencyReply
 //     SendCall       may this request be sent to this limited upstream? -> SendReply
+//     CrashProbeCall may one request with these causes of crashes be sent? -> CrashProbeReply
 //     any of them                                                     -> ErrorReply instead
 //   encode(), decode()
 //
@@ -120,7 +121,18 @@
     std::int64_t maxWaitMs = 0; // how long the request may wait for its permit
 };
 
-using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall, SendCall>;
+/// serving::CrashCause, as [kind, id].
+struct CrashCauseEntry {
+    int kind = 0;
+    std::string id;
+};
+
+/// Asks the host that counts crashes for leave to send one request with these causes, of which at least one is blamed.
+struct CrashProbeCall {
+    std::vector<CrashCauseEntry> causes;
+};
+
+using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall, SendCall, CrashProbeCall>;
 
 /// How soon an engine would start a request.
 struct HintReply {
@@ -183,8 +195,22 @@
     std::int64_t waitMs = 0; // until the request may be sent; without a grant, until asking again makes sense
 };
 
-using ReplyBody
-    = std::variant<HintReply, StartedReply, DataReply, EndReply, GrantReply, ServiceReply, ListsReply, ErrorReply, ResidencyReply, WaitingReply, SendReply>;
+struct CrashProbeReply {
+    bool isGranted = false;
+};
+
+using ReplyBody = std::variant<HintReply,
+                               StartedReply,
+                               DataReply,
+                               EndReply,
+                               GrantReply,
+                               ServiceReply,
+                               ListsReply,
+                               ErrorReply,
+                               ResidencyReply,
+                               WaitingReply,
+                               SendReply,
+                               CrashProbeReply>;
 
 /// Number of replicas that an adapter should be resident on, where it differs from the usual one.
 struct WidthNotice {
@@ -246,32 +272,34 @@
     core::UpstreamId upstream;
 };
 
-/// Requests of the sender that an upstream broke off at one moment, by the parts of their prompts.
+/// Requests of the sender that an upstream broke off at one moment.
 struct CrashEntry {
     core::UpstreamId upstream;
     std::int64_t ageMs = 0;
-    std::vector<core::PromptPart> parts;
+    std::vector<std::tuple<CrashCauseEntry, std::int64_t, bool>> cuts; // age of the last request with the cause, serving::CrashSighting::Cut::isFollowUp
 };
 
-/// Tells the host that counts crashes by parts of prompts what the sender saw. Ages count from the sending.
-struct CrashReportNotice {
-    std::vector<CrashEntry> crashes;
-    std::vector<std::pair<core::PromptPart, std::int64_t>> served; // age of the part's last success
-    std::vector<core::PromptPart> refused;                         // blamed parts of requests that still come
-};
-
-/// What the host that counts holds of a part of prompts. Times count from the sending.
+/// What a host holds of a cause of crashes: serving::CrashVerdict. Times count from the sending.
 struct CrashVerdictEntry {
-    core::PromptPart part;
-    int state = 0; // serving::CrashVerdict::State
+    CrashCauseEntry cause;
+    int state = 0;
     std::int64_t sinceAgeMs = 0;
     std::int64_t remainingMs = 0; // negative: it is over
-    int probes = 0;
-    core::HostId prober;
-    std::int64_t proberAgeMs = 0;
+    int crashes = 0;
+    std::int64_t lastCrashAgeMs = 0;
+    core::UpstreamId lastUpstream;
+    int probesLeft = 0;
+};
+
+/// Tells the host that counts crashes what the sender saw and holds. Ages count from the sending.
+struct CrashReportNotice {
+    std::vector<CrashEntry> crashes;
+    std::vector<std::pair<CrashCauseEntry, std::int64_t>> served; // age of the last success
+    std::vector<CrashCauseEntry> refused;                         // blamed causes of requests that still come
+    std::vector<CrashVerdictEntry> held;                          // that the receiver has not named for a while
 };
 
-/// All verdicts in force, from the host that counts to all others.
+/// Verdicts of the host that counts, to all others.
 struct CrashVerdictsNotice {
     std::vector<CrashVerdictEntry> verdicts;
 };
--- a/packages/serving/crashcounter.cpp
+++ b/packages/serving/crashcounter.cpp
@@ -1,218 +1,370 @@
 #include <serving/crashcounter.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace baobabstall::serving {
 
-void CrashCounter::onCrash(const UpstreamId &upstream, Instant at, const std::vector<PromptPart> &parts, Instant now)
+using Kind = CrashCause::Kind;
+using State = CrashVerdict::State;
+
+void CrashCounter::onCrash(const CrashSighting &sighting, Instant now)
 {
-    const auto isSame = [&](const Crash &each) { return each.upstream == upstream && at - each.at < sameCrash && each.at - at < sameCrash; };
+    const auto at = std::min(sighting.at, now);
+    const auto isSame = [&](const Crash &each) { return each.upstream == sighting.upstream && at - each.at < sameCrash && each.at - at < sameCrash; };
     auto crash = std::find_if(crashes_.begin(), crashes_.end(), isSame);
     if (crash == crashes_.end()) {
         if (crashes_.size() == maxCrashes) {
+            static_cast<void>(countUnexplainedCrashes());
+            keepRequestCounts(crashes_.front());
             crashes_.pop_front();
         }
         const auto place = std::find_if(crashes_.begin(), crashes_.end(), [at](const Crash &each) { return each.at > at; });
-        crash = crashes_.insert(place, Crash{upstream, at, {}});
+        crash = crashes_.insert(place, Crash{sighting.upstream, at, {}});
     }
-    for (const auto &part : parts) {
-        if (crash->parts.size() < maxPartsPerCrash) {
-            areCountsStale_ = crash->parts.insert(part).second || areCountsStale_;
+    for (const auto &[cause, sentAt, isFollowUp] : sighting.cuts) {
+        if (crash->causes.size() >= maxCausesPerCrash) {
+            break;
         }
-        const auto blamed = blames_.find(part);
-        if (blamed != blames_.end() && !blamed->second.verdict.prober.empty() && at >= blamed->second.verdict.proberAt) {
-            ++blamed->second.verdict.probes;
-            blame(part, now);
+        const auto [held, isNew] = crash->causes.try_emplace(cause, Sent{sentAt, isFollowUp});
+        auto &sent = held->second;
+        areCountsStale_ = areCountsStale_ || isNew || sentAt > sent.at || isFollowUp != sent.isFollowUp;
+        sent = {std::max(sent.at, sentAt), sent.isFollowUp || isFollowUp};
+        const auto blamed = blames_.find(cause);
+        if (isNew && blamed != blames_.end() && at > blamed->second.verdict.lastCrash) {
+            ++blamed->second.verdict.crashes;
+            blamed->second.verdict.lastCrash = at;
+            blamed->second.verdict.lastUpstream = sighting.upstream;
         }
     }
 }
 
-void CrashCounter::onServed(const PromptPart &part, Instant at, Instant now)
+void CrashCounter::onServed(const CrashCause &cause, Instant at, Instant now)
 {
-    auto &servedAt = servedAt_[part];
+    auto &servedAt = servedAt_[cause];
     areCountsStale_ = areCountsStale_ || at > servedAt;
     servedAt = std::max(servedAt, at);
-    if (const auto blamed = blames_.find(part); blamed != blames_.end() && at > blamed->second.verdict.since) {
-        clear(part, now);
+    if (const auto earlier = earlier_.find(cause); earlier != earlier_.end() && at >= earlier->second.first) {
+        auto &count = earlier->second;
+        if (at >= count.last) {
+            earlier_.erase(earlier);
+        } else {
+            count.first = count.last;
+            count.crashes = count.all = 1;
+        }
+    }
+    if (const auto blamed = blames_.find(cause); blamed != blames_.end() && at > blamed->second.verdict.since) {
+        clearBlame(cause, now);
     }
 }
 
-void CrashCounter::onRefused(const HostId &host, const PromptPart &part, Instant now)
+void CrashCounter::onRefused(const CrashCause &cause, Instant now)
 {
-    if (const auto blamed = blames_.find(part); blamed != blames_.end()) {
+    if (const auto blamed = blames_.find(cause); blamed != blames_.end()) {
         blamed->second.refusedAt = now;
-        blamed->second.refusers[host] = now;
     }
 }
 
 void CrashCounter::adopt(const std::vector<CrashVerdict> &verdicts, Instant now)
 {
     for (const auto &verdict : verdicts) {
-        if (verdict.state == CrashVerdict::State::Blamed && blames_.size() < maxBlamedParts) {
-            blames_.try_emplace(verdict.part, Blame{verdict, now, {}});
+        const auto served = servedAt_.find(verdict.cause);
+        const bool isOutdated = (served != servedAt_.end() && served->second >= verdict.lastCrash) || cleared_.contains(verdict.cause);
+        if (isOutdated || verdict.state == State::Cleared) {
+            continue;
+        }
+        if (verdict.state == State::Blamed) {
+            if (!blames_.contains(verdict.cause)) {
+                makeRoomForBlame();
+            }
+            auto &held = blames_.try_emplace(verdict.cause, Blame{verdict, now}).first->second.verdict;
+            held.probesLeft = std::min(held.probesLeft, verdict.probesLeft);
+            held.until = std::max(held.until, verdict.until);
+            areCountsStale_ = true;
+        } else if (verdict.cause.kind == Kind::Request) {
+            auto &count = earlier_[verdict.cause];
+            if (verdict.crashes > count.crashes) {
+                count = {verdict.crashes, verdict.crashes, verdict.since, verdict.lastCrash, verdict.lastUpstream, verdict.lastCrash, verdict.lastUpstream};
+                areCountsStale_ = true;
+            }
+        }
+    }
+}
+
+bool CrashCounter::takeProbe(const std::vector<CrashCause> &causes, Instant now)
+{
+    std::vector<CrashVerdict *> blamed;
+    for (const auto &cause : causes) {
+        if (const auto found = blames_.find(cause); found != blames_.end()) {
+            blamed.push_back(&found->second.verdict);
         }
     }
+    const bool isDue = std::all_of(blamed.begin(), blamed.end(), [now](const auto *each) { return each->probesLeft > 0 && now >= each->until; });
+    if (!isDue) {
+        return false;
+    }
+    for (auto *verdict : blamed) {
+        --verdict->probesLeft;
+        verdict->until = now + laterBlameTime;
+        changes_.push_back(*verdict);
+    }
+    return true;
 }
 
 std::vector<CrashVerdict> CrashCounter::tick(Instant now)
 {
     expire(now);
     blameConfirmed(now);
-    updateProbers(now);
     std::vector<CrashVerdict> verdicts;
-    for (const auto &[part, blame] : blames_) {
+    for (const auto &[cause, blame] : blames_) {
         verdicts.push_back(blame.verdict);
     }
-    for (const auto &[part, verdict] : cleared_) {
+    for (const auto &[cause, verdict] : cleared_) {
         verdicts.push_back(verdict);
     }
-    for (const auto &[part, since] : suspectSince_) {
-        verdicts.push_back({.part = part, .since = counts_.at(part).first});
+    for (const auto &[cause, since] : suspectSince_) {
+        const auto &count = counts_.at(cause);
+        verdicts.push_back({.cause = cause, .since = count.first, .crashes = count.crashes, .lastCrash = count.last, .lastUpstream = count.lastUpstream});
     }
     return verdicts;
 }
 
-bool CrashCounter::isExplained(const Crash &crash) const
+std::vector<CrashCause> CrashCounter::blamedIn(const Crash &crash) const
 {
-    return std::any_of(crash.parts.begin(), crash.parts.end(), [this](const auto &part) { return blames_.contains(part); });
+    std::vector<CrashCause> blamed;
+    for (const auto &[cause, sent] : crash.causes) {
+        if (blames_.contains(cause)) {
+            blamed.push_back(cause);
+        }
+    }
+    return blamed;
 }
 
-void CrashCounter::countUnexplainedCrashes()
+bool CrashCounter::isIndependent(const Count &before, const Crash &crash, const CrashCause &cause, const Sent &sent)
+{
+    if (before.crashes == 0) {
+        return true;
+    }
+    if (crash.upstream == before.lastUpstream && crash.at - before.last < sameCrash) {
+        return false;
+    }
+    if (cause.kind == Kind::Part) {
+        return crash.at - before.last >= minPartDistance;
+    }
+    return sent.isFollowUp || (crash.at - before.last >= minRequestDistance && sent.at + sentTolerance > before.last);
+}
+
+bool CrashCounter::countUnexplainedCrashes()
 {
     if (!std::exchange(areCountsStale_, false)) {
-        return;
+        return false;
     }
-    counts_.clear();
-    for (const auto &crash : crashes_) { // in the order of their times
-        if (isExplained(crash)) {
-            continue;
-        }
-        for (const auto &part : crash.parts) {
-            const auto served = servedAt_.find(part);
-            if (served != servedAt_.end() && served->second >= crash.at) {
+    counts_ = earlier_;
+    std::set<std::pair<CrashCause, CrashCause>> explained; // a part, and a blamed request that was in a crash with it
+    for (const auto &crash : crashes_) {                   // in the order of their times
+        const auto blamed = blamedIn(crash);
+        const bool hasBlamedPart = std::any_of(blamed.begin(), blamed.end(), [](const auto &each) { return each.kind == Kind::Part; });
+        for (const auto &[cause, sent] : crash.causes) {
+            const auto served = servedAt_.find(cause);
+            const bool isServedSince = served != servedAt_.end() && served->second >= crash.at;
+            if (hasBlamedPart || isServedSince || (!blamed.empty() && cause.kind == Kind::Request)) {
                 continue;
             }
-            auto &count = counts_[part];
-            if (count.crashes == 0) {
-                count.first = crash.at;
+            auto &count = counts_[cause];
+            const bool isCounted = crash.at < count.seenAt || (crash.at == count.seenAt && crash.upstream == count.seenUpstream);
+            if (count.crashes > 0 && isCounted) { // by an earlier counter
+                continue;
             }
-            if (count.crashes == 0 || crash.at - count.last >= minDistance) {
+            ++count.all;
+            count.seenAt = crash.at;
+            count.seenUpstream = crash.upstream;
+            const auto isNewRequest = [&, &cause = cause](const CrashCause &request) { return explained.insert({cause, request}).second; };
+            const bool counts = blamed.empty() || std::any_of(blamed.begin(), blamed.end(), isNewRequest);
+            if (counts && isIndependent(count, crash, cause, sent)) {
+                count.first = count.crashes == 0 ? crash.at : count.first;
                 ++count.crashes;
                 count.last = crash.at;
+                count.lastUpstream = crash.upstream;
             }
         }
     }
+    std::erase_if(counts_, [this](const auto &each) { return each.second.crashes == 0 || blames_.contains(each.first); });
+    return true;
 }
 
+/// A suspect that is none any more is told to be cleared, because hosts remember suspects while no host counts.
 void CrashCounter::updateSuspects(Instant now)
 {
-    constexpr int minSuspectCrashes = 2;
-    std::erase_if(suspectSince_, [&](const auto &each) {
-        const auto count = counts_.find(each.first);
-        return count == counts_.end() || count->second.crashes < minSuspectCrashes;
-    });
-    for (const auto &[part, count] : counts_) {
-        if (count.crashes >= minSuspectCrashes && (suspectSince_.size() < maxSuspects || suspectSince_.contains(part))) {
-            suspectSince_.try_emplace(part, now);
+    constexpr int minPartCrashes = 2;
+    std::vector<std::pair<CrashCause, Count>> ranked;
+    for (const auto &[cause, count] : counts_) {
+        if (cause.kind == Kind::Request || count.crashes >= minPartCrashes) {
+            ranked.emplace_back(cause, count);
+        }
+    }
+    if (ranked.size() > maxSuspects) { // those with the fewest crashes are left out, the oldest first
+        const auto rank = [](const auto &each) { return std::tuple(each.second.crashes, each.second.last); };
+        std::nth_element(ranked.begin(), ranked.begin() + maxSuspects, ranked.end(), [&](const auto &a, const auto &b) { return rank(a) > rank(b); });
+        ranked.resize(maxSuspects);
+    }
+    std::map<CrashCause, Instant> since;
+    for (const auto &[cause, count] : ranked) {
+        const auto known = suspectSince_.find(cause);
+        since.emplace(cause, known == suspectSince_.end() ? now : known->second);
+        cleared_.erase(cause);
+    }
+    for (const auto &[cause, at] : std::exchange(suspectSince_, std::move(since))) {
+        if (!suspectSince_.contains(cause) && !blames_.contains(cause)) {
+            earlier_.erase(cause);
+            clear({.cause = cause}, now);
         }
     }
 }
 
-/// Blames one part at a time, because it may explain the crashes of the others.
-void CrashCounter::blameConfirmed(Instant now)
+/// The causes to blame next: of the suspects in one crash, the one that explains the most crashes, or several that can't be told apart.
+std::vector<CrashCause> CrashCounter::confirmedCulprits(Instant now) const
 {
-    while (true) {
-        countUnexplainedCrashes();
-        updateSuspects(now);
-        int most = 0;
-        std::vector<PromptPart> worst;
-        for (const auto &[part, since] : suspectSince_) {
-            const int crashes = counts_.at(part).crashes;
-            if (crashes > most) {
-                worst.clear();
+    using Rank = std::tuple<int, int, Kind>; // independent crashes, all crashes, a request before a part
+    const auto isBlameable = [&](const std::vector<CrashCause> &causes) {
+        const int needed = causes.size() > 1 ? minTiedCrashes : minCrashes;
+        return !causes.empty() && std::all_of(causes.begin(), causes.end(), [&](const CrashCause &cause) {
+            return counts_.at(cause).crashes >= needed && now - suspectSince_.at(cause) >= confirmTime;
+        });
+    };
+    for (const auto &crash : crashes_) {
+        Rank highest;
+        std::vector<CrashCause> culprits;
+        for (const auto &[cause, sent] : crash.causes) {
+            if (!suspectSince_.contains(cause)) {
+                continue;
             }
-            if (crashes >= most) {
-                worst.push_back(part);
-                most = crashes;
+            const auto &count = counts_.at(cause);
+            const Rank rank(count.crashes, count.all, cause.kind);
+            if (culprits.empty() || rank > highest) {
+                culprits.clear();
+                highest = rank;
             }
+            if (rank == highest) {
+                culprits.push_back(cause);
+            }
+        }
+        const auto isLastCrash = [&](const CrashCause &cause) {
+            const auto &count = counts_.at(cause);
+            return count.seenAt == crash.at && count.seenUpstream == crash.upstream;
+        };
+        if (std::all_of(culprits.begin(), culprits.end(), isLastCrash) && isBlameable(culprits)) {
+            return culprits;
         }
-        const bool isConfirmed = std::all_of(worst.begin(), worst.end(), [&](const auto &part) { return now - suspectSince_.at(part) >= confirmTime; });
-        if (most < (worst.size() > 1 ? minTiedCrashes : minCrashes) || !isConfirmed) {
+    }
+    return {};
+}
+
+/// Blames the causes of one crash at a time, because they may explain other crashes.
+void CrashCounter::blameConfirmed(Instant now)
+{
+    while (true) {
+        if (countUnexplainedCrashes()) {
+            updateSuspects(now);
+            isCheckDue_ = true;
+        }
+        const auto culprits = isCheckDue_ ? confirmedCulprits(now) : std::vector<CrashCause>();
+        if (culprits.empty()) {
+            isCheckDue_ = std::any_of(suspectSince_.begin(), suspectSince_.end(), [now](const auto &each) { return now - each.second < confirmTime; });
             return;
         }
-        for (const auto &part : worst) {
-            blame(part, now);
+        for (const auto &cause : culprits) {
+            blame(cause, now);
         }
     }
 }
 
-void CrashCounter::blame(const PromptPart &part, Instant now)
+void CrashCounter::makeRoomForBlame()
 {
-    if (blames_.size() >= maxBlamedParts && !blames_.contains(part)) {
+    if (blames_.size() >= maxBlamed) {
         blames_.erase(std::min_element(blames_.begin(), blames_.end(), [](const auto &a, const auto &b) { return a.second.refusedAt < b.second.refusedAt; }));
     }
-    auto &blamed = blames_.try_emplace(part, Blame{{.part = part}, now, {}}).first->second;
-    constexpr int maxDoublings = 10;
-    blamed.verdict.state = CrashVerdict::State::Blamed;
-    blamed.verdict.since = now;
-    blamed.verdict.until = now + std::min(maxBlameTime, firstBlameTime * (std::int64_t(1) << std::min(blamed.verdict.probes, maxDoublings)));
-    blamed.verdict.prober = HostId();
-    cleared_.erase(part);
-    areCountsStale_ = true;
-    changes_.push_back(blamed.verdict);
 }
 
-void CrashCounter::clear(const PromptPart &part, Instant now)
+void CrashCounter::blame(const CrashCause &cause, Instant now)
 {
-    auto verdict = blames_.at(part).verdict;
-    blames_.erase(part);
+    makeRoomForBlame();
+    const auto &count = counts_.at(cause);
+    const int limit = cause.kind == Kind::Part ? maxPartCrashes : maxRequestCrashes;
+    const CrashVerdict verdict{.cause = cause,
+                               .state = State::Blamed,
+                               .since = now,
+                               .until = now + firstBlameTime,
+                               .crashes = count.all,
+                               .lastCrash = count.last,
+                               .lastUpstream = count.lastUpstream,
+                               .probesLeft = std::clamp(limit - count.all, 1, maxProbes)};
+    blames_.insert_or_assign(cause, Blame{verdict, now});
+    cleared_.erase(cause);
+    earlier_.erase(cause);
     areCountsStale_ = true;
-    verdict.state = CrashVerdict::State::Cleared;
-    verdict.until = now + clearedLifetime;
-    verdict.prober = HostId();
-    cleared_[part] = verdict;
     changes_.push_back(verdict);
 }
 
-void CrashCounter::updateProbers(Instant now)
+void CrashCounter::clear(CrashVerdict verdict, Instant now)
 {
-    for (auto &[part, blamed] : blames_) {
-        auto &verdict = blamed.verdict;
-        std::erase_if(blamed.refusers, [now](const auto &each) { return now - each.second > refuserLifetime; });
-        const bool isWaiting = !verdict.prober.empty() && now - verdict.proberAt < probeTimeout;
-        if (now < verdict.until || isWaiting || blamed.refusers.empty()) {
-            continue;
+    if (cleared_.size() >= maxCleared) {
+        cleared_.erase(std::min_element(cleared_.begin(), cleared_.end(), [](const auto &a, const auto &b) { return a.second.until < b.second.until; }));
+    }
+    verdict.state = State::Cleared;
+    verdict.until = now + clearedLifetime;
+    cleared_[verdict.cause] = verdict;
+}
+
+void CrashCounter::clearBlame(const CrashCause &cause, Instant now)
+{
+    const auto verdict = blames_.at(cause).verdict;
+    blames_.erase(cause);
+    areCountsStale_ = true;
+    clear(verdict, now);
+    changes_.push_back(cleared_.at(cause));
+}
+
+/// The crash is forgotten; what it counted of requests stays.
+void CrashCounter::keepRequestCounts(const Crash &crash)
+{
+    for (const auto &[cause, sent] : crash.causes) {
+        const auto count = cause.kind == Kind::Request ? counts_.find(cause) : counts_.end();
+        if (count != counts_.end() && suspectSince_.contains(cause)) {
+            earlier_[cause] = count->second;
         }
-        const auto latest = std::max_element(blamed.refusers.begin(), blamed.refusers.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
-        verdict.prober = latest->first;
-        verdict.proberAt = now;
-        blamed.refusers.erase(latest); // the next one is another host, if others refuse requests too
     }
+    areCountsStale_ = true;
 }
 
 void CrashCounter::expire(Instant now)
 {
-    const auto expired = std::erase_if(crashes_, [now](const auto &each) { return now - each.at > crashLifetime; });
-    areCountsStale_ = areCountsStale_ || expired > 0;
+    const auto hasExpired = [now](const Crash &each) { return now - each.at > crashLifetime; };
+    if (std::any_of(crashes_.begin(), crashes_.end(), hasExpired)) {
+        static_cast<void>(countUnexplainedCrashes());
+        for (const auto &crash : crashes_) {
+            if (hasExpired(crash)) {
+                keepRequestCounts(crash);
+            }
+        }
+        std::erase_if(crashes_, hasExpired);
+    }
+    const auto forgotten = std::erase_if(earlier_, [now](const auto &each) { return now - each.second.last > requestCrashLifetime; });
+    areCountsStale_ = areCountsStale_ || forgotten > 0;
     if (areCountsStale_) {
         std::erase_if(servedAt_, [this](const auto &each) {
-            return std::none_of(crashes_.begin(), crashes_.end(), [&](const auto &crash) { return crash.parts.contains(each.first); });
+            const auto &cause = each.first;
+            return !earlier_.contains(cause) && std::none_of(crashes_.begin(), crashes_.end(), [&](const auto &crash) { return crash.causes.contains(cause); });
         });
     }
-    expireVerdicts(now);
-}
-
-void CrashCounter::expireVerdicts(Instant now)
-{
     std::erase_if(cleared_, [now](const auto &each) { return now >= each.second.until; });
-    std::vector<PromptPart> forgotten;
-    for (const auto &[part, blamed] : blames_) {
-        if (now >= blamed.verdict.until && now - blamed.refusedAt > forgetAfter) {
-            forgotten.push_back(part);
+    std::vector<CrashCause> unasked;
+    for (const auto &[cause, blamed] : blames_) {
+        if (now - blamed.refusedAt > forgetAfter) {
+            unasked.push_back(cause);
         }
     }
-    for (const auto &part : forgotten) {
-        clear(part, now);
+    for (const auto &cause : unasked) {
+        clearBlame(cause, now);
     }
 }
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -132,6 +132,11 @@
         deadline_ = request_.arrivedAt + std::min(route_->timeout, metadata_.deadline.value_or(route_->timeout));
         lastEventId_ = metadata_.lastEventId;
         requestKey_ = requestKeyOf({request_.method, request_.host, request_.target, metadata_.caller, metadata_.weights.text(), request_.body});
+        causes_.push_back({CrashCause::Kind::Request, requestKey_.value()});
+        for (const auto &part : metadata_.sharedParts) {
+            causes_.push_back({CrashCause::Kind::Part, part.value()});
+        }
+        crashesBefore_ = node_.crashes.knownCrashes(causes_.front());
         if (isEngine() && !metadata_.weights.model.empty()) {
             node_.addDemand(metadata_.weights.model);
         }
@@ -235,7 +240,7 @@
 
     net::Task<void> runAttempts()
     {
-        for (int choice = 0; choice < maxChoices && !isFinished() && areAllPartsAdmitted(); ++choice) {
+        for (int choice = 0; choice < maxChoices && !isFinished() && isAdmitted(); ++choice) {
             const auto *record = chooseUpstream();
             if (record == nullptr) {
                 break;
@@ -258,21 +263,36 @@
         co_await fail();
     }
 
-    /// Whether no part of the prompt is known to crash upstreams. A probe, which finds out whether one still does, is sent once.
-    [[nodiscard]] bool areAllPartsAdmitted()
+    /// Whether nothing the request has is known to crash upstreams. A probe, which finds out whether it still does, is sent once.
+    [[nodiscard]] bool isAdmitted()
     {
-        if (isProbe_) {
-            return sends_ == 0;
+        if (isProbe_ || isProbeDenied_) {
+            return isProbe_ && sends_ == 0;
         }
-        const auto admission = node_.crashes.admit(metadata_.sharedParts, node_.now());
-        isProbe_ = admission.isProbe;
+        const auto now = node_.now();
+        const auto admission = node_.crashes.admit(causes_, now);
+        needsProbe_ = admission.needsProbe;
         if (admission.blockedFor) {
-            refusalReason_ = "part_blamed";
+            const auto &verdict = *admission.verdict;
+            refusalReason_ = verdict.cause.kind == CrashCause::Kind::Part ? "part_blamed" : "request_blamed";
+            reasonDetail_ = std::to_string(verdict.crashes) + " crashes, the last " + std::to_string((now - verdict.lastCrash).count()) + " ms ago";
             retryAfter_ = admission.blockedFor;
         }
         return !admission.blockedFor;
     }
 
+    /// Before a request that something blames is sent as a probe.
+    net::Task<bool> takeProbe()
+    {
+        isProbe_ = co_await node_.residency->takeProbe(causes_);
+        isProbeDenied_ = !isProbe_;
+        if (isProbeDenied_) {
+            refusalReason_ = "probe_denied";
+            retryAfter_ = CrashWatch::minBlock;
+        }
+        co_return isProbe_;
+    }
+
     net::Task<bool> ensureWeights(const ReplicaRecord &replica)
     {
         revision_.reset();
@@ -329,7 +349,7 @@
         if (isFinished() || isFinal_) {
             return false;
         }
-        const bool mayRepeat = !mayHaveRun_ || route_->retryPolicy != RetryPolicy::AtMostOnce;
+        const bool mayRepeat = (!mayHaveRun_ || route_->retryPolicy != RetryPolicy::AtMostOnce) && !isSuspect();
         const bool hasUpstreamsLeft = static_cast<int>(sentTo_.size()) < route_->maxUpstreams || (mayRetrySame_ && !mayHaveRun_);
         if (!mayRepeat || !hasUpstreamsLeft) {
             return false;
@@ -341,6 +361,13 @@
         return true;
     }
 
+    /// Whether the request itself is likely to crash upstreams: one crash alone is mostly the upstream's own.
+    [[nodiscard]] bool isSuspect() const
+    {
+        constexpr int maxCrashes = 1; // after which the request is sent on
+        return cuts_ > 0 && crashesBefore_ + cuts_ > maxCrashes;
+    }
+
     // ---- One send ----
 
     /// Returns true when the caller has got its response, complete or truncated.
@@ -374,11 +401,13 @@
             }
         }
         connection_ = connection;
-        if (isFinished() || !node_.mayContact(replica.id) || !areAllPartsAdmitted()) {
-            recordSend(replica,
-                       SendOutcome::Abandoned,
-                       "not_sent",
-                       "the upstream left or asked for a backoff, a part was blamed, or the request ended while connecting");
+        bool isAllowed = isAdmitted();
+        if (isAllowed && needsProbe_ && !isProbe_) {
+            isAllowed = co_await takeProbe();
+        }
+        if (isFinished() || !node_.mayContact(replica.id) || !isAllowed) {
+            recordSend(
+                replica, SendOutcome::Abandoned, "not_sent", "the upstream left or asked for a backoff, the request was blamed, or it ended while connecting");
             releaseConnection(true);
             co_return false;
         }
@@ -543,6 +572,7 @@
             }
             response_ = node_.codec.readAnswer(status, responseHeaders_);
             node_.applyUpstreamState(replica, response_);
+            node_.crashes.onAnswered(replica.id, node_.now());
             applyKeepAlive(head);
             if (!response_.id.empty() && response_.id != metadata_.id) {
                 node_.log.warn("foreign_answer", {{"request_id", metadata_.id}, {"upstream", replica.id}, {"answer_of", response_.id}, {"status", status}});
@@ -839,7 +869,7 @@
     void recordServed(const Parser &parser)
     {
         if (!parser.need_eof()) {
-            node_.crashes.onServed(metadata_.sharedParts, node_.now());
+            node_.crashes.onServed(causes_, node_.now());
         }
     }
 
@@ -868,8 +898,11 @@
     /// The same, where the upstream broke off the response unless this host ended it itself.
     bool onCut(const ReplicaRecord &replica, const std::string &reason)
     {
-        if (!isCallerFault() && !isResponseOverdue_ && !isTooLarge_) {
-            node_.crashes.onCut(replica.id, metadata_.sharedParts, node_.now());
+        if (isCallerFault() || isResponseOverdue_) {
+            node_.crashes.onUnanswered(replica.id, causes_, sentAt_, node_.now());
+        } else if (!isTooLarge_) {
+            ++cuts_;
+            node_.crashes.onCut(replica.id, causes_, sentAt_, node_.now());
         }
         return onTruncated(replica, reason);
     }
@@ -1025,8 +1058,13 @@
     bool isDisconnected_ = false;
     bool isDeadlineReached_ = false;
     bool isResponseOverdue_ = false;
-    bool isTooLarge_ = false;       // the response exceeds what this host holds
-    bool isProbe_ = false;          // see areAllPartsAdmitted()
+    bool isTooLarge_ = false;        // the response exceeds what this host holds
+    std::vector<CrashCause> causes_; // what upstreams may crash on: the request itself, the parts of its prompt
+    bool needsProbe_ = false;        // one of causes_ is blamed, and a probe is due
+    bool isProbe_ = false;           // the request is the probe
+    bool isProbeDenied_ = false;
+    int crashesBefore_ = 0;         // of upstreams that earlier tries of the request were sent to, since the last success
+    int cuts_ = 0;                  // sends that their upstream broke off
     int prefillMs_ = 0;             // of the current send, until its first event
     bool hasResponseBegun_ = false; // the caller has received part of the response
     bool isFinal_ = false;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -270,7 +270,8 @@
     metrics.callerConnections.set({"open"}, static_cast<double>(callerServer_.connections()));
     metrics.callerConnections.set({"busy"}, static_cast<double>(callerServer_.busyConnections()));
     metrics.limitedUpstreams.set(static_cast<double>(node_.limits.size()));
-    metrics.blamedParts.set(static_cast<double>(node_.crashes.blamedParts()));
+    metrics.blamedParts.set(static_cast<double>(node_.crashes.blamed(CrashCause::Kind::Part)));
+    metrics.blamedRequests.set(static_cast<double>(node_.crashes.blamed(CrashCause::Kind::Request)));
     metrics.residencyLeases.set(static_cast<double>(node_.leases.size()));
     metrics.logLinesDropped.set(static_cast<double>(logging::Log::droppedLines()));
     if (node_.routes) {
@@ -400,6 +401,9 @@
     }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
         node_.limits.end(id);
+        const auto *next = change == BookChange::Restarted ? node_.replicas.find(id) : nullptr;
+        const auto age = Milliseconds(next == nullptr ? 0 : core::civilMilliseconds() - static_cast<std::int64_t>(next->startTime.value()));
+        node_.crashes.onLost(id, next == nullptr ? std::nullopt : std::optional(node_.now() - age), node_.now());
     }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
         node_.leases.drop(id);
@@ -784,6 +788,7 @@
         planner_.setMembers(membership_.members());
         node_.setHostCount(static_cast<int>(membership_.live().size()));
         updateGroups();
+        crashExchange_.onMembersChanged();
         logMembers(changes);
     }
     applyOwnershipActions(planner_.tick(now));
@@ -1012,6 +1017,11 @@
     co_return (co_await sendGate_.requestAtOwner(*links_, *owner, upstream, limit, maxWait)).value_or(refusal);
 }
 
+net::Task<bool> HostedDaemon::takeProbe(std::vector<CrashCause> causes)
+{
+    return crashExchange_.takeProbe(std::move(causes));
+}
+
 void HostedDaemon::tellLimitEnded(const UpstreamId &id)
 {
     const auto owner = ownerOf(id);
@@ -1084,6 +1094,10 @@
         sendGate_.serve(*call, *sendCall);
         co_return;
     }
+    if (const auto *probeCall = std::get_if<peers::CrashProbeCall>(&call->body())) {
+        crashExchange_.serve(*call, *probeCall);
+        co_return;
+    }
     const auto *residencyCall = std::get_if<peers::ResidencyCall>(&call->body());
     Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon does not support this call, or does not own the upstream"};
     if (residencyCall != nullptr) {
@@ -1115,7 +1129,7 @@
     } else if (const auto *limitEnd = std::get_if<peers::LimitEndNotice>(&notice.body)) {
         sendGate_.onLimitEnded(limitEnd->upstream);
     } else if (const auto *report = std::get_if<peers::CrashReportNotice>(&notice.body)) {
-        crashExchange_.onReport(from, *report);
+        crashExchange_.onReport(*report);
     } else if (const auto *verdicts = std::get_if<peers::CrashVerdictsNotice>(&notice.body)) {
         crashExchange_.onVerdicts(from, *verdicts);
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -58,6 +58,7 @@
     net::Task<std::optional<ResidencyGrant>> ensure(ResidencyRequest request, core::Error &why) override;
     net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) override;
     net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) override;
+    net::Task<bool> takeProbe(std::vector<CrashCause> causes) override;
     [[nodiscard]] bool canOrder(const UpstreamId &replica) const override;
 
 private:
--- a/packages/serving/hostgroups.cpp
+++ b/packages/serving/hostgroups.cpp
@@ -1,6 +1,7 @@
 #include <serving/hostgroups.h>
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 #include <core/hash.h>
@@ -134,6 +135,11 @@
     return targets;
 }
 
+std::size_t HostGroups::size() const
+{
+    return std::accumulate(groups_.begin(), groups_.end(), std::size_t(0), [](std::size_t sum, const Group &group) { return sum + group.size(); });
+}
+
 bool HostGroups::isMember(const HostId &host) const
 {
     return ownGroup_ < groups_.size()
--- a/packages/serving/hostgroups.h
+++ b/packages/serving/hostgroups.h
@@ -45,6 +45,7 @@
     /// The leader of each group for the purpose, the overall leader first. Valid as long.
     [[nodiscard]] const std::vector<HostId> &leaders(std::string_view purpose) const { return ranking(purpose).leaders; }
     [[nodiscard]] bool isOverallLeader(std::string_view purpose) const { return isLeader(leaders(purpose)); } // this host
+    [[nodiscard]] std::size_t size() const;                                                                   // hosts in all groups
     [[nodiscard]] bool isMember(const HostId &host) const;                                                    // in the own group
     /// The other hosts that this host sends the result of shared work to: its group, and as the group's leader the other leaders.
     [[nodiscard]] std::vector<HostId> shareTargets(std::string_view purpose) const;
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -42,6 +42,7 @@
     , ownedUpstreams(registry.gauge({"owned_upstreams", "upstreams that this host may order about", {}, 1}))
     , limitedUpstreams(registry.gauge({"limited_upstreams", "upstreams that named a number of requests a second for all hosts", {}, 1}))
     , blamedParts(registry.gauge({"blamed_parts", "parts of prompts that crash upstreams; requests with them are refused", {}, 1}))
+    , blamedRequests(registry.gauge({"blamed_requests", "requests that crash upstreams; they are refused when they come again", {}, 1}))
     , upstreamConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
     , callerConnections(registry.gauge({"caller_connections", "connections of callers", {"state"}, 4}))
     , residencyLeases(registry.gauge({"residency_leases", "weights promised to this host", {}, 1}))
@@ -54,7 +55,6 @@
     , codec(platformCodec)
     , log(std::move(hostLog))
     , chooser(ChooserOptions(), core::hashText(hostSettings.host.value(), 0))
-    , crashes(hostSettings.host)
     , pool(context, PoolOptions())
 { }
 
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -58,6 +58,7 @@
     metrics::Gauge &ownedUpstreams;
     metrics::Gauge &limitedUpstreams;
     metrics::Gauge &blamedParts;
+    metrics::Gauge &blamedRequests;
     metrics::Gauge &upstreamConnections; // state
     metrics::Gauge &callerConnections;   // state
     metrics::Gauge &residencyLeases;
@@ -104,6 +105,8 @@
     virtual net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) = 0;
     /// Asks for one request to an upstream that named `limit`.
     virtual net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) = 0;
+    /// Whether one request with these causes of crashes, of which at least one is blamed, may be sent.
+    virtual net::Task<bool> takeProbe(std::vector<CrashCause> causes) = 0;
     /// Whether some host can currently send load orders to the replica.
     [[nodiscard]] virtual bool canOrder(const UpstreamId &replica) const = 0;
 };
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -121,6 +121,8 @@
     }
     std::function<SendPermit(const UpstreamId &, const UpstreamLimits::Limit &, Milliseconds)> onSendPermit
         = [](const auto &...) { return SendPermit{.isGranted = true}; };
+    net::Task<bool> takeProbe(std::vector<CrashCause> causes) override { return onProbe(std::move(causes)); }
+    std::function<net::Task<bool>(std::vector<CrashCause>)> onProbe;
     [[nodiscard]] bool canOrder(const UpstreamId &) const override { return isGranting; }
 
     struct FakeTurn final : TurnHolder {
@@ -290,6 +292,7 @@
                   [this](CallerConnection &caller, CallerRequest &request) { return forwarder_.handle(caller, request); })
     {
         node_.residency = &residency_;
+        residency_.onProbe = [this](std::vector<CrashCause> causes) { return crashExchange_.takeProbe(std::move(causes)); };
         core::Error why;
         address_ = *server_.listen({"127.0.0.1", 0}, why);
         asio::co_spawn(io_, tickCrashes(), asio::detached);
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -163,7 +163,8 @@
         self.limit = None  # requests a second, named in all answers
         self.arrivals = []  # times of requests
         self.crashing_part = None  # of prompts: the connection is reset once the answer has begun
-        self.crashed = []  # times of requests with that part
+        self.crashing_body = None  # of requests: the connection is reset before the answer
+        self.crashed = []  # times of requests with that part or body
         self.violations = []
         super().__init__()
         self.register()
@@ -219,6 +220,9 @@
             request.answer(421, headers=[("X-Replica-Id", self.name)])
             return
         self.ran.append(attempt)
+        if self.crashing_body is not None and request.body == self.crashing_body:
+            self.crash_under(request)
+            return
         if not wanted:
             request.answer_json(200, {"by": self.name, "echo": request.body.decode()}, seal)
             return
@@ -228,12 +232,9 @@
         request.end_headers()
         parts = [part.split(":")[0] for part in (request.headers.get("X-Prompt-Prefix") or "").split(",")]
         if self.crashing_part in parts[:-1]:
-            self.crashed.append(time.monotonic())
             request.wfile.write(b"10\r\nid: 1\nda")
             request.wfile.flush()
-            request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            request.connection.close()
-            request.close_connection = True
+            self.crash_under(request)
             return
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, self.events + 1):
@@ -244,14 +245,23 @@
         request.wfile.write(b"0\r\n\r\n")
 
 
+    def crash_under(self, request):
+        self.crashed.append(time.monotonic())
+        request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        request.connection.close()
+        request.close_connection = True
+
+
 def configuration(version, routes_to="llm"):
     stream = {"name": "r1", "host": "h.example", "path_prefix": "/gen/", "type": "streaming", "timeout_ms": 8000, "target_latency_ms": 800}
     stream |= {"priority": 0, "service": routes_to, "max_attempts": 2, "session_affinity": True, "resumable": True, "target_itl_ms": 600}
     plain = {"name": "r2", "host": "h.example", "path_prefix": "/book/", "type": "non_idempotent", "timeout_ms": 2000, "target_latency_ms": 300}
     plain |= {"priority": 2, "service": "shop", "max_attempts": 1}
+    read = {"name": "r3", "host": "h.example", "path_prefix": "/look/", "type": "idempotent", "timeout_ms": 2000, "target_latency_ms": 300}
+    read |= {"priority": 2, "service": "shop", "max_attempts": 2}
     runtime = {"slots": 8, "kv_capacity": 1000, "weights_mb": 70000.0, "max_adapters": 4, "loads_per_s": 5.0}
     runtime["models"] = [{"name": "base", "weights_mb": 65000.0, "load_time_s": 2.0, "adapters": 100, "adapter_mb": 12.0, "disk_load_s": 1.0}]
     services = [{"name": "llm", "health_path": "/healthz", "max_connections": 200, "protocol": "h1", "tls": False, "runtime": runtime}]
     services.append({"name": "shop", "health_path": "/healthz", "max_connections": 100, "protocol": "h1", "tls": False})
     limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-    return {"version": version, "routes": [stream, plain], "services": services, "limits": limits}
+    return {"version": version, "routes": [stream, plain, read], "services": services, "limits": limits}
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -125,6 +125,7 @@
         self.store.put("keyed.op", "config", configuration(3))
         self.replicas = [Replica(self.store, "i-llm%d" % n, "llm", "a", model="base") for n in range(2)]
         self.shop = Replica(self.store, "i-shop", "shop", "a")
+        self.shops = [self.shop]
         self.hosts = [Host(n + 1, self.store, pathlib.Path(self.folder.name)) for n in range(self.HOSTS)]
         self.numbers = itertools.count(1)  # of attempts; safe to draw from many threads
 
@@ -134,7 +135,7 @@
             for stream in (host.process.stdout, host.process.stderr) if host.process else ():
                 stream.close()
         violations = [violation for replica in self.replicas for violation in replica.violations]
-        for server in (*self.replicas, self.shop, self.store):
+        for server in (*self.replicas, *self.shops, self.store):
             server.close()
         self.folder.cleanup()
         self.assertEqual(violations, [])
@@ -161,7 +162,7 @@
         attempt = "q%d" % next(self.numbers)
         headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
         headers |= {"X-Prompt-Prefix": parts} if parts else {}
-        status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt", timeout)
+        status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt of " + attempt.encode(), timeout)
         return status, answer_headers, body, attempt
 
     def book(self, host, attempt=None, timeout=5):
@@ -377,8 +378,45 @@
         self.assertEqual({status for status, *_ in answers}, {503})
         self.assertTrue(all(float(headers["Retry-After"]) > 0 for _, headers, *_ in answers))
         self.assertEqual([sound(number) for number in range(6, 14)], [200] * 8)
-        self.assertEqual(sum(len(host.events("part_blamed")) for host in self.hosts), 1, "one host counts for all")
-        self.assertTrue(all(host.events("parts_refused") for host in self.hosts))
+        self.assertEqual(sum(len(host.events("blamed")) for host in self.hosts), 1, "one host counts for all")
+        self.assertTrue(all(host.events("blame_in_force") for host in self.hosts))
+
+    # Guards against a request that goes on crashing replicas at any host because nothing counts tries of one request (issue 29, BUDGET).
+    def test_all_hosts_together_find_a_request_that_crashes_replicas_and_serve_the_others(self):
+        self.shops += [*(Replica(self.store, "i-shop%d" % number, "shop", "a") for number in range(2, 7))]
+        self.start_all()
+        for shop in self.shops:
+            shop.crashing_body = b"bad"
+
+        def crash(number):
+            return ask(self.hosts[number % 2].callers, "POST", "/look/x", {"Host": "h.example", "X-Attempt-Id": "bad%d" % number}, b"bad")
+
+        def crashes():
+            return sum(len(shop.crashed) for shop in self.shops)
+
+        self.assertTrue(wait_until(lambda: self.look(self.hosts[0]) == 200 and self.look(self.hosts[1]) == 200))
+        for number in range(4):
+            crash(number)
+            time.sleep(0.7)
+        self.assertEqual(crashes(), 3, "two upstreams in the first try, one in the next")
+        answers = [crash(number) for number in range(4, 12)]
+        self.assertEqual(crashes(), 3, "it is not sent any more")
+        self.assertEqual({status for status, *_ in answers}, {503})
+        self.assertTrue(all(float(headers["Retry-After"]) > 0 for _, headers, *_ in answers))
+        self.assertEqual([self.look(self.hosts[number % 2]) for number in range(8)], [200] * 8)
+        self.hosts[0].end(signal.SIGKILL)
+        self.hosts[0].log.clear()
+        self.hosts[0].start()
+        self.assertTrue(wait_until(lambda: self.hosts[0].events("blame_in_force"), 5), "a host that starts is told")
+        self.hosts[1].end(signal.SIGKILL)
+        time.sleep(0.5)
+        self.assertEqual([crash(0)[0] for _ in range(4)], [503] * 4, "the host that started last knows it from the other one")
+        self.assertEqual(crashes(), 3)
+        refused = [line for line in self.hosts[0].events("request") if line["reason"] == "request_blamed"]
+        self.assertTrue(all("crashes, the last" in line["detail"] for line in refused))
+
+    def look(self, host):
+        return ask(host.callers, "POST", "/look/x", {"Host": "h.example", "X-Attempt-Id": "look%d" % next(self.numbers)}, b"good")[0]
 
     def control_keys(self):
         return [key for key, _value in self.store.topics["keyed.control"]]
