Read the software version of upstreams, and which stream a caller takes up

The logs could not tell at which version a send ran, nor whether a request takes up a stream. A record without a version, or with a number in its place, names no upstream, as any record with a bad field. Nothing decides by the version yet.

--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -34,6 +34,7 @@
 using AdapterRevision = core::Ordinal<struct AdapterRevisionTag>; // version of an adapter's weights; increases
 using ConfigVersion = core::Ordinal<struct ConfigVersionTag>;     // version of the configuration; increases, may skip values
 using OrderSequence = core::Ordinal<struct OrderSequenceTag>;     // number of orders that a replica has accepted since its start
+using SoftwareVersion = core::Id<struct SoftwareVersionTag>;      // of an upstream's own software; two versions can't go on with each other's streams
 using ReplicaStartTime = core::Ordinal<struct ReplicaStartTag>;   // Unix time in milliseconds; 0: unknown
 
 /// Weights that a request names. An empty adapter means the base model itself.
@@ -132,6 +133,7 @@
     net::Address address;
     ZoneId zone;
     ReplicaStartTime startTime;
+    SoftwareVersion version;
     bool isLeaving = false;
     std::optional<Milliseconds> timeToShutdown; // set with isLeaving when the replica stops at short notice
     int slots = 1;
@@ -159,9 +161,10 @@
     AdapterKey weights;                   // empty model: the request names no weights
     double promptTokens = 0;
     double maxOutputTokens = 0;
-    std::string promptPrefix;            // shared prefix of the prompt; empty: none
-    std::vector<PromptPart> sharedParts; // of the prompt: all but the last, which is the request's own
-    std::optional<std::uint64_t> lastEventId;
+    std::string promptPrefix;                 // shared prefix of the prompt; empty: none
+    std::vector<PromptPart> sharedParts;      // of the prompt: all but the last, which is the request's own
+    std::optional<std::uint64_t> lastEventId; // the caller takes up a stream after this event
+    RequestId resumes;                        // the caller's request that brought the first event of that stream; empty: not given
 
     static constexpr std::size_t maxSharedParts = 32; // later ones are not read
 };
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -25,8 +25,8 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, Last, Seal, Not-Run, Replica, Leaving, Backoff (ms),
-/// Limit (a second). Set by the forwarder: To, Left, Revision.
+/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, After (last event), Resumes, Last, Seal, Not-Run,
+/// Replica, Leaving, Backoff (ms), Limit (a second). Set by the forwarder: To, Left, Revision.
 class FakeCodec : public Codec
 {
 public:
@@ -40,6 +40,10 @@
                 facts.deadline = Milliseconds(std::stoll(std::string(value)));
             } else if (name == "Tokens") {
                 facts.promptTokens = std::stod(std::string(value));
+            } else if (name == "After") {
+                facts.lastEventId = std::stoull(std::string(value));
+            } else if (name == "Resumes") {
+                facts.resumes = RequestId(std::string(value));
             } else if (name == "Parts") {
                 facts.sharedParts = partsOf(value);
             } else if (name == "Weights") {
@@ -315,7 +319,10 @@
     }
 
     /// Sets up one route "/" of host "h" to a service "s" with the given upstreams.
-    void setUpService(Route route, std::vector<std::vector<ScriptedUpstream::Script>> upstreams, bool isEngine = false)
+    void setUpService(Route route,
+                      std::vector<std::vector<ScriptedUpstream::Script>> upstreams,
+                      bool isEngine = false,
+                      const std::vector<std::string> &versions = {})
     {
         route.host = "h";
         route.pathPrefix = "/";
@@ -338,6 +345,7 @@
             record.address = upstreams_.back()->address();
             record.zone = ZoneId(upstreams_.size() == 1 ? "a" : "b"); // the first one is in the caller's zone, so it is tried first
             record.slots = 8;
+            record.version = SoftwareVersion(versions.empty() ? "v1" : versions.at(upstreams_.size() - 1));
             if (isEngine) {
                 record.models = {{BaseModel("m"), {}}};
             }
--- a/packages/serving/tests/upstreamcopytest.cpp
+++ b/packages/serving/tests/upstreamcopytest.cpp
@@ -13,6 +13,7 @@
     record.address = {"10.1.0.7", 8500};
     record.zone = ZoneId("a");
     record.startTime = ReplicaStartTime(1'700'000'000'123);
+    record.version = SoftwareVersion("v1");
     record.isLeaving = isLeaving;
     record.slots = 16;
     record.models = {{BaseModel("m"), {{AdapterName("a1"), AdapterRevision(3)}}}};
--- a/packages/serving/upstreamcopy.cpp
+++ b/packages/serving/upstreamcopy.cpp
@@ -23,6 +23,7 @@
             {"address", record.address.text()},
             {"zone", record.zone.value()},
             {"start", record.startTime.value()},
+            {"version", record.version.value()},
             {"leaving", record.isLeaving},
             {"slots", record.slots},
             {"models", std::move(models)}};
@@ -36,13 +37,14 @@
     record.service = ServiceName(from.at("service").get<std::string>());
     record.zone = ZoneId(from.at("zone").get<std::string>());
     record.startTime = ReplicaStartTime(from.at("start").get<std::uint64_t>());
+    record.version = SoftwareVersion(from.at("version").get<std::string>());
     record.isLeaving = from.at("leaving").get<bool>();
     record.slots = from.at("slots").get<int>();
     for (const auto &model : from.at("models")) {
         record.models.push_back({BaseModel(model.get<std::string>()), {}});
     }
     const auto address = net::Address::parse(from.at("address").get<std::string>());
-    if (!address || record.id.empty() || record.slots < 1 || record.slots > maxSlots) {
+    if (!address || record.id.empty() || record.version.empty() || record.slots < 1 || record.slots > maxSlots) {
         return std::nullopt;
     }
     record.address = *address;
