--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -426,6 +426,31 @@
 }
 
 // An upstream sends bytes without an event boundary. The buffered bytes must be bounded, and the stream must resume elsewhere.
+// Guards against a stream that goes on at an upstream of another software version, whose events don't fit those that the caller has (issue 29,
+// ORDER).
+TEST_F(ForwarderTest, a_stream_that_broke_off_goes_on_at_its_software_version_only)
+{
+    const Script cut{{streamHead() + chunk(event(1) + "id: 2\nda")}, true};
+    const Script rest{{streamHead() + chunk(event(2)) + finalChunk}};
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{cut}, {rest}, {rest}, {rest}, {rest}}, false, {"v1", "v2", "v2", "v2", "v1"});
+    const auto response = sendRequest(getRequest("q"), finalChunk);
+    EXPECT_TRUE(response.contains(event(1)) && response.contains(event(2)));
+    EXPECT_EQ(upstream(5).requests.size(), 1U);
+    EXPECT_EQ(requestCount(), 2U);
+}
+
+// The same when no upstream of its version is left: the answer ends, so that the caller can take the stream up.
+TEST_F(ForwarderTest, a_stream_ends_when_no_upstream_of_its_software_version_is_left)
+{
+    const Script cut{{streamHead() + chunk(event(1) + "id: 2\nda")}, true};
+    const Script rest{{streamHead() + chunk(event(2)) + finalChunk}};
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{cut}, {rest}}, false, {"v1", "v2"});
+    const auto response = sendRequest(getRequest("q"));
+    EXPECT_TRUE(response.contains(event(1)));
+    EXPECT_TRUE(response.isClosed && !response.hasFinalChunk());
+    EXPECT_EQ(upstream(2).requests.size(), 0U);
+}
+
 TEST_F(ForwarderTest, an_unterminated_event_counts_as_truncation_and_the_stream_resumes_elsewhere)
 {
     const auto endless = streamHead() + chunk(event(1)) + chunk("id: 2\ndata: " + std::string(EventScanner::maxEventBytes, 'x'));
