--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -4,7 +4,7 @@
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
 //   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice,
-//                    CrashReportNotice, CrashVerdictsNotice
+//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -14,6 +14,7 @@
 //     ResidencyCall  load these weights on this replica               -> WaitingReply, ResidencyReply
 //     SendCall       may this request be sent to this limited upstream? -> SendReply
 //     CrashProbeCall may one request with these causes of crashes be sent? -> CrashProbeReply
+//     StreamOriginCall  where did the stream of this request begin?   -> StreamOriginReply
 //     any of them                                                     -> ErrorReply instead
 //   encode(), decode()
 //
@@ -132,7 +133,20 @@
     std::vector<CrashCauseEntry> causes;
 };
 
-using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall, SendCall, CrashProbeCall>;
+/// serving::StreamOrigin.
+struct StreamOriginEntry {
+    std::string version;
+    core::ServiceName service;
+    std::uint64_t request = 0;
+    int send = 0;
+};
+
+/// Asks where the stream of this request began.
+struct StreamOriginCall {
+    core::RequestId id;
+};
+
+using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall, SendCall, CrashProbeCall, StreamOriginCall>;
 
 /// How soon an engine would start a request.
 struct HintReply {
@@ -199,6 +213,11 @@
     bool isGranted = false;
 };
 
+struct StreamOriginReply {
+    bool isKnown = false;
+    StreamOriginEntry origin;
+};
+
 using ReplyBody = std::variant<HintReply,
                                StartedReply,
                                DataReply,
@@ -210,7 +229,8 @@
                                ResidencyReply,
                                WaitingReply,
                                SendReply,
-                               CrashProbeReply>;
+                               CrashProbeReply,
+                               StreamOriginReply>;
 
 /// Number of replicas that an adapter should be resident on, where it differs from the usual one.
 struct WidthNotice {
@@ -304,6 +324,13 @@
     std::vector<CrashVerdictEntry> verdicts;
 };
 
+/// Tells a host that keeps it where a stream of the sender begins.
+struct StreamOriginNotice {
+    core::RequestId id;
+    StreamOriginEntry origin;
+    std::int64_t remainingMs = 0; // from the sending; then nobody takes the stream up any more
+};
+
 struct Notice {
     std::variant<WidthNotice,
                  PrefetchNotice,
@@ -314,7 +341,8 @@
                  ClockAnswer,
                  LimitEndNotice,
                  CrashReportNotice,
-                 CrashVerdictsNotice>
+                 CrashVerdictsNotice,
+                 StreamOriginNotice>
         body;
 };
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -28,6 +28,7 @@
 
 constexpr std::size_t chunkBytes = 16 * 1024;
 constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024; // of a response that is not a stream; a larger one counts as truncated
+constexpr std::size_t maxReportBytes = 1024 * 1024;        // of an upstream's word on itself
 constexpr std::uint32_t maxHeadBytes = 16 * 1024;          // of a response
 constexpr std::size_t maxRefusalBytes = 64 * 1024;         // of the body of a refusal, which is read only for the connection to be used again
 constexpr Milliseconds refusalBodyTimeout{100};            // the same
@@ -53,6 +54,10 @@
 constexpr double permitWaitShare = 0.5;              // of the time until a request is late, for waiting for a permit when every upstream is limited
 constexpr Milliseconds maxPermitDelay{250};          // a permit that this host comes to use later than this after its time is not used
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
+constexpr Milliseconds reportTimeout{300};           // for the upstream's word on its run, before a stream begins there
+constexpr double resumedFillRatio = 1.5;             // of the fill up to which new requests are sent: a stream that goes on has no other upstreams to go to
+constexpr double shrinkingFill = 0.75;               // running requests per slot; beyond it a version whose upstreams leave takes streams that go on only
+constexpr Milliseconds unknownStreamRetryAfter{300}; // Retry-After when this host can't know a stream's version: another host may
 constexpr double freeSlotFill = 1;                   // running requests per slot; below it a request starts immediately
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
@@ -92,7 +97,9 @@
             cancelSend();
         });
         watchdog_.arm(deadline_, [this] { onDeadline(); });
-        co_await runAttempts();
+        if (co_await findStreamVersion()) {
+            co_await runAttempts();
+        }
         watchdog_.disarm();
         releaseConnection(false);
         logRequest();
@@ -148,6 +155,117 @@
     [[nodiscard]] Milliseconds timeLeft() const { return deadline_ - node_.now(); }
     [[nodiscard]] bool isFinished() const { return isDisconnected_ || caller_.isDisconnected() || timeLeft() < minSendTime; }
 
+    // ---- Streams that go on ----
+
+    [[nodiscard]] bool isResumable() const { return route_->retryPolicy == RetryPolicy::Resumable; }
+    /// What a caller asks for again when it takes up a stream; its id and the last event differ.
+    [[nodiscard]] std::uint64_t streamKey() const { return core::hashText(request_.host + " " + request_.target + " " + metadata_.caller, 0); }
+
+    /// A stream that the caller takes up goes on at the software version that began it. Returns false when the request was refused, because
+    /// this host can't know the version: a guess may mix events that don't fit together.
+    net::Task<bool> findStreamVersion()
+    {
+        isTakenUp_ = isResumable() && (lastEventId_ || !metadata_.resumes.empty());
+        if (!isTakenUp_) {
+            co_return true;
+        }
+        if (!metadata_.resumes.empty()) {
+            service_ = &RouteTable::serviceOf(*route_, metadata_.resumes);
+            const auto origin = co_await node_.streams->find(metadata_.resumes);
+            if (origin && (origin->request != streamKey() || !useService(origin->service))) {
+                co_await refuse(503, "resumes_other_request", unavailableRetryAfter);
+                co_return false;
+            }
+            version_ = origin ? std::optional(origin->version) : std::nullopt;
+        }
+        if (!version_) {
+            version_ = node_.versions.only(*service_, node_.longestStream, node_.now());
+        }
+        serviceSpec_ = routes_->service(*service_);
+        if (!version_) {
+            co_await refuse(503, metadata_.resumes.empty() ? "stream_not_named" : "stream_not_known", unknownStreamRetryAfter);
+            co_return false;
+        }
+        co_return true;
+    }
+
+    /// The stream began at this service of the route, which may have several.
+    bool useService(const ServiceName &name)
+    {
+        const auto share = std::find_if(route_->services.begin(), route_->services.end(), [&](const WeightedService &each) { return each.service == name; });
+        if (share == route_->services.end()) {
+            return false;
+        }
+        service_ = &share->service;
+        return true;
+    }
+
+    /// Whether the upstream's version is the stream's, or a new stream may begin there.
+    [[nodiscard]] bool isVersionAllowed(const ReplicaRecord &record) const
+    {
+        if (version_) {
+            return record.version == *version_;
+        }
+        const double fill = static_cast<double>(node_.chooser.occupancy(record.id, node_.now()).running) / record.slots;
+        return !isResumable() || fill < shrinkingFill || !node_.versions.isShrinking(*service_, record.version, node_.now());
+    }
+
+    /// Tells other hosts at which version the stream begins, should its first event come from this upstream.
+    void announceStream(const ReplicaRecord &replica)
+    {
+        if (isResumable() && !isTakenUp_ && !hasResponseBegun_) {
+            node_.streams->announce(metadata_.id, {replica.version, *service_, streamKey(), sends_}, deadline_ + StreamRecords::extraLifetime);
+            announcedVersion_ = replica.version;
+        }
+    }
+
+    /// Whether the connection leads to the run of the upstream that its record names. An upstream may start again under its id at another
+    /// version, while its record comes late.
+    net::Task<bool> proveRun(const ReplicaRecord &replica)
+    {
+        if (!isResumable() || !isEngine() || connection_->provenRun == replica.startTime || !node_.mustProveRun(replica)) {
+            co_return true;
+        }
+        const auto connection = connection_;
+        watchdog_.arm(std::min(deadline_, node_.now() + reportTimeout), [this] { cancelSend(); });
+        const auto report = co_await askReport(*connection, replica.id);
+        watchdog_.arm(deadline_, [this] { onDeadline(); });
+        if (report) {
+            connection->provenRun = replica.startTime;
+        }
+        if (report && report->startTime > replica.startTime) {
+            node_.outdatedRecords[replica.id] = replica.startTime;
+            node_.log.info("upstream_record_outdated",
+                           {{"upstream", replica.id}, {"version", replica.version}, {"record_start", replica.startTime}, {"start", report->startTime}});
+            co_return false;
+        }
+        co_return report.has_value();
+    }
+
+    /// Nothing when the upstream did not answer as one that makes reports.
+    net::Task<std::optional<ReplicaReport>> askReport(UpstreamConnection &connection, const UpstreamId &id) const
+    {
+        const auto request = node_.codec.reportRequest(id);
+        std::string out = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + id.value() + "\r\n";
+        for (const auto &[name, value] : request.headers.all()) {
+            out.append(name).append(": ").append(value).append("\r\n");
+        }
+        out.append("\r\n");
+        const auto [writeFailed, written] = co_await asio::async_write(connection.socket, asio::buffer(out), net::tuple);
+        if (writeFailed) {
+            co_return std::nullopt;
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(maxReportBytes);
+        parser.header_limit(maxHeadBytes);
+        const auto [readFailed, count] = co_await http::async_read(connection.socket, connection.buffer, parser, net::tuple);
+        if (readFailed || !parser.get().keep_alive() || connection.buffer.size() > 0) {
+            co_return std::nullopt;
+        }
+        Error why;
+        co_return node_.codec.readReport({.status = static_cast<int>(parser.get().result_int()), .headers = {}, .body = parser.get().body()}, why);
+    }
+
     // ---- Choosing an upstream ----
 
     [[nodiscard]] std::vector<Candidate> candidates() const
@@ -160,7 +278,8 @@
             const bool isExcluded = std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
             const bool isFull = serviceSpec_ != nullptr && serviceSpec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.localOccupancy(id).running >= connectionShare();
-            if (isExcluded || isFull || !node_.maySend(id) || (needsModel && !record->holds(model)) || (onlyHolders_ && !isHeld(*record))) {
+            const bool isWrongVersion = !isVersionAllowed(*record) || (isResumable() && node_.isOutdated(*record));
+            if (isExcluded || isFull || isWrongVersion || !node_.maySend(id) || (needsModel && !record->holds(model)) || (onlyHolders_ && !isHeld(*record))) {
                 continue;
             }
             Candidate candidate{record, true, true};
@@ -219,23 +338,39 @@
 
     const ReplicaRecord *chooseUpstream()
     {
-        const auto all = candidates();
+        auto all = candidates();
         if (all.empty() && onlyHolders_) {
             return nullptr; // keep the reason from waiting for the weights
         }
         if (all.empty()) {
-            refusalReason_ = node_.replicas.usable(*service_).empty() ? "no_upstream" : "no_other_upstream";
+            refusalReason_ = noCandidateReason();
             return nullptr;
         }
+        if (announcedVersion_) { // other hosts know it already
+            const auto isOther = [this](const Candidate &each) { return each.replica->version != *announcedVersion_; };
+            if (!std::all_of(all.begin(), all.end(), isOther)) {
+                std::erase_if(all, isOther);
+            }
+        }
         const auto *best = node_.chooser.pick({all, affinityKey(), node_.settings.zone}, node_.now());
         const double fill = static_cast<double>(node_.chooser.occupancy(best->replica->id, node_.now()).running) / best->replica->slots;
-        if (fill >= maxFill()) {
+        if (fill >= maxFill() * (version_ ? resumedFillRatio : 1)) {
             refusalReason_ = "crowded";
             return nullptr;
         }
         return best->replica;
     }
 
+    [[nodiscard]] std::string_view noCandidateReason() const
+    {
+        const auto usable = node_.replicas.usable(*service_);
+        const auto hasVersion = [this](const UpstreamId &id) { return !version_ || node_.replicas.find(id)->version == *version_; };
+        if (usable.empty()) {
+            return "no_upstream";
+        }
+        return std::any_of(usable.begin(), usable.end(), hasVersion) ? "no_other_upstream" : "version_not_served";
+    }
+
     // ---- Attempts ----
 
     net::Task<void> runAttempts()
@@ -396,6 +531,7 @@
             if (!connection) {
                 excluded_.push_back(replica.id);
                 refusalReason_ = "no_connection";
+                node_.doubtRun(replica.id);
                 recordSend(replica, isFinished() ? SendOutcome::Abandoned : SendOutcome::NoAnswer, "not_connected", why.reason);
                 co_return false;
             }
@@ -411,10 +547,18 @@
             releaseConnection(true);
             co_return false;
         }
+        if (!co_await proveRun(replica) || isFinished()) {
+            recordSend(replica, SendOutcome::Abandoned, "not_sent", "the upstream may have started again since its record was written");
+            releaseConnection(false);
+            excluded_.push_back(replica.id);
+            refusalReason_ = "upstream_restarted";
+            co_return false;
+        }
         if (!isResend) {
             sentTo_.push_back(replica.id);
         }
         ++sends_;
+        announceStream(replica);
         wasSent_ = true;
         sentAt_ = node_.now();
         beginWrite(replica);
@@ -480,7 +624,8 @@
                 out.append(name).append(": ").append(value).append("\r\n");
             }
         }
-        ForwardHeaders headers{timeLeft(), replica.id, route_->priority, revision_, lastEventId_};
+        const int priority = version_ ? 0 : route_->priority; // a stream that goes on has no other upstreams to go to
+        ForwardHeaders headers{timeLeft(), replica.id, priority, revision_, lastEventId_};
         node_.codec.appendForwardHeaders(headers, out);
         if (!request_.body.empty() || (request_.method != "GET" && request_.method != "HEAD")) {
             out.append("Content-Length: ").append(std::to_string(request_.body.size())).append("\r\n");
@@ -795,6 +940,9 @@
             scanner.feed(*bytes);
             std::string events;
             appendNewEvents(scanner, events);
+            if (!events.empty() && !version_ && isResumable()) {
+                version_ = replica.version;
+            }
             if (!events.empty() && !co_await writeEvents(head, events)) {
                 recordSend(replica, SendOutcome::Abandoned, "caller_gone", {});
                 releaseConnection(false);
@@ -886,6 +1034,9 @@
                    "cut",
                    isResponseOverdue_ ? "no answer in time" : reason);
         releaseConnection(false);
+        if (!isCallerFault()) {
+            node_.doubtRun(replica.id);
+        }
         if (wasSent) {
             mayHaveRun_ = true;
         }
@@ -914,7 +1065,8 @@
         if (reason_ == "caller_gone" || status_ != 0) {
             if (hasResponseBegun_ && reason_ != "caller_gone") {
                 caller_.abort();
-                reason_ = isDeadlineReached_ || timeLeft() < minSendTime ? "stream_late" : "stream_cut";
+                const bool isVersionGone = refusalReason_ == std::string_view("version_not_served");
+                reason_ = isDeadlineReached_ || timeLeft() < minSendTime ? "stream_late" : isVersionGone ? refusalReason_ : "stream_cut";
             }
             co_return;
         }
@@ -930,12 +1082,16 @@
         if (mayHaveRun_) {
             co_await refuse(isDeadlinePassed ? 504 : 502, isDeadlinePassed ? "deadline" : refusalReason_, std::nullopt);
         } else {
-            co_await refuse(503,
-                            isDeadlinePassed ? "deadline" : refusalReason_,
-                            retryAfter_.value_or(refusalReason_ == std::string_view("no_upstream") ? unavailableRetryAfter : overloadRetryAfter));
+            co_await refuse(
+                503, isDeadlinePassed ? "deadline" : refusalReason_, retryAfter_.value_or(isNothingServing() ? unavailableRetryAfter : overloadRetryAfter));
         }
     }
 
+    [[nodiscard]] bool isNothingServing() const
+    {
+        return refusalReason_ == std::string_view("no_upstream") || refusalReason_ == std::string_view("version_not_served");
+    }
+
     net::Task<void> refuse(int status, std::string_view reason, std::optional<Milliseconds> retryAfter)
     {
         status_ = status;
@@ -1052,11 +1208,14 @@
     ResponseMetadata response_;
     std::optional<AdapterRevision> revision_;
     std::optional<std::uint64_t> lastEventId_;
-    std::vector<UpstreamId> sentTo_;   // distinct upstreams that the request was sent to
-    std::vector<UpstreamId> excluded_; // upstreams that must not be chosen again
-    bool mayRetrySame_ = false;        // the last upstream did not run the request, but may after its weights are loaded again
-    bool wasSent_ = false;             // the last attempt sent the request
-    bool mayHaveRun_ = false;          // the request may have run on an upstream
+    bool isTakenUp_ = false;                          // the caller takes up a stream that began before
+    std::optional<SoftwareVersion> version_;          // of a stream whose first event the caller has: it goes on there only
+    std::optional<SoftwareVersion> announcedVersion_; // where the stream may begin, as told to other hosts
+    std::vector<UpstreamId> sentTo_;                  // distinct upstreams that the request was sent to
+    std::vector<UpstreamId> excluded_;                // upstreams that must not be chosen again
+    bool mayRetrySame_ = false;                       // the last upstream did not run the request, but may after its weights are loaded again
+    bool wasSent_ = false;                            // the last attempt sent the request
+    bool mayHaveRun_ = false;                         // the request may have run on an upstream
     bool isDisconnected_ = false;
     bool isDeadlineReached_ = false;
     bool isResponseOverdue_ = false;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -26,6 +26,7 @@
 constexpr Milliseconds housekeepingInterval{500}; // expires idle connections, leases and lapsed records
 constexpr int percent = 100;
 constexpr Milliseconds controlWait{450};
+constexpr Milliseconds streamMargin{5'000};          // of Node::longestStream beyond the longest route's time limit: callers' clocks and records that come late
 constexpr Milliseconds startGather{1'000};           // FollowOptions::gather of the control topic while all hosts write their addresses and none has links yet
 constexpr int upstreamsPausePercent = 40;            // of hosting.drain: leaves time for the longest failover delay, a read and queueing
 constexpr Milliseconds controlPause{1'000};          // two reads, and the time for a page to reach the hosts that share it
@@ -131,9 +132,11 @@
     , incarnation_(incarnation)
     , storePages_(node_, groups_, {&operatorsTopic_, &upstreamsTopic_, &controlTopic_})
     , crashExchange_(node_, groups_)
+    , streamExchange_(node_, groups_)
     , loadExchange_(settings.host)
 {
     node_.residency = this;
+    node_.streams = &streamExchange_;
     node_.onNoContact = [this](const UpstreamId &id) {
         if (const auto owned = ownedReplicas_.find(id); owned != ownedReplicas_.end()) {
             owned->second->onNoContact();
@@ -339,6 +342,7 @@
                     {"records_left", operatorsTopic_.recordsLeft()},
                     {"routes", node_.routes->size()},
                     {"took_ms", node_.now() - begin}});
+    node_.longestStream = node_.routes->longestStream() + streamMargin;
     resourcesVersion_ = ~std::uint64_t(0);
     updateResources();
 }
@@ -406,12 +410,17 @@
         node_.crashes.onLost(id, next == nullptr ? std::nullopt : std::optional(node_.now() - age), node_.now());
     }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
+        node_.doubtedRuns.erase(id);
+        node_.outdatedRecords.erase(id);
         node_.leases.drop(id);
         node_.pool.forget(id);
         node_.chooser.remove(id);
     }
     const auto owned = ownedReplicas_.find(id);
     const auto *record = node_.replicas.find(id);
+    if (change == BookChange::Leaving && record != nullptr) {
+        node_.versions.onLeaving(record->service, record->version, node_.now());
+    }
     if (owned != ownedReplicas_.end() && record != nullptr) {
         owned->second->onRecord(*record);
     }
@@ -423,6 +432,7 @@
         return;
     }
     resourcesVersion_ = node_.replicas.version();
+    node_.versions.update(node_.replicas, node_.now());
     std::vector<ownership::PlacedResource> resources;
     for (const auto &id : node_.replicas.all()) {
         if (node_.replicas.isUsable(id)) {
@@ -588,6 +598,7 @@
     }
     storePages_.setLinks(*links_);
     crashExchange_.setLinks(*links_);
+    streamExchange_.setLinks(*links_);
     for (const auto &[host, announced] : announcedHosts_) {
         if (host != node_.settings.host) {
             links_->setAddress(host, announced.peerAddress);
@@ -753,6 +764,7 @@
         sendAdapterUses();
         exchangeLoads();
         crashExchange_.tick();
+        streamExchange_.tick();
         if (now >= nextHousekeeping_) {
             nextHousekeeping_ = now + housekeepingInterval;
             node_.pool.expire(now);
@@ -1094,6 +1106,10 @@
         sendGate_.serve(*call, *sendCall);
         co_return;
     }
+    if (const auto *originCall = std::get_if<peers::StreamOriginCall>(&call->body())) {
+        streamExchange_.serve(*call, *originCall);
+        co_return;
+    }
     if (const auto *probeCall = std::get_if<peers::CrashProbeCall>(&call->body())) {
         crashExchange_.serve(*call, *probeCall);
         co_return;
@@ -1132,6 +1148,8 @@
         crashExchange_.onReport(*report);
     } else if (const auto *verdicts = std::get_if<peers::CrashVerdictsNotice>(&notice.body)) {
         crashExchange_.onVerdicts(from, *verdicts);
+    } else if (const auto *origin = std::get_if<peers::StreamOriginNotice>(&notice.body)) {
+        streamExchange_.onNotice(*origin);
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
         UpstreamLoads loads;
         for (const auto &[id, running, prefillMs] : update->loads) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -30,6 +30,7 @@
 #include <serving/prefillgate.h>
 #include <serving/sendgate.h>
 #include <serving/storepages.h>
+#include <serving/streamexchange.h>
 
 namespace baobabstall::serving {
 
@@ -147,6 +148,7 @@
     HostGroups groups_; // hosts that share store reads and counts of running requests
     StorePages storePages_;
     CrashExchange crashExchange_;
+    StreamExchange streamExchange_;
     LoadExchange loadExchange_;
     std::uint64_t loadExchangeTicks_ = 0;
     std::map<HostId, std::set<UpstreamId>> reportedUses_; // per owner: upstreams in the last report of adapters in use
--- a/packages/serving/hostgroups.cpp
+++ b/packages/serving/hostgroups.cpp
@@ -81,6 +81,29 @@
     return rankings_.emplace(purpose, std::move(ranking)).first->second;
 }
 
+std::vector<HostId> HostGroups::spread(std::string_view key, std::size_t count) const
+{
+    using Ranked = std::pair<std::uint64_t, const GroupedHost *>;
+    std::vector<Ranked> hosts;
+    for (const auto &group : groups_) {
+        for (const auto &host : group) {
+            hosts.emplace_back(core::rendezvousWeight(key, host.host.value()), &host);
+        }
+    }
+    std::sort(hosts.begin(), hosts.end(), [](const Ranked &a, const Ranked &b) { return a.first > b.first; });
+    std::map<ZoneId, std::size_t> taken; // of each zone
+    std::vector<std::pair<std::size_t, HostId>> rounds;
+    for (const auto &[weight, host] : hosts) {
+        rounds.emplace_back(taken[host->zone]++, host->host);
+    }
+    std::stable_sort(rounds.begin(), rounds.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    std::vector<HostId> spread;
+    for (std::size_t i = 0; i < std::min(count, rounds.size()); ++i) {
+        spread.push_back(rounds[i].second);
+    }
+    return spread;
+}
+
 Milliseconds HostGroups::failoverDelay(const HostId &host, std::string_view purpose) const
 {
     const auto &allLeaders = leaders(purpose);
--- a/packages/serving/hostgroups.h
+++ b/packages/serving/hostgroups.h
@@ -51,6 +51,8 @@
     [[nodiscard]] std::vector<HostId> shareTargets(std::string_view purpose) const;
     /// The hosts that this host passes a result of `from` on to: as the group's leader its group, when `from` is of another group.
     [[nodiscard]] std::vector<HostId> forwardTargets(const HostId &from, std::string_view purpose) const;
+    /// The first `count` hosts in the key's order, which all hosts agree on; as long as there are zones without one, each is of another zone.
+    [[nodiscard]] std::vector<HostId> spread(std::string_view key, std::size_t count) const;
     /// How long `host` waits before it takes over work that the overall leader should do for all: first the other leaders in order,
     /// then the members of the own group.
     [[nodiscard]] Milliseconds failoverDelay(const HostId &host, std::string_view purpose) const;
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -186,6 +186,7 @@
 
 struct ReplicaReport {
     OrderSequence sequence;
+    ReplicaStartTime startTime;   // of the run that answers
     bool isChangingModel = false; // a load or unload of base weights is in progress
     std::vector<HeldModel> models;
     std::vector<std::pair<AdapterKey, AdapterRevision>> loadingAdapters; // adapters being loaded
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -55,6 +55,7 @@
     , codec(platformCodec)
     , log(std::move(hostLog))
     , chooser(ChooserOptions(), core::hashText(hostSettings.host.value(), 0))
+    , versions(now())
     , pool(context, PoolOptions())
 { }
 
@@ -99,6 +100,20 @@
     return needed;
 }
 
+bool Node::mustProveRun(const ReplicaRecord &replica) const
+{
+    constexpr Milliseconds doubtTime{10'000}; // an upstream is back after some seconds, and its record follows within three
+    const auto doubted = doubtedRuns.find(replica.id);
+    const bool isDoubted = doubted != doubtedRuns.end() && now() - doubted->second < doubtTime;
+    return replica.startTime.value() > 0 && (isDoubted || versions.isMixed(replica.service, longestStream, now()));
+}
+
+bool Node::isOutdated(const ReplicaRecord &replica) const
+{
+    const auto found = outdatedRecords.find(replica.id);
+    return found != outdatedRecords.end() && found->second == replica.startTime;
+}
+
 double Node::prefillLimit(const UpstreamId &replica) const
 {
     const auto *record = replicas.find(replica);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -27,8 +27,10 @@
 #include <serving/responsebudget.h>
 #include <serving/routes.h>
 #include <serving/sendrate.h>
+#include <serving/streamrecords.h>
 #include <serving/upstreamlimits.h>
 #include <serving/upstreams.h>
+#include <serving/versionhistory.h>
 #include <settings/settings.h>
 
 namespace baobabstall::serving {
@@ -111,6 +113,17 @@
     [[nodiscard]] virtual bool canOrder(const UpstreamId &replica) const = 0;
 };
 
+/// Where streams began, over all hosts.
+class StreamDirectory
+{
+public:
+    virtual ~StreamDirectory() = default;
+    /// A stream of this host is about to begin; it may be taken up at any host until `until`.
+    virtual void announce(const RequestId &id, const StreamOrigin &origin, Instant until) = 0;
+    /// Nothing: no host that can be reached knows the stream.
+    virtual net::Task<std::optional<StreamOrigin>> find(RequestId id) = 0;
+};
+
 struct ActiveRevision {
     AdapterRevision revision;
     Instant since;
@@ -144,6 +157,12 @@
     /// The same for the answer to an order or a report.
     void applyUpstreamState(const ReplicaRecord &replica, const net::HttpResponse &answer);
     void applyLimit(const UpstreamId &id, const ResponseMetadata &answer);
+    /// A connection to the upstream was lost or refused: it may have started again, at another version than its record says.
+    void doubtRun(const UpstreamId &id) { doubtedRuns[id] = now(); }
+    /// Whether a new connection to the upstream must prove which run it leads to before a stream begins there.
+    [[nodiscard]] bool mustProveRun(const ReplicaRecord &replica) const;
+    /// Whether the upstream is known to have started again since its record was written.
+    [[nodiscard]] bool isOutdated(const ReplicaRecord &replica) const;
     [[nodiscard]] std::vector<AdapterKey> weightsInUse(const UpstreamId &upstream) const; // by requests of this host
 
     boost::asio::io_context &io;
@@ -162,14 +181,19 @@
     UpstreamLimits limits;
     ResponseBudget responseBudget;
     CrashWatch crashes;
-    std::function<void(const UpstreamId &)> onNoContact;  // the upstream is leaving or asked this host to back off; may be empty
-    std::function<void(const UpstreamId &)> onLimitEnded; // an answer named no limit any more; may be empty
+    VersionHistory versions;
+    Milliseconds longestStream{60'000};                     // that a caller may still take up
+    std::map<UpstreamId, Instant> doubtedRuns;              // see doubtRun()
+    std::map<UpstreamId, ReplicaStartTime> outdatedRecords; // runs that ended though the upstream's record still names them
+    std::function<void(const UpstreamId &)> onNoContact;    // the upstream is leaving or asked this host to back off; may be empty
+    std::function<void(const UpstreamId &)> onLimitEnded;   // an answer named no limit any more; may be empty
     UpstreamPool pool;
     std::map<AdapterKey, ActiveRevision> activeRevisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> useCounts; // running requests of this host, by the weights that they use
     std::map<ServiceName, PrefillRate> prefillRates;           // learnt from the requests of this host
     std::map<BaseModel, admission::DecayingCount> demand;      // recent requests of this host by base model
     ResidencySource *residency = nullptr;                      // set before the first request
+    StreamDirectory *streams = nullptr;                        // the same
     int hostCount = 1;
     bool isStopping = false;
 
--- a/packages/serving/routes.cpp
+++ b/packages/serving/routes.cpp
@@ -50,6 +50,15 @@
     return found == services.end() ? nullptr : &*found;
 }
 
+Milliseconds RouteTable::longestStream() const
+{
+    Milliseconds longest;
+    for (const auto &route : configuration_.routes) {
+        longest = route.retryPolicy == RetryPolicy::Resumable ? std::max(longest, route.timeout) : longest;
+    }
+    return longest;
+}
+
 const Route *RouteTable::find(std::string_view host, std::string_view target) const
 {
     const auto found = routesByHost_.find(normalizedHost(host));
--- a/packages/serving/routes.h
+++ b/packages/serving/routes.h
@@ -31,6 +31,8 @@
     [[nodiscard]] const ServiceSpec *service(const ServiceName &name) const;
     /// The shortest pause between events that is on time on a route to the service; 0: no such route.
     [[nodiscard]] Milliseconds shortestPause(const ServiceName &service) const;
+    /// The longest time limit of the routes whose streams may be taken up; 0: there is none.
+    [[nodiscard]] Milliseconds longestStream() const;
     /// `host` may include a port and `target` a query string. The result is valid as long as the table.
     [[nodiscard]] const Route *find(std::string_view host, std::string_view target) const;
     [[nodiscard]] static const ServiceName &serviceOf(const Route &route, const RequestId &id);
--- /dev/null
+++ b/packages/serving/streamexchange.h
@@ -0,0 +1,48 @@
+// serving/streamexchange.h: tells other hosts where streams of this host began, and asks them where a stream began that a caller takes up. I/O; one
+// thread. What is told to whom: streamrecords.h.
+//
+//   StreamExchange exchange(node, groups);
+//   exchange.setLinks(links);
+//   exchange.announce(id, origin, until);          // before the request is sent to its upstream
+//   auto origin = co_await exchange.find(id);      // nothing: no host that answers knows the stream
+//   exchange.tick();                               // every 100 ms
+//   exchange.onNotice(notice); exchange.serve(call, body);   // from peers
+#pragma once
+
+#include <set>
+
+#include <peers/link.h>
+#include <serving/node.h>
+#include <serving/streamrecords.h>
+
+namespace baobabstall::serving {
+
+class StreamExchange final : public StreamDirectory
+{
+public:
+    StreamExchange(Node &node, const HostGroups &groups)
+        : node_(node)
+        , records_(node.settings.host, groups)
+    { }
+
+    void setLinks(peers::Links &links) { links_ = &links; }
+    void announce(const RequestId &id, const StreamOrigin &origin, Instant until) override;
+    net::Task<std::optional<StreamOrigin>> find(RequestId id) override;
+    /// Tells the streams that began while their service had one version, once it has several.
+    void tick();
+    void onNotice(const peers::StreamOriginNotice &notice);
+    void serve(peers::IncomingCall &call, const peers::StreamOriginCall &request);
+    [[nodiscard]] std::size_t size() const { return records_.size(); }
+
+    static constexpr Milliseconds replyTimeout{150}; // for the answers of all hosts that are asked
+
+private:
+    [[nodiscard]] bool isSharedService(const ServiceName &service) const;
+
+    Node &node_;
+    StreamRecords records_;
+    peers::Links *links_ = nullptr;
+    std::set<ServiceName> sharedServices_; // as of the last tick
+};
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/streamrecords.cpp
@@ -0,0 +1,62 @@
+#include <serving/streamrecords.h>
+
+#include <algorithm>
+
+namespace baobabstall::serving {
+
+std::vector<HostId> StreamRecords::announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now)
+{
+    hold(id, origin, until, now);
+    records_.at(id).isUnshared = !isShared;
+    return isShared ? keepers(id, toldHosts) : std::vector<HostId>();
+}
+
+void StreamRecords::hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now)
+{
+    auto &record = place(id, now);
+    if (origin.send >= record.origin.send) {
+        record.origin = origin;
+        record.until = until;
+    }
+}
+
+StreamRecords::Record &StreamRecords::place(const RequestId &id, Instant now)
+{
+    while (!order_.empty() && (order_.size() >= maxStreams || records_.at(order_.front()).until < now)) {
+        records_.erase(order_.front());
+        order_.pop_front();
+    }
+    const auto [record, isNew] = records_.try_emplace(id);
+    if (isNew) {
+        record->second.place = order_.insert(order_.end(), id);
+    }
+    return record->second;
+}
+
+std::vector<StreamRecords::Announced> StreamRecords::takeUnshared(const ServiceName &service, Instant now)
+{
+    std::vector<Announced> announced;
+    for (auto &[id, record] : records_) {
+        if (record.isUnshared && record.origin.service == service && record.until >= now) {
+            record.isUnshared = false;
+            announced.push_back({id, record.origin, record.until});
+        }
+    }
+    return announced;
+}
+
+std::optional<StreamOrigin> StreamRecords::find(const RequestId &id, Instant now) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() || found->second.until < now ? std::nullopt : std::optional(found->second.origin);
+}
+
+std::vector<HostId> StreamRecords::keepers(const RequestId &id, std::size_t count) const
+{
+    auto hosts = groups_.spread(id.value(), count + 1);
+    std::erase(hosts, ownHost_);
+    hosts.resize(std::min(hosts.size(), count));
+    return hosts;
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/streamrecords.h
@@ -0,0 +1,78 @@
+// serving/streamrecords.h: where streams began, as one host knows it, and which hosts know it of a stream. No I/O.
+//
+//   StreamRecords records(ownHost, groups);
+//   auto targets = records.announce(id, origin, until, isShared, now); // before the request is sent; the hosts to tell
+//   records.hold(id, origin, until, now);                              // another host told it
+//   for (auto &[id, origin, until] : records.takeUnshared(service, now)) { ... } // announced before the service had several versions
+//   records.find(id, now), records.keepers(id)                         // what this host knows; the hosts to ask
+//
+// A caller may take up a stream at any host, right after its first event, when the host that began it is gone. The record of a stream is
+// therefore told to a few hosts, in different zones as far as there are any, before the request is sent to its upstream. Which ones follows from
+// the stream's id, so any host finds them, also one that started later. More are asked than were told, as hosts come and go in between.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+#include <serving/hostgroups.h>
+#include <serving/model.h>
+
+namespace baobabstall::serving {
+
+struct StreamOrigin {
+    SoftwareVersion version; // of the upstream that the first event comes from
+    ServiceName service;
+    std::uint64_t request = 0; // hash of what the caller has to ask for again
+    int send = 0;              // counts the upstreams that the request was sent to before its first event; the last one holds
+
+    friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
+};
+
+class StreamRecords
+{
+public:
+    static constexpr std::size_t maxStreams = 16'384; // beyond it the oldest is forgotten
+    static constexpr std::size_t toldHosts = 3;
+    static constexpr std::size_t askedHosts = 5;
+    static constexpr Milliseconds extraLifetime{10'000}; // after the deadline of the request that began the stream
+
+    struct Announced {
+        RequestId id;
+        StreamOrigin origin;
+        Instant until;
+    };
+
+    StreamRecords(HostId ownHost, const HostGroups &groups)
+        : ownHost_(std::move(ownHost))
+        , groups_(groups)
+    { }
+
+    /// Holds the origin of a stream that this host begins. `isShared`: other hosts have to know it now. Returns the hosts to tell.
+    [[nodiscard]] std::vector<HostId> announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now);
+    void hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now);
+    /// Streams of the service that this host began and told nobody of; the caller tells `keepers()`.
+    [[nodiscard]] std::vector<Announced> takeUnshared(const ServiceName &service, Instant now);
+    [[nodiscard]] std::optional<StreamOrigin> find(const RequestId &id, Instant now) const;
+    /// The first `count` other hosts that keep the record.
+    [[nodiscard]] std::vector<HostId> keepers(const RequestId &id, std::size_t count) const;
+    [[nodiscard]] std::size_t size() const { return records_.size(); }
+
+private:
+    struct Record {
+        StreamOrigin origin;
+        Instant until;
+        bool isUnshared = false;
+        std::list<RequestId>::iterator place;
+    };
+
+    Record &place(const RequestId &id, Instant now);
+
+    HostId ownHost_;
+    const HostGroups &groups_;
+    std::unordered_map<RequestId, Record> records_;
+    std::list<RequestId> order_; // oldest first
+};
+
+} // namespace baobabstall::serving
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -1,3 +1,4 @@
+#include <core/hash.h>
 #include <net/tests/endlessserver.h>
 #include <serving/events.h>
 #include <serving/responsebudget.h>
@@ -451,6 +452,122 @@
     EXPECT_EQ(upstream(2).requests.size(), 0U);
 }
 
+/// A stream that a caller takes up: the request "first" brought its first event.
+class TakenUpStreamTest : public ServingFixture
+{
+protected:
+    static Script rest() { return {{streamHead() + chunk(event(3)) + finalChunk}}; }
+    void setUpVersions(const std::vector<std::string> &versions)
+    {
+        setUpService(route(RetryPolicy::Resumable, true, 2), std::vector<std::vector<Script>>(versions.size(), {rest()}), false, versions);
+    }
+    ReceivedResponse takeUp(const std::string &resumes = "Resumes: first\r\n", const std::string &after = "After: 2\r\n")
+    {
+        return sendRequest(getRequest("again", resumes + after), "\r\n\r\n");
+    }
+    std::uint64_t keyOf(const std::string &target) { return core::hashText("h " + target + " ", 0); }
+};
+
+TEST_F(TakenUpStreamTest, goes_on_at_the_version_that_began_it)
+{
+    setUpVersions({"v2", "v2", "v1"});
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(takeUp().status(), 200);
+    ASSERT_EQ(upstream(3).requests.size(), 1U);
+    EXPECT_TRUE(upstream(3).requests.at(0).hasLine("Last: 2"));
+    EXPECT_FALSE(streams_.origins.contains(RequestId("again"))) << "the request that brought the first event stays the one to name";
+}
+
+// Guards against a host that guesses: it lacks the record of the stream, or its id, and its service has or had two versions.
+TEST_F(TakenUpStreamTest, is_refused_as_not_run_by_a_host_that_cannot_know_its_version)
+{
+    setUpVersions({"v1", "v2"});
+    for (const auto *resumes : {"Resumes: first\r\n", "Resumes: \r\n", ""}) {
+        const auto response = takeUp(resumes);
+        EXPECT_EQ(response.status(), 503) << resumes;
+        EXPECT_TRUE(response.contains("Retry-After: ")) << resumes;
+    }
+    EXPECT_EQ(takeUp("Resumes: first\r\n", "").status(), 503) << "without a last event";
+    node_.replicas.remove(UpstreamId("r2"), node_.now());
+    node_.versions.update(node_.replicas, node_.now());
+    EXPECT_EQ(takeUp().status(), 503) << "v2 was there a moment ago";
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+TEST_F(TakenUpStreamTest, is_refused_when_it_names_another_request)
+{
+    setUpVersions({"v1", "v1"});
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/y"), 1};
+    EXPECT_EQ(takeUp().status(), 503) << "of another path or caller";
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("t"), keyOf("/x"), 1};
+    EXPECT_EQ(takeUp().status(), 503) << "of another service";
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+// Pattern: callers take up streams without naming them, on a service that has had one version all the time.
+TEST_F(TakenUpStreamTest, goes_on_without_a_record_while_its_service_has_one_version)
+{
+    setUpVersions({"v1", "v1"});
+    EXPECT_EQ(takeUp("").status(), 200);
+    EXPECT_EQ(takeUp().status(), 200);
+}
+
+TEST_F(TakenUpStreamTest, is_refused_at_once_when_its_version_is_not_served)
+{
+    setUpVersions({"v2", "v2"});
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/x"), 1};
+    const auto begin = node_.now();
+    const auto response = takeUp();
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After: 1.000\r\n"));
+    EXPECT_LT(node_.now() - begin, Milliseconds(300));
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+// Guards against streams that begin where those that go on have to.
+TEST_F(TakenUpStreamTest, has_room_at_a_version_whose_upstreams_leave)
+{
+    setUpVersions({"v1", "v2"});
+    node_.versions.onLeaving(ServiceName("s"), SoftwareVersion("v1"), node_.now());
+    for (int i = 0; i < 7; ++i) {
+        node_.chooser.beginSend(UpstreamId("r1")); // of 8 slots
+        node_.chooser.beginSend(UpstreamId("r2"));
+    }
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(sendRequest(getRequest("new"), finalChunk).status(), 200);
+    EXPECT_EQ(upstream(1).requests.size(), 0U);
+    EXPECT_EQ(takeUp().status(), 200);
+    EXPECT_EQ(upstream(1).requests.size(), 1U);
+}
+
+// Pattern: the first upstream breaks off before its first event.
+TEST_F(TakenUpStreamTest, may_begin_at_any_version_and_the_last_one_is_told)
+{
+    const Script cut{{streamHead()}, true};
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{cut}, {rest()}}, false, {"v1", "v2"});
+    EXPECT_EQ(sendRequest(getRequest("first"), finalChunk).status(), 200);
+    EXPECT_EQ(streams_.origins.at(RequestId("first")).version, SoftwareVersion("v2"));
+    EXPECT_EQ(streams_.origins.at(RequestId("first")).send, 2);
+}
+
+// Guards against a stream at an upstream that has started again, at a version that its record does not name yet.
+TEST_F(TakenUpStreamTest, begins_only_where_the_run_is_the_one_that_the_record_names)
+{
+    const Script report{{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n88"}};
+    const Script current{{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n77"}};
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{report, rest()}, {current, rest()}}, true, {"v1", "v2"});
+    for (const auto *id : {"r1", "r2"}) {
+        auto record = *node_.replicas.find(UpstreamId(id));
+        record.startTime = ReplicaStartTime(77);
+        node_.replicas.apply(record);
+    }
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(sendRequest(getRequest("q" + std::to_string(i), "Weights: m/\r\n"), finalChunk).status(), 200);
+    }
+    EXPECT_LE(upstream(1).requests.size(), 1U) << "nothing but the question for its run";
+    EXPECT_EQ(streams_.origins.at(RequestId("q0")).version, SoftwareVersion("v2"));
+}
+
 TEST_F(ForwarderTest, an_unterminated_event_counts_as_truncation_and_the_stream_resumes_elsewhere)
 {
     const auto endless = streamHead() + chunk(event(1)) + chunk("id: 2\ndata: " + std::string(EventScanner::maxEventBytes, 'x'));
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -92,7 +92,13 @@
     std::optional<RevisionUpdate> readRevision(std::string_view, std::string_view, core::Error &) const override { return std::nullopt; }
     std::optional<ReplicaRecord> readReplica(std::string_view, std::string_view, core::Error &) const override { return std::nullopt; }
     net::HttpRequest reportRequest(const UpstreamId &) const override { return {}; }
-    std::optional<ReplicaReport> readReport(const net::HttpResponse &, core::Error &) const override { return std::nullopt; }
+    /// The body is the start of the upstream's run.
+    std::optional<ReplicaReport> readReport(const net::HttpResponse &answer, core::Error &) const override
+    {
+        ReplicaReport report;
+        report.startTime = ReplicaStartTime(std::stoull(answer.body));
+        return report;
+    }
     net::HttpRequest orderRequest(const UpstreamId &, const Order &, const HostId &, core::Epoch) const override { return {}; }
     OrderOutcome readOrderAnswer(const net::HttpResponse &) const override { return OrderOutcome::Refused; }
 };
@@ -149,6 +155,16 @@
     core::Error failure;
 };
 
+/// Knows the streams of this host, and those that a test adds as of others.
+class FakeStreams final : public StreamDirectory
+{
+public:
+    void announce(const RequestId &id, const StreamOrigin &origin, Instant) override { origins[id] = origin; }
+    net::Task<std::optional<StreamOrigin>> find(RequestId id) override { co_return origins.contains(id) ? std::optional(origins.at(id)) : std::nullopt; }
+
+    std::map<RequestId, StreamOrigin> origins;
+};
+
 /// A request as an upstream received it.
 struct ReceivedRequest {
     std::string head;
@@ -296,6 +312,7 @@
                   [this](CallerConnection &caller, CallerRequest &request) { return forwarder_.handle(caller, request); })
     {
         node_.residency = &residency_;
+        node_.streams = &streams_;
         residency_.onProbe = [this](std::vector<CrashCause> causes) { return crashExchange_.takeProbe(std::move(causes)); };
         core::Error why;
         address_ = *server_.listen({"127.0.0.1", 0}, why);
@@ -351,6 +368,8 @@
             }
             node_.replicas.apply(record);
         }
+        node_.versions.adopt({.coveredFor = VersionHistory::memory, .gone = {}}, node_.now()); // as of a host that runs for long
+        node_.versions.update(node_.replicas, node_.now());
     }
 
     static Route route(RetryPolicy repeat, bool isStream, int maxReplicas)
@@ -417,6 +436,7 @@
     asio::io_context io_;
     FakeCodec codec_;
     FakeResidency residency_;
+    FakeStreams streams_;
     Node node_;
     HostGroups groups_;
     CrashExchange crashExchange_{node_, groups_};
--- /dev/null
+++ b/packages/serving/tests/streamrecordstest.cpp
@@ -0,0 +1,242 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include <serving/streamrecords.h>
+
+#include "virtualtime.h"
+
+namespace baobabstall::serving::tests {
+namespace {
+
+StreamOrigin originOf(const std::string &version, int send = 1)
+{
+    return {SoftwareVersion(version), ServiceName("llm"), 7, send};
+}
+
+/// Hosts that begin streams and tell each other, on virtual time; links, membership and deaths are simulated.
+class StreamSpread : public VirtualTime
+{
+public:
+    StreamSpread(int zones, int hosts, std::uint64_t seed)
+        : random_(seed)
+    {
+        for (int i = 0; i < hosts; ++i) {
+            const HostId id("host-" + std::to_string(i));
+            grouped_.push_back({id, ZoneId("zone-" + std::to_string(i % zones)), 100});
+            hosts_.emplace(id, std::make_unique<Host>(id));
+        }
+        assignGroups();
+    }
+
+    [[nodiscard]] HostId drawHost() const { return grouped_[std::uniform_int_distribution<std::size_t>(0, grouped_.size() - 1)(random_)].host; }
+    /// The request is sent to its upstream now.
+    void begin(const HostId &host, const RequestId &id, const StreamOrigin &origin)
+    {
+        for (const auto &target : hosts_.at(host)->records.announce(id, origin, now() + Milliseconds(15'000), true, now())) {
+            ++messages;
+            at(now() + latency(), [this, target, id, origin, until = now() + Milliseconds(15'000)] {
+                if (auto &receiver = *hosts_.at(target); receiver.isAlive) {
+                    receiver.records.hold(id, origin, until, now());
+                }
+            });
+        }
+    }
+    /// Ends the host, and the share of the others of its zone; the others notice after 2,750 ms.
+    void killZone(const HostId &host, double share)
+    {
+        const auto zone = zoneOf(host);
+        for (const auto &each : grouped_) {
+            const bool isHit = each.host == host || (each.zone == zone && std::uniform_real_distribution<double>(0, 1)(random_) < share);
+            hosts_.at(each.host)->isAlive = hosts_.at(each.host)->isAlive && !isHit;
+        }
+        at(now() + Milliseconds(2'750), [this] {
+            std::erase_if(grouped_, [this](const auto &each) { return !hosts_.at(each.host)->isAlive; });
+            assignGroups();
+        });
+    }
+    /// Starts again without anything that it held.
+    void restart(const HostId &host)
+    {
+        hosts_.at(host) = std::make_unique<Host>(host);
+        assignGroups();
+    }
+    /// What `host` learns of the stream, as its exchange asks the others: answers after one round trip.
+    void find(const HostId &host, const RequestId &id, std::function<void(std::optional<StreamOrigin>)> onAnswer)
+    {
+        const auto asked = hosts_.at(host)->records.keepers(id, StreamRecords::askedHosts);
+        const auto best = std::make_shared<std::optional<StreamOrigin>>(hosts_.at(host)->records.find(id, now()));
+        for (const auto &target : asked) {
+            at(now() + latency(), [this, target, id, best] {
+                const auto &keeper = *hosts_.at(target);
+                const auto known = keeper.isAlive ? keeper.records.find(id, now()) : std::nullopt;
+                if (known && (!*best || known->send > (*best)->send)) {
+                    *best = known;
+                }
+            });
+        }
+        at(now() + Milliseconds(150), [best, onAnswer = std::move(onAnswer)] { onAnswer(*best); });
+    }
+    [[nodiscard]] bool isAlive(const HostId &host) const { return hosts_.at(host)->isAlive; }
+    [[nodiscard]] std::size_t largestState() const
+    {
+        std::size_t largest = 0;
+        for (const auto &[id, host] : hosts_) {
+            largest = std::max(largest, host->records.size());
+        }
+        return largest;
+    }
+
+    std::size_t messages = 0;
+
+private:
+    struct Host {
+        explicit Host(const HostId &id)
+            : records(id, groups)
+        { }
+        HostGroups groups;
+        StreamRecords records;
+        bool isAlive = true;
+    };
+
+    [[nodiscard]] ZoneId zoneOf(const HostId &host) const
+    {
+        return std::find_if(grouped_.begin(), grouped_.end(), [&](const auto &each) { return each.host == host; })->zone;
+    }
+    [[nodiscard]] Milliseconds latency() { return Milliseconds(std::uniform_int_distribution<int>(1, 15)(random_)); }
+    void assignGroups()
+    {
+        for (auto &[id, host] : hosts_) {
+            host->groups.assign(grouped_, id);
+        }
+    }
+
+    mutable std::mt19937_64 random_;
+    std::vector<GroupedHost> grouped_; // as the hosts believe
+    std::map<HostId, std::unique_ptr<Host>> hosts_;
+};
+
+struct Size {
+    int zones;
+    int hosts;
+};
+
+// Guards against a stream that no other host can go on with because the one that began it is gone, with others of its zone, right after the
+// first event (issue 29, LOST).
+TEST(StreamSpread, any_host_learns_where_a_stream_began_also_after_its_host_and_most_of_its_zone_are_gone)
+{
+    for (const auto &size : {Size{1, 8}, Size{4, 8}, Size{4, 87}, Size{5, 195}}) {
+        for (const int delay : {5, 50, 500}) {
+            StreamSpread spread(size.zones, size.hosts, 1);
+            int asked = 0;
+            int known = 0;
+            constexpr int streams = 300;
+            for (int i = 0; i < streams; ++i) {
+                const auto host = spread.drawHost();
+                const RequestId id("stream-" + std::to_string(i));
+                spread.at(Instant(1'000 + i), [&, host, id] { spread.begin(host, id, originOf("v1")); });
+            }
+            const auto lost = spread.drawHost();
+            constexpr int firstEvent = 30; // after the send; a prompt is processed before it
+            spread.at(Instant(1'000 + streams + firstEvent), [&] { spread.killZone(lost, size.zones == 1 ? 0 : 0.8); });
+            spread.at(Instant(1'000 + streams + firstEvent + delay), [&] {
+                for (int i = 0; i < streams; ++i) {
+                    auto host = spread.drawHost();
+                    while (!spread.isAlive(host)) {
+                        host = spread.drawHost();
+                    }
+                    ++asked;
+                    spread.find(host, RequestId("stream-" + std::to_string(i)), [&](const auto &origin) { known += origin == originOf("v1") ? 1 : 0; });
+                }
+            });
+            spread.runUntil(Instant(4'000));
+            EXPECT_EQ(asked, streams);
+            EXPECT_EQ(known, asked) << size.hosts << " hosts in " << size.zones << " zones, " << delay << " ms after the first event";
+        }
+    }
+}
+
+// Guards against a host that would have to have been there.
+TEST(StreamSpread, hosts_that_started_since_know_as_much)
+{
+    StreamSpread spread(4, 24, 3);
+    const RequestId id("stream");
+    spread.at(Instant(1'000), [&] { spread.begin(HostId("host-0"), id, originOf("v1")); });
+    int known = 0;
+    spread.at(Instant(2'000), [&] {
+        for (int i = 0; i < 24; ++i) {
+            const HostId host("host-" + std::to_string(i));
+            if (i % 3 == 0) {
+                spread.restart(host);
+            }
+        }
+        for (int i = 0; i < 24; ++i) {
+            spread.find(HostId("host-" + std::to_string(i)), id, [&](const auto &origin) { known += origin ? 1 : 0; });
+        }
+    });
+    spread.runUntil(Instant(3'000));
+    EXPECT_EQ(known, 24);
+}
+
+// Guards against the version of an upstream that broke off before the first event.
+TEST(StreamSpread, the_last_upstream_before_the_first_event_counts)
+{
+    StreamSpread spread(4, 24, 3);
+    const RequestId id("stream");
+    spread.at(Instant(1'000), [&] {
+        spread.begin(HostId("host-1"), id, originOf("v1", 1));
+        spread.begin(HostId("host-1"), id, originOf("v2", 2)); // arrives before or after the first
+    });
+    std::set<std::string> versions;
+    spread.at(Instant(1'100), [&] {
+        for (int i = 0; i < 24; ++i) {
+            spread.find(HostId("host-" + std::to_string(i)), id, [&](const auto &origin) { versions.insert(origin ? origin->version.value() : "none"); });
+        }
+    });
+    spread.runUntil(Instant(2'000));
+    EXPECT_EQ(versions, std::set<std::string>{"v2"});
+}
+
+// Pattern: 15,000 streams a minute. State and messages are bounded and end; the figures stand in docs/CAPACITY.md.
+TEST(StreamSpread, state_and_messages_at_15000_streams_a_minute)
+{
+    for (const auto &size : {Size{4, 8}, Size{4, 87}, Size{5, 195}}) {
+        StreamSpread spread(size.zones, size.hosts, 5);
+        constexpr int streams = 15'000;
+        for (int i = 0; i < streams; ++i) {
+            spread.at(Instant(i * 4), [&, i] { spread.begin(spread.drawHost(), RequestId("stream-" + std::to_string(i)), originOf("v1")); });
+        }
+        spread.runUntil(Instant(60'000));
+        std::printf(
+            "%d hosts: %zu messages a second and host, at most %zu records at a host\n", size.hosts, spread.messages / 60 / size.hosts, spread.largestState());
+        EXPECT_EQ(spread.messages, streams * StreamRecords::toldHosts);
+        EXPECT_LE(spread.largestState(), StreamRecords::maxStreams);
+    }
+    HostGroups groups;
+    StreamRecords records(HostId("host"), groups);
+    for (int i = 0; i < 40'000; ++i) {
+        records.hold(RequestId("stream-" + std::to_string(i)), originOf("v1"), Instant(100'000), Instant(0));
+    }
+    EXPECT_EQ(records.size(), StreamRecords::maxStreams);
+    EXPECT_FALSE(records.find(RequestId("stream-0"), Instant(0))) << "the oldest is forgotten first";
+    EXPECT_FALSE(records.find(RequestId("stream-39999"), Instant(100'001)));
+}
+
+// Guards against streams that began just before their service had a second version.
+TEST(StreamRecords, what_was_told_to_nobody_is_told_once_when_it_matters)
+{
+    HostGroups groups;
+    groups.assign({{HostId("a"), ZoneId("z1"), 0}, {HostId("b"), ZoneId("z2"), 0}}, HostId("a"));
+    StreamRecords records(HostId("a"), groups);
+    EXPECT_TRUE(records.announce(RequestId("1"), originOf("v1"), Instant(9'000), false, Instant(0)).empty());
+    EXPECT_EQ(records.announce(RequestId("2"), originOf("v1"), Instant(9'000), true, Instant(0)), std::vector{HostId("b")});
+    EXPECT_TRUE(records.takeUnshared(ServiceName("other"), Instant(100)).empty());
+    EXPECT_EQ(records.takeUnshared(ServiceName("llm"), Instant(100)).size(), 1U);
+    EXPECT_TRUE(records.takeUnshared(ServiceName("llm"), Instant(200)).empty());
+}
+
+} // namespace
+} // namespace baobabstall::serving::tests
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -35,6 +35,7 @@
     std::string out; // data being written; must stay valid until the write completes
     bool isWriting = false;
     bool isReused = false;
+    ReplicaStartTime provenRun; // the run of the upstream that this connection leads to, as it said itself; 0: not asked
     std::size_t written = 0;
     boost::system::error_code writeError;
     Instant idleSince;
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -18,11 +18,20 @@
 
     def __init__(self):
         outer = self
+        self.open_connections = set()
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
             disable_nagle_algorithm = True
 
+            def setup(self):
+                super().setup()
+                outer.open_connections.add(self.connection)
+
+            def finish(self):
+                outer.open_connections.discard(self.connection)
+                super().finish()
+
             def log_message(self, *_args):
                 pass
 
@@ -150,7 +159,7 @@
 class Replica(Server):
     """A model replica; without a model a plain service."""
 
-    def __init__(self, store, name, service, zone, model=None, places=4, events=8, event_seconds=0.02):
+    def __init__(self, store, name, service, zone, model=None, places=4, events=8, event_seconds=0.02, version="v1"):
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.model, self.places, self.events, self.event_seconds = model, places, events, event_seconds
         self.born = int(time.time() * 1000)
@@ -160,6 +169,8 @@
         self.fence = 0
         self.orders = []  # (time, holder, fence, operation, adapter)
         self.ran = []  # ids of requests
+        self.version = version  # of its software
+        self.streams = []  # (id, id of the stream that it goes on with, version) of streams that began or went on here
         self.limit = None  # requests a second, named in all answers
         self.arrivals = []  # times of requests
         self.crashing_part = None  # of prompts: the connection is reset once the answer has begun
@@ -174,7 +185,7 @@
 
     def register(self, state="ready"):
         models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}] if self.model else []
-        record = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 8, "state": state}
+        record = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": 8, "state": state}
         self.store.put("keyed.servers", self.name, record | {"cold_remaining_ms": 0, "models": models, "sequence": self.sequence, "born": self.born})
 
     def handle(self, request):
@@ -184,6 +195,7 @@
             with self.lock:
                 models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}]
                 report = {"phase": "unified", "models": models, "busy": False, "sequence": self.sequence, "queued": 0, "active": 0}
+                report["born"] = self.born
             request.answer_json(200, report)
         elif request.path == "/baobabstall/order":
             request.answer(self.order(json.loads(request.body)))
@@ -237,6 +249,7 @@
             self.crash_under(request)
             return
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        self.streams.append((attempt, request.headers.get("Resumes"), self.version))
         for number in range(first, self.events + 1):
             time.sleep(self.event_seconds)
             event = b"id: %d\ndata: %s\n\n" % (number, attempt.encode())
@@ -245,6 +258,23 @@
         request.wfile.write(b"0\r\n\r\n")
 
 
+    def restart(self, version):
+        """Starts again under the same id; its record stays as it is until register()."""
+        with self.lock:
+            self.held.clear()
+            self.sequence = 0
+            self.fence = 0
+            self.born = int(time.time() * 1000)
+            self.version = version
+        self.close_connections()
+
+    def close_connections(self):
+        for connection in list(self.open_connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # closed already
+
     def crash_under(self, request):
         self.crashed.append(time.monotonic())
         request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -418,6 +418,78 @@
     def look(self, host):
         return ask(host.callers, "POST", "/look/x", {"Host": "h.example", "X-Attempt-Id": "look%d" % next(self.numbers)}, b"good")[0]
 
+    def begin_stream(self, host, adapter, resumes=None, after=None):
+        """A connection on which a stream has begun, its status, its id and the number of its first event."""
+        attempt = "s%d" % next(self.numbers)
+        headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
+        headers |= {"Resumes": resumes} if resumes else {}
+        headers |= {"Last-Event-Id": str(after)} if after else {}
+        connection = http.client.HTTPConnection(host.callers, timeout=8)
+        connection.request("POST", "/gen/x", body=b"prompt", headers=headers)
+        answer = connection.getresponse()
+        line = answer.readline() if answer.status == 200 else b""
+        return connection, answer, attempt, int(line[4:]) if line.startswith(b"id: ") else 0
+
+    def version_of(self, attempt):
+        return [version for replica in self.replicas for ran, _resumes, version in replica.streams if ran == attempt]
+
+    # Guards against streams that go on at another software version than the one that began them, taken up at hosts that did not see them begin
+    # (issue 29, ORDER), and against streams that are refused though their version is served (LOST).
+    def test_a_stream_that_is_taken_up_at_any_host_goes_on_at_its_version(self):
+        self.replicas += [Replica(self.store, "i-new%d" % n, "llm", "a", model="base", version="v1.1") for n in range(2)]
+        self.hosts += [Host(number, self.store, pathlib.Path(self.folder.name)) for number in (3, 4)]
+        self.start_all()
+        for replica in self.replicas:
+            replica.event_seconds = 0.15
+        seen = set()
+        for number in range(8):
+            first, others = self.hosts[number % 4], [host for host in self.hosts if host is not self.hosts[number % 4]]
+            connection, answer, attempt, event = self.begin_stream(first, "a%d" % number)
+            self.assertEqual((answer.status, event), (200, 1), self.states("no stream"))
+            first.end(signal.SIGKILL)
+            connection.close()
+            (version,) = self.version_of(attempt)
+            seen.add(version)
+            for host in others[:2]:  # taken up a second and a third time, each time at another host
+                connection, answer, again, event = self.begin_stream(host, "a%d" % number, attempt, event)
+                self.assertEqual(answer.status, 200, self.states("not taken up"))
+                self.assertEqual(self.version_of(again), [version])
+                connection.close()
+            first.start()
+            self.assertTrue(wait_until(first.ready))
+            time.sleep(1.0)
+            connection, answer, again, event = self.begin_stream(first, "a%d" % number, attempt, event)
+            self.assertEqual(answer.status, 200, "at a host that has just started")
+            self.assertEqual(self.version_of(again), [version])
+            connection.close()
+        self.assertEqual(seen, {"v1", "v1.1"})
+        for resumes, after in (("never", 3), (None, 3), ("never", None)):
+            connection, answer, attempt, _event = self.begin_stream(self.hosts[0], "a1", resumes, after)
+            self.assertEqual((answer.status, self.version_of(attempt)), (503, []), (resumes, after))
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
+            connection.close()
+
+    # Guards against a stream that is taken for one of the version that an upstream's record names, while the upstream has started again at
+    # another one and its new record comes late.
+    def test_a_replica_that_is_back_under_its_id_at_another_version_gets_no_stream_until_its_record_is_there(self):
+        self.replicas += [Replica(self.store, "i-new", "llm", "a", model="base", version="v1.1")]
+        self.start_all()
+        for number in range(9):
+            self.assertEqual(self.generate(self.hosts[number % 2], "a%d" % number)[0], 200)
+        restarted = self.replicas[0]
+        restarted.restart("v2")
+        for number in range(20):
+            self.generate(self.hosts[number % 2], "a%d" % (number % 9))
+        self.assertEqual([stream for stream in restarted.streams if stream[2] == "v2"], [], "its record still says v1")
+        restarted.register()
+        self.assertTrue(wait_until(lambda: all(host.events("upstream_changed")[-1]["change"] == "restarted" for host in self.hosts)))
+
+        def is_used():
+            self.generate(self.hosts[0], "b%d" % next(self.numbers))
+            return any(stream[2] == "v2" for stream in restarted.streams)
+
+        self.assertTrue(wait_until(is_used), "used again once its record is there")
+
     def control_keys(self):
         return [key for key, _value in self.store.topics["keyed.control"]]
 
