A host that starts knows which versions its services had before

A stream that is taken up without a record is known to be of the only version that its service had for as long as a stream lasts. A host that has just started could not know that, and after all hosts started anew none could: each would refuse every stream that callers take up for the length of the longest stream. The copy of the upstreams in the control topic, which every host reads when it starts, now says which versions were there and since when that is known. It is written again when a version is gone, not when times change. A copy of an earlier build can't be read and is written anew by the next leader.

Test: `UpstreamCopy.tells_which_versions_services_had_before_a_host_started`.

--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -471,7 +471,7 @@
     planner_.beginEra(now);
     isKeyStored_ = false;
     isAnnounced_ = false;
-    upstreamCopy_.clear();
+    copiedContent_.clear();
     settleEraAt_ = now + node_.settings.ownership.leaseWait;
 }
 
@@ -511,8 +511,7 @@
             std::from_chars(record.value.data(), record.value.data() + record.value.size(), era); // text that is no number names era 0: not settled
             settledEra_ = core::StoreEra(era);
         } else if (record.key == upstreamCopyKey) {
-            upstreamCopy_ = record.value;
-            loadUpstreamCopy();
+            applyUpstreamCopy(record.value);
         }
         ownership::StreamRecord claim{record.offset, core::civilMilliseconds(), std::nullopt};
         if (ownership::engineOf(ownership::Resource(record.key))) {
@@ -606,21 +605,31 @@
     }
 }
 
-/// Applies the stored copy when listing the upstreams has failed and no listing has been read since the start.
-void HostedDaemon::loadUpstreamCopy()
+void HostedDaemon::applyUpstreamCopy(const std::string &text)
 {
-    if (upstreamsTopic_.isKnown() || upstreamsTopic_.isReached() || upstreamCopy_.empty() || node_.replicas.size() > 0) {
-        return;
-    }
     Error why;
-    const auto records = decodeUpstreamCopy(upstreamCopy_, why);
-    if (!records) {
+    auto copy = decodeUpstreamCopy(text, core::civilMilliseconds(), why);
+    if (!copy) {
         node_.log.warn("record_unreadable", why, {{"topic", topicText(Topic::Control)}, {"record", upstreamCopyKey}});
-        upstreamCopy_.clear();
+        copiedContent_.clear();
+        return;
+    }
+    copiedContent_ = std::move(copy->content);
+    if (!std::exchange(hasVersionHistory_, true)) {
+        node_.versions.adopt(copy->past, node_.now());
+    }
+    copiedUpstreams_ = std::move(copy->records);
+    loadUpstreamCopy();
+}
+
+/// Applies the stored copy when listing the upstreams has failed and no listing has been read since the start.
+void HostedDaemon::loadUpstreamCopy()
+{
+    if (upstreamsTopic_.isKnown() || upstreamsTopic_.isReached() || copiedUpstreams_.empty() || node_.replicas.size() > 0) {
         return;
     }
-    node_.log.info("upstreams_from_copy", {{"upstreams", records->size()}});
-    for (const auto &each : *records) {
+    node_.log.info("upstreams_from_copy", {{"upstreams", copiedUpstreams_.size()}});
+    for (const auto &each : copiedUpstreams_) {
         onUpstreamChange(each.id, node_.replicas.apply(each));
     }
     updateResources();
@@ -634,10 +643,12 @@
     if (isSavingCopy_ || !isFirst || !isKnown || node_.isStopping || node_.replicas.size() == 0) {
         co_return;
     }
-    auto copy = encodeUpstreamCopy(node_.replicas);
-    if (copy == upstreamCopy_) {
+    const auto past = node_.versions.past(node_.now());
+    auto content = copyContent(node_.replicas, past);
+    if (content == copiedContent_) {
         co_return;
     }
+    const auto copy = encodeUpstreamCopy(node_.replicas, past, core::civilMilliseconds());
     isSavingCopy_ = true;
     Error why;
     Offset offset;
@@ -645,7 +656,7 @@
     isSavingCopy_ = false;
     node_.metrics.storeCalls.add({"append", outcome == AppendOutcome::Done ? "good" : "failed"});
     if (outcome == AppendOutcome::Done) {
-        upstreamCopy_ = std::move(copy);
+        copiedContent_ = std::move(content);
     } else {
         node_.log.warn("upstreams_not_copied", why);
     }
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -96,6 +96,7 @@
     net::Task<void> announceHost();
     net::Task<void> settleEra();
     [[nodiscard]] Milliseconds appendDelay(const std::string &key) const; // spreads appends that all hosts may attempt at once
+    void applyUpstreamCopy(const std::string &text);
     void loadUpstreamCopy();
     net::Task<void> saveUpstreamCopy();
     net::Task<void> appendClaims(std::vector<ownership::ClaimRecord> records);
@@ -160,7 +161,9 @@
     Instant settleEraAt_;
     bool isSettlingEra_ = false;
     bool isAnnouncing_ = false;
-    std::string upstreamCopy_; // as stored in the control topic
+    std::vector<ReplicaRecord> copiedUpstreams_; // as stored in the control topic
+    std::string copiedContent_;                  // the same, see copyContent()
+    bool hasVersionHistory_ = false;             // of the time before this host started, as far as there is any
     bool isSavingCopy_ = false;
     bool isAppendingClaims_ = false;
     bool isAnnounced_ = false;
--- a/packages/serving/upstreamcopy.cpp
+++ b/packages/serving/upstreamcopy.cpp
@@ -51,39 +51,80 @@
     return record;
 }
 
-} // namespace
-
-std::string encodeUpstreamCopy(const ReplicaBook &replicas)
+json recordsOf(const ReplicaBook &replicas)
 {
     json records = json::array();
     for (const auto &id : replicas.all()) {
         records.push_back(toJson(*replicas.find(id)));
     }
-    return records.dump();
+    return records;
+}
+
+/// Throws json::exception when a field is missing or has another type.
+VersionHistory::Past parsePast(const json &from, std::int64_t civilNow)
+{
+    const auto ageOf = [civilNow](const json &at) { return Milliseconds(std::max<std::int64_t>(0, civilNow - at.get<std::int64_t>())); };
+    VersionHistory::Past past{ageOf(from.at("versions_known_since")), {}};
+    for (const auto &each : from.at("gone")) {
+        past.gone.push_back({ServiceName(each.at(0).get<std::string>()), SoftwareVersion(each.at(1).get<std::string>()), ageOf(each.at(2))});
+    }
+    return past;
 }
 
-std::optional<std::vector<ReplicaRecord>> decodeUpstreamCopy(std::string_view text, core::Error &error)
+std::string contentOf(const json &records, const VersionHistory::Past &past)
+{
+    auto text = records.dump();
+    for (const auto &each : past.gone) {
+        text.append(" ").append(each.service.value()).append(" ").append(each.version.value());
+    }
+    return text;
+}
+
+} // namespace
+
+std::string encodeUpstreamCopy(const ReplicaBook &replicas, const VersionHistory::Past &past, std::int64_t civilNow)
+{
+    json gone = json::array();
+    for (const auto &each : past.gone) {
+        gone.push_back(json::array({each.service.value(), each.version.value(), civilNow - each.age.count()}));
+    }
+    const json copy = {{"upstreams", recordsOf(replicas)}, {"versions_known_since", civilNow - past.coveredFor.count()}, {"gone", std::move(gone)}};
+    return copy.dump();
+}
+
+std::string copyContent(const ReplicaBook &replicas, const VersionHistory::Past &past)
+{
+    return contentOf(recordsOf(replicas), past);
+}
+
+std::optional<UpstreamCopy> decodeUpstreamCopy(std::string_view text, std::int64_t civilNow, core::Error &error)
 {
     const auto value = settings::parseJson(text, "copy of the upstreams", {.comments = false}, error);
     error.step = core::Step::Log;
     if (!value) {
         return std::nullopt;
     }
-    std::vector<ReplicaRecord> records;
+    UpstreamCopy copy;
     try {
-        for (const auto &item : *value) {
+        const auto &records = value->at("upstreams");
+        for (const auto &item : records) {
             const auto record = parseRecord(item);
             if (!record) {
-                error.reason = "the copy of the upstreams contains a record without a valid id, address or number of slots";
+                error.reason = "the copy of the upstreams contains a record without a valid id, address, version or number of slots";
                 return std::nullopt;
             }
-            records.push_back(*record);
+            copy.records.push_back(*record);
         }
+        copy.past = parsePast(*value, civilNow);
+        copy.content = contentOf(records, copy.past);
     } catch (const json::exception &exception) {
         error.reason = std::string("the copy of the upstreams can't be read: ") + exception.what();
         return std::nullopt;
     }
-    return records;
+    for (const auto &record : copy.records) {
+        copy.past.gone.push_back({record.service, record.version, Milliseconds(0)});
+    }
+    return copy;
 }
 
 } // namespace baobabstall::serving
