A host that has just started reads configurations without counting on pages of others

Cause: a host without links plans its reads as one of many does: two reads may lie up to the whole bound apart, as pages of others would come in between, and a page's transfer is not planned for, as no link's speed is known. With records of 450 kB each 330 ms a read then finds nine of them, and has them in force after the bound.

Evidence: `TopicSpread.a_host_without_links_has_large_records_in_time` fails without the change for links of 20 Mbit/s (20 of 132 records late with 300 ms to apply one, 20 with 600 ms) and passes with it. With 900 ms to apply, or 10 Mbit/s, which 450 kB each 330 ms exceed, records are late in both; these are not in the test.

Change: until it has links, a host reads at half of the bound and plans for the transfer over its own link. More reads only in its first second or two.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -47,6 +47,13 @@
     wakeIfEarlier(before);
 }
 
+void TopicFollower::setFirstTurn(Milliseconds readDelay, Milliseconds spread, double linkMbps)
+{
+    const auto before = schedule_.nextRead();
+    schedule_.setFirstTurn(readDelay, spread, linkMbps);
+    wakeIfEarlier(before);
+}
+
 void TopicFollower::stop()
 {
     isRunning_ = false;
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -73,6 +73,8 @@
     bool feed(const SharedPage &shared);
     /// A page that was applied without its time was read at `readAt`.
     void onPageDated(Instant readAt) { schedule_.onPage(readAt); }
+    /// The same for a host that has just started (ReadSchedule::setFirstTurn()).
+    void setFirstTurn(Milliseconds readDelay, Milliseconds spread, double linkMbps);
     void setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps = 0); // see ReadSchedule, also for the next two
     void setGather(Milliseconds delay) { schedule_.setGather(delay); }
     void setUrgent(bool isUrgent) { schedule_.setUrgent(isUrgent); }
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -183,7 +183,8 @@
     startedAt_ = node_.now();
     const auto spread = node_.settings.hosting.configApply / firstReadsShare;
     for (auto *follower : {&operatorsTopic_, &upstreamsTopic_}) {
-        follower->setTurn(staggerDelay(1, spread, node_.settings.host.value() + std::string(follower->name())), spread);
+        const auto delay = staggerDelay(1, spread, node_.settings.host.value() + std::string(follower->name()));
+        follower->setFirstTurn(delay, spread, node_.settings.hosting.linkMbps);
     }
     controlTopic_.setGather(startGather);
 }
--- a/packages/serving/readschedule.cpp
+++ b/packages/serving/readschedule.cpp
@@ -26,6 +26,12 @@
     applyBound();
 }
 
+void ReadSchedule::setFirstTurn(Milliseconds readDelay, Milliseconds spread, double linkMbps)
+{
+    // Reads that no other host's page stands in for: half of the bound is left for a read that finds a backlog, and for its records.
+    setTurn(readDelay, spread + options_.bound / 2, linkMbps);
+}
+
 /// A record that was appended right after a read began comes with the page of the next read. A host that gets neither page reads after its
 /// turn, also the last one, within the bound, and the transfer of what it reads fits in as well.
 void ReadSchedule::applyBound()
--- a/packages/serving/readschedule.h
+++ b/packages/serving/readschedule.h
@@ -69,6 +69,8 @@
 
     /// `readDelay`: 0: this host reads first. `longestTurn`: the longest such delay of any host. `slowestLinkMbps`: of any host; 0: not known.
     void setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps = 0);
+    /// The host has just started: no other host tells it of records yet. `spread`: the longest `readDelay` of hosts that start together.
+    void setFirstTurn(Milliseconds readDelay, Milliseconds spread, double linkMbps);
     void setGather(Milliseconds delay) { options_.gather = delay; }
     void setUrgent(bool isUrgent) { isUrgent_ = isUrgent; } // reads don't wait for new records, because the caller needs to reach the end of the topic
 
--- a/packages/serving/tests/topicspread.h
+++ b/packages/serving/tests/topicspread.h
@@ -33,6 +33,7 @@
         std::int64_t recordBytes = 0;                           // of each record
         std::int64_t maxPageBytes = ReadSchedule::maxPageBytes; // the store ends an answer with the record that exceeds it
         Milliseconds applyTime{0};                              // of a page's newest record, during which the host does nothing else
+        Milliseconds firstTurnSpread{0};                        // above 0: the hosts have just started and have no links
     };
     enum class Outage { None, Refusing, Silent };
 
@@ -165,6 +166,11 @@
     {
         for (auto &[id, host] : hosts_) {
             host->groups.assign(grouped_, id);
+            if (options_.firstTurnSpread.count() > 0) {
+                host->schedule.setFirstTurn(options_.firstTurnSpread, options_.firstTurnSpread, host->linkMbps);
+                wake(*host);
+                continue;
+            }
             host->schedule.setTurn(
                 host->groups.failoverDelay(id, topic), host->groups.longestFailoverDelay(), options_.storeMbps > 0 ? host->groups.slowestLinkMbps() : 0);
             wake(*host);
--- a/packages/serving/tests/topicspreadtest.cpp
+++ b/packages/serving/tests/topicspreadtest.cpp
@@ -260,5 +260,35 @@
     }
 }
 
+// Guards against a host that was added during a series of large configurations and, without links yet, plans its reads as if another host would
+// tell it of them and pages took no time (issue 26, CONFIG: vloerwerk-plan-grown, configurations-too-large-to-share, seed 367285272106).
+TEST(TopicSpread, a_host_without_links_has_large_records_in_time)
+{
+    constexpr Milliseconds bound{3'000};
+    for (const auto &[linkMbps, applyMs] : {std::pair(20.0, 300), std::pair(20.0, 600), std::pair(50.0, 600), std::pair(200.0, 600)}) {
+        for (int offset = 0; offset < 330; offset += 30) {
+            TopicSpread spread({.zones = 1,
+                                .hosts = 1,
+                                .follow = {.bound = bound},
+                                .fastMbps = linkMbps,
+                                .slowMbps = linkMbps,
+                                .storeMbps = 4'000,
+                                .recordBytes = 450'000,
+                                .applyTime = Milliseconds(applyMs),
+                                .firstTurnSpread = bound / 3});
+            constexpr int records = 12;
+            for (int i = 0; i < records; ++i) {
+                spread.at(Instant(1'000 + offset + i * 330), [&spread] { spread.append(); });
+            }
+            spread.runUntil(Instant(15'000));
+            for (int i = 0; i < records; ++i) {
+                const auto appendedAt = Instant(1'000 + offset + i * 330);
+                EXPECT_TRUE(spread.calmHostsWithout(i + 1, Instant(1), appendedAt + bound).empty())
+                    << linkMbps << " Mbit/s, " << applyMs << " ms to apply, record " << i + 1 << ", offset " << offset;
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace baobabstall::serving::tests
