The soak and the stand-ins play requests that crash replicas, and streams taken up across software versions

Replicas have a version; they are replaced, and start again under their id, at any of three, with records that come late. One caller sends a request that crashes every replica that runs it; callers take up broken streams at other hosts, naming the first request. Checked: no stream holds events of two versions; once three replicas crashed and hosts were in contact for 3 s, at most three sends reach replicas, until all hosts are killed at once. The checks find what is forged for them.

--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -170,7 +170,7 @@
         self.orders = []  # (time, holder, fence, operation, adapter)
         self.ran = []  # ids of requests
         self.version = version  # of its software
-        self.streams = []  # (id, id of the stream that it goes on with, version) of streams that began or went on here
+        self.streams = []  # (id, id of the stream that it goes on with, version) of streams that got an event here
         self.limit = None  # requests a second, named in all answers
         self.arrivals = []  # times of requests
         self.crashing_part = None  # of prompts: the connection is reset once the answer has begun
@@ -249,9 +249,11 @@
             self.crash_under(request)
             return
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
-        self.streams.append((attempt, request.headers.get("Resumes"), self.version))
+        version = self.version
         for number in range(first, self.events + 1):
             time.sleep(self.event_seconds)
+            if number == first:
+                self.streams.append((attempt, request.headers.get("Resumes"), version))
             event = b"id: %d\ndata: %s\n\n" % (number, attempt.encode())
             request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             request.wfile.flush()
--- a/standins/hosting/proxy.py
+++ b/standins/hosting/proxy.py
@@ -14,6 +14,7 @@
     def __init__(self, target):
         self.target = target
         self.delay = 0.0  # seconds, each piece, each way
+        self.refusing = False  # new connections are reset
         self.silent = set()  # "there", "back": nothing passes that way, and no end either
         self.closed = False
         self.pairs = set()
@@ -54,6 +55,9 @@
                 near, _peer = self.listener.accept()
             except OSError:
                 return
+            if self.refusing:
+                self.reset(near)
+                continue
             threading.Thread(target=self.connect, args=(near,), daemon=True).start()
 
     def connect(self, near):
--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -2,9 +2,10 @@
 
 Each seed draws a deployment and a series of faults that overlap: hosts are killed, stopped, paused and told to reload; connections to the store,
 to replicas, between hosts and from callers are delayed, silenced (also one way) or reset; the store is down, slow, turns single hosts away or
-loses answers; replicas crash, leave, come and cut answers; configurations change. Callers keep their connections until they end.
+loses answers; replicas crash, leave, come, cut answers and start again under their id at another software version while their record comes late; one request crashes every
+replica that runs it and comes again and again; configurations change. Callers keep their connections until they end, and take up broken streams.
 Checked from what callers and replicas see: answers are whole and the caller's own, nothing runs twice that must not, a refusal is true,
-orders of one holder at a time, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
+orders of one holder at a time, no stream holds events of two software versions, a crashing request reaches few replicas once it is known, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
 The time of day can't be set without privileges; nothing here depends on it but the numbers of runs, which only grow.
 Every seed that ever failed stands in faultseeds.txt with its cause and runs each time."""
 import argparse
@@ -38,6 +39,10 @@
 PROMISES = (408, 421, 429, 503)  # not run, and never will be
 STREAM_LIMIT, PLAIN_LIMIT = 8.0, 2.0  # seconds; timeout_ms of the two routes
 STREAM_DEADLINE, PLAIN_DEADLINE = 6.0, 1.5
+CONTACT_SECONDS = 3.0  # after the third crash, until all hosts refuse the request
+KNOWN_CRASHES, MOST_LATE_SENDS = 3, 3
+CRASHING_BODY = b"crash"
+VERSIONS = ("v1", "v1.1", "v1.2")
 
 
 class SoakStore(Store):
@@ -92,15 +97,22 @@
             return
         super().run(request)
 
-    def crash(self):
+    def crash(self, version=None):
         with self.lock:
-            self.held.clear()
-            self.sequence = 0
-            self.fence = 0
-            self.born = int(time.time() * 1000)
             self.orders.append(None)  # a new run: turns of holders count anew
+        self.restart(version or self.version)
         self.proxy.reset_all()
 
+    def crash_under(self, request):
+        self.crashed.append((time.monotonic(), request.headers["X-Attempt-Id"]))
+        self.proxy.refusing = True
+        self.crash()
+        threading.Timer(1.5, self.come_back).start()
+
+    def come_back(self):
+        self.proxy.refusing = False
+        self.register()
+
     def close(self):
         self.proxy.close()
         super().close()
@@ -121,20 +133,26 @@
         while not self.world.is_over:
             count += 1
             host = self.random.choice(self.world.hosts)
-            self.results.append(self.one(host, "c%d-%d" % (self.number, count), self.random.random() < 0.6))
+            result = self.one(host, "c%d-%d" % (self.number, count), self.random.random() < 0.6)
+            self.results.append(result)
+            if result["stream"] and result["status"] == 200 and not result["whole"]:
+                self.take_up(result)
             time.sleep(self.random.random() * 0.05)
 
-    def one(self, host, attempt, is_stream):
+    def one(self, host, attempt, is_stream, resumes=None, after=0):
         headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": str(int((STREAM_DEADLINE if is_stream else PLAIN_DEADLINE) * 1000))}
         if is_stream:
             headers["X-Model-Id"] = "base/a%d" % int(self.random.paretovariate(1.2))
+            headers |= {"Resumes": resumes, "Last-Event-Id": str(after)} if resumes else {}
         connection = self.connections.pop(host.name, None) or http.client.HTTPConnection(host.front.address, timeout=FIRST_BYTE_SECONDS)
         result = {"id": attempt, "host": host.name, "stream": is_stream, "begin": time.monotonic(), "status": 0, "body": b"", "seal": None, "after": None}
         try:
             connection.request("POST", "/gen/x" if is_stream else "/book/x", body=b"seat 4", headers=headers)
             answer = connection.getresponse()
             result["status"], result["seal"], result["after"] = answer.status, answer.headers.get("X-Response-Seal"), answer.headers.get("Retry-After")
-            result["body"] = answer.read()
+            while is_stream and (part := answer.read1(65536)):
+                result["body"] += part
+            result["body"] += answer.read()
             result["whole"] = True
             if not answer.will_close:
                 self.connections[host.name] = connection
@@ -146,6 +164,39 @@
         return result
 
 
+    def take_up(self, first):
+        """Goes on with a broken stream, each time at another host, as a caller of the product does."""
+        for step in range(2):
+            events = [int(line[4:]) for line in first["body"].split(b"\n") if line.startswith(b"id: ")]
+            if not events:
+                return
+            host = self.random.choice([host for host in self.world.hosts if host.name != first["host"]])
+            result = self.one(host, "%s-%d" % (first["id"], step), True, first["id"], events[-1])
+            self.world.taken_up.append((first["id"], result["id"], result["status"]))
+            if result["status"] == 200:
+                first["body"] += result["body"]
+            if result["whole"]:
+                return
+
+
+class CrashingCaller(threading.Thread):
+    """Sends one request again and again, at any host, under new ids."""
+
+    def __init__(self, world):
+        super().__init__(daemon=True)
+        self.world = world
+        self.sent = {}  # id -> host
+
+    def run(self):
+        chooser = random.Random(self.world.seed)
+        while not self.world.is_over:
+            host = chooser.choice(self.world.hosts)
+            attempt = "x%d" % len(self.sent)
+            self.sent[attempt] = host.name
+            ask(host.front.address, "POST", "/look/x", {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "1500"}, CRASHING_BODY, PLAIN_LIMIT)
+            time.sleep(chooser.uniform(0.05, 0.8))
+
+
 class World:
     def __init__(self, seed, seconds, folder):
         self.seed, self.seconds, self.folder = seed, seconds, folder
@@ -153,6 +204,9 @@
         self.is_over = False
         self.story = []
         self.failures = []
+        self.taken_up = []  # (id of the stream's first request, id of a later one, its status)
+        self.killed_all_at = []
+        self.crasher = None
         self.disturbed = {}  # host name -> list of [from, until]; None: every host
         self.store = SoakStore()
         self.version = 3
@@ -217,6 +271,7 @@
 
     def kill_all(self):
         seconds = self.random.uniform(0.2, 1.5)
+        self.killed_all_at.append(time.monotonic())
         self.note("every host is killed, starts again after %.1f s" % seconds, None, seconds + 7)
         for host in self.hosts:
             self.stop(host, signal.SIGKILL)
@@ -284,11 +339,22 @@
         old = self.random.choice(self.replicas)
         self.note("%s leaves, another comes" % old.name, [], 0)
         fresh = self.replica(100 + len(self.story))
+        fresh.version = self.random.choice(VERSIONS)
+        fresh.register()
         old.register("draining")
         self.replicas.append(fresh)
         time.sleep(2.5)
         self.store.put("keyed.servers", old.name, b"")
 
+    def restart_at_another_version(self):
+        replica = self.random.choice(self.replicas)
+        lag = self.random.uniform(0.0, 3.0)
+        version = self.random.choice(VERSIONS)
+        self.note("%s starts again at %s, its record comes %.1f s later" % (replica.name, version, lag), [], 0)
+        replica.crash(version)
+        time.sleep(lag)
+        replica.register()
+
     def configure(self):
         self.version += self.random.randint(1, 5)
         self.note("configuration %d" % self.version, [], 0)
@@ -311,7 +377,8 @@
             (2, lambda: self.harm(host.peer_proxy, "peers to " + host.name, None)),
             (1, lambda: self.harm(host.front, "callers of " + host.name, [host])),
             (3, self.replica_fault),
-            (1, self.release),
+            (1.5, self.release),
+            (1.5, self.restart_at_another_version),
             (0.5, self.kill_all),
             (2, self.configure),
         ]
@@ -326,6 +393,14 @@
             return []
         callers = [Caller(self, number) for number in range(self.random.randint(4, 8))]
         self.note("start: %d hosts, %d replicas, %d callers" % (len(self.hosts), len(self.replicas), len(callers)), None, 3)
+        if self.random.random() < 0.5:
+            self.crasher = CrashingCaller(self)
+            for shop in self.shops:
+                shop.crashing_body = CRASHING_BODY
+            self.shops += [SoakReplica(self.store, "i-spare%d" % n, "shop", "a") for n in range(4)]
+            for shop in self.shops:
+                shop.crashing_body = CRASHING_BODY
+            self.crasher.start()
         for caller in callers:
             caller.start()
         busy = {}
@@ -358,6 +433,9 @@
             self.check_orders(replica)
         for result in results:
             self.check_answer(result, ran)
+        self.check_versions([stream for replica in self.replicas for stream in replica.streams])
+        if self.crasher:
+            self.check_crashes(sorted(crash for shop in self.shops for crash in shop.crashed))
         for host in self.hosts:
             self.check_host(host)
         self.check_stories(results)
@@ -386,6 +464,25 @@
         if result["end"] - result["begin"] > limit and self.is_calm(result["host"], result["begin"], result["end"]):
             self.fail(result, "held beyond its time at a host that nothing disturbed")
 
+    def check_versions(self, streams):
+        """`streams`: see Replica. One stream's events come from one software version, over all its requests."""
+        versions = {}
+        for attempt, resumes, version in streams:
+            versions.setdefault(resumes or attempt, set()).add(version)
+        self.failures += ["stream %s has events of versions %s" % (first, sorted(found)) for first, found in versions.items() if len(found) > 1]
+
+    def check_crashes(self, crashes):
+        """`crashes`: times and ids. Hosts that are all killed at once know nothing of what was before."""
+        bounds = [0.0, *self.killed_all_at, float("inf")]
+        for begin, end in zip(bounds, bounds[1:]):
+            part = [crash for crash in crashes if begin <= crash[0] < end]
+            if len(part) < KNOWN_CRASHES:
+                continue
+            known = part[KNOWN_CRASHES - 1][0] + CONTACT_SECONDS
+            late = [(at, attempt) for at, attempt in part if at > known and self.is_calm(self.crasher.sent[attempt], at - CONTACT_SECONDS, at)]
+            if len(late) > MOST_LATE_SENDS:
+                self.failures.append("a crashing request reached replicas %d times after it was known" % len(late))
+
     def check_orders(self, replica):
         last = None
         holders = {}
@@ -457,6 +554,9 @@
         finally:
             world.close()
     ends = collections.Counter(str(result["status"]) + ("" if result.get("whole") else " cut") for result in results)
+    ends.update("%d to streams taken up" % status for _first, _again, status in world.taken_up)
+    if world.crasher:
+        ends["crashes by one request"] = sum(len(shop.crashed) for shop in world.shops)
     if world.failures and logs:
         path = pathlib.Path(logs) / ("seed-%d" % seed)
         path.mkdir(parents=True, exist_ok=True)
@@ -479,9 +579,18 @@
     for number, (change, times) in enumerate(forged):
         world.check_answer(good | change, {"q": times})
         assert len(world.failures) == number + 1, (change, world.failures)
+    world.check_versions([("a", None, "v1"), ("b", "a", "v1"), ("c", None, "v2")])
+    assert len(world.failures) == len(forged), world.failures
+    world.check_versions([("a", None, "v1"), ("b", "a", "v2")])
+    assert len(world.failures) == len(forged) + 1
+    world.killed_all_at, world.crasher = [50.0], type("Crasher", (), {"sent": {str(n): "entry-1" for n in range(20)}})
+    world.check_crashes([(float(n), str(n)) for n in range(6)] + [(60.0 + n, str(10 + n)) for n in range(3)])
+    assert len(world.failures) == len(forged) + 1, world.failures
+    world.check_crashes([(float(n), str(n)) for n in range(10)])
+    assert len(world.failures) == len(forged) + 2
     replica = type("Orders", (), {"name": "i", "orders": [(1.0, "a", 5, "load", "x"), (1.2, "b", 5, "load", "x"), (1.4, "c", 6, "load", "x")]})
     world.check_orders(replica)
-    assert len(world.failures) == len(forged) + 2, world.failures[len(forged) :]
+    assert len(world.failures) == len(forged) + 4, world.failures[len(forged) :]
 
 
 def seeds_of(text):
