--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -153,6 +153,32 @@
     EXPECT_TRUE(response.contains("Retry-After: "));
 }
 
+// The same for a stream, whose upstreams crash after the head, inside an event and before both, beside a part that sound requests share.
+TEST_F(ForwarderTest, a_stream_whose_request_crashes_upstreams_is_refused_and_its_parts_are_not)
+{
+    const Script sound{{streamHead() + chunk(event(1)) + finalChunk}};
+    std::vector<std::vector<Script>> upstreams;
+    for (const auto &pieces : {std::vector<std::string>{streamHead()}, {streamHead() + chunk("id: 1\nda")}, {}}) {
+        Script script = sound;
+        script.crashesOn = "GET /bad ";
+        script.crashPieces = pieces;
+        upstreams.push_back({script});
+        upstreams.push_back({script});
+    }
+    setUpService(route(RetryPolicy::Resumable, true, 2), upstreams);
+    const std::string parts = "Parts: first,rare\r\n";
+    int refused = 0;
+    constexpr int rounds = 6;
+    for (int i = 0; i < rounds; ++i) {
+        const auto response = sendRequest("GET /bad HTTP/1.1\r\nHost: h\r\nId: q" + std::to_string(i) + "\r\n" + parts + "\r\n", "\r\n\r\n");
+        refused += response.status() == 503 ? 1 : 0;
+        runFor(Milliseconds(450));
+    }
+    EXPECT_EQ(requestCount(), 3U);
+    EXPECT_EQ(refused, rounds - 2);
+    EXPECT_EQ(sendRequest(getRequest("s", parts), finalChunk).status(), 200);
+}
+
 TEST_F(ForwarderTest, a_response_delimited_by_connection_close_is_complete)
 {
     setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\n\r\nunframed"}, true}}});
--- a/packages/serving/tests/streamrecordstest.cpp
+++ b/packages/serving/tests/streamrecordstest.cpp
@@ -5,6 +5,7 @@
 #include <random>
 #include <set>
 
+#include <peers/messages.h>
 #include <serving/streamrecords.h>
 
 #include "virtualtime.h"
@@ -58,6 +59,8 @@
             assignGroups();
         });
     }
+    /// Nobody reaches the host any more; it goes on, and the others have not noticed.
+    void cut(const HostId &host) { hosts_.at(host)->isAlive = false; }
     /// Starts again without anything that it held.
     void restart(const HostId &host)
     {
@@ -181,6 +184,28 @@
     EXPECT_EQ(known, 24);
 }
 
+// Guards against a host that must reach the one where the stream began.
+TEST(StreamSpread, hosts_that_are_cut_from_the_first_host_know_as_much)
+{
+    StreamSpread spread(4, 24, 9);
+    int asked = 0;
+    int known = 0;
+    for (int i = 0; i < 100; ++i) {
+        const RequestId id("stream-" + std::to_string(i));
+        spread.at(Instant(1'000 + i), [&spread, id] { spread.begin(HostId("host-0"), id, originOf("v1")); });
+    }
+    spread.at(Instant(1'200), [&] { spread.cut(HostId("host-0")); });
+    spread.at(Instant(1'250), [&] {
+        for (int i = 0; i < 100; ++i) {
+            ++asked;
+            spread.find(
+                HostId("host-" + std::to_string(1 + i % 23)), RequestId("stream-" + std::to_string(i)), [&](const auto &origin) { known += origin ? 1 : 0; });
+        }
+    });
+    spread.runUntil(Instant(2'000));
+    EXPECT_EQ(known, asked);
+}
+
 // Guards against the version of an upstream that broke off before the first event.
 TEST(StreamSpread, the_last_upstream_before_the_first_event_counts)
 {
@@ -215,6 +240,11 @@
         EXPECT_EQ(spread.messages, streams * StreamRecords::toldHosts);
         EXPECT_LE(spread.largestState(), StreamRecords::maxStreams);
     }
+    const peers::StreamOriginNotice notice{RequestId("9c41d07be2a35f68"), {"v1.2", ServiceName("huvo11a"), ~std::uint64_t(0), 1}, 15'000};
+    const auto bytes = peers::encode(peers::Notice{notice}).size();
+    std::printf("%zu bytes a message\n", bytes);
+    constexpr std::size_t maxBytes = 150; // 15,000 streams a minute at 8 hosts are then 14 KB/s sent by each
+    EXPECT_LE(bytes, maxBytes);
     HostGroups groups;
     StreamRecords records(HostId("host"), groups);
     for (int i = 0; i < 40'000; ++i) {
