New streams avoid a shrinking version only while another has free slots; review of both matters

A service whose old version still has most of the replicas would have refused new streams at three quarters of its slots during a release under load. Besides: a record that names another software version is another run, also without a start time; what hosts tell of crashed requests is bounded at the host that counts; a success between the last crash and the blame ends the blame.

--- a/packages/serving/crashcounter.cpp
+++ b/packages/serving/crashcounter.cpp
@@ -53,7 +53,7 @@
             count.crashes = count.all = 1;
         }
     }
-    if (const auto blamed = blames_.find(cause); blamed != blames_.end() && at > blamed->second.verdict.since) {
+    if (const auto blamed = blames_.find(cause); blamed != blames_.end() && at >= blamed->second.verdict.lastCrash) {
         clearBlame(cause, now);
     }
 }
@@ -215,10 +215,10 @@
     }
     for (const auto &[cause, at] : std::exchange(suspectSince_, std::move(since))) {
         if (!suspectSince_.contains(cause) && !blames_.contains(cause)) {
-            earlier_.erase(cause);
             clear({.cause = cause}, now);
         }
     }
+    std::erase_if(earlier_, [this](const auto &each) { return !suspectSince_.contains(each.first); });
 }
 
 /// The causes to blame next: of the suspects in one crash, the one that explains the most crashes, or several that can't be told apart.
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -56,7 +56,8 @@
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
 constexpr Milliseconds reportTimeout{300};           // for the upstream's word on its run, before a stream begins there
 constexpr double resumedFillRatio = 1.5;             // of the fill up to which new requests are sent: a stream that goes on has no other upstreams to go to
-constexpr double shrinkingFill = 0.75;               // running requests per slot; beyond it a version whose upstreams leave takes streams that go on only
+constexpr double shrinkingFill
+    = 0.75; // running requests per slot; beyond it a version whose upstreams leave takes new streams only when no other has a free slot
 constexpr Milliseconds unknownStreamRetryAfter{300}; // Retry-After when this host can't know a stream's version: another host may
 constexpr double freeSlotFill = 1;                   // running requests per slot; below it a request starts immediately
 
@@ -200,14 +201,10 @@
         return true;
     }
 
-    /// Whether the upstream's version is the stream's, or a new stream may begin there.
-    [[nodiscard]] bool isVersionAllowed(const ReplicaRecord &record) const
+    /// Whether the rest of the upstream's slots is for streams that go on: its version's upstreams leave.
+    [[nodiscard]] bool isReserved(const ReplicaRecord &record) const
     {
-        if (version_) {
-            return record.version == *version_;
-        }
-        const double fill = static_cast<double>(node_.chooser.occupancy(record.id, node_.now()).running) / record.slots;
-        return !isResumable() || fill < shrinkingFill || !node_.versions.isShrinking(*service_, record.version, node_.now());
+        return isResumable() && !version_ && node_.versions.isShrinking(*service_, record.version, node_.now()) && fillOf(record) >= shrinkingFill;
     }
 
     /// Tells other hosts at which version the stream begins, should its first event come from this upstream.
@@ -278,7 +275,7 @@
             const bool isExcluded = std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
             const bool isFull = serviceSpec_ != nullptr && serviceSpec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.localOccupancy(id).running >= connectionShare();
-            const bool isWrongVersion = !isVersionAllowed(*record) || (isResumable() && node_.isOutdated(*record));
+            const bool isWrongVersion = (version_ && record->version != *version_) || (isResumable() && node_.isOutdated(*record));
             if (isExcluded || isFull || isWrongVersion || !node_.maySend(id) || (needsModel && !record->holds(model)) || (onlyHolders_ && !isHeld(*record))) {
                 continue;
             }
@@ -315,6 +312,11 @@
         return core::hashText(text, 1) | 1;
     }
 
+    [[nodiscard]] double fillOf(const ReplicaRecord &record) const
+    {
+        return static_cast<double>(node_.chooser.occupancy(record.id, node_.now()).running) / record.slots;
+    }
+
     [[nodiscard]] double maxFill() const
     {
         if (isEngine()) {
@@ -352,9 +354,13 @@
                 std::erase_if(all, isOther);
             }
         }
-        const auto *best = node_.chooser.pick({all, affinityKey(), node_.settings.zone}, node_.now());
-        const double fill = static_cast<double>(node_.chooser.occupancy(best->replica->id, node_.now()).running) / best->replica->slots;
-        if (fill >= maxFill() * (version_ ? resumedFillRatio : 1)) {
+        auto open = all;
+        std::erase_if(open, [this](const Candidate &each) { return isReserved(*each.replica); });
+        const auto *best = open.size() < all.size() ? node_.chooser.pick({open, affinityKey(), node_.settings.zone}, node_.now()) : nullptr;
+        if (best == nullptr || fillOf(*best->replica) >= freeSlotFill) {
+            best = node_.chooser.pick({all, affinityKey(), node_.settings.zone}, node_.now());
+        }
+        if (fillOf(*best->replica) >= maxFill() * (version_ ? resumedFillRatio : 1)) {
             refusalReason_ = "crowded";
             return nullptr;
         }
--- a/packages/serving/replicabook.cpp
+++ b/packages/serving/replicabook.cpp
@@ -43,7 +43,7 @@
     if (record.startTime < entry.record.startTime) {
         return BookChange::None; // the record belongs to an earlier run
     }
-    const bool isRestart = record.startTime > entry.record.startTime;
+    const bool isRestart = record.startTime > entry.record.startTime || record.version != entry.record.version;
     const bool wasLeaving = entry.record.isLeaving;
     const bool wasInGracePeriod = entry.graceEnd.has_value();
     entry.graceEnd.reset();
--- a/packages/serving/tests/replicabooktest.cpp
+++ b/packages/serving/tests/replicabooktest.cpp
@@ -131,5 +131,18 @@
     EXPECT_FALSE(isUsable());
 }
 
+// Guards against connections that are kept to an upstream which has started again at another software version, where records name no start.
+TEST(ReplicaBook, another_software_version_is_another_run)
+{
+    ReplicaBook book;
+    auto record = makeRecord("r1", 0);
+    record.version = SoftwareVersion("v1");
+    book.apply(record);
+    const auto before = book.version();
+    record.version = SoftwareVersion("v2");
+    EXPECT_EQ(book.apply(record), BookChange::Restarted);
+    EXPECT_GT(book.version(), before);
+}
+
 } // namespace
 } // namespace baobabstall::serving
