A stream goes on at its first upstream while the owner of that upstream is gone

The upstream held the weights all along. The record of a stream names its upstream now; while no owner answers, a stream may go on there, and the upstream itself refuses what it does not hold.

Test: `TakenUpStreamTest.goes_on_at_its_first_upstream_while_no_owner_can_say_what_it_holds`.

--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -117,7 +117,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashVerdictsNotice, verdicts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashProbeCall, causes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashProbeReply, isGranted)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginEntry, version, service, request, send)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginEntry, version, upstream, service, request, send)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginNotice, id, origin, remainingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginCall, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginReply, isKnown, origin)
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -136,6 +136,7 @@
 /// serving::StreamOrigin.
 struct StreamOriginEntry {
     std::string version;
+    core::UpstreamId upstream;
     core::ServiceName service;
     std::uint64_t request = 0;
     int send = 0;
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -177,7 +177,10 @@
                 co_await refuse(503, "resumes_other_request", unavailableRetryAfter);
                 co_return false;
             }
-            version_ = origin ? std::optional(origin->version) : std::nullopt;
+            if (origin) {
+                version_ = origin->version;
+                firstUpstream_ = origin->upstream;
+            }
         }
         if (!version_) {
             version_ = node_.versions.only(*service_, node_.longestStream, node_.now());
@@ -211,7 +214,7 @@
     void announceStream(const ReplicaRecord &replica)
     {
         if (isResumable() && !isTakenUp_ && !hasResponseBegun_) {
-            node_.streams->announce(metadata_.id, {replica.version, *service_, streamKey(), sends_}, deadline_ + StreamRecords::extraLifetime);
+            node_.streams->announce(metadata_.id, {replica.version, replica.id, *service_, streamKey(), sends_}, deadline_ + StreamRecords::extraLifetime);
             announcedVersion_ = replica.version;
         }
     }
@@ -300,7 +303,7 @@
 
     [[nodiscard]] bool isHeld(const ReplicaRecord &record) const
     {
-        return record.holds(metadata_.weights) || node_.leases.find(record.id, metadata_.weights, node_.now());
+        return record.holds(metadata_.weights) || record.id == firstUpstream_ || node_.leases.find(record.id, metadata_.weights, node_.now());
     }
 
     [[nodiscard]] std::uint64_t affinityKey() const
@@ -459,6 +462,9 @@
         const auto took = node_.now() - now;
         residencyWait_ = residencyWait_ + took;
         node_.metrics.residencyWait.observe({grant ? "held" : "failed"}, took);
+        if (!grant && replica.id == firstUpstream_ && why.step == Step::Peer) {
+            co_return true; // its owner may have gone with the host that began the stream; the upstream refuses what it does not hold
+        }
         if (!grant) {
             refusalReason_ = "weights_not_held";
             reasonDetail_ = why.reason;
@@ -1216,6 +1222,7 @@
     std::optional<std::uint64_t> lastEventId_;
     bool isTakenUp_ = false;                          // the caller takes up a stream that began before
     std::optional<SoftwareVersion> version_;          // of a stream whose first event the caller has: it goes on there only
+    UpstreamId firstUpstream_;                        // where the stream began that the caller takes up; empty: not known
     std::optional<SoftwareVersion> announcedVersion_; // where the stream may begin, as told to other hosts
     std::vector<UpstreamId> sentTo_;                  // distinct upstreams that the request was sent to
     std::vector<UpstreamId> excluded_;                // upstreams that must not be chosen again
--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -6,12 +6,12 @@
 
 peers::StreamOriginEntry entryOf(const StreamOrigin &origin)
 {
-    return {origin.version.value(), origin.service, origin.request, origin.send};
+    return {origin.version.value(), origin.upstream, origin.service, origin.request, origin.send};
 }
 
 StreamOrigin originOf(const peers::StreamOriginEntry &entry)
 {
-    return {SoftwareVersion(entry.version), entry.service, entry.request, entry.send};
+    return {SoftwareVersion(entry.version), entry.upstream, entry.service, entry.request, entry.send};
 }
 
 } // namespace
--- a/packages/serving/streamrecords.h
+++ b/packages/serving/streamrecords.h
@@ -23,6 +23,7 @@
 
 struct StreamOrigin {
     SoftwareVersion version; // of the upstream that the first event comes from
+    UpstreamId upstream;     // which holds the weights, also while no owner can say so
     ServiceName service;
     std::uint64_t request = 0; // hash of what the caller has to ask for again
     int send = 0;              // counts the upstreams that the request was sent to before its first event; the last one holds
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -497,7 +497,7 @@
 TEST_F(TakenUpStreamTest, goes_on_at_the_version_that_began_it)
 {
     setUpVersions({"v2", "v2", "v1"});
-    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/x"), 1};
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/x"), 1};
     EXPECT_EQ(takeUp().status(), 200);
     ASSERT_EQ(upstream(3).requests.size(), 1U);
     EXPECT_TRUE(upstream(3).requests.at(0).hasLine("Last: 2"));
@@ -523,9 +523,9 @@
 TEST_F(TakenUpStreamTest, is_refused_when_it_names_another_request)
 {
     setUpVersions({"v1", "v1"});
-    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/y"), 1};
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/y"), 1};
     EXPECT_EQ(takeUp().status(), 503) << "of another path or caller";
-    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("t"), keyOf("/x"), 1};
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("t"), keyOf("/x"), 1};
     EXPECT_EQ(takeUp().status(), 503) << "of another service";
     EXPECT_EQ(requestCount(), 0U);
 }
@@ -538,10 +538,23 @@
     EXPECT_EQ(takeUp().status(), 200);
 }
 
+// Guards against a stream that is refused because the owner of its upstreams is gone with the host that began it.
+TEST_F(TakenUpStreamTest, goes_on_at_its_first_upstream_while_no_owner_can_say_what_it_holds)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{rest()}, {rest()}, {rest()}}, true, {"v1", "v1", "v1"});
+    residency_.isGranting = false;
+    residency_.failure.step = core::Step::Peer;
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r2"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(sendRequest(getRequest("new", "Weights: m/a\r\n"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(takeUp("Resumes: first\r\nWeights: m/a\r\n").status(), 200);
+    EXPECT_EQ(upstream(2).requests.size(), 1U);
+    EXPECT_EQ(requestCount(), 1U);
+}
+
 TEST_F(TakenUpStreamTest, is_refused_at_once_when_its_version_is_not_served)
 {
     setUpVersions({"v2", "v2"});
-    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/x"), 1};
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/x"), 1};
     const auto begin = node_.now();
     const auto response = takeUp();
     EXPECT_EQ(response.status(), 503);
@@ -559,7 +572,7 @@
         node_.chooser.beginSend(UpstreamId("r1")); // of 8 slots
         node_.chooser.beginSend(UpstreamId("r2"));
     }
-    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), ServiceName("s"), keyOf("/x"), 1};
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/x"), 1};
     EXPECT_EQ(sendRequest(getRequest("new"), finalChunk).status(), 200);
     EXPECT_EQ(upstream(1).requests.size(), 0U);
     EXPECT_EQ(takeUp().status(), 200);
--- a/packages/serving/tests/streamrecordstest.cpp
+++ b/packages/serving/tests/streamrecordstest.cpp
@@ -15,7 +15,7 @@
 
 StreamOrigin originOf(const std::string &version, int send = 1)
 {
-    return {SoftwareVersion(version), ServiceName("llm"), 7, send};
+    return {SoftwareVersion(version), UpstreamId("i-1"), ServiceName("llm"), 7, send};
 }
 
 /// Hosts that begin streams and tell each other, on virtual time; links, membership and deaths are simulated.
@@ -240,7 +240,8 @@
         EXPECT_EQ(spread.messages, streams * StreamRecords::toldHosts);
         EXPECT_LE(spread.largestState(), StreamRecords::maxStreams);
     }
-    const peers::StreamOriginNotice notice{RequestId("9c41d07be2a35f68"), {"v1.2", ServiceName("huvo11a"), ~std::uint64_t(0), 1}, 15'000};
+    const peers::StreamOriginNotice notice{
+        RequestId("9c41d07be2a35f68"), {"v1.2", UpstreamId("i-7f3a91c2"), ServiceName("huvo11a"), ~std::uint64_t(0), 1}, 15'000};
     const auto bytes = peers::encode(peers::Notice{notice}).size();
     std::printf("%zu bytes a message\n", bytes);
     constexpr std::size_t maxBytes = 150; // 15,000 streams a minute at 8 hosts are then 14 KB/s sent by each
