An idle connection that was closed too soon makes the upstream prove its run

A connection that is closed sooner than the upstream said now counts as a lost one.

Test: `TakenUpStreamTest.begins_only_where_the_run_is_proven_after_an_idle_connection_was_closed`.

--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -57,7 +57,9 @@
     , chooser(ChooserOptions(), core::hashText(hostSettings.host.value(), 0))
     , versions(now())
     , pool(context, PoolOptions())
-{ }
+{
+    pool.onUnexpectedClose = [this](const UpstreamId &id) { doubtRun(id); };
+}
 
 admission::RetryBudget &Node::retryBudgetFor(const ServiceName &service)
 {
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -607,6 +607,25 @@
     EXPECT_EQ(streams_.origins.at(RequestId("q0")).version, SoftwareVersion("v2"));
 }
 
+// Guards against an upstream that starts again while a connection to it is idle: no request breaks off, and its record comes late.
+TEST_F(TakenUpStreamTest, begins_only_where_the_run_is_proven_after_an_idle_connection_was_closed)
+{
+    const Script stream{{streamHead() + chunk(event(1)) + finalChunk}, true};
+    const Script report{{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n88"}};
+    const Script current{{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n77"}};
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{stream, report, rest()}, {current, rest()}}, true, {"v1", "v1"});
+    for (const auto *id : {"r1", "r2"}) {
+        auto record = *node_.replicas.find(UpstreamId(id));
+        record.startTime = ReplicaStartTime(77);
+        node_.replicas.apply(record);
+    }
+    node_.replicas.markLeaving(UpstreamId("r2"), ReplicaStartTime(77));
+    EXPECT_EQ(sendRequest(getRequest("q0", "Weights: m/\r\n"), finalChunk).status(), 200);
+    runFor(Milliseconds(50)); // the upstream closes the connection
+    EXPECT_EQ(sendRequest(getRequest("q1", "Weights: m/\r\n"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(upstream(1).requests.size(), 2U) << "a stream and the question for the run";
+}
+
 TEST_F(ForwarderTest, an_unterminated_event_counts_as_truncation_and_the_stream_resumes_elsewhere)
 {
     const auto endless = streamHead() + chunk(event(1)) + chunk("id: 2\ndata: " + std::string(EventScanner::maxEventBytes, 'x'));
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -38,10 +38,14 @@
         auto connection = std::move(group->second.idle.back());
         group->second.idle.pop_back();
         const bool isReusable = now - connection->idleSince + options_.closeMargin < connection->keepFor;
-        if (isReusable && hasNoPendingData(connection->socket)) {
+        const bool isOpen = hasNoPendingData(connection->socket);
+        if (isReusable && isOpen) {
             connection->isReused = true;
             return connection;
         }
+        if (isReusable) {
+            onUnexpectedClose(id);
+        }
         drop(id, connection);
     }
     return nullptr;
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -58,6 +58,9 @@
 public:
     UpstreamPool(boost::asio::io_context &io, PoolOptions options);
 
+    /// Called when an idle connection turns out to have been closed sooner than the upstream said: it may have started again.
+    std::function<void(const UpstreamId &)> onUnexpectedClose = [](const UpstreamId &) {};
+
     /// Returns a reusable idle connection, or nullptr.
     [[nodiscard]] ConnectionPtr takeIdle(const UpstreamId &id, Instant now);
     /// Opens a new connection. `onOpening` receives it before it connects, so that the caller can cancel by closing it. Returns nullptr on
