--- a/packages/serving/hostgroups.cpp
+++ b/packages/serving/hostgroups.cpp
@@ -93,6 +93,7 @@
     std::sort(hosts.begin(), hosts.end(), [](const Ranked &a, const Ranked &b) { return a.first > b.first; });
     std::map<ZoneId, std::size_t> taken; // of each zone
     std::vector<std::pair<std::size_t, HostId>> rounds;
+    rounds.reserve(hosts.size());
     for (const auto &[weight, host] : hosts) {
         rounds.emplace_back(taken[host->zone]++, host->host);
     }
