The compiler is clang 16: earlier ones pass initializer lists from coroutines as garbage on arm64

What callers saw: on arm64 no host served a model. Cause: clang 14 and 15 drop the stores of an initializer list that a coroutine builds in a loop and passes by value, with optimization on arm64. The labels of the counter store_calls_total were such a list in HostedDaemon::announceHost(): the label's size was garbage, std::bad_alloc ended the coroutine after it had appended the links' key, and the coroutine that follows the control topic ended the same way, so no links, no members, no claims. Evidence: gdb, catch throw: operator new < SeriesTable::keyOf < Counter::add < announceHost. A program of 20 lines prints garbage with clang 14 and 15 at -O1 to -O3, the right texts at -O0, with g++ 12 at -O2 and with clang 16 at -O2. Strings, views, spans, aggregates, arrays and vectors passed from coroutines are right with clang 14. So neither the sign of char nor a cast was the cause. This mends each place of the class: metrics and log lines of all coroutines. The formatter and the linter stay as they are. A counter of a test that was only written is gone: clang 16 warns of it.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every command a person or CI runs. `make help` lists them.
 BUILD ?= build
 JOBS  ?= 6
-CONFIG = cmake -S . -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
+CONFIG = cmake -S . -G Ninja -DCMAKE_CXX_COMPILER=clang++-16 -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.h')
 
 # The working folder differs between clones; relative paths let them share one compiler cache.
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -20,7 +20,7 @@
 # Debug information of line tables only: the heavy headers would else double link time and cache size.
 target_compile_options(baobab_flags INTERFACE $<$<CONFIG:RelWithDebInfo>:-gline-tables-only>)
 if(BAOBABSTALL_SANITIZE)
-    # clang 14 can't emit the function-type check for coroutines: "Cannot represent a difference across sections".
+    # clang can't emit the function-type check for coroutines: "Cannot represent a difference across sections".
     target_compile_options(baobab_flags INTERFACE -fsanitize=address,undefined -fno-sanitize=function -fno-sanitize-recover=all -fno-omit-frame-pointer)
     target_link_options(baobab_flags INTERFACE -fsanitize=address,undefined)
 endif()
--- a/tests/mixedfaultstest.cpp
+++ b/tests/mixedfaultstest.cpp
@@ -84,7 +84,7 @@
     void callUntilEnd(int number)
     {
         std::mt19937 random(static_cast<unsigned>(seed_ * 1000 + number));
-        for (int count = 0; !isOver(); ++count) {
+        while (!isOver()) {
             const auto daemon = world_.daemons().at(random() % world_.daemons().size());
             const auto model = std::string(random() % 2 == 0 ? "camp/" : "shop/") + (random() % 2 == 0 ? "brief" : "cold-" + std::to_string(1 + random() % 20))
                 + (random() % 4 == 0 ? "@v2" : "@v1");
