Streams that callers take up are logged and counted by how their record was found

What callers see: taken-up streams are refused while new ones begin. The request line gave its reason, but not whether the record was held here, told or asked for, how many hosts answered, how old the stream was, nor why no upstream took it. stream_taken_up and taken_up_streams_total say so; no logic is changed.

--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -120,7 +120,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginEntry, version, upstream, service, request, send)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginNotice, id, origin, remainingMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginCall, id)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginReply, isKnown, origin)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginReply, isKnown, origin, ageMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockQuery, askedAt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockAnswer, askedAt, clock)
 
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -217,6 +217,7 @@
 struct StreamOriginReply {
     bool isKnown = false;
     StreamOriginEntry origin;
+    std::int64_t ageMs = 0; // since the peer learnt it
 };
 
 using ReplyBody = std::variant<HintReply,
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -172,7 +172,10 @@
         }
         if (!metadata_.resumes.empty()) {
             service_ = &RouteTable::serviceOf(*route_, metadata_.resumes);
-            const auto origin = co_await node_.streams->find(metadata_.resumes);
+            const auto begin = node_.now();
+            found_ = co_await node_.streams->find(metadata_.resumes);
+            originWait_ = node_.now() - begin;
+            const auto &origin = found_.origin;
             if (origin && (origin->request != streamKey() || !useService(origin->service))) {
                 co_await refuse(503, "resumes_other_request", unavailableRetryAfter);
                 co_return false;
@@ -1180,6 +1183,9 @@
         if (service_ != nullptr) {
             node_.metrics.requestDuration.observe({service}, took);
         }
+        if (isTakenUp_) {
+            logTakenUpStream();
+        }
         node_.log.info("request",
                        {{"request_id", metadata_.id},
                         {"service", service},
@@ -1201,6 +1207,29 @@
                         {"config_read_ms_ago", node_.now() - node_.operatorsReadAt}});
     }
 
+    void logTakenUpStream() const
+    {
+        constexpr Milliseconds justBegun{100};
+        constexpr Milliseconds recent{1'000};
+        const auto age = !found_.origin ? "unknown" : found_.age < justBegun ? "0.1" : found_.age < recent ? "1" : "more";
+        node_.metrics.takenUpStreams.add({originSourceText(found_.source), age, reason_});
+        node_.log.info("stream_taken_up",
+                       {{"request_id", metadata_.id},
+                        {"resumes", settings::printableText(metadata_.resumes.value())},
+                        {"status", status_},
+                        {"reason", reason_},
+                        {"record", originSourceText(found_.source)},
+                        {"asked", found_.asked},
+                        {"answered", found_.answered},
+                        {"origin_ms", originWait_},
+                        {"age_ms", found_.age},
+                        {"version", version_.value_or(SoftwareVersion())},
+                        {"began_at", firstUpstream_},
+                        {"last_refusal", refusalReason_},
+                        {"sends", sends_},
+                        {"left_ms", timeLeft()}});
+    }
+
     Node &node_;
     CallerConnection &caller_;
     CallerRequest &request_;
@@ -1222,6 +1251,8 @@
     std::optional<std::uint64_t> lastEventId_;
     bool isTakenUp_ = false;                          // the caller takes up a stream that began before
     std::optional<SoftwareVersion> version_;          // of a stream whose first event the caller has: it goes on there only
+    FoundStream found_;                               // what is known of that stream
+    Milliseconds originWait_;                         // for it
     UpstreamId firstUpstream_;                        // where the stream began that the caller takes up; empty: not known
     std::optional<SoftwareVersion> announcedVersion_; // where the stream may begin, as told to other hosts
     std::vector<UpstreamId> sentTo_;                  // distinct upstreams that the request was sent to
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -28,6 +28,8 @@
     , residencyWait(registry.histogram({"residency_wait_seconds", "wait until weights were held", {"outcome"}, 8}, latencyBounds))
     , prefillWait(registry.histogram({"prefill_wait_seconds", "wait of a prompt for its turn at a replica", {"where"}, 8}, latencyBounds))
     , sends(registry.counter({"sends_total", "sends to upstreams by how they ended", {"service", "outcome"}, 256}))
+    , takenUpStreams(
+          registry.counter({"taken_up_streams_total", "streams that callers took up, by how their record was found", {"record", "age", "reason"}, 512}))
     , sendPermits(registry.counter({"send_permits_total", "permits for requests to limited upstreams that this host was asked for", {"outcome"}, 8}))
     , orders(registry.counter({"orders_total", "orders to model replicas", {"kind", "outcome"}, 32}))
     , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -46,6 +46,7 @@
     metrics::Histogram &residencyWait;    // outcome
     metrics::Histogram &prefillWait;      // where
     metrics::Counter &sends;              // service, outcome
+    metrics::Counter &takenUpStreams;     // record, age, reason
     metrics::Counter &sendPermits;        // outcome
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
@@ -120,8 +121,8 @@
     virtual ~StreamDirectory() = default;
     /// A stream of this host is about to begin; it may be taken up at any host until `until`.
     virtual void announce(const RequestId &id, const StreamOrigin &origin, Instant until) = 0;
-    /// Nothing: no host that can be reached knows the stream.
-    virtual net::Task<std::optional<StreamOrigin>> find(RequestId id) = 0;
+    /// Without an origin: no host that can be reached knows the stream.
+    virtual net::Task<FoundStream> find(RequestId id) = 0;
 };
 
 struct ActiveRevision {
--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -32,22 +32,26 @@
     }
 }
 
-net::Task<std::optional<StreamOrigin>> StreamExchange::find(RequestId id)
+net::Task<FoundStream> StreamExchange::find(RequestId id)
 {
-    auto best = records_.find(id, node_.now());
+    auto best = records_.lookUp(id, node_.now());
     std::vector<std::unique_ptr<peers::OutgoingCall>> calls;
     if (links_ != nullptr) {
         for (const auto &host : records_.keepers(id, StreamRecords::askedHosts)) {
             calls.push_back(links_->call(host, peers::StreamOriginCall{id}));
         }
     }
+    best.asked = calls.size();
     const auto until = node_.now() + replyTimeout;
     for (const auto &call : calls) {
         core::Error why;
         const auto reply = co_await call->next(std::max(Milliseconds(1), until - node_.now()), why);
         const auto *answer = reply ? std::get_if<peers::StreamOriginReply>(&*reply) : nullptr;
-        if (answer != nullptr && answer->isKnown && (!best || answer->origin.send > best->send)) {
-            best = originOf(answer->origin);
+        best.answered += answer != nullptr ? 1 : 0;
+        if (answer != nullptr && answer->isKnown && (!best.origin || answer->origin.send > best.origin->send)) {
+            best.origin = originOf(answer->origin);
+            best.source = OriginSource::Asked;
+            best.age = Milliseconds(answer->ageMs);
         }
     }
     co_return best;
@@ -82,8 +86,8 @@
 
 void StreamExchange::serve(peers::IncomingCall &call, const peers::StreamOriginCall &request)
 {
-    const auto origin = records_.find(request.id, node_.now());
-    call.send(origin ? peers::StreamOriginReply{true, entryOf(*origin)} : peers::StreamOriginReply{});
+    const auto found = records_.lookUp(request.id, node_.now());
+    call.send(found.origin ? peers::StreamOriginReply{true, entryOf(*found.origin), found.age.count()} : peers::StreamOriginReply{});
 }
 
 } // namespace baobabstall::serving
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -4,7 +4,7 @@
 //   StreamExchange exchange(node, groups);
 //   exchange.setLinks(links);
 //   exchange.announce(id, origin, until);          // before the request is sent to its upstream
-//   auto origin = co_await exchange.find(id);      // nothing: no host that answers knows the stream
+//   auto found = co_await exchange.find(id);       // found.origin is nothing: no host that answers knows the stream
 //   exchange.tick();                               // every 100 ms
 //   exchange.onNotice(notice); exchange.serve(call, body);   // from peers
 #pragma once
@@ -27,7 +27,7 @@
 
     void setLinks(peers::Links &links) { links_ = &links; }
     void announce(const RequestId &id, const StreamOrigin &origin, Instant until) override;
-    net::Task<std::optional<StreamOrigin>> find(RequestId id) override;
+    net::Task<FoundStream> find(RequestId id) override;
     /// Tells the streams that began while their service had one version, once it has several.
     void tick();
     void onNotice(const peers::StreamOriginNotice &notice);
--- a/packages/serving/streamrecords.cpp
+++ b/packages/serving/streamrecords.cpp
@@ -1,13 +1,22 @@
 #include <serving/streamrecords.h>
 
 #include <algorithm>
+#include <array>
 
 namespace baobabstall::serving {
 
+std::string_view originSourceText(OriginSource source)
+{
+    constexpr std::array<std::string_view, 4> texts = {"none", "own", "told", "asked"};
+    return texts.at(static_cast<std::size_t>(source));
+}
+
 std::vector<HostId> StreamRecords::announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now)
 {
     hold(id, origin, until, now);
-    records_.at(id).isUnshared = !isShared;
+    auto &record = records_.at(id);
+    record.isUnshared = !isShared;
+    record.isOwn = true;
     return isShared ? keepers(id, toldHosts) : std::vector<HostId>();
 }
 
@@ -29,6 +38,7 @@
     const auto [record, isNew] = records_.try_emplace(id);
     if (isNew) {
         record->second.place = order_.insert(order_.end(), id);
+        record->second.since = now;
     }
     return record->second;
 }
@@ -45,10 +55,14 @@
     return announced;
 }
 
-std::optional<StreamOrigin> StreamRecords::find(const RequestId &id, Instant now) const
+FoundStream StreamRecords::lookUp(const RequestId &id, Instant now) const
 {
     const auto found = records_.find(id);
-    return found == records_.end() || found->second.until < now ? std::nullopt : std::optional(found->second.origin);
+    if (found == records_.end() || found->second.until < now) {
+        return {};
+    }
+    const auto &record = found->second;
+    return {.origin = record.origin, .source = record.isOwn ? OriginSource::Own : OriginSource::Told, .age = now - record.since};
 }
 
 std::vector<HostId> StreamRecords::keepers(const RequestId &id, std::size_t count) const
--- a/packages/serving/streamrecords.h
+++ b/packages/serving/streamrecords.h
@@ -31,6 +31,19 @@
     friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
 };
 
+/// How a host learnt where a stream began. Own: it began there; Told: another host told it; Asked: another host that it asked knew.
+enum class OriginSource : std::uint8_t { None, Own, Told, Asked };
+[[nodiscard]] std::string_view originSourceText(OriginSource source);
+
+/// What a host knows of a stream that a caller takes up.
+struct FoundStream {
+    std::optional<StreamOrigin> origin;
+    OriginSource source = OriginSource::None;
+    Milliseconds age; // since the request was sent to its first upstream, or since this was told
+    std::size_t asked = 0;
+    std::size_t answered = 0; // of the hosts asked, in time
+};
+
 class StreamRecords
 {
 public:
@@ -55,7 +68,8 @@
     void hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now);
     /// Streams of the service that this host began and told nobody of; the caller tells `keepers()`.
     [[nodiscard]] std::vector<Announced> takeUnshared(const ServiceName &service, Instant now);
-    [[nodiscard]] std::optional<StreamOrigin> find(const RequestId &id, Instant now) const;
+    [[nodiscard]] std::optional<StreamOrigin> find(const RequestId &id, Instant now) const { return lookUp(id, now).origin; }
+    [[nodiscard]] FoundStream lookUp(const RequestId &id, Instant now) const; // what this host itself knows
     /// The first `count` other hosts that keep the record.
     [[nodiscard]] std::vector<HostId> keepers(const RequestId &id, std::size_t count) const;
     [[nodiscard]] std::size_t size() const { return records_.size(); }
@@ -64,6 +78,8 @@
     struct Record {
         StreamOrigin origin;
         Instant until;
+        Instant since;
+        bool isOwn = false;
         bool isUnshared = false;
         std::list<RequestId>::iterator place;
     };
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -160,7 +160,10 @@
 {
 public:
     void announce(const RequestId &id, const StreamOrigin &origin, Instant) override { origins[id] = origin; }
-    net::Task<std::optional<StreamOrigin>> find(RequestId id) override { co_return origins.contains(id) ? std::optional(origins.at(id)) : std::nullopt; }
+    net::Task<FoundStream> find(RequestId id) override
+    {
+        co_return origins.contains(id) ? FoundStream{.origin = origins.at(id), .source = OriginSource::Told} : FoundStream();
+    }
 
     std::map<RequestId, StreamOrigin> origins;
 };
