--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -579,6 +579,44 @@
     EXPECT_EQ(upstream(1).requests.size(), 1U);
 }
 
+// Guards against a stream that is refused as its version's upstreams are full, while new ones begin at another version (issue 32, LOST).
+TEST_F(TakenUpStreamTest, goes_on_while_the_upstreams_of_its_version_are_full)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{rest()}, {rest()}, {rest()}}, true, {"v1", "v1", "v2"});
+    for (int i = 0; i < 20; ++i) {
+        node_.chooser.beginSend(UpstreamId("r1")); // of 8 slots
+        node_.chooser.beginSend(UpstreamId("r2"));
+    }
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(sendRequest(getRequest("new"), finalChunk).status(), 200);
+    EXPECT_EQ(upstream(3).requests.size(), 1U);
+    EXPECT_EQ(takeUp().status(), 200);
+    EXPECT_EQ(upstream(1).requests.size() + upstream(2).requests.size(), 1U);
+}
+
+// Guards against a stream that is refused on an estimate: with many hosts and no word of theirs on the load, one running request counts as
+// one at each of them, and new streams begin where this host has none (issue 32, LOST).
+TEST_F(TakenUpStreamTest, goes_on_while_other_hosts_do_not_say_what_they_run)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{rest()}, {rest()}, {rest()}}, true, {"v1", "v1", "v2"});
+    node_.setHostCount(87);
+    node_.chooser.beginSend(UpstreamId("r1"));
+    node_.chooser.beginSend(UpstreamId("r2"));
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(sendRequest(getRequest("new"), finalChunk).status(), 200);
+    EXPECT_EQ(takeUp().status(), 200);
+}
+
+// Pattern: nothing is left to repeat requests with, and the route allows one send.
+TEST_F(TakenUpStreamTest, needs_neither_a_retry_budget_nor_a_second_send)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 1), {{rest()}, {rest()}}, false, {"v1", "v2"});
+    auto &budget = node_.retryBudgetFor(ServiceName("s"));
+    while (budget.spend(1, node_.now())) { }
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(takeUp().status(), 200);
+}
+
 // Pattern: the first upstream breaks off before its first event.
 TEST_F(TakenUpStreamTest, may_begin_at_any_version_and_the_last_one_is_told)
 {
--- a/packages/serving/tests/streamrecordstest.cpp
+++ b/packages/serving/tests/streamrecordstest.cpp
@@ -67,13 +67,37 @@
         hosts_.at(host) = std::make_unique<Host>(host);
         assignGroups();
     }
+    /// Starts again, without links for a while.
+    void restartUnlinked(const HostId &host, Milliseconds time)
+    {
+        hosts_.at(host) = std::make_unique<Host>(host);
+        hosts_.at(host)->groups.assign({*std::find_if(grouped_.begin(), grouped_.end(), [&](const auto &each) { return each.host == host; })}, host);
+        at(now() + time, [this] { assignGroups(); });
+    }
+    void add(const HostId &host, const ZoneId &zone)
+    {
+        grouped_.push_back({host, zone, 100});
+        hosts_.emplace(host, std::make_unique<Host>(host));
+        assignGroups();
+    }
+    void kill(const HostId &host) { hosts_.at(host)->isAlive = false; }
+    void slowDown(const HostId &host, Milliseconds time) { hosts_.at(host)->delay = time; }
+    void setLatency(int least, int most) { latency_ = std::uniform_int_distribution<int>(least, most); }
+    [[nodiscard]] std::vector<HostId> hosts() const
+    {
+        std::vector<HostId> ids;
+        for (const auto &[id, host] : hosts_) {
+            ids.push_back(id);
+        }
+        return ids;
+    }
     /// What `host` learns of the stream, as its exchange asks the others: answers after one round trip.
     void find(const HostId &host, const RequestId &id, std::function<void(std::optional<StreamOrigin>)> onAnswer)
     {
         const auto asked = hosts_.at(host)->records.keepers(id, StreamRecords::askedHosts);
         const auto best = std::make_shared<std::optional<StreamOrigin>>(hosts_.at(host)->records.find(id, now()));
         for (const auto &target : asked) {
-            at(now() + latency(), [this, target, id, best] {
+            at(now() + latency() + hosts_.at(target)->delay, [this, target, id, best] {
                 const auto &keeper = *hosts_.at(target);
                 const auto known = keeper.isAlive ? keeper.records.find(id, now()) : std::nullopt;
                 if (known && (!*best || known->send > (*best)->send)) {
@@ -103,13 +127,14 @@
         HostGroups groups;
         StreamRecords records;
         bool isAlive = true;
+        Milliseconds delay; // of its answers
     };
 
     [[nodiscard]] ZoneId zoneOf(const HostId &host) const
     {
         return std::find_if(grouped_.begin(), grouped_.end(), [&](const auto &each) { return each.host == host; })->zone;
     }
-    [[nodiscard]] Milliseconds latency() { return Milliseconds(std::uniform_int_distribution<int>(1, 15)(random_)); }
+    [[nodiscard]] Milliseconds latency() { return Milliseconds(latency_(random_)); }
     void assignGroups()
     {
         for (auto &[id, host] : hosts_) {
@@ -118,6 +143,7 @@
     }
 
     mutable std::mt19937_64 random_;
+    std::uniform_int_distribution<int> latency_{1, 15};
     std::vector<GroupedHost> grouped_; // as the hosts believe
     std::map<HostId, std::unique_ptr<Host>> hosts_;
 };
@@ -206,6 +232,111 @@
     EXPECT_EQ(known, asked);
 }
 
+constexpr int takenUpStreams = 300;
+
+/// Begins streams at any host, 1 ms apart.
+void beginStreams(StreamSpread &spread, Instant from)
+{
+    for (int i = 0; i < takenUpStreams; ++i) {
+        const RequestId id("stream-" + std::to_string(i));
+        spread.at(from + Milliseconds(i), [&spread, host = spread.drawHost(), id] { spread.begin(host, id, originOf("v1")); });
+    }
+}
+
+/// Takes each of them up at the host that `drawn` names. Returns how many were known, once it has run.
+std::shared_ptr<int> takeUpStreams(StreamSpread &spread, Instant when, std::function<HostId()> drawn)
+{
+    const auto known = std::make_shared<int>(0);
+    spread.at(when, [&spread, known, drawn = std::move(drawn)] {
+        for (int i = 0; i < takenUpStreams; ++i) {
+            spread.find(drawn(), RequestId("stream-" + std::to_string(i)), [known](const auto &origin) { *known += origin == originOf("v1") ? 1 : 0; });
+        }
+    });
+    return known;
+}
+
+HostId drawAlive(const StreamSpread &spread)
+{
+    auto host = spread.drawHost();
+    while (!spread.isAlive(host)) {
+        host = spread.drawHost();
+    }
+    return host;
+}
+
+// Guards against streams that are refused because the hosts that know them take longer than usual to say so (issue 32, LOST).
+TEST(StreamSpread, hosts_that_answer_late_still_tell_where_a_stream_began)
+{
+    for (const auto &size : {Size{4, 8}, Size{3, 87}, Size{5, 195}}) {
+        StreamSpread spread(size.zones, size.hosts, 11);
+        spread.setLatency(150, 400);
+        beginStreams(spread, Instant(1'000));
+        const auto known = takeUpStreams(spread, Instant(2'000), [&] { return spread.drawHost(); });
+        spread.runUntil(Instant(6'000));
+        EXPECT_EQ(*known, takenUpStreams) << size.hosts << " hosts";
+    }
+}
+
+// Guards against streams that are refused by a host that asks nobody, as it started a moment ago and has no links yet (issue 32, LOST).
+TEST(StreamSpread, a_host_that_has_just_started_asks_as_soon_as_it_has_links)
+{
+    for (const auto &size : {Size{4, 8}, Size{3, 87}, Size{5, 195}}) {
+        StreamSpread spread(size.zones, size.hosts, 12);
+        beginStreams(spread, Instant(1'000));
+        const HostId started("host-0");
+        spread.at(Instant(1'990), [&] { spread.restartUnlinked(started, Milliseconds(600)); });
+        const auto known = takeUpStreams(spread, Instant(2'000), [&] { return started; });
+        spread.runUntil(Instant(6'000));
+        EXPECT_EQ(*known, takenUpStreams) << size.hosts << " hosts";
+    }
+}
+
+// Guards against streams that began while hosts were gone that nobody missed yet: they were told to these (issue 32, LOST).
+TEST(StreamSpread, a_stream_is_told_to_hosts_that_links_lead_to)
+{
+    for (const auto &size : {Size{3, 87}, Size{5, 195}}) {
+        StreamSpread spread(size.zones, size.hosts, 13);
+        int last = 0;
+        for (const auto &host : spread.hosts()) {
+            if (++last % 2 == 0) {
+                spread.kill(host);
+            }
+        }
+        for (int i = 0; i < takenUpStreams; ++i) {
+            spread.at(Instant(1'000 + i),
+                      [&spread, host = drawAlive(spread), i] { spread.begin(host, RequestId("stream-" + std::to_string(i)), originOf("v1")); });
+        }
+        const auto known = takeUpStreams(spread, Instant(2'000), [&] { return drawAlive(spread); });
+        spread.runUntil(Instant(6'000));
+        EXPECT_GE(*known, takenUpStreams * 0.97) << size.hosts << " hosts";
+    }
+}
+
+// Guards against streams that are lost because the groups changed between telling and asking, while a tenth of the hosts is slow (issue 32, LOST).
+TEST(StreamSpread, a_stream_is_known_after_hosts_were_killed_and_added)
+{
+    for (const auto &size : {Size{4, 8}, Size{3, 87}, Size{5, 195}}) {
+        StreamSpread spread(size.zones, size.hosts, 14);
+        beginStreams(spread, Instant(1'000));
+        spread.at(Instant(1'400), [&spread, &size] {
+            int number = 0;
+            for (const auto &host : spread.hosts()) {
+                if (++number % 10 == 0) {
+                    spread.kill(host);
+                } else if (number % 10 == 5) {
+                    spread.slowDown(host, Milliseconds(700));
+                }
+            }
+            for (int i = 0; i < size.hosts / 5; ++i) {
+                spread.add(HostId("added-" + std::to_string(i)), ZoneId("zone-" + std::to_string(i % size.zones)));
+            }
+        });
+        const auto known = takeUpStreams(spread, Instant(1'500), [&] { return drawAlive(spread); });
+        spread.runUntil(Instant(6'000));
+        EXPECT_GE(*known, takenUpStreams * 0.99) << size.hosts << " hosts";
+    }
+}
+
 // Guards against the version of an upstream that broke off before the first event.
 TEST(StreamSpread, the_last_upstream_before_the_first_event_counts)
 {
