The chooser picks nothing among no candidates, also for a hot adapter

A host that ends takes its callers' streams and the records of where streams began with it: they are refused (stream_not_known) while new streams begin. Cause: new streams leave the rest of a shrinking version's slots to streams that go on. When that leaves no upstream open, chooseUpstream() picks among none, as meant; but for an adapter asked for often, pick() counts the sends of other hosts on the cheapest choice first, and there was none. Class: an empty list is handled at the end of a function that uses its first element before. Evidence: a backtrace of each process that ended (trial on a scratch copy): runAttempts, chooseUpstream, Chooser::pick, null dereference. Change: pick() returns at once without candidates; the cheapest choice is never null, whatever the costs are. pick() has no other callers than chooseUpstream(). Test: ChooserTest.without_candidates_picks_none_for_a_hot_adapter ended by SIGSEGV before.

--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -43,6 +43,9 @@
 
 const Candidate *Chooser::pick(const PickRequest &request, Instant now)
 {
+    if (request.candidates.empty()) {
+        return nullptr;
+    }
     std::vector<const Candidate *> considered;
     if (request.affinityKey != 0) {
         considered = preferredCandidates(request);
@@ -62,7 +65,7 @@
         choices.push_back(score(*considered[rank], request.affinityKey == 0 ? 0 : rank, request, now));
     }
     const auto cheapest = [&]() -> ScoredCandidate * {
-        ScoredCandidate *best = nullptr;
+        auto *best = &choices.front();
         double lowest = std::numeric_limits<double>::max();
         for (auto &each : choices) {
             const double cost = each.baseCost + each.fillCost(options_);
@@ -80,8 +83,7 @@
         ++cheapest()->running;
     }
     recordDemand(request.affinityKey, now);
-    const auto *best = choices.empty() ? nullptr : cheapest();
-    return best == nullptr ? nullptr : best->candidate;
+    return cheapest()->candidate;
 }
 
 double Chooser::ScoredCandidate::fillCost(const ChooserOptions &options) const
--- a/packages/serving/tests/choosertest.cpp
+++ b/packages/serving/tests/choosertest.cpp
@@ -257,5 +257,16 @@
     EXPECT_EQ(pick(affinityKey), holder);
 }
 
+// All hosts ended again and again during a release (SIGSEGV): every upstream that could take a hot adapter was reserved for streams that go on.
+TEST_F(ChooserTest, without_candidates_picks_none_for_a_hot_adapter)
+{
+    const auto affinityKey = core::hashText("hot", 1);
+    chooser_.setHostCount(8);
+    for (int i = 0; i < 100; ++i) {
+        pick(affinityKey);
+    }
+    EXPECT_EQ(chooser_.pick({{}, affinityKey, ZoneId("a")}, now_), nullptr);
+}
+
 } // namespace
 } // namespace baobabstall::serving
