A refusal that an upstream writes twice answers no later send

The same attempt went over the same connection again in two cases: after a 421 for missing weights, when the request is sent again to the same replica and the pool gave the newest connection, which is the one that brought the 421; and when an attempt comes once more under its id, from its caller or through another host. The copy bears the attempt's id, so it was taken for the answer of the send that ran. A copy without an id was taken for the answer of whatever request came next on that connection.

A connection remembers the requests that it brought a refusal or a failure for, and never carries them again; after 32 of them it is closed. A connection that brought a refusal without an id is not kept, since a late copy could be of any request. On a connection whose refusals name their requests, one without an id proves nothing: the request counts as one that may have run.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -538,7 +538,7 @@
         upstream_ = replica.id;
         beginPrefill(replica.id);
         co_await awaitPrefillTurn(replica.id);
-        auto connection = node_.pool.takeIdle(replica.id, node_.now());
+        auto connection = node_.pool.takeIdle(replica.id, metadata_.id, node_.now());
         if (!connection) {
             connection = co_await node_.pool.open(
                 replica.id, replica.address, [this](const ConnectionPtr &opening) { connection_ = opening; }, why);
@@ -701,6 +701,7 @@
         if (!connection) {
             return;
         }
+        isReusable = isReusable && connection->refused.size() < UpstreamConnection::maxRefused;
         if (isReusable && connection->socket.is_open() && !connection->isWriting && connection->buffer.size() == 0) {
             node_.pool.keep(upstream_, connection, node_.now());
         } else {
@@ -754,6 +755,9 @@
         constexpr int maxSuccess = 299;
         constexpr int minServerError = 500;
         const bool isSuccess = status >= minSuccess && status <= maxSuccess;
+        if (response_.notRun && response_.id.empty() && connection_->namesRefused) {
+            co_return onTruncated(replica, "a refusal without request id on a connection whose refusals name it");
+        }
         if (response_.notRun) {
             co_return co_await handleNotRun(replica, parser, status);
         }
@@ -769,12 +773,14 @@
         }
         const bool isReusable = parser.get().keep_alive();
         if (hasResponseBegun_) { // resuming the stream returned an error
+            connection_->refused.push_back(metadata_.id);
             recordSend(replica, SendOutcome::Failed, "failed", "status " + std::to_string(status) + " to a resumed stream");
             releaseConnection(isReusable);
             mayHaveRun_ = true;
             co_return false;
         }
         if (status >= minServerError && route_->retryPolicy != RetryPolicy::AtMostOnce && canRetryFailed()) {
+            connection_->refused.push_back(metadata_.id);
             recordSend(replica, SendOutcome::Failed, "failed", "status " + std::to_string(status));
             releaseConnection(isReusable);
             mayHaveRun_ = true;
@@ -801,8 +807,11 @@
 
     net::Task<bool> handleNotRun(const ReplicaRecord &replica, Parser &parser, int status)
     {
+        const auto connection = connection_;
+        connection->refused.push_back(metadata_.id);
+        connection->namesRefused = connection->namesRefused || !response_.id.empty();
         const bool isComplete = co_await drainRefusal(parser);
-        const bool isReusable = isComplete && parser.get().keep_alive();
+        const bool isReusable = isComplete && parser.get().keep_alive() && !response_.id.empty(); // a late copy without an id could be of any request
         constexpr int badRequest = 400;
         if (status == badRequest) {
             recordSend(replica, SendOutcome::NotRun, "not_run", "status 400");
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -199,6 +199,10 @@
 
     [[nodiscard]] net::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
 
+    /// When a faulty upstream writes the last refusal of a connection once more there.
+    enum class Repeat : std::uint8_t { Never, WhileIdle, BeforeNextAnswer, InNextAnswer };
+
+    Repeat repeat = Repeat::Never;
     std::vector<ReceivedRequest> requests;
     int connections = 0;
     int disconnects = 0; // connections that were closed while a response was due
@@ -219,6 +223,7 @@
     net::Task<void> serve(std::shared_ptr<tcp::socket> socket)
     {
         std::string buffer;
+        std::string refusal; // the last one of this connection
         while (true) {
             auto [failed, length] = co_await asio::async_read_until(*socket, asio::dynamic_buffer(buffer), "\r\n\r\n", net::tuple);
             if (failed) {
@@ -230,7 +235,7 @@
             ++nextScript_;
             const auto index = requests.size();
             requests.push_back(request);
-            if (script.answersBeforeBody && !co_await answer(*socket, script, request)) {
+            if (script.answersBeforeBody && !co_await answer(*socket, script, request, refusal)) {
                 co_return;
             }
             const auto at = request.head.find("Content-Length: ");
@@ -245,14 +250,19 @@
             }
             requests[index].body = buffer.substr(0, bodyLength);
             buffer.erase(0, bodyLength);
-            if (!script.answersBeforeBody && !co_await answer(*socket, script, request)) {
+            if (!script.answersBeforeBody && !co_await answer(*socket, script, request, refusal)) {
                 co_return;
             }
         }
     }
 
-    net::Task<bool> answer(tcp::socket &socket, Script script, const ReceivedRequest &request)
+    net::Task<bool> answer(tcp::socket &socket, Script script, const ReceivedRequest &request, std::string &refusal)
     {
+        if (repeat == Repeat::BeforeNextAnswer && !refusal.empty()) {
+            co_await asio::async_write(socket, asio::buffer(std::exchange(refusal, {})), net::tuple);
+        } else if (repeat == Repeat::InNextAnswer && !refusal.empty()) {
+            script.pieces.insert(script.pieces.begin() + 1, std::exchange(refusal, {}));
+        }
         if (!script.crashesOn.empty() && request.head.find(script.crashesOn) != std::string::npos) {
             script.pieces = script.crashPieces;
             script.resets = true;
@@ -278,6 +288,14 @@
             if (failed) {
                 co_return false;
             }
+            if (piece.starts_with("HTTP/1.1 4") || piece.starts_with("HTTP/1.1 5")) {
+                refusal = piece;
+            }
+        }
+        if (repeat == Repeat::WhileIdle && !refusal.empty()) {
+            constexpr Milliseconds pause{10};
+            co_await net::sleep(io_, pause);
+            co_await asio::async_write(socket, asio::buffer(std::exchange(refusal, {})), net::tuple);
         }
         if (script.resets) {
             socket.set_option(asio::socket_base::linger(true, 0));
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -1,5 +1,7 @@
 #include <serving/upstreams.h>
 
+#include <algorithm>
+
 #include <netinet/tcp.h>
 
 namespace baobabstall::serving {
@@ -32,11 +34,18 @@
     , options_(options)
 { }
 
-ConnectionPtr UpstreamPool::takeIdle(const UpstreamId &id, Instant now)
+ConnectionPtr UpstreamPool::takeIdle(const UpstreamId &id, const RequestId &request, Instant now)
 {
-    for (auto group = groups_.find(id); group != groups_.end() && !group->second.idle.empty(); group = groups_.find(id)) { // drop() may erase the group
-        auto connection = std::move(group->second.idle.back());
-        group->second.idle.pop_back();
+    const auto mayCarry
+        = [&request](const ConnectionPtr &each) { return std::find(each->refused.begin(), each->refused.end(), request) == each->refused.end(); };
+    for (auto group = groups_.find(id); group != groups_.end(); group = groups_.find(id)) { // drop() may erase the group
+        auto &idle = group->second.idle;
+        const auto newest = std::find_if(idle.rbegin(), idle.rend(), mayCarry);
+        if (newest == idle.rend()) {
+            break;
+        }
+        auto connection = std::move(*newest);
+        idle.erase(std::next(newest).base());
         const bool isReusable = now - connection->idleSince + options_.closeMargin < connection->keepFor;
         const bool isOpen = hasNoPendingData(connection->socket);
         if (isReusable && isOpen) {
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -5,7 +5,8 @@
 //   PoolOptions          timeouts
 //   UpstreamPool         takeIdle() or open() a connection, return it with keep() or close it with drop()
 //
-// A connection is reused only if no data has arrived since its last response: unsolicited data belongs to no request.
+// A connection is reused only if no data has arrived since its last response: unsolicited data belongs to no request. A request that the
+// upstream refused or failed on a connection is never sent there again: a late copy of that answer would be taken for the new one.
 #pragma once
 
 #include <functional>
@@ -29,13 +30,16 @@
     { }
 
     boost::asio::ip::tcp::socket socket;
+    static constexpr std::size_t maxRefused = 32;               // then the connection is closed
     static constexpr std::size_t maxUnparsedBytes = 128 * 1024; // of a response; its head, the framing of one chunk and a trailer have to fit
 
     boost::beast::flat_buffer buffer{maxUnparsedBytes};
     std::string out; // data being written; must stay valid until the write completes
     bool isWriting = false;
     bool isReused = false;
-    ReplicaStartTime provenRun; // the run of the upstream that this connection leads to, as it said itself; 0: not asked
+    ReplicaStartTime provenRun;     // the run of the upstream that this connection leads to, as it said itself; 0: not asked
+    std::vector<RequestId> refused; // requests that it brought an answer for and that may be sent again
+    bool namesRefused = false;      // it brought a refusal that names its request, so one without an id proves nothing
     std::size_t written = 0;
     boost::system::error_code writeError;
     Instant idleSince;
@@ -61,8 +65,8 @@
     /// Called when an idle connection turns out to have been closed sooner than the upstream said: it may have started again.
     std::function<void(const UpstreamId &)> onUnexpectedClose = [](const UpstreamId &) {};
 
-    /// Returns a reusable idle connection, or nullptr.
-    [[nodiscard]] ConnectionPtr takeIdle(const UpstreamId &id, Instant now);
+    /// Returns a reusable idle connection that never brought a refusal of the request, or nullptr.
+    [[nodiscard]] ConnectionPtr takeIdle(const UpstreamId &id, const RequestId &request, Instant now);
     /// Opens a new connection. `onOpening` receives it before it connects, so that the caller can cancel by closing it. Returns nullptr on
     /// failure, with an error of step Connect; no request has been sent then.
     net::Task<ConnectionPtr> open(UpstreamId id, net::Address address, std::function<void(const ConnectionPtr &)> onOpening, core::Error &why);
