A status that callers take for "not run" is relayed only with its proof

An upstream's 408, 429 or 503 without the mark that it did not run the request was relayed as it stood, at least for requests that run at most once. Such an answer now counts as one that was cut: the request may have run, the caller gets 502, and a request that may be repeated goes to another upstream.

RepeatedRefusalTest.a_status_that_callers_take_for_not_run_is_not_relayed_without_proof failed before: 408, 429 and 503 were relayed.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -761,6 +761,9 @@
         if (response_.notRun) {
             co_return co_await handleNotRun(replica, parser, status);
         }
+        if (isPromise(status)) {
+            co_return onTruncated(replica, "status " + std::to_string(status) + " of an answer that doesn't say that the request was not run");
+        }
         if (isSuccess && (!response_.isSealed || response_.isContentEncoded || response_.id.empty())) {
             co_return onTruncated(replica, "a successful response without seal, request id or unencoded body");
         }
@@ -805,6 +808,13 @@
             && !isFinished();
     }
 
+    /// Callers take these statuses for "not run".
+    [[nodiscard]] static bool isPromise(int status)
+    {
+        constexpr std::array promises = {408, 421, 429, 503};
+        return std::find(promises.begin(), promises.end(), status) != promises.end();
+    }
+
     net::Task<bool> handleNotRun(const ReplicaRecord &replica, Parser &parser, int status)
     {
         const auto connection = connection_;
--- a/packages/serving/tests/repeatedrefusaltest.cpp
+++ b/packages/serving/tests/repeatedrefusaltest.cpp
@@ -79,6 +79,18 @@
 
 INSTANTIATE_TEST_SUITE_P(Moments, RepeatedRefusalTest, ::testing::Values(Repeat::WhileIdle, Repeat::BeforeNextAnswer, Repeat::InNextAnswer));
 
+// Guards against a status that is a promise to callers in an answer that does not say that the request was not run.
+TEST_F(RepeatedRefusalTest, a_status_that_callers_take_for_not_run_is_not_relayed_without_proof)
+{
+    const auto answer = [](const std::string &status) { return Script{{"HTTP/1.1 " + status + "\r\nId: @ID\r\nContent-Length: 0\r\n\r\n"}}; };
+    setUpOne({answer("408 Timeout"), answer("429 Busy"), answer("503 Busy")}, Repeat::Never);
+    for (const auto *id : {"a", "b", "c"}) {
+        EXPECT_EQ(sendRequest(getRequest(id), "\r\n\r\n").status(), 502);
+        forgetRefusals();
+    }
+    EXPECT_EQ(upstream(1).requests.size(), 3U);
+}
+
 // Guards against connections that remember the refusals of a whole day.
 TEST_F(RepeatedRefusalTest, is_kept_in_mind_for_a_bounded_number_of_requests)
 {
