A claim nested deep is refused before its value is built

Nothing copies the value at present, and it is destroyed without recursion, so no process ended by it; a pass over it that recurses would. Claims are read by settings::parseJson() as the rest is, at most 4 levels deep.

ClaimRecord.DeepOrOddTextIsNoClaim failed before for a deep value in a field that is not looked at.

--- a/packages/ownership/claims.cpp
+++ b/packages/ownership/claims.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <settings/json.h>
+
 namespace baobabstall::ownership {
 
 namespace {
@@ -174,9 +176,10 @@
 
 std::optional<ClaimRecord> claimFromJson(std::string_view text, core::Error &why)
 {
-    auto from = json::parse(text, nullptr, false);
+    constexpr int maxDepth = 4;
+    const auto from = settings::parseJson(text, "claim", {.comments = false, .maxDepth = maxDepth}, why);
     ClaimRecord record;
-    if (!from.is_object() || !readIds(from, record) || !readNumbers(from, record) || !readFormer(from, record.formerHolders)) {
+    if (!from || !from->is_object() || !readIds(*from, record) || !readNumbers(*from, record) || !readFormer(*from, record.formerHolders)) {
         why = {core::Step::Log, "", "not a claim record", core::Refusal::Internal, core::Outcome::NotRun, {}};
         return {};
     }
--- a/packages/ownership/tests/claimstest.cpp
+++ b/packages/ownership/tests/claimstest.cpp
@@ -211,3 +211,21 @@
         }
     }
 }
+
+// Guards against a record nested so deep that passes over it end the process (issue 32).
+TEST(ClaimRecord, DeepOrOddTextIsNoClaim)
+{
+    Error why;
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    const auto sound = toJson(claim(a, 1, "c1"));
+    ASSERT_TRUE(claimFromJson(sound, why));
+    for (const auto &field : {std::string("id"), std::string("former"), std::string("other")}) {
+        EXPECT_FALSE(claimFromJson("{\"" + field + "\":" + deep + "," + sound.substr(1), why)) << field;
+        EXPECT_LT(why.reason.size(), 300U);
+    }
+    for (const std::string number : {"1e400", "-1", "1e300", "18446744073709551616", "0.5"}) {
+        auto text = sound;
+        text.replace(text.find("\"read_to\":1"), 11, "\"read_to\":" + number);
+        EXPECT_FALSE(claimFromJson(text, why)) << number;
+    }
+}
