The stored copy of the upstreams is read within bounds and written whatever bytes it has

An id that is no UTF-8, which another writer can put among the replicas, made json::dump() throw at each attempt to save the copy: the copy was never saved again, without a line in the log.

Numbers are whole and within the bounds that records of upstreams have; a time out of bounds proves nothing. Bytes that are no UTF-8 are replaced when it is written.

UpstreamCopy.rejects_numbers_out_of_range and is_written_whatever_bytes_an_id_has failed before.

--- a/packages/serving/tests/upstreamcopytest.cpp
+++ b/packages/serving/tests/upstreamcopytest.cpp
@@ -108,5 +108,41 @@
     EXPECT_FALSE(restarted.isUsable(UpstreamId("r2")));
 }
 
+// Guards against numbers that fit no int and ports that are none in a copy that another version or writer stored (issue 32).
+TEST(UpstreamCopy, rejects_numbers_out_of_range)
+{
+    ReplicaBook replicas;
+    replicas.apply(record("r1"));
+    const auto encoded = encodeUpstreamCopy(replicas, {}, civilNow);
+    core::Error error;
+    ASSERT_TRUE(decodeUpstreamCopy(encoded, civilNow, error));
+    const auto replaced = [&encoded](const std::string &what, const std::string &by) {
+        auto text = encoded;
+        text.replace(text.find(what), what.size(), by);
+        return text;
+    };
+    for (const std::string number : {"4294967312", "1e300", "3000000000", "-1", "0", "0.5", "18446744073709551616", "1e400"}) {
+        EXPECT_FALSE(decodeUpstreamCopy(replaced("\"slots\":16", "\"slots\":" + number), civilNow, error)) << number;
+    }
+    for (const std::string number : {"-1", "1e300", "18446744073709551615", "9223372036854775808", "0.5"}) {
+        EXPECT_FALSE(decodeUpstreamCopy(replaced("\"start\":1700000000123", "\"start\":" + number), civilNow, error)) << number;
+    }
+    EXPECT_FALSE(decodeUpstreamCopy(replaced("10.1.0.7:8500", "10.1.0.7:0"), civilNow, error));
+    for (const std::string number : {"-9223372036854775808", "1e300", "18446744073709551615"}) {
+        const auto known = "\"versions_known_since\":" + std::to_string(civilNow);
+        const auto copy = decodeUpstreamCopy(replaced(known, "\"versions_known_since\":" + number), civilNow, error);
+        EXPECT_TRUE(!copy || copy->past.coveredFor == Milliseconds(0)) << number << ": a time out of range proves nothing";
+    }
+}
+
+// Guards against an id that is no UTF-8, for which the copy threw at each attempt and was never saved (issue 32).
+TEST(UpstreamCopy, is_written_whatever_bytes_an_id_has)
+{
+    ReplicaBook replicas;
+    replicas.apply(record("r\xff"));
+    EXPECT_NO_THROW(EXPECT_FALSE(encodeUpstreamCopy(replicas, {}, civilNow).empty()));
+    EXPECT_NO_THROW(EXPECT_FALSE(copyContent(replicas, {}).empty()));
+}
+
 } // namespace
 } // namespace baobabstall::serving
--- a/packages/serving/upstreamcopy.cpp
+++ b/packages/serving/upstreamcopy.cpp
@@ -10,7 +10,8 @@
 
 using nlohmann::json;
 
-constexpr int maxSlots = 1'000'000; // of one upstream; records of upstreams have the same limit
+constexpr int maxSlots = 1'000'000;                       // of one upstream; records of upstreams have the same limit
+constexpr std::int64_t maxUnixMs = 1'000'000'000'000'000; // the same
 
 json toJson(const ReplicaRecord &record)
 {
@@ -29,6 +30,21 @@
             {"models", std::move(models)}};
 }
 
+/// Nothing unless the value is a whole number within the bounds.
+std::optional<std::int64_t> wholeNumber(const json &value, std::int64_t least, std::int64_t most)
+{
+    const bool isSigned = value.is_number_integer() && !value.is_number_unsigned();
+    const bool isWithin = isSigned ? value.get<std::int64_t>() >= least && value.get<std::int64_t>() <= most
+                                   : value.is_number_unsigned() && value.get<std::uint64_t>() <= static_cast<std::uint64_t>(most)
+            && static_cast<std::int64_t>(value.get<std::uint64_t>()) >= least;
+    return isWithin ? std::optional(value.get<std::int64_t>()) : std::nullopt;
+}
+
+std::string textOf(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 /// Throws json::exception when a field is missing or has another type.
 std::optional<ReplicaRecord> parseRecord(const json &from)
 {
@@ -36,17 +52,19 @@
     record.id = UpstreamId(from.at("id").get<std::string>());
     record.service = ServiceName(from.at("service").get<std::string>());
     record.zone = ZoneId(from.at("zone").get<std::string>());
-    record.startTime = ReplicaStartTime(from.at("start").get<std::uint64_t>());
+    const auto startTime = wholeNumber(from.at("start"), 0, maxUnixMs);
     record.version = SoftwareVersion(from.at("version").get<std::string>());
     record.isLeaving = from.at("leaving").get<bool>();
-    record.slots = from.at("slots").get<int>();
+    const auto slots = wholeNumber(from.at("slots"), 1, maxSlots);
     for (const auto &model : from.at("models")) {
         record.models.push_back({BaseModel(model.get<std::string>()), {}});
     }
     const auto address = net::Address::parse(from.at("address").get<std::string>());
-    if (!address || record.id.empty() || record.version.empty() || record.slots < 1 || record.slots > maxSlots) {
+    if (!address || address->port == 0 || record.id.empty() || record.version.empty() || !slots || !startTime) {
         return std::nullopt;
     }
+    record.startTime = ReplicaStartTime(static_cast<std::uint64_t>(*startTime));
+    record.slots = static_cast<int>(*slots);
     record.address = *address;
     return record;
 }
@@ -63,7 +81,8 @@
 /// Throws json::exception when a field is missing or has another type.
 VersionHistory::Past parsePast(const json &from, std::int64_t civilNow)
 {
-    const auto ageOf = [civilNow](const json &at) { return Milliseconds(std::max<std::int64_t>(0, civilNow - at.get<std::int64_t>())); };
+    const auto ageOf
+        = [civilNow](const json &at) { return Milliseconds(std::max<std::int64_t>(0, civilNow - wholeNumber(at, 0, maxUnixMs).value_or(civilNow))); };
     VersionHistory::Past past{ageOf(from.at("versions_known_since")), {}};
     for (const auto &each : from.at("gone")) {
         past.gone.push_back({ServiceName(each.at(0).get<std::string>()), SoftwareVersion(each.at(1).get<std::string>()), ageOf(each.at(2))});
@@ -73,7 +92,7 @@
 
 std::string contentOf(const json &records, const VersionHistory::Past &past)
 {
-    auto text = records.dump();
+    auto text = textOf(records);
     for (const auto &each : past.gone) {
         text.append(" ").append(each.service.value()).append(" ").append(each.version.value());
     }
@@ -89,7 +108,7 @@
         gone.push_back(json::array({each.service.value(), each.version.value(), civilNow - each.age.count()}));
     }
     const json copy = {{"upstreams", recordsOf(replicas)}, {"versions_known_since", civilNow - past.coveredFor.count()}, {"gone", std::move(gone)}};
-    return copy.dump();
+    return textOf(copy);
 }
 
 std::string copyContent(const ReplicaBook &replicas, const VersionHistory::Past &past)
@@ -110,7 +129,7 @@
         for (const auto &item : records) {
             const auto record = parseRecord(item);
             if (!record) {
-                error.reason = "the copy of the upstreams contains a record without a valid id, address, version or number of slots";
+                error.reason = "the copy of the upstreams contains a record without a valid id, address, version, start or number of slots";
                 return std::nullopt;
             }
             copy.records.push_back(*record);
