--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -53,6 +53,7 @@
     void reload(const settings::Settings &settings);
     /// Logs that answers of the store name no readable era; offsets are taken as those of the last era.
     void onUnreadableStoreEra(const core::Error &why) { node_.log.warn("store_era_unreadable", why); }
+    void onUnreadableStoreEntry(const core::Error &why) { node_.log.warn("record_unreadable", why); }
     /// Logs that the changed settings file is invalid; the current settings stay in force.
     void onSettingsRejected(const core::Error &why) { node_.log.error("settings_wrong", why); }
 
--- a/programs/baobabstalld/hosted.cpp
+++ b/programs/baobabstalld/hosted.cpp
@@ -117,11 +117,19 @@
     const platform::PlatformCodec codec;
     net::HttpClient http(io);
     serving::HostedDaemon *running = nullptr;
-    platform::PlatformStore store(http, {.address = *net::Address::parse(settings->platform.address), .onUnreadableEra = [&running](const core::Error &error) {
-                                             if (running != nullptr) {
-                                                 running->onUnreadableStoreEra(error);
-                                             }
-                                         }});
+    platform::StoreOptions storeOptions;
+    storeOptions.address = *net::Address::parse(settings->platform.address);
+    storeOptions.onUnreadableEra = [&running](const core::Error &error) {
+        if (running != nullptr) {
+            running->onUnreadableStoreEra(error);
+        }
+    };
+    storeOptions.onUnreadableEntry = [&running](const core::Error &error) {
+        if (running != nullptr) {
+            running->onUnreadableStoreEntry(error);
+        }
+    };
+    platform::PlatformStore store(http, std::move(storeOptions));
     serving::HostedDaemon daemon(io, *settings, codec, store, incarnation, std::move(*log));
     running = &daemon;
     if (!daemon.start(why)) {
