Orders and reports take no answer that a replica writes twice

Answers to orders and reports name no call, so nothing tells a copy apart.

Each order and each report now has a connection of its own, closed after the answer (CallOptions::ownConnection). Reports are read only when the state is not known, and orders are few.

--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -152,7 +152,7 @@
 Task<Stream> HttpClient::State::sendRequest(Address address, HttpRequest request, CallOptions options, Deadline deadline, core::Error &why)
 {
     const std::string text = requestText(address, request);
-    Stream stream = options.freshConnection ? nullptr : takeIdle(address);
+    Stream stream = options.freshConnection || options.ownConnection ? nullptr : takeIdle(address);
     const bool isReused = stream != nullptr;
     if (!stream) {
         stream = co_await connect(address, options, why);
@@ -210,7 +210,7 @@
     }
     HttpResponse response = headOf(parser.get());
     response.body = std::move(parser.get().body());
-    if (parser.get().keep_alive()) {
+    if (parser.get().keep_alive() && !options.ownConnection) {
         state->putIdle(address, std::move(stream));
     }
     co_return response;
@@ -264,7 +264,7 @@
             co_return response;
         }
     }
-    if (parser.get().keep_alive()) {
+    if (parser.get().keep_alive() && !options.ownConnection) {
         state->putIdle(address, std::move(stream));
     }
     co_return response;
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -14,6 +14,8 @@
 
 constexpr Milliseconds orderTimeout{150}; // orders are usually answered within 1 to 9 ms; an unanswered one may still be executed
 constexpr Milliseconds reportTimeout{800};
+// Answers to orders and reports name no call, so each call has a connection of its own: on a kept one, an answer that the replica writes once
+// more would be taken for the next call's.
 constexpr std::size_t maxOrderAnswerBytes = 64 * 1024;
 constexpr std::size_t maxReportBytes = 1024 * 1024; // some hundred adapters and as many running requests
 constexpr Milliseconds lateCheckInterval{250};      // between checks whether a late request can still be served before its deadline
@@ -230,6 +232,7 @@
         co_return; // the replica has restarted in the meantime
     }
     if (!report) {
+    options.ownConnection = true;
         residency_.onReportFailed(node_.now());
         node_.log.info("report_failed", why, {{"upstream", target.id}});
         co_return;
@@ -265,6 +268,7 @@
     node_.log.info("order",
                    {{"upstream", target.id},
                     {"kind", kindText(order.kind)},
+    options.ownConnection = true;
                     {"weights", order.weights.text()},
                     {"revision", order.revision},
                     {"sequence", order.expectedSequence},
