An exception ends neither the following of a list nor the work of a host

Tasks that run once say why they ended (task_ended) and are begun again when they are due. The process goes on rather than ends: one that ends for an entry that stays in the store would end again and again.

FollowerTest.an_exception_while_a_page_is_applied_ends_neither_the_following_nor_loses_the_page failed before: nothing was read after the exception. The tick and the owner have no test of an exception: none that remains is known.

--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -35,11 +35,28 @@
 {
     while (isRunning_) {
         schedule_.onReadBegun(node_.now());
-        co_await step();
+        std::string exception;
+        try {
+            co_await step();
+        } catch (const std::exception &thrown) {
+            exception = thrown.what();
+        }
+        if (!exception.empty()) {
+            onException(exception);
+        }
         co_await waitUntilDue();
     }
 }
 
+void TopicFollower::onException(const std::string &what)
+{
+    needsListing_ = true;
+    schedule_.onReadFailed(node_.now(), false);
+    if (std::exchange(lastException_, what) != what) {
+        node_.log.error("list_not_applied", {.step = core::Step::Log, .reason = what}, {{"topic", topicText(topic_)}, {"next", "the topic is listed again"}});
+    }
+}
+
 void TopicFollower::setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps)
 {
     const auto before = schedule_.nextRead();
@@ -155,7 +172,12 @@
             schedule_.onPage(*shared.readAt);
         }
         source_ = shared.sender;
-        applyPage(shared.page);
+        try {
+            applyPage(shared.page);
+        } catch (const std::exception &thrown) {
+            onException(thrown.what());
+            hurry();
+        }
     }
     return isApplicable;
 }
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -8,8 +8,8 @@
 // delay reads the store itself.
 //
 // Starts with a listing of the newest record of each key, then reads new records in order. Lists again when records expired before
-// they were read, and when the store came back as an earlier copy of itself (a new era): the own read or a page of another host shows it. Logs one line when
-// reads start to fail and one when they succeed again.
+// they were read, after an exception, and when the store came back as an earlier copy of itself (a new era): the own read or a page of another host shows it.
+// Logs one line when reads start to fail and one when they succeed again.
 #pragma once
 
 #include <functional>
@@ -81,8 +81,9 @@
 
 private:
     net::Task<void> step();
-    void readSoon(core::Offset end);    // the topic is known to have records up to there
-    void wakeIfEarlier(Instant before); // the next read was due then before the schedule changed
+    void onException(const std::string &what); // records may have been passed over: the topic is listed again
+    void readSoon(core::Offset end);           // the topic is known to have records up to there
+    void wakeIfEarlier(Instant before);        // the next read was due then before the schedule changed
     /// `page` ended before the topic: lists it instead of reading on where that is sooner.
     void chooseListing(const StorePage &page);
     void applyListing(const StoreListing &listing);
@@ -108,6 +109,7 @@
     std::uint64_t recordsLeft_ = 0;
     std::size_t listingBytes_ = 0; // of the last listing
     HostId source_;
+    std::string lastException_;
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -5,7 +5,6 @@
 #include <charconv>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <core/hash.h>
@@ -53,6 +52,21 @@
 constexpr std::string_view settledEraKey = "settled_era";
 constexpr std::string_view upstreamCopyKey = "upstreams"; // used at start while the upstreams topic can't be read
 
+/// An exception that ends the coroutine is logged. What runs for the whole time catches its own exceptions and goes on.
+template<typename Run>
+void spawn(Node &node, std::string_view what, Run run)
+{
+    asio::co_spawn(node.io, std::move(run), [&node, what](const std::exception_ptr &exception) {
+        try {
+            if (exception) {
+                std::rethrow_exception(exception);
+            }
+        } catch (const std::exception &thrown) {
+            node.log.error("task_ended", {{"task", what}, {"why", thrown.what()}});
+        }
+    });
+}
+
 std::string_view changeText(BookChange change)
 {
     constexpr std::array<std::string_view, 6> texts = {"none", "came", "restarted", "leaving", "gone", "back"};
@@ -167,12 +181,11 @@
                     {"zone", node_.settings.zone},
                     {"incarnation", incarnation_}});
     spreadFirstReads();
-    const auto spawn = [this](auto run) { asio::co_spawn(node_.io, std::move(run), asio::detached); };
-    spawn([this] { return operatorsTopic_.run(); });
-    spawn([this] { return upstreamsTopic_.run(); });
-    spawn([this] { return controlTopic_.run(); });
+    spawn(node_, "operators", [this] { return operatorsTopic_.run(); });
+    spawn(node_, "upstreams", [this] { return upstreamsTopic_.run(); });
+    spawn(node_, "control", [this] { return controlTopic_.run(); });
     startAnnouncing();
-    spawn([this] { return tickLoop(); });
+    spawn(node_, "tick", [this] { return tickLoop(); });
     return true;
 }
 
@@ -666,8 +679,7 @@
 void HostedDaemon::startAnnouncing()
 {
     if (!isAnnouncing_ && !(isAnnounced_ && isKeyStored_)) {
-        asio::co_spawn(
-            node_.io, [this] { return announceHost(); }, asio::detached);
+        spawn(node_, "announce", [this] { return announceHost(); });
     }
 }
 
@@ -765,41 +777,50 @@
 net::Task<void> HostedDaemon::tickLoop()
 {
     while (isRunning_) {
-        const auto now = node_.now();
-        if (now - lastTick_ > suspensionThreshold + tickInterval) {
-            node_.log.warn("host_stood_still", {{"for_ms", now - lastTick_}});
-            node_.metrics.beliefChanges.add({"stood_still"});
-            upstreamsTopic_.hurry();
-        }
-        lastTick_ = now;
-        tick();
-        sendAdapterUses();
-        exchangeLoads();
-        crashExchange_.tick();
-        streamExchange_.tick();
-        if (now >= nextHousekeeping_) {
-            nextHousekeeping_ = now + housekeepingInterval;
-            node_.pool.expire(now);
-            if (!upstreamsTopic_.isReached()) { // reads that fail are far apart
-                node_.replicas.noteStore(false, now, upstreamsTopic_.readAt());
-            }
-            node_.leases.expire(now);
-            for (const auto &id : node_.backoffs.takeEnded(now)) {
-                node_.log.info("backoff_ended", {{"upstream", id}, {"next", "requests, orders and reports are sent again"}});
+        try {
+            tickOnce();
+        } catch (const std::exception &thrown) { // what it left undone is due at the next tick
+            if (std::exchange(lastTickException_, thrown.what()) != thrown.what()) {
+                node_.log.error("tick_failed", {{"why", thrown.what()}});
             }
-            for (const auto &id : node_.replicas.expire(now)) {
-                onUpstreamChange(id, BookChange::Gone);
-            }
-            updateResources();
-            asio::co_spawn(
-                node_.io, [this] { return saveUpstreamCopy(); }, asio::detached);
-            asio::co_spawn(
-                node_.io, [this] { return settleEra(); }, asio::detached);
         }
         co_await net::sleep(node_.io, tickInterval);
     }
 }
 
+void HostedDaemon::tickOnce()
+{
+    const auto now = node_.now();
+    if (now - lastTick_ > suspensionThreshold + tickInterval) {
+        node_.log.warn("host_stood_still", {{"for_ms", now - lastTick_}});
+        node_.metrics.beliefChanges.add({"stood_still"});
+        upstreamsTopic_.hurry();
+    }
+    lastTick_ = now;
+    tick();
+    sendAdapterUses();
+    exchangeLoads();
+    crashExchange_.tick();
+    streamExchange_.tick();
+    if (now >= nextHousekeeping_) {
+        nextHousekeeping_ = now + housekeepingInterval;
+        node_.pool.expire(now);
+        if (!upstreamsTopic_.isReached()) { // reads that fail are far apart
+            node_.replicas.noteStore(false, now, upstreamsTopic_.readAt());
+        }
+        node_.leases.expire(now);
+        for (const auto &id : node_.backoffs.takeEnded(now)) {
+            node_.log.info("backoff_ended", {{"upstream", id}, {"next", "requests, orders and reports are sent again"}});
+        }
+        for (const auto &id : node_.replicas.expire(now)) {
+            onUpstreamChange(id, BookChange::Gone);
+        }
+        updateResources();
+        spawn(node_, "copy", [this] { return saveUpstreamCopy(); });
+        spawn(node_, "settle", [this] { return settleEra(); });
+    }
+}
+
 void HostedDaemon::tick()
 {
     const auto now = node_.now();
@@ -869,8 +890,7 @@
         }
         return;
     }
-    asio::co_spawn(
-        node_.io, [this, records = actions.appends] { return appendClaims(records); }, asio::detached);
+    spawn(node_, "claims", [this, records = actions.appends] { return appendClaims(records); });
 }
 
 std::optional<ResidencyOptions> HostedDaemon::residencyOptions(const ReplicaRecord &record, ModelSpec &model) const
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -103,6 +103,7 @@
     net::Task<void> appendClaims(std::vector<ownership::ClaimRecord> records);
     // Ownership.
     net::Task<void> tickLoop();
+    void tickOnce();
     void tick();
     void logMembers(const std::vector<peers::Member> &changes) const;
     void sendMessages(std::vector<peers::OutgoingMessage> messages);
@@ -142,6 +143,7 @@
     TopicFollower upstreamsTopic_;
     TopicFollower controlTopic_;
     core::Incarnation incarnation_;
+    std::string lastTickException_;
     std::map<HostId, HostAnnouncement> announcedHosts_;
     std::map<HostId, Instant> unresponsiveUntil_;     // owners that did not respond
     std::map<HostId, Instant> turnBackoffUntil_;      // owners that gave no turn in time
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -178,7 +178,18 @@
 {
     const auto self = shared_from_this();
     while (isRunning_) {
-        if (co_await step()) {
+        std::string exception;
+        bool isDone = false;
+        try {
+            isDone = co_await step();
+        } catch (const std::exception &thrown) {
+            exception = thrown.what();
+        }
+        if (!exception.empty()) { // the state is asked for again
+            node_.log.error("orders_failed", {{"upstream", record_.id}, {"why", exception}});
+            residency_.onReportFailed(node_.now());
+        }
+        if (isDone) {
             wakeWaiters();
             continue;
         }
@@ -221,6 +232,7 @@
     net::CallOptions options;
     options.timeout = reportTimeout;
     options.maxBodyBytes = maxReportBytes;
+    options.ownConnection = true;
     const auto target = record_;
     const auto answer = co_await httpClient_.call(target.address, node_.codec.reportRequest(target.id), options, why);
     const auto report = answer ? node_.codec.readReport(*answer, why) : std::nullopt;
@@ -232,7 +244,6 @@
         co_return; // the replica has restarted in the meantime
     }
     if (!report) {
-    options.ownConnection = true;
         residency_.onReportFailed(node_.now());
         node_.log.info("report_failed", why, {{"upstream", target.id}});
         co_return;
@@ -257,6 +268,7 @@
     net::CallOptions options;
     options.timeout = orderTimeout;
     options.maxBodyBytes = maxOrderAnswerBytes;
+    options.ownConnection = true;
     const auto target = record_;
     const auto sentAt = node_.now();
     const auto answer = co_await httpClient_.call(target.address, node_.codec.orderRequest(target.id, order, node_.settings.host, epoch_), options, why);
@@ -268,7 +280,6 @@
     node_.log.info("order",
                    {{"upstream", target.id},
                     {"kind", kindText(order.kind)},
-    options.ownConnection = true;
                     {"weights", order.weights.text()},
                     {"revision", order.revision},
                     {"sequence", order.expectedSequence},
--- a/packages/serving/tests/followertest.cpp
+++ b/packages/serving/tests/followertest.cpp
@@ -118,7 +118,13 @@
                                                     options,
                                                     TopicEvents{.onNewEra = [this](core::StoreEra era) { eras_.push_back(era.value()); },
                                                                 .onListing = [this](const StoreListing &listing) { storeOffsets(listing.records); },
-                                                                .onPage = [this](const StorePage &page) { storeOffsets(page.records); },
+                                                                .onPage =
+                                                                    [this](const StorePage &page) {
+                                                                        if (std::exchange(isNextPageThrowing_, false)) {
+                                                                            throw std::runtime_error("odd");
+                                                                        }
+                                                                        storeOffsets(page.records);
+                                                                    },
                                                                 .onReached = [](bool) {},
                                                                 .onRead = [this](const SharedPage &shared) { sharedPages_.push_back(shared); }});
         asio::co_spawn(
@@ -151,6 +157,7 @@
     settings::Settings settings_;
     FakeCodec codec_;
     Node node_{io_, settings_, codec_, log()};
+    bool isNextPageThrowing_ = false;
     FakeStore store_{io_};
     std::vector<std::uint64_t> receivedOffsets_;
     std::vector<std::uint64_t> eras_;
@@ -184,6 +191,19 @@
     EXPECT_EQ(receivedOffsets_, (std::vector<std::uint64_t>{1}));
 }
 
+// Guards against a list that is not followed any more after an exception on one page (issue 32).
+TEST_F(FollowerTest, an_exception_while_a_page_is_applied_ends_neither_the_following_nor_loses_the_page)
+{
+    startFollower({.pause = shortDelay});
+    ASSERT_TRUE(runUntil([this] { return store_.readCount == 1; }));
+    isNextPageThrowing_ = true;
+    store_.records = {makeRecord(1)};
+    ASSERT_TRUE(runUntil([this] { return !isNextPageThrowing_; }));
+    store_.records.push_back(makeRecord(2));
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() >= 2; }));
+    EXPECT_EQ(receivedOffsets_, (std::vector<std::uint64_t>{1, 2}));
+}
+
 // Guards against sharing a page with a wrong start offset, which all other hosts then reject. It came about when many hosts started
 // together and appended, and a page from another host arrived during a read of this host (swellcast-kgn-grown quiet-1).
 TEST_F(FollowerTest, a_page_applied_during_a_read_does_not_change_the_start_offset_of_the_shared_page)
