An odd entry among the records is logged once, blames nobody and hides no later run

An odd entry under the id of a replica that serves removes the replica until it writes again, at its next heartbeat: by the platform's page such an entry names no replica to use, in a listing as in a page. But the removal also counted as the end of the replica's run, and blamed the requests that it ran for a crash. An entry whose start lies in the future hid all entries of the replica after it, which seemed to be of earlier runs.

Its removal blames nothing. A number of adapters that fit and a link's speed are bounded before they are cast.

--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -45,8 +45,11 @@
 constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
 constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
 constexpr Milliseconds drainPollInterval{20};        // while stopping
+constexpr Milliseconds maxClockLag{86'400'000};      // of this host's clock behind an upstream's
 constexpr Milliseconds releaseTimeout{500};          // for the last records of a stopping host; an unreachable store must not delay its end
 
+constexpr double minLinkMbps = 0.01; // of another host's word on its link; a slower one counts as not known
+constexpr double maxLinkMbps = 1e7;
 constexpr std::string_view linkKeyRecord = "key";
 constexpr std::string_view hostPrefix = "host/";
 constexpr std::string_view settledEraKey = "settled_era";
@@ -304,7 +307,9 @@
 {
     const auto begin = node_.now();
     const auto onUnreadable = [this](const StoreRecord &record, const Error &why) {
-        node_.log.warn("configuration_unreadable", why, {{"offset", record.offset}});
+        if (unreadable_.isNew(topicText(Topic::Operators), record.key, record.value, node_.now())) {
+            node_.log.warn("configuration_unreadable", why, {{"offset", record.offset}, {"left_out", unreadable_.takeLeftOut()}});
+        }
     };
     if (auto newest = newestConfiguration(records, node_.codec, onUnreadable)) {
         applyConfiguration(std::move(*newest), begin);
@@ -366,13 +371,16 @@
 void HostedDaemon::applyUpstreamListing(const StoreListing &listing)
 {
     std::vector<ReplicaRecord> records;
+    std::set<UpstreamId> unreadable;
     for (const auto &each : listing.records) {
         if (auto record = parseUpstreamRecord(each)) {
             records.push_back(std::move(*record));
+        } else if (!each.value.empty()) {
+            unreadable.insert(UpstreamId(each.key));
         }
     }
     for (const auto &[id, change] : node_.replicas.assign(records, node_.now())) {
-        onUpstreamChange(id, change);
+        onUpstreamChange(id, change, !unreadable.contains(id));
     }
     updateResources();
 }
@@ -384,30 +392,50 @@
     }
     const UpstreamId id(each.key);
     const auto record = parseUpstreamRecord(each);
-    onUpstreamChange(id, record ? node_.replicas.apply(*record) : node_.replicas.remove(id, node_.now()));
+    onUpstreamChange(id, record ? node_.replicas.apply(*record) : node_.replicas.remove(id, node_.now()), record || each.value.empty());
     updateResources();
 }
 
-/// Returns nullopt for a record without a value, which means that the upstream is gone, and for an unreadable record.
-std::optional<ReplicaRecord> HostedDaemon::parseUpstreamRecord(const StoreRecord &each) const
+/// Returns nullopt for a record without a value, which means that the upstream is gone, and for an unreadable record, which names no upstream
+/// to use until the upstream has written the next one.
+std::optional<ReplicaRecord> HostedDaemon::parseUpstreamRecord(const StoreRecord &each)
 {
     if (each.value.empty()) {
         return std::nullopt;
     }
     Error why;
-    auto record = node_.codec.readReplica(each.key, each.value, why);
+    std::optional<ReplicaRecord> record;
+    try {
+        record = node_.codec.readReplica(each.key, each.value, why);
+    } catch (const std::exception &thrown) { // one entry must not keep the others from being read
+        why = {.step = Step::Hosts, .reason = thrown.what()};
+    }
+    const auto latestStart = core::civilMilliseconds() + maxClockLag.count();
+    if (record && record->startTime.value() > static_cast<std::uint64_t>(latestStart)) { // no later run could replace it
+        why = {.step = Step::Hosts,
+               .reason = "upstream " + settings::printableText(each.key) + " started at a time to come: " + std::to_string(record->startTime.value())};
+        record.reset();
+    }
     if (!record) {
         logUnreadableRecord(Topic::Upstreams, each, why);
     }
     return record;
 }
 
-void HostedDaemon::logUnreadableRecord(Topic topic, const StoreRecord &record, const Error &why) const
+void HostedDaemon::logUnreadableRecord(Topic topic, const StoreRecord &record, const Error &why)
 {
-    node_.log.warn("record_unreadable", why, {{"topic", topicText(topic)}, {"record", settings::printableText(record.key)}, {"offset", record.offset}});
+    if (unreadable_.isNew(topicText(topic), record.key, record.value, node_.now())) {
+        node_.log.warn("record_unreadable",
+                       why,
+                       {{"topic", topicText(topic)},
+                        {"record", settings::printableText(record.key)},
+                        {"offset", record.offset},
+                        {"bytes", record.bytes()},
+                        {"left_out", unreadable_.takeLeftOut()}});
+    }
 }
 
-void HostedDaemon::onUpstreamChange(const UpstreamId &id, BookChange change)
+void HostedDaemon::onUpstreamChange(const UpstreamId &id, BookChange change, bool isEnded)
 {
     if (change == BookChange::None) {
         return;
@@ -421,7 +449,9 @@
         node_.limits.end(id);
         const auto *next = change == BookChange::Restarted ? node_.replicas.find(id) : nullptr;
         const auto age = Milliseconds(next == nullptr ? 0 : core::civilMilliseconds() - static_cast<std::int64_t>(next->startTime.value()));
-        node_.crashes.onLost(id, next == nullptr ? std::nullopt : std::optional(node_.now() - age), node_.now());
+        if (isEnded) {
+            node_.crashes.onLost(id, next == nullptr ? std::nullopt : std::optional(node_.now() - age), node_.now());
+        }
     }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
         node_.doubtedRuns.erase(id);
@@ -559,7 +589,8 @@
         if (value && value->is_object()) {
             address = net::Address::parse(value->value("peers", std::string()));
             zone = value->value("zone", std::string());
-            linkMbps = value->value("link_mbps", 0.0);
+            linkMbps = std::clamp(value->value("link_mbps", 0.0), 0.0, maxLinkMbps);
+            linkMbps = linkMbps < minLinkMbps ? 0 : linkMbps; // not known
             incarnation = value->value("incarnation", std::uint64_t(0));
         }
     } catch (const nlohmann::json::exception &exception) { // a field has the wrong type
@@ -624,7 +655,7 @@
     Error why;
     auto copy = decodeUpstreamCopy(text, core::civilMilliseconds(), why);
     if (!copy) {
-        node_.log.warn("record_unreadable", why, {{"topic", topicText(Topic::Control)}, {"record", upstreamCopyKey}});
+        logUnreadableRecord(Topic::Control, {Offset(), std::string(upstreamCopyKey), text}, why);
         copiedContent_.clear();
         return;
     }
@@ -907,8 +938,8 @@
     }
     ResidencyOptions options;
     const double freeMb = service->engine->weightsMemoryMb - model.weightsMb;
-    const int fittingAdapters = model.adapterMb > 0 ? static_cast<int>(freeMb / model.adapterMb) : service->engine->adapterSlots;
-    options.adapterSlots = std::max(1, std::min(service->engine->adapterSlots, fittingAdapters));
+    const double fittingAdapters = model.adapterMb > 0 ? freeMb / model.adapterMb : service->engine->adapterSlots;
+    options.adapterSlots = static_cast<int>(std::clamp(fittingAdapters, 1.0, std::max(1.0, static_cast<double>(service->engine->adapterSlots))));
     return options;
 }
 
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -31,6 +31,7 @@
 #include <serving/sendgate.h>
 #include <serving/storepages.h>
 #include <serving/streamexchange.h>
+#include <serving/unreadablerecords.h>
 
 namespace baobabstall::serving {
 
@@ -83,9 +84,10 @@
     // Upstreams topic.
     void applyUpstreamListing(const StoreListing &listing);
     void applyUpstreamRecord(const StoreRecord &record);
-    [[nodiscard]] std::optional<ReplicaRecord> parseUpstreamRecord(const StoreRecord &each) const;
-    void logUnreadableRecord(Topic topic, const StoreRecord &record, const core::Error &why) const;
-    void onUpstreamChange(const UpstreamId &id, BookChange change);
+    [[nodiscard]] std::optional<ReplicaRecord> parseUpstreamRecord(const StoreRecord &each);
+    void logUnreadableRecord(Topic topic, const StoreRecord &record, const core::Error &why);
+    /// `isEnded`: the change may mean that a run of the upstream has ended.
+    void onUpstreamChange(const UpstreamId &id, BookChange change, bool isEnded = true);
     void updateResources();
     // Control topic.
     void applyControlRecords(const std::vector<StoreRecord> &records, core::Offset next);
@@ -143,6 +145,7 @@
     TopicFollower upstreamsTopic_;
     TopicFollower controlTopic_;
     core::Incarnation incarnation_;
+    UnreadableRecords unreadable_;
     std::string lastTickException_;
     std::map<HostId, HostAnnouncement> announcedHosts_;
     std::map<HostId, Instant> unresponsiveUntil_;     // owners that did not respond
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -96,6 +96,7 @@
 
     def put(self, topic, key, value):
         with self.changed:
+            key = key.decode(errors="surrogateescape") if isinstance(key, bytes) else key
             self.topics.setdefault(topic, []).append((key, value if isinstance(value, bytes) else json.dumps(value).encode()))
             self.changed.notify_all()
 
@@ -142,7 +143,8 @@
             return
         answer = struct.pack(">QQ", len(topic), 0)
         for key, value in page:
-            content = bytes([len(key)]) + key.encode() + value
+            raw = key.encode(errors="surrogateescape")
+            content = bytes([min(len(raw), 255)]) + raw + value
             answer += struct.pack(">I", len(content)) + content
         request.answer(200, answer)
 
@@ -153,7 +155,8 @@
         for offset, (key, value) in enumerate(topic):
             items[key] = {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
         items = [item for item in items.values() if item["value"]]
-        request.answer_json(200, {"items": items, "has_more": False, "end_offset": len(topic)})
+        listing = json.dumps({"items": items, "has_more": False, "end_offset": len(topic)}, ensure_ascii=False)
+        request.answer(200, listing.encode(errors="surrogateescape"), [("Content-Type", "application/json")])
 
 
 class Replica(Server):
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -314,6 +314,60 @@
         self.assertEqual(len(self.replicas[0].ran), before)
         self.assertTrue(wait_until(lambda: any(host.events("record_unreadable") for host in self.hosts), 3))
 
+    def odd_entries(self):
+        """Entries that another writer may leave among the replicas: key and value."""
+        sound = {"service": "llm", "address": "127.0.0.1:9", "zone": "a", "version": "v1", "slots": 8, "state": "ready", "born": 1, "models": []}
+        text = json.dumps(sound)
+        yield "i-deep", b"[" * 100_000 + b"]" * 100_000
+        yield "i-deep-field", text.replace('"models": []', '"models": %s' % ("[" * 100_000 + "]" * 100_000)).encode()
+        for number in ("1e400", "-1", "1e300", "18446744073709551616", "9223372036854775808", "3000000000", "1e14", "0.5"):
+            yield "i-slots" + number, text.replace('"slots": 8', '"slots": ' + number).encode()
+            yield "i-born" + number, text.replace('"born": 1', '"born": ' + number).encode()
+        for port in ("0", "65536", "-1", "99999999999"):
+            yield "i-port" + port, json.dumps(sound | {"address": "127.0.0.1:" + port})
+        yield "i-name", json.dumps(sound | {"address": "localhost:80"})
+        for field in ("service", "address", "zone", "version", "state"):
+            yield "i-nul-" + field, json.dumps(sound | {field: "a\0b"})
+            yield "i-bytes-" + field, text.replace('"%s": "' % field, '"%s": "\\xff\\xfe' % field).encode("latin-1").replace(b"\\xff", b"\xff")
+        yield b"i-\xff\xfe", text
+        yield "i-line\r\nX-Request-Priority: 0", text
+        yield "k" * 64 * 1024, text
+        yield "i-twice", "{"
+        yield "i-twice", "{"
+
+    # Guards against machines that end, or that stop following the list of the replicas, for one odd entry of another writer (issue 32).
+    def test_odd_entries_in_the_list_end_nothing_and_the_rest_stays_followed(self):
+        odd = [(key, value if isinstance(value, bytes) else value.encode()) for key, value in self.odd_entries()]
+        for key, value in odd[::2]:  # in the first listings
+            self.store.put("keyed.servers", key, value)
+        self.start_all()
+        for key, value in odd:  # in pages
+            self.store.put("keyed.servers", key, value)
+        shop = Replica(self.store, "i-shop2", "shop", "a")
+        self.shops.append(shop)
+        self.assertTrue(wait_until(lambda: [self.book(host) for host in self.hosts] and shop.ran, 5), self.states("the list is not followed"))
+        self.hosts[0].end(signal.SIGKILL)
+        self.hosts[0].start()  # lists them all
+        self.assertTrue(wait_until(self.hosts[0].ready), self.states("not ready"))
+        self.store.topics_down.add("keyed.servers")
+        time.sleep(0.5)
+        self.store.topics_down.clear()
+        shop.register("draining")
+        self.assertTrue(wait_until(lambda: all(host.events("upstream_changed") for host in self.hosts)))
+        time.sleep(2.0)
+        before = len(shop.ran)
+        for host in self.hosts:
+            self.assertEqual([self.book(host)[0] for _ in range(10)], [200] * 10)
+            self.assertEqual(self.generate(host, "a1")[0], 200)
+        self.assertEqual(len(shop.ran), before, "the leave was not seen")
+        for host in self.hosts:
+            self.assertIsNone(host.process.poll())
+            lines = host.events("record_unreadable")
+            self.assertTrue(lines)
+            self.assertLessEqual(len(lines), 60)
+            self.assertLess(max(len(json.dumps(line)) for line in lines), 2_000)
+            self.assertEqual([line for name in ("task_ended", "list_not_applied", "tick_failed", "orders_failed") for line in host.events(name)], [])
+
     def test_all_hosts_together_keep_to_the_limits_that_upstreams_name_and_send_freely_after_them(self):
         self.start_all()
         self.replicas[0].limit = limit = 2.5
