--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -3,6 +3,7 @@
 violations of the platform's rules, which a test expects to be empty."""
 import base64
 import json
+import random
 import socket
 import struct
 import threading
@@ -19,9 +20,12 @@
     def __init__(self):
         outer = self
         self.open_connections = set()
+        self.repeats_refusals = None  # "before the next answer" or "while idle"
+        self.repeated = 0
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            refusal = b""  # the last one of this connection
             disable_nagle_algorithm = True
 
             def setup(self):
@@ -38,11 +42,26 @@
             def any_method(self):
                 length = int(self.headers.get("Content-Length") or 0)
                 self.body = self.rfile.read(length)
+                if outer.repeats_refusals == "before the next answer":
+                    self.repeat_refusal()
                 outer.handle(self)
+                if outer.repeats_refusals == "while idle":
+                    time.sleep(0.005)
+                    self.repeat_refusal()
+
+            def repeat_refusal(self):
+                """Writes the last refusal of this connection once more, as a faulty replica does."""
+                if self.refusal:
+                    self.wfile.write(self.refusal)
+                    outer.repeated += 1
+                self.refusal = b""
 
             do_GET = do_POST = do_DELETE = any_method
 
             def answer(self, status, body=b"", headers=()):
+                if status >= 400:
+                    lines = ["HTTP/1.1 %d Refused" % status, *("%s: %s" % field for field in headers), "Content-Length: %d" % len(body), "", ""]
+                    self.refusal = "\r\n".join(lines).encode() + body
                 self.send_response(status)
                 for name, value in [*headers, *outer.common_headers()]:
                     self.send_header(name, value)
@@ -181,6 +200,8 @@
         self.crashing_part = None  # of prompts: the connection is reset once the answer has begun
         self.crashing_body = None  # of requests: the connection is reset before the answer
         self.crashed = []  # times of requests with that part or body
+        self.refused_share = 0.0  # of requests: 503, not run
+        self.names_refused = True  # a refusal names its request
         self.violations = []
         super().__init__()
         self.register()
@@ -195,7 +216,7 @@
 
     def handle(self, request):
         if request.headers.get("X-Expect-Replica", self.name) != self.name:
-            request.answer(421, headers=[("X-Replica-Id", self.name)])
+            request.answer(421, headers=[("X-Replica-Id", self.name), *self.id_of(request)])
         elif request.path == "/baobabstall/report":
             with self.lock:
                 models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}]
@@ -207,6 +228,10 @@
         else:
             self.run(request)
 
+    def id_of(self, request):
+        attempt = request.headers.get("X-Attempt-Id")
+        return [("X-Attempt-Id", attempt)] if attempt and self.names_refused else []
+
     def order(self, order):
         with self.lock:
             self.orders.append((time.monotonic(), order["holder"], order["fencing_token"], order["operation"], order.get("adapter")))
@@ -234,7 +259,10 @@
         self.arrivals.append(time.monotonic())
         wanted = request.headers.get("X-Model-Id")
         if wanted and "/" in wanted and self.held.get(wanted.split("/")[1], float("inf")) > time.monotonic():
-            request.answer(421, headers=[("X-Replica-Id", self.name)])
+            request.answer(421, headers=[("X-Replica-Id", self.name), *self.id_of(request)])
+            return
+        if random.random() < self.refused_share:
+            request.answer(503, headers=[("X-Not-Executed", "1"), *self.id_of(request)])
             return
         self.ran.append(attempt)
         if self.crashing_body is not None and request.body == self.crashing_body:
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -368,6 +368,40 @@
             self.assertLess(max(len(json.dumps(line)) for line in lines), 2_000)
             self.assertEqual([line for name in ("task_ended", "list_not_applied", "tick_failed", "orders_failed") for line in host.events(name)], [])
 
+    # Guards against a refusal that a faulty replica writes once more on a kept connection: "not run" was said of requests that ran (issue 32).
+    def test_a_refusal_that_a_replica_writes_twice_is_taken_for_no_other_answer(self):
+        self.start_all()
+        for names_refused, moment in itertools.product((True, False), ("before the next answer", "while idle")):
+            for replica in (*self.replicas, self.shop):
+                replica.refused_share, replica.names_refused, replica.repeats_refusals = 0.3, names_refused, moment
+            wrong, statuses = [], []
+
+            def work(number):
+                host = self.hosts[number % 2]
+                for turn in range(25):
+                    attempt = "r%d" % next(self.numbers)
+                    status = self.book(host, attempt)[0]
+                    statuses.append(status)
+                    if status in (429, 503) and attempt in self.shop.ran:
+                        wrong.append(("ran", attempt))
+                    if self.shop.ran.count(attempt) > 1:
+                        wrong.append(("twice", attempt))
+                    if turn % 5 == 0:
+                        for replica in self.replicas:  # the next request for the adapter gets 421
+                            replica.held.pop("a1", None)
+                        status, _, _, attempt = self.generate(host, "a1")
+                        if status in (429, 503) and any(attempt in replica.ran for replica in self.replicas):
+                            wrong.append(("ran", attempt))
+
+            threads = [threading.Thread(target=work, args=(number,)) for number in range(4)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            self.assertEqual(wrong, [], "%s %s" % (names_refused, moment))
+            self.assertGreater(statuses.count(200), 20)
+        self.assertGreater(sum(replica.repeated for replica in (*self.replicas, self.shop)), 20)
+
     def test_all_hosts_together_keep_to_the_limits_that_upstreams_name_and_send_freely_after_them(self):
         self.start_all()
         self.replicas[0].limit = limit = 2.5
