A host finds out that it reaches no upstream, and tells the others

Reachability decides it from new connections, with a few probes where there is no traffic, and Node::reachability.isCutOff() tells. Nothing relays yet. A connection that timed out is now named as such in send_ended, where it read as cancelled.

--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -4,7 +4,7 @@
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
 //   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice,
-//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice
+//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice, ReachNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -333,6 +333,11 @@
     std::int64_t remainingMs = 0; // from the sending; then nobody takes the stream up any more
 };
 
+/// Whether the sender reaches upstreams: on each change to all hosts, and again at intervals while it reaches none.
+struct ReachNotice {
+    bool reaches = true;
+};
+
 struct Notice {
     std::variant<WidthNotice,
                  PrefetchNotice,
@@ -344,7 +349,8 @@
                  LimitEndNotice,
                  CrashReportNotice,
                  CrashVerdictsNotice,
-                 StreamOriginNotice>
+                 StreamOriginNotice,
+                 ReachNotice>
         body;
 };
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -733,6 +733,7 @@
             }
             response_ = node_.codec.readAnswer(status, responseHeaders_);
             node_.applyUpstreamState(replica, response_);
+            node_.reachability.onAnswer(replica.id, node_.now());
             node_.crashes.onAnswered(replica.id, node_.now());
             applyKeepAlive(head);
             if (!response_.id.empty() && response_.id != metadata_.id) {
@@ -971,6 +972,7 @@
             if (!bytes) {
                 co_return onCut(replica, "the stream was cut: " + truncationReason_);
             }
+            node_.reachability.onAnswer(replica.id, node_.now());
             scanner.feed(*bytes);
             std::string events;
             appendNewEvents(scanner, events);
@@ -1070,6 +1072,7 @@
         releaseConnection(false);
         if (!isCallerFault()) {
             node_.doubtRun(replica.id);
+            node_.reachability.onLost(replica.id, node_.now());
         }
         if (wasSent) {
             mayHaveRun_ = true;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -292,6 +292,8 @@
     metrics.limitedUpstreams.set(static_cast<double>(node_.limits.size()));
     metrics.blamedParts.set(static_cast<double>(node_.crashes.blamed(CrashCause::Kind::Part)));
     metrics.blamedRequests.set(static_cast<double>(node_.crashes.blamed(CrashCause::Kind::Request)));
+    metrics.cutOff.set(node_.reachability.isCutOff() ? 1 : 0);
+    metrics.cutOffPeers.set(static_cast<double>(node_.reachability.cutOffPeers(now).size()));
     metrics.residencyLeases.set(static_cast<double>(node_.leases.size()));
     metrics.logLinesDropped.set(static_cast<double>(logging::Log::droppedLines()));
     if (node_.routes) {
@@ -484,6 +486,13 @@
         }
     }
     planner_.setResources(std::move(resources));
+    std::vector<Reachability::Upstream> upstreams;
+    for (const auto &id : node_.replicas.all()) {
+        if (node_.replicas.isUsable(id)) {
+            upstreams.push_back({id, node_.replicas.find(id)->service});
+        }
+    }
+    node_.reachability.setUpstreams(upstreams, node_.now());
 }
 
 // ---- Control topic ----
@@ -828,6 +837,7 @@
         upstreamsTopic_.hurry();
     }
     lastTick_ = now;
+    checkReachability();
     tick();
     sendAdapterUses();
     exchangeLoads();
@@ -1213,6 +1223,8 @@
         crashExchange_.onVerdicts(from, *verdicts);
     } else if (const auto *origin = std::get_if<peers::StreamOriginNotice>(&notice.body)) {
         streamExchange_.onNotice(*origin);
+    } else if (const auto *reach = std::get_if<peers::ReachNotice>(&notice.body)) {
+        node_.reachability.onPeer(from, reach->reaches, node_.now());
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
         UpstreamLoads loads;
         for (const auto &[id, running, prefillMs] : update->loads) {
@@ -1244,6 +1256,51 @@
     }
 }
 
+// ---- Reachability of upstreams ----
+
+void HostedDaemon::checkReachability()
+{
+    auto &reachability = node_.reachability;
+    for (const auto &id : reachability.takeProbes(static_cast<int>(node_.pool.busy()), node_.now())) {
+        asio::co_spawn(
+            node_.io, [this, id] { return probeUpstream(id); }, asio::detached);
+    }
+    if (reachability.isCutOff() != std::exchange(wasCutOff_, reachability.isCutOff())) {
+        const auto peers = reachability.cutOffPeers(node_.now());
+        node_.metrics.beliefChanges.add({wasCutOff_ ? "cut_off" : "reaches_upstreams"});
+        node_.log.info(wasCutOff_ ? "cut_off" : "reaches_upstreams",
+                       {{"failing", reachability.failing()}, {"upstreams", node_.replicas.size()}, {"cut_off_peers", peers.size()}});
+        for (const auto &id : node_.replicas.all()) {
+            if (wasCutOff_) {
+                node_.pool.forget(id); // idle connections may stay silent for good
+            }
+        }
+    }
+    const auto notice = links_ ? reachability.takeNotice(node_.now()) : std::nullopt;
+    for (const auto &member : notice ? membership_.live() : std::vector<peers::Member>()) {
+        if (member.host != node_.settings.host) {
+            links_->notify(member.host, {peers::ReachNotice{*notice}});
+        }
+    }
+}
+
+/// The connection stays in the pool, for the next request.
+net::Task<void> HostedDaemon::probeUpstream(UpstreamId id)
+{
+    const auto *record = node_.replicas.find(id);
+    if (record == nullptr) {
+        co_return;
+    }
+    Error why;
+    const auto address = record->address;
+    const auto connection = co_await node_.pool.open(
+        id, address, [](const ConnectionPtr &) {}, why);
+    node_.metrics.upstreamProbes.add({connection ? "reached" : "failed"});
+    if (connection) {
+        node_.pool.keep(id, connection, node_.now());
+    }
+}
+
 // ---- Running requests ----
 
 void HostedDaemon::handleAdapterUses(const HostId &from, const peers::UsesNotice &notice)
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -128,6 +128,9 @@
     void exchangeLoads();
     void applyLoads();
     void updateGroups();
+    // Reachability of upstreams.
+    void checkReachability();
+    net::Task<void> probeUpstream(UpstreamId id);
 
     Node node_;
     AbstractStore &store_;
@@ -172,6 +175,7 @@
     bool hasVersionHistory_ = false;             // of the time before this host started, as far as there is any
     bool isSavingCopy_ = false;
     bool isAppendingClaims_ = false;
+    bool wasCutOff_ = false; // as last logged
     bool isAnnounced_ = false;
     bool isRunning_ = false;
     std::uint64_t resourcesVersion_ = ~std::uint64_t(0);
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -43,6 +43,9 @@
     , knownUpstreams(registry.gauge({"upstreams", "upstreams known", {}, 1}))
     , ownedUpstreams(registry.gauge({"owned_upstreams", "upstreams that this host may order about", {}, 1}))
     , limitedUpstreams(registry.gauge({"limited_upstreams", "upstreams that named a number of requests a second for all hosts", {}, 1}))
+    , upstreamProbes(registry.counter({"upstream_probes_total", "connections opened to find out whether this host reaches upstreams", {"outcome"}, 4}))
+    , cutOff(registry.gauge({"cut_off", "1 while new connections to all upstreams fail", {}, 1}))
+    , cutOffPeers(registry.gauge({"cut_off_peers", "other hosts that say that they reach no upstream", {}, 1}))
     , blamedParts(registry.gauge({"blamed_parts", "parts of prompts that crash upstreams; requests with them are refused", {}, 1}))
     , blamedRequests(registry.gauge({"blamed_requests", "requests that crash upstreams; they are refused when they come again", {}, 1}))
     , upstreamConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
@@ -60,7 +63,12 @@
     , versions(now())
     , pool(context, PoolOptions())
 {
-    pool.onUnexpectedClose = [this](const UpstreamId &id) { doubtRun(id); };
+    pool.onUnexpectedClose = [this](const UpstreamId &id) {
+        doubtRun(id);
+        reachability.onLost(id, now());
+    };
+    pool.onConnected = [this](const UpstreamId &id) { reachability.onConnected(id, now()); };
+    pool.onNoContact = [this](const UpstreamId &id) { reachability.onNoContact(id, now()); };
 }
 
 admission::RetryBudget &Node::retryBudgetFor(const ServiceName &service)
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -22,6 +22,7 @@
 #include <serving/crashwatch.h>
 #include <serving/prefillturns.h>
 #include <serving/protocol.h>
+#include <serving/reachability.h>
 #include <serving/replicabook.h>
 #include <serving/residency.h>
 #include <serving/responsebudget.h>
@@ -60,6 +61,9 @@
     metrics::Gauge &knownUpstreams;
     metrics::Gauge &ownedUpstreams;
     metrics::Gauge &limitedUpstreams;
+    metrics::Counter &upstreamProbes; // outcome
+    metrics::Gauge &cutOff;
+    metrics::Gauge &cutOffPeers;
     metrics::Gauge &blamedParts;
     metrics::Gauge &blamedRequests;
     metrics::Gauge &upstreamConnections; // state
@@ -182,6 +186,7 @@
     UpstreamLimits limits;
     ResponseBudget responseBudget;
     CrashWatch crashes;
+    Reachability reachability;
     VersionHistory versions;
     Milliseconds longestStream{60'000};                     // that a caller may still take up
     std::map<UpstreamId, Instant> doubtedRuns;              // see doubtRun()
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -237,6 +237,7 @@
     const auto answer = co_await httpClient_.call(target.address, node_.codec.reportRequest(target.id), options, why);
     const auto report = answer ? node_.codec.readReport(*answer, why) : std::nullopt;
     node_.metrics.orders.add({"report", report ? "good" : "failed"});
+    noteContact(target.id, answer.has_value(), why);
     if (answer) {
         node_.applyUpstreamState(target, *answer);
     }
@@ -262,6 +263,17 @@
         {{"upstream", target.id}, {"sequence", report->sequence}, {"places", residency_.adapterSlotsTaken()}, {"holds_model", residency_.holdsModel()}});
 }
 
+void OwnedReplica::noteContact(const UpstreamId &id, bool isAnswered, const core::Error &why)
+{
+    if (isAnswered) {
+        node_.reachability.onAnswer(id, node_.now());
+    } else if (why.step == core::Step::Connect) {
+        node_.reachability.onNoContact(id, node_.now());
+    } else {
+        node_.reachability.onLost(id, node_.now());
+    }
+}
+
 net::Task<void> OwnedReplica::sendOrder(Order order)
 {
     core::Error why;
@@ -274,6 +286,7 @@
     const auto answer = co_await httpClient_.call(target.address, node_.codec.orderRequest(target.id, order, node_.settings.host, epoch_), options, why);
     auto outcome = answer ? node_.codec.readOrderAnswer(*answer) : why.outcome == core::Outcome::NotRun ? OrderOutcome::Refused : OrderOutcome::Unknown;
     node_.metrics.orders.add({kindText(order.kind), outcomeText(outcome)});
+    noteContact(target.id, answer.has_value(), why);
     if (answer) {
         node_.applyUpstreamState(target, *answer);
     }
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -52,6 +52,7 @@
     net::Task<bool> step(); // returns false when nothing is due
     net::Task<void> fetchReport();
     net::Task<void> sendOrder(Order order);
+    void noteContact(const UpstreamId &id, bool isAnswered, const core::Error &why); // of an order or a report
     void wake();
     void wakeWaiters();
     void releasePermit();
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -67,23 +67,30 @@
     ++totalOpened_;
     onOpening(connection);
     error_code error;
+    const auto isTimedOut = std::make_shared<bool>(false);
     const auto ip = asio::ip::make_address(address.ip, error);
     if (!error) {
         connection->socket.open(ip.is_v4() ? tcp::v4() : tcp::v6(), error);
     }
     if (!error) {
         asio::steady_timer timer(io_, net::chronoOf(options_.connectTimeout));
-        timer.async_wait([connection](error_code timerError) {
+        timer.async_wait([connection, isTimedOut](error_code timerError) {
             if (!timerError) {
+                *isTimedOut = true;
                 connection->close();
             }
         });
         std::tie(error) = co_await connection->socket.async_connect(tcp::endpoint(ip, address.port), net::tuple);
     }
     if (error || !connection->socket.is_open()) {
+        if (*isTimedOut || (error && error != asio::error::operation_aborted)) {
+            onNoContact(id);
+        }
         why = core::Error{.step = core::Step::Connect,
                           .peer = address.text(),
-                          .reason = error ? error.message() : "connection timed out",
+                          .reason = *isTimedOut ? "connection timed out"
+                              : error           ? error.message()
+                                                : "cancelled",
                           .refusal = core::Refusal::Unavailable};
         drop(id, connection);
         co_return nullptr;
@@ -94,6 +101,7 @@
     setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ackTimeoutMs, sizeof ackTimeoutMs);
     net::watchForSilence(connection->socket.native_handle()); // detects an unreachable machine without closing connections to a slow replica
     connection->keepFor = options_.defaultKeep;
+    onConnected(id);
     co_return connection;
 }
 
@@ -154,4 +162,13 @@
     return count;
 }
 
+std::size_t UpstreamPool::busy() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, group] : groups_) {
+        count += static_cast<std::size_t>(group.openCount) - group.idle.size();
+    }
+    return count;
+}
+
 } // namespace baobabstall::serving
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -65,6 +65,10 @@
     /// Called when an idle connection turns out to have been closed sooner than the upstream said: it may have started again.
     std::function<void(const UpstreamId &)> onUnexpectedClose = [](const UpstreamId &) {};
 
+    /// Called when open() has opened a connection, and when it failed or timed out rather than being cancelled.
+    std::function<void(const UpstreamId &)> onConnected = [](const UpstreamId &) {};
+    std::function<void(const UpstreamId &)> onNoContact = [](const UpstreamId &) {};
+
     /// Returns a reusable idle connection that never brought a refusal of the request, or nullptr.
     [[nodiscard]] ConnectionPtr takeIdle(const UpstreamId &id, const RequestId &request, Instant now);
     /// Opens a new connection. `onOpening` receives it before it connects, so that the caller can cancel by closing it. Returns nullptr on
@@ -80,6 +84,7 @@
     [[nodiscard]] int openTo(const UpstreamId &id) const;               // including idle ones
     [[nodiscard]] std::uint64_t opened() const { return totalOpened_; } // since the start, including failed attempts
     [[nodiscard]] std::size_t idle() const;
+    [[nodiscard]] std::size_t busy() const; // open or being opened, and not idle
 
 private:
     struct Group {
