What a host owns that reaches no upstream moves to one that does

An owner that is cut off sends no orders and reports now, and hands over after 1.5 s of a cut to the preferred host of those that reach upstreams; conditional appends, epochs and the lease bind as before. The move back waits for handover_delay_ms, so cuts in series move a resource once. While no host reaches upstreams nothing moves.

--- a/packages/ownership/planner.cpp
+++ b/packages/ownership/planner.cpp
@@ -61,16 +61,37 @@
     setCandidates(candidatesAmong(members_));
 }
 
+void OwnershipPlanner::setCutOff(std::set<HostId> hosts, Instant now)
+{
+    cutOff_ = std::move(hosts);
+    if (reachesUpstreams(self_.host)) {
+        cutOffSince_.reset();
+    } else {
+        cutOffSince_ = cutOffSince_.value_or(now);
+    }
+    setCandidates(candidatesAmong(members_));
+}
+
+/// Those that reach upstreams. While none does, those that were candidates before, so that nothing moves.
 std::map<HostId, ZoneId> OwnershipPlanner::candidatesAmong(const std::map<HostId, Member> &members) const
 {
-    std::map<HostId, ZoneId> candidates;
+    std::map<HostId, ZoneId> alive;
     for (const auto &[host, member] : members) {
         bool isWanted = member.state == MemberState::Alive && !(stopping_ && host == self_.host);
         if (isWanted) {
-            candidates.emplace(host, member.zone);
+            alive.emplace(host, member.zone);
         }
     }
-    return candidates;
+    const auto among = [&alive](const auto &isChosen) {
+        std::map<HostId, ZoneId> chosen;
+        std::copy_if(alive.begin(), alive.end(), std::inserter(chosen, chosen.end()), [&](const auto &each) { return isChosen(each.first); });
+        return chosen;
+    };
+    auto candidates = among([this](const HostId &host) { return reachesUpstreams(host); });
+    if (candidates.empty()) {
+        candidates = among([this](const HostId &host) { return candidates_.contains(host); });
+    }
+    return candidates.empty() ? alive : candidates;
 }
 
 void OwnershipPlanner::setCandidates(std::map<HostId, ZoneId> candidates)
@@ -430,7 +451,13 @@
     }
     bool otherPreferred = !state.preferredHost.empty() && state.preferredHost != self_.host;
     bool settled = now - state.preferredSince >= settings_.handoverDelay;
-    return otherPreferred && settled && caughtUp_ && !logDown_ && reachesMajority();
+    return otherPreferred && (settled || isCutOffForLong(now)) && caughtUp_ && !logDown_ && reachesMajority();
+}
+
+bool OwnershipPlanner::isCutOffForLong(Instant now) const
+{
+    const bool doOthersReach = std::any_of(candidates_.begin(), candidates_.end(), [this](const auto &each) { return reachesUpstreams(each.first); });
+    return cutOffSince_ && now - *cutOffSince_ >= cutOffDelay && doOthersReach;
 }
 
 bool OwnershipPlanner::isRefreshDue(const ResourceState &state, Instant now) const
--- a/packages/ownership/planner.h
+++ b/packages/ownership/planner.h
@@ -21,6 +21,9 @@
 // owner left on an engine without fencing checks needs stronger proof, evidence(); a time-out is not sufficient.
 // An unreachable owner is replaced only by a daemon that itself reaches a majority of the listed hosts (of two equal halves, the one with
 // the lowest host id), so a daemon or zone that is cut off from its peers but not from the log claims nothing.
+// A daemon that reaches no upstream can't order anything: it claims nothing while others do, and hands over what it owns once that has lasted
+// for cutOffDelay. What moved comes back like any resource with another preferred owner, after handoverDelay, so cuts in series move it once.
+// While no daemon reaches upstreams, nothing moves.
 // During an outage of the log owners keep their ownership and nothing is claimed; after it, claims wait until the stream was read to its end.
 #pragma once
 
@@ -99,6 +102,7 @@
     // Resources and members.
     void setResources(std::vector<PlacedResource> resources);         // all resources of the region; the engines change, partitions and "loads" are constant
     void setMembers(const std::vector<peers::Member> &members);       // all members, as returned by the membership
+    void setCutOff(std::set<HostId> hosts, Instant now);              // live hosts that reach no upstream, also this one; after each change
     void setHostListTime(std::int64_t asOf) { hostListTime_ = asOf; } // as_of_ms of the newest host list
 
     // Log events.
@@ -142,6 +146,7 @@
     static constexpr int appendBurst = 20;
     static constexpr int requiredFullReads = 2;              // reads to the end after a pause or a lost answer; the first may have been in flight before it
     static constexpr Milliseconds maxTickGap{2'000};         // between two calls of tick(); a longer gap is treated as a pause of the process
+    static constexpr Milliseconds cutOffDelay{1'500};        // until an owner that reaches no upstream hands over; shorter cuts move nothing
     static constexpr Milliseconds unknownOwnerDelay{30'000}; // time after which an owner unknown to the membership is treated as dead
     static constexpr std::int64_t hostListLagMs = 600'000;   // a host list this much newer than a claim is known to include the claim's host
 
@@ -184,6 +189,8 @@
     [[nodiscard]] Incarnation newestIncarnation(const HostId &host) const;
     [[nodiscard]] const peers::Member *memberOf(const HostId &host) const;
     [[nodiscard]] std::map<HostId, ZoneId> candidatesAmong(const std::map<HostId, peers::Member> &members) const;
+    [[nodiscard]] bool reachesUpstreams(const HostId &host) const { return !cutOff_.contains(host); }
+    [[nodiscard]] bool isCutOffForLong(Instant now) const; // this daemon, while others reach upstreams
     [[nodiscard]] bool isEligible(const ResourceState &state, const ZoneId &zone) const;
     void setCandidates(std::map<HostId, ZoneId> candidates);
     void choosePreferredHost(const Resource &resource, ResourceState &state) const;
@@ -206,7 +213,9 @@
     ClaimTable table_;
     std::map<Resource, ResourceState> states_;
     std::map<HostId, peers::Member> members_;
-    std::map<HostId, ZoneId> candidates_; // alive hosts, for rendezvous hashing
+    std::set<HostId> cutOff_;
+    std::optional<Instant> cutOffSince_;  // this daemon
+    std::map<HostId, ZoneId> candidates_; // alive hosts that reach upstreams, for rendezvous hashing
     std::map<ZoneId, int> candidatesPerZone_;
     std::unordered_map<std::string, PendingAppend> pending_; // by record id
     std::unordered_map<Resource, std::string> pendingByResource_;
--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -147,6 +147,24 @@
         updateMembers();
     }
 
+    void setCutOff(std::set<HostId> hosts)
+    {
+        cutOff = std::move(hosts);
+        for (auto &[host, daemon] : daemons) {
+            daemon->planner.setCutOff(cutOff, clock.now());
+        }
+    }
+
+    /// Resources that a host owns which reaches upstreams.
+    std::size_t ownedByReaching()
+    {
+        std::size_t count = 0;
+        for (const auto &[resource, owner] : owners()) {
+            count += !cutOff.contains(owner.host) && !owner.released ? 1 : 0;
+        }
+        return count;
+    }
+
     void updateMembers()
     {
         std::vector<Member> all;
@@ -216,6 +234,7 @@
     settings::Ownership options; // of daemons started later
     std::vector<PlacedResource> resources;
     std::map<HostId, Member> members;
+    std::set<HostId> cutOff; // as setCutOff() told all daemons
     std::map<std::string, std::unique_ptr<Daemon>> daemons;
 };
 
@@ -960,3 +979,110 @@
         EXPECT_EQ(listed.ownerOf(resource)->host, owner.host) << resource.value();
     }
 }
+
+// Guards against upstreams whose owner has lost its links to them: nobody could load weights there for the whole cut (RECOVER, issue 32).
+TEST_F(Planner, WhatAnOwnerThatReachesNoUpstreamOwnsMovesToOthersAfterALease)
+{
+    options = {.handoverDelay = Milliseconds(60'000), .claimDelay = Milliseconds(1'000), .leaseWait = Milliseconds(2'000), .claimsOf = "host"};
+    for (const int cut : {1, 4, 7}) {
+        resources.clear();
+        daemons.clear();
+        members.clear();
+        cutOff.clear();
+        log = {};
+        startAll(8, 4, 22);
+        const auto before = owners();
+        std::set<HostId> hosts;
+        for (int i = 0; i < cut; ++i) {
+            hosts.insert(HostId("h" + std::to_string(i)));
+        }
+        setCutOff(hosts);
+        run(OwnershipPlanner::cutOffDelay - step);
+        EXPECT_EQ(owners(), before) << cut << ": a short cut moves nothing";
+        run(Milliseconds(2'000));
+        EXPECT_EQ(ownedByReaching(), resources.size()) << cut;
+        run(options.leaseWait);
+        EXPECT_EQ(servedCount(), resources.size()) << cut;
+        for (const auto &[resource, owner] : owners()) {
+            EXPECT_TRUE(owner == before.at(resource) || hosts.contains(before.at(resource).host)) << "others' resources stay";
+        }
+    }
+}
+
+TEST_F(Planner, WhileNoHostReachesUpstreamsNothingMoves)
+{
+    options = {.handoverDelay = Milliseconds(60'000), .claimDelay = Milliseconds(1'000), .leaseWait = Milliseconds(2'000), .claimsOf = "host"};
+    startAll(5, 1, 20);
+    const auto before = owners();
+    std::set<HostId> hosts;
+    for (int i = 0; i < 5; ++i) { // seen one after the other within the time in which a cut is noticed
+        hosts.insert(HostId("h" + std::to_string(i)));
+        setCutOff(hosts);
+        run(Milliseconds(200));
+    }
+    run(Milliseconds(30'000));
+    EXPECT_EQ(owners(), before);
+    setCutOff({});
+    run(Milliseconds(30'000));
+    EXPECT_EQ(owners(), before);
+}
+
+// Guards against a lease without orders at each cut of a series.
+TEST_F(Planner, CutsInSeriesMoveAResourceOnce)
+{
+    options = {.handoverDelay = Milliseconds(60'000), .claimDelay = Milliseconds(1'000), .leaseWait = Milliseconds(2'000), .claimsOf = "host"};
+    startAll(5, 1, 20);
+    setCutOff({HostId("h1"), HostId("h3")});
+    run(Milliseconds(6'000));
+    const auto moved = owners();
+    EXPECT_EQ(ownedByReaching(), resources.size());
+    for (int cut = 0; cut < 50; ++cut) {
+        setCutOff({});
+        run(Milliseconds(cut % 2 == 0 ? 1'000 : 3'000));
+        setCutOff({HostId("h1"), HostId("h3")});
+        run(Milliseconds(cut % 3 == 0 ? 1'000 : 4'000));
+    }
+    EXPECT_EQ(owners(), moved);
+    EXPECT_EQ(servedCount(), resources.size());
+    setCutOff({});
+    run(options.handoverDelay + Milliseconds(10'000));
+    EXPECT_EQ(servedCount(), resources.size());
+    EXPECT_FALSE(daemons.at("h1")->planner.holdings().empty()) << "it takes its share again";
+}
+
+// Like ClaimsOfAHostMoveOnlyWhenTheHostStaysDown: run() checks at each step that no other host acts.
+TEST_F(Planner, CutsWithCrashesNeverCauseTwoActorsAndAlwaysRecover)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        resources.clear();
+        daemons.clear();
+        members.clear();
+        cutOff.clear();
+        log = {};
+        options = {.handoverDelay = Milliseconds(5'000), .claimDelay = Milliseconds(1'000), .leaseWait = Milliseconds(1'000), .claimsOf = "host"};
+        startAll(6, 3, 12);
+        std::mt19937 random(seed);
+        std::uint64_t incarnation = 1;
+        for (int round = 0; round < 60; ++round) {
+            const auto host = "h" + std::to_string(random() % 6);
+            std::set<HostId> hosts;
+            for (int i = 0; i < 6; ++i) {
+                if (random() % 2 == 0) {
+                    hosts.insert(HostId("h" + std::to_string(i)));
+                }
+            }
+            setCutOff(hosts);
+            if (random() % 3 == 0) {
+                kill(host);
+                run(Milliseconds(static_cast<std::int64_t>(random() % 6'000)));
+                start(host, members[HostId(host)].zone.value(), ++incarnation);
+                setCutOff(hosts);
+            }
+            run(Milliseconds(static_cast<std::int64_t>(random() % 3'000)));
+            ASSERT_FALSE(HasFatalFailure()) << "seed " << seed;
+        }
+        setCutOff({});
+        run(Milliseconds(20'000));
+        EXPECT_EQ(servedCount(), resources.size()) << "seed " << seed;
+    }
+}
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1265,16 +1265,17 @@
         asio::co_spawn(
             node_.io, [this, id] { return probeUpstream(id); }, asio::detached);
     }
+    const auto peers = reachability.cutOffPeers(node_.now());
+    std::set<HostId> cutOff(peers.begin(), peers.end());
+    if (reachability.isCutOff()) {
+        cutOff.insert(node_.settings.host);
+    }
     if (reachability.isCutOff() != std::exchange(wasCutOff_, reachability.isCutOff())) {
-        const auto peers = reachability.cutOffPeers(node_.now());
-        node_.metrics.beliefChanges.add({wasCutOff_ ? "cut_off" : "reaches_upstreams"});
-        node_.log.info(wasCutOff_ ? "cut_off" : "reaches_upstreams",
-                       {{"failing", reachability.failing()}, {"upstreams", node_.replicas.size()}, {"cut_off_peers", peers.size()}});
-        for (const auto &id : node_.replicas.all()) {
-            if (wasCutOff_) {
-                node_.pool.forget(id); // idle connections may stay silent for good
-            }
-        }
+        onReachabilityChange();
+    }
+    if (cutOff != cutOffHosts_) {
+        cutOffHosts_ = std::move(cutOff);
+        planner_.setCutOff(cutOffHosts_, node_.now());
     }
     const auto notice = links_ ? reachability.takeNotice(node_.now()) : std::nullopt;
     for (const auto &member : notice ? membership_.live() : std::vector<peers::Member>()) {
@@ -1284,6 +1285,22 @@
     }
 }
 
+void HostedDaemon::onReachabilityChange()
+{
+    const auto &reachability = node_.reachability;
+    const auto peers = reachability.cutOffPeers(node_.now()).size();
+    if (!wasCutOff_) {
+        node_.metrics.beliefChanges.add({"reaches_upstreams"});
+        node_.log.info("reaches_upstreams", {{"upstreams", node_.replicas.size()}, {"cut_off_peers", peers}});
+        return;
+    }
+    node_.metrics.beliefChanges.add({"cut_off"});
+    node_.log.info("cut_off", {{"failing", reachability.failing()}, {"upstreams", node_.replicas.size()}, {"cut_off_peers", peers}});
+    for (const auto &id : node_.replicas.all()) {
+        node_.pool.forget(id); // idle connections may stay silent for good
+    }
+}
+
 /// The connection stays in the pool, for the next request.
 net::Task<void> HostedDaemon::probeUpstream(UpstreamId id)
 {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -130,6 +130,7 @@
     void updateGroups();
     // Reachability of upstreams.
     void checkReachability();
+    void onReachabilityChange();
     net::Task<void> probeUpstream(UpstreamId id);
 
     Node node_;
@@ -176,6 +177,7 @@
     bool isSavingCopy_ = false;
     bool isAppendingClaims_ = false;
     bool wasCutOff_ = false; // as last logged
+    std::set<HostId> cutOffHosts_;
     bool isAnnounced_ = false;
     bool isRunning_ = false;
     std::uint64_t resourcesVersion_ = ~std::uint64_t(0);
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -171,7 +171,8 @@
 
 bool OwnedReplica::canOrder() const
 {
-    return isRunning_ && !isFenced_ && node_.mayContact(record_.id) && callbacks_.mayAct() && residency_.isReachable() && residency_.holdsModel();
+    return isRunning_ && !isFenced_ && !node_.reachability.isCutOff() && node_.mayContact(record_.id) && callbacks_.mayAct() && residency_.isReachable()
+        && residency_.holdsModel();
 }
 
 net::Task<void> OwnedReplica::run()
@@ -196,6 +197,9 @@
         const auto now = node_.now();
         auto wakeAt = residency_.nextDue().value_or(now + idleInterval);
         wakeAt = std::max(wakeAt, now + node_.backoffs.remaining(record_.id, now));
+        if (node_.reachability.isCutOff()) {
+            wakeAt = std::max(wakeAt, now + inactiveInterval);
+        }
         wakeAt = std::max(wakeAt, now + (callbacks_.mayAct() && residency_.holdsModel() ? Milliseconds(1) : inactiveInterval));
         timer_.expires_after(net::chronoOf(std::min(wakeAt, now + idleInterval) - now));
         co_await timer_.async_wait(net::tuple);
@@ -205,7 +209,7 @@
 net::Task<bool> OwnedReplica::step()
 {
     const auto now = node_.now();
-    if (node_.backoffs.isActive(record_.id, now)) {
+    if (node_.backoffs.isActive(record_.id, now) || node_.reachability.isCutOff()) {
         co_return false;
     }
     if (residency_.needsReport(now)) { // reading a report needs no valid ownership
