A new connection proves that upstreams are reached only once it has brought something

A proxy on the way may accept a connection and reset it at once, so an open connection alone ended a cut that lasted.

--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -1044,6 +1044,9 @@
     }
     EXPECT_EQ(owners(), moved);
     EXPECT_EQ(servedCount(), resources.size());
+    setCutOff({HostId("h0"), HostId("h1"), HostId("h2"), HostId("h3"), HostId("h4")});
+    run(options.handoverDelay * 2);
+    EXPECT_EQ(owners(), moved) << "all are cut off";
     setCutOff({});
     run(options.handoverDelay + Milliseconds(10'000));
     EXPECT_EQ(servedCount(), resources.size());
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -720,6 +720,9 @@
             const auto connection = connection_;
             auto [failed, count] = co_await http::async_read_header(connection->socket, connection->buffer, parser, net::tuple);
             if (failed) {
+                if (!connection->isReused && !isCallerFault() && !isResponseOverdue_) { // a new connection that is reset at once leads nowhere
+                    node_.reachability.onNoContact(replica.id, node_.now());
+                }
                 co_return onCut(replica, failed.message());
             }
             const auto &head = parser.get();
@@ -733,7 +736,11 @@
             }
             response_ = node_.codec.readAnswer(status, responseHeaders_);
             node_.applyUpstreamState(replica, response_);
-            node_.reachability.onAnswer(replica.id, node_.now());
+            if (connection->isReused) {
+                node_.reachability.onAnswer(replica.id, node_.now());
+            } else {
+                node_.reachability.onConnected(replica.id, node_.now());
+            }
             node_.crashes.onAnswered(replica.id, node_.now());
             applyKeepAlive(head);
             if (!response_.id.empty() && response_.id != metadata_.id) {
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -44,6 +44,7 @@
 constexpr Milliseconds unownedRetryAfter{1'500};     // Retry-After while an upstream has no owner: a claim and most of a lease
 constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
 constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
+constexpr Milliseconds probeSettleTime{50};          // a connection that a middlebox opens and resets at once leads nowhere
 constexpr Milliseconds drainPollInterval{20};        // while stopping
 constexpr Milliseconds maxClockLag{86'400'000};      // of this host's clock behind an upstream's
 constexpr Milliseconds releaseTimeout{500};          // for the last records of a stopping host; an unreachable store must not delay its end
@@ -1312,9 +1313,17 @@
     const auto address = record->address;
     const auto connection = co_await node_.pool.open(
         id, address, [](const ConnectionPtr &) {}, why);
-    node_.metrics.upstreamProbes.add({connection ? "reached" : "failed"});
     if (connection) {
+        co_await net::sleep(node_.io, probeSettleTime);
+    }
+    const bool isReached = connection && UpstreamPool::isOpen(*connection);
+    node_.metrics.upstreamProbes.add({isReached ? "reached" : "failed"});
+    if (isReached) {
         node_.pool.keep(id, connection, node_.now());
+        node_.reachability.onConnected(id, node_.now());
+    } else if (connection) {
+        node_.pool.drop(id, connection);
+        node_.reachability.onNoContact(id, node_.now());
     }
 }
 
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -67,7 +67,6 @@
         doubtRun(id);
         reachability.onLost(id, now());
     };
-    pool.onConnected = [this](const UpstreamId &id) { reachability.onConnected(id, now()); };
     pool.onNoContact = [this](const UpstreamId &id) { reachability.onNoContact(id, now()); };
 }
 
--- a/packages/serving/reachability.h
+++ b/packages/serving/reachability.h
@@ -2,8 +2,8 @@
 //
 //   Reachability reachability;                         // member of Node
 //   reachability.setUpstreams(upstreams, now);         // after each change of the usable upstreams
-//   reachability.onConnected(id, now);                 // a new connection was opened, by a request, an order, a report or a probe
-//   reachability.onNoContact(id, now);                 // opening one failed or timed out
+//   reachability.onConnected(id, now);                 // a new connection brought an answer, or that of a probe opened and stayed open
+//   reachability.onNoContact(id, now);                 // opening one failed or timed out, or it was lost before it brought anything
 //   reachability.onAnswer(id, now);                    // bytes came on an open connection
 //   reachability.onLost(id, now);                      // an open connection was lost, or its request was given up without an answer
 //   for (const auto &id : reachability.takeProbes(runningSends, now)) ...  // every 100 ms: open a connection to each and keep it for requests
--- a/packages/serving/tests/reachabilitytest.cpp
+++ b/packages/serving/tests/reachabilitytest.cpp
@@ -170,6 +170,28 @@
     EXPECT_LE(world.opened, 20) << "one connection for each suspicion, one suspicion a second";
 }
 
+// Guards against taking the outage of the only service with traffic for a cut.
+TEST(Reachability, the_outage_of_a_service_is_no_cut_though_nothing_was_heard_of_the_others_for_long)
+{
+    World world(18, 4);
+    world.onTick = [&] {
+        world.runningSends = 3;
+        world.answerAll(llm);
+    };
+    world.run(Milliseconds(30'000));
+    for (int i = 0; i < 18; ++i) {
+        world.down.insert(world.upstreams[static_cast<std::size_t>(i)].id);
+    }
+    std::size_t next = 0;
+    world.onTick = [&] {
+        for (int i = 0; i < 5; ++i) {
+            world.connect(world.upstreams[next++ % 18].id);
+        }
+    };
+    world.run(Milliseconds(20'000));
+    EXPECT_FALSE(world.everCutOff);
+}
+
 TEST(Reachability, the_crash_of_several_upstreams_at_once_is_no_cut)
 {
     World world(9);
@@ -188,6 +210,18 @@
     EXPECT_FALSE(world.everCutOff);
 }
 
+TEST(Reachability, one_upstream_that_is_down_when_an_idle_host_tries_it_is_no_cut)
+{
+    World world(9, 2);
+    world.run(Milliseconds(10'000));
+    for (const auto &each : world.upstreams) {
+        world.host.onAnswer(each.id, world.now); // it is tried first
+        world.down = {each.id};
+        world.run(Milliseconds(4'000));
+        EXPECT_FALSE(world.everCutOff) << each.id.value();
+    }
+}
+
 TEST(Reachability, silence_of_a_second_at_a_sound_upstream_is_no_cut)
 {
     for (const int count : {1, 2, 9}) {
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -10,19 +10,6 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-namespace {
-
-/// Whether the peer has neither sent data nor closed the connection.
-bool hasNoPendingData(tcp::socket &socket)
-{
-    char byte = 0;
-    error_code error;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
-} // namespace
-
 void UpstreamConnection::close()
 {
     error_code ignored; // the socket may already be closed
@@ -47,8 +34,8 @@
         auto connection = std::move(*newest);
         idle.erase(std::next(newest).base());
         const bool isReusable = now - connection->idleSince + options_.closeMargin < connection->keepFor;
-        const bool isOpen = hasNoPendingData(connection->socket);
-        if (isReusable && isOpen) {
+        const bool isStillOpen = isOpen(*connection);
+        if (isReusable && isStillOpen) {
             connection->isReused = true;
             return connection;
         }
@@ -101,10 +88,17 @@
     setsockopt(connection->socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ackTimeoutMs, sizeof ackTimeoutMs);
     net::watchForSilence(connection->socket.native_handle()); // detects an unreachable machine without closing connections to a slow replica
     connection->keepFor = options_.defaultKeep;
-    onConnected(id);
     co_return connection;
 }
 
+bool UpstreamPool::isOpen(UpstreamConnection &connection)
+{
+    char byte = 0;
+    error_code error;
+    connection.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 void UpstreamPool::keep(const UpstreamId &id, ConnectionPtr connection, Instant now)
 {
     connection->idleSince = now;
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -65,8 +65,7 @@
     /// Called when an idle connection turns out to have been closed sooner than the upstream said: it may have started again.
     std::function<void(const UpstreamId &)> onUnexpectedClose = [](const UpstreamId &) {};
 
-    /// Called when open() has opened a connection, and when it failed or timed out rather than being cancelled.
-    std::function<void(const UpstreamId &)> onConnected = [](const UpstreamId &) {};
+    /// Called when open() failed or timed out rather than being cancelled.
     std::function<void(const UpstreamId &)> onNoContact = [](const UpstreamId &) {};
 
     /// Returns a reusable idle connection that never brought a refusal of the request, or nullptr.
@@ -74,6 +73,8 @@
     /// Opens a new connection. `onOpening` receives it before it connects, so that the caller can cancel by closing it. Returns nullptr on
     /// failure, with an error of step Connect; no request has been sent then.
     net::Task<ConnectionPtr> open(UpstreamId id, net::Address address, std::function<void(const ConnectionPtr &)> onOpening, core::Error &why);
+    /// Whether the upstream has neither closed nor reset the connection, nor sent anything that nobody has read.
+    [[nodiscard]] static bool isOpen(UpstreamConnection &connection);
     /// Returns a connection to the pool for reuse.
     void keep(const UpstreamId &id, ConnectionPtr connection, Instant now);
     /// Closes a connection that must not be reused.
