Known red: callers of hosts that reach no upstream are refused

Tests with daemons cut two or three of four hosts off from all replicas, the connections hanging or reset.

--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -22,6 +22,7 @@
         self.open_connections = set()
         self.repeats_refusals = None  # "before the next answer" or "while idle"
         self.repeated = 0
+        self.silent_ports = set()  # of clients whose requests are read and not answered
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -44,6 +45,8 @@
                 self.body = self.rfile.read(length)
                 if outer.repeats_refusals == "before the next answer":
                     self.repeat_refusal()
+                while self.client_address[1] in outer.silent_ports:
+                    time.sleep(0.02)
                 outer.handle(self)
                 if outer.repeats_refusals == "while idle":
                     time.sleep(0.005)
@@ -311,6 +314,16 @@
             except OSError:
                 pass  # closed already
 
+    def reset_connections(self, ports):
+        """Those of clients at these ports."""
+        for connection in list(self.open_connections):
+            try:
+                if connection.getpeername()[1] in ports:
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # closed already
+
     def crash_under(self, request):
         self.crashed.append(time.monotonic())
         request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -54,6 +54,24 @@
     return False
 
 
+class Blackhole:
+    """A port to which connections hang: its listener accepts nothing, and its queue is full."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+
+    def close(self):
+        for each in (self.listener, *self.fillers):
+            each.close()
+
+
 class Host:
     def __init__(self, number, store, folder, more=None):
         self.name = "entry-%d" % number
@@ -71,15 +89,49 @@
         settings.update(more or {})
         self.settings = folder / (self.name + ".json")
         self.settings.write_text(json.dumps(settings))
+        self.links_cut = folder / (self.name + ".cut")
         self.process = None
         self.log = []
         self.reads_log = True
 
     def start(self):
-        self.process = subprocess.Popen([DAEMON, "--hosted", "--settings", str(self.settings)], stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        self.process = subprocess.Popen([DAEMON, "--hosted", "--settings", str(self.settings)], stdout=subprocess.PIPE, stderr=subprocess.PIPE, env=self.environment())
         if self.reads_log:
             threading.Thread(target=self.read_log, args=(self.process.stdout,), daemon=True).start()
 
+    def environment(self):
+        library = pathlib.Path(DAEMON).resolve().parent / "cutlinks.so"
+        return os.environ | {"LD_PRELOAD": str(library), "CUT_LINKS": str(self.links_cut)}
+
+    def cut_off(self, servers, how, blackhole):
+        """From these servers. `how`: connections "hang", are "reset", or "live on" while new ones are refused."""
+        ports = [server.address.split(":")[1] for server in servers]
+        following = self.links_cut.with_suffix(".new")
+        following.write_text(" ".join([str(blackhole.port if how == "hang" else 0), *ports]))
+        following.replace(self.links_cut)
+        own_ports = self.local_ports()
+        for server in servers:
+            if how == "reset":
+                server.reset_connections(own_ports)
+            elif how == "hang":
+                server.silent_ports |= own_ports
+
+    def mend(self, servers):
+        self.links_cut.unlink()
+        for server in servers:
+            server.silent_ports -= self.local_ports()
+
+    def local_ports(self):
+        """Of this process's TCP connections."""
+        sockets = set()
+        for descriptor in pathlib.Path("/proc/%d/fd" % self.process.pid).iterdir():
+            try:
+                sockets.add(os.readlink(descriptor))
+            except OSError:
+                pass  # closed meanwhile
+        lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
+        return {int(line.split()[1].split(":")[1], 16) for line in lines if "socket:[%s]" % line.split()[9] in sockets}
+
     def read_log(self, stream):
         for line in stream:
             self.log.append(json.loads(line))
@@ -185,6 +237,71 @@
             self.assertLessEqual(len({order[1] for order in replica.orders}), 1, "one holder of orders for a replica")
         self.assertEqual(ask(self.hosts[0].callers, "GET", "/none/", {"Host": "h.example", "X-Attempt-Id": "n"})[0], 404)
 
+    def cut_hosts_off(self, count, how, seconds=6.0):
+        """Four hosts, of which `count` reach no upstream. Returns the statuses of first tries at those and at the others, by kind, from the time
+        of contact after the cut began."""
+        self.hosts += [Host(number, self.store, pathlib.Path(self.folder.name)) for number in (3, 4)]
+        self.shops += [Replica(self.store, "i-shop%d" % number, "shop", "a") for number in (2, 3)]
+        self.blackhole = Blackhole()
+        self.addCleanup(self.blackhole.close)
+        self.start_all()
+        cut, stop, counts, answers = self.hosts[:count], threading.Event(), threading.Event(), []
+
+        def work(host, kind):
+            while not stop.is_set():
+                is_counted = counts.is_set()
+                begin = time.monotonic()
+                if kind == "stream":
+                    status, _, body, attempt = self.generate(host, "a1", timeout=7)
+                    status = status if status != 200 or body == self.whole_stream(attempt) else -1
+                else:
+                    status = self.book(host)[0] if kind == "book" else self.look(host)
+                if is_counted:
+                    answers.append((host in cut, kind, status, time.monotonic() - begin))
+                time.sleep(0.1)
+
+        threads = [threading.Thread(target=work, args=(host, kind)) for host in self.hosts for kind in ("stream", "book", "look")]
+        for thread in threads:
+            thread.start()
+        try:
+            time.sleep(1.0)
+            for host in cut:
+                host.cut_off((*self.replicas, *self.shops), how, self.blackhole)
+            time.sleep(CONTACT_SECONDS)
+            counts.set()
+            time.sleep(seconds)
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        return [(kind, status, took) for at_cut, kind, status, took in answers if at_cut], [each[1:] for each in answers if not each[0]]
+
+    # Guards against callers of hosts that reach no upstream who are refused while those of other hosts are served (issue 32, RECOVER).
+    def check_cut_hosts(self, count, how):
+        at_cut, at_others = self.cut_hosts_off(count, how)
+        share = {}
+        for name, answers in (("cut", at_cut), ("others", at_others)):
+            for kind in ("stream", "book", "look"):
+                statuses = [status for each, status, _ in answers if each == kind]
+                self.assertTrue(statuses, "%s at %s" % (kind, name))
+                share[name, kind] = statuses.count(200) / len(statuses)
+        for kind in ("stream", "book", "look"):
+            self.assertGreaterEqual(share["cut", kind], 2 / 3 * share["others", kind], (how, share, sorted({each[:2] for each in at_cut})))
+        served = [took for _, status, took in at_cut if status == 200]
+        self.assertLess(sorted(served)[len(served) // 2], 1.0)
+
+    def test_hosts_whose_connections_to_all_upstreams_hang_serve_their_callers(self):
+        self.check_cut_hosts(2, "hang")
+
+    def test_hosts_whose_connections_to_all_upstreams_are_reset_serve_their_callers(self):
+        self.check_cut_hosts(2, "reset")
+
+    def test_three_of_four_hosts_that_reach_no_upstream_serve_their_callers(self):
+        self.check_cut_hosts(3, "reset")
+
+    def test_hosts_whose_open_connections_live_on_while_new_ones_are_refused_serve_their_callers(self):
+        self.check_cut_hosts(2, "live on")
+
     def test_many_at_once_keep_to_the_places_and_nobody_gets_anothers_answer(self):
         self.start_all()
         wrong = []
