A host that reaches no upstream has a peer send its callers' requests

Cause: a host sent only by itself. What it knew of upstreams, and what its peers reached, served its callers nothing.

Change: a host that is cut off hands each request to a peer over the link (RelayCall). The peer runs the usual Forwarder with a CallerConnection that writes to the call, so that routing, choice, weights, permits, leaving upstreams, blame, attempts and load bind and count at the host that sends. A request whose own connections failed before the cut was noticed is relayed too, once, out of the retry budget. Refusals before anything was sent (NotRun) go to another peer; after that the outcome is unknown, and only what may be repeated is repeated. The close of a caller is a Cancel and closes the upstream's connection. Answers flow by credit, 64 kB ahead; plain ones reach the caller only when they are whole, a stream without its end is reset. RelayPeers spreads requests over peers, RelayGate bounds what a host takes on.

RelayExchangeTest has whole answers, the loss of the link, the caller's close, refusals, no circle, flow and large bodies.

--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -676,6 +676,12 @@
     return std::make_unique<AwaitedCall>(state);
 }
 
+bool Links::isOpen(const HostId &host) const
+{
+    const auto found = state_->outgoing.find(host);
+    return found != state_->outgoing.end() && found->second->isAuthenticated();
+}
+
 void Links::setKey(std::string key)
 {
     if (key == state_->key) {
--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -90,6 +90,8 @@
     void sendGossip(const HostId &to, MembershipMessage message);
     void notify(const HostId &to, Notice notice); // dropped when the link is down; for this daemon itself, calls its own handler
     [[nodiscard]] std::unique_ptr<OutgoingCall> call(const HostId &to, CallBody body);
+    /// Whether a call to the host would be written at once.
+    [[nodiscard]] bool isOpen(const HostId &host) const;
     /// Closes all links; calls in flight fail.
     void close();
 
--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -122,6 +122,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReachNotice, reaches)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginCall, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginReply, isKnown, origin, ageMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayCall, id, method, target, host, fields, body, ageMs, sentTo, sends, mayHaveRun)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayHeadReply, status, fields)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayCreditNotice, id, bytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockQuery, askedAt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockAnswer, askedAt, clock)
 
@@ -302,7 +305,7 @@
 bool isLastReply(const ReplyBody &body)
 {
     return !std::holds_alternative<StartedReply>(body) && !std::holds_alternative<DataReply>(body) && !std::holds_alternative<GrantReply>(body)
-        && !std::holds_alternative<WaitingReply>(body);
+        && !std::holds_alternative<WaitingReply>(body) && !std::holds_alternative<RelayHeadReply>(body);
 }
 
 std::optional<std::string> makeNonce()
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -4,7 +4,7 @@
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
 //   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice,
-//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice, ReachNotice
+//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice, ReachNotice, RelayCreditNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -15,6 +15,7 @@
 //     SendCall       may this request be sent to this limited upstream? -> SendReply
 //     CrashProbeCall may one request with these causes of crashes be sent? -> CrashProbeReply
 //     StreamOriginCall  where did the stream of this request begin?   -> StreamOriginReply
+//     RelayCall      send this caller's request to an upstream       -> StartedReply, RelayHeadReply, DataReply..., EndReply
 //     any of them                                                     -> ErrorReply instead
 //   encode(), decode()
 //
@@ -147,7 +148,22 @@
     core::RequestId id;
 };
 
-using CallBody = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall, SendCall, CrashProbeCall, StreamOriginCall>;
+/// Hands a caller's request to a host that reaches upstreams. StartedReply: the host has accepted it. An ErrorReply of outcome NotRun: nothing was sent.
+struct RelayCall {
+    std::uint64_t id = 0; // of the calling process's relayed requests; names this one in RelayCreditNotice
+    std::string method;
+    std::string target;
+    std::string host; // of the Host field
+    std::vector<std::pair<std::string, std::string>> fields;
+    std::string body;
+    std::int64_t ageMs = 0;               // since the first byte from the caller
+    std::vector<core::UpstreamId> sentTo; // by the calling host
+    int sends = 0;                        // the same, with repeats
+    bool mayHaveRun = false;              // on one of them, or through another host
+};
+
+using CallBody
+    = std::variant<ProbeCall, RunCall, PermitCall, ServiceCall, ListsCall, ResidencyCall, PrefillCall, SendCall, CrashProbeCall, StreamOriginCall, RelayCall>;
 
 /// How soon an engine would start a request.
 struct HintReply {
@@ -220,6 +236,12 @@
     std::int64_t ageMs = 0; // since the peer learnt it
 };
 
+/// The head of the answer to a relayed request.
+struct RelayHeadReply {
+    int status = 0;
+    std::string fields; // each with its line end
+};
+
 using ReplyBody = std::variant<HintReply,
                                StartedReply,
                                DataReply,
@@ -232,7 +254,8 @@
                                WaitingReply,
                                SendReply,
                                CrashProbeReply,
-                               StreamOriginReply>;
+                               StreamOriginReply,
+                               RelayHeadReply>;
 
 /// Number of replicas that an adapter should be resident on, where it differs from the usual one.
 struct WidthNotice {
@@ -338,6 +361,12 @@
     bool reaches = true;
 };
 
+/// The sender has passed on so many bytes of the answer to its RelayCall `id`; as many more may be sent.
+struct RelayCreditNotice {
+    std::uint64_t id = 0;
+    std::int64_t bytes = 0;
+};
+
 struct Notice {
     std::variant<WidthNotice,
                  PrefetchNotice,
@@ -350,7 +379,8 @@
                  CrashReportNotice,
                  CrashVerdictsNotice,
                  StreamOriginNotice,
-                 ReachNotice>
+                 ReachNotice,
+                 RelayCreditNotice>
         body;
 };
 
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -20,6 +20,7 @@
 
 #include <net/asio.h>
 #include <serving/protocol.h>
+#include <serving/relay.h>
 #include <serving/watchdog.h>
 
 namespace baobabstall::serving {
@@ -30,7 +31,8 @@
     std::vector<HeaderView> headers; // valid while the handler runs
     std::string host;
     std::string body;
-    Instant arrivedAt; // when the first bytes became readable
+    Instant arrivedAt;                  // when the first bytes became readable
+    RelayedFrom *relayedFrom = nullptr; // set when another host relays the request through this one
 
     /// Whether a header field is hop-by-hop and must not be forwarded.
     [[nodiscard]] static bool isHopByHopHeader(std::string_view field);
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -98,7 +98,8 @@
             cancelSend();
         });
         watchdog_.arm(deadline_, [this] { onDeadline(); });
-        if (co_await findStreamVersion()) {
+        const bool isRelayed = mayRelay() && node_.relays->isNeeded() && co_await relay(RelaySource::maxPeers);
+        if (!isRelayed && co_await findStreamVersion()) {
             co_await runAttempts();
         }
         watchdog_.disarm();
@@ -145,8 +146,10 @@
             causes_.push_back({CrashCause::Kind::Part, part.value()});
         }
         crashesBefore_ = node_.crashes.knownCrashes(causes_.front());
-        if (isEngine() && !metadata_.weights.model.empty()) {
-            node_.addDemand(metadata_.weights.model);
+        if (request_.relayedFrom != nullptr) {
+            sentTo_ = excluded_ = request_.relayedFrom->sentTo;
+            mayHaveRun_ = request_.relayedFrom->mayHaveRun;
+            sendsBefore_ = request_.relayedFrom->sends;
         }
         co_return true;
     }
@@ -217,7 +220,8 @@
     void announceStream(const ReplicaRecord &replica)
     {
         if (isResumable() && !isTakenUp_ && !hasResponseBegun_) {
-            node_.streams->announce(metadata_.id, {replica.version, replica.id, *service_, streamKey(), sends_}, deadline_ + StreamRecords::extraLifetime);
+            node_.streams->announce(
+                metadata_.id, {replica.version, replica.id, *service_, streamKey(), sendsBefore_ + sends_}, deadline_ + StreamRecords::extraLifetime);
             announcedVersion_ = replica.version;
         }
     }
@@ -387,6 +391,9 @@
 
     net::Task<void> runAttempts()
     {
+        if (isEngine() && !metadata_.weights.model.empty()) {
+            node_.addDemand(metadata_.weights.model);
+        }
         for (int choice = 0; choice < maxChoices && !isFinished() && isAdmitted(); ++choice) {
             const auto *record = chooseUpstream();
             if (record == nullptr) {
@@ -407,9 +414,63 @@
                 break;
             }
         }
+        if (isConnectionLost() && mayRelay() && node_.retryBudgetFor(*service_).spend(1, node_.now()) && co_await relay(1)) {
+            co_return;
+        }
         co_await fail();
     }
 
+    // ---- Sending through another host ----
+
+    [[nodiscard]] bool mayRelay()
+    {
+        const bool mayRepeat = (!mayHaveRun_ || route_->retryPolicy != RetryPolicy::AtMostOnce) && !isSuspect();
+        return node_.relays != nullptr && request_.relayedFrom == nullptr && !hasResponseBegun_ && mayRepeat && !isFinal_ && !isFinished()
+            && static_cast<int>(sentTo_.size()) < route_->maxUpstreams;
+    }
+
+    /// The last attempt failed in a way that tells of this host's own connections, perhaps.
+    [[nodiscard]] bool isConnectionLost() const
+    {
+        return refusalReason_ == std::string_view("no_connection") || refusalReason_ == std::string_view("upstream_failed")
+            || (refusalReason_ == std::string_view("no_other_upstream") && isUnconnected_);
+    }
+
+    /// Returns false when no peer took the request, so that this host may send it.
+    net::Task<bool> relay(int maxPeers)
+    {
+        RelayTask task;
+        task.deadline = deadline_;
+        task.mayRepeat = route_->retryPolicy != RetryPolicy::AtMostOnce;
+        task.maxPeers = maxPeers;
+        task.sentTo = sentTo_;
+        task.sends = sends_;
+        task.mayHaveRun = mayHaveRun_;
+        relayTask_ = &task;
+        co_await node_.relays->relay(caller_, request_, task);
+        relayTask_ = nullptr;
+        relayedBy_ = task.host;
+        mayHaveRun_ = task.mayHaveRun;
+        hasResponseBegun_ = task.hasBegun;
+        status_ = task.isAnswered || task.hasBegun ? task.status : 0;
+        firstEvent_ = task.firstBytes;
+        if (task.isAnswered) {
+            reason_ = "relayed";
+            co_return true;
+        }
+        if (!task.isTooLarge && !task.mayHaveRun && !task.hasBegun && !isFinished()) {
+            co_return false;
+        }
+        if (isDisconnected_) {
+            finishDisconnected();
+        }
+        refusalReason_ = task.reason;
+        reasonDetail_ = task.detail;
+        retryAfter_ = task.retryAfter;
+        co_await fail();
+        co_return true;
+    }
+
     /// Whether nothing the request has is known to crash upstreams. A probe, which finds out whether it still does, is sent once.
     [[nodiscard]] bool isAdmitted()
     {
@@ -546,6 +607,7 @@
             if (!connection) {
                 excluded_.push_back(replica.id);
                 refusalReason_ = "no_connection";
+                isUnconnected_ = true;
                 node_.doubtRun(replica.id);
                 recordSend(replica, isFinished() ? SendOutcome::Abandoned : SendOutcome::NoAnswer, "not_connected", why.reason);
                 co_return false;
@@ -692,6 +754,12 @@
         if (connection_) {
             connection_->close();
         }
+        if (relayTask_ != nullptr) {
+            relayTask_->isCancelled = true;
+            if (relayTask_->cancel) {
+                relayTask_->cancel();
+            }
+        }
     }
 
     /// Returns the connection to the pool, or closes it.
@@ -1118,6 +1186,11 @@
             finishDisconnected();
             co_return;
         }
+        if (request_.relayedFrom != nullptr && sends_ == 0 && isUnconnected_) {
+            request_.relayedFrom->isUnreached = true;
+            reason_ = "no_connection";
+            co_return;
+        }
         const bool isDeadlinePassed = timeLeft() < minSendTime;
         if (const auto pause = shortestPause(); pause && !isDeadlinePassed) {
             refusalReason_ = "upstreams_pausing";
@@ -1208,8 +1281,10 @@
     {
         const std::string_view service = service_ == nullptr ? std::string_view("none") : std::string_view(service_->value());
         const auto took = node_.now() - request_.arrivedAt;
-        node_.metrics.requests.add({service, std::to_string(status_), reason_});
-        if (service_ != nullptr) {
+        if (request_.relayedFrom == nullptr) { // the first host counts it
+            node_.metrics.requests.add({service, std::to_string(status_), reason_});
+        }
+        if (service_ != nullptr && request_.relayedFrom == nullptr) {
             node_.metrics.requestDuration.observe({service}, took);
         }
         if (isTakenUp_) {
@@ -1221,6 +1296,8 @@
                         {"route", route_ == nullptr ? std::string_view() : std::string_view(route_->name)},
                         {"adapter", metadata_.weights.adapter},
                         {"upstream", upstream_},
+                        {"relayed_by", relayedBy_},
+                        {"relayed_for", request_.relayedFrom == nullptr ? HostId() : request_.relayedFrom->host},
                         {"resumes", settings::printableText(metadata_.resumes.value())},
                         {"status", status_},
                         {"reason", reason_},
@@ -1297,10 +1374,14 @@
     bool needsProbe_ = false;        // one of causes_ is blamed, and a probe is due
     bool isProbe_ = false;           // the request is the probe
     bool isProbeDenied_ = false;
-    int crashesBefore_ = 0;         // of upstreams that earlier tries of the request were sent to, since the last success
-    int cuts_ = 0;                  // sends that their upstream broke off
-    int prefillMs_ = 0;             // of the current send, until its first event
-    bool hasResponseBegun_ = false; // the caller has received part of the response
+    int crashesBefore_ = 0;          // of upstreams that earlier tries of the request were sent to, since the last success
+    RelayTask *relayTask_ = nullptr; // while a peer has the request
+    HostId relayedBy_;               // the peer that was asked last
+    bool isUnconnected_ = false;     // a connection to an upstream could not be opened
+    int sendsBefore_ = 0;            // by the host that relays the request through this one
+    int cuts_ = 0;                   // sends that their upstream broke off
+    int prefillMs_ = 0;              // of the current send, until its first event
+    bool hasResponseBegun_ = false;  // the caller has received part of the response
     bool isFinal_ = false;
     bool onlyHolders_ = false; // choose only upstreams that hold the weights
     int sends_ = 0;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -91,6 +91,10 @@
     , membership_({settings.host, settings.zone, incarnation}, settings.membership, core::hashText(settings.host.value(), 0))
     , planner_({settings.host, settings.zone, incarnation}, settings.ownership, settings.platform.retention)
     , forwarder_(node_)
+    , relayExchange_(node_,
+                     forwarder_,
+                     {.isCutOff = [this] { return node_.reachability.isCutOff(); },
+                      .reaches = [this](const HostId &host) { return node_.reachability.reaches(host, node_.now()); }})
     , prefillGate_(node_)
     , sendGate_(node_)
     , callerServer_(io,
@@ -155,6 +159,7 @@
 {
     node_.residency = this;
     node_.streams = &streamExchange_;
+    node_.relays = &relayExchange_;
     node_.onNoContact = [this](const UpstreamId &id) {
         if (const auto owned = ownedReplicas_.find(id); owned != ownedReplicas_.end()) {
             owned->second->onNoContact();
@@ -228,7 +233,7 @@
         co_await net::sleep(node_.io, drainPollInterval);
     }
     callerServer_.closeIdle();
-    while (callerServer_.connections() > 0 && node_.now() < limit) {
+    while (callerServer_.connections() + static_cast<std::size_t>(relayExchange_.running()) > 0 && node_.now() < limit) {
         co_await net::sleep(node_.io, drainPollInterval);
         callerServer_.closeIdle();
     }
@@ -653,6 +658,7 @@
     storePages_.setLinks(*links_);
     crashExchange_.setLinks(*links_);
     streamExchange_.setLinks(*links_);
+    relayExchange_.setLinks(*links_);
     for (const auto &[host, announced] : announcedHosts_) {
         if (host != node_.settings.host) {
             links_->setAddress(host, announced.peerAddress);
@@ -844,6 +850,7 @@
     exchangeLoads();
     crashExchange_.tick();
     streamExchange_.tick();
+    relayExchange_.tick(tickInterval);
     if (now >= nextHousekeeping_) {
         nextHousekeeping_ = now + housekeepingInterval;
         node_.pool.expire(now);
@@ -1184,6 +1191,10 @@
         streamExchange_.serve(*call, *originCall);
         co_return;
     }
+    if (std::holds_alternative<peers::RelayCall>(call->body())) {
+        co_await relayExchange_.serve(call);
+        co_return;
+    }
     if (const auto *probeCall = std::get_if<peers::CrashProbeCall>(&call->body())) {
         crashExchange_.serve(*call, *probeCall);
         co_return;
@@ -1226,6 +1237,8 @@
         streamExchange_.onNotice(*origin);
     } else if (const auto *reach = std::get_if<peers::ReachNotice>(&notice.body)) {
         node_.reachability.onPeer(from, reach->reaches, node_.now());
+    } else if (const auto *credit = std::get_if<peers::RelayCreditNotice>(&notice.body)) {
+        relayExchange_.onCredit(from, *credit);
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
         UpstreamLoads loads;
         for (const auto &[id, running, prefillMs] : update->loads) {
@@ -1246,6 +1259,7 @@
         live.push_back(announced == announcedHosts_.end() ? GroupedHost{member.host, member.zone, 0}
                                                           : GroupedHost{member.host, announced->second.zone, announced->second.linkMbps});
     }
+    relayExchange_.setHosts(live);
     const bool isAlone = live.size() < 2 && announcedHosts_.size() > 1;
     groups_.assign(std::move(live), node_.settings.host);
     if (isAlone && node_.now() - startedAt_ < node_.settings.hosting.configApply) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -28,6 +28,7 @@
 #include <serving/newestconfiguration.h>
 #include <serving/ownedreplica.h>
 #include <serving/prefillgate.h>
+#include <serving/relayexchange.h>
 #include <serving/sendgate.h>
 #include <serving/storepages.h>
 #include <serving/streamexchange.h>
@@ -140,6 +141,7 @@
     ownership::OwnershipPlanner planner_;
     std::unique_ptr<peers::Links> links_;
     Forwarder forwarder_;
+    RelayExchange relayExchange_;
     PrefillGate prefillGate_;
     SendGate sendGate_;
     CallerServer callerServer_;
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -31,6 +31,7 @@
     , takenUpStreams(
           registry.counter({"taken_up_streams_total", "streams that callers took up, by how their record was found", {"record", "age", "reason"}, 512}))
     , sendPermits(registry.counter({"send_permits_total", "permits for requests to limited upstreams that this host was asked for", {"outcome"}, 8}))
+    , relays(registry.counter({"relays_total", "requests relayed for a host that reaches no upstream", {"side", "outcome"}, 32}))
     , orders(registry.counter({"orders_total", "orders to model replicas", {"kind", "outcome"}, 32}))
     , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
     , unreadableRequests(registry.counter({"unreadable_total", "requests that could not be read", {"status"}, 8}))
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -23,6 +23,7 @@
 #include <serving/prefillturns.h>
 #include <serving/protocol.h>
 #include <serving/reachability.h>
+#include <serving/relay.h>
 #include <serving/replicabook.h>
 #include <serving/residency.h>
 #include <serving/responsebudget.h>
@@ -49,6 +50,7 @@
     metrics::Counter &sends;              // service, outcome
     metrics::Counter &takenUpStreams;     // record, age, reason
     metrics::Counter &sendPermits;        // outcome
+    metrics::Counter &relays;             // side, outcome
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
     metrics::Counter &unreadableRequests; // status
@@ -200,6 +202,7 @@
     std::map<BaseModel, admission::DecayingCount> demand;      // recent requests of this host by base model
     ResidencySource *residency = nullptr;                      // set before the first request
     StreamDirectory *streams = nullptr;                        // the same
+    RelaySource *relays = nullptr;                             // null: requests are sent by this host only
     int hostCount = 1;
     bool isStopping = false;
 
--- /dev/null
+++ b/packages/serving/relayexchange.cpp
@@ -0,0 +1,376 @@
+#include <serving/relayexchange.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/beast/http/status.hpp>
+
+#include <serving/callers.h>
+
+namespace baobabstall::serving {
+
+namespace asio = boost::asio;
+using core::Error;
+using core::Outcome;
+using core::Step;
+
+/// The caller of a relayed request, at the host that sends it: writes to the call.
+class RelayedCaller final : public CallerConnection
+{
+public:
+    RelayedCaller(asio::io_context &io, std::shared_ptr<peers::IncomingCall> call, RelayGate &gate)
+        : call_(std::move(call))
+        , gate_(gate)
+        , signal_(io)
+    { }
+    ~RelayedCaller() override { gate_.removeBytes(unread_); }
+    RelayedCaller(const RelayedCaller &) = delete;
+    RelayedCaller &operator=(const RelayedCaller &) = delete;
+
+    net::Task<bool> write(std::string bytes) override
+    {
+        std::size_t begin = 0;
+        if (!hasHead_) {
+            begin = sendHead(bytes);
+        }
+        while (begin < bytes.size() && !isDisconnected()) {
+            if (unread_ >= RelayExchange::window && !co_await waitForCredit()) {
+                abort();
+                break;
+            }
+            const auto size = std::min({bytes.size() - begin, RelayExchange::pieceBytes, RelayExchange::window - unread_});
+            isAborted_ = !call_->send(peers::DataReply{bytes.substr(begin, size)}) || isAborted_;
+            unread_ += size;
+            gate_.addBytes(size);
+            begin += size;
+        }
+        co_return !isDisconnected();
+    }
+
+    void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
+    [[nodiscard]] bool isDisconnected() const override { return isAborted_ || call_->isCancelled(); }
+    void abort() override { isAborted_ = true; }
+    [[nodiscard]] bool closesAfterResponse() const override { return false; } // the first host decides this for its connection
+
+    void onCancelled()
+    {
+        signal_.cancel();
+        if (const auto callback = std::exchange(onDisconnect_, nullptr)) {
+            callback();
+        }
+    }
+
+    void addCredit(std::size_t bytes)
+    {
+        const auto read = std::min(bytes, unread_);
+        unread_ -= read;
+        gate_.removeBytes(read);
+        signal_.cancel();
+    }
+
+    [[nodiscard]] bool isWhole() const { return hasHead_ && !isDisconnected(); }
+
+private:
+    /// Returns the length of the head in `bytes`.
+    std::size_t sendHead(const std::string &bytes)
+    {
+        constexpr std::size_t statusAt = sizeof("HTTP/1.1 ") - 1;
+        constexpr std::size_t lineEnd = 2;
+        hasHead_ = true;
+        const auto fieldsAt = bytes.find("\r\n") + lineEnd;
+        const auto end = bytes.find("\r\n\r\n", fieldsAt - lineEnd) + lineEnd;
+        peers::RelayHeadReply head;
+        std::from_chars(bytes.data() + statusAt, bytes.data() + fieldsAt, head.status);
+        head.fields = bytes.substr(fieldsAt, end - fieldsAt);
+        isAborted_ = !call_->send(std::move(head)) || isAborted_;
+        return end + lineEnd;
+    }
+
+    net::Task<bool> waitForCredit()
+    {
+        const auto until = core::SteadyClock().now() + RelayExchange::creditTimeout;
+        while (unread_ >= RelayExchange::window && !isDisconnected()) {
+            const auto left = until - core::SteadyClock().now();
+            if (left.count() <= 0) {
+                co_return false;
+            }
+            signal_.expires_after(net::chronoOf(left));
+            co_await signal_.async_wait(net::tuple);
+        }
+        co_return !isDisconnected();
+    }
+
+    std::shared_ptr<peers::IncomingCall> call_;
+    RelayGate &gate_;
+    asio::steady_timer signal_;
+    std::function<void()> onDisconnect_;
+    std::size_t unread_ = 0; // bytes that the first host has not passed on yet
+    bool hasHead_ = false;
+    bool isAborted_ = false;
+};
+
+namespace {
+
+std::size_t bytesOf(const CallerRequest &request)
+{
+    std::size_t bytes = request.method.size() + request.target.size() + request.host.size() + request.body.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
+std::string headOf(const peers::RelayHeadReply &reply, bool closes)
+{
+    const auto text = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(reply.status));
+    std::string head = "HTTP/1.1 " + std::to_string(reply.status) + " ";
+    head.append(text.data(), text.size()).append("\r\n").append(reply.fields);
+    return head.append(closes ? "Connection: close\r\n\r\n" : "\r\n");
+}
+
+bool isChunked(const peers::RelayHeadReply &reply)
+{
+    return reply.fields.find("Transfer-Encoding: chunked\r\n") != std::string::npos;
+}
+
+} // namespace
+
+RelayExchange::RelayExchange(Node &node, Forwarder &forwarder, Reach reach)
+    : node_(node)
+    , forwarder_(forwarder)
+    , reach_(std::move(reach))
+    , peers_(node.settings.host, node.settings.zone)
+{ }
+
+RelayExchange::~RelayExchange() = default;
+
+// ---- At the host that reaches no upstream ----
+
+bool RelayExchange::isNeeded() const
+{
+    return links_ != nullptr && reach_.isCutOff();
+}
+
+net::Task<void> RelayExchange::relay(CallerConnection &caller, const CallerRequest &request, RelayTask &task)
+{
+    if (links_ == nullptr) {
+        co_return;
+    }
+    if (bytesOf(request) + frameMargin > peers::Links::maxFrameBytes) {
+        task.isTooLarge = true;
+        task.reason = "too_large_to_relay";
+        co_return;
+    }
+    std::vector<HostId> tried;
+    const RelayPeers::Wanted wanted{{}, reach_.reaches, [this](const HostId &host) { return links_->isOpen(host); }};
+    while (static_cast<int>(tried.size()) < task.maxPeers && !task.isCancelled && node_.now() < task.deadline) {
+        auto next = wanted;
+        next.excluded = tried;
+        const auto host = peers_.pick(next, node_.now());
+        if (!host) {
+            break;
+        }
+        tried.push_back(*host);
+        if (!co_await askPeer(*host, caller, request, task)) {
+            break;
+        }
+    }
+    node_.metrics.relays.add({"first", task.isAnswered ? "answered" : task.reason});
+}
+
+net::Task<bool> RelayExchange::askPeer(HostId host, CallerConnection &caller, const CallerRequest &request, RelayTask &task)
+{
+    const RelayPeers::Use use(peers_, host);
+    const auto id = nextId_++;
+    peers::RelayCall message{id,
+                             request.method,
+                             request.target,
+                             request.host,
+                             {},
+                             request.body,
+                             (node_.now() - request.arrivedAt).count(),
+                             task.sentTo,
+                             task.sends,
+                             task.mayHaveRun};
+    for (const auto &[name, value] : request.headers) {
+        message.fields.emplace_back(name, value);
+    }
+    task.host = host;
+    const auto call = links_->call(host, std::move(message));
+    task.cancel = [&call] { call->cancel(); };
+    const bool mayContinue = co_await passOn(*call, host, id, caller, task, request.arrivedAt);
+    task.cancel = nullptr;
+    if (!task.isAnswered) {
+        node_.log.info("relay_ended", {{"to", host}, {"relay", id}, {"why", task.reason}, {"detail", task.detail}, {"may_have_run", task.mayHaveRun}});
+    }
+    co_return mayContinue;
+}
+
+net::Task<bool>
+RelayExchange::passOn(peers::OutgoingCall &call, const HostId &host, std::uint64_t id, CallerConnection &caller, RelayTask &task, Instant arrivedAt)
+{
+    std::optional<peers::RelayHeadReply> head;
+    std::string held; // of the answer, until the caller may get it
+    ResponseBudget::Share share(node_.responseBudget);
+    bool isAccepted = false;
+    while (true) {
+        Error why;
+        const auto left = std::max(Milliseconds(0), task.deadline - node_.now());
+        auto reply = co_await call.next(std::min(left, isAccepted ? livenessInterval : acceptTimeout), why);
+        if (!reply && !call.isFinished() && isAccepted && node_.now() < task.deadline && peers_.isLive(host)) {
+            continue;
+        }
+        if (!reply && !call.isFinished() && !isAccepted && !task.mayRepeat && node_.now() < task.deadline && peers_.isLive(host)) {
+            continue; // it may run there, so nobody else may run it
+        }
+        if (!reply) {
+            // A call that waits for its link may still be written to it, whatever the outcome says.
+            task.mayHaveRun = task.mayHaveRun || !call.isFinished() || why.outcome != Outcome::NotRun;
+            task.reason = "relay_lost";
+            task.detail = why.reason;
+            if (!task.isCancelled) {
+                peers_.onLost(host, node_.now());
+            }
+            call.cancel();
+            co_return !task.hasBegun && (!task.mayHaveRun || task.mayRepeat);
+        }
+        if (std::holds_alternative<peers::StartedReply>(*reply)) {
+            isAccepted = true;
+        } else if (auto *answerHead = std::get_if<peers::RelayHeadReply>(&*reply)) {
+            head = std::move(*answerHead);
+            task.firstBytes = node_.now() - arrivedAt;
+            held = headOf(*head, caller.closesAfterResponse());
+        } else if (auto *data = std::get_if<peers::DataReply>(&*reply); data != nullptr && head) {
+            const auto size = data->data.size();
+            held.append(data->data);
+            if (!share.resize(held.size())) {
+                task.mayHaveRun = true;
+                task.reason = "answer_too_large";
+                call.cancel();
+                co_return false;
+            }
+            if (isChunked(*head)) {
+                task.status = head->status;
+                task.hasBegun = true;
+                if (!co_await caller.write(std::exchange(held, {}))) {
+                    call.cancel();
+                    task.reason = "caller_gone";
+                    co_return false;
+                }
+            }
+            links_->notify(host, {peers::RelayCreditNotice{id, static_cast<std::int64_t>(size)}});
+        } else if (std::holds_alternative<peers::EndReply>(*reply) && head) {
+            task.status = head->status;
+            task.isAnswered = true;
+            if (!held.empty()) {
+                co_await caller.write(std::move(held));
+            }
+            co_return false;
+        } else {
+            const auto *refusal = std::get_if<peers::ErrorReply>(&*reply);
+            const bool isNotRun = refusal != nullptr && refusal->error.outcome == Outcome::NotRun && !head;
+            task.mayHaveRun = task.mayHaveRun || !isNotRun;
+            task.reason = isNotRun ? "relay_refused" : "relay_cut";
+            task.detail = refusal != nullptr ? refusal->error.reason : "unexpected reply";
+            if (isNotRun) {
+                task.retryAfter = refusal->error.retryAfter;
+                peers_.onRefused(host, refusal->error.retryAfter, node_.now());
+            }
+            call.cancel();
+            co_return !task.hasBegun && (!task.mayHaveRun || task.mayRepeat);
+        }
+    }
+}
+
+// ---- At the host that sends ----
+
+/// A request of another host, while this one has it.
+class RelayExchange::Served
+{
+public:
+    Served(RelayExchange &exchange, const peers::IncomingCall &call, const peers::RelayCall &message, RelayedCaller &caller)
+        : exchange_(exchange)
+        , key_(call.from(), message.id)
+        , bytes_(message.body.size())
+    {
+        exchange_.served_[key_] = &caller;
+        exchange_.gate_.begin();
+        exchange_.gate_.addBytes(bytes_);
+    }
+    ~Served()
+    {
+        exchange_.gate_.removeBytes(bytes_);
+        exchange_.gate_.end();
+        exchange_.served_.erase(key_);
+    }
+    Served(const Served &) = delete;
+    Served &operator=(const Served &) = delete;
+
+private:
+    RelayExchange &exchange_;
+    std::pair<HostId, std::uint64_t> key_;
+    std::size_t bytes_;
+};
+
+net::Task<void> RelayExchange::serve(std::shared_ptr<peers::IncomingCall> call)
+{
+    const auto &message = std::get<peers::RelayCall>(call->body());
+    const auto refuse = [&](std::string_view reason, Milliseconds retryAfter) {
+        node_.metrics.relays.add({"sender", reason});
+        call->send(peers::ErrorReply{Error{.step = Step::Peer,
+                                           .peer = node_.settings.host.value(),
+                                           .reason = std::string(reason),
+                                           .refusal = core::Refusal::Unavailable,
+                                           .outcome = Outcome::NotRun,
+                                           .retryAfter = retryAfter}});
+    };
+    const auto reason = gate_.refusal(
+        {.isCutOff = reach_.isCutOff(), .isStopping = node_.isStopping, .isConfigured = node_.routes != nullptr, .linkMbps = node_.settings.hosting.linkMbps},
+        message.body.size());
+    if (!reason.empty()) {
+        refuse(reason, reason == RelayGate::reasonCutOff ? cutOffRetryAfter : RelayGate::busyRetryAfter);
+        co_return;
+    }
+    call->send(peers::StartedReply{});
+    const auto caller = std::make_shared<RelayedCaller>(node_.io, call, gate_);
+    call->onCancel([weak = std::weak_ptr(caller)] {
+        if (const auto relayed = weak.lock()) {
+            relayed->onCancelled();
+        }
+    });
+    RelayedFrom from{call->from(), message.sentTo, message.sends, message.mayHaveRun};
+    CallerRequest request;
+    request.method = message.method;
+    request.target = message.target;
+    request.host = message.host;
+    request.body = message.body;
+    request.arrivedAt = node_.now() - Milliseconds(std::max<std::int64_t>(0, message.ageMs));
+    request.relayedFrom = &from;
+    for (const auto &[name, value] : message.fields) {
+        request.headers.push_back({name, value});
+    }
+    {
+        const Served served(*this, *call, message, *caller);
+        co_await forwarder_.handle(*caller, request);
+        caller->onDisconnect(nullptr);
+    }
+    if (from.isUnreached) {
+        refuse("no_connection", cutOffRetryAfter);
+    } else if (caller->isWhole()) {
+        node_.metrics.relays.add({"sender", "answered"});
+        call->send(peers::EndReply{});
+    } else {
+        node_.metrics.relays.add({"sender", call->isCancelled() ? "caller_gone" : "cut"});
+        call->send(peers::ErrorReply{
+            Error{.step = Step::Peer, .peer = node_.settings.host.value(), .reason = "the answer is not whole", .outcome = Outcome::Unknown}});
+    }
+}
+
+void RelayExchange::onCredit(const HostId &from, const peers::RelayCreditNotice &notice)
+{
+    if (const auto found = served_.find({from, notice.id}); found != served_.end() && notice.bytes > 0) {
+        found->second->addCredit(static_cast<std::size_t>(notice.bytes));
+    }
+}
+
+} // namespace baobabstall::serving
--- /dev/null
+++ b/packages/serving/tests/relayexchangetest.cpp
@@ -0,0 +1,291 @@
+#include <serving/relayexchange.h>
+
+#include "servingfixture.h"
+
+namespace baobabstall::serving::tests {
+namespace {
+
+/// entry-1 of the fixture sends; "cut" reaches no upstream, has its own callers, and relays through entry-1.
+class RelayExchangeTest : public ServingFixture
+{
+protected:
+    RelayExchangeTest()
+        : exchange_(node_, forwarder_, {.isCutOff = [this] { return isSenderCutOff_; }, .reaches = [](const HostId &) { return true; }})
+        , links_(io_, self("entry-1"), "key", handlersOf(exchange_))
+        , cutNode_(io_, settingsOf("cut"), codec_, log())
+        , cutForwarder_(cutNode_)
+        , cutExchange_(cutNode_, cutForwarder_, {.isCutOff = [this] { return isCutOff_; }, .reaches = [this](const HostId &) { return reachesPeer_; }})
+        , cutLinks_(io_, self("cut"), "key", handlersOf(cutExchange_))
+        , cutServer_(io_,
+                     {.limits = [this] { return cutNode_.routes->limits(); }, .onInvalidRequest = [](int, std::string_view) {}},
+                     [this](CallerConnection &caller, CallerRequest &request) { return cutForwarder_.handle(caller, request); })
+    {
+        core::Error why;
+        const auto sender = *links_.listen({"127.0.0.1", 0}, why);
+        const auto cut = *cutLinks_.listen({"127.0.0.1", 0}, why);
+        cutLinks_.setAddress(HostId("entry-1"), sender);
+        links_.setAddress(HostId("cut"), cut);
+        const std::vector<GroupedHost> hosts = {{HostId("entry-1"), ZoneId("a"), 0}, {HostId("cut"), ZoneId("a"), 0}};
+        exchange_.setLinks(links_);
+        exchange_.setHosts(hosts);
+        cutExchange_.setLinks(cutLinks_);
+        cutExchange_.setHosts(hosts);
+        node_.relays = &exchange_;
+        cutNode_.relays = &cutExchange_;
+        cutNode_.residency = &residency_;
+        cutNode_.streams = &streams_;
+        address_ = *cutServer_.listen({"127.0.0.1", 0}, why); // callers of the fixture use the host that is cut off
+    }
+
+    void setUp(Route route, std::vector<std::vector<ScriptedUpstream::Script>> upstreams)
+    {
+        setUpService(std::move(route), std::move(upstreams));
+        cutNode_.routes = node_.routes;
+        for (const auto &id : node_.replicas.all()) { // nobody listens there
+            auto record = *node_.replicas.find(id);
+            record.address = {"127.0.0.1", 1};
+            cutNode_.replicas.apply(record);
+        }
+    }
+
+    static settings::Settings settingsOf(const std::string &host)
+    {
+        auto own = settings();
+        own.host = HostId(host);
+        return own;
+    }
+    static peers::Links::Self self(const std::string &host) { return {HostId(host), core::Incarnation(1), core::RegionId("r")}; }
+    static peers::LinkHandlers handlersOf(RelayExchange &exchange)
+    {
+        peers::LinkHandlers handlers;
+        handlers.onCall = [&exchange](std::shared_ptr<peers::IncomingCall> call) { return exchange.serve(std::move(call)); };
+        handlers.onNotice = [&exchange](const HostId &from, const peers::Notice &notice) {
+            if (const auto *credit = std::get_if<peers::RelayCreditNotice>(&notice.body)) {
+                exchange.onCredit(from, *credit);
+            }
+        };
+        return handlers;
+    }
+
+    bool isCutOff_ = true;
+    bool isSenderCutOff_ = false;
+    bool reachesPeer_ = true;
+    RelayExchange exchange_;
+    peers::Links links_;
+    Node cutNode_;
+    Forwarder cutForwarder_;
+    RelayExchange cutExchange_;
+    peers::Links cutLinks_;
+    CallerServer cutServer_;
+};
+
+std::string postRequest(const std::string &id, const std::string &body, const std::string &extraHeaders = {})
+{
+    return "POST /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n" + extraHeaders + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Guards against callers of a host without a link to any upstream that get refusals while other hosts serve theirs (issue 32, RECOVER).
+TEST_F(RelayExchangeTest, plain_answers_arrive_whole_through_a_peer)
+{
+    std::string body;
+    for (int number = 0; number < 300'000; ++number) {
+        body.push_back(static_cast<char>(number * 7));
+    }
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse(body)}}}});
+    const auto response = sendRequest(postRequest("q1", std::string("\0\xff\r\n\r\nbinary", 13)), body);
+    EXPECT_EQ(response.status(), 200);
+    EXPECT_TRUE(response.contains("Seal: s\r\n"));
+    EXPECT_TRUE(response.contains("Id: q1\r\n"));
+    EXPECT_TRUE(response.bytes.ends_with("\r\n\r\n" + body));
+    ASSERT_EQ(requestCount(), 1U);
+    EXPECT_EQ(upstream(1).requests[0].body, std::string("\0\xff\r\n\r\nbinary", 13));
+    EXPECT_TRUE(upstream(1).requests[0].hasLine("To: r1"));
+    EXPECT_EQ(exchange_.running(), 0);
+}
+
+TEST_F(RelayExchangeTest, a_connection_serves_one_relayed_request_after_the_other_and_the_deadline_counts_from_the_caller)
+{
+    setUp(route(RetryPolicy::Idempotent, false, 2), {{{{completeResponse("one")}}, {{completeResponse("two")}}}});
+    const auto response = sendRequest(getRequest("q1", "Deadline: 900\r\n") + getRequest("q2"), "two");
+    EXPECT_TRUE(response.contains("one"));
+    EXPECT_TRUE(response.contains("two"));
+    const auto &head = upstream(1).requests[0].head;
+    const int left = std::stoi(head.substr(head.find("Left: ") + 6));
+    EXPECT_LE(left, 900);
+    EXPECT_GT(left, 300);
+}
+
+TEST_F(RelayExchangeTest, streams_arrive_event_by_event_with_their_end)
+{
+    setUp(route(RetryPolicy::Resumable, true, 2),
+          {{{{streamHead(), chunk(event(1)), chunk(event(2)), chunk(event(3)) + finalChunk}, false, false, Milliseconds(50)}}});
+    const auto begin = node_.now();
+    const auto first = sendRequest(getRequest("q1"), event(1));
+    EXPECT_LT(node_.now() - begin, Milliseconds(190));
+    EXPECT_FALSE(first.hasFinalChunk());
+    const auto whole = sendRequest(getRequest("q2"), finalChunk);
+    EXPECT_EQ(whole.status(), 200);
+    EXPECT_TRUE(whole.contains(chunk(event(3))));
+    EXPECT_TRUE(whole.hasFinalChunk());
+}
+
+// Guards against a cut answer that looks complete to the caller.
+TEST_F(RelayExchangeTest, a_stream_that_is_cut_at_the_upstream_is_reset_at_the_caller)
+{
+    setUp(route(RetryPolicy::AtMostOnce, true, 1), {{{{streamHead() + chunk(event(1)), chunk(event(2))}, false, true, Milliseconds(30)}}});
+    const auto response = sendRequest(getRequest("q1"));
+    EXPECT_TRUE(response.contains(event(1)));
+    EXPECT_TRUE(response.isClosed);
+    EXPECT_FALSE(response.hasFinalChunk());
+}
+
+TEST_F(RelayExchangeTest, a_plain_answer_that_is_cut_is_a_502_for_what_may_run_once)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2),
+          {{{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nContent-Length: 10\r\n\r\nhalf"}, true}}, {{{completeResponse("never")}}}});
+    EXPECT_EQ(sendRequest(postRequest("q1", "x"), "\r\n\r\n").status(), 502);
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+TEST_F(RelayExchangeTest, a_refusal_by_all_upstreams_passes_through_as_not_run)
+{
+    const auto full = std::string("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: @ID\r\nBackoff: 700\r\nContent-Length: 0\r\n\r\n");
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{full}}}, {{{full}}}});
+    const auto response = sendRequest(postRequest("q1", "x"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After: 0."));
+    EXPECT_EQ(requestCount(), 2U) << "one host tried both";
+}
+
+// Guards against an upstream that goes on with a request whose caller has left the first host.
+TEST_F(RelayExchangeTest, the_close_of_a_caller_reaches_the_upstream_within_half_a_second)
+{
+    setUp(route(RetryPolicy::AtMostOnce, true, 1), {{{{streamHead(), chunk(event(1)), chunk(event(2)), chunk(event(3))}, false, false, Milliseconds(200)}}});
+    sendRequest(getRequest("q1"), {}, Milliseconds(300));
+    const auto begin = node_.now();
+    while (upstream(1).disconnects == 0 && node_.now() - begin < Milliseconds(1'000)) {
+        io_.run_one_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_EQ(upstream(1).disconnects, 1);
+    EXPECT_LE(node_.now() - begin, Milliseconds(500));
+    EXPECT_EQ(exchange_.running(), 0);
+}
+
+TEST_F(RelayExchangeTest, the_loss_of_the_link_closes_the_upstreams_connection_and_leaves_the_outcome_unknown)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("late")}, false, false, Milliseconds(600)}}, {{{completeResponse("never")}}}});
+    asio::steady_timer timer(io_, std::chrono::milliseconds(150));
+    timer.async_wait([this](boost::system::error_code) { cutLinks_.close(); });
+    EXPECT_EQ(sendRequest(postRequest("q1", "x"), "\r\n\r\n").status(), 502);
+    runFor(Milliseconds(700));
+    EXPECT_EQ(requestCount(), 1U);
+    EXPECT_EQ(upstream(1).disconnects, 1);
+}
+
+// Guards against a request that goes round between hosts that are all cut off.
+TEST_F(RelayExchangeTest, a_peer_that_is_cut_off_itself_refuses_at_once_and_nothing_goes_in_a_circle)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("never")}}}});
+    isSenderCutOff_ = true;
+    const auto begin = node_.now();
+    const auto response = sendRequest(postRequest("q1", "x"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503) << "nothing was sent";
+    EXPECT_LT(node_.now() - begin, Milliseconds(300));
+    EXPECT_EQ(requestCount(), 0U);
+    EXPECT_EQ(cutExchange_.running(), 0);
+}
+
+TEST_F(RelayExchangeTest, a_peer_whose_connections_fail_has_sent_nothing_and_the_refusal_says_so)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("never")}}}});
+    auto record = *node_.replicas.find(UpstreamId("r1"));
+    record.address = {"127.0.0.1", 1};
+    node_.replicas.apply(record);
+    const auto response = sendRequest(postRequest("q1", "x"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After"));
+}
+
+TEST_F(RelayExchangeTest, a_request_whose_connections_failed_is_relayed_before_the_cut_is_noticed)
+{
+    isCutOff_ = false;
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("served")}}}});
+    EXPECT_TRUE(sendRequest(postRequest("q1", "x"), "served").contains("served"));
+}
+
+TEST_F(RelayExchangeTest, without_a_peer_that_reaches_upstreams_the_host_sends_by_itself)
+{
+    reachesPeer_ = false;
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("served")}}}});
+    cutNode_.replicas.apply(*node_.replicas.find(UpstreamId("r1")));
+    auto record = *node_.replicas.find(UpstreamId("r1"));
+    record.startTime = ReplicaStartTime(9);
+    cutNode_.replicas.apply(record);
+    EXPECT_TRUE(sendRequest(postRequest("q1", "x"), "served").contains("served"));
+    EXPECT_EQ(exchange_.running(), 0);
+}
+
+TEST_F(RelayExchangeTest, attempts_at_the_first_host_count_at_the_peer)
+{
+    isCutOff_ = false;
+    setUp(route(RetryPolicy::Idempotent, false, 2), {{{{}, true}}, {{{}, true}}, {{{completeResponse("third")}}}});
+    cutNode_.replicas = node_.replicas; // the first host's connections work, and two upstreams break off
+    const auto response = sendRequest(getRequest("q1"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 502);
+    EXPECT_EQ(requestCount(), 2U);
+}
+
+// Guards against a caller that does not read and fills the memory of two hosts.
+TEST_F(RelayExchangeTest, a_caller_that_does_not_read_holds_a_window_of_the_answer_only)
+{
+    std::vector<std::string> pieces = {streamHead()};
+    const std::string large = "id: 1\ndata: " + std::string(60'000, 'x') + "\n\n";
+    for (int number = 0; number < 400; ++number) {
+        pieces.push_back(chunk(large.substr(0, 4) + std::to_string(number + 1) + large.substr(5)));
+    }
+    setUp(route(RetryPolicy::AtMostOnce, true, 1), {{{pieces}}});
+    tcp::socket caller(io_);
+    caller.open(tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size(4'096));
+    caller.connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port));
+    asio::write(caller, asio::buffer(getRequest("q1")));
+    runFor(Milliseconds(1'000));
+    EXPECT_EQ(exchange_.running(), 1);
+    EXPECT_LE(exchange_.bytes(), RelayExchange::window);
+    EXPECT_GT(exchange_.bytes(), 0U);
+    caller.close();
+    runFor(Milliseconds(200));
+    EXPECT_EQ(exchange_.running(), 0);
+    EXPECT_EQ(exchange_.bytes(), 0U);
+}
+
+TEST_F(RelayExchangeTest, a_request_that_fits_no_frame_is_refused_at_once)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("never")}}}});
+    CallerRequest request;
+    request.method = "POST";
+    request.target = "/x";
+    request.host = "h";
+    request.body.assign(peers::Links::maxFrameBytes, 'x');
+    request.headers = {{"Id", "q1"}};
+    request.arrivedAt = node_.now();
+    struct Caller final : CallerConnection {
+        net::Task<bool> write(std::string bytes) override
+        {
+            written += bytes;
+            co_return true;
+        }
+        void onDisconnect(std::function<void()>) override { }
+        [[nodiscard]] bool isDisconnected() const override { return false; }
+        void abort() override { }
+        [[nodiscard]] bool closesAfterResponse() const override { return false; }
+        std::string written;
+    } caller;
+    asio::co_spawn(io_, cutForwarder_.handle(caller, request), asio::detached);
+    runFor(Milliseconds(50));
+    EXPECT_TRUE(caller.written.starts_with("HTTP/1.1 503 "));
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+} // namespace
+} // namespace baobabstall::serving::tests
