Tests: relayed requests while hosts at both ends are killed, and hosts whose links flap

Requests that may run once run once, and a 503 means that none ran, while hosts that send for others and the first hosts are killed. A host whose links to all upstreams come and go twice a second serves its callers, and sends by itself again when they stay.

--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -1,4 +1,5 @@
 """Hosted daemons as real processes against the stand-ins of the platform (standins/hosting). Usage: hostedtest.py BAOBABSTALLD [NAME...]"""
+import collections
 import datetime
 import http.client
 import itertools
@@ -240,11 +241,7 @@
     def cut_hosts_off(self, count, how, seconds=6.0):
         """Four hosts, of which `count` reach no upstream. Returns the statuses of first tries at those and at the others, by kind, from the time
         of contact after the cut began."""
-        self.hosts += [Host(number, self.store, pathlib.Path(self.folder.name)) for number in (3, 4)]
-        self.shops += [Replica(self.store, "i-shop%d" % number, "shop", "a") for number in (2, 3)]
-        self.blackhole = Blackhole()
-        self.addCleanup(self.blackhole.close)
-        self.start_all()
+        self.start_four_hosts()
         cut, stop, counts, answers = self.hosts[:count], threading.Event(), threading.Event(), []
 
         def work(host, kind):
@@ -302,6 +299,85 @@
     def test_hosts_whose_open_connections_live_on_while_new_ones_are_refused_serve_their_callers(self):
         self.check_cut_hosts(2, "live on")
 
+    def start_four_hosts(self):
+        self.hosts += [Host(number, self.store, pathlib.Path(self.folder.name)) for number in (3, 4)]
+        self.shops += [Replica(self.store, "i-shop%d" % number, "shop", "a") for number in (2, 3)]
+        self.blackhole = Blackhole()
+        self.addCleanup(self.blackhole.close)
+        self.start_all()
+
+    # Guards against a request that runs twice, or runs though its caller was told that it did not, when the host that sends it for another dies.
+    def test_relayed_requests_run_once_while_hosts_at_both_ends_are_killed(self):
+        self.start_four_hosts()
+        servers = (*self.replicas, *self.shops)
+        for shop in self.shops:
+            shop.work_seconds = 0.15
+        for host in self.hosts[:2]:
+            host.cut_off(servers, "reset", self.blackhole)
+        stop, answers = threading.Event(), []
+
+        def work(host):
+            while not stop.is_set():
+                attempt = "once%d" % next(self.numbers)
+                answers.append((host, attempt, self.book(host, attempt)[0]))
+                time.sleep(0.02)
+
+        threads = [threading.Thread(target=work, args=(host,)) for host in self.hosts[:2] * 4]
+        for thread in threads:
+            thread.start()
+        try:
+            time.sleep(CONTACT_SECONDS)
+            for host in (self.hosts[2], self.hosts[3], self.hosts[0]):
+                host.end(signal.SIGKILL)
+                time.sleep(0.7)
+                host.start()
+                self.assertTrue(wait_until(host.ready), host.state())
+                time.sleep(1.0)
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        time.sleep(0.5)
+        runs = collections.Counter(attempt for shop in self.shops for attempt in shop.ran)
+        twice = [attempt for _, attempt, _ in answers if runs[attempt] > 1]
+        wrongly_not_run = [attempt for _, attempt, status in answers if status == 503 and runs[attempt] > 0]
+        self.assertEqual((twice, wrongly_not_run), ([], []))
+        statuses = collections.Counter(status for _, _, status in answers)
+        self.assertGreater(statuses[200], 100, statuses)
+        self.assertTrue({status for status in statuses} <= {0, 200, 502, 503, 504}, statuses)
+        self.assertGreater(sum(len([line for line in host.events("request") if line["relayed_for"]]) for host in self.hosts[2:]), 100)
+
+    # Guards against hosts that go on relaying after a cut, or serve fewer while it comes and goes (issue 32, RECOVER).
+    def test_a_host_sends_by_itself_after_a_cut_and_serves_while_its_links_flap(self):
+        self.start_four_hosts()
+        servers, host = (*self.replicas, *self.shops), self.hosts[0]
+        stop, answers = threading.Event(), []
+
+        def work():
+            while not stop.is_set():
+                answers.append((time.monotonic(), self.book(host)[0]))
+                time.sleep(0.03)
+
+        threads = [threading.Thread(target=work) for _ in range(3)]
+        for thread in threads:
+            thread.start()
+        try:
+            for _ in range(10):
+                host.cut_off(servers, "reset", self.blackhole)
+                time.sleep(0.5)
+                host.mend(servers)
+                time.sleep(0.5)
+            flapped = [status for _, status in answers]
+            self.assertTrue(wait_until(lambda: not [line for line in host.events("request")[-10:] if line["relayed_by"]], 5), "sends by itself again")
+            since = time.monotonic()
+            time.sleep(1.0)
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+        self.assertGreaterEqual(flapped.count(200) / len(flapped), 2 / 3, collections.Counter(flapped))
+        self.assertEqual({status for at, status in answers if at > since}, {200})
+
     def test_many_at_once_keep_to_the_places_and_nobody_gets_anothers_answer(self):
         self.start_all()
         wrong = []
