A sound replica that is silent for a second keeps its connections

Connections to a replica that was silent for 1.1 s were closed 2.06 s after the silence began, though the replica had answered again for a second: requests that waited there were broken off, counted as possible crashes and sent again.

Cause: the kernel lets TCP_USER_TIMEOUT (1.5 s) decide when keep-alive probes give up, whatever their count. After the first unanswered probe the connection was older than 1.5 s, so the second was never sent. With 2.5 s two are sent, and a silence of a second hides one at most.

--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -50,9 +50,13 @@
 
 using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
 
+/// TCP_USER_TIMEOUT also decides when the kernel's keep-alive probes (net::watchForSilence()) give up, whatever their count: at the first probe
+/// that is due ackTimeout or later after the peer was last heard, with one probe unanswered. With probes after 1, 2 and 3 s a connection whose peer
+/// has fallen silent for good is closed after 3 s when nothing is under way, and 2.5 to 3 s after data was sent. A peer that is silent for a second
+/// answers the first or the second probe. Neither Asio nor Beast sets the option.
 struct PoolOptions {
     Milliseconds connectTimeout{300}; // shorter than the retransmission of a lost SYN, which takes seconds, so that another upstream is tried sooner
-    Milliseconds ackTimeout{1'500};   // TCP_USER_TIMEOUT: how long sent data may stay unacknowledged before the connection is closed
+    Milliseconds ackTimeout{2'500};   // TCP_USER_TIMEOUT: how long sent data may stay unacknowledged before the connection is closed; see below
     Milliseconds closeMargin{1'000};  // stops reuse this long before the upstream's idle timeout, so that a request doesn't race with its close
     Milliseconds defaultKeep{4'000};  // idle timeout if the upstream doesn't state one
 };
