--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1277,8 +1277,7 @@
 {
     auto &reachability = node_.reachability;
     for (const auto &id : reachability.takeProbes(static_cast<int>(node_.pool.busy()), node_.now())) {
-        asio::co_spawn(
-            node_.io, [this, id] { return probeUpstream(id); }, asio::detached);
+        spawn(node_, "probe", [this, id] { return probeUpstream(id); });
     }
     const auto peers = reachability.cutOffPeers(node_.now());
     std::set<HostId> cutOff(peers.begin(), peers.end());
