--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -515,7 +515,8 @@
         yield "i-deep-field", text.replace('"models": []', '"models": %s' % ("[" * 100_000 + "]" * 100_000)).encode()
         for number in ("1e400", "-1", "1e300", "18446744073709551616", "9223372036854775808", "3000000000", "1e14", "0.5"):
             yield "i-slots" + number, text.replace('"slots": 8', '"slots": ' + number).encode()
-            yield "i-born" + number, text.replace('"born": 1', '"born": ' + number).encode()
+            if number != "3000000000":  # the start of a run long ago
+                yield "i-born" + number, text.replace('"born": 1', '"born": ' + number).encode()
         for port in ("0", "65536", "-1", "99999999999"):
             yield "i-port" + port, json.dumps(sound | {"address": "127.0.0.1:" + port})
         yield "i-name", json.dumps(sound | {"address": "localhost:80"})
