--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 	GTEST_FILTER="$$(scripts/known-red filter)" ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4 -LE process
 
 FUZZ_RUNS ?= 100000
-FUZZ_SEEDS = examples/vloerwerk examples/swellcast $(wildcard packages/*/fuzz/seeds)
+FUZZ_SEEDS = examples/vloerwerk examples/swellcast $(wildcard packages/*/fuzz/seeds platform/fuzz/seeds)
 FUZZERS = $(patsubst %.cpp,%_fuzz,$(wildcard packages/*/fuzz/*.cpp platform/fuzz/*.cpp))
 
 SEEDS   ?= 1-50
