Where a stream began is asked for until it is known or a third of the caller's time is over

Cause: five hosts got 150 ms together to answer, less than two hosts with an eighth of a core may need; a host whose links were not open asked nobody or failed at once; records were told to hosts that were gone and not missed yet. Class: a bound on the time of other hosts that is unrelated to what the caller has left, and a message that nobody checks for its way.

Change: StreamSearch (no I/O) ends with two hosts that agree, or this host's own record, and waits for one record to settle for 150 ms as before. While nobody knows the stream it asks eight, opens links, asks failed hosts again and waits for a third of the caller's time, at most 1.5 s, or 150 ms while the version is known without a record. A record goes to a further host for each of the first three without an open link.

--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -89,9 +89,9 @@
     void setKey(std::string key);
     void sendGossip(const HostId &to, MembershipMessage message);
     void notify(const HostId &to, Notice notice); // dropped when the link is down; for this daemon itself, calls its own handler
-    [[nodiscard]] std::unique_ptr<OutgoingCall> call(const HostId &to, CallBody body);
-    /// Whether a call to the host would be written at once.
+    /// Whether frames for the host are sent at once. A link that is not open opens with the next frame for the host.
     [[nodiscard]] bool isOpen(const HostId &host) const;
+    [[nodiscard]] std::unique_ptr<OutgoingCall> call(const HostId &to, CallBody body);
     /// Closes all links; calls in flight fail.
     void close();
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -56,6 +56,9 @@
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
 constexpr Milliseconds reportTimeout{300};           // for the upstream's word on its run, before a stream begins there
 constexpr double resumedFillRatio = 1.5;             // of the fill up to which new requests are sent: a stream that goes on has no other upstreams to go to
+constexpr double originWaitShare = 1.0 / 3;          // of the remaining time, for learning where a stream began
+constexpr Milliseconds maxOriginWait{1'500};         // the same; callers leave after two seconds without an event
+constexpr Milliseconds briefOriginWait{150};         // the same while every stream of the service began at one version: only for its upstream
 constexpr double shrinkingFill
     = 0.75; // running requests per slot; beyond it a version whose upstreams leave takes new streams only when no other has a free slot
 constexpr Milliseconds unknownStreamRetryAfter{300}; // Retry-After when this host can't know a stream's version: another host may
@@ -176,7 +179,10 @@
         if (!metadata_.resumes.empty()) {
             service_ = &RouteTable::serviceOf(*route_, metadata_.resumes);
             const auto begin = node_.now();
-            found_ = co_await node_.streams->find(metadata_.resumes);
+            const bool isVersionKnown = node_.versions.only(*service_, node_.longestStream, begin).has_value();
+            const auto patience = std::min(isVersionKnown ? briefOriginWait : maxOriginWait,
+                                           Milliseconds(static_cast<std::int64_t>(static_cast<double>(timeLeft().count()) * originWaitShare)));
+            found_ = co_await node_.streams->find(metadata_.resumes, patience);
             originWait_ = node_.now() - begin;
             const auto &origin = found_.origin;
             if (origin && (origin->request != streamKey() || !useService(origin->service))) {
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -127,8 +127,8 @@
     virtual ~StreamDirectory() = default;
     /// A stream of this host is about to begin; it may be taken up at any host until `until`.
     virtual void announce(const RequestId &id, const StreamOrigin &origin, Instant until) = 0;
-    /// Without an origin: no host that can be reached knows the stream.
-    virtual net::Task<FoundStream> find(RequestId id) = 0;
+    /// Without an origin: no host that can be reached within `patience` knows the stream.
+    virtual net::Task<FoundStream> find(RequestId id, Milliseconds patience) = 0;
 };
 
 struct ActiveRevision {
--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -1,5 +1,9 @@
 #include <serving/streamexchange.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 namespace baobabstall::serving {
 
 namespace {
@@ -21,40 +25,73 @@
     return !node_.versions.only(service, node_.longestStream, node_.now());
 }
 
+/// One search; its calls end with it.
+struct StreamExchange::RunningSearch {
+    RunningSearch(boost::asio::io_context &io, const StreamSearch &begun)
+        : search(begun)
+        , signal(io)
+    { }
+
+    StreamSearch search;
+    boost::asio::steady_timer signal; // of an answer
+    std::vector<std::shared_ptr<peers::OutgoingCall>> calls;
+};
+
 void StreamExchange::announce(const RequestId &id, const StreamOrigin &origin, Instant until)
 {
-    const auto now = node_.now();
-    const auto hosts = records_.announce(id, origin, until, isSharedService(origin.service), now);
-    if (links_ != nullptr) {
-        for (const auto &host : hosts) {
-            links_->notify(host, {peers::StreamOriginNotice{id, entryOf(origin), (until - now).count()}});
-        }
+    const bool isShared = isSharedService(origin.service);
+    records_.announce(id, origin, until, isShared, node_.now());
+    if (isShared) {
+        tell(id, origin, until);
     }
 }
 
-net::Task<FoundStream> StreamExchange::find(RequestId id)
+void StreamExchange::tell(const RequestId &id, const StreamOrigin &origin, Instant until)
 {
-    auto best = records_.lookUp(id, node_.now());
-    std::vector<std::unique_ptr<peers::OutgoingCall>> calls;
-    if (links_ != nullptr) {
-        for (const auto &host : records_.keepers(id, StreamRecords::askedHosts)) {
-            calls.push_back(links_->call(host, peers::StreamOriginCall{id}));
-        }
+    if (links_ == nullptr) {
+        return;
+    }
+    const auto isLinked = [this](const HostId &host) { return links_->isOpen(host); };
+    for (const auto &host : records_.toTell(id, isLinked)) {
+        links_->notify(host, {peers::StreamOriginNotice{id, entryOf(origin), (until - node_.now()).count()}});
     }
-    best.asked = calls.size();
-    const auto until = node_.now() + replyTimeout;
-    for (const auto &call : calls) {
-        core::Error why;
-        const auto reply = co_await call->next(std::max(Milliseconds(1), until - node_.now()), why);
-        const auto *answer = reply ? std::get_if<peers::StreamOriginReply>(&*reply) : nullptr;
-        best.answered += answer != nullptr ? 1 : 0;
-        if (answer != nullptr && answer->isKnown && (!best.origin || answer->origin.send > best.origin->send)) {
-            best.origin = originOf(answer->origin);
-            best.source = OriginSource::Asked;
-            best.age = Milliseconds(answer->ageMs);
+}
+
+net::Task<FoundStream> StreamExchange::find(RequestId id, Milliseconds patience)
+{
+    const auto running = std::make_shared<RunningSearch>(node_.io, StreamSearch(records_.lookUp(id, node_.now()), node_.now(), patience));
+    auto &search = running->search;
+    while (!search.isDone(node_.now())) {
+        if (links_ != nullptr) {
+            for (const auto &host : search.takeHosts(records_.keepers(id, StreamRecords::keptHosts), node_.now())) {
+                boost::asio::co_spawn(node_.io, ask(running, host, id), boost::asio::detached);
+            }
         }
+        running->signal.expires_after(net::chronoOf(std::min(StreamSearch::stepTime, search.timeLeft(node_.now()))));
+        co_await running->signal.async_wait(net::tuple);
+    }
+    const auto found = search.result();
+    for (const auto &call : running->calls) {
+        call->cancel();
+    }
+    co_return found;
+}
+
+net::Task<void> StreamExchange::ask(std::shared_ptr<RunningSearch> running, HostId host, RequestId id)
+{
+    const std::shared_ptr<peers::OutgoingCall> call = links_->call(host, peers::StreamOriginCall{id});
+    running->calls.push_back(call);
+    core::Error why;
+    const auto reply = co_await call->next(running->search.timeLeft(node_.now()), why);
+    if (const auto *answer = reply ? std::get_if<peers::StreamOriginReply>(&*reply) : nullptr) {
+        running->search.onAnswer(host,
+                                 {.origin = answer->isKnown ? std::optional(originOf(answer->origin)) : std::nullopt,
+                                  .source = OriginSource::Asked,
+                                  .age = Milliseconds(answer->ageMs)});
+    } else {
+        running->search.onFailed(host, node_.now());
     }
-    co_return best;
+    running->signal.cancel();
 }
 
 void StreamExchange::tick()
@@ -70,9 +107,7 @@
         }
         const auto now = node_.now();
         for (const auto &[id, origin, until] : records_.takeUnshared(service.name, now)) {
-            for (const auto &host : records_.keepers(id, StreamRecords::toldHosts)) {
-                links_->notify(host, {peers::StreamOriginNotice{id, entryOf(origin), (until - now).count()}});
-            }
+            tell(id, origin, until);
         }
     }
     sharedServices_ = std::move(shared);
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -4,7 +4,7 @@
 //   StreamExchange exchange(node, groups);
 //   exchange.setLinks(links);
 //   exchange.announce(id, origin, until);          // before the request is sent to its upstream
-//   auto found = co_await exchange.find(id);       // found.origin is nothing: no host that answers knows the stream
+//   auto found = co_await exchange.find(id, patience); // found.origin is nothing: no host that answers knows the stream
 //   exchange.tick();                               // every 100 ms
 //   exchange.onNotice(notice); exchange.serve(call, body);   // from peers
 #pragma once
@@ -13,7 +13,7 @@
 
 #include <peers/link.h>
 #include <serving/node.h>
-#include <serving/streamrecords.h>
+#include <serving/streamsearch.h>
 
 namespace baobabstall::serving {
 
@@ -27,17 +27,19 @@
 
     void setLinks(peers::Links &links) { links_ = &links; }
     void announce(const RequestId &id, const StreamOrigin &origin, Instant until) override;
-    net::Task<FoundStream> find(RequestId id) override;
+    net::Task<FoundStream> find(RequestId id, Milliseconds patience) override;
     /// Tells the streams that began while their service had one version, once it has several.
     void tick();
     void onNotice(const peers::StreamOriginNotice &notice);
     void serve(peers::IncomingCall &call, const peers::StreamOriginCall &request);
     [[nodiscard]] std::size_t size() const { return records_.size(); }
 
-    static constexpr Milliseconds replyTimeout{150}; // for the answers of all hosts that are asked
-
 private:
+    struct RunningSearch;
+
     [[nodiscard]] bool isSharedService(const ServiceName &service) const;
+    void tell(const RequestId &id, const StreamOrigin &origin, Instant until);
+    net::Task<void> ask(std::shared_ptr<RunningSearch> running, HostId host, RequestId id);
 
     Node &node_;
     StreamRecords records_;
--- a/packages/serving/streamrecords.cpp
+++ b/packages/serving/streamrecords.cpp
@@ -11,13 +11,30 @@
     return texts.at(static_cast<std::size_t>(source));
 }
 
-std::vector<HostId> StreamRecords::announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now)
+void StreamRecords::announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now)
 {
     hold(id, origin, until, now);
     auto &record = records_.at(id);
     record.isUnshared = !isShared;
     record.isOwn = true;
-    return isShared ? keepers(id, toldHosts) : std::vector<HostId>();
+}
+
+std::vector<HostId> StreamRecords::toTell(const RequestId &id, const std::function<bool(const HostId &)> &isLinked) const
+{
+    const auto hosts = keepers(id, keptHosts);
+    std::vector<HostId> told;
+    std::size_t unlinked = 0;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        const bool hasLink = isLinked(hosts[i]);
+        if (i < toldHosts) {
+            told.push_back(hosts[i]);
+            unlinked += hasLink ? 0 : 1;
+        } else if (unlinked > 0 && hasLink) {
+            told.push_back(hosts[i]);
+            --unlinked;
+        }
+    }
+    return told;
 }
 
 void StreamRecords::hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now)
--- a/packages/serving/streamrecords.h
+++ b/packages/serving/streamrecords.h
@@ -1,17 +1,20 @@
 // serving/streamrecords.h: where streams began, as one host knows it, and which hosts know it of a stream. No I/O.
 //
 //   StreamRecords records(ownHost, groups);
-//   auto targets = records.announce(id, origin, until, isShared, now); // before the request is sent; the hosts to tell
+//   records.announce(id, origin, until, isShared, now);                // before the request is sent
+//   for (const auto &host : records.toTell(id, isLinked)) { ... }      // if shared
 //   records.hold(id, origin, until, now);                              // another host told it
 //   for (auto &[id, origin, until] : records.takeUnshared(service, now)) { ... } // announced before the service had several versions
 //   records.find(id, now), records.keepers(id)                         // what this host knows; the hosts to ask
 //
 // A caller may take up a stream at any host, right after its first event, when the host that began it is gone. The record of a stream is
 // therefore told to a few hosts, in different zones as far as there are any, before the request is sent to its upstream. Which ones follows from
-// the stream's id, so any host finds them, also one that started later. More are asked than were told, as hosts come and go in between.
+// the stream's id, so any host finds them, also one that started later. More are asked than were told, as hosts come and go in between, and while
+// there is no link to one of the first, another one is told too.
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <unordered_map>
 #include <vector>
@@ -49,7 +52,8 @@
 public:
     static constexpr std::size_t maxStreams = 16'384; // beyond it the oldest is forgotten
     static constexpr std::size_t toldHosts = 3;
-    static constexpr std::size_t askedHosts = 5;
+    static constexpr std::size_t askedHosts = 5;         // at first
+    static constexpr std::size_t keptHosts = 8;          // that may have been told
     static constexpr Milliseconds extraLifetime{10'000}; // after the deadline of the request that began the stream
 
     struct Announced {
@@ -63,10 +67,11 @@
         , groups_(groups)
     { }
 
-    /// Holds the origin of a stream that this host begins. `isShared`: other hosts have to know it now. Returns the hosts to tell.
-    [[nodiscard]] std::vector<HostId> announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now);
+    /// Holds the origin of a stream that this host begins. `isShared`: the caller tells the hosts of toTell() now.
+    void announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now);
+    [[nodiscard]] std::vector<HostId> toTell(const RequestId &id, const std::function<bool(const HostId &)> &isLinked) const;
     void hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now);
-    /// Streams of the service that this host began and told nobody of; the caller tells `keepers()`.
+    /// Streams of the service that this host began and told nobody of; the caller tells `toTell()`.
     [[nodiscard]] std::vector<Announced> takeUnshared(const ServiceName &service, Instant now);
     [[nodiscard]] std::optional<StreamOrigin> find(const RequestId &id, Instant now) const { return lookUp(id, now).origin; }
     [[nodiscard]] FoundStream lookUp(const RequestId &id, Instant now) const; // what this host itself knows
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -160,7 +160,7 @@
 {
 public:
     void announce(const RequestId &id, const StreamOrigin &origin, Instant) override { origins[id] = origin; }
-    net::Task<FoundStream> find(RequestId id) override
+    net::Task<FoundStream> find(RequestId id, Milliseconds /*patience*/) override
     {
         co_return origins.contains(id) ? FoundStream{.origin = origins.at(id), .source = OriginSource::Told} : FoundStream();
     }
--- a/packages/serving/tests/streamrecordstest.cpp
+++ b/packages/serving/tests/streamrecordstest.cpp
@@ -6,7 +6,7 @@
 #include <set>
 
 #include <peers/messages.h>
-#include <serving/streamrecords.h>
+#include <serving/streamsearch.h>
 
 #include "virtualtime.h"
 
@@ -37,7 +37,9 @@
     /// The request is sent to its upstream now.
     void begin(const HostId &host, const RequestId &id, const StreamOrigin &origin)
     {
-        for (const auto &target : hosts_.at(host)->records.announce(id, origin, now() + Milliseconds(15'000), true, now())) {
+        auto &records = hosts_.at(host)->records;
+        records.announce(id, origin, now() + Milliseconds(15'000), true, now());
+        for (const auto &target : records.toTell(id, [this](const HostId &each) { return hosts_.at(each)->isAlive; })) {
             ++messages;
             at(now() + latency(), [this, target, id, origin, until = now() + Milliseconds(15'000)] {
                 if (auto &receiver = *hosts_.at(target); receiver.isAlive) {
@@ -91,21 +93,11 @@
         }
         return ids;
     }
-    /// What `host` learns of the stream, as its exchange asks the others: answers after one round trip.
-    void find(const HostId &host, const RequestId &id, std::function<void(std::optional<StreamOrigin>)> onAnswer)
+    /// What `host` learns of the stream, as its exchange asks the others: an answer takes one round trip.
+    void find(const HostId &host, const RequestId &id, std::function<void(std::optional<StreamOrigin>)> onAnswer, Milliseconds patience = Milliseconds(1'500))
     {
-        const auto asked = hosts_.at(host)->records.keepers(id, StreamRecords::askedHosts);
-        const auto best = std::make_shared<std::optional<StreamOrigin>>(hosts_.at(host)->records.find(id, now()));
-        for (const auto &target : asked) {
-            at(now() + latency() + hosts_.at(target)->delay, [this, target, id, best] {
-                const auto &keeper = *hosts_.at(target);
-                const auto known = keeper.isAlive ? keeper.records.find(id, now()) : std::nullopt;
-                if (known && (!*best || known->send > (*best)->send)) {
-                    *best = known;
-                }
-            });
-        }
-        at(now() + Milliseconds(150), [best, onAnswer = std::move(onAnswer)] { onAnswer(*best); });
+        const auto search = std::make_shared<Search>(StreamSearch(hosts_.at(host)->records.lookUp(id, now()), now(), patience), std::move(onAnswer));
+        step(host, id, search);
     }
     [[nodiscard]] bool isAlive(const HostId &host) const { return hosts_.at(host)->isAlive; }
     [[nodiscard]] std::size_t largestState() const
@@ -130,6 +122,39 @@
         Milliseconds delay; // of its answers
     };
 
+    struct Search {
+        Search(StreamSearch begun, std::function<void(std::optional<StreamOrigin>)> callback)
+            : search(std::move(begun))
+            , onEnd(std::move(callback))
+        { }
+        StreamSearch search;
+        std::function<void(std::optional<StreamOrigin>)> onEnd; // empty once it was called
+    };
+
+    void endIfDone(const std::shared_ptr<Search> &running)
+    {
+        if (running->onEnd && running->search.isDone(now())) {
+            std::exchange(running->onEnd, nullptr)(running->search.result().origin);
+        }
+    }
+
+    void step(const HostId &host, const RequestId &id, const std::shared_ptr<Search> &running)
+    {
+        endIfDone(running);
+        if (!running->onEnd) {
+            return;
+        }
+        for (const auto &target : running->search.takeHosts(hosts_.at(host)->records.keepers(id, StreamRecords::keptHosts), now())) {
+            at(now() + latency() + hosts_.at(target)->delay, [this, target, id, running] {
+                if (const auto &keeper = *hosts_.at(target); keeper.isAlive) {
+                    running->search.onAnswer(target, keeper.records.lookUp(id, now()));
+                    endIfDone(running);
+                }
+            });
+        }
+        at(now() + StreamSearch::stepTime, [this, host, id, running] { step(host, id, running); });
+    }
+
     [[nodiscard]] ZoneId zoneOf(const HostId &host) const
     {
         return std::find_if(grouped_.begin(), grouped_.end(), [&](const auto &each) { return each.host == host; })->zone;
@@ -387,14 +412,69 @@
     EXPECT_FALSE(records.find(RequestId("stream-39999"), Instant(100'001)));
 }
 
+// Guards against a search that waits for a host that is gone although two others have answered, or that believes one host too soon.
+TEST(StreamSearch, ends_with_two_hosts_that_agree_or_with_the_one_that_began_the_stream)
+{
+    const std::vector<HostId> keepers = {HostId("a"), HostId("b"), HostId("c"), HostId("d"), HostId("e"), HostId("f")};
+    const FoundStream first{.origin = originOf("v1", 1), .source = OriginSource::Asked};
+    const FoundStream second{.origin = originOf("v2", 2), .source = OriginSource::Asked};
+    StreamSearch search({}, Instant(0), Milliseconds(1'000));
+    EXPECT_FALSE(search.isDone(Instant(0)));
+    EXPECT_EQ(search.takeHosts(keepers, Instant(0)).size(), StreamRecords::askedHosts);
+    search.onAnswer(HostId("a"), first);
+    EXPECT_FALSE(search.isDone(Instant(10)));
+    search.onAnswer(HostId("a"), first);
+    EXPECT_FALSE(search.isDone(Instant(10))) << "one host counts once";
+    search.onAnswer(HostId("b"), second);
+    EXPECT_FALSE(search.isDone(Instant(10))) << "the later send was told after the first";
+    search.onAnswer(HostId("c"), second);
+    EXPECT_TRUE(search.isDone(Instant(10)));
+    EXPECT_EQ(search.result().origin, second.origin);
+
+    StreamSearch single({}, Instant(0), Milliseconds(1'000));
+    EXPECT_EQ(single.takeHosts(keepers, Instant(0)).size(), StreamRecords::askedHosts);
+    single.onAnswer(HostId("a"), first);
+    EXPECT_TRUE(single.isDone(Instant(0) + StreamSearch::settleTime)) << "nobody contradicts";
+
+    const StreamSearch own({.origin = originOf("v1"), .source = OriginSource::Own}, Instant(0), Milliseconds(1'000));
+    EXPECT_TRUE(own.isDone(Instant(0)));
+}
+
+// Guards against a refusal while a host that has not answered may know the stream, and against a wait once all have said that they don't.
+TEST(StreamSearch, of_an_unknown_stream_ends_when_all_keepers_have_said_so_or_the_time_is_over)
+{
+    const std::vector<HostId> keepers = {HostId("a"), HostId("b"), HostId("c"), HostId("d"), HostId("e"), HostId("f")};
+    StreamSearch search({}, Instant(0), Milliseconds(1'000));
+    for (const auto &host : search.takeHosts(keepers, Instant(0))) {
+        if (host == HostId("e")) {
+            search.onFailed(host, Instant(5));
+        } else {
+            search.onAnswer(host, {});
+        }
+    }
+    EXPECT_FALSE(search.isDone(Instant(400)));
+    EXPECT_EQ(search.takeHosts(keepers, Instant(400)), (std::vector{HostId("e"), HostId("f")})) << "the one that failed again, and one more";
+    search.onAnswer(HostId("f"), {});
+    EXPECT_FALSE(search.isDone(Instant(410)));
+    search.onAnswer(HostId("e"), {});
+    EXPECT_TRUE(search.isDone(Instant(410)));
+    EXPECT_FALSE(search.result().origin);
+
+    StreamSearch alone({}, Instant(0), Milliseconds(1'000));
+    EXPECT_TRUE(alone.takeHosts({}, Instant(0)).empty());
+    EXPECT_FALSE(alone.isDone(Instant(999))) << "links may still open";
+    EXPECT_TRUE(alone.isDone(Instant(1'000)));
+}
+
 // Guards against streams that began just before their service had a second version.
 TEST(StreamRecords, what_was_told_to_nobody_is_told_once_when_it_matters)
 {
     HostGroups groups;
     groups.assign({{HostId("a"), ZoneId("z1"), 0}, {HostId("b"), ZoneId("z2"), 0}}, HostId("a"));
     StreamRecords records(HostId("a"), groups);
-    EXPECT_TRUE(records.announce(RequestId("1"), originOf("v1"), Instant(9'000), false, Instant(0)).empty());
-    EXPECT_EQ(records.announce(RequestId("2"), originOf("v1"), Instant(9'000), true, Instant(0)), std::vector{HostId("b")});
+    records.announce(RequestId("1"), originOf("v1"), Instant(9'000), false, Instant(0));
+    records.announce(RequestId("2"), originOf("v1"), Instant(9'000), true, Instant(0));
+    EXPECT_EQ(records.toTell(RequestId("2"), [](const HostId &) { return true; }), std::vector{HostId("b")});
     EXPECT_TRUE(records.takeUnshared(ServiceName("other"), Instant(100)).empty());
     EXPECT_EQ(records.takeUnshared(ServiceName("llm"), Instant(100)).size(), 1U);
     EXPECT_TRUE(records.takeUnshared(ServiceName("llm"), Instant(200)).empty());
