A stream that goes on isn't refused as crowded: its upstream admits it first, or refuses it

Cause: a bound on the running requests of an upstream, 1.5 times that of new requests, though a stream that goes on has no upstreams but those of its version; and while other hosts don't say what they run, one running request counts as one at each host, so with 87 hosts any upstream that this host uses is over the bound. Class: a guess of this host refuses what the upstream itself decides.

Change: no bound for streams that go on.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -55,7 +55,6 @@
 constexpr Milliseconds maxPermitDelay{250};          // a permit that this host comes to use later than this after its time is not used
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
 constexpr Milliseconds reportTimeout{300};           // for the upstream's word on its run, before a stream begins there
-constexpr double resumedFillRatio = 1.5;             // of the fill up to which new requests are sent: a stream that goes on has no other upstreams to go to
 constexpr double originWaitShare = 1.0 / 3;          // of the remaining time, for learning where a stream began
 constexpr Milliseconds maxOriginWait{1'500};         // the same; callers leave after two seconds without an event
 constexpr Milliseconds briefOriginWait{150};         // the same while every stream of the service began at one version: only for its upstream
@@ -376,7 +375,7 @@
         if (best == nullptr || fillOf(*best->replica) >= freeSlotFill) {
             best = node_.chooser.pick({all, affinityKey(), node_.settings.zone}, node_.now());
         }
-        if (fillOf(*best->replica) >= maxFill() * (version_ ? resumedFillRatio : 1)) {
+        if (!version_ && fillOf(*best->replica) >= maxFill()) { // a stream that goes on has no other upstreams; the upstream admits it first or refuses it
             refusalReason_ = "crowded";
             return nullptr;
         }
