New streams take no adapter slots at a version whose upstreams leave

Cause: new streams bring their adapters to upstreams of the version that leaves; running streams hold the slots. Change: while another version has a free slot, a new stream is not sent to an upstream of a leaving version that lacks its adapter.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -215,10 +215,12 @@
         return true;
     }
 
-    /// Whether the rest of the upstream's slots is for streams that go on: its version's upstreams leave.
+    /// Whether what the upstream would need for the request is for streams that go on: its version's upstreams leave.
     [[nodiscard]] bool isReserved(const ReplicaRecord &record) const
     {
-        return isResumable() && !version_ && node_.versions.isShrinking(*service_, record.version, node_.now()) && fillOf(record) >= shrinkingFill;
+        const bool needsAdapterSlot = namesAdapter() && !isHeld(record);
+        return isResumable() && !version_ && node_.versions.isShrinking(*service_, record.version, node_.now())
+            && (fillOf(record) >= shrinkingFill || needsAdapterSlot);
     }
 
     /// Tells other hosts at which version the stream begins, should its first event come from this upstream.
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -607,6 +607,23 @@
     EXPECT_EQ(takeUp().status(), 200);
 }
 
+// Guards against new streams that take up the adapter slots of a version whose upstreams leave: a stream whose first upstream has left needs
+// its adapter at one of the others (issue 32, LOST).
+TEST_F(TakenUpStreamTest, has_adapter_slots_at_a_version_whose_upstreams_leave)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{rest()}, {rest()}}, true, {"v1", "v2"});
+    node_.versions.onLeaving(ServiceName("s"), SoftwareVersion("v1"), node_.now());
+    for (int i = 0; i < 10; ++i) {
+        const auto number = std::to_string(i);
+        EXPECT_EQ(sendRequest(getRequest("new" + number, "Weights: m/a" + number + "\r\n"), finalChunk).status(), 200);
+    }
+    EXPECT_EQ(upstream(1).requests.size(), 0U);
+    EXPECT_EQ(upstream(2).requests.size(), 10U);
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("gone"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(takeUp("Resumes: first\r\nWeights: m/b\r\n").status(), 200);
+    EXPECT_EQ(upstream(1).requests.size(), 1U);
+}
+
 // Pattern: nothing is left to repeat requests with, and the route allows one send.
 TEST_F(TakenUpStreamTest, needs_neither_a_retry_budget_nor_a_second_send)
 {
