--- a/packages/serving/tests/choosertest.cpp
+++ b/packages/serving/tests/choosertest.cpp
@@ -46,6 +46,18 @@
     Instant now_{100'000};
 };
 
+// Guards against a daemon that ends with SIGSEGV: many hosts, a hot adapter, and no upstream left to choose from (issue 32, LOST).
+TEST_F(ChooserTest, a_hot_adapter_without_any_upstream_has_no_choice)
+{
+    useGrownUpstreams();
+    chooser_.setHostCount(87);
+    const auto affinityKey = core::hashText("hot", 1);
+    for (int i = 0; i < 50; ++i) {
+        pick(affinityKey);
+        EXPECT_EQ(chooser_.pick({{}, affinityKey, ZoneId("a")}, now_), nullptr);
+    }
+}
+
 TEST_F(ChooserTest, an_adapter_has_a_stable_preferred_upstream)
 {
     std::map<UpstreamId, int> upstreams;
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -624,6 +624,25 @@
     EXPECT_EQ(upstream(1).requests.size(), 1U);
 }
 
+// Guards against a daemon that ends with SIGSEGV, and with it all its streams: every upstream that could take a new stream with a hot adapter
+// belongs to the version that leaves and has too little room, or another version can't take it (issue 32, LOST).
+TEST_F(TakenUpStreamTest, new_ones_begin_at_the_version_that_leaves_when_no_other_can_take_them)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{rest()}, {rest()}, {rest()}}, true, {"v1", "v1", "v2"});
+    node_.setHostCount(87);
+    node_.versions.onLeaving(ServiceName("s"), SoftwareVersion("v1"), node_.now());
+    for (const auto *id : {"r1", "r2"}) {
+        for (int i = 0; i < 7; ++i) {
+            node_.chooser.beginSend(UpstreamId(id)); // of 8 slots
+        }
+        node_.chooser.setRemoteOccupancy(UpstreamId(id), {}, node_.now());
+    }
+    ASSERT_EQ(node_.replicas.markLeaving(UpstreamId("r3"), ReplicaStartTime()), BookChange::Leaving);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(sendRequest(getRequest("new" + std::to_string(i), "Weights: m/a\r\n"), finalChunk).status(), 200);
+    }
+}
+
 // Pattern: nothing is left to repeat requests with, and the route allows one send.
 TEST_F(TakenUpStreamTest, needs_neither_a_retry_budget_nor_a_second_send)
 {
