--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -1,7 +1,6 @@
 #include <serving/chooser.h>
 
 #include <algorithm>
-#include <limits>
 #include <numbers>
 
 #include <core/hash.h>
@@ -64,26 +63,18 @@
     for (std::size_t rank = 0; rank < considered.size(); ++rank) {
         choices.push_back(score(*considered[rank], request.affinityKey == 0 ? 0 : rank, request, now));
     }
-    const auto cheapest = [&]() -> ScoredCandidate * {
-        auto *best = &choices.front();
-        double lowest = std::numeric_limits<double>::max();
-        for (auto &each : choices) {
-            const double cost = each.baseCost + each.fillCost(options_);
-            if (cost < lowest) {
-                lowest = cost;
-                best = &each;
-            }
-        }
-        return best;
+    const auto cheapest = [&]() -> ScoredCandidate & {
+        const auto cost = [this](const ScoredCandidate &each) { return each.baseCost + each.fillCost(options_); };
+        return *std::min_element(choices.begin(), choices.end(), [&](const auto &a, const auto &b) { return cost(a) < cost(b); });
     };
     // This request is a random one of those that all hosts send before the remote occupancy shows them.
     const int sendsAhead = unreportedSends(request.affinityKey, now);
     const int position = std::uniform_int_distribution<int>(0, sendsAhead)(random_);
     for (int i = 0; i < position; ++i) {
-        ++cheapest()->running;
+        ++cheapest().running;
     }
     recordDemand(request.affinityKey, now);
-    return cheapest()->candidate;
+    return cheapest().candidate;
 }
 
 double Chooser::ScoredCandidate::fillCost(const ChooserOptions &options) const
