--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -56,7 +56,7 @@
 /// answers the first or the second probe. Neither Asio nor Beast sets the option.
 struct PoolOptions {
     Milliseconds connectTimeout{300}; // shorter than the retransmission of a lost SYN, which takes seconds, so that another upstream is tried sooner
-    Milliseconds ackTimeout{2'500};   // TCP_USER_TIMEOUT: how long sent data may stay unacknowledged before the connection is closed; see below
+    Milliseconds ackTimeout{2'500};   // TCP_USER_TIMEOUT: how long sent data may stay unacknowledged before the connection is closed; see above
     Milliseconds closeMargin{1'000};  // stops reuse this long before the upstream's idle timeout, so that a request doesn't race with its close
     Milliseconds defaultKeep{4'000};  // idle timeout if the upstream doesn't state one
 };
