After a cut a host lets each upstream prove its run

A host that is cut off sees no upstream start again, and its idle connections, which would have told, are closed. All runs are doubted from the cut on and anew at its end, so that no stream begins or goes on at another software version than the upstream's record says.

--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1303,6 +1303,9 @@
 {
     const auto &reachability = node_.reachability;
     const auto peers = reachability.cutOffPeers(node_.now()).size();
+    for (const auto &id : node_.replicas.all()) {
+        node_.doubtRun(id); // this host could not see it start again
+    }
     if (!wasCutOff_) {
         node_.metrics.beliefChanges.add({"reaches_upstreams"});
         node_.log.info("reaches_upstreams", {{"upstreams", node_.replicas.size()}, {"cut_off_peers", peers}});
--- a/standins/hosting/proxy.py
+++ b/standins/hosting/proxy.py
@@ -16,6 +16,7 @@
         self.delay = 0.0  # seconds, each piece, each way
         self.refusing = False  # new connections are reset
         self.silent = set()  # "there", "back": nothing passes that way, and no end either
+        self.silent_ports = set()  # of clients: nothing passes between them and the target
         self.closed = False
         self.pairs = set()
         self.lock = threading.Lock()
@@ -35,6 +36,22 @@
             for end in pair:
                 self.reset(end)
 
+    def reset_connections(self, ports):
+        """Those of clients at these ports, at both ends."""
+        with self.lock:
+            pairs = {pair for pair in self.pairs if self.port_of(pair[0]) in ports}
+            self.pairs -= pairs
+        for pair in pairs:
+            for end in pair:
+                self.reset(end)
+
+    @staticmethod
+    def port_of(end):
+        try:
+            return end.getpeername()[1]
+        except OSError:
+            return 0  # closed already
+
     @staticmethod
     def reset(end):
         try:
@@ -79,11 +96,12 @@
         self.pump(far, near, "back", pair)
 
     def pump(self, source, sink, way, pair):
+        port = self.port_of(pair[0])
         try:
             while piece := source.recv(PIECE_BYTES):
-                self.hold(way)
+                self.hold(way, port)
                 sink.sendall(piece)
-            self.hold(way)
+            self.hold(way, port)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
             with self.lock:
@@ -91,8 +109,8 @@
             for end in pair:
                 self.reset(end)
 
-    def hold(self, way):
+    def hold(self, way, port):
         if self.delay:
             time.sleep(self.delay)
-        while way in self.silent and not self.closed:
+        while (way in self.silent or port in self.silent_ports) and not self.closed:
             time.sleep(STEP_SECONDS)
--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -2,9 +2,9 @@
 
 Each seed draws a deployment and a series of faults that overlap: hosts are killed, stopped, paused and told to reload; connections to the store,
 to replicas, between hosts and from callers are delayed, silenced (also one way) or reset; the store is down, slow, turns single hosts away or
-loses answers; replicas crash, leave, come, cut answers and start again under their id at another software version while their record comes late; one request crashes every
+loses answers; replicas crash, leave, come, fall silent for a second, cut answers and start again under their id at another software version while their record comes late; one request crashes every
 replica that runs it and comes again and again; replicas refuse requests and write the refusals twice; another writer leaves odd entries
-among those of the replicas; configurations change. Callers keep their connections until they end, and take up broken streams.
+among those of the replicas; configurations change; some hosts lose their links to all replicas. Callers keep their connections until they end, and take up broken streams.
 Checked from what callers and replicas see: answers are whole and the caller's own, nothing runs twice that must not, a refusal is true,
 orders of one holder at a time, no stream holds events of two software versions, a crashing request reaches few replicas once it is known, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
 The time of day can't be set without privileges; nothing here depends on it but the numbers of runs, which only grow.
@@ -25,7 +25,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import hostedtest  # noqa: E402
-from hostedtest import Host, ask, wait_until  # noqa: E402
+from hostedtest import Blackhole, Host, ask, wait_until  # noqa: E402
 from hosting import Replica, Store, configuration  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
@@ -41,6 +41,7 @@
 STREAM_LIMIT, PLAIN_LIMIT = 8.0, 2.0  # seconds; timeout_ms of the two routes
 STREAM_DEADLINE, PLAIN_DEADLINE = 6.0, 1.5
 CONTACT_SECONDS = 3.0  # after the third crash, until all hosts refuse the request
+MIN_CUT_TRIES = 20  # first tries at hosts that are cut off, from which on their share is compared
 KNOWN_CRASHES, MOST_LATE_SENDS = 3, 3
 CRASHING_BODY = b"crash"
 VERSIONS = ("v1", "v1.1", "v1.2")
@@ -209,6 +210,8 @@
         self.failures = []
         self.taken_up = []  # (id of the stream's first request, id of a later one, its status)
         self.killed_all_at = []
+        self.cuts = []  # (begin, end, names of the hosts that were cut off from all replicas)
+        self.blackhole = Blackhole()
         self.crasher = None
         self.disturbed = {}  # host name -> list of [from, until]; None: every host
         self.store = SoakStore()
@@ -245,9 +248,12 @@
         self.story.append("%6.2f s  %s" % (now - self.started, text))
         for host in self.hosts if hosts is None else hosts:
             self.disturbed.setdefault(host.name, []).append([now, now + seconds])
+        return now
 
-    def is_calm(self, name, begin, end):
-        return all(until + CALM_SECONDS < begin or start > end for start, until in self.disturbed.get(name, []))
+    def is_calm(self, name, begin, end, besides=None):
+        """`besides`: begin of a cut that is left out of account."""
+        spans = [span for span in self.disturbed.get(name, []) if span[0] != besides]
+        return all(until + CALM_SECONDS < begin or start > end for start, until in spans)
 
     def kill(self, host, number):
         seconds = self.random.uniform(0.1, 2.0)
@@ -338,6 +344,42 @@
             replica.crash()
             replica.register()
 
+    def harm_links(self):
+        """Beside the other faults and with draws of its own, so that theirs stay what they were."""
+        draws = random.Random(-self.seed)
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            time.sleep(draws.uniform(0.2, 3.0))
+            if draws.random() < 0.4:
+                self.silence(draws.choice(self.replicas + self.shops), draws.uniform(0.8, 1.2))
+            else:
+                hosts = draws.sample(self.hosts, draws.randint(1, len(self.hosts) - 1))
+                self.cut_off(hosts, draws.choice(["hang", "reset", "live on"]), draws.uniform(1.0, 9.0))
+
+    def silence(self, replica, seconds):
+        """A sound replica falls silent for a second and goes on: no disruption for anybody."""
+        self.note("%s is silent for %.1f s" % (replica.name, seconds), [], 0)
+        replica.proxy.silent = {"there", "back"}
+        time.sleep(seconds)
+        replica.proxy.silent = set()
+
+    def cut_off(self, hosts, how, seconds):
+        """The hosts lose their links to all replicas; callers, the store and other hosts still reach them."""
+        names = [host.name for host in hosts]
+        begin = self.note("%s reach no replica (%s) for %.1f s" % (", ".join(names), how, seconds), hosts, seconds)
+        proxies = {replica.proxy for replica in self.replicas + self.shops}
+        for host in hosts:
+            host.cut_off(proxies, how, self.blackhole)
+        while time.monotonic() < begin + seconds:
+            time.sleep(0.05)
+            come = {replica.proxy for replica in self.replicas + self.shops} - proxies
+            proxies |= come
+            for host in hosts if come else ():
+                host.cut_off(proxies, how, self.blackhole)
+        self.cuts.append((begin, time.monotonic(), names))
+        for host in hosts:
+            host.mend(proxies)
+
     def release(self):
         old = self.random.choice(self.replicas)
         self.note("%s leaves, another comes" % old.name, [], 0)
@@ -425,6 +467,8 @@
             self.crasher.start()
         for caller in callers:
             caller.start()
+        links = threading.Thread(target=self.harm_links, daemon=True)
+        links.start()
         busy = {}
         end = time.monotonic() + self.seconds
         others = random.Random("others %d" % self.seed)  # of its own, so that the faults that a seed draws stay as they were
@@ -441,7 +485,7 @@
             busy[host.name] = threading.Thread(target=fault, daemon=True)
             busy[host.name].start()
             time.sleep(self.random.uniform(0.1, 1.5))
-        for thread in busy.values():
+        for thread in (*busy.values(), links):
             thread.join()
         for replica in self.replicas + self.shops:
             replica.refused_share, replica.repeats_refusals = 0.0, None
@@ -466,6 +510,8 @@
             self.check_answer(result, ran)
         for result in results:
             self.check_versions(result)
+        for cut in self.cuts:
+            self.check_cut(results, *cut)
         if self.crasher:
             self.check_crashes(sorted(crash for shop in self.shops for crash in shop.crashed))
         for host in self.hosts:
@@ -515,6 +561,19 @@
             if len(late) > MOST_LATE_SENDS:
                 self.failures.append("a crashing request reached replicas %d times after it was known" % len(late))
 
+    def check_cut(self, results, begin, end, names):
+        """Callers of hosts that reach no replica are served at least two thirds as often at their first try as those of others, from the time of
+        contact on. Counted are hosts that only the cut disturbed, while all of both kinds are such."""
+        shares = []
+        for is_cut in (True, False):
+            tries = [result for result in results if (result["host"] in names) == is_cut and begin + CONTACT_SECONDS <= result["begin"] and result["end"] <= end]
+            calm = [result for result in tries if self.is_calm(result["host"], begin, result["end"], besides=begin)]
+            shares.append((sum(result["status"] == 200 and bool(result.get("whole")) for result in calm), len(calm)))
+        (served, tried), (others_served, others_tried) = shares
+        if min(tried, others_tried) >= MIN_CUT_TRIES and served / tried < 2 / 3 * others_served / others_tried:
+            told = "%s reached no replica from %.2f s to %.2f s and served %d of %d, the others %d of %d"
+            self.failures.append(told % (", ".join(names), begin - self.started, end - self.started, served, tried, others_served, others_tried))
+
     def check_orders(self, replica):
         last = None
         holders = {}
@@ -571,7 +630,7 @@
                 stream.close()
             for proxy in (host.front, host.store_proxy, host.peer_proxy):
                 proxy.close()
-        for server in (*self.replicas, *self.shops, self.store):
+        for server in (*self.replicas, *self.shops, self.store, self.blackhole):
             server.close()
 
 
@@ -620,6 +679,17 @@
     assert len(world.failures) == len(forged) + 1, world.failures
     world.check_crashes([(float(n), str(n)) for n in range(10)])
     assert len(world.failures) == len(forged) + 2
+    before = len(world.failures)
+    tries = [good | {"host": host, "begin": 10.0 + n / 100, "end": 10.01 + n / 100, "status": 200 if n % 3 < most else 503} for host, most in (("a", 2), ("b", 3)) for n in range(90)]
+    world.check_cut(tries, 6.0, 20.0, ["a"])
+    assert len(world.failures) == before, world.failures
+    world.check_cut([result for result in tries if result["host"] == "b" or result["status"] == 503 or result["begin"] < 10.5], 6.0, 20.0, ["a"])
+    assert len(world.failures) == before + 1
+    world.disturbed = {"a": [[6.0, 20.0]], "b": []}
+    world.check_cut([result | ({"status": 0} if result["host"] == "a" else {}) for result in tries], 6.0, 20.0, ["a"])
+    assert len(world.failures) == before + 2, "a cut is no disturbance besides itself"
+    world.disturbed = {}
+    del world.failures[before:]
     replica = type("Orders", (), {"name": "i", "orders": [(1.0, "a", 5, "load", "x"), (1.2, "b", 5, "load", "x"), (1.4, "c", 6, "load", "x")]})
     world.check_orders(replica)
     assert len(world.failures) == len(forged) + 4, world.failures[len(forged) :]
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -19,6 +19,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "standins" / "hosting"))
 from hosting import Replica, Store, configuration  # noqa: E402
+from proxy import Proxy  # noqa: E402
 
 DAEMON = None
 LEASE_MS = 1500
@@ -91,6 +92,7 @@
         self.settings = folder / (self.name + ".json")
         self.settings.write_text(json.dumps(settings))
         self.links_cut = folder / (self.name + ".cut")
+        self.silenced_ports = set()
         self.process = None
         self.log = []
         self.reads_log = True
@@ -111,6 +113,7 @@
         following.write_text(" ".join([str(blackhole.port if how == "hang" else 0), *ports]))
         following.replace(self.links_cut)
         own_ports = self.local_ports()
+        self.silenced_ports |= own_ports if how == "hang" else set()
         for server in servers:
             if how == "reset":
                 server.reset_connections(own_ports)
@@ -120,12 +123,17 @@
     def mend(self, servers):
         self.links_cut.unlink()
         for server in servers:
-            server.silent_ports -= self.local_ports()
+            server.silent_ports -= self.silenced_ports
+        self.silenced_ports = set()
 
     def local_ports(self):
         """Of this process's TCP connections."""
         sockets = set()
-        for descriptor in pathlib.Path("/proc/%d/fd" % self.process.pid).iterdir():
+        try:
+            descriptors = list(pathlib.Path("/proc/%d/fd" % self.process.pid).iterdir())
+        except OSError:
+            return set()  # the process has ended
+        for descriptor in descriptors:
             try:
                 sockets.add(os.readlink(descriptor))
             except OSError:
@@ -299,6 +307,54 @@
     def test_hosts_whose_open_connections_live_on_while_new_ones_are_refused_serve_their_callers(self):
         self.check_cut_hosts(2, "live on")
 
+    # Guards against a host without traffic that finds its links lost only when its callers come (issue 32, RECOVER).
+    def test_a_host_without_traffic_notices_that_it_reaches_no_upstream_and_when_that_ends(self):
+        self.start_four_hosts()
+        servers, host = (*self.replicas, *self.shops), self.hosts[0]
+        for how in ("hang", "reset", "live on"):
+            seen = len(host.events("cut_off"))
+            time.sleep(2.0)
+            host.cut_off(servers, how, self.blackhole)
+            self.assertTrue(wait_until(lambda: len(host.events("cut_off")) > seen, CONTACT_SECONDS), (how, host.log[-5:]))
+            peers = ["baobabstall_cut_off_peers 1" in ask(other.operators, "GET", "/metrics")[2].decode() for other in self.hosts[1:]]
+            self.assertTrue(wait_until(lambda: len(host.events("reaches_upstreams")) == seen, 1) and all(peers), (how, peers))
+            host.mend(servers)
+            self.assertTrue(wait_until(lambda: len(host.events("reaches_upstreams")) > seen, CONTACT_SECONDS), (how, host.log[-5:]))
+        self.assertEqual([line for other in self.hosts[1:] for line in other.events("cut_off")], [])
+
+    # Guards against taking the silence of a sound replica for a cut, a crash or a reason to run a request twice (issue 32, RECOVER).
+    def test_a_replica_that_is_silent_for_a_second_costs_no_connection_and_no_second_run(self):
+        proxies = []
+        for shop in self.shops:
+            proxies.append(Proxy(shop.address))
+            inner, shop.address = shop.address, proxies[-1].address
+            shop.register()
+            shop.address = inner
+            self.addCleanup(proxies[-1].close)
+        self.start_all()
+        self.shop.work_seconds = 0.1
+        answers = []
+
+        def work(host):
+            for _ in range(12):
+                attempt = "s%d" % next(self.numbers)
+                answers.append((attempt, self.book(host, attempt)[0]))
+
+        threads = [threading.Thread(target=work, args=(host,)) for host in self.hosts * 2]
+        for thread in threads:
+            thread.start()
+        for _ in range(2):
+            time.sleep(0.3)
+            proxies[0].silent = {"there", "back"}
+            time.sleep(1.0)
+            proxies[0].silent = set()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([attempt for attempt, _ in answers if self.shop.ran.count(attempt) > 1], [])
+        self.assertEqual(collections.Counter(status for _, status in answers), {200: len(answers)})
+        events = [line for host in self.hosts for name in ("cut_off", "blamed", "send_ended") for line in host.events(name)]
+        self.assertEqual(events, [])
+
     def start_four_hosts(self):
         self.hosts += [Host(number, self.store, pathlib.Path(self.folder.name)) for number in (3, 4)]
         self.shops += [Replica(self.store, "i-shop%d" % number, "shop", "a") for number in (2, 3)]
