--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -72,8 +72,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefetchNotice, engine, adapter)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyCall, replica, model, adapter, revision, waitMs, onTimeMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefillCall, replica, promptTokens, waitMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SendCall, upstream, perSecond, ageMs, maxWaitMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SendReply, isLimited, isGranted, waitMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LimitEndNotice, upstream)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyReply, revision, leaseMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingReply, expectedMs)
@@ -82,6 +80,44 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadsNotice, scope, loads)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StorePageNotice, topic, from, first, next, readTo, records, sentAt, ageMs)
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SendRefusedNotice, upstream)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BrittleNotice, upstreams)
+
+void to_json(nlohmann::json &to, const SendCall &from)
+{
+    to = {{"upstream", from.upstream},
+          {"perSecond", from.perSecond},
+          {"ageMs", from.ageMs},
+          {"maxWaitMs", from.maxWaitMs},
+          {"maxRefusals", from.maxRefusals},
+          {"holdMs", from.holdMs},
+          {"tokens", from.tokens}};
+}
+
+void from_json(const nlohmann::json &from, SendCall &to)
+{
+    from.at("upstream").get_to(to.upstream);
+    from.at("perSecond").get_to(to.perSecond);
+    from.at("ageMs").get_to(to.ageMs);
+    from.at("maxWaitMs").get_to(to.maxWaitMs);
+    to.maxRefusals = from.value("maxRefusals", to.maxRefusals);
+    to.holdMs = from.value("holdMs", to.holdMs);
+    to.tokens = from.value("tokens", to.tokens);
+}
+
+void to_json(nlohmann::json &to, const SendReply &from)
+{
+    to = {{"isLimited", from.isLimited}, {"isGranted", from.isGranted}, {"waitMs", from.waitMs}, {"isHeld", from.isHeld}};
+}
+
+void from_json(const nlohmann::json &from, SendReply &to)
+{
+    from.at("isLimited").get_to(to.isLimited);
+    from.at("isGranted").get_to(to.isGranted);
+    from.at("waitMs").get_to(to.waitMs);
+    to.isHeld = from.value("isHeld", to.isHeld);
+}
+
 // Hosts tell each other many of these, so they are arrays without names of fields.
 void to_json(nlohmann::json &to, const CrashCauseEntry &from)
 {
@@ -304,6 +340,9 @@
 
 bool isLastReply(const ReplyBody &body)
 {
+    if (const auto *permit = std::get_if<SendReply>(&body)) {
+        return !permit->isHeld;
+    }
     return !std::holds_alternative<StartedReply>(body) && !std::holds_alternative<DataReply>(body) && !std::holds_alternative<GrantReply>(body)
         && !std::holds_alternative<WaitingReply>(body) && !std::holds_alternative<RelayHeadReply>(body);
 }
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -4,7 +4,7 @@
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
 //   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice,
-//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice, ReachNotice, RelayCreditNotice
+//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice, ReachNotice, RelayCreditNotice, SendRefusedNotice, BrittleNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -12,7 +12,7 @@
 //     ServiceCall    run this keyed call in its partition             -> ServiceReply
 //     ListsCall      which lists are active on the peer?              -> ListsReply
 //     ResidencyCall  load these weights on this replica               -> WaitingReply, ResidencyReply
-//     SendCall       may this request be sent to this limited upstream? -> SendReply
+//     SendCall       may this request be sent to this limited upstream? -> SendReply; a held permit lasts until the call is cancelled
 //     CrashProbeCall may one request with these causes of crashes be sent? -> CrashProbeReply
 //     StreamOriginCall  where did the stream of this request begin?   -> StreamOriginReply
 //     RelayCall      send this caller's request to an upstream       -> StartedReply, RelayHeadReply, DataReply..., EndReply
@@ -115,12 +115,15 @@
     std::int64_t waitMs = 0; // the turn starts after this at the latest
 };
 
-/// Asks the owner of an upstream that named a limit for all hosts together whether one request may be sent to it.
+/// Asks the owner of an upstream that named a limit for all hosts together, or is brittle, whether one request may be sent to it.
 struct SendCall {
     core::UpstreamId upstream;
     double perSecond = 0;       // the limit, as the caller knows it
     std::int64_t ageMs = 0;     // since the upstream last named it
     std::int64_t maxWaitMs = 0; // how long the request may wait for its permit
+    double maxRefusals = -1;    // serving::UpstreamLimits::Limit; negative: not known to be brittle. This and the next two are missing from older hosts
+    std::int64_t holdMs = 0;    // until the request ends at the latest; 0: the caller can't hold a permit
+    double tokens = 0;          // of memory that it holds at the upstream
 };
 
 /// serving::CrashCause, as [kind, id].
@@ -224,6 +227,7 @@
     bool isLimited = true; // false: the limit has ended; send without asking
     bool isGranted = false;
     std::int64_t waitMs = 0; // until the request may be sent; without a grant, until asking again makes sense
+    bool isHeld = false;     // the permit lasts until the call is cancelled; missing from older hosts
 };
 
 struct CrashProbeReply {
@@ -317,6 +321,16 @@
     core::UpstreamId upstream;
 };
 
+/// Tells the owner of a brittle upstream that it refused a request of the sender for want of room.
+struct SendRefusedNotice {
+    core::UpstreamId upstream;
+};
+
+/// Tells all hosts that upstreams of the sender are brittle: how many refusals a second each takes, and the age of the last answer that said so.
+struct BrittleNotice {
+    std::vector<std::tuple<core::UpstreamId, double, std::int64_t>> upstreams;
+};
+
 /// Requests of the sender that an upstream broke off at one moment.
 struct CrashEntry {
     core::UpstreamId upstream;
@@ -380,7 +394,9 @@
                  CrashVerdictsNotice,
                  StreamOriginNotice,
                  ReachNotice,
-                 RelayCreditNotice>
+                 RelayCreditNotice,
+                 SendRefusedNotice,
+                 BrittleNotice>
         body;
 };
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -52,6 +52,8 @@
 constexpr double turnWaitShare = 0.5;                // of the time until a request is late, for waiting for its turn; the rest is for its prefill
 constexpr double lateTurnWaitShare = 0.1;            // the same of the remaining time of a request that is late
 constexpr double permitWaitShare = 0.5;              // of the time until a request is late, for waiting for a permit when every upstream is limited
+constexpr Milliseconds untoldWait{20};               // for a place at an upstream of which this host, just started, does not know whether it is brittle
+constexpr int maxPlacesAskedFor = 3;                 // at brittle upstreams; the request waits at the last
 constexpr Milliseconds maxPermitDelay{250};          // a permit that this host comes to use later than this after its time is not used
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
 constexpr Milliseconds reportTimeout{300};           // for the upstream's word on its run, before a stream begins there
@@ -299,7 +301,7 @@
             Candidate candidate{record, true, true};
             if (isEngine() && !metadata_.weights.model.empty()) {
                 candidate.holdsWeights = isHeld(*record);
-                candidate.canLoad = node_.residency->canOrder(id) && !node_.limits.find(id);
+                candidate.canLoad = node_.residency->canOrder(id) && !node_.limits.isRateLimited(id);
             }
             found.push_back(candidate);
         }
@@ -362,7 +364,7 @@
             return nullptr; // keep the reason from waiting for the weights
         }
         if (all.empty()) {
-            refusalReason_ = noCandidateReason();
+            refusalReason_ = placesAskedFor_ > 0 && sends_ == 0 ? "upstream_brittle" : noCandidateReason();
             return nullptr;
         }
         if (announcedVersion_) { // other hosts know it already
@@ -653,34 +655,75 @@
     /// False: all hosts together have sent the upstream what it takes at present.
     net::Task<bool> takeSendPermit(const ReplicaRecord &replica)
     {
-        const auto limit = node_.limits.find(replica.id);
+        hold_.reset();
+        auto limit = node_.sendLimit(replica);
+        if (!limit && node_.mayBeUntold()) {
+            limit = UpstreamLimits::Limit{UpstreamLimits::unlimited, node_.now(), std::nullopt};
+        }
         if (!limit) {
             co_return true;
         }
+        const bool mayGoElsewhere = limit->isRate() ? hasUnlimitedCandidate() : ++placesAskedFor_ < maxPlacesAskedFor && candidates().size() > 1;
+        auto permit = co_await node_.residency->takeSendPermit({.upstream = replica.id,
+                                                                .limit = *limit,
+                                                                .maxWait = limit->isUnknown() ? untoldWait
+                                                                    : mayGoElsewhere          ? Milliseconds(0)
+                                                                                              : permitWait(limit->isRate()),
+                                                                .timeLeft = timeLeft(),
+                                                                .tokens = isEngine() ? metadata_.promptTokens + metadata_.maxOutputTokens : 0});
         const auto begin = node_.now();
-        const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - begin;
-        const double maxWaitMs = hasUnlimitedCandidate() ? 0 : std::max(0.0, static_cast<double>(timeUntilLate.count()) * permitWaitShare);
-        const auto permit = co_await node_.residency->takeSendPermit(replica.id, *limit, Milliseconds(static_cast<std::int64_t>(maxWaitMs)));
+        if (limit->isUnknown() && (!permit.isLimited || !permit.isAnswered)) {
+            co_return !isFinished() && node_.mayContact(replica.id);
+        }
         if (!permit.isLimited) {
             node_.endLimit(replica.id);
             co_return true;
         }
         if (!permit.isGranted) {
-            node_.limits.block(replica.id, node_.now() + std::min(permit.wait, maxPermitBlock));
-            refusalReason_ = "upstream_limited";
+            if (limit->isRate() || mayGoElsewhere || !permit.isAnswered) {
+                node_.limits.block(replica.id, begin + std::min(permit.wait, maxPermitBlock));
+            }
+            refusalReason_ = limit->isRate() ? "upstream_limited" : "upstream_brittle";
             retryAfter_ = permit.wait;
             co_return false;
         }
         if (permit.wait.count() > 0) {
             co_await net::sleep(node_.io, permit.wait);
         }
-        co_return node_.now() - begin <= permit.wait + maxPermitDelay && !isFinished() && node_.mayContact(replica.id);
+        const bool isUsable = node_.now() - begin <= permit.wait + maxPermitDelay && !isFinished() && node_.mayContact(replica.id);
+        hold_ = isUsable ? std::move(permit.hold) : nullptr;
+        co_return isUsable;
+    }
+
+    [[nodiscard]] Milliseconds permitWait(bool isRate) const
+    {
+        const auto now = node_.now();
+        const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - now;
+        double waitMs = std::max(0.0, static_cast<double>(timeUntilLate.count()) * permitWaitShare);
+        if (!isRate && version_) { // a stream that goes on has no other upstreams to go to
+            waitMs = static_cast<double>(timeLeft().count()) * permitWaitShare;
+        } else if (!isRate && timeUntilLate.count() <= 0) {
+            waitMs = static_cast<double>(timeLeft().count()) * lateTurnWaitShare;
+        }
+        return Milliseconds(static_cast<std::int64_t>(waitMs));
     }
 
     [[nodiscard]] bool hasUnlimitedCandidate() const
     {
         const auto all = candidates();
-        return std::any_of(all.begin(), all.end(), [this](const Candidate &each) { return !node_.limits.find(each.replica->id); });
+        return std::any_of(all.begin(), all.end(), [this](const Candidate &each) { return !node_.limits.isRateLimited(each.replica->id); });
+    }
+
+    /// The owner of a brittle upstream counts what it refuses, also of requests without a permit.
+    void tellRefused(const ReplicaRecord &replica)
+    {
+        const auto limit = response_.isLeaving ? std::nullopt : node_.sendLimit(replica);
+        if (limit && limit->maxRefusals) {
+            node_.metrics.brittleRefusals.add({service_->value()});
+            if (node_.onRefused) {
+                node_.onRefused(replica.id);
+            }
+        }
     }
 
     /// A prompt that is processed between the tokens of other streams delays them, so it waits for its turn within a part of the objective.
@@ -931,6 +974,7 @@
             }
             co_return false;
         }
+        tellRefused(replica);
         recordSend(replica, SendOutcome::Full, "not_run", "status " + std::to_string(status));
         releaseConnection(isReusable);
         refusalReason_ = "upstream_full";
@@ -1254,6 +1298,7 @@
     void recordSend(const ReplicaRecord &replica, SendOutcome end, std::string_view outcome, const std::string &reason)
     {
         endPrefill(replica.id);
+        hold_.reset();
         node_.chooser.endSend(replica.id, end, node_.now());
         if (namesAdapter()) {
             node_.adjustUseCount(replica.id, metadata_.weights, -1);
@@ -1401,8 +1446,10 @@
     std::string reasonDetail_;
     std::string truncationReason_;
     Milliseconds residencyWait_;
-    PrefillTurn turn_;      // while the upstream processes the prompt
-    Milliseconds turnWait_; // for turns
+    std::shared_ptr<void> hold_; // of the permit for a brittle upstream, while the request may be there
+    int placesAskedFor_ = 0;     // at brittle upstreams
+    PrefillTurn turn_;           // while the upstream processes the prompt
+    Milliseconds turnWait_;      // for turns
     std::optional<Milliseconds> firstEvent_;
     Milliseconds longestPause_;
     Instant lastWrite_;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -25,21 +25,24 @@
 constexpr Milliseconds housekeepingInterval{500}; // expires idle connections, leases and lapsed records
 constexpr int percent = 100;
 constexpr Milliseconds controlWait{450};
-constexpr Milliseconds streamMargin{5'000};          // of Node::longestStream beyond the longest route's time limit: callers' clocks and records that come late
-constexpr Milliseconds startGather{1'000};           // FollowOptions::gather of the control topic while all hosts write their addresses and none has links yet
-constexpr int upstreamsPausePercent = 40;            // of hosting.drain: leaves time for the longest failover delay, a read and queueing
-constexpr Milliseconds controlPause{1'000};          // two reads, and the time for a page to reach the hosts that share it
-constexpr std::int64_t firstReadsShare = 3;          // of hosting.configApply: the first reads of hosts that start together are spread over a third of it
-constexpr std::size_t loadsPerTick = 150;            // upstreams in one message of 3 kB; with more upstreams, loads are exchanged less often
-constexpr std::string_view loadsPurpose = "loads";   // purpose for electing a group's leader
-constexpr Milliseconds announceRetryInterval{300};   // between attempts to append the links' key or this host's address
-constexpr Milliseconds peerReplyMargin{50};          // for an owner's reply to arrive
-constexpr Milliseconds firstReplyTimeout{200};       // for an owner to reply that the weights are held or awaited: some round trips and a busy host
-constexpr Milliseconds ownerBackoff{800};            // after an owner did not reply or could not issue orders
-constexpr Milliseconds unlinkedOwnerBackoff{150};    // the same when no link could be opened: all hosts of a deployment start within 0.3 s
-constexpr Milliseconds claimRetryDelay{25};          // a read of the store (4 ms to respond) and the network delay
-constexpr Milliseconds claimStagger{8};              // per host: an append, and the read that other hosts need before their next append
-constexpr Milliseconds firstClaimStagger{30};        // the same when nothing is claimed yet: the whole system starts, seconds before callers connect
+constexpr Milliseconds streamMargin{5'000};        // of Node::longestStream beyond the longest route's time limit: callers' clocks and records that come late
+constexpr Milliseconds startGather{1'000};         // FollowOptions::gather of the control topic while all hosts write their addresses and none has links yet
+constexpr int upstreamsPausePercent = 40;          // of hosting.drain: leaves time for the longest failover delay, a read and queueing
+constexpr Milliseconds controlPause{1'000};        // two reads, and the time for a page to reach the hosts that share it
+constexpr std::int64_t firstReadsShare = 3;        // of hosting.configApply: the first reads of hosts that start together are spread over a third of it
+constexpr std::size_t loadsPerTick = 150;          // upstreams in one message of 3 kB; with more upstreams, loads are exchanged less often
+constexpr std::string_view loadsPurpose = "loads"; // purpose for electing a group's leader
+constexpr Milliseconds announceRetryInterval{300}; // between attempts to append the links' key or this host's address
+constexpr Milliseconds peerReplyMargin{50};        // for an owner's reply to arrive
+constexpr Milliseconds firstReplyTimeout{200};     // for an owner to reply that the weights are held or awaited: some round trips and a busy host
+constexpr Milliseconds ownerBackoff{800};          // after an owner did not reply or could not issue orders
+constexpr Milliseconds unlinkedOwnerBackoff{150};  // the same when no link could be opened: all hosts of a deployment start within 0.3 s
+constexpr Milliseconds claimRetryDelay{25};        // a read of the store (4 ms to respond) and the network delay
+constexpr Milliseconds claimStagger{8};            // per host: an append, and the read that other hosts need before their next append
+constexpr Milliseconds firstClaimStagger{30};      // the same when nothing is claimed yet: the whole system starts, seconds before callers connect
+constexpr Milliseconds silentOwnerTime{1'000};     // in which an owner that did not answer is not asked whether an upstream is brittle
+constexpr Milliseconds brittleTellInterval{1'000}; // an owner tells all hosts again that an upstream is brittle: some have just started
+constexpr std::int64_t longestNoticeAgeMs = 3'600'000;
 constexpr Milliseconds unownedSendWait{300};         // before the owner of a limited upstream is looked for again
 constexpr Milliseconds unownedRetryAfter{1'500};     // Retry-After while an upstream has no owner: a claim and most of a lease
 constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
@@ -96,7 +99,7 @@
                      {.isCutOff = [this] { return node_.reachability.isCutOff(); },
                       .reaches = [this](const HostId &host) { return node_.reachability.reaches(host, node_.now()); }})
     , prefillGate_(node_)
-    , sendGate_(node_)
+    , sendGate_(node_, [this](const UpstreamId &id) { return reportedLoad(id); })
     , callerServer_(io,
                     {.limits = [this] { return node_.routes ? node_.routes->limits() : CallerLimits(); },
                      .onInvalidRequest =
@@ -165,6 +168,7 @@
             owned->second->onNoContact();
         }
     };
+    node_.onRefused = [this](const UpstreamId &id) { tellRefused(id); };
     node_.onLimitEnded = [this](const UpstreamId &id) { tellLimitEnded(id); };
 }
 
@@ -296,6 +300,7 @@
     metrics.callerConnections.set({"open"}, static_cast<double>(callerServer_.connections()));
     metrics.callerConnections.set({"busy"}, static_cast<double>(callerServer_.busyConnections()));
     metrics.limitedUpstreams.set(static_cast<double>(node_.limits.size()));
+    metrics.brittleUpstreams.set(static_cast<double>(node_.limits.brittleCount()));
     metrics.blamedParts.set(static_cast<double>(node_.crashes.blamed(CrashCause::Kind::Part)));
     metrics.blamedRequests.set(static_cast<double>(node_.crashes.blamed(CrashCause::Kind::Request)));
     metrics.cutOff.set(node_.reachability.isCutOff() ? 1 : 0);
@@ -454,7 +459,8 @@
         node_.backoffs.end(id);
     }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
-        node_.limits.end(id);
+        change == BookChange::Restarted ? node_.limits.restart(id) : node_.limits.remove(id);
+        sendGate_.onRestarted(id);
         const auto *next = change == BookChange::Restarted ? node_.replicas.find(id) : nullptr;
         const auto age = Milliseconds(next == nullptr ? 0 : core::civilMilliseconds() - static_cast<std::int64_t>(next->startTime.value()));
         if (isEnded) {
@@ -848,6 +854,8 @@
     tick();
     sendAdapterUses();
     exchangeLoads();
+    sendGate_.tick();
+    tellBrittle();
     crashExchange_.tick();
     streamExchange_.tick();
     relayExchange_.tick(tickInterval);
@@ -883,6 +891,7 @@
         node_.setHostCount(static_cast<int>(membership_.live().size()));
         updateGroups();
         crashExchange_.onMembersChanged();
+        brittleToldAt_.clear(); // hosts that have just started know of none
         logMembers(changes);
     }
     applyOwnershipActions(planner_.tick(now));
@@ -970,6 +979,7 @@
     }
     node_.log.info("ownership", {{"upstream", *id}, {"epoch", holding.epoch}, {"change", "claimed"}});
     node_.metrics.beliefChanges.add({"claimed"});
+    sendGate_.onOwned(*id);
     ModelSpec model;
     const auto options = residencyOptions(*record, model);
     if (!options) {
@@ -1097,17 +1107,71 @@
 }
 
 /// Without an owner that answers nothing is sent: what a host by itself takes for its share does not bound the sum.
-net::Task<SendPermit> HostedDaemon::takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait)
+net::Task<SendPermit> HostedDaemon::takeSendPermit(SendRequest request)
 {
-    const SendPermit refusal{.wait = unownedSendWait};
-    const auto owner = ownerOf(upstream);
+    const SendPermit refusal{.wait = unownedSendWait, .isAnswered = false};
+    const auto owner = ownerOf(request.upstream);
     if (!owner || !links_) {
         co_return refusal;
     }
-    if (*owner == node_.settings.host) {
-        co_return mayGrantSends(upstream) ? sendGate_.request(upstream, limit, maxWait) : refusal;
+    if (*owner != node_.settings.host) {
+        auto &silentUntil = silentOwners_[*owner];
+        if (request.limit.isUnknown() && node_.now() < silentUntil) {
+            co_return refusal;
+        }
+        const auto permit = co_await sendGate_.requestAtOwner(*links_, *owner, std::move(request));
+        silentOwners_[*owner] = permit ? Instant() : node_.now() + silentOwnerTime;
+        co_return permit.value_or(refusal);
+    }
+    co_return mayGrantSends(request.upstream) ? co_await sendGate_.request(std::move(request)) : refusal;
+}
+
+std::optional<int> HostedDaemon::reportedLoad(const UpstreamId &id) const
+{
+    const auto others = loadExchange_.otherHostLoads(node_.now());
+    if (!others) {
+        return std::nullopt;
+    }
+    const auto load = others->find(id);
+    return node_.chooser.localOccupancy(id).running + (load == others->end() ? 0 : load->second.running);
+}
+
+void HostedDaemon::tellRefused(const UpstreamId &id)
+{
+    const auto owner = ownerOf(id);
+    if (owner && *owner == node_.settings.host) {
+        sendGate_.onRefused(id);
+    } else if (owner && links_) {
+        links_->notify(*owner, {peers::SendRefusedNotice{id}});
+    }
+}
+
+/// Hosts that send little, and those that have just started, learn of brittle upstreams before they are refused there.
+void HostedDaemon::tellBrittle()
+{
+    const auto now = node_.now();
+    if (!links_ || node_.limits.brittleCount() == 0) {
+        brittleToldAt_.clear();
+        return;
+    }
+    peers::BrittleNotice notice;
+    for (const auto &id : node_.replicas.all()) {
+        const auto limit = node_.limits.find(id);
+        const auto told = brittleToldAt_.find(id);
+        const bool isDue = limit && limit->maxRefusals && (told == brittleToldAt_.end() || now - told->second >= brittleTellInterval);
+        if (isDue && mayGrantSends(id)) {
+            notice.upstreams.emplace_back(id, *limit->maxRefusals, (now - limit->namedAt).count());
+            brittleToldAt_[id] = now;
+        }
+    }
+    if (notice.upstreams.empty()) {
+        return;
+    }
+    for (const auto &member : membership_.live()) {
+        if (member.host != node_.settings.host) {
+            links_->notify(member.host, {notice});
+        }
     }
-    co_return (co_await sendGate_.requestAtOwner(*links_, *owner, upstream, limit, maxWait)).value_or(refusal);
 }
 
 net::Task<bool> HostedDaemon::takeProbe(std::vector<CrashCause> causes)
@@ -1184,7 +1248,7 @@
         co_return;
     }
     if (const auto *sendCall = std::get_if<peers::SendCall>(&call->body()); sendCall != nullptr && mayGrantSends(sendCall->upstream)) {
-        sendGate_.serve(*call, *sendCall);
+        co_await sendGate_.serve(call, *sendCall);
         co_return;
     }
     if (const auto *originCall = std::get_if<peers::StreamOriginCall>(&call->body())) {
@@ -1228,7 +1292,16 @@
     } else if (const auto *answer = std::get_if<peers::ClockAnswer>(&notice.body)) {
         storePages_.onClockAnswer(from, *answer);
     } else if (const auto *limitEnd = std::get_if<peers::LimitEndNotice>(&notice.body)) {
+        node_.endLimit(limitEnd->upstream);
         sendGate_.onLimitEnded(limitEnd->upstream);
+    } else if (const auto *refused = std::get_if<peers::SendRefusedNotice>(&notice.body)) {
+        sendGate_.onRefused(refused->upstream);
+    } else if (const auto *brittle = std::get_if<peers::BrittleNotice>(&notice.body)) {
+        for (const auto &[id, maxRefusals, ageMs] : brittle->upstreams) {
+            if (maxRefusals >= 0 && ageMs >= 0) {
+                node_.applyBrittle(id, maxRefusals, node_.now() - Milliseconds(std::min(ageMs, longestNoticeAgeMs)));
+            }
+        }
     } else if (const auto *report = std::get_if<peers::CrashReportNotice>(&notice.body)) {
         crashExchange_.onReport(*report);
     } else if (const auto *verdicts = std::get_if<peers::CrashVerdictsNotice>(&notice.body)) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -61,7 +61,7 @@
 
     net::Task<std::optional<ResidencyGrant>> ensure(ResidencyRequest request, core::Error &why) override;
     net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) override;
-    net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) override;
+    net::Task<SendPermit> takeSendPermit(SendRequest request) override;
     net::Task<bool> takeProbe(std::vector<CrashCause> causes) override;
     [[nodiscard]] bool canOrder(const UpstreamId &replica) const override;
 
@@ -115,7 +115,10 @@
     void onOwnershipLost(const ownership::Holding &holding, std::string_view change);
     [[nodiscard]] std::optional<ResidencyOptions> residencyOptions(const ReplicaRecord &record, ModelSpec &model) const;
     void tellLimitEnded(const UpstreamId &id);
-    [[nodiscard]] bool mayGrantSends(const UpstreamId &id) const; // this host owns the upstream, and the ownership is valid now
+    void tellRefused(const UpstreamId &id);
+    void tellBrittle();
+    [[nodiscard]] std::optional<int> reportedLoad(const UpstreamId &id) const; // requests of all hosts at the upstream
+    [[nodiscard]] bool mayGrantSends(const UpstreamId &id) const;              // this host owns the upstream, and the ownership is valid now
     [[nodiscard]] std::optional<HostId> ownerOf(const UpstreamId &replica) const;
     // Peers.
     [[nodiscard]] peers::LinkHandlers linkHandlers();
@@ -164,6 +167,8 @@
     StreamExchange streamExchange_;
     LoadExchange loadExchange_;
     std::uint64_t loadExchangeTicks_ = 0;
+    std::map<HostId, Instant> silentOwners_;              // until when; see takeSendPermit()
+    std::map<UpstreamId, Instant> brittleToldAt_;         // owned upstreams, to all hosts
     std::map<HostId, std::set<UpstreamId>> reportedUses_; // per owner: upstreams in the last report of adapters in use
     std::optional<engines::FallbackBudget> modelLoadBudget_;
     std::string linkKey_;
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -180,6 +180,8 @@
     bool isLeaving = false;              // the upstream will stop soon and wants no further requests
     std::optional<Milliseconds> backoff; // with a refusal: the upstream wants nothing from this host for so long
     std::optional<double> requestLimit;  // requests a second that the upstream takes from all hosts together
+    std::optional<double> maxRefusals;   // the upstream is brittle: it falls over when it refuses more requests in a second for want of room
+    std::string unreadableRefusals;      // that field's text when it is not a number; the upstream is brittle, how much is not known
     std::string unreadableLimit;         // the field's text when it is not a number; the limit known so far stays
     std::string unreadableBackoff;       // the field's text when it is not a number of seconds; the refusal then names no delay
 };
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -32,6 +32,7 @@
           registry.counter({"taken_up_streams_total", "streams that callers took up, by how their record was found", {"record", "age", "reason"}, 512}))
     , sendPermits(registry.counter({"send_permits_total", "permits for requests to limited upstreams that this host was asked for", {"outcome"}, 8}))
     , relays(registry.counter({"relays_total", "requests relayed for a host that reaches no upstream", {"side", "outcome"}, 32}))
+    , brittleRefusals(registry.counter({"brittle_refusals_total", "requests of this host that brittle upstreams refused for want of room", {"service"}, 32}))
     , orders(registry.counter({"orders_total", "orders to model replicas", {"kind", "outcome"}, 32}))
     , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
     , unreadableRequests(registry.counter({"unreadable_total", "requests that could not be read", {"status"}, 8}))
@@ -47,6 +48,7 @@
     , upstreamProbes(registry.counter({"upstream_probes_total", "connections opened to find out whether this host reaches upstreams", {"outcome"}, 4}))
     , cutOff(registry.gauge({"cut_off", "1 while new connections to all upstreams fail", {}, 1}))
     , cutOffPeers(registry.gauge({"cut_off_peers", "other hosts that say that they reach no upstream", {}, 1}))
+    , brittleUpstreams(registry.gauge({"brittle_upstreams", "upstreams that fall over when they refuse too many requests for want of room", {}, 1}))
     , blamedParts(registry.gauge({"blamed_parts", "parts of prompts that crash upstreams; requests with them are refused", {}, 1}))
     , blamedRequests(registry.gauge({"blamed_requests", "requests that crash upstreams; they are refused when they come again", {}, 1}))
     , upstreamConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
@@ -207,39 +209,96 @@
         log.warn("limit_unreadable", {{"upstream", id}, {"value", settings::printableText(answer.unreadableLimit)}, {"next", "the limit known so far"}});
         return;
     }
-    if (!answer.requestLimit && !answer.isSealed) {
+    const auto before = limits.find(id);
+    auto maxRefusals = answer.maxRefusals;
+    if (!answer.unreadableRefusals.empty()) {
+        maxRefusals = before ? before->maxRefusals.value_or(0) : 0;
+        log.warn("brittle_unreadable", {{"upstream", id}, {"value", settings::printableText(answer.unreadableRefusals)}, {"taken_as", *maxRefusals}});
+    }
+    if (!answer.requestLimit && !maxRefusals && !answer.isSealed) {
         return; // a damaged answer, or one to an order or a report, ends no limit
     }
-    const auto before = limits.find(id);
-    switch (limits.onAnswer(id, answer.requestLimit, now())) {
-    case UpstreamLimits::Change::None:
-        break;
-    case UpstreamLimits::Change::Begun:
+    const auto change = limits.onAnswer(id, answer.requestLimit, now(), maxRefusals);
+    if (change == UpstreamLimits::Change::None) {
+        return;
+    }
+    logLimit(id, before, "answer");
+    if (change == UpstreamLimits::Change::Ended && onLimitEnded) {
+        onLimitEnded(id);
+    }
+}
+
+void Node::logLimit(const UpstreamId &id, const std::optional<UpstreamLimits::Limit> &before, std::string_view source)
+{
+    const auto after = limits.find(id);
+    const bool wasRate = before && before->isRate();
+    const bool isRate = after && after->isRate();
+    if (isRate && !wasRate) {
         metrics.beliefChanges.add({"limit_begun"});
-        log.info("limit_begun", {{"upstream", id}, {"per_second", *answer.requestLimit}, {"limits", limits.size()}});
-        break;
-    case UpstreamLimits::Change::Changed:
-        log.info("limit_changed", {{"upstream", id}, {"per_second", *answer.requestLimit}, {"before", before->perSecond}});
-        break;
-    case UpstreamLimits::Change::Ended:
+        log.info("limit_begun", {{"upstream", id}, {"per_second", after->perSecond}, {"limits", limits.size()}});
+    } else if (isRate && after->perSecond != before->perSecond) {
+        log.info("limit_changed", {{"upstream", id}, {"per_second", after->perSecond}, {"before", before->perSecond}});
+    } else if (wasRate && !isRate) {
         metrics.beliefChanges.add({"limit_ended"});
-        log.info("limit_ended", {{"upstream", id}, {"source", "answer"}, {"named_ms_ago", now() - before->namedAt}});
-        if (onLimitEnded) {
-            onLimitEnded(id);
-        }
-        break;
+        log.info("limit_ended", {{"upstream", id}, {"source", source}, {"named_ms_ago", now() - before->namedAt}});
+    }
+    const auto refusalsBefore = before ? before->maxRefusals : std::nullopt;
+    const auto refusals = after ? after->maxRefusals : std::nullopt;
+    if (refusals && !refusalsBefore) {
+        metrics.beliefChanges.add({"brittle_begun"});
+        log.info("brittle_begun", {{"upstream", id}, {"source", source}, {"refusals", *refusals}, {"brittle", limits.brittleCount()}});
+    } else if (refusals && *refusals != *refusalsBefore) {
+        log.info("brittle_changed", {{"upstream", id}, {"source", source}, {"refusals", *refusals}, {"before", *refusalsBefore}});
+    } else if (refusalsBefore && !refusals) {
+        metrics.beliefChanges.add({"brittle_ended"});
+        log.info("brittle_ended", {{"upstream", id}, {"source", source}, {"named_ms_ago", now() - before->namedAt}});
     }
 }
 
 void Node::endLimit(const UpstreamId &id)
 {
-    if (const auto limit = limits.find(id)) {
-        limits.end(id);
-        metrics.beliefChanges.add({"limit_ended"});
-        log.info("limit_ended", {{"upstream", id}, {"source", "owner"}, {"named_ms_ago", now() - limit->namedAt}});
+    const auto before = limits.find(id);
+    limits.end(id, now());
+    if (before) {
+        logLimit(id, before, "owner");
     }
 }
 
+void Node::applyBrittle(const UpstreamId &id, double maxRefusals, Instant namedAt)
+{
+    const auto before = limits.find(id);
+    if (limits.onNotice(id, maxRefusals, namedAt) != UpstreamLimits::Change::None) {
+        logLimit(id, before, "host");
+    }
+}
+
+std::optional<UpstreamLimits::Limit> Node::sendLimit(const ReplicaRecord &replica) const
+{
+    constexpr Milliseconds maxAge{10'000}; // of what another upstream of the service said
+    auto limit = limits.find(replica.id);
+    if (limits.brittleCount() == 0 || (limit && limit->maxRefusals)) {
+        return limit;
+    }
+    const auto ended = limits.endedAt(replica.id);
+    for (const auto &id : replicas.usable(replica.service)) {
+        const auto other = limits.find(id);
+        const bool counts = other && other->maxRefusals && now() - other->namedAt < maxAge && (!ended || other->namedAt > *ended);
+        if (counts) {
+            limit = limit.value_or(UpstreamLimits::Limit{UpstreamLimits::unlimited, other->namedAt, std::nullopt});
+            limit->namedAt = std::max(limit->namedAt, other->namedAt);
+            limit->maxRefusals = std::min(limit->maxRefusals.value_or(*other->maxRefusals), *other->maxRefusals);
+        }
+    }
+    return limit;
+}
+
+bool Node::mayBeUntold()
+{
+    constexpr Milliseconds tellTime{1'500}; // owners tell all hosts each second
+    servingSince_ = servingSince_.value_or(now());
+    return now() - *servingSince_ < tellTime;
+}
+
 void Node::setHostCount(int count)
 {
     hostCount = std::max(1, count);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -51,6 +51,7 @@
     metrics::Counter &takenUpStreams;     // record, age, reason
     metrics::Counter &sendPermits;        // outcome
     metrics::Counter &relays;             // side, outcome
+    metrics::Counter &brittleRefusals;    // service
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
     metrics::Counter &unreadableRequests; // status
@@ -66,6 +67,7 @@
     metrics::Counter &upstreamProbes; // outcome
     metrics::Gauge &cutOff;
     metrics::Gauge &cutOffPeers;
+    metrics::Gauge &brittleUpstreams;
     metrics::Gauge &blamedParts;
     metrics::Gauge &blamedRequests;
     metrics::Gauge &upstreamConnections; // state
@@ -112,8 +114,8 @@
     virtual net::Task<std::optional<ResidencyGrant>> ensure(ResidencyRequest request, core::Error &error) = 0;
     /// Waits until the prompt may be sent without pausing the replica's running streams for too long. Nullptr when no host counts them.
     virtual net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) = 0;
-    /// Asks for one request to an upstream that named `limit`.
-    virtual net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) = 0;
+    /// Asks for one request to an upstream that named a limit or is brittle.
+    virtual net::Task<SendPermit> takeSendPermit(SendRequest request) = 0;
     /// Whether one request with these causes of crashes, of which at least one is blamed, may be sent.
     virtual net::Task<bool> takeProbe(std::vector<CrashCause> causes) = 0;
     /// Whether some host can currently send load orders to the replica.
@@ -159,6 +161,13 @@
     [[nodiscard]] Milliseconds remainingPause(const UpstreamId &id) const { return std::max(backoffs.remaining(id, now()), limits.remainingBlock(id, now())); }
     /// The owner of the upstream knows that its limit has ended.
     void endLimit(const UpstreamId &id);
+    /// Another host knows of an answer at `namedAt` which says that the upstream is brittle.
+    void applyBrittle(const UpstreamId &id, double maxRefusals, Instant namedAt);
+    /// What binds a request to the upstream: what it named itself, or that others of its service are brittle. They mostly are together, and one
+    /// that has started a moment ago may be so before any host has an answer of it.
+    [[nodiscard]] std::optional<UpstreamLimits::Limit> sendLimit(const ReplicaRecord &replica) const;
+    /// Whether owners may not have told this host yet which upstreams are brittle. Begins with the first call.
+    [[nodiscard]] bool mayBeUntold();
     /// Applies what an answer says about the upstream itself. `replica` is the record that the call was sent with.
     void applyUpstreamState(const ReplicaRecord &replica, const ResponseMetadata &answer);
     /// The same for the answer to an order or a report.
@@ -194,6 +203,7 @@
     std::map<UpstreamId, Instant> doubtedRuns;              // see doubtRun()
     std::map<UpstreamId, ReplicaStartTime> outdatedRecords; // runs that ended though the upstream's record still names them
     std::function<void(const UpstreamId &)> onNoContact;    // the upstream is leaving or asked this host to back off; may be empty
+    std::function<void(const UpstreamId &)> onRefused;      // a brittle upstream had no room for a request of this host; may be empty
     std::function<void(const UpstreamId &)> onLimitEnded;   // an answer named no limit any more; may be empty
     UpstreamPool pool;
     std::map<AdapterKey, ActiveRevision> activeRevisions;
@@ -207,6 +217,10 @@
     bool isStopping = false;
 
 private:
+    std::optional<Instant> servingSince_;
+
+    void logLimit(const UpstreamId &id, const std::optional<UpstreamLimits::Limit> &before, std::string_view source);
+
     std::map<ServiceName, admission::RetryBudget> budgets_;
 };
 
--- a/packages/serving/sendrate.cpp
+++ b/packages/serving/sendrate.cpp
@@ -13,13 +13,13 @@
 
 SendPermit SendRate::request(const UpstreamLimits::Limit &limit, Milliseconds maxWait, Instant now)
 {
-    if (endedAt_ && limit.namedAt <= *endedAt_) {
+    if (isEnded(limit)) {
         return {.isLimited = false};
     }
     endedAt_.reset();
     refill(now);
     if (!limit_ || limit.namedAt >= limit_->namedAt) {
-        limit_ = {std::max(limit.perSecond, minPerSecond), limit.namedAt};
+        limit_ = {std::max(limit.perSecond, minPerSecond), limit.namedAt, std::nullopt};
     }
     const double missing = std::max(0.0, 1 - permits_);
     const Milliseconds wait(static_cast<std::int64_t>(std::ceil(missing * msPerSecond / limit_->perSecond)));
--- a/packages/serving/sendrate.h
+++ b/packages/serving/sendrate.h
@@ -11,6 +11,7 @@
 // permits, so a change of the owner adds nothing. A permit that is not used is lost.
 #pragma once
 
+#include <memory>
 #include <optional>
 
 #include <serving/upstreamlimits.h>
@@ -21,6 +22,17 @@
     bool isLimited = true;
     bool isGranted = false;
     Milliseconds wait{0};
+    bool isAnswered = true;          // false: no owner answered
+    std::shared_ptr<void> hold = {}; // at a brittle upstream: to be kept until the request has ended
+};
+
+/// One request that is to be sent to a limited upstream.
+struct SendRequest {
+    UpstreamId upstream;
+    UpstreamLimits::Limit limit; // as the asking host knows it, with times of this host's clock
+    Milliseconds maxWait{0};     // for the permit
+    Milliseconds timeLeft{0};    // until the request ends at the latest
+    double tokens = 0;           // of memory that it holds at the upstream meanwhile
 };
 
 class SendRate
@@ -32,6 +44,8 @@
     /// `limit`: as the asking host knows it, with times of this host's clock. `maxWait`: how long the request may wait for its permit.
     [[nodiscard]] SendPermit request(const UpstreamLimits::Limit &limit, Milliseconds maxWait, Instant now);
     void onLimitEnded(Instant now);
+    /// Whether the limit has ended since it was named.
+    [[nodiscard]] bool isEnded(const UpstreamLimits::Limit &limit) const { return endedAt_ && limit.namedAt <= *endedAt_; }
 
 private:
     void refill(Instant now);
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -386,6 +386,90 @@
     EXPECT_EQ(asked, 1);
 }
 
+// Guards against requests that are sent to a brittle upstream without a place there (issue 32, LIMIT).
+TEST_F(ForwarderTest, a_request_to_a_brittle_upstream_holds_its_permit_until_it_has_ended)
+{
+    const std::string brittle = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nBrittle: 3\r\nContent-Length: 2\r\n\r\nok";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{brittle}}}});
+    std::weak_ptr<void> hold;
+    bool isHeldAtUpstream = false;
+    residency_.onBrittlePermit = [&](SendRequest request) -> net::Task<SendPermit> {
+        EXPECT_EQ(request.limit.maxRefusals, 3);
+        EXPECT_FALSE(request.limit.isRate());
+        EXPECT_GT(request.maxWait, Milliseconds(0)) << "there is no other upstream";
+        EXPECT_GT(request.timeLeft, Milliseconds(1'000));
+        SendPermit permit{.isGranted = true};
+        permit.hold = std::make_shared<int>(0);
+        hold = permit.hold;
+        asio::post(io_, [&] { isHeldAtUpstream = !hold.expired(); });
+        co_return permit;
+    };
+    EXPECT_EQ(sendRequest(getRequest("a"), "\r\n\r\nok").status(), 200);
+    EXPECT_TRUE(hold.expired()) << "the first request asks for nothing";
+    EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\nok").status(), 200);
+    EXPECT_TRUE(isHeldAtUpstream);
+    EXPECT_TRUE(hold.expired()) << "the request has ended";
+}
+
+TEST_F(ForwarderTest, every_upstream_of_a_service_counts_as_brittle_while_one_is)
+{
+    const std::string brittle = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nBrittle: 3\r\nContent-Length: 2\r\n\r\nok";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{brittle}}}, {Script{{brittle}}}});
+    std::vector<UpstreamId> asked;
+    residency_.onBrittlePermit = [&](SendRequest request) -> net::Task<SendPermit> {
+        asked.push_back(request.upstream);
+        co_return SendPermit{.isGranted = request.upstream != UpstreamId("r1"), .wait = Milliseconds(100)};
+    };
+    EXPECT_EQ(sendRequest(getRequest("a"), "\r\n\r\nok").status(), 200);
+    EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\nok").status(), 200);
+    EXPECT_EQ(asked, (std::vector{UpstreamId("r1"), UpstreamId("r2")}));
+    EXPECT_EQ(upstream(1).requests.size(), 1U);
+}
+
+// Guards against requests of a host that has just started and does not know yet which upstreams are brittle (issue 32, LIMIT).
+TEST_F(ForwarderTest, a_host_that_has_just_started_asks_owners_whether_upstreams_are_brittle)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("x")}}}});
+    residency_.onUntold = [](const auto &) { return SendPermit{.wait = Milliseconds(300)}; };
+    EXPECT_EQ(sendRequest(getRequest("a"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(requestCount(), 0U);
+    residency_.onUntold = [](const auto &) { return SendPermit{.isAnswered = false}; };
+    EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\nx").status(), 200) << "where no owner answers, nobody says that it is brittle";
+    runFor(Milliseconds(1'600));
+    residency_.onUntold = [](const auto &) { return SendPermit{.wait = Milliseconds(300)}; };
+    EXPECT_EQ(sendRequest(getRequest("c"), "\r\n\r\nx").status(), 200) << "owners have told by now";
+}
+
+// Guards against refusals of which the owner of a brittle upstream hears nothing (issue 32, LIMIT).
+TEST_F(ForwarderTest, a_refusal_for_want_of_room_is_told_to_the_owner_of_a_brittle_upstream)
+{
+    const std::string full = "HTTP/1.1 503 Unavailable\r\nId: @ID\r\nNot-Run: 1\r\nBrittle: 3\r\nContent-Length: 0\r\n\r\n";
+    const std::string leaving = "HTTP/1.1 503 Unavailable\r\nId: @ID\r\nNot-Run: 1\r\nBrittle: 3\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{full}}, Script{{leaving}}}});
+    int refused = 0;
+    node_.onRefused = [&refused](const UpstreamId &id) {
+        ++refused;
+        EXPECT_EQ(id, UpstreamId("r1"));
+    };
+    EXPECT_EQ(sendRequest(getRequest("a"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(refused, 1);
+    runFor(Milliseconds(80));
+    EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(refused, 1) << "it refuses because it leaves";
+}
+
+TEST_F(ForwarderTest, a_request_that_gets_no_place_is_refused_with_the_time_to_come_back)
+{
+    const std::string brittle = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nBrittle: 3\r\nContent-Length: 2\r\n\r\nok";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{brittle}}}});
+    EXPECT_EQ(sendRequest(getRequest("a"), "\r\n\r\nok").status(), 200);
+    residency_.onBrittlePermit = [](SendRequest) -> net::Task<SendPermit> { co_return SendPermit{.wait = Milliseconds(300)}; };
+    const auto refusal = sendRequest(getRequest("b"), "\r\n\r\n");
+    EXPECT_EQ(refusal.status(), 503);
+    EXPECT_TRUE(refusal.contains("Retry-After: 0.3")) << refusal.bytes;
+    EXPECT_EQ(requestCount(), 1U);
+}
+
 // Guards against many answers without end that together take the memory of the host.
 TEST(ResponseBudget, bounds_the_bytes_of_all_responses_together)
 {
--- a/packages/serving/tests/limitedupstreamtest.cpp
+++ b/packages/serving/tests/limitedupstreamtest.cpp
@@ -1,4 +1,6 @@
 // Several hosts, each with its own state, in front of one upstream.
+#include <serving/sendgate.h>
+
 #include "servingfixture.h"
 
 namespace baobabstall::serving::tests {
@@ -46,6 +48,8 @@
             node.onLimitEnded = [this](const UpstreamId &) { rate_.onLimitEnded(node_.now()); };
             hosts_.back()->residency.onSendPermit
                 = [this](const UpstreamId &, const UpstreamLimits::Limit &limit, Milliseconds maxWait) { return rate_.request(limit, maxWait, node_.now()); };
+            hosts_.back()->residency.onBrittlePermit = [this](SendRequest request) { return gate_.request(std::move(request)); };
+            node.onRefused = [this](const UpstreamId &id) { gate_.onRefused(id); };
         }
     }
     /// One request after the other at each host, `interval` apart.
@@ -65,6 +69,13 @@
     }
 
     SendRate rate_; // at the owner of the upstream
+    SendGate gate_{node_, [this](const UpstreamId &id) {
+                       int running = 0;
+                       for (const auto &host : hosts_) {
+                           running += host->node.chooser.localOccupancy(id).running;
+                       }
+                       return std::optional(running);
+                   }};
     std::vector<std::unique_ptr<EntryHost>> hosts_;
     int served_ = 0;
     int refused_ = 0;
@@ -90,4 +101,26 @@
     EXPECT_GT(refused_, 0) << "callers that can't be served are told at once";
 }
 
+// Guards against requests of several hosts that together exceed what a brittle upstream runs at once (issue 32, LIMIT).
+TEST_F(LimitedUpstreamTest, all_hosts_together_send_a_brittle_upstream_no_more_requests_than_it_runs_at_once)
+{
+    constexpr int slots = 8; // as the fixture sets up
+    ScriptedUpstream::Script answer{.pieces = {"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nBrittle: 2\r\nContent-Length: 2\r\n\r\nok"},
+                                    .delay = Milliseconds(40)};
+    setUpService(route(RetryPolicy::Idempotent, false, 1), {{answer}});
+    gate_.onOwned(UpstreamId("r1"));
+    addHosts(6);
+    for (auto &host : hosts_) {
+        for (int caller = 0; caller < 5; ++caller) {
+            asio::co_spawn(io_, keepSending(*host, Milliseconds(caller + 5)), asio::detached);
+        }
+    }
+    runFor(Milliseconds(1'000)); // every host has been told
+    upstream(1).mostRunning = 0;
+    const auto before = requestCount();
+    runFor(Milliseconds(2'000));
+    EXPECT_LE(upstream(1).mostRunning, slots);
+    EXPECT_GE(requestCount() - before, 2'000 / 40 * slots / 2) << "what the upstream can run is sent to it";
+}
+
 } // namespace baobabstall::serving::tests
--- a/packages/serving/tests/sendratetest.cpp
+++ b/packages/serving/tests/sendratetest.cpp
@@ -111,7 +111,7 @@
         }
         const auto permit = owner_->request(*limit, Milliseconds(0), now());
         if (!permit.isLimited) {
-            host.limits.end(upstream);
+            host.limits.end(upstream, now());
             send(host);
         } else if (!permit.isGranted) {
             host.limits.block(upstream, now() + std::min(permit.wait, Milliseconds(1'000)));
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -26,7 +26,7 @@
 using tcp = asio::ip::tcp;
 
 /// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, After (last event), Resumes, Last, Seal, Not-Run,
-/// Replica, Leaving, Backoff (ms), Limit (a second). Set by the forwarder: To, Left, Revision.
+/// Replica, Leaving, Backoff (ms), Limit (a second), Brittle (refusals a second). Set by the forwarder: To, Left, Revision.
 class FakeCodec : public Codec
 {
 public:
@@ -83,6 +83,7 @@
             facts.isLeaving = facts.isLeaving || name == "Leaving";
             facts.backoff = name == "Backoff" ? std::optional(Milliseconds(std::stoll(std::string(value)))) : facts.backoff;
             facts.requestLimit = name == "Limit" ? std::optional(std::stod(std::string(value))) : facts.requestLimit;
+            facts.maxRefusals = name == "Brittle" ? std::optional(std::stod(std::string(value))) : facts.maxRefusals;
             facts.upstream = name == "Replica" ? UpstreamId(std::string(value)) : facts.upstream;
         }
         return facts;
@@ -125,10 +126,18 @@
         onTurnBegin();
         co_return turn;
     }
-    net::Task<SendPermit> takeSendPermit(UpstreamId upstream, UpstreamLimits::Limit limit, Milliseconds maxWait) override
+    net::Task<SendPermit> takeSendPermit(SendRequest request) override
     {
-        co_return onSendPermit(upstream, limit, maxWait);
+        if (request.limit.isUnknown()) {
+            co_return onUntold(request.upstream);
+        }
+        if (onBrittlePermit && request.limit.maxRefusals) {
+            co_return co_await onBrittlePermit(request);
+        }
+        co_return onSendPermit(request.upstream, request.limit, request.maxWait);
     }
+    std::function<SendPermit(const UpstreamId &)> onUntold = [](const auto &) { return SendPermit{.isLimited = false}; }; // the host has just started
+    std::function<net::Task<SendPermit>(SendRequest)> onBrittlePermit; // of upstreams that are brittle; empty: as for the others
     std::function<SendPermit(const UpstreamId &, const UpstreamLimits::Limit &, Milliseconds)> onSendPermit
         = [](const auto &...) { return SendPermit{.isGranted = true}; };
     net::Task<bool> takeProbe(std::vector<CrashCause> causes) override { return onProbe(std::move(causes)); }
@@ -204,6 +213,8 @@
 
     Repeat repeat = Repeat::Never;
     std::vector<ReceivedRequest> requests;
+    int running = 0; // requests that are being answered; one whose connection is closed counts on
+    int mostRunning = 0;
     int connections = 0;
     int disconnects = 0; // connections that were closed while a response was due
 
@@ -235,6 +246,7 @@
             ++nextScript_;
             const auto index = requests.size();
             requests.push_back(request);
+            mostRunning = std::max(mostRunning, ++running);
             if (script.answersBeforeBody && !co_await answer(*socket, script, request, refusal)) {
                 co_return;
             }
@@ -253,6 +265,7 @@
             if (!script.answersBeforeBody && !co_await answer(*socket, script, request, refusal)) {
                 co_return;
             }
+            --running;
         }
     }
 
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -200,6 +200,14 @@
         self.streams = []  # (id, id of the stream that it goes on with, version) of streams that got an event here
         self.work_seconds = 0  # of a request to a plain service
         self.limit = None  # requests a second, named in all answers
+        self.brittle = None  # refusals a second, named in all answers: more of them and it falls over
+        self.brittle_since = 0.0
+        self.slots = 8  # requests that run at once while it is brittle
+        self.work_seconds = 0.0  # of a request to a plain service
+        self.room = threading.Condition()
+        self.running, self.waiting = 0, 0  # requests, while it is brittle
+        self.refusals = []  # times
+        self.falls = []  # the same
         self.arrivals = []  # times of requests
         self.crashing_part = None  # of prompts: the connection is reset once the answer has begun
         self.crashing_body = None  # of requests: the connection is reset before the answer
@@ -211,7 +219,41 @@
         self.register()
 
     def common_headers(self):
-        return [("Server-Limit", str(self.limit))] if self.limit is not None else []
+        limit = [("Server-Limit", str(self.limit))] if self.limit is not None else []
+        return limit + ([("Server-Brittle", str(self.brittle))] if self.brittle is not None else [])
+
+    WAITING = 24  # requests that may wait, until CONTACT_SECONDS after it has become brittle; none after that
+    CONTACT_SECONDS = 3.0
+    FALLEN_SECONDS = 2.0
+
+    def become_brittle(self, refusals):
+        self.brittle_since = time.monotonic()
+        self.brittle = refusals
+
+    def take_slot(self):
+        """False: the request is refused for want of room, or the replica has fallen over."""
+        with self.room:
+            few = self.brittle is not None and time.monotonic() - self.brittle_since >= self.CONTACT_SECONDS
+            if self.running >= self.slots and self.waiting >= (0 if few else self.WAITING):
+                now = time.monotonic()
+                self.refusals.append(now)
+                if few and sum(1 for moment in self.refusals if now - moment < 1) > self.brittle:
+                    self.falls.append(now)
+                    self.close_connections()
+                return False
+            self.waiting += 1
+            self.room.wait_for(lambda: self.running < self.slots)
+            self.waiting -= 1
+            self.running += 1
+            return True
+
+    def free_slot(self):
+        with self.room:
+            self.running -= 1
+            self.room.notify()
+
+    def has_fallen(self):
+        return bool(self.falls) and time.monotonic() - self.falls[-1] < self.FALLEN_SECONDS
 
     def register(self, state="ready"):
         models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}] if self.model else []
@@ -229,8 +271,18 @@
             request.answer_json(200, report)
         elif request.path == "/baobabstall/order":
             request.answer(self.order(json.loads(request.body)))
-        else:
+        elif self.has_fallen():
+            self.close_connections()
+        elif self.work_seconds == 0 and self.brittle is None:
             self.run(request)
+        elif not self.take_slot():
+            request.answer(503, headers=[("X-Attempt-Id", request.headers.get("X-Attempt-Id")), ("X-Not-Executed", "1")])
+        else:
+            try:
+                time.sleep(self.work_seconds)
+                self.run(request)
+            finally:
+                self.free_slot()
 
     def id_of(self, request):
         attempt = request.headers.get("X-Attempt-Id")
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -966,6 +966,42 @@
         self.assertTrue(wait_until(lambda: host.events("reloaded"), 6))
         self.assertEqual(self.book(host)[0], 200)
 
+    def test_brittle_replicas_do_not_fall_over_under_five_times_their_load_and_a_host_that_is_killed(self):
+        """Guards against requests that wait, and are refused, at replicas that fall over when they refuse (issue 32, LIMIT)."""
+        self.start_all()
+        self.shop.work_seconds = 0.05
+        stop = threading.Event()
+        served, refused = [], []
+
+        def work(number):
+            while not stop.is_set():
+                status = self.book(self.hosts[number % 2])[0]
+                (served if status == 200 else refused).append(time.monotonic())
+                time.sleep(0.01)
+
+        threads = [threading.Thread(target=work, args=(number,)) for number in range(40)]  # eight run at once
+        for thread in threads:
+            thread.start()
+        try:
+            self.shop.become_brittle(2)
+            self.assertTrue(wait_until(lambda: all(host.events("brittle_begun") for host in self.hosts), 3), "both hosts know")
+            time.sleep(CONTACT_SECONDS)
+            begin = time.monotonic()
+            time.sleep(4.0)
+            self.assertEqual(self.shop.falls, [], "%d refusals" % len(self.shop.refusals))
+            self.assertGreater(sum(1 for moment in served if moment >= begin), 4 / 0.05 * 8 * 0.4, "what the replica runs is sent to it")
+            self.hosts[0].end(signal.SIGKILL)
+            self.hosts[0].start()
+            self.assertTrue(wait_until(self.hosts[0].ready), self.states("not ready"))
+            time.sleep(4.0)
+            self.assertLessEqual(len(self.shop.falls), 2, "two and a tenth of the replicas")
+            self.shop.brittle = None
+            self.assertTrue(wait_until(lambda: all(host.events("brittle_ended") for host in self.hosts), 6), "both hosts hear of the end")
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+
     def test_metrics_have_a_bounded_number_of_series_whatever_callers_send(self):
         self.start_all()
         host = self.hosts[0]
