A host that starts while nobody owns a brittle upstream sends one request there until the first answer

Cause (read off the code): the host that starts asks the owner whether the upstream is brittle. Where the owner is gone, often the host's own earlier run, it sent everything freely until the first answer.

Change: without an answer of the owner its first request finds out, and the others wait for that answer within half of the time until they are late; then they go on as the answer says. An upstream that this host has heard of is not asked about again.

New test: ForwarderTest.a_host_that_has_just_started_and_finds_no_owner_sends_one_request_until_the_first_answer (written with the change, not run without it).

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -657,7 +657,7 @@
     {
         hold_.reset();
         auto limit = node_.sendLimit(replica);
-        if (!limit && node_.mayBeUntold()) {
+        if (!limit && node_.mayBeUntold() && !node_.limits.isHeard(replica.id)) {
             limit = UpstreamLimits::Limit{UpstreamLimits::unlimited, node_.now(), std::nullopt};
         }
         if (!limit) {
@@ -672,7 +672,10 @@
                                                                 .timeLeft = timeLeft(),
                                                                 .tokens = isEngine() ? metadata_.promptTokens + metadata_.maxOutputTokens : 0});
         const auto begin = node_.now();
-        if (limit->isUnknown() && (!permit.isLimited || !permit.isAnswered)) {
+        if (limit->isUnknown() && !permit.isAnswered) {
+            co_return co_await awaitFirstAnswer(replica);
+        }
+        if (limit->isUnknown() && !permit.isLimited) {
             co_return !isFinished() && node_.mayContact(replica.id);
         }
         if (!permit.isLimited) {
@@ -695,6 +698,25 @@
         co_return isUsable;
     }
 
+    /// Nobody can tell this host, just started, whether the upstream is brittle: its first request there finds out, others wait for the answer.
+    net::Task<bool> awaitFirstAnswer(const ReplicaRecord &replica)
+    {
+        constexpr Milliseconds step{10};
+        const auto until = node_.now() + permitWait(true);
+        const auto isBusy = [&] { return node_.chooser.localOccupancy(replica.id).running > 0 && !node_.limits.isHeard(replica.id); };
+        while (isBusy() && node_.now() < until && !isFinished()) {
+            co_await net::sleep(node_.io, step);
+        }
+        if (node_.sendLimit(replica)) {
+            co_return co_await takeSendPermit(replica);
+        }
+        if (isBusy()) {
+            refusalReason_ = "upstream_brittle";
+            retryAfter_ = untoldWait;
+        }
+        co_return !isBusy() && !isFinished() && node_.mayContact(replica.id);
+    }
+
     [[nodiscard]] Milliseconds permitWait(bool isRate) const
     {
         const auto now = node_.now();
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -440,6 +440,38 @@
     EXPECT_EQ(sendRequest(getRequest("c"), "\r\n\r\nx").status(), 200) << "owners have told by now";
 }
 
+// Guards against a host that starts while nobody owns a brittle upstream and fills it before the first answer (issue 32, LIMIT).
+TEST_F(ForwarderTest, a_host_that_has_just_started_and_finds_no_owner_sends_one_request_until_the_first_answer)
+{
+    const std::string brittle = "HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nBrittle: 3\r\nContent-Length: 2\r\n\r\nok";
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{.pieces = {brittle}, .delay = Milliseconds(60)}}});
+    residency_.onUntold = [](const auto &) { return SendPermit{.isAnswered = false}; };
+    int asked = 0;
+    residency_.onBrittlePermit = [&asked](SendRequest) -> net::Task<SendPermit> {
+        ++asked;
+        co_return SendPermit{.wait = Milliseconds(300)};
+    };
+    int served = 0;
+    for (int i = 0; i < 6; ++i) {
+        asio::co_spawn(
+            io_,
+            [this, i, &served]() -> net::Task<void> {
+                tcp::socket socket(io_);
+                co_await socket.async_connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port), net::tuple);
+                const auto request = getRequest("q" + std::to_string(i));
+                co_await asio::async_write(socket, asio::buffer(request), net::tuple);
+                std::string answer;
+                co_await asio::async_read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", net::tuple);
+                served += answer.starts_with("HTTP/1.1 200") ? 1 : 0;
+            },
+            asio::detached);
+    }
+    runFor(Milliseconds(500));
+    EXPECT_EQ(requestCount(), 1U);
+    EXPECT_EQ(served, 1);
+    EXPECT_EQ(asked, 5) << "the others ask for places once the answer is there";
+}
+
 // Guards against refusals of which the owner of a brittle upstream hears nothing (issue 32, LIMIT).
 TEST_F(ForwarderTest, a_refusal_for_want_of_room_is_told_to_the_owner_of_a_brittle_upstream)
 {
--- a/packages/serving/upstreamlimits.cpp
+++ b/packages/serving/upstreamlimits.cpp
@@ -6,6 +6,7 @@
 
 UpstreamLimits::Change UpstreamLimits::onAnswer(const UpstreamId &id, std::optional<double> perSecond, Instant now, std::optional<double> maxRefusals)
 {
+    heard_.insert(id);
     const auto found = entries_.find(id);
     if (!perSecond && !maxRefusals) {
         const bool isEnded = found != entries_.end() && now - found->second.limit.namedAt >= minDuration;
@@ -43,6 +44,7 @@
     if ((ended && *ended >= namedAt) || isKnown) {
         return Change::None;
     }
+    heard_.insert(id);
     auto &entry = entries_[id];
     const auto before = entry.limit.maxRefusals;
     setRefusals(entry, maxRefusals);
@@ -77,6 +79,7 @@
 
 void UpstreamLimits::restart(const UpstreamId &id)
 {
+    heard_.erase(id);
     const auto found = entries_.find(id);
     if (found != entries_.end() && !found->second.limit.maxRefusals) {
         erase(found);
@@ -92,6 +95,7 @@
         erase(found);
     }
     endedAt_.erase(id);
+    heard_.erase(id);
 }
 
 std::optional<UpstreamLimits::Limit> UpstreamLimits::find(const UpstreamId &id) const
--- a/packages/serving/upstreamlimits.h
+++ b/packages/serving/upstreamlimits.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 #include <serving/model.h>
 
@@ -44,6 +45,8 @@
     void remove(const UpstreamId &id);           // it is gone
 
     [[nodiscard]] std::optional<Limit> find(const UpstreamId &id) const;
+    /// Whether an answer or a notice told of this run of the upstream, with a limit or without.
+    [[nodiscard]] bool isHeard(const UpstreamId &id) const { return heard_.contains(id); }
     [[nodiscard]] bool isRateLimited(const UpstreamId &id) const;
     /// When the last limit of the upstream ended; nothing: it had none.
     [[nodiscard]] std::optional<Instant> endedAt(const UpstreamId &id) const;
@@ -66,6 +69,7 @@
 
     std::map<UpstreamId, Entry> entries_;
     std::map<UpstreamId, Instant> endedAt_;
+    std::set<UpstreamId> heard_;
     std::size_t brittle_ = 0; // entries with maxRefusals
 };
 
