The soak makes replicas brittle, and frames of hosts that know of no brittle upstreams are read by a test

In the soak all replicas of a service are brittle for 4 to 8 s now and then (N = 0, 1 or 3), from a series of random numbers of its own, so that the other faults of kept seeds stay what they are; more than 2 + a tenth of falls fail the seed. The stand-in's record names its slots.

--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using namespace std::string_literals;
 
 constexpr core::Milliseconds longWait{10'000};
 
@@ -78,6 +79,27 @@
 
 } // namespace
 
+// Guards against hosts of an earlier version that can't ask for permits, or whose permits can't be read, during a release (issue 32, LIMIT).
+TEST(Frames, calls_for_permits_of_hosts_that_know_of_no_brittle_upstreams_are_read)
+{
+    const std::string older = "\x03"
+                              "\x82\x07\x82\x07\xa4\x68upstream\x63i-1\x69perSecond\xfb\x40\x04\x00\x00\x00\x00\x00\x00\x65"
+                              "ageMs\x18\x28\x69maxWaitMs\x00"s;
+    core::Error error;
+    const auto frame = decode(older, error);
+    ASSERT_TRUE(frame) << error.text();
+    const auto &call = std::get<SendCall>(std::get<Call>(*frame).body);
+    EXPECT_EQ(call.upstream, core::UpstreamId("i-1"));
+    EXPECT_EQ(call.perSecond, 2.5);
+    EXPECT_LT(call.maxRefusals, 0);
+    EXPECT_EQ(call.holdMs, 0);
+    EXPECT_TRUE(isLastReply(SendReply{true, true, 0}));
+    EXPECT_FALSE(isLastReply(SendReply{true, true, 0, true})) << "a permit that is held";
+    const auto notice = decode(encode(Notice{BrittleNotice{{{core::UpstreamId("i-1"), 3, 40}}}}), error);
+    ASSERT_TRUE(notice) << error.text();
+    EXPECT_EQ(std::get<1>(std::get<BrittleNotice>(std::get<Notice>(*notice).body).upstreams.at(0)), 3);
+}
+
 TEST(Frames, survive_encoding_and_decoding)
 {
     core::Error error;
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -257,7 +257,7 @@
 
     def register(self, state="ready"):
         models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}] if self.model else []
-        record = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": 8, "state": state}
+        record = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": self.slots, "state": state}
         self.store.put("keyed.servers", self.name, record | {"cold_remaining_ms": 0, "models": models, "sequence": self.sequence, "born": self.born})
 
     def handle(self, request):
--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -6,7 +6,7 @@
 replica that runs it and comes again and again; replicas refuse requests and write the refusals twice; another writer leaves odd entries
 among those of the replicas; configurations change; some hosts lose their links to all replicas. Callers keep their connections until they end, and take up broken streams.
 Checked from what callers and replicas see: answers are whole and the caller's own, nothing runs twice that must not, a refusal is true,
-orders of one holder at a time, no stream holds events of two software versions, a crashing request reaches few replicas once it is known, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
+orders of one holder at a time, no stream holds events of two software versions, a crashing request reaches few replicas once it is known, few brittle replicas fall over, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
 The time of day can't be set without privileges; nothing here depends on it but the numbers of runs, which only grow.
 Every seed that ever failed stands in faultseeds.txt with its cause and runs each time."""
 import argparse
@@ -380,6 +380,26 @@
         for host in hosts:
             host.mend(proxies)
 
+    def brittle_times(self):
+        """Now and then all replicas of a service say that they are brittle; they fall over when they refuse too many requests. Draws for itself,
+        so that the other faults of a seed stay what they are."""
+        chooser = random.Random("brittle-%d" % self.seed)
+        while not self.are_faults_over:
+            servers = list(chooser.choice([self.replicas, self.shops]))
+            refusals = chooser.choice([0, 1, 3])
+            seconds = chooser.uniform(4.0, 8.0)
+            self.note("%s are brittle (%d) for %.1f s" % (servers[0].service, refusals, seconds), [], 0)
+            for server in servers:
+                server.falls.clear()
+                server.become_brittle(refusals)
+            wait_until(lambda: self.are_faults_over, seconds)
+            for server in servers:
+                server.brittle = None
+            fallen = sum(len(server.falls) for server in servers)
+            if fallen > 2 + len(servers) / 10:
+                self.failures.append("%d falls of %d brittle replicas of %s" % (fallen, len(servers), servers[0].service))
+            wait_until(lambda: self.are_faults_over, chooser.uniform(1.0, 4.0))
+
     def release(self):
         old = self.random.choice(self.replicas)
         self.note("%s leaves, another comes" % old.name, [], 0)
@@ -469,6 +489,10 @@
             caller.start()
         links = threading.Thread(target=self.harm_links, daemon=True)
         links.start()
+
+
+        brittle = threading.Thread(target=self.brittle_times, daemon=True)
+        brittle.start()
         busy = {}
         end = time.monotonic() + self.seconds
         others = random.Random("others %d" % self.seed)  # of its own, so that the faults that a seed draws stay as they were
@@ -490,6 +514,7 @@
         for replica in self.replicas + self.shops:
             replica.refused_share, replica.repeats_refusals = 0.0, None
         self.are_faults_over = True
+        brittle.join()
         self.note("faults are over", None, 0)
         time.sleep(SETTLE_SECONDS)
         self.is_over = True
