A suspicion is decided when the upstream that it still tries leaves

Once all other witnesses had failed and the last one left the list before its connection did, nothing decided the suspicion any more. The test failed before.

--- a/packages/serving/reachability.cpp
+++ b/packages/serving/reachability.cpp
@@ -31,6 +31,8 @@
         endCut(now);
     } else if (witnesses_.empty() && state_ == State::Suspecting) {
         endSuspicion(now);
+    } else {
+        decide(now); // those that left may have been the last ones to try
     }
 }
 
@@ -70,10 +72,7 @@
     if (++failuresInRow_ >= 2) {
         reached_.clear();
     }
-    const bool haveAllFailed = std::all_of(witnesses_.begin(), witnesses_.end(), [this](const UpstreamId &each) { return hasFailed(each); });
-    if (state_ == State::Suspecting && haveAllFailed) {
-        beginCut(now);
-    }
+    decide(now);
 }
 
 void Reachability::onAnswer(const UpstreamId &id, Instant now)
@@ -171,7 +170,13 @@
     }
     lastProbeAt_.reset();
     enter(State::Suspecting, now);
-    if (std::all_of(witnesses_.begin(), witnesses_.end(), [this](const UpstreamId &each) { return hasFailed(each); })) {
+    decide(now);
+}
+
+void Reachability::decide(Instant now)
+{
+    const bool haveAllFailed = std::all_of(witnesses_.begin(), witnesses_.end(), [this](const UpstreamId &each) { return hasFailed(each); });
+    if (state_ == State::Suspecting && haveAllFailed) {
         beginCut(now);
     }
 }
--- a/packages/serving/reachability.h
+++ b/packages/serving/reachability.h
@@ -103,6 +103,7 @@
     [[nodiscard]] bool isSuspicious(int runningSends, Instant now) const;
     void beginSuspicion(Instant now);
     void endSuspicion(Instant now);
+    void decide(Instant now); // whether all witnesses have failed
     void beginCut(Instant now);
     void endCut(Instant now);
     void enter(State state, Instant now);
--- a/packages/serving/tests/reachabilitytest.cpp
+++ b/packages/serving/tests/reachabilitytest.cpp
@@ -325,6 +325,20 @@
     EXPECT_FALSE(world.host.isCutOff()) << "without upstreams there is nothing to relay to";
 }
 
+TEST(Reachability, a_suspicion_ends_though_the_upstream_that_it_still_tries_leaves)
+{
+    World world(2, 1);
+    world.network = Network::Hanging;
+    while (world.host.state() != Reachability::State::Suspecting || world.host.failing() < 2) {
+        world.tick();
+        ASSERT_LT(world.now, Instant(20'000));
+    }
+    auto left = world.upstreams;
+    std::erase_if(left, [&](const auto &each) { return world.pending.empty() || each.id == world.pending.begin()->second; });
+    world.host.setUpstreams(left, world.now);
+    EXPECT_TRUE(world.host.isCutOff());
+}
+
 TEST(Reachability, what_a_peer_says_of_itself_lasts_for_its_lifetime)
 {
     Reachability host;
