--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -41,6 +41,7 @@
 STREAM_LIMIT, PLAIN_LIMIT = 8.0, 2.0  # seconds; timeout_ms of the two routes
 STREAM_DEADLINE, PLAIN_DEADLINE = 6.0, 1.5
 CONTACT_SECONDS = 3.0  # after the third crash, until all hosts refuse the request
+ONLY_LINKS_EACH = 4  # seeds
 MIN_CUT_TRIES = 20  # first tries at hosts that are cut off, from which on their share is compared
 KNOWN_CRASHES, MOST_LATE_SENDS = 3, 3
 CRASHING_BODY = b"crash"
@@ -211,6 +212,7 @@
         self.taken_up = []  # (id of the stream's first request, id of a later one, its status)
         self.killed_all_at = []
         self.cuts = []  # (begin, end, names of the hosts that were cut off from all replicas)
+        self.tries_at_cut = [0, 0]  # first tries at such hosts from the time of contact on, served and all
         self.blackhole = Blackhole()
         self.crasher = None
         self.disturbed = {}  # host name -> list of [from, until]; None: every host
@@ -250,9 +252,9 @@
             self.disturbed.setdefault(host.name, []).append([now, now + seconds])
         return now
 
-    def is_calm(self, name, begin, end, besides=None):
-        """`besides`: begin of a cut that is left out of account."""
-        spans = [span for span in self.disturbed.get(name, []) if span[0] != besides]
+    def is_calm(self, name, begin, end, besides=()):
+        """`besides`: begins of disturbances that are left out of account."""
+        spans = [span for span in self.disturbed.get(name, []) if span[0] not in besides]
         return all(until + CALM_SECONDS < begin or start > end for start, until in spans)
 
     def kill(self, host, number):
@@ -502,6 +504,9 @@
             busy["other writer"] = threading.Thread(target=self.write_odd_entries, args=(others, end), daemon=True)
             busy["other writer"].start()
         while time.monotonic() < end:
+            if self.seed % ONLY_LINKS_EACH == 0:  # no other faults, so that the shares of hosts that are cut off can be compared
+                time.sleep(0.1)
+                continue
             fault, host = self.draw()
             if host.name in busy and busy[host.name].is_alive():
                 time.sleep(0.1)
@@ -588,13 +593,15 @@
 
     def check_cut(self, results, begin, end, names):
         """Callers of hosts that reach no replica are served at least two thirds as often at their first try as those of others, from the time of
-        contact on. Counted are hosts that only the cut disturbed, while all of both kinds are such."""
-        shares = []
+        contact on. Counted are tries at hosts that nothing but cuts disturbed."""
+        shares, begins = [], {each[0] for each in self.cuts} | {begin}
         for is_cut in (True, False):
             tries = [result for result in results if (result["host"] in names) == is_cut and begin + CONTACT_SECONDS <= result["begin"] and result["end"] <= end]
-            calm = [result for result in tries if self.is_calm(result["host"], begin, result["end"], besides=begin)]
+            calm = [result for result in tries if self.is_calm(result["host"], begin, result["end"], besides=begins)]
             shares.append((sum(result["status"] == 200 and bool(result.get("whole")) for result in calm), len(calm)))
         (served, tried), (others_served, others_tried) = shares
+        self.tries_at_cut[0] += served
+        self.tries_at_cut[1] += tried
         if min(tried, others_tried) >= MIN_CUT_TRIES and served / tried < 2 / 3 * others_served / others_tried:
             told = "%s reached no replica from %.2f s to %.2f s and served %d of %d, the others %d of %d"
             self.failures.append(told % (", ".join(names), begin - self.started, end - self.started, served, tried, others_served, others_tried))
@@ -673,6 +680,7 @@
     ends.update("%d to streams taken up" % status for _first, _again, status in world.taken_up)
     if world.crasher:
         ends["crashes by one request"] = sum(len(shop.crashed) for shop in world.shops)
+    ends.update({"%s first tries at hosts cut off" % name: count for name, count in zip(("served", "all"), world.tries_at_cut)})
     if world.failures and logs:
         path = pathlib.Path(logs) / ("seed-%d" % seed)
         path.mkdir(parents=True, exist_ok=True)
@@ -704,7 +712,7 @@
     assert len(world.failures) == len(forged) + 1, world.failures
     world.check_crashes([(float(n), str(n)) for n in range(10)])
     assert len(world.failures) == len(forged) + 2
-    before = len(world.failures)
+    before, world.tries_at_cut, world.cuts = len(world.failures), [0, 0], []
     tries = [good | {"host": host, "begin": 10.0 + n / 100, "end": 10.01 + n / 100, "status": 200 if n % 3 < most else 503} for host, most in (("a", 2), ("b", 3)) for n in range(90)]
     world.check_cut(tries, 6.0, 20.0, ["a"])
     assert len(world.failures) == before, world.failures
