A host that has just started and finds no owner refuses nothing: it waits a while for the first answer

When all hosts start together no upstream has an owner, so that would have refused requests to services that are not brittle. Found by reading. They now wait a quarter of that time and are sent.

New test: ForwarderTest.a_host_that_has_just_started_and_finds_no_owner_refuses_nothing (not run without the change).

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -698,11 +698,12 @@
         co_return isUsable;
     }
 
-    /// Nobody can tell this host, just started, whether the upstream is brittle: its first request there finds out, others wait for the answer.
+    /// Nobody can tell this host, just started, whether the upstream is brittle: its first request there finds out, others wait a while for the answer.
     net::Task<bool> awaitFirstAnswer(const ReplicaRecord &replica)
     {
         constexpr Milliseconds step{10};
-        const auto until = node_.now() + permitWait(true);
+        constexpr int waitDivisor = 2; // of the wait for a permit: where no owner answers, the service is mostly not brittle at all
+        const auto until = node_.now() + Milliseconds(permitWait(true).count() / waitDivisor);
         const auto isBusy = [&] { return node_.chooser.localOccupancy(replica.id).running > 0 && !node_.limits.isHeard(replica.id); };
         while (isBusy() && node_.now() < until && !isFinished()) {
             co_await net::sleep(node_.io, step);
@@ -710,11 +711,7 @@
         if (node_.sendLimit(replica)) {
             co_return co_await takeSendPermit(replica);
         }
-        if (isBusy()) {
-            refusalReason_ = "upstream_brittle";
-            retryAfter_ = untoldWait;
-        }
-        co_return !isBusy() && !isFinished() && node_.mayContact(replica.id);
+        co_return !isFinished() && node_.mayContact(replica.id);
     }
 
     [[nodiscard]] Milliseconds permitWait(bool isRate) const
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -472,6 +472,30 @@
     EXPECT_EQ(asked, 5) << "the others ask for places once the answer is there";
 }
 
+// Guards against refusals at the start of all hosts, when no upstream has an owner yet.
+TEST_F(ForwarderTest, a_host_that_has_just_started_and_finds_no_owner_refuses_nothing)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{.pieces = {completeResponse("x")}, .delay = Milliseconds(300)}}});
+    residency_.onUntold = [](const auto &) { return SendPermit{.isAnswered = false}; };
+    bool isFirstAnswered = false;
+    asio::co_spawn(
+        io_,
+        [this, &isFirstAnswered]() -> net::Task<void> {
+            tcp::socket socket(io_);
+            co_await socket.async_connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port), net::tuple);
+            const auto request = getRequest("a");
+            co_await asio::async_write(socket, asio::buffer(request), net::tuple);
+            std::string answer;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", net::tuple);
+            isFirstAnswered = answer.starts_with("HTTP/1.1 200");
+        },
+        asio::detached);
+    runFor(Milliseconds(30));
+    EXPECT_EQ(sendRequest(getRequest("b"), "\r\n\r\nx").status(), 200);
+    EXPECT_TRUE(isFirstAnswered);
+    EXPECT_EQ(requestCount(), 2U);
+}
+
 // Guards against refusals of which the owner of a brittle upstream hears nothing (issue 32, LIMIT).
 TEST_F(ForwarderTest, a_refusal_for_want_of_room_is_told_to_the_owner_of_a_brittle_upstream)
 {
