Orders and reports keep their connections unless one brought a refusal

OwnedReplicaTest.a_refusal_of_an_order_that_is_written_again_answers_no_other_call passes as it did with a connection for each call. The cost was not measured.

--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -147,7 +147,7 @@
     core::Milliseconds timeout{30'000};          // whole call; for a stream: longest silence
     std::size_t maxBodyBytes = 64 * 1024 * 1024; // over it the call fails; for a stream: of any other answer than 200
     bool freshConnection = false;                // for what may not run twice: a reused connection may close under the call, outcome unknown
-    bool ownConnection = false;                  // a fresh one that is closed after the answer: for servers that may write an answer twice
+    bool closesAfterRefusal = false;             // after a status of 400 or more: for servers that may write a refusal once more
 };
 
 /// Calls servers by address; keeps idle connections for reuse. Errors: step Connect (nothing was sent, outcome NotRun),
--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t maxHeadBytes = 16 * 1024;
 constexpr std::size_t maxUnparsedBytes = 128 * 1024; // of an answer; the framing of one chunk and a trailer have to fit
 constexpr int minFinalStatus = 200;
+constexpr int minRefusal = 400;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
 using Deadline = std::chrono::steady_clock::time_point;
@@ -152,7 +153,7 @@
 Task<Stream> HttpClient::State::sendRequest(Address address, HttpRequest request, CallOptions options, Deadline deadline, core::Error &why)
 {
     const std::string text = requestText(address, request);
-    Stream stream = options.freshConnection || options.ownConnection ? nullptr : takeIdle(address);
+    Stream stream = options.freshConnection ? nullptr : takeIdle(address);
     const bool isReused = stream != nullptr;
     if (!stream) {
         stream = co_await connect(address, options, why);
@@ -210,7 +211,7 @@
     }
     HttpResponse response = headOf(parser.get());
     response.body = std::move(parser.get().body());
-    if (parser.get().keep_alive() && !options.ownConnection) {
+    if (parser.get().keep_alive() && !(options.closesAfterRefusal && response.status >= minRefusal)) {
         state->putIdle(address, std::move(stream));
     }
     co_return response;
@@ -264,7 +265,7 @@
             co_return response;
         }
     }
-    if (parser.get().keep_alive() && !options.ownConnection) {
+    if (parser.get().keep_alive() && !(options.closesAfterRefusal && response.status >= minRefusal)) {
         state->putIdle(address, std::move(stream));
     }
     co_return response;
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -14,8 +14,7 @@
 
 constexpr Milliseconds orderTimeout{150}; // orders are usually answered within 1 to 9 ms; an unanswered one may still be executed
 constexpr Milliseconds reportTimeout{800};
-// Answers to orders and reports name no call, so each call has a connection of its own: on a kept one, an answer that the replica writes once
-// more would be taken for the next call's.
+// Answers to orders and reports name no call, so a connection that brought a refusal is closed: a copy of it would be taken for the next answer.
 constexpr std::size_t maxOrderAnswerBytes = 64 * 1024;
 constexpr std::size_t maxReportBytes = 1024 * 1024; // some hundred adapters and as many running requests
 constexpr Milliseconds lateCheckInterval{250};      // between checks whether a late request can still be served before its deadline
@@ -236,7 +235,7 @@
     net::CallOptions options;
     options.timeout = reportTimeout;
     options.maxBodyBytes = maxReportBytes;
-    options.ownConnection = true;
+    options.closesAfterRefusal = true;
     const auto target = record_;
     const auto answer = co_await httpClient_.call(target.address, node_.codec.reportRequest(target.id), options, why);
     const auto report = answer ? node_.codec.readReport(*answer, why) : std::nullopt;
@@ -284,7 +283,7 @@
     net::CallOptions options;
     options.timeout = orderTimeout;
     options.maxBodyBytes = maxOrderAnswerBytes;
-    options.ownConnection = true;
+    options.closesAfterRefusal = true;
     const auto target = record_;
     const auto sentAt = node_.now();
     const auto answer = co_await httpClient_.call(target.address, node_.codec.orderRequest(target.id, order, node_.settings.host, epoch_), options, why);
