A stream of which the caller has part goes on through a peer, and a peer declines what it can't send

A stream whose connection broke with the cut of its host ended, though a peer could go on after its last event. The call now names the last event and the version, and the peer answers without a head. A request that waits while the cut is noticed goes to a peer instead of trying further upstreams, and a host that sends for another tries two upstreams at most while no connection opens: it may be cut off as well. A peer that knows no route or no upstream of the request declines it, which leaves the request to another host.

Tests: RelayExchangeTest.a_stream_that_began_before_the_cut_goes_on_through_a_peer, a_stream_that_no_peer_can_go_on_with_is_reset, a_peer_without_the_route_declines, a_silent_peer_leaves_the_outcome_of_what_may_run_once_unknown, a_silent_peer_costs_what_may_be_repeated_a_part_of_its_time, the_limit_of_an_upstream_binds_the_host_that_sends.

--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -163,6 +163,9 @@
     std::vector<core::UpstreamId> sentTo; // by the calling host
     int sends = 0;                        // the same, with repeats
     bool mayHaveRun = false;              // on one of them, or through another host
+    bool hasBegun = false;                // the caller has part of the stream; what follows goes on after it, without a head
+    std::int64_t lastEventId = -1;        // of this part; negative: none
+    std::string version;                  // software version of this part
 };
 
 using CallBody
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -34,6 +34,7 @@
 constexpr Milliseconds refusalBodyTimeout{100};            // the same
 constexpr int minFinalStatus = 200;
 constexpr int maxChoices = 8;                      // upstream choices for one request, whether or not it is sent
+constexpr int maxRelayedChoices = 2;               // the same of a request of another host, while no connection opens: this host may be cut off as well
 constexpr int maxWeightsMisses = 2;                // after more responses that the upstream lacks weights reported as held, its owner counts as wrong
 constexpr int maxForeignResponses = 2;             // responses to other requests that are discarded before the connection counts as out of sync
 constexpr Milliseconds refusalTimeout{1'000};      // for a request without a route; needed only when the caller does not read
@@ -102,7 +103,7 @@
             cancelSend();
         });
         watchdog_.arm(deadline_, [this] { onDeadline(); });
-        const bool isRelayed = mayRelay() && node_.relays->isNeeded() && co_await relay(RelaySource::maxPeers);
+        const bool isRelayed = isCutNoticed() && co_await relay(RelaySource::maxPeers);
         if (!isRelayed && co_await findStreamVersion()) {
             co_await runAttempts();
         }
@@ -135,6 +136,12 @@
             co_return false;
         }
         route_ = routes_->find(request_.host, request_.target);
+        if (route_ == nullptr && request_.relayedFrom != nullptr) { // this host's configuration is another one
+            request_.relayedFrom->isDeclined = true;
+            reason_ = "no_route";
+            logRequest();
+            co_return false;
+        }
         if (route_ == nullptr) {
             co_await refuse(404, "no_route", std::nullopt);
             logRequest();
@@ -155,6 +162,13 @@
             mayHaveRun_ = request_.relayedFrom->mayHaveRun;
             sendsBefore_ = request_.relayedFrom->sends;
         }
+        if (request_.relayedFrom != nullptr && request_.relayedFrom->hasBegun) {
+            hasResponseBegun_ = true;
+            lastEventId_ = request_.relayedFrom->lastEventId;
+            version_ = request_.relayedFrom->version;
+            lastWrite_ = node_.now();
+            status_ = 200;
+        }
         co_return true;
     }
 
@@ -174,7 +188,7 @@
     net::Task<bool> findStreamVersion()
     {
         isTakenUp_ = isResumable() && (lastEventId_ || !metadata_.resumes.empty());
-        if (!isTakenUp_) {
+        if (!isTakenUp_ || hasResponseBegun_) {
             co_return true;
         }
         if (!metadata_.resumes.empty()) {
@@ -404,6 +418,9 @@
             node_.addDemand(metadata_.weights.model);
         }
         for (int choice = 0; choice < maxChoices && !isFinished() && isAdmitted(); ++choice) {
+            if (isCutNoticed() || (request_.relayedFrom != nullptr && isUnconnected_ && sends_ == 0 && choice >= maxRelayedChoices)) {
+                break;
+            }
             const auto *record = chooseUpstream();
             if (record == nullptr) {
                 break;
@@ -423,7 +440,11 @@
                 break;
             }
         }
-        if (isConnectionLost() && mayRelay() && node_.retryBudgetFor(*service_).spend(1, node_.now()) && co_await relay(1)) {
+        if (isCutNoticed()) {
+            if (co_await relay(RelaySource::maxPeers)) {
+                co_return;
+            }
+        } else if (isConnectionLost() && mayRelay() && node_.retryBudgetFor(*service_).spend(1, node_.now()) && co_await relay(1)) {
             co_return;
         }
         co_await fail();
@@ -434,10 +455,12 @@
     [[nodiscard]] bool mayRelay()
     {
         const bool mayRepeat = (!mayHaveRun_ || route_->retryPolicy != RetryPolicy::AtMostOnce) && !isSuspect();
-        return node_.relays != nullptr && request_.relayedFrom == nullptr && !hasResponseBegun_ && mayRepeat && !isFinal_ && !isFinished()
-            && static_cast<int>(sentTo_.size()) < route_->maxUpstreams;
+        return node_.relays != nullptr && request_.relayedFrom == nullptr && (!hasResponseBegun_ || isResumable()) && !isRelayTried_ && mayRepeat && !isFinal_
+            && !isFinished() && static_cast<int>(sentTo_.size()) < route_->maxUpstreams;
     }
 
+    [[nodiscard]] bool isCutNoticed() { return mayRelay() && node_.relays->isNeeded(); }
+
     /// The last attempt failed in a way that tells of this host's own connections, perhaps.
     [[nodiscard]] bool isConnectionLost() const
     {
@@ -448,6 +471,7 @@
     /// Returns false when no peer took the request, so that this host may send it.
     net::Task<bool> relay(int maxPeers)
     {
+        const bool mayHaveRunBefore = mayHaveRun_;
         RelayTask task;
         task.deadline = deadline_;
         task.mayRepeat = route_->retryPolicy != RetryPolicy::AtMostOnce;
@@ -455,6 +479,11 @@
         task.sentTo = sentTo_;
         task.sends = sends_;
         task.mayHaveRun = mayHaveRun_;
+        task.hasBegun = hasResponseBegun_;
+        task.lastEventId = hasResponseBegun_ ? lastEventId_ : std::nullopt;
+        task.version = hasResponseBegun_ ? version_ : std::nullopt;
+        task.status = status_;
+        isRelayTried_ = true;
         relayTask_ = &task;
         co_await node_.relays->relay(caller_, request_, task);
         relayTask_ = nullptr;
@@ -462,12 +491,13 @@
         mayHaveRun_ = task.mayHaveRun;
         hasResponseBegun_ = task.hasBegun;
         status_ = task.isAnswered || task.hasBegun ? task.status : 0;
-        firstEvent_ = task.firstBytes;
+        firstEvent_ = firstEvent_ ? firstEvent_ : task.firstBytes;
         if (task.isAnswered) {
             reason_ = "relayed";
             co_return true;
         }
-        if (!task.isTooLarge && !task.mayHaveRun && !task.hasBegun && !isFinished()) {
+        const bool isUntouched = !task.hasPassedOn && !isFinished() && mayHaveRun_ == mayHaveRunBefore;
+        if (!task.isTooLarge && isUntouched) {
             co_return false;
         }
         if (isDisconnected_) {
@@ -1244,6 +1274,12 @@
 
     net::Task<void> fail()
     {
+        const bool isUnknownHere = refusalReason_ == std::string_view("no_upstream");
+        if (request_.relayedFrom != nullptr && sends_ == 0 && (isUnconnected_ || isUnknownHere) && !isDisconnected_) {
+            request_.relayedFrom->isDeclined = true;
+            reason_ = refusalReason_;
+            co_return;
+        }
         if (reason_ == "caller_gone" || status_ != 0) {
             if (hasResponseBegun_ && reason_ != "caller_gone") {
                 caller_.abort();
@@ -1256,11 +1292,6 @@
             finishDisconnected();
             co_return;
         }
-        if (request_.relayedFrom != nullptr && sends_ == 0 && isUnconnected_) {
-            request_.relayedFrom->isUnreached = true;
-            reason_ = "no_connection";
-            co_return;
-        }
         const bool isDeadlinePassed = timeLeft() < minSendTime;
         if (const auto pause = shortestPause(); pause && !isDeadlinePassed) {
             refusalReason_ = "upstreams_pausing";
@@ -1449,6 +1480,7 @@
     RelayTask *relayTask_ = nullptr; // while a peer has the request
     HostId relayedBy_;               // the peer that was asked last
     bool isUnconnected_ = false;     // a connection to an upstream could not be opened
+    bool isRelayTried_ = false;      // by this host
     int sendsBefore_ = 0;            // by the host that relays the request through this one
     int cuts_ = 0;                   // sends that their upstream broke off
     int prefillMs_ = 0;              // of the current send, until its first event
--- a/packages/serving/relay.h
+++ b/packages/serving/relay.h
@@ -27,9 +27,13 @@
     std::vector<UpstreamId> sentTo; // by this host
     int sends = 0;                  // the same, with repeats
 
+    std::optional<std::uint64_t> lastEventId; // of a stream of which the caller has part
+    std::optional<SoftwareVersion> version;   // the same
+
     bool mayHaveRun = false;                // on one of them, or through a peer
     bool isAnswered = false;                // the caller has got a whole answer
     bool hasBegun = false;                  // the caller has got part of one
+    bool hasPassedOn = false;               // the same, from a peer
     bool isTooLarge = false;                // for a link
     int status = 0;                         // of the answer
     HostId host;                            // asked last
@@ -59,7 +63,10 @@
     std::vector<UpstreamId> sentTo;
     int sends = 0;
     bool mayHaveRun = false;
-    bool isUnreached = false; // set by the forwarder: no connection was opened, so nothing was sent and nothing written to the caller
+    bool hasBegun = false; // the caller has part of the stream
+    std::optional<std::uint64_t> lastEventId;
+    std::optional<SoftwareVersion> version;
+    bool isDeclined = false; // set by the forwarder: nothing was sent and nothing written to the caller; another host may be able to
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -18,10 +18,11 @@
 class RelayedCaller final : public CallerConnection
 {
 public:
-    RelayedCaller(asio::io_context &io, std::shared_ptr<peers::IncomingCall> call, RelayGate &gate)
+    RelayedCaller(asio::io_context &io, std::shared_ptr<peers::IncomingCall> call, RelayGate &gate, bool hasHead)
         : call_(std::move(call))
         , gate_(gate)
         , signal_(io)
+        , hasHead_(hasHead)
     { }
     ~RelayedCaller() override { gate_.removeBytes(unread_); }
     RelayedCaller(const RelayedCaller &) = delete;
@@ -105,7 +106,7 @@
     asio::steady_timer signal_;
     std::function<void()> onDisconnect_;
     std::size_t unread_ = 0; // bytes that the first host has not passed on yet
-    bool hasHead_ = false;
+    bool hasHead_;           // the first host has it
     bool isAborted_ = false;
 };
 
@@ -191,7 +192,10 @@
                              (node_.now() - request.arrivedAt).count(),
                              task.sentTo,
                              task.sends,
-                             task.mayHaveRun};
+                             task.mayHaveRun,
+                             task.hasBegun,
+                             task.lastEventId ? static_cast<std::int64_t>(*task.lastEventId) : -1,
+                             task.version ? task.version->value() : std::string()};
     for (const auto &[name, value] : request.headers) {
         message.fields.emplace_back(name, value);
     }
@@ -210,13 +214,18 @@
 RelayExchange::passOn(peers::OutgoingCall &call, const HostId &host, std::uint64_t id, CallerConnection &caller, RelayTask &task, Instant arrivedAt)
 {
     std::optional<peers::RelayHeadReply> head;
+    const bool isContinued = task.hasBegun;
     std::string held; // of the answer, until the caller may get it
     ResponseBudget::Share share(node_.responseBudget);
     bool isAccepted = false;
     while (true) {
         Error why;
         const auto left = std::max(Milliseconds(0), task.deadline - node_.now());
-        auto reply = co_await call.next(std::min(left, isAccepted ? livenessInterval : acceptTimeout), why);
+        const auto until = node_.now() + std::min(left, isAccepted ? livenessInterval : acceptTimeout);
+        auto reply = co_await call.next(until - node_.now(), why);
+        if (!reply && !call.isFinished() && node_.now() - until > maxLateWait && node_.now() < task.deadline) {
+            continue; // this host stood still, so the reply may be there unread
+        }
         if (!reply && !call.isFinished() && isAccepted && node_.now() < task.deadline && peers_.isLive(host)) {
             continue;
         }
@@ -232,7 +241,7 @@
                 peers_.onLost(host, node_.now());
             }
             call.cancel();
-            co_return !task.hasBegun && (!task.mayHaveRun || task.mayRepeat);
+            co_return !task.hasPassedOn && (!task.mayHaveRun || task.mayRepeat);
         }
         if (std::holds_alternative<peers::StartedReply>(*reply)) {
             isAccepted = true;
@@ -240,7 +249,7 @@
             head = std::move(*answerHead);
             task.firstBytes = node_.now() - arrivedAt;
             held = headOf(*head, caller.closesAfterResponse());
-        } else if (auto *data = std::get_if<peers::DataReply>(&*reply); data != nullptr && head) {
+        } else if (auto *data = std::get_if<peers::DataReply>(&*reply); data != nullptr && (head || isContinued)) {
             const auto size = data->data.size();
             held.append(data->data);
             if (!share.resize(held.size())) {
@@ -249,9 +258,9 @@
                 call.cancel();
                 co_return false;
             }
-            if (isChunked(*head)) {
-                task.status = head->status;
-                task.hasBegun = true;
+            if (isContinued || isChunked(*head)) {
+                task.status = head ? head->status : task.status;
+                task.hasBegun = task.hasPassedOn = true;
                 if (!co_await caller.write(std::exchange(held, {}))) {
                     call.cancel();
                     task.reason = "caller_gone";
@@ -259,8 +268,8 @@
                 }
             }
             links_->notify(host, {peers::RelayCreditNotice{id, static_cast<std::int64_t>(size)}});
-        } else if (std::holds_alternative<peers::EndReply>(*reply) && head) {
-            task.status = head->status;
+        } else if (std::holds_alternative<peers::EndReply>(*reply) && (head || isContinued)) {
+            task.status = head ? head->status : task.status;
             task.isAnswered = true;
             if (!held.empty()) {
                 co_await caller.write(std::move(held));
@@ -268,7 +277,7 @@
             co_return false;
         } else {
             const auto *refusal = std::get_if<peers::ErrorReply>(&*reply);
-            const bool isNotRun = refusal != nullptr && refusal->error.outcome == Outcome::NotRun && !head;
+            const bool isNotRun = refusal != nullptr && refusal->error.outcome == Outcome::NotRun && !head && !task.hasPassedOn;
             task.mayHaveRun = task.mayHaveRun || !isNotRun;
             task.reason = isNotRun ? "relay_refused" : "relay_cut";
             task.detail = refusal != nullptr ? refusal->error.reason : "unexpected reply";
@@ -277,7 +286,7 @@
                 peers_.onRefused(host, refusal->error.retryAfter, node_.now());
             }
             call.cancel();
-            co_return !task.hasBegun && (!task.mayHaveRun || task.mayRepeat);
+            co_return !task.hasPassedOn && (!task.mayHaveRun || task.mayRepeat);
         }
     }
 }
@@ -332,13 +341,24 @@
         co_return;
     }
     call->send(peers::StartedReply{});
-    const auto caller = std::make_shared<RelayedCaller>(node_.io, call, gate_);
+    const auto caller = std::make_shared<RelayedCaller>(node_.io, call, gate_, message.hasBegun);
     call->onCancel([weak = std::weak_ptr(caller)] {
         if (const auto relayed = weak.lock()) {
             relayed->onCancelled();
         }
     });
-    RelayedFrom from{call->from(), message.sentTo, message.sends, message.mayHaveRun};
+    RelayedFrom from;
+    from.host = call->from();
+    from.sentTo = message.sentTo;
+    from.sends = message.sends;
+    from.mayHaveRun = message.mayHaveRun;
+    from.hasBegun = message.hasBegun;
+    if (message.lastEventId >= 0) {
+        from.lastEventId = static_cast<std::uint64_t>(message.lastEventId);
+    }
+    if (!message.version.empty()) {
+        from.version = SoftwareVersion(message.version);
+    }
     CallerRequest request;
     request.method = message.method;
     request.target = message.target;
@@ -354,8 +374,8 @@
         co_await forwarder_.handle(*caller, request);
         caller->onDisconnect(nullptr);
     }
-    if (from.isUnreached) {
-        refuse("no_connection", cutOffRetryAfter);
+    if (from.isDeclined) {
+        refuse("declined", cutOffRetryAfter);
     } else if (caller->isWhole()) {
         node_.metrics.relays.add({"sender", "answered"});
         call->send(peers::EndReply{});
--- a/packages/serving/tests/relayexchangetest.cpp
+++ b/packages/serving/tests/relayexchangetest.cpp
@@ -11,11 +11,11 @@
 protected:
     RelayExchangeTest()
         : exchange_(node_, forwarder_, {.isCutOff = [this] { return isSenderCutOff_; }, .reaches = [](const HostId &) { return true; }})
-        , links_(io_, self("entry-1"), "key", handlersOf(exchange_))
+        , links_(io_, self("entry-1"), "key", handlersOf(exchange_, isSilent_))
         , cutNode_(io_, settingsOf("cut"), codec_, log())
         , cutForwarder_(cutNode_)
         , cutExchange_(cutNode_, cutForwarder_, {.isCutOff = [this] { return isCutOff_; }, .reaches = [this](const HostId &) { return reachesPeer_; }})
-        , cutLinks_(io_, self("cut"), "key", handlersOf(cutExchange_))
+        , cutLinks_(io_, self("cut"), "key", handlersOf(cutExchange_, isCutSilent_))
         , cutServer_(io_,
                      {.limits = [this] { return cutNode_.routes->limits(); }, .onInvalidRequest = [](int, std::string_view) {}},
                      [this](CallerConnection &caller, CallerRequest &request) { return cutForwarder_.handle(caller, request); })
@@ -55,10 +55,14 @@
         return own;
     }
     static peers::Links::Self self(const std::string &host) { return {HostId(host), core::Incarnation(1), core::RegionId("r")}; }
-    static peers::LinkHandlers handlersOf(RelayExchange &exchange)
+    static peers::LinkHandlers handlersOf(RelayExchange &exchange, const bool &isSilent)
     {
         peers::LinkHandlers handlers;
-        handlers.onCall = [&exchange](std::shared_ptr<peers::IncomingCall> call) { return exchange.serve(std::move(call)); };
+        handlers.onCall = [&exchange, &isSilent](std::shared_ptr<peers::IncomingCall> call) -> net::Task<void> {
+            if (!isSilent) {
+                co_await exchange.serve(std::move(call));
+            }
+        };
         handlers.onNotice = [&exchange](const HostId &from, const peers::Notice &notice) {
             if (const auto *credit = std::get_if<peers::RelayCreditNotice>(&notice.body)) {
                 exchange.onCredit(from, *credit);
@@ -70,6 +74,8 @@
     bool isCutOff_ = true;
     bool isSenderCutOff_ = false;
     bool reachesPeer_ = true;
+    bool isSilent_ = false; // the sender takes calls and says nothing
+    const bool isCutSilent_ = false;
     RelayExchange exchange_;
     peers::Links links_;
     Node cutNode_;
@@ -109,6 +115,7 @@
     const auto response = sendRequest(getRequest("q1", "Deadline: 900\r\n") + getRequest("q2"), "two");
     EXPECT_TRUE(response.contains("one"));
     EXPECT_TRUE(response.contains("two"));
+    ASSERT_EQ(requestCount(), 2U);
     const auto &head = upstream(1).requests[0].head;
     const int left = std::stoi(head.substr(head.find("Left: ") + 6));
     EXPECT_LE(left, 900);
@@ -235,6 +242,81 @@
     EXPECT_EQ(requestCount(), 2U);
 }
 
+// Guards against a request that runs at a second peer though a silent one may have it.
+TEST_F(RelayExchangeTest, a_silent_peer_leaves_the_outcome_of_what_may_run_once_unknown)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("never")}}}});
+    isSilent_ = true;
+    const auto begin = node_.now();
+    EXPECT_EQ(sendRequest(postRequest("q1", "x", "Deadline: 600\r\n"), "\r\n\r\n").status(), 504);
+    EXPECT_GE(node_.now() - begin, Milliseconds(550));
+}
+
+TEST_F(RelayExchangeTest, a_silent_peer_costs_what_may_be_repeated_a_part_of_its_time)
+{
+    setUp(route(RetryPolicy::Idempotent, false, 2), {{{{completeResponse("never")}}}});
+    isSilent_ = true;
+    const auto begin = node_.now();
+    EXPECT_EQ(sendRequest(getRequest("q1"), "\r\n\r\n").status(), 502);
+    EXPECT_LT(node_.now() - begin, RelayExchange::acceptTimeout + Milliseconds(400));
+}
+
+TEST_F(RelayExchangeTest, the_limit_of_an_upstream_binds_the_host_that_sends)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLimit: 2.5\r\nContent-Length: 4\r\n\r\nbody"}}}});
+    residency_.onSendPermit = [](const auto &...) { return SendPermit{.isGranted = false, .wait = Milliseconds(700)}; };
+    EXPECT_EQ(sendRequest(postRequest("q1", "x"), "body").status(), 200);
+    EXPECT_TRUE(node_.limits.find(UpstreamId("r1")));
+    EXPECT_FALSE(cutNode_.limits.find(UpstreamId("r1")));
+    const auto refused = sendRequest(postRequest("q2", "x"), "\r\n\r\n");
+    EXPECT_EQ(refused.status(), 503);
+    EXPECT_TRUE(refused.contains("Retry-After: 0.")) << refused.bytes;
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+// Guards against streams that end because their host lost its links to the upstreams, though a peer could go on with them.
+TEST_F(RelayExchangeTest, a_stream_that_began_before_the_cut_goes_on_through_a_peer)
+{
+    isCutOff_ = false;
+    setUp(route(RetryPolicy::Resumable, true, 3),
+          {{{{streamHead() + chunk(event(1)), chunk(event(2))}, false, true, Milliseconds(100)}},
+           {{{streamHead() + chunk(event(3)), chunk(event(4)) + finalChunk}}}});
+    cutNode_.replicas = node_.replicas;
+    asio::steady_timer timer(io_, std::chrono::milliseconds(150));
+    timer.async_wait([this](boost::system::error_code) { isCutOff_ = true; });
+    const auto response = sendRequest(getRequest("q1"), finalChunk);
+    EXPECT_TRUE(response.bytes.ends_with(chunk(event(1)) + chunk(event(2)) + chunk(event(3)) + chunk(event(4)) + finalChunk)) << response.bytes;
+    ASSERT_EQ(upstream(2).requests.size(), 1U);
+    EXPECT_TRUE(upstream(2).requests[0].hasLine("Last: 2"));
+}
+
+TEST_F(RelayExchangeTest, a_stream_that_no_peer_can_go_on_with_is_reset)
+{
+    isCutOff_ = false;
+    setUp(route(RetryPolicy::Resumable, true, 3), {{{{streamHead() + chunk(event(1)), chunk(event(2))}, false, true, Milliseconds(100)}}});
+    cutNode_.replicas = node_.replicas;
+    asio::steady_timer timer(io_, std::chrono::milliseconds(150));
+    timer.async_wait([this](boost::system::error_code) { isCutOff_ = true; });
+    const auto response = sendRequest(getRequest("q1"));
+    EXPECT_TRUE(response.isClosed);
+    EXPECT_TRUE(response.bytes.ends_with(chunk(event(2)))) << response.bytes;
+}
+
+TEST_F(RelayExchangeTest, a_peer_without_the_route_declines)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("never")}}}});
+    auto other = route(RetryPolicy::AtMostOnce, false, 2);
+    other.host = "other";
+    other.pathPrefix = "/";
+    other.services = {{ServiceName("s"), 1}};
+    Configuration configuration;
+    configuration.version = ConfigVersion(2);
+    configuration.routes = {other};
+    node_.routes = std::make_shared<const RouteTable>(configuration);
+    EXPECT_EQ(sendRequest(postRequest("q1", "x"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(requestCount(), 0U);
+}
+
 // Guards against a caller that does not read and fills the memory of two hosts.
 TEST_F(RelayExchangeTest, a_caller_that_does_not_read_holds_a_window_of_the_answer_only)
 {
