--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -378,7 +378,7 @@
             return nullptr; // keep the reason from waiting for the weights
         }
         if (all.empty()) {
-            refusalReason_ = placesAskedFor_ > 0 && sends_ == 0 ? "upstream_brittle" : noCandidateReason();
+            refusalReason_ = placesAskedFor_ > 0 && sends_ == 0 && !isUnconnected_ ? "upstream_brittle" : noCandidateReason();
             return nullptr;
         }
         if (announcedVersion_) { // other hosts know it already
