A host whose request a peer sends no longer takes its own record of the stream for certain

Taken up at the first host, it went on at the first version: a host's own record ends the search at once. Two peers that were asked one after the other counted their sends alike, so either could hold. Change: the first host hands the stream over before a peer is asked, so that the records of other hosts decide, and sends are counted apart for each peer. Test: StreamRecords.a_stream_that_another_host_may_begin_is_not_certain. The whole way, with directories of two hosts, has no test.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -485,8 +485,12 @@
         task.status = status_;
         isRelayTried_ = true;
         relayTask_ = &task;
+        if (announcedVersion_ && !hasResponseBegun_) {
+            node_.streams->handOver(metadata_.id);
+        }
         co_await node_.relays->relay(caller_, request_, task);
         relayTask_ = nullptr;
+        sendsBefore_ += task.sends - sends_;
         relayedBy_ = task.host;
         mayHaveRun_ = task.mayHaveRun;
         hasResponseBegun_ = task.hasBegun;
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -129,6 +129,8 @@
     virtual ~StreamDirectory() = default;
     /// A stream of this host is about to begin; it may be taken up at any host until `until`.
     virtual void announce(const RequestId &id, const StreamOrigin &origin, Instant until) = 0;
+    /// Another host sends the request from now on, so the stream may begin elsewhere than announced.
+    virtual void handOver(const RequestId &id) = 0;
     /// Without an origin: no host that can be reached within `patience` knows the stream.
     virtual net::Task<FoundStream> find(RequestId id, Milliseconds patience) = 0;
 };
--- a/packages/serving/relay.h
+++ b/packages/serving/relay.h
@@ -21,11 +21,14 @@
 struct CallerRequest;
 
 struct RelayTask {
+    /// More than one host sends a request, so that the sends of two peers are never counted alike.
+    static constexpr int sendsOfPeer = 64;
+
     Instant deadline;
     bool mayRepeat = false;         // even when it may have run
     int maxPeers = 0;               // that are asked
     std::vector<UpstreamId> sentTo; // by this host
-    int sends = 0;                  // the same, with repeats
+    int sends = 0;                  // the same, with repeats; grows by sendsOfPeer with each peer that was asked
 
     std::optional<std::uint64_t> lastEventId; // of a stream of which the caller has part
     std::optional<SoftwareVersion> version;   // the same
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -172,7 +172,9 @@
             break;
         }
         tried.push_back(*host);
-        if (!co_await askPeer(*host, caller, request, task)) {
+        const bool mayContinue = co_await askPeer(*host, caller, request, task);
+        task.sends += RelayTask::sendsOfPeer;
+        if (!mayContinue) {
             break;
         }
     }
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -27,6 +27,7 @@
 
     void setLinks(peers::Links &links) { links_ = &links; }
     void announce(const RequestId &id, const StreamOrigin &origin, Instant until) override;
+    void handOver(const RequestId &id) override { records_.handOver(id); }
     net::Task<FoundStream> find(RequestId id, Milliseconds patience) override;
     /// Tells the streams that began while their service had one version, once it has several.
     void tick();
--- a/packages/serving/streamrecords.cpp
+++ b/packages/serving/streamrecords.cpp
@@ -19,6 +19,13 @@
     record.isOwn = true;
 }
 
+void StreamRecords::handOver(const RequestId &id)
+{
+    if (const auto record = records_.find(id); record != records_.end()) {
+        record->second.isOwn = false;
+    }
+}
+
 std::vector<HostId> StreamRecords::toTell(const RequestId &id, const std::function<bool(const HostId &)> &isLinked) const
 {
     const auto hosts = keepers(id, keptHosts);
--- a/packages/serving/streamrecords.h
+++ b/packages/serving/streamrecords.h
@@ -69,6 +69,8 @@
 
     /// Holds the origin of a stream that this host begins. `isShared`: the caller tells the hosts of toTell() now.
     void announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now);
+    /// Another host may begin the stream instead, at another version: other hosts that hold a record of it decide.
+    void handOver(const RequestId &id);
     [[nodiscard]] std::vector<HostId> toTell(const RequestId &id, const std::function<bool(const HostId &)> &isLinked) const;
     void hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now);
     /// Streams of the service that this host began and told nobody of; the caller tells `toTell()`.
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -169,12 +169,14 @@
 {
 public:
     void announce(const RequestId &id, const StreamOrigin &origin, Instant) override { origins[id] = origin; }
+    void handOver(const RequestId &id) override { handedOver.push_back(id); }
     net::Task<FoundStream> find(RequestId id, Milliseconds /*patience*/) override
     {
         co_return origins.contains(id) ? FoundStream{.origin = origins.at(id), .source = OriginSource::Told} : FoundStream();
     }
 
     std::map<RequestId, StreamOrigin> origins;
+    std::vector<RequestId> handedOver;
 };
 
 /// A request as an upstream received it.
--- a/packages/serving/tests/streamrecordstest.cpp
+++ b/packages/serving/tests/streamrecordstest.cpp
@@ -467,6 +467,18 @@
 }
 
 // Guards against streams that began just before their service had a second version.
+// A relayed stream went on at the version of the host that had tried it first: that host took its own record for certain, though a peer began the stream.
+TEST(StreamRecords, a_stream_that_another_host_may_begin_is_not_certain)
+{
+    HostGroups groups;
+    StreamRecords records(HostId("e1"), groups);
+    const RequestId id("q1");
+    records.announce(id, {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("llm"), 1, 1}, Instant(10'000), true, Instant(0));
+    EXPECT_EQ(records.lookUp(id, Instant(10)).source, OriginSource::Own);
+    records.handOver(id);
+    EXPECT_EQ(records.lookUp(id, Instant(10)).source, OriginSource::Told);
+}
+
 TEST(StreamRecords, what_was_told_to_nobody_is_told_once_when_it_matters)
 {
     HostGroups groups;
