Each new connection proves which run of the upstream it leads to before it carries a stream

Cause: a replica starts again under its id at another version, its record comes seconds later, and a host that had no connection to it can't know. The report was asked only while the service had several versions, or after a lost connection, so such a host asked nothing. Change: the upstream's report is asked on each new connection that is to carry a stream, and the doubt after lost connections, which nothing else used, is gone. Cost: a probe and one exchange for each such connection.

--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -253,7 +253,7 @@
     /// version, while its record comes late.
     net::Task<bool> proveRun(const ReplicaRecord &replica)
     {
-        if (!isResumable() || !isEngine() || connection_->provenRun == replica.startTime || !node_.mustProveRun(replica)) {
+        if (!isResumable() || !isEngine() || connection_->provenRun == replica.startTime || replica.startTime.value() == 0) {
             co_return true;
         }
         const auto connection = connection_;
@@ -651,7 +651,6 @@
                 excluded_.push_back(replica.id);
                 refusalReason_ = "no_connection";
                 isUnconnected_ = true;
-                node_.doubtRun(replica.id);
                 recordSend(replica, isFinished() ? SendOutcome::Abandoned : SendOutcome::NoAnswer, "not_connected", why.reason);
                 co_return false;
             }
@@ -1250,7 +1249,6 @@
                    isResponseOverdue_ ? "no answer in time" : reason);
         releaseConnection(false);
         if (!isCallerFault()) {
-            node_.doubtRun(replica.id);
             node_.reachability.onLost(replica.id, node_.now());
         }
         if (wasSent) {
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -468,7 +468,6 @@
         }
     }
     if (change == BookChange::Restarted || change == BookChange::Gone) {
-        node_.doubtedRuns.erase(id);
         node_.outdatedRecords.erase(id);
         node_.leases.drop(id);
         node_.pool.forget(id);
@@ -1376,9 +1375,6 @@
 {
     const auto &reachability = node_.reachability;
     const auto peers = reachability.cutOffPeers(node_.now()).size();
-    for (const auto &id : node_.replicas.all()) {
-        node_.doubtRun(id); // this host could not see it start again
-    }
     if (!wasCutOff_) {
         node_.metrics.beliefChanges.add({"reaches_upstreams"});
         node_.log.info("reaches_upstreams", {{"upstreams", node_.replicas.size()}, {"cut_off_peers", peers}});
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -66,10 +66,7 @@
     , versions(now())
     , pool(context, PoolOptions())
 {
-    pool.onUnexpectedClose = [this](const UpstreamId &id) {
-        doubtRun(id);
-        reachability.onLost(id, now());
-    };
+    pool.onUnexpectedClose = [this](const UpstreamId &id) { reachability.onLost(id, now()); };
     pool.onNoContact = [this](const UpstreamId &id) { reachability.onNoContact(id, now()); };
 }
 
@@ -114,14 +111,6 @@
     return needed;
 }
 
-bool Node::mustProveRun(const ReplicaRecord &replica) const
-{
-    constexpr Milliseconds doubtTime{10'000}; // an upstream is back after some seconds, and its record follows within three
-    const auto doubted = doubtedRuns.find(replica.id);
-    const bool isDoubted = doubted != doubtedRuns.end() && now() - doubted->second < doubtTime;
-    return replica.startTime.value() > 0 && (isDoubted || versions.isMixed(replica.service, longestStream, now()));
-}
-
 bool Node::isOutdated(const ReplicaRecord &replica) const
 {
     const auto found = outdatedRecords.find(replica.id);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -175,10 +175,6 @@
     /// The same for the answer to an order or a report.
     void applyUpstreamState(const ReplicaRecord &replica, const net::HttpResponse &answer);
     void applyLimit(const UpstreamId &id, const ResponseMetadata &answer);
-    /// A connection to the upstream was lost or refused: it may have started again, at another version than its record says.
-    void doubtRun(const UpstreamId &id) { doubtedRuns[id] = now(); }
-    /// Whether a new connection to the upstream must prove which run it leads to before a stream begins there.
-    [[nodiscard]] bool mustProveRun(const ReplicaRecord &replica) const;
     /// Whether the upstream is known to have started again since its record was written.
     [[nodiscard]] bool isOutdated(const ReplicaRecord &replica) const;
     [[nodiscard]] std::vector<AdapterKey> weightsInUse(const UpstreamId &upstream) const; // by requests of this host
@@ -202,7 +198,6 @@
     Reachability reachability;
     VersionHistory versions;
     Milliseconds longestStream{60'000};                     // that a caller may still take up
-    std::map<UpstreamId, Instant> doubtedRuns;              // see doubtRun()
     std::map<UpstreamId, ReplicaStartTime> outdatedRecords; // runs that ended though the upstream's record still names them
     std::function<void(const UpstreamId &)> onNoContact;    // the upstream is leaving or asked this host to back off; may be empty
     std::function<void(const UpstreamId &)> onRefused;      // a brittle upstream had no room for a request of this host; may be empty
