--- a/packages/serving/tests/upstreamcopytest.cpp
+++ b/packages/serving/tests/upstreamcopytest.cpp
@@ -82,6 +82,44 @@
     EXPECT_EQ(copyContent(replicas, later), copy->content) << "times alone are no reason to write it again";
 }
 
+/// What a host that starts now takes for the one version of all streams: the stored copy says v1, and `present` serves.
+std::optional<SoftwareVersion> onlyVersionAfterStart(const char *present, std::optional<Milliseconds> copyAge)
+{
+    const ServiceName service("llm");
+    constexpr Milliseconds longestStream{10'000};
+    const Instant start(1'000'000);
+    VersionHistory history(start);
+    if (copyAge) {
+        ReplicaBook before;
+        before.apply(record("r1"));
+        core::Error error;
+        const auto text = encodeUpstreamCopy(before, {Milliseconds(60'000), {}}, civilNow - copyAge->count());
+        history.adopt(decodeUpstreamCopy(text, civilNow, error)->past, start);
+    }
+    ReplicaBook replicas;
+    auto serving = record("r2");
+    serving.version = SoftwareVersion(present);
+    replicas.apply(serving);
+    history.update(replicas, start);
+    return history.only(service, longestStream, start);
+}
+
+// Streams were joined from two versions after all hosts had been killed amid a release: what serves now was taken for all that there was.
+TEST(UpstreamCopy, after_all_hosts_were_killed_amid_a_release_no_version_is_certain)
+{
+    for (const int ageMs : {0, 500, 10'000, 600'000}) {
+        EXPECT_FALSE(onlyVersionAfterStart("v1.1", Milliseconds(ageMs))) << "the copy is " << ageMs << " ms old and says v1";
+    }
+    EXPECT_FALSE(onlyVersionAfterStart("v1", std::nullopt)) << "there is no copy";
+    EXPECT_EQ(onlyVersionAfterStart("v1", Milliseconds(0)), SoftwareVersion("v1"));
+}
+
+// The same, where a version came after the copy was written, streams began at it, and it was gone again before any host had started.
+TEST(UpstreamCopy, a_version_that_came_and_left_since_the_copy_is_not_ruled_out)
+{
+    EXPECT_FALSE(onlyVersionAfterStart("v1", Milliseconds(2'000)));
+}
+
 // All hosts lose power while only the upstreams' topic is unavailable; without the copy, requests are refused (vloerwerk-plan-grown
 // trouble-1: 5,000 in 2 s). Upstreams of the copy that the next listing lacks stay usable for the grace period of lapsed records.
 TEST(UpstreamCopy, is_used_until_the_upstreams_own_records_are_back)
