--- a/packages/ownership/tests/claimstest.cpp
+++ b/packages/ownership/tests/claimstest.cpp
@@ -220,7 +220,8 @@
     const auto sound = toJson(claim(a, 1, "c1"));
     ASSERT_TRUE(claimFromJson(sound, why));
     for (const auto &field : {std::string("id"), std::string("former"), std::string("other")}) {
-        EXPECT_FALSE(claimFromJson("{\"" + field + "\":" + deep + "," + sound.substr(1), why)) << field;
+        const auto text = std::string("{\"").append(field).append("\":").append(deep).append(",").append(sound, 1);
+        EXPECT_FALSE(claimFromJson(text, why)) << field;
         EXPECT_LT(why.reason.size(), 300U);
     }
     for (const std::string number : {"1e400", "-1", "1e300", "18446744073709551616", "0.5"}) {
