--- a/packages/serving/tests/relaypeerstest.cpp
+++ b/packages/serving/tests/relaypeerstest.cpp
@@ -95,6 +95,7 @@
 std::vector<int> relayedRequests(int count, int zones, const std::function<bool(int)> &isCutOff, int each)
 {
     std::vector<GroupedHost> hosts;
+    hosts.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         hosts.push_back(hostOf(number, "z" + std::to_string(number % zones)));
     }
