--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -473,6 +473,7 @@
     {
         const bool mayHaveRunBefore = mayHaveRun_;
         RelayTask task;
+        task.request = metadata_.id;
         task.deadline = deadline_;
         task.mayRepeat = route_->retryPolicy != RetryPolicy::AtMostOnce;
         task.maxPeers = maxPeers;
@@ -1366,7 +1367,11 @@
                             {"request_key", requestKey_},
                             {"shared_parts", partsText()},
                             {"events", events_},
-                            {"took_ms", node_.now() - sentAt_},
+                            {"send", wasSent_ ? sends_ : 0},
+                            {"upstreams_tried", static_cast<std::int64_t>(sentTo_.size())},
+                            {"upstreams_allowed", route_->maxUpstreams},
+                            {"relayed_for", request_.relayedFrom == nullptr ? HostId() : request_.relayedFrom->host},
+                            {"took_ms", wasSent_ ? node_.now() - sentAt_ : Milliseconds(0)},
                             {"left_ms", timeLeft()},
                             {"upstreams_age_ms", node_.now() - node_.replicasReadAt}});
         }
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1381,7 +1381,13 @@
         return;
     }
     node_.metrics.beliefChanges.add({"cut_off"});
-    node_.log.info("cut_off", {{"failing", reachability.failing()}, {"upstreams", node_.replicas.size()}, {"cut_off_peers", peers}});
+    const auto now = node_.now();
+    node_.log.info("cut_off",
+                   {{"failing", reachability.failing()},
+                    {"upstreams", node_.replicas.size()},
+                    {"cut_off_peers", peers},
+                    {"heard_ms_ago", now - reachability.heardAt().value_or(startedAt_)},
+                    {"up_ms", now - startedAt_}});
     for (const auto &id : node_.replicas.all()) {
         node_.pool.forget(id); // idle connections may stay silent for good
     }
--- a/packages/serving/reachability.h
+++ b/packages/serving/reachability.h
@@ -80,6 +80,7 @@
     [[nodiscard]] bool isCutOff() const { return state_ == State::CutOff; }
     [[nodiscard]] Instant since() const { return since_; } // of state()
     [[nodiscard]] int failing() const;                     // upstreams whose last new connection failed
+    [[nodiscard]] std::optional<Instant> heardAt() const { return heardAt_; } // any upstream
 
     /// What a peer says of itself. A host that reaches upstreams says so once, when its cut has ended.
     void onPeer(const HostId &host, bool reaches, Instant now);
--- a/packages/serving/relay.h
+++ b/packages/serving/relay.h
@@ -24,6 +24,7 @@
     /// More than one host sends a request, so that the sends of two peers are never counted alike.
     static constexpr int sendsOfPeer = 64;
 
+    RequestId request;
     Instant deadline;
     bool mayRepeat = false;         // even when it may have run
     int maxPeers = 0;               // that are asked
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -202,12 +202,24 @@
         message.fields.emplace_back(name, value);
     }
     task.host = host;
+    const auto askedAt = node_.now();
     const auto call = links_->call(host, std::move(message));
     task.cancel = [&call] { call->cancel(); };
     const bool mayContinue = co_await passOn(*call, host, id, caller, task, request.arrivedAt);
     task.cancel = nullptr;
     if (!task.isAnswered) {
-        node_.log.info("relay_ended", {{"to", host}, {"relay", id}, {"why", task.reason}, {"detail", task.detail}, {"may_have_run", task.mayHaveRun}});
+        node_.log.info("relay_ended",
+                       {{"request_id", task.request},
+                        {"to", host},
+                        {"relay", id},
+                        {"why", task.reason},
+                        {"detail", task.detail},
+                        {"took_ms", node_.now() - askedAt},
+                        {"sent_before", static_cast<std::int64_t>(task.sentTo.size())},
+                        {"may_have_run", task.mayHaveRun},
+                        {"left_ms", task.deadline - node_.now()},
+                        {"cut_off", reach_.isCutOff()},
+                        {"link_open", links_->isOpen(host)}});
     }
     co_return mayContinue;
 }
