--- a/packages/serving/reachability.h
+++ b/packages/serving/reachability.h
@@ -78,8 +78,8 @@
     [[nodiscard]] State state() const { return state_; }
     /// Whether new connections fail to all upstreams, as far as this host knows.
     [[nodiscard]] bool isCutOff() const { return state_ == State::CutOff; }
-    [[nodiscard]] Instant since() const { return since_; } // of state()
-    [[nodiscard]] int failing() const;                     // upstreams whose last new connection failed
+    [[nodiscard]] Instant since() const { return since_; }                    // of state()
+    [[nodiscard]] int failing() const;                                        // upstreams whose last new connection failed
     [[nodiscard]] std::optional<Instant> heardAt() const { return heardAt_; } // any upstream
 
     /// What a peer says of itself. A host that reaches upstreams says so once, when its cut has ended.
