--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -283,11 +283,13 @@
         state->sendCancel = [self = weak_from_this(), id] {
             if (const auto link = self.lock()) {
                 link->outgoingCalls_.erase(id);
-                link->transmit(encode(Cancel{id}));
+                if (std::erase_if(link->pendingFrames_, [id](const PendingFrame &each) { return each.call == id; }) == 0) {
+                    link->transmit(encode(Cancel{id}));
+                }
             }
         };
         state->isSent = isAuthenticated_;
-        if (!transmit(encode(Call{id, std::move(body)}))) {
+        if (!transmit(encode(Call{id, std::move(body)}), id)) {
             outgoingCalls_.erase(id);
             state->fail(linkError(expectedPeer_, "the link's queue is full", core::Outcome::NotRun));
         }
@@ -304,7 +306,13 @@
     }
 
 private:
-    bool transmit(const std::string &bytes)
+    /// Waits for the end of the handshake.
+    struct PendingFrame {
+        std::string bytes;
+        std::uint64_t call = 0; // that it begins; 0: none
+    };
+
+    bool transmit(const std::string &bytes, std::uint64_t call = 0)
     {
         if (isLost_) {
             return false;
@@ -313,7 +321,7 @@
             if (pendingFrames_.size() >= maxPendingFrames) {
                 return false;
             }
-            pendingFrames_.push_back(bytes);
+            pendingFrames_.push_back({bytes, call});
             return true;
         }
         return socket_.send(bytes);
@@ -345,7 +353,7 @@
     std::optional<Hello> peerHello_;
     bool isAuthenticated_ = false;
     bool isLost_ = false;
-    std::deque<std::string> pendingFrames_;
+    std::deque<PendingFrame> pendingFrames_;
     std::uint64_t nextCallId_ = 1;
     std::unordered_map<std::uint64_t, std::weak_ptr<CallState>> outgoingCalls_;
     std::unordered_map<std::uint64_t, std::weak_ptr<ServedCall>> incomingCalls_;
@@ -410,8 +418,8 @@
             state->isSent = true;
         }
     }
-    for (const std::string &bytes : std::exchange(pendingFrames_, {})) {
-        socket_.send(bytes);
+    for (const auto &frame : std::exchange(pendingFrames_, {})) {
+        socket_.send(frame.bytes);
     }
 }
 
--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -38,11 +38,12 @@
 {
 public:
     virtual ~OutgoingCall() = default; // cancels the call if it has not ended
-    /// The next reply. Nothing when no reply came in time or the link was lost (step Peer, with the host as its peer).
+    /// The next reply. Nothing when no reply came in time or the link was lost (step Peer, with the host as its peer). The outcome is NotRun
+    /// only while the call waits for its link.
     virtual net::Task<std::optional<ReplyBody>> next(core::Milliseconds timeout, core::Error &error) = 0;
     /// No further reply will arrive: the last one has, or the link was lost.
     [[nodiscard]] virtual bool isFinished() const = 0;
-    /// Tells the peer that no more replies are wanted; next() fails from now on.
+    /// Tells the peer that no more replies are wanted; next() fails from now on. A call that waits for its link is never written to it.
     virtual void cancel() = 0;
 };
 
--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -231,6 +231,30 @@
     EXPECT_TRUE(isCancelled);
 }
 
+// Guards against requests that a peer runs after they were given up, because their call waited for a link that was still opening (issue 35, BUDGET).
+TEST_F(LinkTest, a_call_that_is_given_up_before_its_link_is_open_is_never_written)
+{
+    int calls = 0;
+    LinkHandlers handlers;
+    handlers.onCall = [&](std::shared_ptr<IncomingCall> call) -> net::Task<void> {
+        ++calls;
+        call->send(HintReply{});
+        co_return;
+    };
+    const auto peer = makeLinks("b", "key", handlers);
+    const auto own = makeLinks("a", "key");
+    own->setAddress(HostId("b"), addresses_["b"]);
+    const auto givenUp = own->call(HostId("b"), probe);
+    const auto kept = own->call(HostId("b"), probe);
+    core::Error error;
+    EXPECT_FALSE(run(givenUp->next(core::Milliseconds(0), error)));
+    EXPECT_EQ(error.outcome, core::Outcome::NotRun);
+    givenUp->cancel();
+    EXPECT_TRUE(run(kept->next(longWait, error)));
+    run(sleepFor(core::Milliseconds(50)));
+    EXPECT_EQ(calls, 1);
+}
+
 TEST_F(LinkTest, an_ended_call_releases_its_callback)
 {
     const auto token = std::make_shared<int>(0);
