--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -66,7 +66,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GrantReply, permit)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServiceReply, status, contentType, body, isReplay)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ListsReply, snapshot)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ErrorReply, error)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayAccount, sentTo, cuts, isFinal, lastEventId, version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Cancel, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WidthNotice, adapter, width, validMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefetchNotice, engine, adapter)
@@ -158,7 +158,63 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReachNotice, reaches)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginCall, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StreamOriginReply, isKnown, origin, ageMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayCall, id, method, target, host, fields, body, ageMs, sentTo, sends, mayHaveRun, hasBegun, lastEventId, version)
+
+void to_json(nlohmann::json &to, const ErrorReply &from)
+{
+    to = {{"error", from.error}};
+    if (from.relayed) {
+        to["relayed"] = *from.relayed;
+    }
+}
+
+void from_json(const nlohmann::json &from, ErrorReply &to)
+{
+    from.at("error").get_to(to.error);
+    if (const auto relayed = from.find("relayed"); relayed != from.end()) {
+        to.relayed = relayed->get<RelayAccount>();
+    }
+}
+
+void to_json(nlohmann::json &to, const RelayCall &from)
+{
+    to = {{"id", from.id},
+          {"method", from.method},
+          {"target", from.target},
+          {"host", from.host},
+          {"fields", from.fields},
+          {"body", from.body},
+          {"ageMs", from.ageMs},
+          {"sentTo", from.sentTo},
+          {"sends", from.sends},
+          {"mayHaveRun", from.mayHaveRun},
+          {"hasBegun", from.hasBegun},
+          {"lastEventId", from.lastEventId},
+          {"version", from.version},
+          {"tries", from.tries},
+          {"keptTries", from.keptTries},
+          {"cuts", from.cuts}};
+}
+
+void from_json(const nlohmann::json &from, RelayCall &to)
+{
+    from.at("id").get_to(to.id);
+    from.at("method").get_to(to.method);
+    from.at("target").get_to(to.target);
+    from.at("host").get_to(to.host);
+    from.at("fields").get_to(to.fields);
+    from.at("body").get_to(to.body);
+    from.at("ageMs").get_to(to.ageMs);
+    from.at("sentTo").get_to(to.sentTo);
+    from.at("sends").get_to(to.sends);
+    from.at("mayHaveRun").get_to(to.mayHaveRun);
+    from.at("hasBegun").get_to(to.hasBegun);
+    from.at("lastEventId").get_to(to.lastEventId);
+    from.at("version").get_to(to.version);
+    to.tries = from.value("tries", to.tries);
+    to.keptTries = from.value("keptTries", to.keptTries);
+    to.cuts = from.value("cuts", to.cuts);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayHeadReply, status, fields)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayCreditNotice, id, bytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockQuery, askedAt)
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -160,12 +160,15 @@
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
     std::int64_t ageMs = 0;               // since the first byte from the caller
-    std::vector<core::UpstreamId> sentTo; // by the calling host
-    int sends = 0;                        // the same, with repeats
+    std::vector<core::UpstreamId> sentTo; // by any host; an empty id is an upstream that nobody knows, or a try that the peer is not given
+    int sends = 0;                        // of the calling host and the peers that it asked before, with repeats
     bool mayHaveRun = false;              // on one of them, or through another host
     bool hasBegun = false;                // the caller has part of the stream; what follows goes on after it, without a head
     std::int64_t lastEventId = -1;        // of this part; negative: none
     std::string version;                  // software version of this part
+    int tries = -1;                       // further upstreams that the peer may send to; negative: the caller is an older host that does not count
+    int keptTries = 0;                    // that the calling host has left for itself and its next peers
+    int cuts = 0;                         // sends that their upstream broke off. This and the two before are missing from older hosts
 };
 
 using CallBody
@@ -211,8 +214,18 @@
     std::string snapshot; // ListsState::exportSnapshot()
 };
 
+/// What a host did with a request that was relayed through it and did not end well there.
+struct RelayAccount {
+    std::vector<core::UpstreamId> sentTo; // by this host
+    int cuts = 0;                         // of these sends, broken off by their upstream
+    bool isFinal = false;                 // nothing was sent, and no other host would do better
+    std::int64_t lastEventId = -1;        // of what this host passed on; negative: the stream can't go on elsewhere
+    std::string version;                  // software version of this part
+};
+
 struct ErrorReply {
     core::Error error;
+    std::optional<RelayAccount> relayed = {}; // of a RelayCall that names its tries; older hosts never have it
 };
 
 /// The replica holds the weights and keeps them until the lease ends.
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -137,9 +137,7 @@
         }
         route_ = routes_->find(request_.host, request_.target);
         if (route_ == nullptr && request_.relayedFrom != nullptr) { // this host's configuration is another one
-            request_.relayedFrom->isDeclined = true;
-            reason_ = "no_route";
-            logRequest();
+            declineAtOnce("no_route");
             co_return false;
         }
         if (route_ == nullptr) {
@@ -157,10 +155,17 @@
             causes_.push_back({CrashCause::Kind::Part, part.value()});
         }
         crashesBefore_ = node_.crashes.knownCrashes(causes_.front());
+        tries_ = triesHere();
         if (request_.relayedFrom != nullptr) {
-            sentTo_ = excluded_ = request_.relayedFrom->sentTo;
-            mayHaveRun_ = request_.relayedFrom->mayHaveRun;
-            sendsBefore_ = request_.relayedFrom->sends;
+            const auto &from = *request_.relayedFrom;
+            excluded_ = from.sentTo;
+            mayHaveRun_ = from.mayHaveRun && !from.tries; // a host that counts tries knows what ran elsewhere
+            sendsBefore_ = from.sends;
+            cuts_ = from.cuts;
+        }
+        if (request_.relayedFrom != nullptr && tries_.left() == 0) {
+            declineAtOnce("no_tries_left");
+            co_return false;
         }
         if (request_.relayedFrom != nullptr && request_.relayedFrom->hasBegun) {
             hasResponseBegun_ = true;
@@ -172,6 +177,24 @@
         co_return true;
     }
 
+    /// Before anything was done for a relayed request.
+    void declineAtOnce(std::string_view reason)
+    {
+        refusalReason_ = reason_ = reason;
+        isDeclined_ = true;
+        logRequest();
+    }
+
+    [[nodiscard]] Tries triesHere() const
+    {
+        if (request_.relayedFrom == nullptr) {
+            return Tries(route_->maxUpstreams);
+        }
+        const auto &from = *request_.relayedFrom;
+        const int left = route_->maxUpstreams - static_cast<int>(from.sentTo.size());
+        return {from.sentTo, from.tries.value_or(from.mayBeSentElsewhere() ? 0 : left), route_->maxUpstreams};
+    }
+
     [[nodiscard]] bool isEngine() const { return serviceSpec_ != nullptr && serviceSpec_->engine.has_value(); }
     [[nodiscard]] bool namesAdapter() const { return isEngine() && !metadata_.weights.adapter.empty(); }
     [[nodiscard]] Milliseconds timeLeft() const { return deadline_ - node_.now(); }
@@ -298,7 +321,10 @@
 
     // ---- Choosing an upstream ----
 
-    [[nodiscard]] std::vector<Candidate> candidates() const
+    [[nodiscard]] std::vector<Candidate> candidates() const { return candidates(tries_.left() > 0); }
+
+    /// `mayBeNew`: also upstreams that the request was not sent to.
+    [[nodiscard]] std::vector<Candidate> candidates(bool mayBeNew) const
     {
         std::vector<Candidate> found;
         const auto &model = metadata_.weights.model;
@@ -309,7 +335,9 @@
             const bool isFull = serviceSpec_ != nullptr && serviceSpec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.localOccupancy(id).running >= connectionShare();
             const bool isWrongVersion = (version_ && record->version != *version_) || (isResumable() && node_.isOutdated(*record));
-            if (isExcluded || isFull || isWrongVersion || !node_.maySend(id) || (needsModel && !record->holds(model)) || (onlyHolders_ && !isHeld(*record))) {
+            const bool isBeyondTries = !mayBeNew && !tries_.has(id);
+            if (isExcluded || isBeyondTries || isFull || isWrongVersion || !node_.maySend(id) || (needsModel && !record->holds(model))
+                || (onlyHolders_ && !isHeld(*record))) {
                 continue;
             }
             Candidate candidate{record, true, true};
@@ -436,7 +464,7 @@
             if (co_await sendTo(replica)) {
                 co_return;
             }
-            if (!mayRetry()) {
+            if (isCutNoticed() || !mayRetry()) {
                 break;
             }
         }
@@ -444,7 +472,7 @@
             if (co_await relay(RelaySource::maxPeers)) {
                 co_return;
             }
-        } else if (isConnectionLost() && mayRelay() && node_.retryBudgetFor(*service_).spend(1, node_.now()) && co_await relay(1)) {
+        } else if (isConnectionLost() && mayRelay() && co_await relay(1)) {
             co_return;
         }
         co_await fail();
@@ -456,7 +484,7 @@
     {
         const bool mayRepeat = (!mayHaveRun_ || route_->retryPolicy != RetryPolicy::AtMostOnce) && !isSuspect();
         return node_.relays != nullptr && request_.relayedFrom == nullptr && (!hasResponseBegun_ || isResumable()) && !isRelayTried_ && mayRepeat && !isFinal_
-            && !isFinished() && static_cast<int>(sentTo_.size()) < route_->maxUpstreams;
+            && !isFinished() && tries_.left() > 0;
     }
 
     [[nodiscard]] bool isCutNoticed() { return mayRelay() && node_.relays->isNeeded(); }
@@ -472,13 +500,18 @@
     net::Task<bool> relay(int maxPeers)
     {
         const bool mayHaveRunBefore = mayHaveRun_;
-        RelayTask task;
-        task.request = metadata_.id;
+        const int triesBefore = tries_.used();
+        RelayTask task(metadata_.id, tries_);
         task.deadline = deadline_;
         task.mayRepeat = route_->retryPolicy != RetryPolicy::AtMostOnce;
+        task.isResumable = isResumable();
         task.maxPeers = maxPeers;
-        task.sentTo = sentTo_;
         task.sends = sends_;
+        task.cuts = cuts_;
+        task.spendRepeat = [this, &task] {
+            cuts_ = task.cuts;
+            return !isSuspect() && spendRepeat();
+        };
         task.mayHaveRun = mayHaveRun_;
         task.hasBegun = hasResponseBegun_;
         task.lastEventId = hasResponseBegun_ ? lastEventId_ : std::nullopt;
@@ -493,16 +526,20 @@
         relayTask_ = nullptr;
         sendsBefore_ += task.sends - sends_;
         relayedBy_ = task.host;
+        cuts_ = task.cuts;
         mayHaveRun_ = task.mayHaveRun;
         hasResponseBegun_ = task.hasBegun;
         status_ = task.isAnswered || task.hasBegun ? task.status : 0;
         firstEvent_ = firstEvent_ ? firstEvent_ : task.firstBytes;
         if (task.isAnswered) {
             reason_ = "relayed";
+            if (isSuccess(task.status)) {
+                node_.retryBudgetFor(*service_).onSuccess(node_.now());
+            }
             co_return true;
         }
-        const bool isUntouched = !task.hasPassedOn && !isFinished() && mayHaveRun_ == mayHaveRunBefore;
-        if (!task.isTooLarge && isUntouched) {
+        const bool isUntouched = !task.hasPassedOn && !isFinished() && tries_.used() == triesBefore && mayHaveRun_ == mayHaveRunBefore;
+        if (!task.isTooLarge && !task.isFinal && isUntouched) {
             co_return false;
         }
         if (isDisconnected_) {
@@ -605,17 +642,30 @@
             return false;
         }
         const bool mayRepeat = (!mayHaveRun_ || route_->retryPolicy != RetryPolicy::AtMostOnce) && !isSuspect();
-        const bool hasUpstreamsLeft = static_cast<int>(sentTo_.size()) < route_->maxUpstreams || (mayRetrySame_ && !mayHaveRun_);
+        const bool hasUpstreamsLeft = tries_.left() > 0 || (mayRetrySame_ && !mayHaveRun_);
         if (!mayRepeat || !hasUpstreamsLeft) {
             return false;
         }
-        if (wasSent_ && !node_.retryBudgetFor(*service_).spend(1, node_.now())) {
+        if (wasSent_ && !spendRepeat()) {
             refusalReason_ = "retry_budget";
             return false;
         }
         return true;
     }
 
+    /// Whether the retry budget allows one more arrival of the request, of which the host that the caller spoke to counts those of all hosts.
+    bool spendRepeat()
+    {
+        const int arrivals = sends_ + tries_.used();
+        if (paidAfter_ != arrivals) {
+            if (!node_.retryBudgetFor(*service_).spend(1, node_.now())) {
+                return false;
+            }
+            paidAfter_ = arrivals;
+        }
+        return true;
+    }
+
     /// Whether the request itself is likely to crash upstreams: one crash alone is mostly the upstream's own.
     [[nodiscard]] bool isSuspect() const
     {
@@ -629,7 +679,6 @@
     net::Task<bool> sendTo(const ReplicaRecord &replica)
     {
         wasSent_ = false;
-        const bool isResend = std::find(sentTo_.begin(), sentTo_.end(), replica.id) != sentTo_.end();
         mayRetrySame_ = false;
         if (!co_await takeSendPermit(replica)) {
             excluded_.push_back(replica.id);
@@ -674,9 +723,7 @@
             refusalReason_ = "upstream_restarted";
             co_return false;
         }
-        if (!isResend) {
-            sentTo_.push_back(replica.id);
-        }
+        tries_.add(replica.id);
         ++sends_;
         announceStream(replica);
         wasSent_ = true;
@@ -838,9 +885,8 @@
     void onResponseTimeout()
     {
         watchdog_.arm(deadline_, [this] { onDeadline(); });
-        const bool hasUpstreamsLeft = static_cast<int>(sentTo_.size()) < route_->maxUpstreams;
         const bool canAfford = node_.retryBudgetFor(*service_).available(node_.now()) >= 1;
-        if (hasUpstreamsLeft && canAfford && !hasResponseBegun_ && candidates().size() > 1) {
+        if (canAfford && !hasResponseBegun_ && hasOtherUpstream()) {
             isResponseOverdue_ = true;
             cancelSend();
         }
@@ -930,10 +976,8 @@
 
     net::Task<bool> handleResponse(const ReplicaRecord &replica, Parser &parser, int status)
     {
-        constexpr int minSuccess = 200;
-        constexpr int maxSuccess = 299;
         constexpr int minServerError = 500;
-        const bool isSuccess = status >= minSuccess && status <= maxSuccess;
+        const bool isGood = isSuccess(status);
         if (response_.notRun && response_.id.empty() && connection_->namesRefused) {
             co_return onTruncated(replica, "a refusal without request id on a connection whose refusals name it");
         }
@@ -943,10 +987,10 @@
         if (isPromise(status)) {
             co_return onTruncated(replica, "status " + std::to_string(status) + " of an answer that doesn't say that the request was not run");
         }
-        if (isSuccess && (!response_.isSealed || response_.isContentEncoded || response_.id.empty())) {
+        if (isGood && (!response_.isSealed || response_.isContentEncoded || response_.id.empty())) {
             co_return onTruncated(replica, "a successful response without seal, request id or unencoded body");
         }
-        if (isSuccess && route_->isStream) {
+        if (isGood && route_->isStream) {
             co_return co_await relayStream(replica, parser, status);
         }
         std::string body;
@@ -971,22 +1015,41 @@
         }
         recordSend(replica, status >= minServerError ? SendOutcome::Failed : SendOutcome::Succeeded, status >= minServerError ? "failed" : "good", {});
         releaseConnection(isReusable);
-        if (isSuccess) {
-            node_.retryBudgetFor(*service_).onSuccess(node_.now());
+        if (isGood) {
+            earnRepeat();
             recordServed(parser);
         }
-        reason_ = isSuccess ? "served" : "upstream_status";
+        reason_ = isGood ? "served" : "upstream_status";
         status_ = status;
         co_await caller_.write(responseHead(status, body.size()) + body);
         co_return true;
     }
 
-    [[nodiscard]] bool canRetryFailed()
+    [[nodiscard]] static bool isSuccess(int status)
     {
-        return static_cast<int>(sentTo_.size()) < route_->maxUpstreams && node_.retryBudgetFor(*service_).available(node_.now()) >= 1 && candidates().size() > 1
-            && !isFinished();
+        constexpr int min = 200;
+        constexpr int max = 299;
+        return status >= min && status <= max;
     }
 
+    /// The host that pays for repeats earns them, too.
+    void earnRepeat()
+    {
+        if (request_.relayedFrom == nullptr) {
+            node_.retryBudgetFor(*service_).onSuccess(node_.now());
+        }
+    }
+
+    /// Whether an upstream that has not had the request may get it, here or through the host that relays it.
+    [[nodiscard]] bool hasOtherUpstream() const
+    {
+        const bool isTryLeft = tries_.left() > 0 || (request_.relayedFrom != nullptr && request_.relayedFrom->keptTries > 0);
+        const auto all = candidates(isTryLeft);
+        return isTryLeft && std::any_of(all.begin(), all.end(), [this](const Candidate &each) { return !tries_.has(each.replica->id); });
+    }
+
+    [[nodiscard]] bool canRetryFailed() { return node_.retryBudgetFor(*service_).available(node_.now()) >= 1 && hasOtherUpstream() && !isFinished(); }
+
     /// Callers take these statuses for "not run".
     [[nodiscard]] static bool isPromise(int status)
     {
@@ -1176,7 +1239,7 @@
         }
         recordSend(replica, SendOutcome::Succeeded, "good", {});
         releaseConnection(parser.get().keep_alive());
-        node_.retryBudgetFor(*service_).onSuccess(node_.now());
+        earnRepeat();
         recordServed(parser);
         status_ = status;
         reason_ = sends_ > 1 && events_ > 0 ? "served_after_repeat" : "served";
@@ -1277,9 +1340,8 @@
 
     net::Task<void> fail()
     {
-        const bool isUnknownHere = refusalReason_ == std::string_view("no_upstream");
-        if (request_.relayedFrom != nullptr && sends_ == 0 && (isUnconnected_ || isUnknownHere) && !isDisconnected_) {
-            request_.relayedFrom->isDeclined = true;
+        if (request_.relayedFrom != nullptr && (request_.relayedFrom->tries || mayBeServedElsewhere()) && !isDisconnected_) {
+            isDeclined_ = true;
             reason_ = refusalReason_;
             co_return;
         }
@@ -1296,18 +1358,49 @@
             co_return;
         }
         const bool isDeadlinePassed = timeLeft() < minSendTime;
-        if (const auto pause = shortestPause(); pause && !isDeadlinePassed) {
-            refusalReason_ = "upstreams_pausing";
-            retryAfter_ = pause;
-        }
+        const auto retryAfter = retryAfterNow();
         if (mayHaveRun_) {
             co_await refuse(isDeadlinePassed ? 504 : 502, isDeadlinePassed ? "deadline" : refusalReason_, std::nullopt);
         } else {
-            co_await refuse(
-                503, isDeadlinePassed ? "deadline" : refusalReason_, retryAfter_.value_or(isNothingServing() ? unavailableRetryAfter : overloadRetryAfter));
+            co_await refuse(503, isDeadlinePassed ? "deadline" : refusalReason_, retryAfter);
         }
     }
 
+    /// When an upstream may take the request. Sets the reason when all of them pause.
+    Milliseconds retryAfterNow()
+    {
+        if (const auto pause = shortestPause(); pause && timeLeft() >= minSendTime) {
+            refusalReason_ = "upstreams_pausing";
+            retryAfter_ = pause;
+        }
+        return retryAfter_.value_or(isNothingServing() ? unavailableRetryAfter : overloadRetryAfter);
+    }
+
+    /// Of a relayed request: this host has sent nothing for a reason of its own.
+    [[nodiscard]] bool mayBeServedElsewhere() const { return sends_ == 0 && (isUnconnected_ || refusalReason_ == std::string_view("no_upstream")); }
+
+public:
+    /// Of a relayed request that has ended here.
+    [[nodiscard]] RelayedFrom::Account account()
+    {
+        RelayedFrom::Account account;
+        account.isDeclined = isDeclined_;
+        account.sentTo = tries_.own();
+        account.mayHaveRun = mayHaveRun_ && sends_ > 0;
+        account.cuts = cuts_ - request_.relayedFrom->cuts;
+        if (isDeclined_ && route_ != nullptr) {
+            account.isFinal = sends_ == 0 && !mayBeServedElsewhere() && timeLeft() >= minSendTime;
+            account.retryAfter = retryAfterNow();
+        }
+        account.reason = refusalReason_;
+        if (hasResponseBegun_ && isResumable()) {
+            account.lastEventId = lastEventId_;
+            account.version = version_;
+        }
+        return account;
+    }
+
+private:
     [[nodiscard]] bool isNothingServing() const
     {
         return refusalReason_ == std::string_view("no_upstream") || refusalReason_ == std::string_view("version_not_served");
@@ -1368,8 +1461,8 @@
                             {"shared_parts", partsText()},
                             {"events", events_},
                             {"send", wasSent_ ? sends_ : 0},
-                            {"upstreams_tried", static_cast<std::int64_t>(sentTo_.size())},
-                            {"upstreams_allowed", route_->maxUpstreams},
+                            {"upstreams_tried", tries_.used()},
+                            {"upstreams_allowed", tries_.allowed()},
                             {"relayed_for", request_.relayedFrom == nullptr ? HostId() : request_.relayedFrom->host},
                             {"took_ms", wasSent_ ? node_.now() - sentAt_ : Milliseconds(0)},
                             {"left_ms", timeLeft()},
@@ -1470,7 +1563,9 @@
     Milliseconds originWait_;                         // for it
     UpstreamId firstUpstream_;                        // where the stream began that the caller takes up; empty: not known
     std::optional<SoftwareVersion> announcedVersion_; // where the stream may begin, as told to other hosts
-    std::vector<UpstreamId> sentTo_;                  // distinct upstreams that the request was sent to
+    Tries tries_;                                     // of the request at upstreams, by all hosts
+    int paidAfter_ = -1;                              // arrivals at upstreams when the retry budget was last charged
+    bool isDeclined_ = false;                         // the host that relays the request through this one decides what becomes of it
     std::vector<UpstreamId> excluded_;                // upstreams that must not be chosen again
     bool mayRetrySame_ = false;                       // the last upstream did not run the request, but may after its weights are loaded again
     bool wasSent_ = false;                            // the last attempt sent the request
@@ -1489,7 +1584,7 @@
     bool isUnconnected_ = false;     // a connection to an upstream could not be opened
     bool isRelayTried_ = false;      // by this host
     int sendsBefore_ = 0;            // by the host that relays the request through this one
-    int cuts_ = 0;                   // sends that their upstream broke off
+    int cuts_ = 0;                   // sends that their upstream broke off, of all hosts
     int prefillMs_ = 0;              // of the current send, until its first event
     bool hasResponseBegun_ = false;  // the caller has received part of the response
     bool isFinal_ = false;
@@ -1519,6 +1614,9 @@
 {
     Exchange exchange(node_, caller, request);
     co_await exchange.run();
+    if (request.relayedFrom != nullptr) {
+        request.relayedFrom->account = exchange.account();
+    }
 }
 
 } // namespace baobabstall::serving
--- a/packages/serving/relay.h
+++ b/packages/serving/relay.h
@@ -14,6 +14,7 @@
 
 #include <net/asio.h>
 #include <serving/model.h>
+#include <serving/tries.h>
 
 namespace baobabstall::serving {
 
@@ -24,12 +25,20 @@
     /// More than one host sends a request, so that the sends of two peers are never counted alike.
     static constexpr int sendsOfPeer = 64;
 
+    RelayTask(RequestId id, Tries &triesOfAttempt)
+        : request(std::move(id))
+        , tries(triesOfAttempt)
+    { }
+
     RequestId request;
     Instant deadline;
-    bool mayRepeat = false;         // even when it may have run
-    int maxPeers = 0;               // that are asked
-    std::vector<UpstreamId> sentTo; // by this host
-    int sends = 0;                  // the same, with repeats; grows by sendsOfPeer with each peer that was asked
+    bool mayRepeat = false;            // even when it may have run
+    bool isResumable = false;          // a stream that breaks off goes on at another peer
+    int maxPeers = 0;                  // that refuse the request or are lost
+    Tries &tries;                      // of all hosts
+    int sends = 0;                     // of this host, with repeats; grows by sendsOfPeer with each peer that was asked
+    int cuts = 0;                      // of all hosts: sends that their upstream broke off
+    std::function<bool()> spendRepeat; // before the request is sent once more: false when it may not be
 
     std::optional<std::uint64_t> lastEventId; // of a stream of which the caller has part
     std::optional<SoftwareVersion> version;   // the same
@@ -39,6 +48,7 @@
     bool hasBegun = false;                  // the caller has got part of one
     bool hasPassedOn = false;               // the same, from a peer
     bool isTooLarge = false;                // for a link
+    bool isFinal = false;                   // a peer says that no other host would do better
     int status = 0;                         // of the answer
     HostId host;                            // asked last
     std::string_view reason = "no_relay";   // without an answer
@@ -53,7 +63,7 @@
 class RelaySource
 {
 public:
-    static constexpr int maxPeers = 3; // that are asked for one request
+    static constexpr int maxPeers = 3; // that refuse one request or are lost with it
 
     virtual ~RelaySource() = default;
     /// Whether requests should go to a peer: this host reaches no upstream, while others do.
@@ -64,13 +74,32 @@
 
 struct RelayedFrom {
     HostId host;
-    std::vector<UpstreamId> sentTo;
+    std::vector<UpstreamId> sentTo; // by any host; may hold empty ids
+    std::optional<int> tries;       // further upstreams that this host may send to; nothing: the other host is of an older build and counts none
+    int keptTries = 0;              // that the other host has left for itself and its next peers
     int sends = 0;
+    int cuts = 0;
     bool mayHaveRun = false;
     bool hasBegun = false; // the caller has part of the stream
     std::optional<std::uint64_t> lastEventId;
     std::optional<SoftwareVersion> version;
-    bool isDeclined = false; // set by the forwarder: nothing was sent and nothing written to the caller; another host may be able to
+
+    /// Set by the forwarder. `isDeclined`: the request did not end well here, and the other host decides what becomes of it.
+    struct Account {
+        bool isDeclined = false;
+        std::vector<UpstreamId> sentTo; // by this host
+        bool mayHaveRun = false;        // there
+        int cuts = 0;
+        bool isFinal = false; // nothing was sent, and no other host would do better
+        std::string_view reason;
+        std::optional<Milliseconds> retryAfter;
+        std::optional<std::uint64_t> lastEventId; // that the caller has
+        std::optional<SoftwareVersion> version;   // of the stream
+    };
+    Account account;
+
+    /// The peers that an older build asked before this one; what they did is not known.
+    [[nodiscard]] bool mayBeSentElsewhere() const { return !tries && sends >= RelayTask::sendsOfPeer && mayHaveRun; }
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -162,29 +162,37 @@
         task.reason = "too_large_to_relay";
         co_return;
     }
-    std::vector<HostId> tried;
+    std::vector<HostId> excluded; // that refused the request, or were lost with it
     const RelayPeers::Wanted wanted{{}, reach_.reaches, [this](const HostId &host) { return links_->isOpen(host); }};
-    while (static_cast<int>(tried.size()) < task.maxPeers && !task.isCancelled && node_.now() < task.deadline) {
+    while (static_cast<int>(excluded.size()) < task.maxPeers && task.tries.left() > 0 && !task.isCancelled && node_.now() < task.deadline) {
         auto next = wanted;
-        next.excluded = tried;
+        next.excluded = excluded;
         const auto host = peers_.pick(next, node_.now());
         if (!host) {
             break;
         }
-        tried.push_back(*host);
-        const bool mayContinue = co_await askPeer(*host, caller, request, task);
+        if (task.tries.used() > 0 && !task.spendRepeat()) {
+            task.reason = "retry_budget";
+            break;
+        }
+        const int usedBefore = task.tries.used();
+        const auto end = co_await askPeer(*host, caller, request, task);
         task.sends += RelayTask::sendsOfPeer;
-        if (!mayContinue) {
+        if (!end.mayContinue) {
             break;
         }
+        if (!end.isPeerUsable || task.tries.used() == usedBefore) {
+            excluded.push_back(*host);
+        }
     }
     node_.metrics.relays.add({"first", task.isAnswered ? "answered" : task.reason});
 }
 
-net::Task<bool> RelayExchange::askPeer(HostId host, CallerConnection &caller, const CallerRequest &request, RelayTask &task)
+net::Task<RelayExchange::CallEnd> RelayExchange::askPeer(HostId host, CallerConnection &caller, const CallerRequest &request, RelayTask &task)
 {
     const RelayPeers::Use use(peers_, host);
     const auto id = nextId_++;
+    const int lent = task.tries.reserve();
     peers::RelayCall message{id,
                              request.method,
                              request.target,
@@ -192,21 +200,26 @@
                              {},
                              request.body,
                              (node_.now() - request.arrivedAt).count(),
-                             task.sentTo,
+                             task.tries.sentToForPeer(),
                              task.sends,
                              task.mayHaveRun,
                              task.hasBegun,
                              task.lastEventId ? static_cast<std::int64_t>(*task.lastEventId) : -1,
-                             task.version ? task.version->value() : std::string()};
+                             task.version ? task.version->value() : std::string(),
+                             lent,
+                             task.tries.left(),
+                             task.cuts};
     for (const auto &[name, value] : request.headers) {
         message.fields.emplace_back(name, value);
     }
     task.host = host;
     const auto askedAt = node_.now();
+    const int usedBefore = task.tries.used();
     const auto call = links_->call(host, std::move(message));
     task.cancel = [&call] { call->cancel(); };
-    const bool mayContinue = co_await passOn(*call, host, id, caller, task, request.arrivedAt);
+    const auto end = co_await passOn(*call, host, id, caller, task, request.arrivedAt);
     task.cancel = nullptr;
+    task.tries.releaseUnknown(); // unless passOn() knows better
     if (!task.isAnswered) {
         node_.log.info("relay_ended",
                        {{"request_id", task.request},
@@ -215,21 +228,42 @@
                         {"why", task.reason},
                         {"detail", task.detail},
                         {"took_ms", node_.now() - askedAt},
-                        {"sent_before", static_cast<std::int64_t>(task.sentTo.size())},
+                        {"sent_before", usedBefore},
+                        {"sent_there", task.tries.used() - usedBefore},
                         {"may_have_run", task.mayHaveRun},
                         {"left_ms", task.deadline - node_.now()},
                         {"cut_off", reach_.isCutOff()},
                         {"link_open", links_->isOpen(host)}});
     }
-    co_return mayContinue;
+    co_return end;
+}
+
+/// The peer's own word on a request that did not end well there. Returns whether the request may be sent on.
+bool RelayExchange::applyAccount(const peers::ErrorReply &refusal, bool hasPassedOn, RelayTask &task)
+{
+    const auto &account = *refusal.relayed;
+    const bool isNotRun = refusal.error.outcome == Outcome::NotRun && !hasPassedOn;
+    task.tries.release(account.sentTo);
+    task.cuts += std::max(0, account.cuts);
+    task.mayHaveRun = task.mayHaveRun || !isNotRun;
+    task.isFinal = account.isFinal;
+    task.retryAfter = refusal.error.retryAfter;
+    if (hasPassedOn && task.isResumable && account.lastEventId >= 0 && !account.version.empty()) {
+        task.hasBegun = true;
+        task.lastEventId = static_cast<std::uint64_t>(account.lastEventId);
+        task.version = SoftwareVersion(account.version);
+        return true;
+    }
+    return !account.isFinal && !hasPassedOn && (!task.mayHaveRun || task.mayRepeat);
 }
 
-net::Task<bool>
+net::Task<RelayExchange::CallEnd>
 RelayExchange::passOn(peers::OutgoingCall &call, const HostId &host, std::uint64_t id, CallerConnection &caller, RelayTask &task, Instant arrivedAt)
 {
     std::optional<peers::RelayHeadReply> head;
     const bool isContinued = task.hasBegun;
-    std::string held; // of the answer, until the caller may get it
+    std::string held;         // of the answer, until the caller may get it
+    bool hasPassedOn = false; // to the caller, of this peer's answer
     ResponseBudget::Share share(node_.responseBudget);
     bool isAccepted = false;
     while (true) {
@@ -247,15 +281,18 @@
             continue; // it may run there, so nobody else may run it
         }
         if (!reply) {
-            // A call that waits for its link may still be written to it, whatever the outcome says.
-            task.mayHaveRun = task.mayHaveRun || !call.isFinished() || why.outcome != Outcome::NotRun;
+            const bool isUnsent = why.outcome == Outcome::NotRun;
+            task.mayHaveRun = task.mayHaveRun || !isUnsent;
             task.reason = "relay_lost";
             task.detail = why.reason;
             if (!task.isCancelled) {
                 peers_.onLost(host, node_.now());
             }
             call.cancel();
-            co_return !task.hasPassedOn && (!task.mayHaveRun || task.mayRepeat);
+            if (isUnsent) {
+                task.tries.releaseUnused();
+            }
+            co_return CallEnd{.mayContinue = !hasPassedOn && (!task.mayHaveRun || task.mayRepeat)};
         }
         if (std::holds_alternative<peers::StartedReply>(*reply)) {
             isAccepted = true;
@@ -270,15 +307,15 @@
                 task.mayHaveRun = true;
                 task.reason = "answer_too_large";
                 call.cancel();
-                co_return false;
+                co_return CallEnd();
             }
             if (isContinued || isChunked(*head)) {
                 task.status = head ? head->status : task.status;
-                task.hasBegun = task.hasPassedOn = true;
+                task.hasBegun = task.hasPassedOn = hasPassedOn = true;
                 if (!co_await caller.write(std::exchange(held, {}))) {
                     call.cancel();
                     task.reason = "caller_gone";
-                    co_return false;
+                    co_return CallEnd();
                 }
             }
             links_->notify(host, {peers::RelayCreditNotice{id, static_cast<std::int64_t>(size)}});
@@ -288,19 +325,29 @@
             if (!held.empty()) {
                 co_await caller.write(std::move(held));
             }
-            co_return false;
+            co_return CallEnd();
         } else {
             const auto *refusal = std::get_if<peers::ErrorReply>(&*reply);
-            const bool isNotRun = refusal != nullptr && refusal->error.outcome == Outcome::NotRun && !head && !task.hasPassedOn;
-            task.mayHaveRun = task.mayHaveRun || !isNotRun;
+            const bool isNotRun = refusal != nullptr && refusal->error.outcome == Outcome::NotRun && !head && !hasPassedOn;
             task.reason = isNotRun ? "relay_refused" : "relay_cut";
             task.detail = refusal != nullptr ? refusal->error.reason : "unexpected reply";
-            if (isNotRun) {
+            CallEnd end;
+            if (refusal != nullptr && refusal->relayed) {
+                end.mayContinue = applyAccount(*refusal, hasPassedOn, task);
+                end.isPeerUsable = !refusal->relayed->sentTo.empty();
+            } else {
+                task.mayHaveRun = task.mayHaveRun || !isNotRun;
+                end.mayContinue = !hasPassedOn && (!task.mayHaveRun || task.mayRepeat);
+            }
+            if (isNotRun && !end.isPeerUsable) {
+                task.tries.releaseUnused();
                 task.retryAfter = refusal->error.retryAfter;
-                peers_.onRefused(host, refusal->error.retryAfter, node_.now());
+                if (!task.isFinal) {
+                    peers_.onRefused(host, refusal->error.retryAfter, node_.now());
+                }
             }
             call.cancel();
-            co_return !task.hasPassedOn && (!task.mayHaveRun || task.mayRepeat);
+            co_return end;
         }
     }
 }
@@ -338,20 +385,21 @@
 net::Task<void> RelayExchange::serve(std::shared_ptr<peers::IncomingCall> call)
 {
     const auto &message = std::get<peers::RelayCall>(call->body());
-    const auto refuse = [&](std::string_view reason, Milliseconds retryAfter) {
-        node_.metrics.relays.add({"sender", reason});
-        call->send(peers::ErrorReply{Error{.step = Step::Peer,
-                                           .peer = node_.settings.host.value(),
-                                           .reason = std::string(reason),
-                                           .refusal = core::Refusal::Unavailable,
-                                           .outcome = Outcome::NotRun,
-                                           .retryAfter = retryAfter}});
+    const auto errorOf = [this](std::string_view reason, Outcome outcome, std::optional<Milliseconds> retryAfter) {
+        return Error{.step = Step::Peer,
+                     .peer = node_.settings.host.value(),
+                     .reason = std::string(reason),
+                     .refusal = core::Refusal::Unavailable,
+                     .outcome = outcome,
+                     .retryAfter = retryAfter};
     };
     const auto reason = gate_.refusal(
         {.isCutOff = reach_.isCutOff(), .isStopping = node_.isStopping, .isConfigured = node_.routes != nullptr, .linkMbps = node_.settings.hosting.linkMbps},
         message.body.size());
     if (!reason.empty()) {
-        refuse(reason, reason == RelayGate::reasonCutOff ? cutOffRetryAfter : RelayGate::busyRetryAfter);
+        node_.metrics.relays.add({"sender", reason});
+        const auto retryAfter = reason == RelayGate::reasonCutOff ? cutOffRetryAfter : RelayGate::busyRetryAfter;
+        call->send(peers::ErrorReply{errorOf(reason, Outcome::NotRun, retryAfter)});
         co_return;
     }
     call->send(peers::StartedReply{});
@@ -364,7 +412,10 @@
     RelayedFrom from;
     from.host = call->from();
     from.sentTo = message.sentTo;
+    from.tries = message.tries >= 0 ? std::optional(message.tries) : std::nullopt;
+    from.keptTries = message.keptTries;
     from.sends = message.sends;
+    from.cuts = message.cuts;
     from.mayHaveRun = message.mayHaveRun;
     from.hasBegun = message.hasBegun;
     if (message.lastEventId >= 0) {
@@ -388,16 +439,29 @@
         co_await forwarder_.handle(*caller, request);
         caller->onDisconnect(nullptr);
     }
-    if (from.isDeclined) {
-        refuse("declined", cutOffRetryAfter);
-    } else if (caller->isWhole()) {
+    const auto &account = from.account;
+    if (!account.isDeclined && caller->isWhole()) {
         node_.metrics.relays.add({"sender", "answered"});
         call->send(peers::EndReply{});
-    } else {
-        node_.metrics.relays.add({"sender", call->isCancelled() ? "caller_gone" : "cut"});
-        call->send(peers::ErrorReply{
-            Error{.step = Step::Peer, .peer = node_.settings.host.value(), .reason = "the answer is not whole", .outcome = Outcome::Unknown}});
+        co_return;
+    }
+    const bool isBrokenOff = !account.isDeclined || caller->isDisconnected();
+    node_.metrics.relays.add({"sender", call->isCancelled() ? "caller_gone" : isBrokenOff ? "cut" : account.sentTo.empty() ? "declined" : "returned"});
+    const bool isNotRun = !account.mayHaveRun && !isBrokenOff;
+    peers::ErrorReply reply{errorOf(isBrokenOff ? "the answer is not whole" : account.reason,
+                                    isNotRun ? Outcome::NotRun : Outcome::Unknown,
+                                    from.tries     ? account.retryAfter
+                                        : isNotRun ? std::optional(cutOffRetryAfter)
+                                                   : std::nullopt),
+                            std::nullopt};
+    if (from.tries) {
+        reply.relayed = peers::RelayAccount{.sentTo = account.sentTo, .cuts = account.cuts, .isFinal = account.isFinal, .lastEventId = -1, .version = {}};
+        if (!isBrokenOff && account.lastEventId && account.version) {
+            reply.relayed->lastEventId = static_cast<std::int64_t>(*account.lastEventId);
+            reply.relayed->version = account.version->value();
+        }
     }
+    call->send(std::move(reply));
 }
 
 void RelayExchange::onCredit(const HostId &from, const peers::RelayCreditNotice &notice)
--- a/packages/serving/relayexchange.h
+++ b/packages/serving/relayexchange.h
@@ -57,9 +57,15 @@
 private:
     class Served;
 
-    /// Returns whether another peer may be asked.
-    net::Task<bool> askPeer(HostId host, CallerConnection &caller, const CallerRequest &request, RelayTask &task);
-    net::Task<bool> passOn(peers::OutgoingCall &call, const HostId &host, std::uint64_t id, CallerConnection &caller, RelayTask &task, Instant arrivedAt);
+    /// How a call to a peer ended.
+    struct CallEnd {
+        bool mayContinue = false;  // with another call
+        bool isPeerUsable = false; // for that call
+    };
+
+    net::Task<CallEnd> askPeer(HostId host, CallerConnection &caller, const CallerRequest &request, RelayTask &task);
+    net::Task<CallEnd> passOn(peers::OutgoingCall &call, const HostId &host, std::uint64_t id, CallerConnection &caller, RelayTask &task, Instant arrivedAt);
+    static bool applyAccount(const peers::ErrorReply &refusal, bool hasPassedOn, RelayTask &task);
 
     Node &node_;
     Forwarder &forwarder_;
