--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -1003,6 +1003,7 @@
             recordSend(replica, SendOutcome::Failed, "failed", "status " + std::to_string(status) + " to a resumed stream");
             releaseConnection(isReusable);
             mayHaveRun_ = true;
+            excluded_.push_back(replica.id);
             co_return false;
         }
         if (status >= minServerError && route_->retryPolicy != RetryPolicy::AtMostOnce && canRetryFailed()) {
@@ -1069,6 +1070,10 @@
             recordSend(replica, SendOutcome::NotRun, "not_run", "status 400");
             releaseConnection(isReusable);
             isFinal_ = true;
+            refusalReason_ = "upstream_refused";
+            if (hasResponseBegun_) {
+                co_return false; // no second head
+            }
             co_await refuse(badRequest, "upstream_refused", std::nullopt);
             co_return true;
         }
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -296,7 +296,7 @@
         }
         if (std::holds_alternative<peers::StartedReply>(*reply)) {
             isAccepted = true;
-        } else if (auto *answerHead = std::get_if<peers::RelayHeadReply>(&*reply)) {
+        } else if (auto *answerHead = std::get_if<peers::RelayHeadReply>(&*reply); answerHead != nullptr && !isContinued) {
             head = std::move(*answerHead);
             task.firstBytes = node_.now() - arrivedAt;
             held = headOf(*head, caller.closesAfterResponse());
--- a/packages/serving/tests/relayedtriestest.cpp
+++ b/packages/serving/tests/relayedtriestest.cpp
@@ -3,6 +3,7 @@
 
 #include <serving/relayexchange.h>
 
+#include "brokencontinuations.h"
 #include "servingfixture.h"
 
 namespace baobabstall::serving::tests {
@@ -227,6 +228,23 @@
     EXPECT_TRUE(upstream(2).requests[0].hasLine("Last: 2"));
 }
 
+class RelayedContinuationTest : public RelayedTriesTest, public ::testing::WithParamInterface<std::size_t>
+{ };
+
+// Guards against an error's text or head amid a stream that goes on through a peer (issue 35).
+TEST_P(RelayedContinuationTest, leaves_the_stream_cut_after_its_last_event)
+{
+    const auto broken = brokenContinuations().at(GetParam());
+    const ReplyText next = {{{broken.answer}, broken.closes}};
+    setUpPeers(route(RetryPolicy::Resumable, true, 3), 1, {{{{streamHead() + chunk(event(1)), chunk(event(2))}, false, true, Milliseconds(10)}}, next, next});
+    const auto response = sendRequest(getRequest("q1"));
+    EXPECT_TRUE(response.isClosed) << broken.name;
+    EXPECT_TRUE(response.bytes.ends_with("\r\n\r\n" + chunk(event(1)) + chunk(event(2)))) << broken.name << ": " << response.bytes;
+    EXPECT_GT(peer(2).calls, 0) << "the stream was to go on through another peer";
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers, RelayedContinuationTest, ::testing::Range<std::size_t>(0, brokenContinuations().size()));
+
 // Guards against retries that multiply where several hosts send a request: each arrival beyond the first is charged once, at the first host (issue 35).
 TEST_F(RelayedTriesTest, without_retry_budget_at_the_first_host_no_second_peer_is_asked)
 {
