--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -990,6 +990,9 @@
         if (isGood && (!response_.isSealed || response_.isContentEncoded || response_.id.empty())) {
             co_return onTruncated(replica, "a successful response without seal, request id or unencoded body");
         }
+        if (isGood && hasResponseBegun_ && !isEventStream()) {
+            co_return onTruncated(replica, "a response that is no event stream, to a stream that goes on");
+        }
         if (isGood && route_->isStream) {
             co_return co_await relayStream(replica, parser, status);
         }
@@ -1033,6 +1036,14 @@
         return status >= min && status <= max;
     }
 
+    [[nodiscard]] bool isEventStream() const
+    {
+        return std::any_of(responseHeaders_.begin(), responseHeaders_.end(), [](const HeaderView &field) {
+            constexpr std::string_view type = "text/event-stream";
+            return beast::iequals(field.name, "Content-Type") && beast::iequals(field.value.substr(0, type.size()), type);
+        });
+    }
+
     /// The host that pays for repeats earns them, too.
     void earnRepeat()
     {
