--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -111,6 +111,11 @@
     }
 
     [[nodiscard]] bool isDisconnected() const override { return isDisconnected_; }
+    [[nodiscard]] bool isGone() override
+    {
+        const auto end = peek();
+        return isDisconnected_ || (end && end != asio::error::would_block);
+    }
 
     void abort() override
     {
@@ -125,14 +130,10 @@
     /// A request whose first bytes have arrived is still served, as its caller can't know that the connection is about to close.
     void closeIfIdle()
     {
-        char next = 0;
-        error_code failed;
         if (isBusy_ || buffer_.size() > 0 || !socket_.is_open()) {
             return;
         }
-        socket_.non_blocking(true, failed);
-        socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, failed);
-        if (failed) {
+        if (peek()) {
             close();
         }
     }
@@ -196,9 +197,7 @@
             if (failed || !self->onDisconnect_) {
                 return;
             }
-            char next = 0;
-            self->socket_.non_blocking(true, failed);
-            self->socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, failed);
+            failed = self->peek();
             if (failed == asio::error::would_block) {
                 self->watchForDisconnect();
                 return;
@@ -211,6 +210,16 @@
         });
     }
 
+    /// would_block: the caller is connected and has sent nothing more.
+    error_code peek()
+    {
+        char next = 0;
+        error_code failed;
+        socket_.non_blocking(true, failed);
+        socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, failed);
+        return failed;
+    }
+
     net::Task<void> refuseInvalid(error_code failed)
     {
         const auto status = net::statusOfReadError(failed);
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -47,6 +47,8 @@
     /// Calls `callback` once if the caller closes its side before the handler returns.
     virtual void onDisconnect(std::function<void()> callback) = 0;
     [[nodiscard]] virtual bool isDisconnected() const = 0;
+    /// The same, looked up at the connection itself: a busy host may not have handled its events yet.
+    [[nodiscard]] virtual bool isGone() { return isDisconnected(); }
     /// Resets the connection, so that the caller can't take the response for complete.
     virtual void abort() = 0;
     /// Whether the response must carry `Connection: close`.
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -177,6 +177,13 @@
         co_return true;
     }
 
+    /// Right before a send: the caller may have left though this host, being late, has not seen it yet.
+    bool isGoneNow()
+    {
+        isDisconnected_ = isDisconnected_ || caller_.isGone();
+        return isFinished();
+    }
+
     /// Before anything was done for a relayed request.
     void declineAtOnce(std::string_view reason)
     {
@@ -716,7 +723,13 @@
             releaseConnection(true);
             co_return false;
         }
-        if (!co_await proveRun(replica) || isFinished()) {
+        const bool isProven = co_await proveRun(replica);
+        if (isProven && isGoneNow()) {
+            recordSend(replica, SendOutcome::Abandoned, "not_sent", "the caller has left, or its time is over");
+            releaseConnection(true);
+            co_return false;
+        }
+        if (!isProven || isFinished()) {
             recordSend(replica, SendOutcome::Abandoned, "not_sent", "the upstream may have started again since its record was written");
             releaseConnection(false);
             excluded_.push_back(replica.id);
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -30,6 +30,23 @@
     EXPECT_EQ(request.head.find("Deadline"), request.head.rfind("Deadline")) << "the codec replaces it by the remaining time";
 }
 
+// Guards against sends for callers that have left, from a host that is too late to have seen it (issue 35, GONE).
+TEST_F(ForwarderTest, a_late_host_sends_nothing_for_a_caller_that_has_left)
+{
+    setUpService(route(RetryPolicy::Idempotent, false, 2), {{Script{{completeResponse("warm")}}}, {Script{{completeResponse("warm")}}}});
+    for (const auto *id : {"w1", "w2"}) { // leaves idle connections, over which a request is sent at once
+        sendRequest(getRequest(id), "warm");
+    }
+    const auto before = requestCount();
+    tcp::socket caller(io_);
+    caller.connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port));
+    runFor(Milliseconds(50));
+    asio::write(caller, asio::buffer(getRequest("q")));
+    caller.close(); // the request and the end of the connection are there when the host reads next
+    runFor(Milliseconds(200));
+    EXPECT_EQ(requestCount(), before);
+}
+
 TEST_F(ForwarderTest, a_chunked_request_body_is_forwarded_completely)
 {
     setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("ok")}}}});
