--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -914,7 +914,7 @@
     void cancelSend()
     {
         if (connection_) {
-            connection_->close();
+            connection_->abort();
         }
         if (relayTask_ != nullptr) {
             relayTask_->isCancelled = true;
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -47,6 +47,35 @@
     EXPECT_EQ(requestCount(), before);
 }
 
+// Guards against requests that reach a replica after they were given up, because the kernel goes on sending what a closed connection still held (issue 35,
+// GONE).
+TEST_F(ForwarderTest, what_the_kernel_still_holds_of_a_request_that_was_given_up_is_not_sent)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}});
+    tcp::acceptor stalled(io_);
+    stalled.open(tcp::v4());
+    stalled.set_option(asio::socket_base::receive_buffer_size(4'096));
+    stalled.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    stalled.listen();
+    auto record = *node_.replicas.find(UpstreamId("r1"));
+    record.address = {"127.0.0.1", stalled.local_endpoint().port()};
+    node_.replicas.apply(record);
+    tcp::socket upstream(io_); // reads nothing until the request was given up
+    stalled.async_accept(upstream, [](boost::system::error_code) {});
+    const std::string body(60'000, 'x');
+    sendRequest("POST /x HTTP/1.1\r\nHost: h\r\nId: q\r\nDeadline: 300\r\nContent-Length: 60000\r\n\r\n" + body, "\r\n\r\n");
+    runFor(Milliseconds(100));
+    ASSERT_TRUE(upstream.is_open());
+    std::string received;
+    boost::system::error_code failed;
+    while (!failed) {
+        char bytes[4'096];
+        received.append(bytes, upstream.read_some(asio::buffer(bytes), failed));
+    }
+    EXPECT_EQ(failed, asio::error::connection_reset);
+    EXPECT_LT(received.size(), body.size());
+}
+
 TEST_F(ForwarderTest, a_chunked_request_body_is_forwarded_completely)
 {
     setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("ok")}}}});
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -16,6 +16,13 @@
     socket.close(ignored);
 }
 
+void UpstreamConnection::abort()
+{
+    error_code ignored; // the socket may not be connected yet
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 UpstreamPool::UpstreamPool(asio::io_context &io, PoolOptions options)
     : io_(io)
     , options_(options)
--- a/packages/serving/upstreams.h
+++ b/packages/serving/upstreams.h
@@ -46,6 +46,8 @@
     Milliseconds keepFor{4'000}; // idle time after which the upstream may close it; set from its responses
 
     void close();
+    /// The same, and what the kernel still holds is not sent: the request is wanted no more.
+    void abort();
 };
 
 using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
