--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -224,7 +224,7 @@
         if (!metadata_.resumes.empty()) {
             service_ = &RouteTable::serviceOf(*route_, metadata_.resumes);
             const auto begin = node_.now();
-            const bool isVersionKnown = node_.versions.only(*service_, node_.longestStream, begin).has_value();
+            const bool isVersionKnown = node_.onlyVersion(*service_).has_value();
             const auto patience = std::min(isVersionKnown ? briefOriginWait : maxOriginWait,
                                            Milliseconds(static_cast<std::int64_t>(static_cast<double>(timeLeft().count()) * originWaitShare)));
             found_ = co_await node_.streams->find(metadata_.resumes, patience);
@@ -240,7 +240,7 @@
             }
         }
         if (!version_) {
-            version_ = node_.versions.only(*service_, node_.longestStream, node_.now());
+            version_ = node_.onlyVersion(*service_);
         }
         serviceSpec_ = routes_->service(*service_);
         if (!version_) {
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -21,7 +21,6 @@
 namespace {
 
 constexpr Milliseconds tickInterval{100};         // of membership, ownership and load reports: a fifth of a typical stream's duration
-constexpr Milliseconds suspensionThreshold{500};  // a tick this late means that the host or process was suspended
 constexpr Milliseconds housekeepingInterval{500}; // expires idle connections, leases and lapsed records
 constexpr int percent = 100;
 constexpr Milliseconds controlWait{450};
@@ -843,12 +842,14 @@
 void HostedDaemon::tickOnce()
 {
     const auto now = node_.now();
-    if (now - lastTick_ > suspensionThreshold + tickInterval) {
+    if (now - lastTick_ > Node::maxTickGap) {
         node_.log.warn("host_stood_still", {{"for_ms", now - lastTick_}});
         node_.metrics.beliefChanges.add({"stood_still"});
+        node_.setOutOfStep();
         upstreamsTopic_.hurry();
     }
     lastTick_ = now;
+    node_.tickedAt = now;
     checkReachability();
     tick();
     sendAdapterUses();
@@ -882,6 +883,10 @@
     const auto now = node_.now();
     node_.operatorsReadAt = operatorsTopic_.readAt();
     node_.replicasReadAt = upstreamsTopic_.readAt();
+    const bool isOutOfSight = membership_.live().size() * 2 < announcedHosts_.size() + 1;
+    if (isOutOfSight && now - node_.replicasReadAt > node_.settings.hosting.drain) { // nobody tells it what the store has
+        node_.setOutOfStep();
+    }
     if (links_) {
         sendMessages(membership_.tick(now));
     }
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -70,6 +70,14 @@
     pool.onNoContact = [this](const UpstreamId &id) { reachability.onNoContact(id, now()); };
 }
 
+std::optional<SoftwareVersion> Node::onlyVersion(const ServiceName &service) const
+{
+    const auto time = now();
+    const bool hasStoodStill = tickedAt && time - *tickedAt > maxTickGap;
+    const bool isReadSince = !outOfStepAt || replicasReadAt > *outOfStepAt;
+    return hasStoodStill || !isReadSince ? std::nullopt : versions.only(service, longestStream, time);
+}
+
 admission::RetryBudget &Node::retryBudgetFor(const ServiceName &service)
 {
     const auto found = budgets_.find(service);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -144,6 +144,11 @@
     Node(boost::asio::io_context &io, const settings::Settings &settings, const Codec &codec, logging::Log log);
 
     [[nodiscard]] Instant now() const { return core::SteadyClock().now(); }
+    /// The version at which every stream of the service began that a caller may still take up. Nothing: there were several, or this host may
+    /// have missed one while it stood still or was cut off.
+    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const ServiceName &service) const;
+    /// What this host knew before `now` may be out of date until the upstreams are read again.
+    void setOutOfStep() { outOfStepAt = now(); }
     [[nodiscard]] admission::RetryBudget &retryBudgetFor(const ServiceName &service);
     [[nodiscard]] std::optional<ActiveRevision> activeRevision(const AdapterKey &weights) const;
     void setHostCount(int count); // serving hosts, including this one
@@ -189,6 +194,9 @@
     Instant operatorsReadAt; // when the operators topic was last read, by this host or the one whose page it applied
     ReplicaBook replicas;
     Instant replicasReadAt;
+    std::optional<Instant> outOfStepAt;            // last time that this host may have missed what others know
+    std::optional<Instant> tickedAt;               // by the daemon, every 100 ms
+    static constexpr Milliseconds maxTickGap{600}; // a longer one means that the host or process was suspended
     Chooser chooser;
     LeaseTable leases;
     Backoffs backoffs;
--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -22,7 +22,7 @@
 
 bool StreamExchange::isSharedService(const ServiceName &service) const
 {
-    return !node_.versions.only(service, node_.longestStream, node_.now());
+    return !node_.onlyVersion(service);
 }
 
 /// One search; its calls end with it.
