--- a/packages/serving/tests/triestest.cpp
+++ b/packages/serving/tests/triestest.cpp
@@ -11,11 +11,7 @@
 
 std::vector<UpstreamId> ids(const std::vector<std::string> &names)
 {
-    std::vector<UpstreamId> found;
-    for (const auto &name : names) {
-        found.emplace_back(name);
-    }
-    return found;
+    return {names.begin(), names.end()};
 }
 
 TEST(TriesTest, a_send_counts_once_for_each_upstream)
