--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -1,4 +1,5 @@
-"""Hosted daemons as real processes against the stand-ins of the platform (standins/hosting). Usage: hostedtest.py BAOBABSTALLD [--half 1|2] [NAME...]"""
+"""Hosted daemons as real processes against the stand-ins of the platform (standins/hosting). Usage: hostedtest.py BAOBABSTALLD [--beside BAOBABSTALLD] [--half 1|2] [NAME...]
+--beside: a daemon of another build, which runs on every second host of a test, as during an upgrade."""
 import collections
 import datetime
 import http.client
@@ -22,6 +23,7 @@
 from proxy import Proxy  # noqa: E402
 
 DAEMON = None
+BESIDE = None
 LEASE_MS = 1500
 CONTACT_SECONDS = 3.0  # the platform's contact_ms: until all hosts know what one has found
 PATIENCE_SECONDS = 20  # longest wait for something that must happen; only a failing test reaches it
@@ -76,6 +78,7 @@
 
 class Host:
     def __init__(self, number, store, folder, more=None):
+        self.number = number
         self.name = "entry-%d" % number
         self.callers, self.peers, self.operators = ("127.0.0.1:%d" % free_port() for _ in range(3))
         settings = {
@@ -98,10 +101,13 @@
         self.reads_log = True
 
     def start(self):
-        self.process = subprocess.Popen([DAEMON, "--hosted", "--settings", str(self.settings)], stdout=subprocess.PIPE, stderr=subprocess.PIPE, env=self.environment())
+        self.process = subprocess.Popen([self.daemon(), "--hosted", "--settings", str(self.settings)], stdout=subprocess.PIPE, stderr=subprocess.PIPE, env=self.environment())
         if self.reads_log:
             threading.Thread(target=self.read_log, args=(self.process.stdout,), daemon=True).start()
 
+    def daemon(self):
+        return BESIDE if BESIDE and self.number % 2 else DAEMON
+
     def environment(self):
         library = pathlib.Path(DAEMON).resolve().parent / "cutlinks.so"
         return os.environ | {"LD_PRELOAD": str(library), "CUT_LINKS": str(self.links_cut)}
@@ -1018,6 +1024,10 @@
 
 if __name__ == "__main__":
     DAEMON = sys.argv.pop(1)
+    if "--beside" in sys.argv:
+        at = sys.argv.index("--beside")
+        BESIDE = sys.argv[at + 1]
+        del sys.argv[at : at + 2]
     if "--half" in sys.argv:
         at = sys.argv.index("--half")
         half = int(sys.argv[at + 1])
