Tests of lost peers lose them once the request was sent, not after a fixed time

Under valgrind 150 ms were over before the request had left the first host, and a_lost_peer_costs_one_try... failed; the expectations are the same.

--- a/packages/serving/tests/relayedtriestest.cpp
+++ b/packages/serving/tests/relayedtriestest.cpp
@@ -145,6 +145,20 @@
             asio::detached);
     }
 
+    /// `action` once the request has reached so many upstreams.
+    void onceReached(int count, std::function<void()> action)
+    {
+        asio::co_spawn(
+            io_,
+            [this, count, action = std::move(action)]() -> net::Task<void> {
+                while (reached() < count) {
+                    co_await net::sleep(io_, Milliseconds(5));
+                }
+                action();
+            },
+            asio::detached);
+    }
+
     static ReplyText cutAnswer() { return {{{"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nContent-Length: 10\r\n\r\nhalf"}, false, true, Milliseconds(20)}}; }
     static ReplyText failure() { return {{{"HTTP/1.1 500 Broken\r\nSeal: s\r\nId: @ID\r\nContent-Length: 0\r\n\r\n"}}}; }
     static ReplyText lateAnswer() { return {{{completeResponse("late")}, false, false, Milliseconds(700)}}; }
@@ -159,7 +173,7 @@
 TEST_F(RelayedTriesTest, a_peer_lost_after_it_has_sent_leaves_the_next_one_only_what_is_left)
 {
     setUpPeers(route(RetryPolicy::Idempotent, false, 2), 2, {cutAnswer(), lateAnswer(), cutAnswer(), cutAnswer(), cutAnswer(), cutAnswer()});
-    after(Milliseconds(150), [this] { peer(1).links.close(); });
+    onceReached(2, [this] { peer(1).links.close(); });
     sendRequest(getRequest("q1"), "\r\n\r\n");
     runFor(Milliseconds(300));
     EXPECT_LE(reached(), 2);
@@ -168,7 +182,7 @@
 TEST_F(RelayedTriesTest, a_lost_peer_costs_one_try_and_the_next_one_serves)
 {
     setUpPeers(route(RetryPolicy::Idempotent, false, 2), 1, {lateAnswer(), {{{completeResponse("second")}}}, {{{completeResponse("never")}}}});
-    after(Milliseconds(150), [this] { peer(1).links.close(); });
+    onceReached(1, [this] { peer(1).links.close(); });
     EXPECT_TRUE(sendRequest(getRequest("q1"), "second").contains("second"));
     EXPECT_EQ(reached(), 2);
 }
@@ -176,7 +190,7 @@
 TEST_F(RelayedTriesTest, a_route_of_one_try_asks_nobody_after_a_lost_peer)
 {
     setUpPeers(route(RetryPolicy::Idempotent, false, 1), 1, {lateAnswer(), {{{completeResponse("never")}}}});
-    after(Milliseconds(150), [this] { peer(1).links.close(); });
+    onceReached(1, [this] { peer(1).links.close(); });
     EXPECT_EQ(sendRequest(getRequest("q1"), "\r\n\r\n").status(), 502);
     EXPECT_EQ(peer(2).calls, 0);
     EXPECT_EQ(reached(), 1);
