--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -125,7 +125,19 @@
         socket_.close(ignored);
     }
 
-    [[nodiscard]] bool closesAfterResponse() const override { return server_->isStopping || !isKeepAlive_; }
+    void endWith(std::string_view response) override
+    {
+        mayContinue_ = false;
+        error_code failed; // of a caller that is gone, or that doesn't read
+        socket_.non_blocking(true, failed);
+        socket_.write_some(asio::buffer(response), failed);
+        socket_.shutdown(tcp::socket::shutdown_send, failed);
+        setIdle();
+        server_->open.erase(this);
+    }
+
+    /// A pipelined request that was read already is served before a stopping host closes the connection.
+    [[nodiscard]] bool closesAfterResponse() const override { return (server_->isStopping && buffer_.size() == 0) || !isKeepAlive_; }
 
     /// A request whose first bytes have arrived is still served, as its caller can't know that the connection is about to close.
     void closeIfIdle()
@@ -180,14 +192,22 @@
         request.body = std::move(message.body());
         isKeepAlive_ = message.keep_alive();
         mayContinue_ = true;
+        isHandling_ = true;
         ++server_->busyConnections;
         co_await server_->handler(*this, request);
-        --server_->busyConnections;
+        setIdle();
         isBusy_ = false;
         onDisconnect_ = nullptr;
         co_return mayContinue_ && !isDisconnected_ && socket_.is_open() && !closesAfterResponse();
     }
 
+    void setIdle()
+    {
+        if (std::exchange(isHandling_, false)) {
+            --server_->busyConnections;
+        }
+    }
+
     /// A caller that has sent more data is still connected; the read of its next request then detects the disconnect.
     void watchForDisconnect()
     {
@@ -246,6 +266,7 @@
     bool isWatching_ = false;
     bool isDisconnected_ = false;
     bool isBusy_ = false;
+    bool isHandling_ = false;
     bool isKeepAlive_ = true;
     bool mayContinue_ = true;
 };
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -51,6 +51,8 @@
     [[nodiscard]] virtual bool isGone() { return isDisconnected(); }
     /// Resets the connection, so that the caller can't take the response for complete.
     virtual void abort() = 0;
+    /// Writes a short, whole response that closes the connection, without waiting. The handler may still run for a while, but writes nothing more.
+    virtual void endWith(std::string_view response) = 0;
     /// Whether the response must carry `Connection: close`.
     [[nodiscard]] virtual bool closesAfterResponse() const = 0;
 };
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -11,6 +11,7 @@
 
 #include <core/hash.h>
 #include <serving/events.h>
+#include <serving/gracefulstop.h>
 #include <serving/requestkey.h>
 #include <serving/watchdog.h>
 #include <settings/json.h>
@@ -83,7 +84,7 @@
 }
 
 /// State of one request, for the duration of Forwarder::handle().
-class Exchange
+class Exchange final : public StopListener
 {
 public:
     Exchange(Node &node, CallerConnection &caller, CallerRequest &request)
@@ -103,16 +104,104 @@
             cancelSend();
         });
         watchdog_.arm(deadline_, [this] { onDeadline(); });
+        const GracefulStop::Registration registration(node_.stop, *this);
+        if (node_.stop.hasBegun()) {
+            onStop();
+        }
         const bool isRelayed = isCutNoticed() && co_await relay(RelaySource::maxPeers);
         if (!isRelayed && co_await findStreamVersion()) {
             co_await runAttempts();
         }
         watchdog_.disarm();
+        stopWatchdog_.reset();
         releaseConnection(false);
-        logRequest();
+        if (!isRefusedForStop_) {
+            logRequest();
+        }
+    }
+
+    void onStop() override
+    {
+        if (!isStoppable()) {
+            return;
+        }
+        const auto until = isPassedOn() ? node_.stop.answerBy() : std::min(node_.stop.answerBy(), lastSendAt());
+        if (node_.now() >= until) {
+            onStopLimit();
+            return;
+        }
+        if (!stopWatchdog_) {
+            stopWatchdog_.emplace(node_.io);
+        }
+        stopWatchdog_->arm(until, [this] { onStopLimit(); });
     }
 
 private:
+    // ---- A host that stops ----
+
+    /// Not when this host passes a response on, which it does for as long as it can.
+    [[nodiscard]] bool isStoppable() const
+    {
+        const bool isBegun = (hasResponseBegun_ && (request_.relayedFrom == nullptr || isPassedOn())) || (relayTask_ != nullptr && relayTask_->hasBegun);
+        return !isBegun && !isRefusedForStop_ && (status_ == 0 || hasResponseBegun_);
+    }
+    [[nodiscard]] bool isPassedOn() const { return isInFlight_ || relayTask_ != nullptr; }
+
+    /// The last moment at which the request may be sent, so that its response is expected to be whole before a stopping host ends.
+    [[nodiscard]] Instant lastSendAt() const
+    {
+        const auto answerBy = node_.stop.answerBy();
+        if (deadline_ <= answerBy) {
+            return deadline_;
+        }
+        const auto known = node_.runTimes.find(*service_);
+        const auto expected = known == node_.runTimes.end() ? std::nullopt : known->second.expected(metadata_.maxOutputTokens);
+        return expected ? answerBy - *expected : Instant();
+    }
+
+    /// Whether the host ends too soon for a request that is not sent yet.
+    [[nodiscard]] bool isTooLateForStop() const { return node_.stop.hasBegun() && isStoppable() && !isPassedOn() && node_.now() >= lastSendAt(); }
+    /// A wait before the request is sent, which a host that stops makes shorter.
+    [[nodiscard]] Milliseconds boundedWait(Milliseconds wait) const
+    {
+        return node_.stop.hasBegun() && isStoppable() ? std::max(Milliseconds(0), std::min(wait, lastSendAt() - node_.now())) : wait;
+    }
+
+    void onStopLimit()
+    {
+        if (!isStoppable()) {
+            return;
+        }
+        if (isPassedOn()) {
+            if (node_.now() >= node_.stop.answerBy()) {
+                onDeadline(); // what it does is not known in time
+            }
+            return;
+        }
+        refuseForStop();
+    }
+
+    /// Whatever the request waits for: what it does after the wait finds that it has ended.
+    void refuseForStop()
+    {
+        isRefusedForStop_ = true;
+        refusalReason_ = reason_ = "stopping";
+        constexpr int unavailable = 503;
+        constexpr int late = 504;
+        if (request_.relayedFrom != nullptr) {
+            isDeclined_ = true;
+            request_.relayedFrom->account = account();
+            request_.relayedFrom->returnNow();
+        } else {
+            status_ = mayHaveRun_ ? late : unavailable;
+            caller_.endWith(refusalHead(status_, mayHaveRun_ ? std::nullopt : std::optional(stopRetryAfter())));
+        }
+        logRequest();
+        cancelSend();
+    }
+
+    [[nodiscard]] Milliseconds stopRetryAfter() const { return std::max(overloadRetryAfter, node_.stop.untilUnbalanced(node_.now())); }
+
     // ---- Reading and routing ----
 
     net::Task<bool> readAndRoute()
@@ -205,7 +294,10 @@
     [[nodiscard]] bool isEngine() const { return serviceSpec_ != nullptr && serviceSpec_->engine.has_value(); }
     [[nodiscard]] bool namesAdapter() const { return isEngine() && !metadata_.weights.adapter.empty(); }
     [[nodiscard]] Milliseconds timeLeft() const { return deadline_ - node_.now(); }
-    [[nodiscard]] bool isFinished() const { return isDisconnected_ || caller_.isDisconnected() || timeLeft() < minSendTime; }
+    [[nodiscard]] bool isFinished() const
+    {
+        return isRefusedForStop_ || isDisconnected_ || caller_.isDisconnected() || timeLeft() < minSendTime || isTooLateForStop();
+    }
 
     // ---- Streams that go on ----
 
@@ -227,7 +319,7 @@
             const bool isVersionKnown = node_.onlyVersion(*service_).has_value();
             const auto patience = std::min(isVersionKnown ? briefOriginWait : maxOriginWait,
                                            Milliseconds(static_cast<std::int64_t>(static_cast<double>(timeLeft().count()) * originWaitShare)));
-            found_ = co_await node_.streams->find(metadata_.resumes, patience);
+            found_ = co_await node_.streams->find(metadata_.resumes, boundedWait(patience));
             originWait_ = node_.now() - begin;
             const auto &origin = found_.origin;
             if (origin && (origin->request != streamKey() || !useService(origin->service))) {
@@ -453,6 +545,9 @@
             node_.addDemand(metadata_.weights.model);
         }
         for (int choice = 0; choice < maxChoices && !isFinished() && isAdmitted(); ++choice) {
+            if (node_.stop.hasBegun()) {
+                onStop(); // after a send that has ended
+            }
             if (isCutNoticed() || (request_.relayedFrom != nullptr && isUnconnected_ && sends_ == 0 && choice >= maxRelayedChoices)) {
                 break;
             }
@@ -608,7 +703,7 @@
         const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - now;
         const double maxWaitMs = isHeldByFreeUpstream(replica.id) ? static_cast<double>(timeUntilLate.count()) * residencyObjectiveShare
                                                                   : static_cast<double>(timeLeft().count()) * residencyWaitShare;
-        const auto maxWait = Milliseconds(std::max<std::int64_t>(0, static_cast<std::int64_t>(maxWaitMs)));
+        const auto maxWait = boundedWait(Milliseconds(std::max<std::int64_t>(0, static_cast<std::int64_t>(maxWaitMs))));
         Error why;
         const auto grant = co_await node_.residency->ensure({replica.id, metadata_.weights, minRevision, maxWait, timeUntilLate}, why);
         const auto took = node_.now() - now;
@@ -740,6 +835,7 @@
         ++sends_;
         announceStream(replica);
         wasSent_ = true;
+        isInFlight_ = true;
         sentAt_ = node_.now();
         beginWrite(replica);
         startResponseTimeout();
@@ -818,7 +914,7 @@
         } else if (!isRate && timeUntilLate.count() <= 0) {
             waitMs = static_cast<double>(timeLeft().count()) * lateTurnWaitShare;
         }
-        return Milliseconds(static_cast<std::int64_t>(waitMs));
+        return boundedWait(Milliseconds(static_cast<std::int64_t>(waitMs)));
     }
 
     [[nodiscard]] bool hasUnlimitedCandidate() const
@@ -850,7 +946,8 @@
         const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - begin;
         const bool isLate = timeUntilLate.count() <= 0;
         const double maxWaitMs = static_cast<double>(isLate ? timeLeft().count() : timeUntilLate.count()) * (isLate ? lateTurnWaitShare : turnWaitShare);
-        turn_ = co_await node_.residency->takePrefillTurn({std::move(replica), metadata_.promptTokens, Milliseconds(static_cast<std::int64_t>(maxWaitMs))});
+        turn_ = co_await node_.residency->takePrefillTurn(
+            {std::move(replica), metadata_.promptTokens, boundedWait(Milliseconds(static_cast<std::int64_t>(maxWaitMs)))});
         turnWait_ = turnWait_ + (node_.now() - begin);
     }
 
@@ -1323,11 +1420,23 @@
     /// A response that ends with its connection may lack its end, so it says nothing.
     void recordServed(const Parser &parser)
     {
+        recordRun();
         if (!parser.need_eof()) {
             node_.crashes.onServed(causes_, node_.now());
         }
     }
 
+    /// Of a response that began and ended with the latest send.
+    void recordRun()
+    {
+        if (isTakenUp_ || sends_ != 1 || service_ == nullptr) {
+            return;
+        }
+        const auto now = node_.now();
+        const auto firstAt = firstEvent_ ? request_.arrivedAt + *firstEvent_ : now;
+        node_.runTimes[*service_].add({.untilFirst = firstAt - sentAt_, .rest = now - firstAt, .size = metadata_.maxOutputTokens});
+    }
+
     [[nodiscard]] bool isCallerFault() const { return isDisconnected_ || caller_.isDisconnected() || isDeadlineReached_; }
 
     /// Handles a send that ended without a complete response. Returns false: sendTo() has no response for the caller.
@@ -1369,6 +1478,13 @@
 
     net::Task<void> fail()
     {
+        if (isRefusedForStop_) {
+            co_return;
+        }
+        if (isTooLateForStop()) {
+            refuseForStop();
+            co_return;
+        }
         if (request_.relayedFrom != nullptr && (request_.relayedFrom->tries || mayBeServedElsewhere()) && !isDisconnected_) {
             isDeclined_ = true;
             reason_ = refusalReason_;
@@ -1406,7 +1522,10 @@
     }
 
     /// Of a relayed request: this host has sent nothing for a reason of its own.
-    [[nodiscard]] bool mayBeServedElsewhere() const { return sends_ == 0 && (isUnconnected_ || refusalReason_ == std::string_view("no_upstream")); }
+    [[nodiscard]] bool mayBeServedElsewhere() const
+    {
+        return sends_ == 0 && (isRefusedForStop_ || isUnconnected_ || refusalReason_ == std::string_view("no_upstream"));
+    }
 
 public:
     /// Of a relayed request that has ended here.
@@ -1437,8 +1556,16 @@
 
     net::Task<void> refuse(int status, std::string_view reason, std::optional<Milliseconds> retryAfter)
     {
+        if (isRefusedForStop_) {
+            co_return;
+        }
         status_ = status;
         reason_ = reason;
+        co_await caller_.write(refusalHead(status, retryAfter));
+    }
+
+    [[nodiscard]] std::string refusalHead(int status, std::optional<Milliseconds> retryAfter) const
+    {
         std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
         head.append(statusText(status)).append("\r\n");
         if (!metadata_.id.empty()) {
@@ -1447,11 +1574,11 @@
         if (retryAfter) {
             head.append("Retry-After: ").append(secondsText(*retryAfter)).append("\r\n");
         }
-        if (caller_.closesAfterResponse()) {
+        if (isRefusedForStop_ || caller_.closesAfterResponse()) {
             head.append("Connection: close\r\n");
         }
         head.append("Content-Length: 0\r\n\r\n");
-        co_await caller_.write(std::move(head));
+        return head;
     }
 
     // ---- Accounting and logging ----
@@ -1474,6 +1601,7 @@
     {
         endPrefill(replica.id);
         hold_.reset();
+        isInFlight_ = false;
         node_.chooser.endSend(replica.id, end, node_.now());
         if (namesAdapter()) {
             node_.adjustUseCount(replica.id, metadata_.weights, -1);
@@ -1571,6 +1699,8 @@
     CallerConnection &caller_;
     CallerRequest &request_;
     Watchdog watchdog_;
+    std::optional<Watchdog> stopWatchdog_; // while the host stops
+    bool isRefusedForStop_ = false;
     std::shared_ptr<const RouteTable> routes_;
     const Route *route_ = nullptr;
     const ServiceName *service_ = nullptr;
@@ -1598,6 +1728,7 @@
     std::vector<UpstreamId> excluded_;                // upstreams that must not be chosen again
     bool mayRetrySame_ = false;                       // the last upstream did not run the request, but may after its weights are loaded again
     bool wasSent_ = false;                            // the last attempt sent the request
+    bool isInFlight_ = false;                         // it has no outcome yet
     bool mayHaveRun_ = false;                         // the request may have run on an upstream
     bool isDisconnected_ = false;
     bool isDeadlineReached_ = false;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -46,6 +46,8 @@
 constexpr Milliseconds unownedRetryAfter{1'500};     // Retry-After while an upstream has no owner: a claim and most of a lease
 constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
 constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
+constexpr Milliseconds maxAnswerMargin{300};         // before the host ends: for the last answers
+constexpr int answerMarginDivisor = 4;               // of the time that a stop takes; the shorter of both applies
 constexpr Milliseconds probeSettleTime{50};          // a connection that a middlebox opens and resets at once leads nowhere
 constexpr Milliseconds drainPollInterval{20};        // while stopping
 constexpr Milliseconds maxClockLag{86'400'000};      // of this host's clock behind an upstream's
@@ -216,7 +218,7 @@
 
 bool HostedDaemon::isReady() const
 {
-    return isRunning_ && !node_.isStopping && node_.routes && (upstreamsTopic_.isKnown() || node_.replicas.size() > 0);
+    return isRunning_ && !node_.stop.hasBegun() && node_.routes && (upstreamsTopic_.isKnown() || node_.replicas.size() > 0);
 }
 
 net::Task<void> HostedDaemon::stop()
@@ -224,9 +226,10 @@
     const auto begin = node_.now();
     constexpr double msPerSecond = 1'000;
     const auto limit = begin + Milliseconds(static_cast<std::int64_t>(node_.settings.hosting.graceSeconds * msPerSecond)) - stopMargin;
-    node_.isStopping = true;
+    const auto answerMargin = std::clamp((limit - begin) / answerMarginDivisor, Milliseconds(0), maxAnswerMargin);
     node_.log.info("stopping", {{"busy", callerServer_.busyConnections()}, {"connections", callerServer_.connections()}, {"owned", ownedReplicas_.size()}});
     callerServer_.beginStop();
+    node_.stop.begin({.answerBy = limit - answerMargin, .unbalancedAt = begin + balancerDetectionTime});
     if (links_) {
         sendMessages(membership_.leave(node_.now()));
     }
@@ -545,7 +548,7 @@
     const auto era = controlTopic_.era();
     const bool isFirst = groups_.isOverallLeader(settledEraKey);
     const bool isDue = settledEra_ < era && node_.now() >= settleEraAt_;
-    if (isSettlingEra_ || !isDue || !isFirst || node_.isStopping || !controlTopic_.isKnown() || !controlTopic_.isReached()) {
+    if (isSettlingEra_ || !isDue || !isFirst || node_.stop.hasBegun() || !controlTopic_.isKnown() || !controlTopic_.isReached()) {
         co_return;
     }
     isSettlingEra_ = true;
@@ -705,7 +708,7 @@
 {
     const bool isFirst = groups_.isOverallLeader(upstreamCopyKey);
     const bool isKnown = upstreamsTopic_.isKnown() && upstreamsTopic_.isReached() && controlTopic_.isKnown() && controlTopic_.isReached();
-    if (isSavingCopy_ || !isFirst || !isKnown || node_.isStopping || node_.replicas.size() == 0) {
+    if (isSavingCopy_ || !isFirst || !isKnown || node_.stop.hasBegun() || node_.replicas.size() == 0) {
         co_return;
     }
     const auto past = node_.versions.past(node_.now());
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -20,6 +20,7 @@
 #include <serving/backoffs.h>
 #include <serving/chooser.h>
 #include <serving/crashwatch.h>
+#include <serving/gracefulstop.h>
 #include <serving/prefillturns.h>
 #include <serving/protocol.h>
 #include <serving/reachability.h>
@@ -28,6 +29,7 @@
 #include <serving/residency.h>
 #include <serving/responsebudget.h>
 #include <serving/routes.h>
+#include <serving/runtimes.h>
 #include <serving/sendrate.h>
 #include <serving/streamrecords.h>
 #include <serving/upstreamlimits.h>
@@ -202,6 +204,8 @@
     Backoffs backoffs;
     UpstreamLimits limits;
     ResponseBudget responseBudget;
+    GracefulStop stop;
+    std::map<ServiceName, RunTimes> runTimes; // learnt from the requests of this host
     CrashWatch crashes;
     Reachability reachability;
     VersionHistory versions;
@@ -219,7 +223,6 @@
     StreamDirectory *streams = nullptr;                        // the same
     RelaySource *relays = nullptr;                             // null: requests are sent by this host only
     int hostCount = 1;
-    bool isStopping = false;
 
 private:
     std::optional<Instant> servingSince_;
--- a/packages/serving/relay.h
+++ b/packages/serving/relay.h
@@ -97,6 +97,7 @@
         std::optional<SoftwareVersion> version;   // of the stream
     };
     Account account;
+    std::function<void()> returnNow; // gives the request back by its account before the forwarder has ended
 
     /// The peers that an older build asked before this one; what they did is not known.
     [[nodiscard]] bool mayBeSentElsewhere() const { return !tries && sends >= RelayTask::sendsOfPeer && mayHaveRun; }
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -51,7 +51,8 @@
     void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
     [[nodiscard]] bool isDisconnected() const override { return isAborted_ || call_->isCancelled(); }
     void abort() override { isAborted_ = true; }
-    [[nodiscard]] bool closesAfterResponse() const override { return false; } // the first host decides this for its connection
+    void endWith(std::string_view /*response*/) override { isAborted_ = true; } // the account says it
+    [[nodiscard]] bool closesAfterResponse() const override { return false; }   // the first host decides this for its connection
 
     void onCancelled()
     {
@@ -382,20 +383,24 @@
     std::size_t bytes_;
 };
 
+Error RelayExchange::errorOf(std::string_view reason, Outcome outcome, std::optional<Milliseconds> retryAfter) const
+{
+    return Error{.step = Step::Peer,
+                 .peer = node_.settings.host.value(),
+                 .reason = std::string(reason),
+                 .refusal = core::Refusal::Unavailable,
+                 .outcome = outcome,
+                 .retryAfter = retryAfter};
+}
+
 net::Task<void> RelayExchange::serve(std::shared_ptr<peers::IncomingCall> call)
 {
     const auto &message = std::get<peers::RelayCall>(call->body());
-    const auto errorOf = [this](std::string_view reason, Outcome outcome, std::optional<Milliseconds> retryAfter) {
-        return Error{.step = Step::Peer,
-                     .peer = node_.settings.host.value(),
-                     .reason = std::string(reason),
-                     .refusal = core::Refusal::Unavailable,
-                     .outcome = outcome,
-                     .retryAfter = retryAfter};
-    };
-    const auto reason = gate_.refusal(
-        {.isCutOff = reach_.isCutOff(), .isStopping = node_.isStopping, .isConfigured = node_.routes != nullptr, .linkMbps = node_.settings.hosting.linkMbps},
-        message.body.size());
+    const auto reason = gate_.refusal({.isCutOff = reach_.isCutOff(),
+                                       .isStopping = node_.stop.hasBegun(),
+                                       .isConfigured = node_.routes != nullptr,
+                                       .linkMbps = node_.settings.hosting.linkMbps},
+                                      message.body.size());
     if (!reason.empty()) {
         node_.metrics.relays.add({"sender", reason});
         const auto retryAfter = reason == RelayGate::reasonCutOff ? cutOffRetryAfter : RelayGate::busyRetryAfter;
@@ -434,19 +439,32 @@
     for (const auto &[name, value] : message.fields) {
         request.headers.push_back({name, value});
     }
+    bool hasReturned = false;
+    const auto giveBack = [&] {
+        if (!std::exchange(hasReturned, true)) {
+            returnRequest(*call, *caller, from);
+        }
+    };
+    from.returnNow = giveBack;
     {
         const Served served(*this, *call, message, *caller);
         co_await forwarder_.handle(*caller, request);
         caller->onDisconnect(nullptr);
     }
-    const auto &account = from.account;
-    if (!account.isDeclined && caller->isWhole()) {
+    if (!hasReturned && !from.account.isDeclined && caller->isWhole()) {
         node_.metrics.relays.add({"sender", "answered"});
         call->send(peers::EndReply{});
         co_return;
     }
-    const bool isBrokenOff = !account.isDeclined || caller->isDisconnected();
-    node_.metrics.relays.add({"sender", call->isCancelled() ? "caller_gone" : isBrokenOff ? "cut" : account.sentTo.empty() ? "declined" : "returned"});
+    giveBack();
+}
+
+/// Tells the first host what was done for its request, which has got no whole answer here.
+void RelayExchange::returnRequest(peers::IncomingCall &call, const RelayedCaller &caller, const RelayedFrom &from)
+{
+    const auto &account = from.account;
+    const bool isBrokenOff = !account.isDeclined || caller.isDisconnected();
+    node_.metrics.relays.add({"sender", call.isCancelled() ? "caller_gone" : isBrokenOff ? "cut" : account.sentTo.empty() ? "declined" : "returned"});
     const bool isNotRun = !account.mayHaveRun && !isBrokenOff;
     peers::ErrorReply reply{errorOf(isBrokenOff ? "the answer is not whole" : account.reason,
                                     isNotRun ? Outcome::NotRun : Outcome::Unknown,
@@ -461,7 +479,7 @@
             reply.relayed->version = account.version->value();
         }
     }
-    call->send(std::move(reply));
+    call.send(std::move(reply));
 }
 
 void RelayExchange::onCredit(const HostId &from, const peers::RelayCreditNotice &notice)
--- a/packages/serving/relayexchange.h
+++ b/packages/serving/relayexchange.h
@@ -65,6 +65,8 @@
 
     net::Task<CallEnd> askPeer(HostId host, CallerConnection &caller, const CallerRequest &request, RelayTask &task);
     net::Task<CallEnd> passOn(peers::OutgoingCall &call, const HostId &host, std::uint64_t id, CallerConnection &caller, RelayTask &task, Instant arrivedAt);
+    [[nodiscard]] core::Error errorOf(std::string_view reason, core::Outcome outcome, std::optional<Milliseconds> retryAfter) const;
+    void returnRequest(peers::IncomingCall &call, const RelayedCaller &caller, const RelayedFrom &from);
     static bool applyAccount(const peers::ErrorReply &refusal, bool hasPassedOn, RelayTask &task);
 
     Node &node_;
--- a/packages/serving/storepages.cpp
+++ b/packages/serving/storepages.cpp
@@ -29,7 +29,7 @@
             page.records.emplace_back(record.key, record.value);
         }
     }
-    if (!node_.isStopping) {
+    if (!node_.stop.hasBegun()) {
         send(page, groups_.shareTargets(page.topic));
     }
 }
--- /dev/null
+++ b/packages/serving/tests/gracefulstoptest.cpp
@@ -0,0 +1,312 @@
+// A host that stops: every request that it has read gets a whole response or a true refusal before the host ends (issue 42, LOST).
+#include "servingfixture.h"
+
+namespace baobabstall::serving::tests {
+namespace {
+
+using Script = ScriptedUpstream::Script;
+using Wait = FakeResidency::Wait;
+
+class GracefulStopTest : public ServingFixture
+{
+protected:
+    static constexpr Milliseconds longTime{3'000};
+    static constexpr Milliseconds graceLeft{600};
+
+    GracefulStopTest()
+    {
+        residency_.onWait = [this]() -> net::Task<void> { co_await net::sleep(io_, longTime); };
+    }
+
+    void stopAfter(Milliseconds delay, Milliseconds left = graceLeft)
+    {
+        asio::co_spawn(
+            io_,
+            [this, delay, left]() -> net::Task<void> {
+                co_await net::sleep(io_, delay);
+                stoppedAt_ = node_.now();
+                server_.beginStop();
+                node_.stop.begin({.answerBy = stoppedAt_ + left, .unbalancedAt = stoppedAt_ + Milliseconds(400)});
+            },
+            asio::detached);
+    }
+
+    /// So that runs of the service are expected to take about this long.
+    void learn(Milliseconds untilFirst, Milliseconds rest = Milliseconds(0), double size = 0)
+    {
+        for (std::size_t i = 0; i < RunTimes::minRuns; ++i) {
+            node_.runTimes[ServiceName("s")].add({.untilFirst = untilFirst, .rest = rest, .size = size});
+        }
+    }
+
+    void expectRefusedAsNotRun(const ReceivedResponse &response, std::size_t requestsBefore = 0)
+    {
+        EXPECT_EQ(response.status(), 503) << response.bytes;
+        EXPECT_TRUE(response.contains("Retry-After: ")) << response.bytes;
+        EXPECT_TRUE(response.contains("Connection: close\r\n")) << response.bytes;
+        EXPECT_LT(node_.now() - stoppedAt_, graceLeft);
+        runFor(Milliseconds(100));
+        EXPECT_EQ(requestCount(), requestsBefore) << "refused as not run";
+        EXPECT_EQ(server_.busyConnections(), 0U);
+        EXPECT_EQ(server_.connections(), 0U);
+    }
+
+    void expectRefusedWhileItWaits(Wait wait, const std::string &headers)
+    {
+        residency_.longWait = wait;
+        learn(Milliseconds(100));
+        stopAfter(Milliseconds(100));
+        expectRefusedAsNotRun(sendRequest(getRequest("q", headers), "\r\n\r\n"));
+        EXPECT_GE(node_.now() - stoppedAt_, Milliseconds(450)) << "the wait may end in time";
+    }
+
+    Instant stoppedAt_;
+};
+
+// Each test guards against a request that waits at the SIGTERM of its host and ends without an answer (issue 42, LOST).
+TEST_F(GracefulStopTest, a_request_that_waits_for_an_adapter_is_refused_as_not_run)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}}, true);
+    expectRefusedWhileItWaits(Wait::Weights, "Weights: m/a\r\n");
+}
+
+TEST_F(GracefulStopTest, a_request_that_waits_for_its_prefill_turn_is_refused_as_not_run)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{streamHead() + chunk(event(1)) + finalChunk}}}}, true);
+    node_.prefillRates[ServiceName("s")].add(2'000, Milliseconds(1'000));
+    expectRefusedWhileItWaits(Wait::PrefillTurn, "Weights: m/a\r\nTokens: 2000\r\n");
+    EXPECT_FALSE(residency_.prefills.empty());
+}
+
+TEST_F(GracefulStopTest, a_request_that_waits_for_the_owners_answer_about_a_limited_upstream_is_refused_as_not_run)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}});
+    ResponseMetadata limited;
+    limited.requestLimit = 1;
+    node_.applyUpstreamState(*node_.replicas.find(UpstreamId("r1")), limited);
+    expectRefusedWhileItWaits(Wait::SendPermit, {});
+}
+
+TEST_F(GracefulStopTest, a_request_that_waits_for_its_turn_to_send_to_a_limited_upstream_is_refused_as_not_run)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}});
+    ResponseMetadata limited;
+    limited.requestLimit = 1;
+    node_.applyUpstreamState(*node_.replicas.find(UpstreamId("r1")), limited);
+    residency_.onSendPermit = [](const auto &...) { return SendPermit{.isGranted = true, .wait = Milliseconds(1'500)}; };
+    expectRefusedWhileItWaits(Wait::None, {});
+}
+
+TEST_F(GracefulStopTest, a_request_that_waits_for_a_place_at_a_brittle_upstream_is_refused_as_not_run)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}});
+    node_.applyBrittle(UpstreamId("r1"), 3, node_.now());
+    residency_.onBrittlePermit = [this](const SendRequest &) -> net::Task<SendPermit> {
+        co_await net::sleep(io_, longTime);
+        co_return SendPermit{.isGranted = true};
+    };
+    expectRefusedWhileItWaits(Wait::None, {});
+}
+
+TEST_F(GracefulStopTest, a_request_that_waits_for_a_connection_is_refused_as_not_run)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}});
+    tcp::acceptor full(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), false);
+    full.listen(0);
+    std::vector<tcp::socket> fillers;
+    for (int i = 0; i < 4; ++i) { // the queue of the listener is full, so that connections hang
+        fillers.emplace_back(io_);
+        fillers.back().async_connect(full.local_endpoint(), [](boost::system::error_code) {});
+    }
+    auto record = *node_.replicas.find(UpstreamId("r1"));
+    record.address = {"127.0.0.1", full.local_endpoint().port()};
+    node_.replicas.apply(record);
+    learn(Milliseconds(300));
+    stopAfter(Milliseconds(50));
+    expectRefusedAsNotRun(sendRequest(getRequest("q"), "\r\n\r\n"));
+}
+
+TEST_F(GracefulStopTest, a_request_that_waits_for_permission_to_probe_is_refused_as_not_run)
+{
+    Script script{{streamHead() + chunk(event(1)) + finalChunk}};
+    script.crashesOn = ",bad";
+    setUpService(route(RetryPolicy::Idempotent, true, 1), {{script}, {script}, {script}, {script}, {script}, {script}});
+    const auto send
+        = [this](int i) { return sendRequest(getRequest("q" + std::to_string(i), "Parts: first,bad,own" + std::to_string(i) + "\r\n"), "\r\n\r\n"); };
+    int sent = 0;
+    while (sent < 10 && send(sent).status() != 503) {
+        ++sent;
+        runFor(Milliseconds(250));
+    }
+    bool hasAsked = false;
+    residency_.longWait = Wait::Probe;
+    residency_.onWait = [&]() -> net::Task<void> {
+        hasAsked = true;
+        co_await net::sleep(io_, longTime);
+    };
+    const auto until = node_.now() + Milliseconds(15'000);
+    const auto needsProbe = [&] { return node_.crashes.admit({{CrashCause::Kind::Part, "bad"}}, node_.now()).needsProbe; };
+    while (!needsProbe() && node_.now() < until) {
+        runFor(Milliseconds(100));
+    }
+    node_.runTimes.clear();
+    learn(Milliseconds(100));
+    const auto before = requestCount();
+    stopAfter(Milliseconds(50));
+    expectRefusedAsNotRun(send(100), before);
+    EXPECT_TRUE(hasAsked);
+}
+
+TEST_F(GracefulStopTest, a_stream_whose_origin_is_asked_for_is_refused_as_not_run)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 1), {{Script{{streamHead() + chunk(event(1)) + finalChunk}}}}, true);
+    streams_.onFind = [this]() -> net::Task<void> { co_await net::sleep(io_, longTime); };
+    learn(Milliseconds(100));
+    stopAfter(Milliseconds(50));
+    expectRefusedAsNotRun(sendRequest(getRequest("q", "Resumes: other\r\nAfter: 3\r\n"), "\r\n\r\n"));
+}
+
+TEST_F(GracefulStopTest, a_request_whose_upstreams_all_back_off_is_refused_at_once)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}});
+    node_.backoffs.begin(UpstreamId("r1"), longTime, node_.now());
+    learn(Milliseconds(100));
+    stopAfter(Milliseconds(0));
+    runFor(Milliseconds(50));
+    const auto begin = node_.now();
+    EXPECT_EQ(sendRequest(getRequest("q"), "\r\n\r\n").status(), 503);
+    EXPECT_LT(node_.now() - begin, Milliseconds(200));
+}
+
+// Guards against requests that are passed on late in the grace and cut at its end (issue 42, second further report).
+TEST_F(GracefulStopTest, what_is_not_expected_to_end_before_the_host_is_refused_at_once)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("late")}, false, false, Milliseconds(500)}}});
+    learn(Milliseconds(500));
+    stopAfter(Milliseconds(0));
+    runFor(Milliseconds(200));
+    const auto begin = node_.now();
+    expectRefusedAsNotRun(sendRequest(getRequest("q"), "\r\n\r\n"));
+    EXPECT_LT(node_.now() - begin, Milliseconds(250));
+}
+
+TEST_F(GracefulStopTest, what_is_expected_to_end_before_the_host_is_served)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("in time")}, false, false, Milliseconds(100)}}});
+    learn(Milliseconds(150));
+    stopAfter(Milliseconds(0));
+    runFor(Milliseconds(200));
+    const auto response = sendRequest(getRequest("q"), "in time");
+    EXPECT_EQ(response.status(), 200);
+    EXPECT_TRUE(response.contains("Connection: close\r\n"));
+}
+
+// A host that has just started knows no runs: the deadline of the request says when it ends at the latest.
+TEST_F(GracefulStopTest, a_host_that_knows_no_runs_serves_only_what_its_deadline_ends_in_time)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("quick")}}}});
+    stopAfter(Milliseconds(0));
+    runFor(Milliseconds(20));
+    EXPECT_EQ(sendRequest(getRequest("q1", "Deadline: 300\r\n"), "quick").status(), 200);
+    EXPECT_EQ(sendRequest(getRequest("q2", "Deadline: 1500\r\n"), "\r\n\r\n").status(), 503);
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+TEST_F(GracefulStopTest, a_body_whose_last_byte_comes_late_is_refused_and_not_passed_on)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("late")}, false, false, Milliseconds(400)}}});
+    learn(Milliseconds(400));
+    tcp::socket caller(io_);
+    caller.connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port));
+    asio::write(caller, asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 8\r\n\r\nabcd")));
+    stopAfter(Milliseconds(0));
+    runFor(Milliseconds(350));
+    asio::write(caller, asio::buffer(std::string("efgh")));
+    runFor(Milliseconds(50));
+    char bytes[512];
+    const std::string response(bytes, caller.read_some(asio::buffer(bytes)));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503 ")) << response;
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+TEST_F(GracefulStopTest, a_head_whose_last_byte_comes_late_is_refused_and_not_passed_on)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("late")}, false, false, Milliseconds(400)}}});
+    learn(Milliseconds(400));
+    tcp::socket caller(io_);
+    caller.connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port));
+    asio::write(caller, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: h\r\nId:")));
+    stopAfter(Milliseconds(0));
+    runFor(Milliseconds(350));
+    server_.closeIdle();
+    asio::write(caller, asio::buffer(std::string(" q\r\n\r\n")));
+    runFor(Milliseconds(50));
+    char bytes[512];
+    const std::string response(bytes, caller.read_some(asio::buffer(bytes)));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503 ")) << response;
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+// Guards against a pipelined request that was read with the one before it and lost with the connection (issue 42, LOST).
+TEST_F(GracefulStopTest, a_pipelined_request_that_was_read_is_answered_before_the_connection_closes)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("one")}, false, false, Milliseconds(150)}}});
+    learn(Milliseconds(160));
+    stopAfter(Milliseconds(50));
+    const auto response = sendRequest(getRequest("q1") + getRequest("q2"));
+    EXPECT_TRUE(response.isClosed);
+    EXPECT_TRUE(response.contains("Id: q1\r\n") && response.contains("Id: q2\r\n")) << response.bytes;
+    EXPECT_EQ(requestCount(), 2U);
+}
+
+TEST_F(GracefulStopTest, a_run_that_goes_on_at_the_end_of_the_grace_is_answered_as_not_known)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("late")}, false, false, Milliseconds(1'500)}}});
+    learn(Milliseconds(100));
+    stopAfter(Milliseconds(100));
+    const auto response = sendRequest(getRequest("q"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 504);
+    EXPECT_FALSE(response.contains("Retry-After")) << "it may have run";
+    EXPECT_GE(node_.now() - stoppedAt_, graceLeft - Milliseconds(50));
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+TEST_F(GracefulStopTest, a_stream_that_runs_at_the_end_of_the_grace_ends_after_a_whole_event_and_not_as_complete)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1),
+                 {{Script{{streamHead() + chunk(event(1)), chunk(event(2)), chunk(event(3)), chunk(event(4)) + finalChunk}, false, false, Milliseconds(300)}}});
+    stopAfter(Milliseconds(350));
+    ReceivedResponse response;
+    response = sendRequest(getRequest("q"), event(3));
+    EXPECT_EQ(response.status(), 200);
+    EXPECT_TRUE(response.bytes.ends_with(event(3) + "\r\n")) << response.bytes;
+}
+
+// An upstream refuses late in the grace: the next one is asked only while the run may still end in time.
+TEST_F(GracefulStopTest, a_request_that_an_upstream_refuses_late_is_not_passed_on_again)
+{
+    const Script refuses{{"HTTP/1.1 503 Full\r\nId: @ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}, false, false, Milliseconds(300)};
+    setUpService(route(RetryPolicy::AtMostOnce, false, 2), {{refuses}, {refuses}});
+    learn(Milliseconds(350));
+    stopAfter(Milliseconds(50));
+    const auto response = sendRequest(getRequest("q"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After: "));
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+TEST_F(GracefulStopTest, a_refusal_says_when_another_host_is_sure_to_get_the_request)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("never")}}}});
+    const auto now = node_.now();
+    node_.stop.begin({.answerBy = now + Milliseconds(2'500), .unbalancedAt = now + Milliseconds(2'000)});
+    runFor(Milliseconds(1'100));
+    const auto response = sendRequest(getRequest("q"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    const auto at = response.bytes.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_NEAR(std::stod(response.bytes.substr(at + 13)), 0.9, 0.1);
+}
+
+} // namespace
+} // namespace baobabstall::serving::tests
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -113,6 +113,7 @@
         ++calls;
         why = failure;
         requests.push_back(request);
+        co_await waitAt(Wait::Weights);
         co_return isGranting || request.replica == alwaysGrantedAt
             ? std::optional(ResidencyGrant{request.minRevision, core::SteadyClock().now() + Milliseconds(10'000)})
             : std::nullopt;
@@ -120,6 +121,7 @@
     net::Task<PrefillTurn> takePrefillTurn(PrefillRequest request) override
     {
         prefills.push_back(request);
+        co_await waitAt(Wait::PrefillTurn);
         auto turn = std::make_unique<FakeTurn>();
         turn->residency = this;
         ++runningTurns;
@@ -128,6 +130,7 @@
     }
     net::Task<SendPermit> takeSendPermit(SendRequest request) override
     {
+        co_await waitAt(Wait::SendPermit);
         if (request.limit.isUnknown()) {
             co_return onUntold(request.upstream);
         }
@@ -140,7 +143,21 @@
     std::function<net::Task<SendPermit>(SendRequest)> onBrittlePermit; // of upstreams that are brittle; empty: as for the others
     std::function<SendPermit(const UpstreamId &, const UpstreamLimits::Limit &, Milliseconds)> onSendPermit
         = [](const auto &...) { return SendPermit{.isGranted = true}; };
-    net::Task<bool> takeProbe(std::vector<CrashCause> causes) override { return onProbe(std::move(causes)); }
+    net::Task<bool> takeProbe(std::vector<CrashCause> causes) override
+    {
+        co_await waitAt(Wait::Probe);
+        co_return co_await onProbe(std::move(causes));
+    }
+    /// What a request waits for; onWait() is what that takes.
+    enum class Wait : std::uint8_t { None, Weights, PrefillTurn, SendPermit, Probe };
+    Wait longWait = Wait::None;
+    std::function<net::Task<void>()> onWait;
+    net::Task<void> waitAt(Wait wait)
+    {
+        if (wait == longWait) {
+            co_await onWait();
+        }
+    }
     std::function<net::Task<bool>(std::vector<CrashCause>)> onProbe;
     [[nodiscard]] bool canOrder(const UpstreamId &) const override { return isGranting; }
 
@@ -172,9 +189,13 @@
     void handOver(const RequestId &id) override { handedOver.push_back(id); }
     net::Task<FoundStream> find(RequestId id, Milliseconds /*patience*/) override
     {
+        if (onFind) {
+            co_await onFind();
+        }
         co_return origins.contains(id) ? FoundStream{.origin = origins.at(id), .source = OriginSource::Told} : FoundStream();
     }
 
+    std::function<net::Task<void>()> onFind; // what finding takes; empty: no time
     std::map<RequestId, StreamOrigin> origins;
     std::vector<RequestId> handedOver;
 };
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -541,6 +541,91 @@
         stopped = datetime.datetime.fromisoformat(said.replace("Z", "+00:00")).timestamp()
         self.assertLess(until - stopped, 0.5, "the process is gone once it says that it has stopped")
 
+    def stopping_host(self, grace):
+        """A host whose grace period is `grace` seconds. It started last, so that others own the replicas."""
+        stopping = Host(9, self.store, pathlib.Path(self.folder.name), {"hosting": {"grace_s": grace}})
+        self.start_all()
+        self.hosts.append(stopping)
+        stopping.start()
+        self.assertTrue(wait_until(stopping.ready) and wait_until(lambda: self.generate(stopping, "a1")[0] == 200), self.states("not ready"))
+        return stopping
+
+    def in_threads(self, work, count):
+        results = []
+        threads = [threading.Thread(target=lambda number=number: results.append(work(number))) for number in range(count)]
+        for thread in threads:
+            thread.start()
+        return threads, results
+
+    # Guards against requests that a host has read and that wait for an adapter when it gets SIGTERM: it ended without any answer to them (issue 42, LOST).
+    def test_requests_that_wait_for_an_adapter_at_a_stop_are_answered_whole_or_refused_as_not_run(self):
+        for replica in self.replicas:
+            replica.event_seconds = 0.6  # streams of 4.8 s hold every place
+        stopping = self.stopping_host(4)
+        hogs, _ = self.in_threads(lambda n: self.generate(self.hosts[n % 2], "hog%d" % n), sum(replica.places for replica in self.replicas))
+        time.sleep(1.0)
+        waiting, answers = self.in_threads(lambda n: self.generate(stopping, "rare%d" % n), 6)
+        time.sleep(0.3)
+        stopping.process.send_signal(signal.SIGTERM)
+        stopping.process.send_signal(signal.SIGTERM)
+        self.assertEqual(stopping.process.wait(4), 0)
+        for thread in (*waiting, *hogs):
+            thread.join()
+        ran = {attempt for replica in self.replicas for attempt in replica.ran}
+        waited = [(status, headers) for status, headers, _, attempt in answers if attempt not in ran]
+        self.assertGreaterEqual(len(waited), 4)
+        self.assertEqual([status for status, _ in waited], [503] * len(waited), stopping.events("stopped"))
+        self.assertTrue(all(headers["Retry-After"] for _, headers in waited))
+
+    # Guards against requests whose last byte comes late in the grace: they were passed on and cut at its end (issue 42, second further report).
+    def test_requests_that_come_late_in_a_stop_are_not_passed_on_to_be_cut(self):
+        self.shop.work_seconds = 1.8
+        stopping = self.stopping_host(2)
+        host, port = stopping.callers.split(":")
+        connections = [socket.create_connection((host, int(port))) for _ in range(8)]
+        time.sleep(0.2)
+        stopping.process.send_signal(signal.SIGTERM)
+        for number, connection in enumerate(connections):
+            time.sleep(0.05)
+            head = "POST /book/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: late%d\r\nX-Deadline-Ms: 2000\r\nContent-Length: 8\r\n\r\nseat"
+            connection.sendall((head % number).encode())
+        for connection in connections:
+            time.sleep(0.05)
+            connection.sendall(b" 1 2")
+        answers = []
+        for connection in connections:
+            connection.settimeout(5)
+            answers.append(connection.recv(65536))
+            connection.close()
+        self.assertEqual(stopping.process.wait(2), 0)
+        self.assertEqual([answer[:13] for answer in answers], [b"HTTP/1.1 503 "] * len(answers))
+        self.assertTrue(all(b"Retry-After: " in answer for answer in answers))
+        self.assertEqual([attempt for attempt in self.shop.ran if attempt.startswith("late")], [])
+
+    # Guards against a short or long grace, a reload amid the stop and a stop within the first second that break the promises of a stop (issue 42, LOST).
+    def test_a_stop_answers_everything_with_any_grace_and_amid_other_signals(self):
+        for grace, uptime in ((1, None), (8, None), (60, None), (4, 0.3)):
+            with self.subTest(grace=grace, uptime=uptime):
+                host = Host(10 + grace, self.store, pathlib.Path(self.folder.name), {"hosting": {"grace_s": grace}})
+                self.hosts.append(host)
+                host.start()
+                if uptime is None:
+                    self.assertTrue(wait_until(host.ready) and wait_until(lambda: self.generate(host, "a1")[0] == 200))
+                else:
+                    wait_until(lambda: ask(host.operators, "GET", "/healthz")[0] == 200)
+                    time.sleep(uptime)
+                threads, answers = self.in_threads(lambda n: self.generate(host, "a%d" % n), 4)
+                time.sleep(0.02)
+                begin = time.monotonic()
+                host.process.send_signal(signal.SIGTERM)
+                host.process.send_signal(signal.SIGHUP)
+                host.process.send_signal(signal.SIGTERM)
+                self.assertEqual(host.process.wait(min(grace, 10)), 0)
+                self.assertLess(time.monotonic() - begin, grace)
+                for thread in threads:
+                    thread.join()
+                self.assertTrue(all(status in (200, 503) for status, *_ in answers), [status for status, *_ in answers])
+
     def test_a_new_configuration_is_in_force_everywhere_and_never_goes_back(self):
         self.start_all()
         self.store.put("keyed.op", "config", configuration(9, routes_to="elsewhere"))
