--- a/packages/engines/loadbudget.cpp
+++ b/packages/engines/loadbudget.cpp
@@ -131,6 +131,11 @@
     , nextPermit_(fallbackBit + 1)
 { }
 
+void FallbackBudget::setRate(double loadsPerSecond)
+{
+    loadsPerMs_ = loadsPerSecond / millisecondsPerSecond;
+}
+
 std::optional<PermitId> FallbackBudget::tryAcquire(int owners, Instant now)
 {
     const double elapsed = static_cast<double>((now - refilledAt_).count());
--- a/packages/engines/loadbudget.h
+++ b/packages/engines/loadbudget.h
@@ -106,6 +106,8 @@
 public:
     FallbackBudget(const settings::Loads &loads, Instant startedAt); // starts empty, so that switching back and forth gains no extra loads
 
+    /// From the next attempt on.
+    void setRate(double loadsPerSecond);
     [[nodiscard]] std::optional<PermitId> tryAcquire(int owners, Instant now); // nothing if it is too early or a load is in flight
     void release(PermitId permit);
     [[nodiscard]] static bool isFallbackPermit(PermitId permit); // issued by a fallback budget; never release it at the budget's owner
--- a/packages/serving/bench/servingbench.cpp
+++ b/packages/serving/bench/servingbench.cpp
@@ -114,10 +114,13 @@
 /// range: adapters that requests wait for at one replica, two requests each.
 void expectWaitForWeights(benchmark::State &state)
 {
-    Residency residency(ResidencyOptions(), ModelSpec{BaseModel("base"), 65'000, 12, Milliseconds(2'000), Milliseconds(1'000)});
+    constexpr int places = 8;
+    Residency residency{ResidencyOptions()};
+    residency.setEngine(EngineSpec{8, 100'000, 70'000, places, 5, {ModelSpec{BaseModel("base"), 65'000, 12, Milliseconds(2'000), Milliseconds(1'000)}}},
+                        Instant());
     ReplicaReport report;
     report.models = {{BaseModel("base"), {}}};
-    for (int i = 0; i < ResidencyOptions().adapterSlots; ++i) {
+    for (int i = 0; i < places; ++i) {
         report.models.front().adapters.push_back({AdapterName("held" + std::to_string(i)), AdapterRevision(1)});
     }
     residency.onReport(report, now);
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -958,57 +958,55 @@
     spawn(node_, "claims", [this, records = actions.appends] { return appendClaims(records); });
 }
 
-std::optional<ResidencyOptions> HostedDaemon::residencyOptions(const ReplicaRecord &record, ModelSpec &model) const
+std::optional<EngineSpec> HostedDaemon::engineOf(const ReplicaRecord &record) const
 {
     const auto *service = node_.routes ? node_.routes->service(record.service) : nullptr;
-    if (service == nullptr || !service->engine || service->engine->models.empty()) {
-        return std::nullopt;
-    }
-    model = *node_.mostNeededModel(service->engine->models);
-    for (const auto &each : service->engine->models) { // prefer the model that the replica already holds
-        if (record.holds(each.name)) {
-            model = each;
-        }
-    }
-    ResidencyOptions options;
-    const double freeMb = service->engine->weightsMemoryMb - model.weightsMb;
-    const double fittingAdapters = model.adapterMb > 0 ? freeMb / model.adapterMb : service->engine->adapterSlots;
-    options.adapterSlots = static_cast<int>(std::clamp(fittingAdapters, 1.0, std::max(1.0, static_cast<double>(service->engine->adapterSlots))));
-    return options;
+    return service == nullptr ? std::nullopt : service->engine;
 }
 
 void HostedDaemon::onOwnershipGained(const ownership::Holding &holding)
 {
     const auto id = ownership::engineOf(holding.resource);
-    const auto *record = id ? node_.replicas.find(*id) : nullptr;
-    if (record == nullptr) {
+    if (!id || node_.replicas.find(*id) == nullptr) {
         return;
     }
     node_.log.info("ownership", {{"upstream", *id}, {"epoch", holding.epoch}, {"change", "claimed"}});
     node_.metrics.beliefChanges.add({"claimed"});
     sendGate_.onOwned(*id);
-    ModelSpec model;
-    const auto options = residencyOptions(*record, model);
-    if (!options) {
+    updateOwnedReplica(holding);
+}
+
+void HostedDaemon::updateOwnedReplicas()
+{
+    for (const auto &holding : planner_.holdings()) {
+        updateOwnedReplica(holding);
+    }
+}
+
+/// What an owner knows of a replica follows its record and the configuration, whichever comes first.
+void HostedDaemon::updateOwnedReplica(const ownership::Holding &holding)
+{
+    const auto id = ownership::engineOf(holding.resource);
+    const auto *record = id ? node_.replicas.find(*id) : nullptr;
+    if (record == nullptr) {
+        return;
+    }
+    const auto engine = engineOf(*record);
+    const auto found = ownedReplicas_.find(*id);
+    if (found != ownedReplicas_.end() && found->second->epoch() == holding.epoch) {
+        found->second->onRecord(*record);
+        found->second->setEngine(engine);
         return;
     }
-    if (!modelLoadBudget_) {
-        settings::Loads loads;
-        loads.perSecond = std::max(0.01, node_.routes->service(record->service)->engine->modelLoadsPerSecond);
-        modelLoadBudget_.emplace(loads, node_.now());
+    if (found != ownedReplicas_.end()) {
+        found->second->stop();
+        ownedReplicas_.erase(found);
     }
-    OwnedReplicaCallbacks callbacks;
-    callbacks.mayAct = [this, holding] { return planner_.mayAct(holding.resource, holding.epoch, node_.now()); };
-    callbacks.acquireLoadPermit = [this]() -> std::optional<std::uint64_t> {
-        const auto permit = modelLoadBudget_->tryAcquire(std::max<int>(node_.hostCount, static_cast<int>(announcedHosts_.size())), node_.now());
-        return permit ? std::optional(permit->value()) : std::nullopt;
-    };
-    callbacks.onRestart = [this, thing = holding.resource] { planner_.renewEpoch(thing); };
-    callbacks.releaseLoadPermit = [this](std::uint64_t permit) { modelLoadBudget_->release(engines::PermitId(permit)); };
-    auto owned = std::make_shared<OwnedReplica>(node_, orderClient_, *record, *options, model, holding.epoch, std::move(callbacks));
-    if (auto &place = ownedReplicas_[*id]; place) {
-        place->stop();
+    if (!engine) {
+        return; // a plain service, or one that is not configured yet
     }
+    const auto owned = std::make_shared<OwnedReplica>(node_, orderClient_, *record, ResidencyOptions(), holding.epoch, ownedReplicaCallbacks(holding));
+    owned->setEngine(engine);
     ownedReplicas_[*id] = owned;
     for (const auto &[weights, revision] : node_.activeRevisions) {
         owned->onRevision(weights, revision.revision);
@@ -1016,6 +1014,32 @@
     owned->start();
 }
 
+OwnedReplicaCallbacks HostedDaemon::ownedReplicaCallbacks(const ownership::Holding &holding)
+{
+    OwnedReplicaCallbacks callbacks;
+    callbacks.mayAct = [this, holding] { return planner_.mayAct(holding.resource, holding.epoch, node_.now()); };
+    callbacks.acquireLoadPermit = [this](const ServiceName &service) -> std::optional<std::uint64_t> {
+        const int owners = std::max<int>(node_.hostCount, static_cast<int>(announcedHosts_.size()));
+        const auto permit = modelLoadBudget(service).tryAcquire(owners, node_.now());
+        return permit ? std::optional(permit->value()) : std::nullopt;
+    };
+    callbacks.onRestart = [this, thing = holding.resource] { planner_.renewEpoch(thing); };
+    callbacks.releaseLoadPermit = [this](const ServiceName &service, std::uint64_t permit) { modelLoadBudget(service).release(engines::PermitId(permit)); };
+    return callbacks;
+}
+
+/// Follows the rate that the configuration names for the service.
+engines::FallbackBudget &HostedDaemon::modelLoadBudget(const ServiceName &service)
+{
+    constexpr double minPerSecond = 0.01;
+    const auto *spec = node_.routes ? node_.routes->service(service) : nullptr;
+    settings::Loads loads;
+    loads.perSecond = std::max(minPerSecond, spec != nullptr && spec->engine ? spec->engine->modelLoadsPerSecond : 0.0);
+    auto [budget, isNew] = modelLoadBudgets_.try_emplace(service, loads, node_.now());
+    budget->second.setRate(loads.perSecond);
+    return budget->second;
+}
+
 void HostedDaemon::onOwnershipLost(const ownership::Holding &holding, std::string_view change)
 {
     const auto id = ownership::engineOf(holding.resource);
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -113,7 +113,11 @@
     void applyOwnershipActions(const ownership::OwnershipActions &actions);
     void onOwnershipGained(const ownership::Holding &holding);
     void onOwnershipLost(const ownership::Holding &holding, std::string_view change);
-    [[nodiscard]] std::optional<ResidencyOptions> residencyOptions(const ReplicaRecord &record, ModelSpec &model) const;
+    [[nodiscard]] std::optional<EngineSpec> engineOf(const ReplicaRecord &record) const; // by the configuration in force
+    void updateOwnedReplicas();
+    void updateOwnedReplica(const ownership::Holding &holding);
+    [[nodiscard]] OwnedReplicaCallbacks ownedReplicaCallbacks(const ownership::Holding &holding);
+    [[nodiscard]] engines::FallbackBudget &modelLoadBudget(const ServiceName &service);
     void tellLimitEnded(const UpstreamId &id);
     void tellRefused(const UpstreamId &id);
     void tellBrittle();
@@ -167,10 +171,10 @@
     StreamExchange streamExchange_;
     LoadExchange loadExchange_;
     std::uint64_t loadExchangeTicks_ = 0;
-    std::map<HostId, Instant> silentOwners_;              // until when; see takeSendPermit()
-    std::map<UpstreamId, Instant> brittleToldAt_;         // owned upstreams, to all hosts
-    std::map<HostId, std::set<UpstreamId>> reportedUses_; // per owner: upstreams in the last report of adapters in use
-    std::optional<engines::FallbackBudget> modelLoadBudget_;
+    std::map<HostId, Instant> silentOwners_;                          // until when; see takeSendPermit()
+    std::map<UpstreamId, Instant> brittleToldAt_;                     // owned upstreams, to all hosts
+    std::map<HostId, std::set<UpstreamId>> reportedUses_;             // per owner: upstreams in the last report of adapters in use
+    std::map<ServiceName, engines::FallbackBudget> modelLoadBudgets_; // of this host's share
     std::string linkKey_;
     bool hasControlListing_ = false;
     bool isKeyStored_ = false;  // the control topic, as far as read in its era, has a key for the links
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -79,6 +79,8 @@
     double adapterMb = 0;
     Milliseconds loadTime{0};     // from the weight store
     Milliseconds diskLoadTime{0}; // from a replica's own disk
+
+    friend bool operator==(const ModelSpec &, const ModelSpec &) = default;
 };
 
 /// Model replicas of a service.
@@ -89,6 +91,8 @@
     int adapterSlots = 0;           // adapters loaded or loading
     double modelLoadsPerSecond = 0; // of base weights from the weight store, over all replicas
     std::vector<ModelSpec> models;
+
+    friend bool operator==(const EngineSpec &, const EngineSpec &) = default;
 };
 
 struct ServiceSpec {
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -45,13 +45,12 @@
                            net::HttpClient &httpClient,
                            ReplicaRecord record,
                            ResidencyOptions options,
-                           ModelSpec model,
                            core::Epoch epoch,
                            OwnedReplicaCallbacks callbacks)
     : node_(node)
     , httpClient_(httpClient)
     , record_(std::move(record))
-    , residency_(options, std::move(model))
+    , residency_(options)
     , epoch_(epoch)
     , callbacks_(std::move(callbacks))
     , timer_(node.io)
@@ -72,6 +71,17 @@
     wakeWaiters();
 }
 
+void OwnedReplica::setEngine(const std::optional<EngineSpec> &engine)
+{
+    if (record_.service != permitService_) {
+        releasePermit();
+    }
+    models_ = engine ? engine->models : std::vector<ModelSpec>();
+    residency_.setEngine(engine, node_.now());
+    wake();
+    wakeWaiters();
+}
+
 void OwnedReplica::onRecord(const ReplicaRecord &record)
 {
     const bool isRestart = record.startTime != record_.startTime;
@@ -135,6 +145,15 @@
         why.reason = "the weights can't be held in time: " + std::to_string(expected.count()) + " ms are expected";
         why.retryAfter = expected;
     };
+    const auto setNoRoom = [&] {
+        why.reason = "the replica has no room for adapters of base model \"" + weights.model.value() + "\"";
+        why.retryAfter.reset();
+    };
+    if (!residency_.canHold(weights)) {
+        residency_.cancelRequest(weights, onTimeBy);
+        setNoRoom();
+        co_return std::nullopt;
+    }
     if (const auto expectedWait = residency_.expectedWaitBeyond(weights, until, node_.now())) {
         residency_.cancelRequest(weights, onTimeBy);
         setTooLong(*expectedWait);
@@ -158,6 +177,10 @@
             why.reason = "the replica stopped accepting orders";
             break;
         }
+        if (!residency_.canHold(weights)) { // by a new configuration or report
+            setNoRoom();
+            break;
+        }
         const auto expectedWait = node_.now() >= nextCheck ? residency_.expectedWaitBeyond(weights, until, node_.now()) : std::nullopt;
         if (expectedWait) { // late requests rank behind others, so the wait has grown
             setTooLong(*expectedWait);
@@ -218,8 +241,14 @@
     if (isFenced_ || !node_.mayContact(record_.id) || !callbacks_.mayAct()) {
         co_return false;
     }
-    if (!residency_.holdsModel() && !permit_) {
-        permit_ = callbacks_.acquireLoadPermit();
+    if (const auto *needed = node_.mostNeededModel(models_); needed != nullptr) {
+        residency_.setWantedModel(needed->name);
+    }
+    if (!residency_.wantsModel()) {
+        releasePermit();
+    } else if (!permit_) {
+        permitService_ = record_.service;
+        permit_ = callbacks_.acquireLoadPermit(permitService_);
     }
     const auto order = residency_.nextOrder(permit_.has_value(), now);
     if (!order) {
@@ -329,7 +358,7 @@
 void OwnedReplica::releasePermit()
 {
     if (permit_) {
-        callbacks_.releaseLoadPermit(*permit_);
+        callbacks_.releaseLoadPermit(permitService_, *permit_);
         permit_.reset();
     }
 }
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -1,6 +1,7 @@
 // serving/ownedreplica.h: executes the decisions of a Residency for a model replica that this host owns. I/O; one thread.
 //
-//   auto owned = std::make_shared<OwnedReplica>(node, httpClient, record, options, model, epoch, callbacks);
+//   auto owned = std::make_shared<OwnedReplica>(node, httpClient, record, options, epoch, callbacks);
+//   owned->setEngine(engine); // of its service, whenever the configuration or the record may have changed
 //   owned->start();
 //   auto lease = co_await owned->waitForLease(request, onWaiting, why);
 //   owned->stop();
@@ -17,25 +18,22 @@
 namespace baobabstall::serving {
 
 struct OwnedReplicaCallbacks {
-    std::function<bool()> mayAct;                                    // whether the ownership is valid now
-    std::function<std::optional<std::uint64_t>()> acquireLoadPermit; // permits one load of base weights from the store
-    std::function<void(std::uint64_t)> releaseLoadPermit;
+    std::function<bool()> mayAct; // whether the ownership is valid now
+    /// Permits one load of base weights from the store, by the rate of the service.
+    std::function<std::optional<std::uint64_t>(const ServiceName &)> acquireLoadPermit;
+    std::function<void(const ServiceName &, std::uint64_t)> releaseLoadPermit;
     std::function<void()> onRestart; // must renew the epoch: the replica forgot its fencing number, and late orders may match its new count
 };
 
 class OwnedReplica : public std::enable_shared_from_this<OwnedReplica>
 {
 public:
-    OwnedReplica(Node &node,
-                 net::HttpClient &httpClient,
-                 ReplicaRecord record,
-                 ResidencyOptions options,
-                 ModelSpec model,
-                 core::Epoch epoch,
-                 OwnedReplicaCallbacks callbacks);
+    OwnedReplica(Node &node, net::HttpClient &httpClient, ReplicaRecord record, ResidencyOptions options, core::Epoch epoch, OwnedReplicaCallbacks callbacks);
 
     void start();
     void stop();
+    /// What its service's configuration in force says. Nothing: the service is not configured, or has no models; nothing is ordered.
+    void setEngine(const std::optional<EngineSpec> &engine);
     void onRecord(const ReplicaRecord &record); // the address changed or the replica restarted
     void onRevision(const AdapterKey &weights, AdapterRevision revision);
     void onNoContact(); // the replica is leaving or asked for a backoff: tells the waiting requests
@@ -67,6 +65,8 @@
     boost::asio::steady_timer timer_;
     std::vector<std::shared_ptr<boost::asio::steady_timer>> waiters_;
     std::optional<std::uint64_t> permit_;
+    ServiceName permitService_;
+    std::vector<ModelSpec> models_; // of its service
     bool isRunning_ = false;
     bool isFenced_ = false;
     OrderSequence reportedSequence_; // number of accepted orders in the last report
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -1,6 +1,7 @@
 #include <serving/residency.h>
 
 #include <algorithm>
+#include <limits>
 #include <numbers>
 
 namespace baobabstall::serving {
@@ -60,11 +61,113 @@
     return count;
 }
 
-Residency::Residency(ResidencyOptions options, ModelSpec model)
+Residency::Residency(ResidencyOptions options)
     : options_(options)
-    , model_(std::move(model))
 { }
 
+void Residency::setEngine(std::optional<EngineSpec> engine, Instant now)
+{
+    if (engine && engine->models.empty()) {
+        engine.reset();
+    }
+    if (engine == engine_) {
+        return;
+    }
+    engine_ = std::move(engine);
+    if (engine_) {
+        for (const auto &model : engine_->models) {
+            sizes_[model.name] = {model.weightsMb, model.adapterMb};
+        }
+    }
+    if (unansweredOrder_) { // it may exceed what fits now
+        invalidateState(now, options_.conflictReportDelay);
+    }
+}
+
+// ---- What fits ----
+
+const Residency::ModelSize *Residency::sizeOf(const BaseModel &model) const
+{
+    const auto found = sizes_.find(model);
+    return found == sizes_.end() ? nullptr : &found->second;
+}
+
+bool Residency::holdsModel() const
+{
+    return engine_ && std::any_of(engine_->models.begin(), engine_->models.end(), [this](const ModelSpec &each) { return heldModels_.contains(each.name); });
+}
+
+double Residency::modelsMb() const
+{
+    constexpr double unknown = std::numeric_limits<double>::infinity();
+    double sum = 0;
+    for (const auto &model : heldModels_) {
+        const auto *size = sizeOf(model);
+        sum += size == nullptr ? unknown : size->weightsMb;
+    }
+    double loading = 0;
+    if (loadingModel_) {
+        const auto *size = sizeOf(*loadingModel_);
+        loading = size == nullptr ? unknown : size->weightsMb;
+    } else if (isOtherModelLoading_) {
+        for (const auto &[model, size] : sizes_) {
+            loading = heldModels_.contains(model) ? loading : std::max(loading, size.weightsMb);
+        }
+    }
+    return sum + loading;
+}
+
+double Residency::adaptersMb() const
+{
+    double sum = 0;
+    for (const auto &[key, slot] : slots_) {
+        const auto *size = sizeOf(key.model);
+        sum += size == nullptr ? 0 : size->adapterMb; // of an unknown model, which leaves no room at all
+    }
+    return sum;
+}
+
+bool Residency::fits(const AdapterKey &key) const
+{
+    return freePlaces(key.model) > 0;
+}
+
+std::size_t Residency::freePlaces(const BaseModel &model) const
+{
+    const auto *size = sizeOf(model);
+    if (!engine_ || size == nullptr || static_cast<int>(slots_.size()) >= engine_->adapterSlots) {
+        return 0;
+    }
+    const auto places = static_cast<std::size_t>(engine_->adapterSlots) - slots_.size();
+    const double freeMb = engine_->weightsMemoryMb - modelsMb() - adaptersMb();
+    if (freeMb < size->adapterMb) {
+        return 0;
+    }
+    return size->adapterMb > 0 ? std::min(places, static_cast<std::size_t>(freeMb / size->adapterMb)) : places;
+}
+
+bool Residency::canHold(const AdapterKey &key) const
+{
+    const auto *size = sizeOf(key.model);
+    const bool isConfigured
+        = engine_ && std::any_of(engine_->models.begin(), engine_->models.end(), [&key](const ModelSpec &each) { return each.name == key.model; });
+    return isConfigured && heldModels_.contains(key.model) && engine_->adapterSlots > 0 && modelsMb() + size->adapterMb <= engine_->weightsMemoryMb;
+}
+
+std::optional<BaseModel> Residency::modelToLoad() const
+{
+    if (!engine_ || loadingModel_ || isOtherModelLoading_) {
+        return std::nullopt;
+    }
+    const double freeMb = engine_->weightsMemoryMb - modelsMb() - adaptersMb();
+    const ModelSpec *first = nullptr;
+    for (const auto &model : engine_->models) {
+        const bool isBetter = first == nullptr || model.name == wantedModel_;
+        first = model.weightsMb <= freeMb && isBetter ? &model : first;
+    }
+    return first == nullptr ? std::nullopt : std::optional(first->name);
+}
+
 Residency::LeaseReply Residency::requestLease(const AdapterKey &key, AdapterRevision minRevision, Instant onTimeBy, bool isNew, Instant now)
 {
     if (isNew) {
@@ -73,7 +176,7 @@
     auto &newest = newestRevisions_[key];
     newest = std::max(newest, minRevision);
     const auto slot = slots_.find(key);
-    const bool isReady = isStateKnown_ && hasModel_ && slot != slots_.end() && slot->second.state == State::Held && slot->second.revision >= newest;
+    const bool isReady = isStateKnown_ && holdsModel() && slot != slots_.end() && slot->second.state == State::Held && slot->second.revision >= newest;
     if (isReady) {
         const bool isLong = requestRate(key, now) >= options_.frequentRequestRate && !isSlotShort();
         const auto lease = isLong ? options_.longLease : options_.shortLease;
@@ -130,8 +233,9 @@
 void Residency::onRestart(Instant now)
 {
     isStateKnown_ = false;
-    hasModel_ = false;
-    isModelLoading_ = false;
+    heldModels_.clear();
+    loadingModel_.reset();
+    isOtherModelLoading_ = false;
     slots_.clear();
     unansweredOrder_.reset();
     unansweredSends_ = 0;
@@ -140,7 +244,7 @@
 
 bool Residency::needsReport(Instant now) const
 {
-    return !isStateKnown_ && now >= nextReportAt_;
+    return engine_ && (!isStateKnown_ || isOtherModelLoading_) && now >= nextReportAt_;
 }
 
 void Residency::onReport(const ReplicaReport &report, Instant now)
@@ -150,7 +254,7 @@
     sequence_ = report.sequence;
     isStateKnown_ = true;
     isReachable_ = true;
-    hasModel_ = false;
+    heldModels_.clear();
     const auto add = [&](const AdapterKey &key, State state, AdapterRevision revision) {
         AdapterSlot slot;
         slot.state = state;
@@ -165,7 +269,7 @@
         slots_[key] = slot;
     };
     for (const auto &model : report.models) {
-        hasModel_ = hasModel_ || model.name == model_.name;
+        heldModels_.insert(model.name);
         for (const auto &adapter : model.adapters) {
             add({model.name, adapter.name}, State::Held, adapter.revision);
         }
@@ -173,11 +277,14 @@
     for (const auto &[key, revision] : report.loadingAdapters) {
         add(key, State::Loading, revision);
     }
-    isModelLoading_ = isModelLoading_ && !hasModel_;
-    if (report.isChangingModel && !hasModel_) {
-        isModelLoading_ = true;
-        modelCheckAt_ = now + options_.modelRecheckInterval;
+    if (loadingModel_ && heldModels_.contains(*loadingModel_)) {
+        loadingModel_.reset();
+    }
+    isOtherModelLoading_ = report.isChangingModel && !loadingModel_;
+    if (isOtherModelLoading_) {
+        nextReportAt_ = now + options_.modelRecheckInterval;
     }
+    removeUnusedSizes();
 }
 
 void Residency::onReportFailed(Instant now)
@@ -189,15 +296,16 @@
 
 std::optional<Order> Residency::nextOrder(bool mayLoadModel, Instant now)
 {
-    if (!isStateKnown_) {
+    if (!isStateKnown_ || !engine_) {
         return std::nullopt;
     }
     if (unansweredOrder_) {
         return unansweredOrder_;
     }
-    if (!hasModel_) {
-        const bool isDue = isModelLoading_ ? now >= modelCheckAt_ : mayLoadModel;
-        return isDue ? std::optional(makeOrder(OrderKind::LoadModel, {model_.name, {}}, {})) : std::nullopt;
+    if (!holdsModel()) {
+        const auto model = loadingModel_ ? loadingModel_ : modelToLoad();
+        const bool isDue = loadingModel_ ? now >= modelCheckAt_ : mayLoadModel;
+        return model && isDue ? std::optional(makeOrder(OrderKind::LoadModel, {*model, {}}, {})) : std::nullopt;
     }
     if (auto check = nextRecheck(now)) {
         return check;
@@ -229,13 +337,14 @@
         const auto slot = slots_.find(key);
         const bool isOutdated = slot != slots_.end() && slot->second.state == State::Held && slot->second.revision < newestRevision(key);
         const auto priority = loadPriority(key, waiters, now);
-        if ((slot == slots_.end() || isOutdated) && (!needsStoreLoad(key) || mayLoadFromStore) && (first == nullptr || priority.isBefore(firstPriority))) {
+        if ((slot == slots_.end() || isOutdated) && canHold(key) && (!needsStoreLoad(key) || mayLoadFromStore)
+            && (first == nullptr || priority.isBefore(firstPriority))) {
             first = &key;
             firstPriority = priority;
         }
     }
     if (first != nullptr) {
-        if (slots_.contains(*first) || slots_.size() < static_cast<std::size_t>(options_.adapterSlots)) {
+        if (slots_.contains(*first) || fits(*first)) {
             return makeOrder(OrderKind::LoadAdapter, *first, newestRevision(*first));
         }
         if (const auto evicted = victim(now)) {
@@ -243,7 +352,7 @@
         }
     }
     for (const auto &[key, slot] : slots_) { // newer revisions of held adapters are loaded even if no request waits
-        if (slot.state == State::Held && slot.revision < newestRevision(key)) {
+        if (slot.state == State::Held && slot.revision < newestRevision(key) && heldModels_.contains(key.model)) {
             return makeOrder(OrderKind::LoadAdapter, key, newestRevision(key));
         }
     }
@@ -309,7 +418,7 @@
     conflicts_ = 0;
     switch (order.kind) {
     case OrderKind::LoadModel:
-        onModelOrder(outcome, now);
+        onModelOrder(order, outcome, now);
         break;
     case OrderKind::UnloadAdapter:
         onUnload(order.weights, outcome, now);
@@ -320,18 +429,28 @@
     }
 }
 
-void Residency::onModelOrder(OrderOutcome outcome, Instant now)
+void Residency::onModelOrder(const Order &order, OrderOutcome outcome, Instant now)
 {
     if (outcome == OrderOutcome::Accepted) {
-        sequence_ = isModelLoading_ ? sequence_ : sequence_.next();
-        isModelLoading_ = true;
+        sequence_ = loadingModel_ ? sequence_ : sequence_.next();
+        loadingModel_ = order.weights.model;
         modelCheckAt_ = now + options_.modelRecheckInterval;
     } else {
-        hasModel_ = true;
-        isModelLoading_ = false;
+        heldModels_.insert(order.weights.model);
+        loadingModel_.reset();
     }
 }
 
+void Residency::removeUnusedSizes()
+{
+    const auto isUsed = [this](const BaseModel &model) {
+        const bool isConfigured
+            = engine_ && std::any_of(engine_->models.begin(), engine_->models.end(), [&](const ModelSpec &each) { return each.name == model; });
+        return isConfigured || heldModels_.contains(model) || loadingModel_ == model || isOtherModelLoading_;
+    };
+    std::erase_if(sizes_, [&](const auto &each) { return !isUsed(each.first); });
+}
+
 void Residency::onUnload(const AdapterKey &key, OrderOutcome outcome, Instant now)
 {
     auto &slot = slots_[key];
@@ -413,20 +532,20 @@
 
 bool Residency::isSlotShort() const
 {
-    return slots_.size() >= static_cast<std::size_t>(options_.adapterSlots)
-        && std::any_of(waiters_.begin(), waiters_.end(), [this](const auto &each) { return !slots_.contains(each.first); });
+    return std::any_of(
+        waiters_.begin(), waiters_.end(), [this](const auto &each) { return !slots_.contains(each.first) && canHold(each.first) && !fits(each.first); });
 }
 
-Milliseconds Residency::expectedSlotWait(std::size_t loadsAhead, Instant now) const
+Milliseconds Residency::expectedSlotWait(const AdapterKey &key, std::size_t loadsAhead, Instant now) const
 {
-    const auto free = static_cast<std::size_t>(options_.adapterSlots) - std::min<std::size_t>(options_.adapterSlots, slots_.size());
+    const auto free = freePlaces(key.model);
     if (loadsAhead < free) {
         return Milliseconds(0);
     }
     std::vector<Milliseconds> waits; // until each slot may be reused
-    for (const auto &[key, slot] : slots_) {
-        if (slot.state == State::Held && !waiters_.contains(key)) {
-            waits.push_back(std::max(Milliseconds(0), evictableAt(key, slot) - now));
+    for (const auto &[each, slot] : slots_) {
+        if (slot.state == State::Held && !waiters_.contains(each)) {
+            waits.push_back(std::max(Milliseconds(0), evictableAt(each, slot) - now));
         }
     }
     const auto index = loadsAhead - free;
@@ -450,7 +569,8 @@
     }
     const double cachedMs = static_cast<double>(options_.cachedLoadTime.count()) * (1 + cachedLoads);
     const double storeMs = needsStoreLoad(key) ? storeLoadMs() * (1 + static_cast<double>(storeLoads) / storeLoadLimit()) : 0;
-    const auto slotWait = slots_.contains(key) ? Milliseconds(0) : expectedSlotWait(static_cast<std::size_t>(cachedLoads + storeLoads - storeLoadCount()), now);
+    const auto slotWait
+        = slots_.contains(key) ? Milliseconds(0) : expectedSlotWait(key, static_cast<std::size_t>(cachedLoads + storeLoads - storeLoadCount()), now);
     return slotWait + Milliseconds(static_cast<std::int64_t>(cachedMs + storeMs));
 }
 
@@ -464,11 +584,17 @@
 {
     std::optional<Instant> due;
     const auto add = [&due](Instant at) { due = due ? std::min(*due, at) : at; };
+    if (!engine_) {
+        return std::nullopt;
+    }
     if (!isStateKnown_) {
         return nextReportAt_;
     }
-    if (!hasModel_) {
-        add(isModelLoading_ ? modelCheckAt_ : Instant());
+    if (isOtherModelLoading_) {
+        add(nextReportAt_);
+    }
+    if (!holdsModel()) {
+        add(loadingModel_ ? modelCheckAt_ : isOtherModelLoading_ ? nextReportAt_ : Instant());
         return due;
     }
     bool isLoadWaiting = false;
@@ -549,7 +675,8 @@
 {
     std::erase(cached_, key);
     cached_.push_back(key);
-    while (cached_.size() > static_cast<std::size_t>(options_.cacheFactor) * static_cast<std::size_t>(options_.adapterSlots)) {
+    const auto places = static_cast<std::size_t>(engine_ ? std::max(1, engine_->adapterSlots) : 1);
+    while (cached_.size() > static_cast<std::size_t>(options_.cacheFactor) * places) {
         cached_.pop_front();
     }
 }
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -4,7 +4,8 @@
 //   LeaseTable       sending side: the leases that this host has obtained on weights at replicas
 //   Residency        owner's side: the state of one owned model replica
 //
-//   Residency residency(options, model);
+//   Residency residency(options);
+//   residency.setEngine(engine, now); // whenever the configuration or the replica's service may have changed; nothing: order nothing
 //   auto reply = residency.requestLease(key, minRevision, onTimeBy, isNew, now); // Ready: held for reply.lease; Waiting: ask again after a change
 //   if (residency.needsReport(now)) { residency.onReport(report, now); }
 //   while (auto order = residency.nextOrder(mayLoadModel, now)) { residency.onOrderOutcome(*order, outcome, now); }
@@ -13,11 +14,16 @@
 // again. Frequently requested weights get long leases, others a lease that is long enough for a request to start.
 // Each order carries the number of orders that the replica has accepted so far. If the response to an order is lost, either
 // the order was carried out and the replica's count has changed, or the replica refuses the order if it arrives late.
+//
+// What fits is worked out anew for each order, from the configuration in force and from what the replica holds and loads: all its base models,
+// also those that are no longer configured, and its adapters, each with the size of its model's. A base model whose load another owner ordered
+// may be any of them, and counts as the largest until a report shows it.
 #pragma once
 
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -46,7 +52,6 @@
 };
 
 struct ResidencyOptions {
-    int adapterSlots = 8;             // adapters held or loading
     int maxConcurrentLoads = 4;       // adapters loading on one replica at a time; limit of the platform
     Milliseconds storeLoadTime{250};  // of one adapter from the weight store
     Milliseconds cachedLoadTime{25};  // of an adapter that the replica held recently
@@ -79,7 +84,12 @@
         Milliseconds lease;       // Ready only: time until the lease expires
     };
 
-    Residency(ResidencyOptions options, ModelSpec model);
+    explicit Residency(ResidencyOptions options);
+
+    /// What the replica may hold, by the configuration in force. Nothing, or without models: no order is due.
+    void setEngine(std::optional<EngineSpec> engine, Instant now);
+    /// The base model to load when the replica holds none that is configured.
+    void setWantedModel(const BaseModel &model) { wantedModel_ = model; }
 
     /// Requests a lease on the weights for a request that is late after `onTimeBy`. `isNew`: false when a waiting caller asks
     /// again, so that it is counted once.
@@ -105,7 +115,12 @@
     /// Earliest time at which nextOrder() may return an order without a further event. None: never.
     [[nodiscard]] std::optional<Instant> nextDue() const;
 
-    [[nodiscard]] bool holdsModel() const { return hasModel_; }
+    /// Whether the replica holds a base model that is configured.
+    [[nodiscard]] bool holdsModel() const;
+    /// Whether a load of a base model is due or in progress.
+    [[nodiscard]] bool wantsModel() const { return !holdsModel() && (loadingModel_ || modelToLoad()); }
+    /// Whether the replica may ever hold the adapter beside its base models, whatever else it holds now.
+    [[nodiscard]] bool canHold(const AdapterKey &key) const;
     /// False after orders or reports went unanswered or were refused; true again after the next report.
     [[nodiscard]] bool isReachable() const { return isReachable_; }
     [[nodiscard]] bool isHeld(const AdapterKey &key) const;
@@ -141,11 +156,21 @@
             return servedPerSecond != other.servedPerSecond ? servedPerSecond > other.servedPerSecond : arrival < other.arrival;
         }
     };
+    struct ModelSize {
+        double weightsMb = 0;
+        double adapterMb = 0;
+    };
     struct HostUsage {
         std::vector<AdapterKey> keys;
         Instant validUntil;
     };
 
+    [[nodiscard]] const ModelSize *sizeOf(const BaseModel &model) const;
+    [[nodiscard]] double modelsMb() const;                              // base models held and loading
+    [[nodiscard]] double adaptersMb() const;                            // adapters held, loading and unloading
+    [[nodiscard]] bool fits(const AdapterKey &key) const;               // beside all that is held
+    [[nodiscard]] std::size_t freePlaces(const BaseModel &model) const; // for adapters of this model
+    [[nodiscard]] std::optional<BaseModel> modelToLoad() const;
     [[nodiscard]] double requestRate(const AdapterKey &key, Instant now) const;
     void recordRequest(const AdapterKey &key, Instant now);
     void markCached(const AdapterKey &key);
@@ -158,7 +183,8 @@
     [[nodiscard]] LoadPriority loadPriority(const AdapterKey &key, const Waiters &waiters, Instant now) const;
     [[nodiscard]] bool needsStoreLoad(const AdapterKey &key) const; // rather than from the replica's cache
     [[nodiscard]] Milliseconds expectedLoadTime(const AdapterKey &key) const;
-    [[nodiscard]] Milliseconds expectedSlotWait(std::size_t loadsAhead,
+    [[nodiscard]] Milliseconds expectedSlotWait(const AdapterKey &key,
+                                                std::size_t loadsAhead,
                                                 Instant now) const; // until a slot is free for the load with so many others ahead of it
     [[nodiscard]] bool isSlotShort() const;                         // a load waits for an adapter slot
     [[nodiscard]] double storeLoadMs() const;                       // mean, at least storeLoadTime
@@ -166,7 +192,8 @@
     [[nodiscard]] bool isAnyDraining() const;
     [[nodiscard]] int storeLoadCount() const;
     [[nodiscard]] int storeLoadLimit() const;
-    void onModelOrder(OrderOutcome outcome, Instant now);
+    void onModelOrder(const Order &order, OrderOutcome outcome, Instant now);
+    void removeUnusedSizes();
     void onUnload(const AdapterKey &key, OrderOutcome outcome, Instant now);
     void onLoad(const Order &order, OrderOutcome outcome, Instant now);
     void markHeld(const AdapterKey &key, AdapterSlot &slot, Instant now);
@@ -175,11 +202,14 @@
     void removeIdleRates(Instant now);
 
     ResidencyOptions options_;
-    ModelSpec model_;
-    bool isStateKnown_ = false; // a report was read since the start, the last restart or the last conflict
+    std::optional<EngineSpec> engine_;
+    std::map<BaseModel, ModelSize> sizes_; // of models that are configured, or were when the replica began to hold them
+    BaseModel wantedModel_;
+    std::set<BaseModel> heldModels_;
+    std::optional<BaseModel> loadingModel_; // by an order of this owner
+    bool isOtherModelLoading_ = false;      // by an order of another owner
+    bool isStateKnown_ = false;             // a report was read since the start, the last restart or the last conflict
     bool isReachable_ = true;
-    bool hasModel_ = false;
-    bool isModelLoading_ = false;
     Instant modelCheckAt_;
     Instant nextReportAt_; // no report is read before
     OrderSequence sequence_;
--- a/packages/serving/tests/ownedreplicatest.cpp
+++ b/packages/serving/tests/ownedreplicatest.cpp
@@ -60,6 +60,8 @@
 class OwnedReplicaTest : public ServingFixture
 {
 protected:
+    static EngineSpec engine() { return {8, 100'000, 70'000, 8, 5, {ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(1), Milliseconds(1)}}}; }
+
     std::vector<std::shared_ptr<ScriptedUpstream>> replicas_; // for as long as their coroutines run
 };
 
@@ -78,11 +80,11 @@
     int restarts = 0;
     OwnedReplicaCallbacks guards;
     guards.mayAct = [] { return true; };
-    guards.acquireLoadPermit = [] { return std::nullopt; };
-    guards.releaseLoadPermit = [](std::uint64_t) {};
+    guards.acquireLoadPermit = [](const ServiceName &) { return std::nullopt; };
+    guards.releaseLoadPermit = [](const ServiceName &, std::uint64_t) {};
     guards.onRestart = [&restarts] { ++restarts; };
-    const auto owned = std::make_shared<OwnedReplica>(
-        node, http, record, ResidencyOptions(), ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(1), Milliseconds(1)}, core::Epoch(7), std::move(guards));
+    const auto owned = std::make_shared<OwnedReplica>(node, http, record, ResidencyOptions(), core::Epoch(7), std::move(guards));
+    owned->setEngine(engine());
     owned->start();
     runFor(Milliseconds(100));
     ASSERT_EQ(replica.requests.size(), 1U);
@@ -120,11 +122,11 @@
         int restarts = 0;
         OwnedReplicaCallbacks guards;
         guards.mayAct = [] { return true; };
-        guards.acquireLoadPermit = [] { return std::optional<std::uint64_t>(1); };
-        guards.releaseLoadPermit = [](std::uint64_t) {};
+        guards.acquireLoadPermit = [](const ServiceName &) { return std::optional<std::uint64_t>(1); };
+        guards.releaseLoadPermit = [](const ServiceName &, std::uint64_t) {};
         guards.onRestart = [&restarts] { ++restarts; };
-        const auto owned = std::make_shared<OwnedReplica>(
-            node, http, record, ResidencyOptions(), ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(1), Milliseconds(1)}, core::Epoch(7), std::move(guards));
+        const auto owned = std::make_shared<OwnedReplica>(node, http, record, ResidencyOptions(), core::Epoch(7), std::move(guards));
+        owned->setEngine(engine());
         owned->start();
         const auto deadline = node.now() + Milliseconds(4'000);
         while (replica->requests.size() < 4 && node.now() < deadline) {
@@ -154,11 +156,11 @@
         record.address = replica.address();
         OwnedReplicaCallbacks guards;
         guards.mayAct = [] { return true; };
-        guards.acquireLoadPermit = [] { return std::nullopt; };
-        guards.releaseLoadPermit = [](std::uint64_t) {};
+        guards.acquireLoadPermit = [](const ServiceName &) { return std::nullopt; };
+        guards.releaseLoadPermit = [](const ServiceName &, std::uint64_t) {};
         guards.onRestart = [] {};
-        const auto owned = std::make_shared<OwnedReplica>(
-            node, http, record, ResidencyOptions(), ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(1), Milliseconds(1)}, core::Epoch(7), std::move(guards));
+        const auto owned = std::make_shared<OwnedReplica>(node, http, record, ResidencyOptions(), core::Epoch(7), std::move(guards));
+        owned->setEngine(engine());
         owned->start();
         const auto deadline = node.now() + Milliseconds(4'000);
         while (replica.closedByClient() == 0 && node.now() < deadline) {
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -103,17 +103,13 @@
 protected:
     ResidencyTest()
         : replica_(4, Milliseconds(250), Milliseconds(25))
-        , residency_(options(), ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(2'000), Milliseconds(1'000)})
+        , residency_(ResidencyOptions())
     {
+        residency_.setEngine(engine(), now_);
         residency_.onReport(replica_.report(now_), now_);
     }
 
-    static ResidencyOptions options()
-    {
-        ResidencyOptions options;
-        options.adapterSlots = 4;
-        return options;
-    }
+    static EngineSpec engine() { return {8, 100'000, 70'000, 4, 5, {ModelSpec{BaseModel("m"), 65'000, 12, Milliseconds(2'000), Milliseconds(1'000)}}}; }
 
     /// Carries out all orders that are due. Optionally loses the response or the order itself; then stops after one order.
     void executeOrders(bool loseResponse = false, bool loseOrder = false)
--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -184,12 +184,16 @@
 class Replica(Server):
     """A model replica; without a model a plain service."""
 
-    def __init__(self, store, name, service, zone, model=None, places=4, events=8, event_seconds=0.02, version="v1"):
+    def __init__(self, store, name, service, zone, model=None, places=4, events=8, event_seconds=0.02, version="v1", memory_mb=None, sizes=None):
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.model, self.places, self.events, self.event_seconds = model, places, events, event_seconds
         self.born = int(time.time() * 1000)
         self.lock = threading.Lock()
         self.held = {}  # adapter -> time from which it is held
+        self.model_of = {}  # adapter -> its base model
+        self.memory_mb, self.sizes = memory_mb, sizes or {}  # base model -> megabytes of its weights and of each of its adapters
+        self.base_models = {name: 0.0 for name in ([model] if isinstance(model, str) else model or [])}  # -> time from which it is held
+        self.model_load_seconds = 0.6
         self.sequence = 0
         self.fence = 0
         self.orders = []  # (time, holder, fence, operation, adapter)
@@ -256,7 +260,7 @@
         return bool(self.falls) and time.monotonic() - self.falls[-1] < self.FALLEN_SECONDS
 
     def register(self, state="ready"):
-        models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}] if self.model else []
+        models = self.held_models()
         record = {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version, "slots": self.slots, "state": state}
         self.store.put("keyed.servers", self.name, record | {"cold_remaining_ms": 0, "models": models, "sequence": self.sequence, "born": self.born})
 
@@ -265,8 +269,8 @@
             request.answer(421, headers=[("X-Replica-Id", self.name), *self.id_of(request)])
         elif request.path == "/baobabstall/report":
             with self.lock:
-                models = [{"name": self.model, "version": 1, "adapters": sorted(self.held)}]
-                report = {"phase": "unified", "models": models, "busy": False, "sequence": self.sequence, "queued": 0, "active": 0}
+                models = self.held_models()
+                report = {"phase": "unified", "models": models, "busy": self.is_busy(), "sequence": self.sequence, "queued": 0, "active": 0}
                 report["born"] = self.born
             request.answer_json(200, report)
         elif request.path == "/baobabstall/order":
@@ -284,6 +288,30 @@
             finally:
                 self.free_slot()
 
+    def held_models(self):
+        now = time.monotonic()
+        return [{"name": name, "version": 1, "adapters": sorted(each for each in self.held if self.model_of.get(each, name) == name)} for name, at in self.base_models.items() if at <= now]
+
+    def is_busy(self):
+        return any(at > time.monotonic() for at in self.base_models.values())
+
+    def check_memory(self, what):
+        if self.memory_mb is None:
+            return
+        used = sum(self.sizes[name][0] for name in self.base_models) + sum(self.sizes[self.model_of[each]][1] for each in self.held)
+        if used > self.memory_mb:
+            self.violations.append("ordered to load %s: %d of %d MB" % (what, used, self.memory_mb))
+
+    def load_model(self, name):
+        if name in self.base_models:
+            return 200 if self.base_models[name] <= time.monotonic() else 202
+        if self.is_busy():
+            return 409
+        self.base_models[name] = time.monotonic() + self.model_load_seconds
+        self.sequence += 1
+        self.check_memory(name)
+        return 202
+
     def id_of(self, request):
         attempt = request.headers.get("X-Attempt-Id")
         return [("X-Attempt-Id", attempt)] if attempt and self.names_refused else []
@@ -301,12 +329,16 @@
                 if self.held.pop(adapter, None) is not None:
                     self.sequence += 1
                 return 200
+            if adapter is None:
+                return self.load_model(order["model"])
             if adapter in self.held:
                 return 200 if self.held[adapter] <= time.monotonic() else 202
             if len(self.held) >= self.places:
                 self.violations.append("ordered to load %s beyond its %d places" % (adapter, self.places))
             self.held[adapter] = time.monotonic() + 0.05
+            self.model_of[adapter] = order["model"]
             self.sequence += 1
+            self.check_memory(adapter)
             return 202
 
     def run(self, request):
@@ -355,6 +387,7 @@
         """Starts again under the same id; its record stays as it is until register()."""
         with self.lock:
             self.held.clear()
+            self.model_of.clear()
             self.sequence = 0
             self.fence = 0
             self.born = int(time.time() * 1000)
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -226,11 +226,11 @@
 
         return Text()
 
-    def generate(self, host, adapter, timeout=10, parts=None):
+    def generate(self, host, adapter, timeout=10, parts=None, model="base", target="/gen/x"):
         attempt = "q%d" % next(self.numbers)
-        headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base/" + adapter, "X-Deadline-Ms": "6000"}
+        headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": model + "/" + adapter, "X-Deadline-Ms": "6000"}
         headers |= {"X-Prompt-Prefix": parts} if parts else {}
-        status, answer_headers, body = ask(host.callers, "POST", "/gen/x", headers, b"prompt of " + attempt.encode(), timeout)
+        status, answer_headers, body = ask(host.callers, "POST", target, headers, b"prompt of " + attempt.encode(), timeout)
         return status, answer_headers, body, attempt
 
     def book(self, host, attempt=None, timeout=5):
@@ -637,6 +637,48 @@
         self.store.put("keyed.op", "config", configuration(12))
         self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts), 3))
 
+    def use_two_models(self, memory_mb, adapter_mb, held):
+        sizes = {"base": (30000, adapter_mb), "other": (30000, adapter_mb)}
+        made = configuration(4)
+        made["services"][0]["runtime"] |= {"weights_mb": float(memory_mb), "max_adapters": 16}
+        of_each = {"load_time_s": 2.0, "adapters": 100, "disk_load_s": 1.0}
+        made["services"][0]["runtime"]["models"] = [{"name": name, "weights_mb": float(mb), "adapter_mb": float(of_adapter), **of_each} for name, (mb, of_adapter) in sizes.items()]
+        self.store.put("keyed.op", "config", made)
+        for replica in self.replicas:
+            replica.close()
+            self.store.put("keyed.servers", replica.name, None)
+        self.replicas = [Replica(self.store, "i-two%d" % n, "llm", "a", model=held, places=16, memory_mb=memory_mb, sizes=sizes) for n in range(2)]
+        return made
+
+    # Guards against a twelfth adapter where eleven fit beside two base models: the replicas crashed (issue 42, LIMIT).
+    def test_no_more_adapters_are_ordered_than_fit_beside_two_base_models(self):
+        self.use_two_models(67000, 600, ["base", "other"])
+        self.start_all()
+        burst, answers = self.in_threads(lambda n: self.generate(self.hosts[n % 2], "%s%d" % ("ab"[n % 2], n), model=("base", "other")[n % 2]), 40)
+        for thread in burst:
+            thread.join()
+        self.assertEqual([violation for replica in self.replicas for violation in replica.violations], [])
+        held = [len(replica.held) for replica in self.replicas]
+        self.assertGreater(max(held), 8, "the burst fills the replicas")
+
+    # Guards against a second base model beside one whose load was ordered by an owner that was killed 0.3 s later (issue 42, LIMIT).
+    def test_a_base_model_that_a_killed_owner_ordered_is_not_followed_by_a_second_one(self):
+        self.use_two_models(50000, 12, [])
+        for replica in self.replicas:
+            replica.model_load_seconds = 4.0
+        for host in self.hosts:
+            host.start()
+        self.assertTrue(wait_until(lambda: any(replica.base_models for replica in self.replicas), 20), self.states("no base model is ordered"))
+        time.sleep(0.3)
+        ordered = next(replica for replica in self.replicas if replica.base_models)
+        owner = next(host for host in self.hosts if host.name == ordered.orders[-1][1])
+        other = next(host for host in self.hosts if host is not owner)
+        owner.end(signal.SIGKILL)
+        for number in range(12):
+            self.generate(other, "a%d" % number, model=("other", "base")["other" in ordered.base_models])
+            time.sleep(0.5)
+        self.assertEqual([len(replica.base_models) <= 1 for replica in self.replicas], [True, True])
+
     def test_a_leaving_replica_gets_nothing_more_and_bad_records_name_none(self):
         self.start_all()
         self.store.put("keyed.servers", "i-ghost", b"\xff\xfe nothing")
