--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -506,6 +506,7 @@
         }
     }
     node_.reachability.setUpstreams(upstreams, node_.now());
+    updateOwnedReplicas();
 }
 
 // ---- Control topic ----
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -637,6 +637,69 @@
         self.store.put("keyed.op", "config", configuration(12))
         self.assertTrue(wait_until(lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts), 3))
 
+    def with_second_service(self, version, **runtime):
+        """The usual configuration, a service "second" like the first one, and a route to it. `runtime`: what differs in its runtime."""
+        made = configuration(version)
+        first = made["services"][0]
+        made["services"].append(first | {"name": "second", "runtime": first["runtime"] | runtime})
+        made["routes"].append(made["routes"][0] | {"name": "r4", "path_prefix": "/second/", "service": "second"})
+        return made
+
+    def is_second_served(self, adapter="a1"):
+        return all(self.generate(host, adapter, target="/second/x")[0] == 200 for host in self.hosts)
+
+    APPLY_SECONDS = 2.0  # the platform's config_apply_ms
+
+    def add_second_replica(self):
+        self.replicas.append(Replica(self.store, "i-second", "second", "a", model="base"))
+
+    # Guards against an owner that never orders at a replica that was there before its service (issue 42, CONFIG).
+    def test_a_replica_that_joins_before_its_service_is_configured_is_served(self):
+        self.start_all()
+        self.add_second_replica()
+        time.sleep(3.0)
+        self.store.put("keyed.op", "config", self.with_second_service(4))
+        self.assertTrue(wait_until(self.is_second_served, self.APPLY_SECONDS), self.states("the second service isn't served"))
+
+    # The same for a service whose list of models comes later, is empty for a while, and for one that is removed and added again.
+    def test_a_replica_whose_service_gets_its_models_later_or_comes_again_is_served(self):
+        self.store.put("keyed.op", "config", self.with_second_service(4, models=[]))
+        self.add_second_replica()
+        self.start_all()
+        time.sleep(2.0)
+        self.store.put("keyed.op", "config", self.with_second_service(5))
+        self.assertTrue(wait_until(self.is_second_served, self.APPLY_SECONDS), self.states("models came later"))
+        for version, between in ((6, self.with_second_service(6, models=[])), (8, configuration(8))):
+            self.store.put("keyed.op", "config", between)
+            time.sleep(1.0)
+            self.store.put("keyed.op", "config", self.with_second_service(version + 1))
+            self.assertTrue(wait_until(lambda: self.is_second_served("a%d" % version), self.APPLY_SECONDS), self.states("not served again after version %d" % version))
+
+    # The same for a record that changes its service.
+    def test_a_replica_whose_record_names_another_service_is_served_there(self):
+        self.store.put("keyed.op", "config", self.with_second_service(4))
+        self.replicas.append(Replica(self.store, "i-moves", "unknown", "a", model="base"))
+        self.start_all()
+        time.sleep(2.0)
+        self.replicas[-1].service = "second"
+        self.replicas[-1].register()
+        self.assertTrue(wait_until(self.is_second_served, self.APPLY_SECONDS), self.states("not served"))
+
+    # The same for a host that reads the record of a replica before any configuration.
+    def test_a_host_that_reads_records_before_any_configuration_serves_them(self):
+        self.store.close()
+        self.store = Store()
+        for replica in (*self.replicas, self.shop):
+            replica.store = self.store
+            replica.register()
+        self.hosts = [Host(n + 1, self.store, pathlib.Path(self.folder.name)) for n in range(self.HOSTS)]
+        for host in self.hosts:
+            host.start()
+        time.sleep(2.0)
+        self.store.put("keyed.op", "config", configuration(3))
+        served = lambda: all(self.generate(host, "a1")[0] == 200 for host in self.hosts)  # noqa: E731
+        self.assertTrue(wait_until(served, 10), self.states("not served"))
+
     def use_two_models(self, memory_mb, adapter_mb, held):
         sizes = {"base": (30000, adapter_mb), "other": (30000, adapter_mb)}
         made = configuration(4)
@@ -652,7 +715,7 @@
 
     # Guards against a twelfth adapter where eleven fit beside two base models: the replicas crashed (issue 42, LIMIT).
     def test_no_more_adapters_are_ordered_than_fit_beside_two_base_models(self):
-        self.use_two_models(67000, 600, ["base", "other"])
+        made = self.use_two_models(67000, 600, ["base", "other"])
         self.start_all()
         burst, answers = self.in_threads(lambda n: self.generate(self.hosts[n % 2], "%s%d" % ("ab"[n % 2], n), model=("base", "other")[n % 2]), 40)
         for thread in burst:
@@ -660,6 +723,17 @@
         self.assertEqual([violation for replica in self.replicas for violation in replica.violations], [])
         held = [len(replica.held) for replica in self.replicas]
         self.assertGreater(max(held), 8, "the burst fills the replicas")
+        made["version"] = 5
+        made["services"][0]["runtime"]["weights_mb"] = 69000.0  # three more fit
+        for replica in self.replicas:
+            replica.memory_mb = 69000
+        self.store.put("keyed.op", "config", made)
+        time.sleep(self.APPLY_SECONDS)
+        burst, answers = self.in_threads(lambda n: self.generate(self.hosts[n % 2], "%s%d" % ("cd"[n % 2], n), model=("base", "other")[n % 2]), 40)
+        for thread in burst:
+            thread.join()
+        self.assertTrue(any(status == 200 for status, *_ in answers))
+        self.assertGreater(max(len(replica.held) for replica in self.replicas), 11, "the new configuration is followed")
 
     # Guards against a second base model beside one whose load was ordered by an owner that was killed 0.3 s later (issue 42, LIMIT).
     def test_a_base_model_that_a_killed_owner_ordered_is_not_followed_by_a_second_one(self):
