--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -103,6 +103,7 @@
         self.topics_down = set()
         self.calls = 0
         self.era = 1
+        self.endless_listings = False  # each page of a listing says that there are more
         super().__init__()
 
     def common_headers(self):
@@ -171,6 +172,10 @@
         request.answer(200, answer)
 
     def newest(self, request, query):
+        if self.endless_listings:
+            items = [{"key": "%016x" % random.getrandbits(60), "value": base64.b64encode(b"x" * 3000).decode(), "offset": 0} for _ in range(200)]
+            request.answer_json(200, {"items": items, "has_more": True, "end_offset": 9})
+            return
         with self.changed:
             topic = list(self.topics.get(query["topic"], []))
         items = {}
@@ -418,6 +423,70 @@
         request.close_connection = True
 
 
+class EndlessReplica:
+    """A faulty replica: registered like a sound one, it answers each connection with `prefix` and then with `filler` without end."""
+
+    MODES = {
+        "status line": (b"HTTP/1.1 200 ", b"x"),
+        "header field": (b"HTTP/1.1 200 OK\r\nMore: ", b"x"),
+        "header fields": (b"HTTP/1.1 200 OK\r\n", b"More: x\r\n"),
+        "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        "chunk size": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", b"0"),
+        "chunk extension": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5;more=", b"x"),
+        "trailer": (b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\nMore: ", b"x"),
+        "event": (b"HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\nid: 1\ndata: ", b"x"),
+        "body with length": (b"HTTP/1.1 200 OK\r\n%sContent-Length: 900000000000\r\n\r\n", b"x"),
+        "body without length": (b"HTTP/1.1 200 OK\r\n%s\r\n", b"x"),
+        "refusal": (b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n%sContent-Length: 900000000000\r\n\r\n", b"x"),
+        "error": (b"HTTP/1.1 500 Failed\r\n%sContent-Length: 900000000000\r\n\r\n", b"x"),
+        "another request's answer": (b"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Seal: s\r\nContent-Length: 900000000000\r\n\r\n", b"x"),
+    }
+    PIECE_BYTES = 64 * 1024
+
+    def __init__(self, store, name, service, model=None):
+        self.mode = "status line"
+        self.sends_reports = False  # that end
+        self.requests = 0
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        models = [{"name": model, "version": 1, "adapters": ["a1"]}] if model else []
+        record = {"service": service, "address": self.address, "zone": "a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0}
+        store.put("keyed.servers", name, record | {"models": models, "sequence": 0, "born": int(time.time() * 1000)})
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.answer, args=(connection,), daemon=True).start()
+
+    def answer(self, connection):
+        try:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                piece = connection.recv(65536)
+                if not piece:
+                    return
+                head += piece
+            self.requests += 1
+            attempt = next((line.split(b": ")[1] for line in head.split(b"\r\n") if line.lower().startswith(b"x-attempt-id: ")), b"none")
+            prefix, filler = self.MODES[self.mode]
+            fields = b"X-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\n" % (attempt, attempt)
+            connection.sendall(prefix.replace(b"%s", fields))
+            filler *= self.PIECE_BYTES // len(filler)
+            while True:
+                connection.sendall(filler)
+        except OSError:
+            pass  # the client closed
+        finally:
+            connection.close()
+
+    def close(self):
+        self.listener.close()
+
+
 def configuration(version, routes_to="llm"):
     stream = {"name": "r1", "host": "h.example", "path_prefix": "/gen/", "type": "streaming", "timeout_ms": 8000, "target_latency_ms": 800}
     stream |= {"priority": 0, "service": routes_to, "max_attempts": 2, "session_affinity": True, "resumable": True, "target_itl_ms": 600}
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -19,7 +19,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "standins" / "hosting"))
-from hosting import Replica, Store, configuration  # noqa: E402
+from hosting import EndlessReplica, Replica, Store, configuration  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
 DAEMON = None
@@ -551,6 +551,7 @@
         return stopping
 
     def in_threads(self, work, count):
+        """Threads that have started, and the list to which they append their results."""
         results = []
         threads = [threading.Thread(target=lambda number=number: results.append(work(number))) for number in range(count)]
         for thread in threads:
@@ -753,6 +754,44 @@
             time.sleep(0.5)
         self.assertEqual([len(replica.base_models) <= 1 for replica in self.replicas], [True, True])
 
+    SMALLEST_HOST_MB = 160
+
+    def peak_mb(self, host):
+        lines = pathlib.Path("/proc/%d/status" % host.process.pid).read_text().splitlines()
+        return int(next(line for line in lines if line.startswith("VmHWM")).split()[1]) / 1024
+
+    # Guards against a replica that sends bytes without end, of which a host keeps all until its memory is used up (issue 42, first further report).
+    def test_replicas_that_send_bytes_without_end_cost_little_memory_and_others_are_served(self):
+        faulty = [EndlessReplica(self.store, "i-endless%d" % n, service, model) for n, (service, model) in enumerate((("llm", "base"), ("shop", None)))]
+        self.shops += [Replica(self.store, "i-shop%d" % n, "shop", "a") for n in (2, 3)]
+        self.start_all()
+        for mode in EndlessReplica.MODES:
+            with self.subTest(mode=mode):
+                for replica in faulty:
+                    replica.mode = mode
+                threads, statuses = self.in_threads(lambda n: self.generate(self.hosts[n % 2], "a1")[0] if n // 2 % 2 else self.look(self.hosts[n % 2]), 24)
+                for thread in threads:
+                    thread.join()
+                self.assertGreaterEqual(statuses.count(200), len(statuses) // 2, statuses)
+                for host in self.hosts:
+                    self.assertIsNone(host.process.poll())
+                    self.assertLess(self.peak_mb(host), self.SMALLEST_HOST_MB)
+        self.assertGreater(sum(replica.requests for replica in faulty), 0)
+        for replica in faulty:
+            replica.close()
+
+    # The same for a store whose listings have no end.
+    def test_a_store_whose_listings_never_end_costs_little_memory(self):
+        self.start_all()
+        self.store.endless_listings = True
+        late = Host(9, self.store, pathlib.Path(self.folder.name))
+        self.hosts.append(late)
+        late.start()
+        time.sleep(14)  # as long as a listing may take
+        self.assertIsNone(late.process.poll())
+        self.assertLess(self.peak_mb(late), self.SMALLEST_HOST_MB)
+        self.assertEqual(self.generate(self.hosts[0], "a1")[0], 200, "hosts that know the deployment serve on")
+
     def test_a_leaving_replica_gets_nothing_more_and_bad_records_name_none(self):
         self.start_all()
         self.store.put("keyed.servers", "i-ghost", b"\xff\xfe nothing")
