--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -4,7 +4,8 @@
 to replicas, between hosts and from callers are delayed, silenced (also one way) or reset; the store is down, slow, turns single hosts away or
 loses answers; replicas crash, leave, come, fall silent for a second, cut answers and start again under their id at another software version while their record comes late; one request crashes every
 replica that runs it and comes again and again; replicas refuse requests and write the refusals twice; another writer leaves odd entries
-among those of the replicas; configurations change; some hosts lose their links to all replicas. Callers keep their connections until they end, and take up broken streams.
+among those of the replicas; configurations change, also the room for adapters, and name a service whose replica was there before; a replica and the
+listings of the store send bytes without end; requests come in parts while their host stops; some hosts lose their links to all replicas. Callers keep their connections until they end, and take up broken streams.
 Checked from what callers and replicas see: answers are whole and the caller's own, nothing runs twice that must not, a refusal is true,
 orders of one holder at a time, no stream holds events of two software versions, a crashing request reaches few replicas once it is known, few brittle replicas fall over, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
 The time of day can't be set without privileges; nothing here depends on it but the numbers of runs, which only grow.
@@ -26,11 +27,12 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import hostedtest  # noqa: E402
 from hostedtest import Blackhole, Host, ask, wait_until  # noqa: E402
-from hosting import Replica, Store, configuration  # noqa: E402
+from hosting import EndlessReplica, Replica, Store, configuration  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
 CALM_SECONDS = 4.0  # a host counts as undisturbed when no fault touched it for so long
 LEASE_SECONDS = hostedtest.LEASE_MS / 1000
+PLANNED_STOP_PARTS = 3  # requests that are sent in parts while their host stops
 LATE_SECONDS = 0.75  # beyond a route's time limit: a busy machine and the way back
 SETTLE_SECONDS = 6.0  # after the last fault: a lease, a claim, and records that come back
 START_SECONDS = 1.0  # until a process has surely set up its signals
@@ -212,12 +214,15 @@
         self.taken_up = []  # (id of the stream's first request, id of a later one, its status)
         self.killed_all_at = []
         self.cuts = []  # (begin, end, names of the hosts that were cut off from all replicas)
+        self.parts = []  # (id, answer) of requests that were sent in parts during a planned stop
         self.tries_at_cut = [0, 0]  # first tries at such hosts from the time of contact on, served and all
         self.blackhole = Blackhole()
         self.crasher = None
         self.disturbed = {}  # host name -> list of [from, until]; None: every host
         self.store = SoakStore()
         self.version = 3
+        self.room = {}  # of the runtime in the configuration, where it differs from the usual one
+        self.has_second_service = False
         self.store.put("keyed.op", "config", configuration(self.version))
         self.replicas = [self.replica(n) for n in range(self.random.randint(2, 4))]
         self.shops = [SoakReplica(self.store, "i-shop%d" % n, "shop", "a") for n in range(self.random.randint(1, 2))]
@@ -269,11 +274,46 @@
         host.lock.acquire()
         host.crashes += 1
         is_young = time.monotonic() - host.started < START_SECONDS
+        late = self.send_in_parts(host) if number == signal.SIGTERM and host.process.poll() is None else []
         code = host.end(number)
+        for request in late:
+            request.join()
         if code not in (-signal.SIGKILL, 0) and not (is_young and code == -number):
             told = host.process.stderr.read().decode(errors="replace")
             self.failures.append("%s ended with %s: %s" % (host.name, code, told[-300:]))
 
+    def send_in_parts(self, host):
+        """Requests on connections that are open before the stop; their last bytes come during it."""
+        chooser = random.Random("parts %d %s %d" % (self.seed, host.name, host.crashes))
+        address, port = host.callers.split(":")
+        threads = []
+        for number in range(PLANNED_STOP_PARTS):
+            try:
+                connection = socket.create_connection((address, int(port)), timeout=2)
+            except OSError:
+                continue  # a host that has just started
+            attempt = "part-%s-%d-%d" % (host.name, host.crashes, number)
+            threads.append(threading.Thread(target=self.send_parts, args=(connection, attempt, chooser.uniform(0.0, 2.5), chooser.uniform(0.0, 2.5)), daemon=True))
+            threads[-1].start()
+        return threads
+
+    def send_parts(self, connection, attempt, first, second):
+        head = "POST /book/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: 6\r\n\r\nse" % attempt
+        try:
+            time.sleep(first)
+            connection.sendall(head[:20].encode())
+            time.sleep(second / 2)
+            connection.sendall(head[20:].encode())
+            time.sleep(second / 2)
+            connection.sendall(b"at 4")
+            connection.settimeout(8)
+            answer = connection.recv(65536)
+        except OSError:
+            answer = b""
+        finally:
+            connection.close()
+        self.parts.append((attempt, answer))
+
     @staticmethod
     def start(host):
         host.start()
@@ -444,12 +484,61 @@
     def configure(self):
         self.version += self.random.randint(1, 5)
         self.note("configuration %d" % self.version, [], 0)
-        self.store.put("keyed.op", "config", configuration(self.version))
+        self.store.put("keyed.op", "config", self.made_configuration(self.version))
         if self.random.random() < 0.3:
-            self.store.put("keyed.op", "config", configuration(self.version - 2))  # an old one
+            self.store.put("keyed.op", "config", self.made_configuration(self.version - 2))  # an old one
             self.store.put("keyed.op", "config", b"[broken")
             self.version += 1
-            self.store.put("keyed.op", "config", configuration(self.version))
+            self.store.put("keyed.op", "config", self.made_configuration(self.version))
+
+    def send_without_end(self, others, end):
+        """A faulty replica of the plain service, and now and then a store whose listings have no end."""
+        faulty = EndlessReplica(self.store, "i-endless", "shop")
+        while time.monotonic() < end:
+            faulty.mode = others.choice(sorted(EndlessReplica.MODES))
+            self.note("i-endless sends bytes without end: %s" % faulty.mode, None, 0)
+            self.store.endless_listings = others.random() < 0.2
+            time.sleep(others.uniform(0.5, 2.0))
+            self.store.endless_listings = False
+        self.store.put("keyed.servers", "i-endless", b"")
+        time.sleep(2.5)
+        faulty.close()
+
+    def configure_more(self, others, end):
+        """Configurations with less or more room for adapters; the last one names a service whose replica has been there all the time."""
+        late = SoakReplica(self.store, "i-late", "second", "a", model="base", event_seconds=0.01)
+        self.replicas.append(late)
+        while time.monotonic() < end:
+            time.sleep(others.uniform(1.0, 4.0))
+            self.room = {"weights_mb": others.choice([65010.0, 65024.0, 65036.0, 70000.0]), "max_adapters": others.randint(1, 4)}
+            self.configure()
+        self.room = {}
+        self.has_second_service = True
+        self.configure()
+
+    def made_configuration(self, version):
+        made = configuration(version)
+        made["services"][0]["runtime"] |= self.room
+        if self.has_second_service:
+            made["services"].append(made["services"][0] | {"name": "second"})
+            made["routes"].append(made["routes"][0] | {"name": "r4", "path_prefix": "/second/", "service": "second"})
+        return made
+
+    def check_second_service(self):
+        def is_served(host):
+            headers = {"Host": "h.example", "X-Attempt-Id": "second-%s-%d" % (host.name, time.monotonic_ns()), "X-Model-Id": "base/a1", "X-Deadline-Ms": "6000"}
+            return ask(host.callers, "POST", "/second/x", headers, b"prompt")[0] == 200
+
+        for host in self.hosts:
+            if not wait_until(lambda: is_served(host), 5):
+                self.failures.append("%s doesn't serve the service that was configured after its replica" % host.name)
+
+    def check_parts(self, ran):
+        for attempt, answer in self.parts:
+            if not answer and ran.get(attempt, 0) > 0:
+                self.failures.append("%s was passed on during a planned stop and got no answer" % attempt)
+            if answer[9:12] == b"503" and ran.get(attempt, 0) > 0:
+                self.failures.append("%s was refused during a planned stop, but it ran" % attempt)
 
     def draw(self):
         host = self.random.choice(self.hosts)
@@ -503,6 +592,12 @@
         if others.random() < 0.5:
             busy["other writer"] = threading.Thread(target=self.write_odd_entries, args=(others, end), daemon=True)
             busy["other writer"].start()
+        if self.seed < ONLY_LINKS_FROM and others.random() < 0.5:
+            busy["without end"] = threading.Thread(target=self.send_without_end, args=(others, end), daemon=True)
+            busy["without end"].start()
+        if self.seed < ONLY_LINKS_FROM and others.random() < 0.5:
+            busy["more configurations"] = threading.Thread(target=self.configure_more, args=(others, end), daemon=True)
+            busy["more configurations"].start()
         while time.monotonic() < end:
             if self.seed >= ONLY_LINKS_FROM:  # no other faults, so that the shares of hosts that are cut off can be compared
                 time.sleep(0.1)
@@ -542,6 +637,9 @@
             self.check_versions(result)
         for cut in self.cuts:
             self.check_cut(results, *cut)
+        self.check_parts(ran)
+        if self.has_second_service:
+            self.check_second_service()
         if self.crasher:
             self.check_crashes(sorted(crash for shop in self.shops for crash in shop.crashed))
         for host in self.hosts:
