--- a/packages/serving/gracefulstop.h
+++ b/packages/serving/gracefulstop.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <algorithm>
+#include <memory>
 #include <unordered_set>
 #include <vector>
 
@@ -34,21 +35,22 @@
         Instant unbalancedAt; // the load balancer sends this host no new connections from then on
     };
 
+    /// May outlive the GracefulStop: requests that still wait when the process ends are destroyed last.
     class Registration
     {
     public:
         Registration(GracefulStop &stop, StopListener &listener)
-            : stop_(stop)
+            : listeners_(stop.listeners_)
             , listener_(&listener)
         {
-            stop_.listeners_.insert(listener_);
+            listeners_->insert(listener_);
         }
-        ~Registration() { stop_.listeners_.erase(listener_); }
+        ~Registration() { listeners_->erase(listener_); }
         Registration(const Registration &) = delete;
         Registration &operator=(const Registration &) = delete;
 
     private:
-        GracefulStop &stop_;
+        std::shared_ptr<std::unordered_set<StopListener *>> listeners_;
         StopListener *listener_;
     };
 
@@ -56,9 +58,9 @@
     {
         times_ = times;
         hasBegun_ = true;
-        const std::vector<StopListener *> listeners(listeners_.begin(), listeners_.end());
+        const std::vector<StopListener *> listeners(listeners_->begin(), listeners_->end());
         for (auto *listener : listeners) {
-            if (listeners_.contains(listener)) { // it may have ended meanwhile
+            if (listeners_->contains(listener)) { // it may have ended meanwhile
                 listener->onStop();
             }
         }
@@ -71,7 +73,7 @@
 private:
     Times times_;
     bool hasBegun_ = false;
-    std::unordered_set<StopListener *> listeners_;
+    std::shared_ptr<std::unordered_set<StopListener *>> listeners_ = std::make_shared<std::unordered_set<StopListener *>>();
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/tests/gracefulstoptest.cpp
+++ b/packages/serving/tests/gracefulstoptest.cpp
@@ -178,6 +178,21 @@
     EXPECT_LT(node_.now() - begin, Milliseconds(200));
 }
 
+// Guards against a request that still waits when the process ends and is destroyed after the host's state (signal 11 at the end of a stop).
+TEST(GracefulStop, a_request_may_be_destroyed_after_the_stop_that_it_listens_to)
+{
+    struct Listener final : StopListener {
+        void onStop() override { ++calls; }
+        int calls = 0;
+    } listener;
+    auto stop = std::make_unique<GracefulStop>();
+    auto registration = std::make_unique<GracefulStop::Registration>(*stop, listener);
+    stop->begin({});
+    EXPECT_EQ(listener.calls, 1);
+    stop.reset();
+    registration.reset();
+}
+
 // Guards against requests that are passed on late in the grace and cut at its end (issue 42, second further report).
 TEST_F(GracefulStopTest, what_is_not_expected_to_end_before_the_host_is_refused_at_once)
 {
--- a/packages/serving/tests/relayexchangetest.cpp
+++ b/packages/serving/tests/relayexchangetest.cpp
@@ -109,6 +109,42 @@
     EXPECT_EQ(exchange_.running(), 0);
 }
 
+// Guards against a request that waits at a peer which stops, and of which the first host learns nothing until the peer has gone (issue 42, LOST).
+TEST_F(RelayExchangeTest, a_request_that_waits_at_a_peer_that_stops_is_given_back_as_not_run)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("never")}}}});
+    ResponseMetadata limited;
+    limited.requestLimit = 1;
+    node_.applyUpstreamState(*node_.replicas.find(UpstreamId("r1")), limited);
+    residency_.onSendPermit = [](const auto &...) { return SendPermit{.isGranted = true, .wait = Milliseconds(700)}; };
+    boost::asio::steady_timer timer(io_, std::chrono::milliseconds(100));
+    timer.async_wait([this](boost::system::error_code) { node_.stop.begin({.answerBy = node_.now() + Milliseconds(600), .unbalancedAt = node_.now()}); });
+    const auto begin = node_.now();
+    const auto response = sendRequest(getRequest("q1"), "\r\n\r\n");
+    EXPECT_LT(node_.now() - begin, Milliseconds(400));
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After: "));
+    runFor(Milliseconds(800)); // until the wait has ended
+    EXPECT_EQ(requestCount(), 0U);
+    EXPECT_EQ(exchange_.running(), 0);
+}
+
+// The same for a host that stops while a peer has its request.
+TEST_F(RelayExchangeTest, a_request_that_a_peer_has_when_its_first_host_ends_is_answered_as_not_known)
+{
+    setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("late")}, false, false, Milliseconds(1'500)}}});
+    boost::asio::steady_timer timer(io_, std::chrono::milliseconds(100));
+    timer.async_wait([this](boost::system::error_code) { cutNode_.stop.begin({.answerBy = node_.now() + Milliseconds(300), .unbalancedAt = node_.now()}); });
+    const auto begin = node_.now();
+    const auto response = sendRequest(getRequest("q1"), "\r\n\r\n");
+    EXPECT_LT(node_.now() - begin, Milliseconds(700));
+    EXPECT_EQ(response.status(), 504);
+    EXPECT_FALSE(response.contains("Retry-After: "));
+    EXPECT_EQ(requestCount(), 1U);
+    runFor(Milliseconds(1'700)); // until the peer's upstream has answered
+    EXPECT_EQ(exchange_.running(), 0);
+}
+
 TEST_F(RelayExchangeTest, a_connection_serves_one_relayed_request_after_the_other_and_the_deadline_counts_from_the_caller)
 {
     setUp(route(RetryPolicy::Idempotent, false, 2), {{{{completeResponse("one")}}, {{completeResponse("two")}}}});
--- a/programs/baobabstalld/hosted.cpp
+++ b/programs/baobabstalld/hosted.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <memory>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -112,7 +113,8 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     constexpr int oneThread = 1;
-    asio::io_context io(oneThread);
+    // Never destroyed: it would destroy suspended coroutines after the daemon that they belong to.
+    asio::io_context &io = *std::make_unique<asio::io_context>(oneThread).release();
     const core::Incarnation incarnation(static_cast<std::uint64_t>(core::civilMilliseconds()));
     const platform::PlatformCodec codec;
     net::HttpClient http(io);
