An owner is not woken by changes of records that concern other replicas

OwnedReplica::setEngine() woke the order loop and all waiters after each change of any record, and the most needed base model was looked up before each order also where one is held.

--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -76,7 +76,10 @@
     if (record_.service != permitService_) {
         releasePermit();
     }
-    models_ = engine ? engine->models : std::vector<ModelSpec>();
+    if (engine == engine_) {
+        return; // most changes of records concern other replicas
+    }
+    engine_ = engine;
     residency_.setEngine(engine, node_.now());
     wake();
     wakeWaiters();
@@ -241,8 +244,10 @@
     if (isFenced_ || !node_.mayContact(record_.id) || !callbacks_.mayAct()) {
         co_return false;
     }
-    if (const auto *needed = node_.mostNeededModel(models_); needed != nullptr) {
-        residency_.setWantedModel(needed->name);
+    if (engine_ && !residency_.holdsModel()) {
+        if (const auto *needed = node_.mostNeededModel(engine_->models); needed != nullptr) {
+            residency_.setWantedModel(needed->name);
+        }
     }
     if (!residency_.wantsModel()) {
         releasePermit();
--- a/packages/serving/ownedreplica.h
+++ b/packages/serving/ownedreplica.h
@@ -66,7 +66,7 @@
     std::vector<std::shared_ptr<boost::asio::steady_timer>> waiters_;
     std::optional<std::uint64_t> permit_;
     ServiceName permitService_;
-    std::vector<ModelSpec> models_; // of its service
+    std::optional<EngineSpec> engine_; // of its service
     bool isRunning_ = false;
     bool isFenced_ = false;
     OrderSequence reportedSequence_; // number of accepted orders in the last report
