--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -39,6 +39,24 @@
 
 } // namespace
 
+std::string_view connectionCauseText(ConnectionCause cause)
+{
+    constexpr std::array<std::string_view, 13> texts = {"response_ended",
+                                                        "idle",
+                                                        "stopping",
+                                                        "caller_closed",
+                                                        "broken_off",
+                                                        "ended_early",
+                                                        "write_failed",
+                                                        "write_timeout",
+                                                        "header_timeout",
+                                                        "body_timeout",
+                                                        "unreadable",
+                                                        "exception",
+                                                        "process_end"};
+    return texts.at(static_cast<std::size_t>(cause));
+}
+
 bool CallerRequest::isHopByHopHeader(std::string_view field)
 {
     constexpr std::array<std::string_view, 9> fields
@@ -62,6 +80,7 @@
     tcp::acceptor acceptor;
     std::unordered_set<Connection *> open;
     std::size_t busyConnections = 0;
+    std::optional<Instant> lastAcceptedAt;
     bool isStopping = false;
 };
 
@@ -75,7 +94,11 @@
     {
         server_->open.insert(this);
     }
-    ~Connection() override { server_->open.erase(this); }
+    ~Connection() override
+    {
+        setIdle();
+        server_->open.erase(this);
+    }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
@@ -85,19 +108,43 @@
         error_code failed;
         socket_.set_option(tcp::no_delay(true), failed);
         while (socket_.is_open() && co_await serveOne()) { }
-        close();
+        close(cause_);
+    }
+
+    /// The handler threw.
+    void onException(std::string why)
+    {
+        detail_ = std::move(why);
+        close(ConnectionCause::Exception);
+    }
+
+    [[nodiscard]] ConnectionEnd end(ConnectionCause cause)
+    {
+        error_code ignored; // closed already
+        return {.cause = cause,
+                .isInRequest = isBusy_,
+                .request = request_,
+                .requests = requests_,
+                .bytesRead = bytesRead_,
+                .bytesWritten = bytesWritten_,
+                .bytesUnread = buffer_.size() + socket_.available(ignored),
+                .isStopping = server_->isStopping,
+                .detail = detail_};
     }
 
+    void nameRequest(const RequestId &id) override { request_ = id; }
+
     net::Task<bool> write(std::string bytes) override
     {
         if (isDisconnected_ || !socket_.is_open()) {
             co_return false;
         }
-        watchdog_.arm(core::SteadyClock().now() + writeTimeout, [this] { close(); });
+        watchdog_.arm(core::SteadyClock().now() + writeTimeout, [this] { close(ConnectionCause::WriteTimeout); });
         const auto [failed, count] = co_await asio::async_write(socket_, asio::buffer(bytes), net::tuple);
+        bytesWritten_ += count;
         watchdog_.disarm();
         if (failed) {
-            close();
+            close(ConnectionCause::WriteFailed);
         }
         co_return !failed;
     }
@@ -122,7 +169,7 @@
         mayContinue_ = false;
         error_code ignored; // a socket that is closed already
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-        socket_.close(ignored);
+        close(ConnectionCause::BrokenOff);
     }
 
     void endWith(std::string_view response) override
@@ -130,7 +177,8 @@
         mayContinue_ = false;
         error_code failed; // of a caller that is gone, or that doesn't read
         socket_.non_blocking(true, failed);
-        socket_.write_some(asio::buffer(response), failed);
+        bytesWritten_ += socket_.write_some(asio::buffer(response), failed);
+        cause_ = ConnectionCause::EndedEarly;
         socket_.shutdown(tcp::socket::shutdown_send, failed);
         setIdle();
         server_->open.erase(this);
@@ -146,7 +194,7 @@
             return;
         }
         if (peek()) {
-            close();
+            close(ConnectionCause::Stopping);
         }
     }
 
@@ -155,29 +203,35 @@
     {
         const auto limits = server_->options.limits();
         if (buffer_.size() == 0) {
-            watchdog_.arm(core::SteadyClock().now() + limits.idleTimeout, [this] { close(); });
+            watchdog_.arm(core::SteadyClock().now() + limits.idleTimeout, [this] { close(ConnectionCause::Idle); });
             const auto [failed] = co_await socket_.async_wait(tcp::socket::wait_read, net::tuple);
             if (failed) {
                 co_return false;
             }
         }
         isBusy_ = true;
+        request_ = RequestId();
         CallerRequest request;
         request.arrivedAt = core::SteadyClock().now();
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(limits.maxBodyBytes);
-        watchdog_.arm(request.arrivedAt + limits.headerTimeout, [this] { close(); });
+        watchdog_.arm(request.arrivedAt + limits.headerTimeout, [this] { close(ConnectionCause::HeaderTimeout); });
         auto [failed, count] = co_await http::async_read_header(socket_, buffer_, parser, net::tuple);
+        bytesRead_ += count;
         if (!failed && !parser.is_done()) {
-            watchdog_.arm(core::SteadyClock().now() + server_->options.bodyTimeout, [this] { close(); });
+            watchdog_.arm(core::SteadyClock().now() + server_->options.bodyTimeout, [this] { close(ConnectionCause::BodyTimeout); });
             std::tie(failed, count) = co_await http::async_read(socket_, buffer_, parser, net::tuple);
+            bytesRead_ += count;
         }
         watchdog_.disarm();
         if (failed) {
+            cause_ = failed == http::error::end_of_stream ? ConnectionCause::CallerClosed : ConnectionCause::Unreadable;
+            isBusy_ = cause_ != ConnectionCause::CallerClosed;
             co_await refuseInvalid(failed);
             co_return false;
         }
+        ++requests_;
         co_return co_await handle(request, parser.get());
     }
 
@@ -252,9 +306,13 @@
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
     }
 
-    void close()
+    void close(ConnectionCause cause)
     {
-        error_code ignored; // a socket that is closed already
+        if (!socket_.is_open()) {
+            return;
+        }
+        server_->options.onClosed(end(cause));
+        error_code ignored; // the descriptor is gone all the same
         socket_.close(ignored);
     }
 
@@ -269,6 +327,14 @@
     bool isHandling_ = false;
     bool isKeepAlive_ = true;
     bool mayContinue_ = true;
+
+    // Of ConnectionEnd.
+    ConnectionCause cause_ = ConnectionCause::ResponseEnded;
+    RequestId request_;
+    std::size_t requests_ = 0;
+    std::uint64_t bytesRead_ = 0;
+    std::uint64_t bytesWritten_ = 0;
+    std::string detail_;
 };
 
 namespace {
@@ -287,9 +353,20 @@
         if (state->open.size() >= state->options.maxConnections) {
             continue;
         }
+        state->lastAcceptedAt = core::SteadyClock().now();
         const auto connection = std::make_shared<Connection>(state, std::move(socket));
         asio::co_spawn(
-            state->io, [connection] { return connection->run(); }, asio::detached);
+            state->io,
+            [connection] { return connection->run(); },
+            [connection](const std::exception_ptr &exception) {
+                try {
+                    if (exception) {
+                        std::rethrow_exception(exception);
+                    }
+                } catch (const std::exception &thrown) {
+                    connection->onException(thrown.what());
+                }
+            });
     }
 }
 
@@ -326,6 +403,18 @@
     }
 }
 
+void CallerServer::reportOpen() const
+{
+    for (auto *connection : state_->open) {
+        state_->options.onClosed(connection->end(ConnectionCause::ProcessEnd));
+    }
+}
+
+std::optional<Instant> CallerServer::lastAcceptedAt() const
+{
+    return state_->lastAcceptedAt;
+}
+
 std::size_t CallerServer::connections() const
 {
     return state_->open.size();
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -3,6 +3,7 @@
 // Index
 //   CallerRequest      a request with its complete body
 //   CallerConnection   the handler's interface for writing the response
+//   ConnectionEnd      how a connection ended, for the log
 //   CallerServer       listens; passes each request to the handler
 //
 // The handler is a coroutine. The next request of a connection is read after the handler has returned.
@@ -42,6 +43,8 @@
 {
 public:
     virtual ~CallerConnection() = default;
+    /// The id of the request in progress, for ConnectionEnd.
+    virtual void nameRequest(const RequestId & /*id*/) { }
     /// Returns false when the caller has disconnected.
     virtual net::Task<bool> write(std::string bytes) = 0;
     /// Calls `callback` once if the caller closes its side before the handler returns.
@@ -57,9 +60,43 @@
     [[nodiscard]] virtual bool closesAfterResponse() const = 0;
 };
 
+/// Why this host closed a connection.
+enum class ConnectionCause : std::uint8_t {
+    ResponseEnded, // the last response said so, or the caller did
+    Idle,          // for longer than CallerLimits::idleTimeout
+    Stopping,      // idle at a host that stops
+    CallerClosed,
+    BrokenOff,   // by the handler, in the middle of a response
+    EndedEarly,  // the handler's short response, see CallerConnection::endWith()
+    WriteFailed, // reset by the caller, mostly
+    WriteTimeout,
+    HeaderTimeout,
+    BodyTimeout,
+    Unreadable, // not a valid request
+    Exception,  // of the handler
+    ProcessEnd, // still open when the host ends
+};
+[[nodiscard]] std::string_view connectionCauseText(ConnectionCause cause);
+
+struct ConnectionEnd {
+    ConnectionCause cause = ConnectionCause::ResponseEnded;
+    bool isInRequest = false;       // from its first byte until the handler returned
+    RequestId request;              // the one in progress or the last one, once the handler knew it
+    std::size_t requests = 0;       // read whole
+    std::uint64_t bytesRead = 0;    // including those of a request that is not whole
+    std::uint64_t bytesWritten = 0; // that the kernel took
+    std::size_t bytesUnread = 0;    // when the socket was closed
+    bool isStopping = false;        // the host
+    std::string detail;             // of an exception
+
+    /// Whether a request or a response may have suffered.
+    [[nodiscard]] bool isNotable() const { return isInRequest || bytesUnread > 0 || cause > ConnectionCause::CallerClosed; }
+};
+
 struct CallerServerOptions {
     std::function<CallerLimits()> limits; // current limits
     std::function<void(int status, std::string_view reason)> onInvalidRequest;
+    std::function<void(const ConnectionEnd &)> onClosed = [](const ConnectionEnd &) {};
     Milliseconds bodyTimeout{10'000};   // for a complete body; headers have CallerLimits::headerTimeout
     std::size_t maxConnections = 3'000; // leaves file descriptors for upstream connections
 };
@@ -77,8 +114,11 @@
     void beginStop();
     /// Stops accepting and closes connections on which no request has arrived. Call again until connections() is 0.
     void closeIdle();
+    /// Passes the connections that are still open to CallerServerOptions::onClosed: the process is about to end.
+    void reportOpen() const;
     [[nodiscard]] std::size_t connections() const;
-    [[nodiscard]] std::size_t busyConnections() const; // with a request in progress
+    [[nodiscard]] std::size_t busyConnections() const;           // with a request in progress
+    [[nodiscard]] std::optional<Instant> lastAcceptedAt() const; // the newest connection
 
     struct State; // in callers.cpp
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -210,6 +210,7 @@
         const auto metadata = node_.codec.readRequest(request_.headers, why);
         if (metadata) {
             metadata_ = *metadata;
+            caller_.nameRequest(metadata_.id);
         }
         deadline_ = request_.arrivedAt + refusalTimeout;
         routes_ = node_.routes;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -107,7 +107,8 @@
                          [this](int status, std::string_view reason) {
                              node_.metrics.unreadableRequests.add({std::to_string(status)});
                              node_.log.info("request_unreadable", {{"status", status}, {"why", reason}});
-                         }},
+                         },
+                     .onClosed = [this](const ConnectionEnd &end) { logClosedConnection(end); }},
                     [this](CallerConnection &caller, CallerRequest &request) { return forwarder_.handle(caller, request); })
     , operatorServer_(io, {}, [this](net::Exchange &exchange) { return handleOperatorRequest(exchange); })
     , metricsServer_(io, {}, [this](net::Exchange &exchange) { return handleMetricsRequest(exchange); })
@@ -247,10 +248,36 @@
     while (!planner_.holdings().empty() && node_.now() < releaseLimit) {
         co_await net::sleep(node_.io, drainPollInterval);
     }
-    node_.log.info("stopped", {{"unfinished", callerServer_.busyConnections()}, {"unreleased", planner_.holdings().size()}, {"took_ms", node_.now() - begin}});
+    callerServer_.reportOpen();
+    node_.log.info("stopped",
+                   {{"unfinished", callerServer_.busyConnections()},
+                    {"connections", callerServer_.connections()},
+                    {"relayed", relayExchange_.running()},
+                    {"last_accept_ms_ago", callerServer_.lastAcceptedAt() ? node_.now() - *callerServer_.lastAcceptedAt() : Milliseconds(-1)},
+                    {"unreleased", planner_.holdings().size()},
+                    {"took_ms", node_.now() - begin}});
     isRunning_ = false;
 }
 
+void HostedDaemon::logClosedConnection(const ConnectionEnd &end)
+{
+    const auto cause = connectionCauseText(end.cause);
+    node_.metrics.closedConnections.add({cause});
+    if (!end.isNotable()) {
+        return;
+    }
+    node_.log.info("connection_closed",
+                   {{"request_id", end.request},
+                    {"cause", cause},
+                    {"in_request", end.isInRequest},
+                    {"requests", end.requests},
+                    {"bytes_read", end.bytesRead},
+                    {"bytes_written", end.bytesWritten},
+                    {"bytes_unread", end.bytesUnread},
+                    {"stopping", end.isStopping},
+                    {"why", end.detail}});
+}
+
 void HostedDaemon::reload(const settings::Settings &settings)
 {
     const auto &now = node_.settings;
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -72,6 +72,7 @@
         double linkMbps = 0;
     };
 
+    void logClosedConnection(const ConnectionEnd &end);
     void spreadFirstReads();
     [[nodiscard]] bool isReady() const;
     net::Task<void> handleOperatorRequest(net::Exchange &exchange);
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -53,6 +53,7 @@
     , blamedRequests(registry.gauge({"blamed_requests", "requests that crash upstreams; they are refused when they come again", {}, 1}))
     , upstreamConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
     , callerConnections(registry.gauge({"caller_connections", "connections of callers", {"state"}, 4}))
+    , closedConnections(registry.counter({"caller_connections_closed_total", "connections of callers that this host closed", {"cause"}, 16}))
     , residencyLeases(registry.gauge({"residency_leases", "weights promised to this host", {}, 1}))
     , logLinesDropped(registry.gauge({"log_lines_dropped", "log lines over the budget since the start", {}, 1}))
 { }
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -74,6 +74,7 @@
     metrics::Gauge &blamedRequests;
     metrics::Gauge &upstreamConnections; // state
     metrics::Gauge &callerConnections;   // state
+    metrics::Counter &closedConnections; // cause
     metrics::Gauge &residencyLeases;
     metrics::Gauge &logLinesDropped;
 };
--- /dev/null
+++ b/packages/serving/tests/callerstest.cpp
@@ -0,0 +1,161 @@
+// Connections of callers: how they end, and what reaches the caller before their end.
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/write.hpp>
+
+#include <serving/callers.h>
+
+namespace baobabstall::serving::tests {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+/// What a caller received until its connection ended, and how it ended.
+struct Received {
+    std::string bytes;
+    error_code end;
+    bool isDone = false;
+};
+
+class CallersTest : public ::testing::Test
+{
+protected:
+    static constexpr Milliseconds timeLimit{6'000};
+    static constexpr std::size_t longBody = 400'000; // more than the buffers of a caller that does not read, and of this host
+
+    CallersTest()
+        : server_(io_,
+                  {.limits = [] { return CallerLimits(); },
+                   .onInvalidRequest = [](int, std::string_view) {},
+                   .onClosed = [this](const ConnectionEnd &end) { ends_.push_back(end); }},
+                  [this](CallerConnection &caller, CallerRequest &request) { return handle(caller, request); })
+    {
+        core::Error why;
+        address_ = *server_.listen({"127.0.0.1", 0}, why);
+    }
+
+    /// As the forwarder does it: the head says whether the connection closes.
+    net::Task<void> handle(CallerConnection &caller, CallerRequest &request)
+    {
+        ++requests_;
+        caller.nameRequest(RequestId(request.target));
+        co_await onRequest_(caller, request);
+    }
+
+    static net::Task<void> respond(CallerConnection &caller, const std::string &body)
+    {
+        const std::string closes = caller.closesAfterResponse() ? "Connection: close\r\n" : "";
+        co_await caller.write("HTTP/1.1 200 OK\r\n" + closes + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+
+    /// A caller with small buffers, so that a long response stays on its way for as long as the caller does not read.
+    std::shared_ptr<tcp::socket> connect()
+    {
+        auto socket = std::make_shared<tcp::socket>(io_, tcp::v4());
+        constexpr int smallBuffer = 4'096;
+        socket->set_option(asio::socket_base::receive_buffer_size(smallBuffer));
+        socket->connect(tcp::endpoint(asio::ip::make_address(address_.ip), address_.port));
+        return socket;
+    }
+
+    static void send(tcp::socket &socket, const std::string &bytes)
+    {
+        error_code ignored; // what the caller receives shows it
+        asio::write(socket, asio::buffer(bytes), ignored);
+    }
+    static std::string request(const std::string &target, const std::string &fields = {})
+    {
+        return "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n";
+    }
+
+    void runFor(Milliseconds time)
+    {
+        const auto end = core::SteadyClock().now() + time;
+        while (core::SteadyClock().now() < end) {
+            io_.run_one_for(std::chrono::milliseconds(5));
+        }
+    }
+
+    /// Reads until the connection ends.
+    Received readAll(const std::shared_ptr<tcp::socket> &socket, Milliseconds pause = Milliseconds(0))
+    {
+        Received received;
+        asio::co_spawn(io_, read(socket, pause, received), asio::detached);
+        const auto end = core::SteadyClock().now() + timeLimit;
+        while (!received.isDone && core::SteadyClock().now() < end) {
+            io_.run_one_for(std::chrono::milliseconds(5));
+        }
+        EXPECT_TRUE(received.isDone) << "the connection did not end";
+        return received;
+    }
+
+    void expectWhole(const Received &received, std::size_t bodyBytes)
+    {
+        EXPECT_EQ(received.end, asio::error::eof) << received.end.message();
+        EXPECT_EQ(received.bytes.size() - received.bytes.find("\r\n\r\n") - 4, bodyBytes);
+    }
+
+    asio::io_context io_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_{io_.get_executor()};
+    std::vector<ConnectionEnd> ends_;
+    std::function<net::Task<void>(CallerConnection &, CallerRequest &)> onRequest_
+        = [](CallerConnection &caller, CallerRequest &) { return respond(caller, std::string(longBody, 'x')); };
+    CallerServer server_;
+    net::Address address_;
+    int requests_ = 0;
+
+private:
+    net::Task<void> read(std::shared_ptr<tcp::socket> socket, Milliseconds pause, Received &received)
+    {
+        std::array<char, 16'384> bytes{};
+        while (!received.end) {
+            const auto [failed, count] = co_await socket->async_read_some(asio::buffer(bytes), net::tuple);
+            received.bytes.append(bytes.data(), count);
+            received.end = failed;
+            if (pause.count() > 0) {
+                co_await net::sleep(io_, pause);
+            }
+        }
+        socket->close();
+        received.isDone = true;
+    }
+};
+
+TEST_F(CallersTest, the_end_of_a_connection_says_what_was_left_unread_and_which_request_was_in_it)
+{
+    onRequest_ = [this](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
+        co_await caller.write("HTTP/1.1 200 OK\r\n");
+        co_await net::sleep(io_, Milliseconds(100));
+        throw std::runtime_error("a fault of the handler");
+    };
+    const auto caller = connect();
+    const auto sent = request("/1");
+    send(*caller, sent);
+    runFor(Milliseconds(50));
+    server_.reportOpen();
+    ASSERT_EQ(ends_.size(), 1U);
+    EXPECT_EQ(ends_.front().cause, ConnectionCause::ProcessEnd);
+    send(*caller, request("/2"));
+    const auto received = readAll(caller);
+    EXPECT_EQ(received.bytes, "HTTP/1.1 200 OK\r\n");
+    ASSERT_EQ(ends_.size(), 2U);
+    const auto &end = ends_.back();
+    EXPECT_EQ(connectionCauseText(end.cause), "exception");
+    EXPECT_TRUE(end.isInRequest && end.isNotable());
+    EXPECT_EQ(end.request, RequestId("/1"));
+    EXPECT_EQ(end.requests, 1U);
+    EXPECT_EQ(end.bytesRead, sent.size());
+    EXPECT_EQ(end.bytesWritten, received.bytes.size());
+    EXPECT_EQ(end.bytesUnread, sent.size());
+    EXPECT_EQ(end.detail, "a fault of the handler");
+    EXPECT_EQ(server_.connections(), 0U);
+    EXPECT_EQ(server_.busyConnections(), 0U);
+}
+
+} // namespace
+} // namespace baobabstall::serving::tests
