--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -19,8 +19,10 @@
 
 namespace {
 
-constexpr Milliseconds acceptPause{50};     // after a failed accept, for example without a free file descriptor
-constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; twice the pause after which callers give up
+constexpr Milliseconds acceptPause{50};      // after a failed accept, for example without a free file descriptor
+constexpr Milliseconds writeTimeout{5'000};  // for a caller that does not read; twice the pause after which callers give up
+constexpr Milliseconds finishTimeout{2'000}; // for the caller's own close after the last response
+constexpr std::size_t discardBytes = 4'096;
 constexpr int backlog = 1'024;
 
 std::string_view reasonOf(int status)
@@ -108,7 +110,7 @@
         error_code failed;
         socket_.set_option(tcp::no_delay(true), failed);
         while (socket_.is_open() && co_await serveOne()) { }
-        close(cause_);
+        co_await finish();
     }
 
     /// The handler threw.
@@ -127,7 +129,7 @@
                 .requests = requests_,
                 .bytesRead = bytesRead_,
                 .bytesWritten = bytesWritten_,
-                .bytesUnread = buffer_.size() + socket_.available(ignored),
+                .bytesUnread = buffer_.size() + bytesDiscarded_ + socket_.available(ignored),
                 .isStopping = server_->isStopping,
                 .detail = detail_};
     }
@@ -136,7 +138,7 @@
 
     net::Task<bool> write(std::string bytes) override
     {
-        if (isDisconnected_ || !socket_.is_open()) {
+        if (isDisconnected_ || !mayContinue_ || !socket_.is_open()) {
             co_return false;
         }
         watchdog_.arm(core::SteadyClock().now() + writeTimeout, [this] { close(ConnectionCause::WriteTimeout); });
@@ -164,12 +166,10 @@
         return isDisconnected_ || (end && end != asio::error::would_block);
     }
 
-    void abort() override
+    void breakOff() override
     {
         mayContinue_ = false;
-        error_code ignored; // a socket that is closed already
-        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-        close(ConnectionCause::BrokenOff);
+        cause_ = ConnectionCause::BrokenOff;
     }
 
     void endWith(std::string_view response) override
@@ -179,33 +179,37 @@
         socket_.non_blocking(true, failed);
         bytesWritten_ += socket_.write_some(asio::buffer(response), failed);
         cause_ = ConnectionCause::EndedEarly;
-        socket_.shutdown(tcp::socket::shutdown_send, failed);
         setIdle();
-        server_->open.erase(this);
+        asio::co_spawn(
+            server_->io, [self = shared_from_this()] { return self->finish(); }, asio::detached);
     }
 
     /// A pipelined request that was read already is served before a stopping host closes the connection.
     [[nodiscard]] bool closesAfterResponse() const override { return (server_->isStopping && buffer_.size() == 0) || !isKeepAlive_; }
 
     /// A request whose first bytes have arrived is still served, as its caller can't know that the connection is about to close.
-    void closeIfIdle()
+    void closeIfIdle(ConnectionCause cause)
     {
-        if (isBusy_ || buffer_.size() > 0 || !socket_.is_open()) {
+        if (isBusy_ || isFinishing_ || buffer_.size() > 0 || !socket_.is_open() || !peek()) {
             return;
         }
-        if (peek()) {
-            close(ConnectionCause::Stopping);
-        }
+        cause_ = cause;
+        mayContinue_ = false;
+        error_code ignored; // serveOne() may not wait yet
+        socket_.cancel(ignored);
     }
 
 private:
     net::Task<bool> serveOne()
     {
+        if (!mayContinue_) {
+            co_return false;
+        }
         const auto limits = server_->options.limits();
         if (buffer_.size() == 0) {
-            watchdog_.arm(core::SteadyClock().now() + limits.idleTimeout, [this] { close(ConnectionCause::Idle); });
+            watchdog_.arm(core::SteadyClock().now() + limits.idleTimeout, [this] { closeIfIdle(ConnectionCause::Idle); });
             const auto [failed] = co_await socket_.async_wait(tcp::socket::wait_read, net::tuple);
-            if (failed) {
+            if (failed || !mayContinue_) {
                 co_return false;
             }
         }
@@ -302,8 +306,26 @@
         }
         server_->options.onInvalidRequest(*status, reasonOf(*status));
         co_await write("HTTP/1.1 " + std::to_string(*status) + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-        error_code ignored; // the caller may be gone
-        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    /// Shuts down sending, and closes once the caller has closed. A socket that is closed with unread bytes, or that gets more of them, resets its
+    /// connection, and what is still on its way to the caller is dropped (RFC 9112, 9.6).
+    net::Task<void> finish()
+    {
+        if (std::exchange(isFinishing_, true)) {
+            co_return;
+        }
+        error_code failed;
+        socket_.shutdown(tcp::socket::shutdown_send, failed);
+        watchdog_.arm(core::SteadyClock().now() + finishTimeout, [this] { close(cause_); });
+        std::array<char, discardBytes> bytes{};
+        while (!failed && cause_ != ConnectionCause::CallerClosed) {
+            std::size_t count = 0;
+            std::tie(failed, count) = co_await socket_.async_read_some(asio::buffer(bytes), net::tuple);
+            bytesDiscarded_ += count;
+        }
+        watchdog_.disarm();
+        close(cause_);
     }
 
     void close(ConnectionCause cause)
@@ -312,6 +334,7 @@
             return;
         }
         server_->options.onClosed(end(cause));
+        server_->open.erase(this);
         error_code ignored; // the descriptor is gone all the same
         socket_.close(ignored);
     }
@@ -327,6 +350,7 @@
     bool isHandling_ = false;
     bool isKeepAlive_ = true;
     bool mayContinue_ = true;
+    bool isFinishing_ = false;
 
     // Of ConnectionEnd.
     ConnectionCause cause_ = ConnectionCause::ResponseEnded;
@@ -334,6 +358,7 @@
     std::size_t requests_ = 0;
     std::uint64_t bytesRead_ = 0;
     std::uint64_t bytesWritten_ = 0;
+    std::size_t bytesDiscarded_ = 0;
     std::string detail_;
 };
 
@@ -399,7 +424,7 @@
     state_->acceptor.close(ignored);
     const std::vector<Connection *> open(state_->open.begin(), state_->open.end());
     for (auto *connection : open) {
-        connection->closeIfIdle();
+        connection->closeIfIdle(ConnectionCause::Stopping);
     }
 }
 
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -52,8 +52,8 @@
     [[nodiscard]] virtual bool isDisconnected() const = 0;
     /// The same, looked up at the connection itself: a busy host may not have handled its events yet.
     [[nodiscard]] virtual bool isGone() { return isDisconnected(); }
-    /// Resets the connection, so that the caller can't take the response for complete.
-    virtual void abort() = 0;
+    /// Ends the response where it is: the connection closes after what was written, which by its framing is not complete.
+    virtual void breakOff() = 0;
     /// Writes a short, whole response that closes the connection, without waiting. The handler may still run for a while, but writes nothing more.
     virtual void endWith(std::string_view response) = 0;
     /// Whether the response must carry `Connection: close`.
@@ -85,7 +85,7 @@
     std::size_t requests = 0;       // read whole
     std::uint64_t bytesRead = 0;    // including those of a request that is not whole
     std::uint64_t bytesWritten = 0; // that the kernel took
-    std::size_t bytesUnread = 0;    // when the socket was closed
+    std::size_t bytesUnread = 0;    // that no request was read from
     bool isStopping = false;        // the host
     std::string detail;             // of an exception
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -1493,7 +1493,7 @@
         }
         if (reason_ == "caller_gone" || status_ != 0) {
             if (hasResponseBegun_ && reason_ != "caller_gone") {
-                caller_.abort();
+                caller_.breakOff();
                 const bool isVersionGone = refusalReason_ == std::string_view("version_not_served");
                 reason_ = isDeadlineReached_ || timeLeft() < minSendTime ? "stream_late" : isVersionGone ? refusalReason_ : "stream_cut";
             }
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -36,7 +36,7 @@
         }
         while (begin < bytes.size() && !isDisconnected()) {
             if (unread_ >= RelayExchange::window && !co_await waitForCredit()) {
-                abort();
+                breakOff();
                 break;
             }
             const auto size = std::min({bytes.size() - begin, RelayExchange::pieceBytes, RelayExchange::window - unread_});
@@ -50,7 +50,7 @@
 
     void onDisconnect(std::function<void()> callback) override { onDisconnect_ = std::move(callback); }
     [[nodiscard]] bool isDisconnected() const override { return isAborted_ || call_->isCancelled(); }
-    void abort() override { isAborted_ = true; }
+    void breakOff() override { isAborted_ = true; }
     void endWith(std::string_view /*response*/) override { isAborted_ = true; } // the account says it
     [[nodiscard]] bool closesAfterResponse() const override { return false; }   // the first host decides this for its connection
 
--- a/packages/serving/tests/callerstest.cpp
+++ b/packages/serving/tests/callerstest.cpp
@@ -47,7 +47,7 @@
         co_await onRequest_(caller, request);
     }
 
-    static net::Task<void> respond(CallerConnection &caller, const std::string &body)
+    static net::Task<void> respond(CallerConnection &caller, std::string body)
     {
         const std::string closes = caller.closesAfterResponse() ? "Connection: close\r\n" : "";
         co_await caller.write("HTTP/1.1 200 OK\r\n" + closes + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
@@ -126,6 +126,104 @@
     }
 };
 
+// Each of the following guards against a response whose end is lost because its connection is reset (issue 46, LOST): a socket that is closed with
+// unread bytes of the caller drops what is still on its way.
+TEST_F(CallersTest, a_response_reaches_a_slow_caller_whole_though_its_next_request_is_unread_when_a_stopping_host_closes)
+{
+    server_.beginStop();
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(50));
+    send(*caller, request("/2"));
+    runFor(Milliseconds(50));
+    expectWhole(readAll(caller, Milliseconds(1)), longBody);
+    EXPECT_EQ(requests_, 1);
+}
+
+TEST_F(CallersTest, a_response_that_ends_a_connection_reaches_a_slow_caller_whole_though_more_bytes_follow_its_request)
+{
+    const auto caller = connect();
+    send(*caller, request("/1", "Connection: close\r\n"));
+    runFor(Milliseconds(50));
+    send(*caller, std::string(2'000, 'y'));
+    runFor(Milliseconds(50));
+    expectWhole(readAll(caller, Milliseconds(1)), longBody);
+}
+
+TEST_F(CallersTest, a_response_reaches_a_slow_caller_whole_though_its_next_request_crosses_the_close_of_an_idle_connection)
+{
+    constexpr std::size_t body = 30'000; // written at once, and read late
+    onRequest_ = [](CallerConnection &caller, CallerRequest &) { return respond(caller, std::string(body, 'x')); };
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(50));
+    server_.beginStop();
+    server_.closeIdle();
+    send(*caller, request("/2"));
+    runFor(Milliseconds(50));
+    expectWhole(readAll(caller, Milliseconds(1)), body);
+    EXPECT_EQ(requests_, 1);
+}
+
+TEST_F(CallersTest, a_refusal_of_a_body_that_is_too_large_reaches_its_caller)
+{
+    const auto caller = connect();
+    send(*caller, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n" + std::string(10'000, 'y'));
+    runFor(Milliseconds(50));
+    send(*caller, std::string(10'000, 'y'));
+    const auto received = readAll(caller);
+    EXPECT_TRUE(received.bytes.starts_with("HTTP/1.1 413 ")) << received.bytes;
+    EXPECT_EQ(received.end, asio::error::eof) << received.end.message();
+}
+
+TEST_F(CallersTest, a_refusal_of_a_request_that_waits_reaches_a_caller_that_has_sent_the_next_one)
+{
+    onRequest_ = [this](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
+        co_await net::sleep(io_, Milliseconds(100));
+        caller.endWith("HTTP/1.1 503 Refused\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        co_await net::sleep(io_, Milliseconds(300));
+    };
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(50));
+    send(*caller, request("/2"));
+    const auto received = readAll(caller);
+    EXPECT_TRUE(received.bytes.starts_with("HTTP/1.1 503 ")) << received.bytes;
+    EXPECT_EQ(received.end, asio::error::eof) << received.end.message();
+    runFor(Milliseconds(400));
+    EXPECT_EQ(server_.connections(), 0U);
+}
+
+TEST_F(CallersTest, what_was_written_of_a_response_that_is_broken_off_reaches_a_slow_caller)
+{
+    onRequest_ = [](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
+        co_await caller.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(longBody + 1) + "\r\n\r\n" + std::string(longBody, 'x'));
+        caller.breakOff();
+    };
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(50));
+    send(*caller, request("/2"));
+    runFor(Milliseconds(50));
+    expectWhole(readAll(caller, Milliseconds(1)), longBody);
+    EXPECT_EQ(requests_, 1);
+}
+
+TEST_F(CallersTest, a_caller_that_never_closes_keeps_a_finished_connection_for_a_bounded_time)
+{
+    onRequest_ = [](CallerConnection &caller, CallerRequest &) { return respond(caller, "ok"); };
+    const auto caller = connect();
+    send(*caller, request("/1", "Connection: close\r\n"));
+    runFor(Milliseconds(100));
+    EXPECT_EQ(server_.busyConnections(), 0U);
+    const auto end = core::SteadyClock().now() + timeLimit;
+    while (server_.connections() > 0 && core::SteadyClock().now() < end) {
+        send(*caller, "y");
+        runFor(Milliseconds(50));
+    }
+    EXPECT_EQ(server_.connections(), 0U);
+}
+
 TEST_F(CallersTest, the_end_of_a_connection_says_what_was_left_unread_and_which_request_was_in_it)
 {
     onRequest_ = [this](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
--- a/packages/serving/tests/relayexchangetest.cpp
+++ b/packages/serving/tests/relayexchangetest.cpp
@@ -395,7 +395,7 @@
         }
         void onDisconnect(std::function<void()>) override { }
         [[nodiscard]] bool isDisconnected() const override { return false; }
-        void abort() override { }
+        void breakOff() override { }
         void endWith(std::string_view response) override { written += response; }
         [[nodiscard]] bool closesAfterResponse() const override { return false; }
         std::string written;
