--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -184,8 +184,12 @@
             server_->io, [self = shared_from_this()] { return self->finish(); }, asio::detached);
     }
 
-    /// A pipelined request that was read already is served before a stopping host closes the connection.
-    [[nodiscard]] bool closesAfterResponse() const override { return (server_->isStopping && buffer_.size() == 0) || !isKeepAlive_; }
+    /// Requests that have arrived are served before a stopping host closes the connection.
+    bool closesAfterResponse() override
+    {
+        isCloseAnnounced_ = !isKeepAlive_ || (server_->isStopping && buffer_.size() == 0 && peek());
+        return isCloseAnnounced_;
+    }
 
     /// A request whose first bytes have arrived is still served, as its caller can't know that the connection is about to close.
     void closeIfIdle(ConnectionCause cause)
@@ -249,6 +253,7 @@
         request.host = std::string(message[http::field::host]);
         request.body = std::move(message.body());
         isKeepAlive_ = message.keep_alive();
+        isCloseAnnounced_ = !isKeepAlive_;
         mayContinue_ = true;
         isHandling_ = true;
         ++server_->busyConnections;
@@ -256,7 +261,7 @@
         setIdle();
         isBusy_ = false;
         onDisconnect_ = nullptr;
-        co_return mayContinue_ && !isDisconnected_ && socket_.is_open() && !closesAfterResponse();
+        co_return mayContinue_ && !isDisconnected_ && socket_.is_open() && !isCloseAnnounced_;
     }
 
     void setIdle()
@@ -350,6 +355,7 @@
     bool isHandling_ = false;
     bool isKeepAlive_ = true;
     bool mayContinue_ = true;
+    bool isCloseAnnounced_ = false;
     bool isFinishing_ = false;
 
     // Of ConnectionEnd.
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -56,8 +56,8 @@
     virtual void breakOff() = 0;
     /// Writes a short, whole response that closes the connection, without waiting. The handler may still run for a while, but writes nothing more.
     virtual void endWith(std::string_view response) = 0;
-    /// Whether the response must carry `Connection: close`.
-    [[nodiscard]] virtual bool closesAfterResponse() const = 0;
+    /// Whether the response must carry `Connection: close`. A connection whose response was not told so is not closed after it.
+    [[nodiscard]] virtual bool closesAfterResponse() = 0;
 };
 
 /// Why this host closed a connection.
@@ -110,7 +110,7 @@
     ~CallerServer();
 
     [[nodiscard]] std::optional<net::Address> listen(const net::Address &address, core::Error &why);
-    /// Makes all further responses carry `Connection: close`; new connections are still accepted.
+    /// Makes the last response of each connection carry `Connection: close`; new connections are still accepted.
     void beginStop();
     /// Stops accepting and closes connections on which no request has arrived. Call again until connections() is 0.
     void closeIdle();
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -52,7 +52,7 @@
     [[nodiscard]] bool isDisconnected() const override { return isAborted_ || call_->isCancelled(); }
     void breakOff() override { isAborted_ = true; }
     void endWith(std::string_view /*response*/) override { isAborted_ = true; } // the account says it
-    [[nodiscard]] bool closesAfterResponse() const override { return false; }   // the first host decides this for its connection
+    [[nodiscard]] bool closesAfterResponse() override { return false; }         // the first host decides this for its connection
 
     void onCancelled()
     {
--- a/packages/serving/tests/callerstest.cpp
+++ b/packages/serving/tests/callerstest.cpp
@@ -209,6 +209,44 @@
     EXPECT_EQ(requests_, 1);
 }
 
+// Guards against a close that the response before it did not announce: a caller may have sent its next request (issue 46, LOST).
+TEST_F(CallersTest, a_connection_whose_last_response_did_not_announce_its_end_serves_one_more_request)
+{
+    onRequest_ = [this](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
+        const std::string closes = caller.closesAfterResponse() ? "Connection: close\r\n" : "";
+        co_await caller.write("HTTP/1.1 200 OK\r\n" + closes + "Content-Length: 2\r\n\r\n");
+        co_await net::sleep(io_, Milliseconds(100));
+        co_await caller.write("ok");
+    };
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(50));
+    server_.beginStop();
+    runFor(Milliseconds(100));
+    send(*caller, request("/2"));
+    const auto received = readAll(caller);
+    EXPECT_EQ(received.end, asio::error::eof);
+    EXPECT_EQ(requests_, 2);
+    EXPECT_TRUE(received.bytes.ends_with("Connection: close\r\nContent-Length: 2\r\n\r\nok")) << received.bytes;
+}
+
+// The same where the next request has arrived, unread, when the head of the response is written.
+TEST_F(CallersTest, a_request_that_has_arrived_is_served_before_a_stopping_host_announces_the_end)
+{
+    onRequest_ = [this](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
+        co_await net::sleep(io_, Milliseconds(100));
+        co_await respond(caller, "ok");
+    };
+    server_.beginStop();
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(50));
+    send(*caller, request("/2"));
+    const auto received = readAll(caller);
+    EXPECT_EQ(received.end, asio::error::eof);
+    EXPECT_EQ(requests_, 2);
+}
+
 TEST_F(CallersTest, a_caller_that_never_closes_keeps_a_finished_connection_for_a_bounded_time)
 {
     onRequest_ = [](CallerConnection &caller, CallerRequest &) { return respond(caller, "ok"); };
--- a/packages/serving/tests/relayexchangetest.cpp
+++ b/packages/serving/tests/relayexchangetest.cpp
@@ -397,7 +397,7 @@
         [[nodiscard]] bool isDisconnected() const override { return false; }
         void breakOff() override { }
         void endWith(std::string_view response) override { written += response; }
-        [[nodiscard]] bool closesAfterResponse() const override { return false; }
+        [[nodiscard]] bool closesAfterResponse() override { return false; }
         std::string written;
     } caller;
     asio::co_spawn(io_, cutForwarder_.handle(caller, request), asio::detached);
