--- a/packages/logging/logging.cpp
+++ b/packages/logging/logging.cpp
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <log4cplus/consoleappender.h>
@@ -103,7 +104,7 @@
 
 std::atomic<std::uint64_t> droppedInAll = 0; // of the process: there is one standard output
 
-/// Standard output without ever waiting for its reader. What does not fit is kept up to a bound, then dropped and counted.
+/// Standard output without waiting for its reader until it is closed. What does not fit is kept up to a bound, then dropped and counted.
 class BoundedOutput final : public log4cplus::Appender
 {
 public:
@@ -117,7 +118,18 @@
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     }
     ~BoundedOutput() override { destructorImpl(); }
-    void close() override { flush(); }
+    /// What is still kept is the end of the story: its reader gets closePatience.
+    void close() override
+    {
+        tellDropped();
+        flush();
+        const auto until = core::SteadyClock().now() + closePatience;
+        for (auto left = closePatience; !waiting_.empty() && left.count() > 0; left = until - core::SteadyClock().now()) {
+            pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+            ::poll(&output, 1, static_cast<int>(left.count()));
+            flush();
+        }
+    }
 
 protected:
     void append(const log4cplus::spi::InternalLoggingEvent &event) override
@@ -140,6 +152,7 @@
     }
 
 private:
+    static constexpr core::Milliseconds closePatience{300};    // less than a stopping host keeps back before SIGKILL
     static constexpr std::size_t maxWaitingBytes = 256 * 1024; // a reader that stops for some seconds loses nothing
 
     void refill()
--- a/packages/logging/tests/loggingtest.cpp
+++ b/packages/logging/tests/loggingtest.cpp
@@ -3,9 +3,13 @@
 #include <thread>
 #include <vector>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <core/clock.h>
 #include <logging/logging.h>
 
 namespace baobabstall::logging {
@@ -173,4 +177,93 @@
     EXPECT_EQ(why.peer, "/no/such/folder/log");
 }
 
+namespace {
+
+/// Standard output of the running test is a pipe until the end of this object.
+class PipedOutput
+{
+public:
+    PipedOutput()
+        : original_(dup(STDOUT_FILENO))
+    {
+        std::array<int, 2> ends{};
+        EXPECT_EQ(pipe(ends.data()), 0);
+        fflush(stdout);
+        dup2(ends[1], STDOUT_FILENO);
+        close(ends[1]);
+        reader_ = ends[0];
+    }
+    ~PipedOutput()
+    {
+        restore();
+        close(original_);
+        close(reader_);
+    }
+    PipedOutput(const PipedOutput &) = delete;
+    PipedOutput &operator=(const PipedOutput &) = delete;
+
+    /// Then read() ends once the pipe is empty.
+    void restore() const { dup2(original_, STDOUT_FILENO); }
+
+    [[nodiscard]] std::string read(std::chrono::milliseconds pause) const
+    {
+        std::string text;
+        std::array<char, 4'096> bytes{};
+        for (ssize_t count = 0; (count = ::read(reader_, bytes.data(), bytes.size())) > 0;) {
+            text.append(bytes.data(), static_cast<std::size_t>(count));
+            std::this_thread::sleep_for(pause);
+        }
+        return text;
+    }
+
+private:
+    int original_;
+    int reader_ = -1;
+};
+
+constexpr int manyLines = 800; // more bytes than a pipe holds
+
+std::optional<Log> logToOutput()
+{
+    core::Error why;
+    return Log::open({.file = "-", .linesPerSecond = manyLines}, core::HostId("entry-1"), why);
+}
+
+void writeMany(const Log &log)
+{
+    for (int i = 0; i < manyLines; ++i) {
+        log.info("request", {{"number", i}, {"detail", std::string(100, 'x')}});
+    }
+}
+
+} // namespace
+
+// Guards against a stop whose last lines are missing from the log (issue 46): which of its requests ended, and how.
+TEST(Log, the_last_lines_are_written_when_the_log_is_closed_though_they_are_read_slowly)
+{
+    const PipedOutput output;
+    auto log = logToOutput();
+    writeMany(*log);
+    std::string text;
+    std::thread reader([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        text = output.read(std::chrono::milliseconds(2));
+    });
+    log.reset();
+    output.restore();
+    reader.join();
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), manyLines);
+    EXPECT_NE(text.find("\"number\":" + std::to_string(manyLines - 1)), std::string::npos);
+}
+
+TEST(Log, closing_a_log_that_nobody_reads_takes_a_bounded_time)
+{
+    const PipedOutput output;
+    auto log = logToOutput();
+    writeMany(*log);
+    const auto begin = core::SteadyClock().now();
+    log.reset();
+    EXPECT_LT(core::SteadyClock().now() - begin, Milliseconds(600));
+}
+
 } // namespace baobabstall::logging
