--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -42,16 +42,10 @@
 constexpr Milliseconds silentOwnerTime{1'000};     // in which an owner that did not answer is not asked whether an upstream is brittle
 constexpr Milliseconds brittleTellInterval{1'000}; // an owner tells all hosts again that an upstream is brittle: some have just started
 constexpr std::int64_t longestNoticeAgeMs = 3'600'000;
-constexpr Milliseconds unownedSendWait{300};         // before the owner of a limited upstream is looked for again
-constexpr Milliseconds unownedRetryAfter{1'500};     // Retry-After while an upstream has no owner: a claim and most of a lease
-constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
-constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
-constexpr Milliseconds maxAnswerMargin{300};         // before the host ends: for the last answers
-constexpr int answerMarginDivisor = 4;               // of the time that a stop takes; the shorter of both applies
-constexpr Milliseconds probeSettleTime{50};          // a connection that a middlebox opens and resets at once leads nowhere
-constexpr Milliseconds drainPollInterval{20};        // while stopping
-constexpr Milliseconds maxClockLag{86'400'000};      // of this host's clock behind an upstream's
-constexpr Milliseconds releaseTimeout{500};          // for the last records of a stopping host; an unreachable store must not delay its end
+constexpr Milliseconds unownedSendWait{300};     // before the owner of a limited upstream is looked for again
+constexpr Milliseconds unownedRetryAfter{1'500}; // Retry-After while an upstream has no owner: a claim and most of a lease
+constexpr Milliseconds probeSettleTime{50};      // a connection that a middlebox opens and resets at once leads nowhere
+constexpr Milliseconds maxClockLag{86'400'000};  // of this host's clock behind an upstream's
 
 constexpr double minLinkMbps = 0.01; // of another host's word on its link; a slower one counts as not known
 constexpr double maxLinkMbps = 1e7;
@@ -222,62 +216,6 @@
     return isRunning_ && !node_.stop.hasBegun() && node_.routes && (upstreamsTopic_.isKnown() || node_.replicas.size() > 0);
 }
 
-net::Task<void> HostedDaemon::stop()
-{
-    const auto begin = node_.now();
-    constexpr double msPerSecond = 1'000;
-    const auto limit = begin + Milliseconds(static_cast<std::int64_t>(node_.settings.hosting.graceSeconds * msPerSecond)) - stopMargin;
-    const auto answerMargin = std::clamp((limit - begin) / answerMarginDivisor, Milliseconds(0), maxAnswerMargin);
-    node_.log.info("stopping", {{"busy", callerServer_.busyConnections()}, {"connections", callerServer_.connections()}, {"owned", ownedReplicas_.size()}});
-    callerServer_.beginStop();
-    node_.stop.begin({.answerBy = limit - answerMargin, .unbalancedAt = begin + balancerDetectionTime});
-    if (links_) {
-        sendMessages(membership_.leave(node_.now()));
-    }
-    planner_.stop();
-    tick();
-    while (node_.now() < std::min(limit, begin + balancerDetectionTime)) {
-        co_await net::sleep(node_.io, drainPollInterval);
-    }
-    callerServer_.closeIdle();
-    while (callerServer_.connections() + static_cast<std::size_t>(relayExchange_.running()) > 0 && node_.now() < limit) {
-        co_await net::sleep(node_.io, drainPollInterval);
-        callerServer_.closeIdle();
-    }
-    const auto releaseLimit = std::min(limit, node_.now() + releaseTimeout);
-    while (!planner_.holdings().empty() && node_.now() < releaseLimit) {
-        co_await net::sleep(node_.io, drainPollInterval);
-    }
-    callerServer_.reportOpen();
-    node_.log.info("stopped",
-                   {{"unfinished", callerServer_.busyConnections()},
-                    {"connections", callerServer_.connections()},
-                    {"relayed", relayExchange_.running()},
-                    {"last_accept_ms_ago", callerServer_.lastAcceptedAt() ? node_.now() - *callerServer_.lastAcceptedAt() : Milliseconds(-1)},
-                    {"unreleased", planner_.holdings().size()},
-                    {"took_ms", node_.now() - begin}});
-    isRunning_ = false;
-}
-
-void HostedDaemon::logClosedConnection(const ConnectionEnd &end)
-{
-    const auto cause = connectionCauseText(end.cause);
-    node_.metrics.closedConnections.add({cause});
-    if (!end.isNotable()) {
-        return;
-    }
-    node_.log.info("connection_closed",
-                   {{"request_id", end.request},
-                    {"cause", cause},
-                    {"in_request", end.isInRequest},
-                    {"requests", end.requests},
-                    {"bytes_read", end.bytesRead},
-                    {"bytes_written", end.bytesWritten},
-                    {"bytes_unread", end.bytesUnread},
-                    {"stopping", end.isStopping},
-                    {"why", end.detail}});
-}
-
 void HostedDaemon::reload(const settings::Settings &settings)
 {
     const auto &now = node_.settings;
--- /dev/null
+++ b/packages/serving/hoststop.cpp
@@ -0,0 +1,75 @@
+// HostedDaemon: a planned stop.
+#include <serving/hosteddaemon.h>
+
+#include <algorithm>
+
+#include <serving/hostend.h>
+
+namespace baobabstall::serving {
+
+namespace {
+
+constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
+constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
+constexpr Milliseconds maxAnswerMargin{300};         // before the host ends: for the last answers
+constexpr int answerMarginDivisor = 4;               // of the time that a stop takes; the shorter of both applies
+constexpr Milliseconds drainPollInterval{20};        // while stopping
+
+} // namespace
+
+net::Task<void> HostedDaemon::stop()
+{
+    const auto begin = node_.now();
+    constexpr double msPerSecond = 1'000;
+    const auto limit = begin + Milliseconds(static_cast<std::int64_t>(node_.settings.hosting.graceSeconds * msPerSecond)) - stopMargin;
+    const auto answerMargin = std::clamp((limit - begin) / answerMarginDivisor, Milliseconds(0), maxAnswerMargin);
+    node_.log.info("stopping", {{"busy", callerServer_.busyConnections()}, {"connections", callerServer_.connections()}, {"owned", ownedReplicas_.size()}});
+    callerServer_.beginStop();
+    node_.stop.begin({.answerBy = limit - answerMargin, .unbalancedAt = begin + balancerDetectionTime});
+    if (links_) {
+        sendMessages(membership_.leave(node_.now()));
+    }
+    planner_.stop();
+    tick();
+    while (node_.now() < std::min(limit, begin + balancerDetectionTime)) {
+        co_await net::sleep(node_.io, drainPollInterval);
+    }
+    HostEnd end(limit);
+    const auto open = [this] {
+        callerServer_.closeIdle();
+        return HostEnd::Open{callerServer_.connections() + static_cast<std::size_t>(relayExchange_.running()), planner_.holdings().size()};
+    };
+    while (!end.isDue(open(), node_.now())) {
+        co_await net::sleep(node_.io, drainPollInterval);
+    }
+    callerServer_.reportOpen();
+    node_.log.info("stopped",
+                   {{"unfinished", callerServer_.busyConnections()},
+                    {"connections", callerServer_.connections()},
+                    {"relayed", relayExchange_.running()},
+                    {"last_accept_ms_ago", callerServer_.lastAcceptedAt() ? node_.now() - *callerServer_.lastAcceptedAt() : Milliseconds(-1)},
+                    {"unreleased", planner_.holdings().size()},
+                    {"took_ms", node_.now() - begin}});
+    isRunning_ = false;
+}
+
+void HostedDaemon::logClosedConnection(const ConnectionEnd &end)
+{
+    const auto cause = connectionCauseText(end.cause);
+    node_.metrics.closedConnections.add({cause});
+    if (!end.isNotable()) {
+        return;
+    }
+    node_.log.info("connection_closed",
+                   {{"request_id", end.request},
+                    {"cause", cause},
+                    {"in_request", end.isInRequest},
+                    {"requests", end.requests},
+                    {"bytes_read", end.bytesRead},
+                    {"bytes_written", end.bytesWritten},
+                    {"bytes_unread", end.bytesUnread},
+                    {"stopping", end.isStopping},
+                    {"why", end.detail}});
+}
+
+} // namespace baobabstall::serving
