--- a/standins/hosting/proxy.py
+++ b/standins/hosting/proxy.py
@@ -1,4 +1,5 @@
 """A loopback proxy that harms what passes through it: late, silent, one way only, or reset. Scaffolding for tests/hosted; not shipped."""
+import collections
 import socket
 import struct
 import threading
@@ -114,3 +115,35 @@
             time.sleep(self.delay)
         while (way in self.silent or port in self.silent_ports) and not self.closed:
             time.sleep(STEP_SECONDS)
+
+
+class Link(Proxy):
+    """A link with a delay for each byte, not for each piece. What is on its way is lost when its sender resets the connection."""
+
+    def pump(self, source, sink, way, pair):
+        on_the_way = collections.deque()  # (when it arrives, bytes; none: the end)
+        threading.Thread(target=self.deliver, args=(on_the_way, sink), daemon=True).start()
+        try:
+            while piece := source.recv(PIECE_BYTES):
+                on_the_way.append((time.monotonic() + self.delay, piece))
+            on_the_way.append((time.monotonic() + self.delay, b""))
+        except OSError:
+            on_the_way.clear()
+            with self.lock:
+                self.pairs.discard(pair)
+            for end in pair:
+                self.reset(end)
+
+    def deliver(self, on_the_way, sink):
+        try:
+            while not self.closed:
+                if not on_the_way or on_the_way[0][0] > time.monotonic():
+                    time.sleep(STEP_SECONDS / 4)
+                    continue
+                _, piece = on_the_way.popleft()
+                if not piece:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(piece)
+        except OSError:
+            pass  # closed or reset meanwhile; the other way's thread ends both
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -20,7 +20,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "standins" / "hosting"))
 from hosting import EndlessReplica, Replica, Store, configuration  # noqa: E402
-from proxy import Proxy  # noqa: E402
+from proxy import Link, Proxy  # noqa: E402
 
 DAEMON = None
 BESIDE = None
@@ -578,6 +578,53 @@
         self.assertEqual([status for status, _ in waited], [503] * len(waited), stopping.events("stopped"))
         self.assertTrue(all(headers["Retry-After"] for _, headers in waited))
 
+    @staticmethod
+    def read_to_the_end(connection):
+        """What the caller received, and whether its connection ended without a reset."""
+        received = b""
+        try:
+            while piece := connection.recv(65536):
+                received += piece
+        except OSError:
+            return received, False
+        finally:
+            connection.close()
+        return received, True
+
+    # Guards against the end of a stream that is lost, in full flow, as its stopping host closes with the next request unread: the reset overtakes what
+    # a link, a relay or a slow caller still holds (issue 46, LOST).
+    def test_streams_behind_a_slow_link_are_whole_when_their_host_stops_while_callers_send_their_next_requests(self):
+        for replica in self.replicas:
+            replica.events, replica.event_seconds, replica.places = 12, 0.03, 40
+        stopping = self.stopping_host(6)
+        link = Link(stopping.callers)
+        self.addCleanup(link.close)
+        link.delay = 0.15
+        head = "POST /gen/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Model-Id: base/a1\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi"
+
+        def work(number):
+            time.sleep(number * 0.03)
+            host, port = link.address.split(":")
+            connection = socket.create_connection((host, int(port)))
+            connection.sendall((head % ("s%d" % number)).encode())
+            time.sleep(0.3 + number % 6 * 0.05)  # amid the stream, or as its last events are on their way
+            connection.sendall((head % ("next%d" % number)).encode())
+            return self.read_to_the_end(connection)
+
+        threads, results = self.in_threads(work, 24)
+        time.sleep(0.5)
+        stopping.process.send_signal(signal.SIGTERM)
+        self.assertEqual(stopping.process.wait(6), 0)
+        for thread in threads:
+            thread.join()
+        begun = sum(received.count(b"HTTP/1.1 200 ") for received, _ in results)
+        whole = sum(received.count(b"\r\n0\r\n\r\n") for received, _ in results)
+        resets = sum(not is_orderly for _, is_orderly in results)
+        self.assertEqual((begun - whole, resets), (0, 0), "%d streams begun, cut, connections reset; %s" % (begun, stopping.events("connection_closed")[-3:]))
+        self.assertGreaterEqual(whole, 16)
+        ran = sum(len([attempt for attempt in replica.ran if attempt.startswith(("s", "next"))]) for replica in self.replicas)
+        self.assertEqual(ran, begun, "what ran was answered")
+
     # Guards against requests whose last byte comes late in the grace: they were passed on and cut at its end (issue 42, second further report).
     def test_requests_that_come_late_in_a_stop_are_not_passed_on_to_be_cut(self):
         self.shop.work_seconds = 1.8
