--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include <net/asio.h>
 #include <net/http.h>
+#include <net/orderlyclose.h>
 
 #include <array>
 #include <set>
@@ -21,8 +22,7 @@
 
 namespace {
 
-constexpr core::Milliseconds acceptPause{50};    // after a failed accept, such as no free descriptor
-constexpr core::Milliseconds lingerTimeout{500}; // for a refused caller to read its answer before the close
+constexpr core::Milliseconds acceptPause{50}; // after a failed accept, such as no free descriptor
 
 /// The answer to a request that could not be read. Nothing: the connection just ended.
 std::optional<HttpResponse> answerToReadError(error_code failed)
@@ -135,8 +135,7 @@
     Task<void> serve()
     {
         while (co_await serveOne()) { }
-        error_code ignored;
-        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        co_await finishSending(stream_.socket());
         stream_.close();
     }
 
@@ -329,20 +328,7 @@
 Task<void> Connection::refuse(HttpResponse response)
 {
     keepAlive_ = false;
-    const std::string text = headText(response.status, response.headers, false, response.body.size()) + response.body;
-    if (!co_await send(text)) {
-        co_return;
-    }
-    error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream_.expires_after(chronoOf(lingerTimeout));
-    std::array<char, 4096> rest{};
-    for (;;) {
-        const auto [failed, count] = co_await stream_.async_read_some(asio::buffer(rest), tuple);
-        if (failed) {
-            co_return;
-        }
-    }
+    co_await send(headText(response.status, response.headers, false, response.body.size()) + response.body);
 }
 
 Task<bool> Connection::serveOne()
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -211,6 +211,30 @@
     EXPECT_EQ(response->status, 413);
 }
 
+// Guards against an answer whose end is lost because its connection is reset (issue 46, LOST): the server closed it with unread bytes of the caller.
+TEST_F(HttpTest, an_answer_reaches_a_slow_caller_whole_though_more_bytes_follow_its_request)
+{
+    constexpr std::size_t bodyBytes = 400'000;
+    const auto address = serve([](Exchange &exchange) -> Task<void> { co_await exchange.respond(HttpResponse::json(200, std::string(bodyBytes, 'x'))); });
+    asio::ip::tcp::socket socket(io_, asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(4'096));
+    socket.connect({asio::ip::make_address(address.ip), address.port});
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    io_.run_for(std::chrono::milliseconds(50));
+    asio::write(socket, asio::buffer(std::string(2'000, 'y')));
+    io_.run_for(std::chrono::milliseconds(50));
+    std::string answer;
+    boost::system::error_code end;
+    asio::async_read(socket, asio::dynamic_buffer(answer), [this, &end](boost::system::error_code failed, std::size_t) {
+        end = failed;
+        io_.stop();
+    });
+    io_.restart();
+    io_.run();
+    EXPECT_EQ(end, asio::error::eof) << end.message();
+    EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, bodyBytes);
+}
+
 TEST_F(HttpTest, refuses_headers_over_the_limit)
 {
     const auto address = serve(echo, {.maxHeaderBytes = 512});
--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <net/orderlyclose.h>
+
 namespace baobabstall::serving {
 
 namespace asio = boost::asio;
@@ -19,10 +21,8 @@
 
 namespace {
 
-constexpr Milliseconds acceptPause{50};      // after a failed accept, for example without a free file descriptor
-constexpr Milliseconds writeTimeout{5'000};  // for a caller that does not read; twice the pause after which callers give up
-constexpr Milliseconds finishTimeout{2'000}; // for the caller's own close after the last response
-constexpr std::size_t discardBytes = 4'096;
+constexpr Milliseconds acceptPause{50};     // after a failed accept, for example without a free file descriptor
+constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; twice the pause after which callers give up
 constexpr int backlog = 1'024;
 
 std::string_view reasonOf(int status)
@@ -129,7 +129,7 @@
                 .requests = requests_,
                 .bytesRead = bytesRead_,
                 .bytesWritten = bytesWritten_,
-                .bytesUnread = buffer_.size() + bytesDiscarded_ + socket_.available(ignored),
+                .bytesUnread = buffer_.size() + bytesDropped_ + socket_.available(ignored),
                 .isStopping = server_->isStopping,
                 .detail = detail_};
     }
@@ -313,23 +313,15 @@
         co_await write("HTTP/1.1 " + std::to_string(*status) + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     }
 
-    /// Shuts down sending, and closes once the caller has closed. A socket that is closed with unread bytes, or that gets more of them, resets its
-    /// connection, and what is still on its way to the caller is dropped (RFC 9112, 9.6).
     net::Task<void> finish()
     {
         if (std::exchange(isFinishing_, true)) {
             co_return;
         }
-        error_code failed;
-        socket_.shutdown(tcp::socket::shutdown_send, failed);
-        watchdog_.arm(core::SteadyClock().now() + finishTimeout, [this] { close(cause_); });
-        std::array<char, discardBytes> bytes{};
-        while (!failed && cause_ != ConnectionCause::CallerClosed) {
-            std::size_t count = 0;
-            std::tie(failed, count) = co_await socket_.async_read_some(asio::buffer(bytes), net::tuple);
-            bytesDiscarded_ += count;
+        if (socket_.is_open() && cause_ != ConnectionCause::CallerClosed) {
+            watchdog_.disarm();
+            bytesDropped_ = co_await net::finishSending(socket_);
         }
-        watchdog_.disarm();
         close(cause_);
     }
 
@@ -364,7 +356,7 @@
     std::size_t requests_ = 0;
     std::uint64_t bytesRead_ = 0;
     std::uint64_t bytesWritten_ = 0;
-    std::size_t bytesDiscarded_ = 0;
+    std::size_t bytesDropped_ = 0;
     std::string detail_;
 };
 
