--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -176,6 +176,7 @@
     std::function<bool(const std::string &bytes)> send; // false: nothing was queued
     std::function<void(const std::string &reason)> close;
     std::function<void(std::size_t bytes)> setMaxFrameBytes; // of received frames
+    std::function<bool()> isClosed;                          // by both sides
 };
 
 template<typename ConnectionPointer>
@@ -191,7 +192,8 @@
                     websocketpp::lib::error_code ignored;
                     connection->close(websocketpp::close::status::policy_violation, reason, ignored);
                 },
-            .setMaxFrameBytes = [connection](std::size_t bytes) { connection->set_max_message_size(bytes); }};
+            .setMaxFrameBytes = [connection](std::size_t bytes) { connection->set_max_message_size(bytes); },
+            .isClosed = [connection] { return connection->get_state() == websocketpp::session::state::closed; }};
 }
 
 } // namespace
@@ -295,6 +297,8 @@
         }
     }
 
+    /// Whether both sides have closed; works after the link is gone. Empty before the socket is open.
+    [[nodiscard]] std::function<bool()> closedProbe() const { return socket_.isClosed; }
     [[nodiscard]] bool isLost() const { return isLost_; }
     [[nodiscard]] bool isAuthenticated() const { return isAuthenticated_; }
     void close(const std::string &reason)
@@ -725,6 +729,26 @@
     }
 }
 
+net::Task<void> Links::finish(core::Milliseconds patience)
+{
+    std::vector<std::function<bool()>> open;
+    for (const auto &[host, link] : state_->outgoing) {
+        open.push_back(link->closedProbe());
+    }
+    for (const auto &[handle, link] : state_->incoming) {
+        open.push_back(link->closedProbe());
+    }
+    close();
+    constexpr core::Milliseconds interval{5};
+    for (core::Milliseconds waited(0); waited < patience; waited = waited + interval) {
+        std::erase_if(open, [](const std::function<bool()> &isClosed) { return !isClosed || isClosed(); });
+        if (open.empty()) {
+            co_return;
+        }
+        co_await net::sleep(state_->io, interval);
+    }
+}
+
 std::uint64_t Links::gossipBytes() const
 {
     return state_->gossipBytes;
--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -95,6 +95,9 @@
     [[nodiscard]] std::unique_ptr<OutgoingCall> call(const HostId &to, CallBody body);
     /// Closes all links; calls in flight fail.
     void close();
+    /// The same, and waits until the peers have what is queued for them and have closed too, `patience` at most. A process that ends without it may
+    /// reset its connections, which drops what is on its way.
+    net::Task<void> finish(core::Milliseconds patience);
 
     /// Encoded bytes of membership messages sent and received; measures control traffic.
     [[nodiscard]] std::uint64_t gossipBytes() const;
--- a/packages/peers/tests/linktest.cpp
+++ b/packages/peers/tests/linktest.cpp
@@ -284,6 +284,58 @@
     EXPECT_EQ(error_.outcome, core::Outcome::Unknown);
 }
 
+// Guards against the end of a relayed stream that is lost with the process that sends it (issue 46, LOST): its connections to peers are reset when it
+// ends with unread frames, and what is queued for a slow peer is gone.
+TEST_F(LinkTest, replies_that_a_slow_peer_has_not_read_reach_it_before_a_host_that_finishes_its_links_is_gone)
+{
+    constexpr int pieces = 200;
+    constexpr std::size_t pieceBytes = 20'000;
+    auto ending = std::make_unique<asio::io_context>();
+    bool isServed = false;
+    LinkHandlers handlers;
+    handlers.onCall = [&isServed](std::shared_ptr<IncomingCall> call) -> net::Task<void> {
+        for (int i = 0; i < pieces; ++i) {
+            call->send(DataReply{std::string(pieceBytes, 'x')});
+        }
+        call->send(EndReply{});
+        isServed = true;
+        co_return;
+    };
+    auto b = std::make_unique<Links>(*ending, Links::Self{HostId("b"), Incarnation(1), core::RegionId("r")}, "the key of a deployment", std::move(handlers));
+    const auto address = b->listen({"127.0.0.1", 0}, error_);
+    ASSERT_TRUE(address);
+    const auto a = makeLinks("a", "the key of a deployment");
+    a->setAddress(HostId("b"), *address);
+    const auto call = a->call(HostId("b"), probe);
+    while (!isServed) {
+        io_.run_for(std::chrono::milliseconds(2));
+        ending->run_for(std::chrono::milliseconds(2));
+    }
+    for (int i = 0; i < 10; ++i) {
+        a->sendGossip(HostId("b"), {});
+    }
+    io_.run_for(std::chrono::milliseconds(1));
+
+    bool isFinished = false;
+    asio::co_spawn(*ending, b->finish(longWait), [&isFinished](const std::exception_ptr &) { isFinished = true; });
+    while (!isFinished) {
+        ending->run_for(std::chrono::milliseconds(2));
+        io_.run_for(std::chrono::milliseconds(2));
+    }
+    b.reset();
+    ending.reset(); // its sockets are closed, as at the end of a process
+
+    int received = 0;
+    bool isEnded = false;
+    while (!isEnded) {
+        const auto reply = run(call->next(longWait, error_));
+        ASSERT_TRUE(reply) << received << " pieces, then " << error_.text();
+        isEnded = std::holds_alternative<EndReply>(*reply);
+        received += isEnded ? 0 : 1;
+    }
+    EXPECT_EQ(received, pieces);
+}
+
 TEST_F(LinkTest, gossip_arrives_with_its_authenticated_sender)
 {
     HostId sender;
--- a/packages/serving/hoststop.cpp
+++ b/packages/serving/hoststop.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds maxAnswerMargin{300};         // before the host ends: for the last answers
 constexpr int answerMarginDivisor = 4;               // of the time that a stop takes; the shorter of both applies
 constexpr Milliseconds drainPollInterval{20};        // while stopping
+constexpr Milliseconds linkFinishTimeout{100};       // for peers that are slow to read the last replies
 
 } // namespace
 
@@ -42,6 +43,9 @@
     while (!end.isDue(open(), node_.now())) {
         co_await net::sleep(node_.io, drainPollInterval);
     }
+    if (links_) {
+        co_await links_->finish(linkFinishTimeout);
+    }
     callerServer_.reportOpen();
     node_.log.info("stopped",
                    {{"unfinished", callerServer_.busyConnections()},
