--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -117,7 +117,8 @@
     void onException(std::string why)
     {
         detail_ = std::move(why);
-        close(ConnectionCause::Exception);
+        cause_ = ConnectionCause::Exception;
+        endSoon();
     }
 
     [[nodiscard]] ConnectionEnd end(ConnectionCause cause)
@@ -179,9 +180,7 @@
         socket_.non_blocking(true, failed);
         bytesWritten_ += socket_.write_some(asio::buffer(response), failed);
         cause_ = ConnectionCause::EndedEarly;
-        setIdle();
-        asio::co_spawn(
-            server_->io, [self = shared_from_this()] { return self->finish(); }, asio::detached);
+        endSoon();
     }
 
     /// Requests that have arrived are served before a stopping host closes the connection.
@@ -287,6 +286,7 @@
             }
             if (failed) {
                 self->isDisconnected_ = true;
+                self->cause_ = ConnectionCause::CallerClosed;
                 const auto callback = std::exchange(self->onDisconnect_, nullptr);
                 callback();
             }
@@ -313,6 +313,14 @@
         co_await write("HTTP/1.1 " + std::to_string(*status) + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     }
 
+    /// The connection ends whatever its handler still does.
+    void endSoon()
+    {
+        setIdle();
+        asio::co_spawn(
+            server_->io, [self = shared_from_this()] { return self->finish(); }, asio::detached);
+    }
+
     net::Task<void> finish()
     {
         if (std::exchange(isFinishing_, true)) {
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -62,7 +62,7 @@
 
 /// Why this host closed a connection.
 enum class ConnectionCause : std::uint8_t {
-    ResponseEnded, // the last response said so, or the caller did
+    ResponseEnded, // the last response said so
     Idle,          // for longer than CallerLimits::idleTimeout
     Stopping,      // idle at a host that stops
     CallerClosed,
--- a/packages/serving/tests/callerstest.cpp
+++ b/packages/serving/tests/callerstest.cpp
@@ -279,6 +279,8 @@
     send(*caller, request("/2"));
     const auto received = readAll(caller);
     EXPECT_EQ(received.bytes, "HTTP/1.1 200 OK\r\n");
+    EXPECT_EQ(received.end, asio::error::eof) << received.end.message();
+    runFor(Milliseconds(50));
     ASSERT_EQ(ends_.size(), 2U);
     const auto &end = ends_.back();
     EXPECT_EQ(connectionCauseText(end.cause), "exception");
