--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -203,6 +203,7 @@
         self.fence = 0
         self.orders = []  # (time, holder, fence, operation, adapter)
         self.ran = []  # ids of requests
+        self.finished = set()  # the same, of those whose answer was written to its end
         self.version = version  # of its software
         self.names_version = False  # in each event, as a line of its own
         self.left = False  # for the tests
@@ -364,6 +365,7 @@
         if not wanted:
             time.sleep(self.work_seconds)
             request.answer_json(200, {"by": self.name, "echo": request.body.decode()}, seal)
+            self.finished.add(attempt)
             return
         request.send_response(200)
         for name, value in [*seal, *self.common_headers(), ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
@@ -386,7 +388,8 @@
             request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
             request.wfile.flush()
         request.wfile.write(b"0\r\n\r\n")
-
+        request.wfile.flush()
+        self.finished.add(attempt)
 
     def restart(self, version):
         """Starts again under the same id; its record stays as it is until register()."""
--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -5,7 +5,8 @@
 loses answers; replicas crash, leave, come, fall silent for a second, cut answers and start again under their id at another software version while their record comes late; one request crashes every
 replica that runs it and comes again and again; replicas refuse requests and write the refusals twice; another writer leaves odd entries
 among those of the replicas; configurations change, also the room for adapters, and name a service whose replica was there before; a replica and the
-listings of the store send bytes without end; requests come in parts while their host stops; some hosts lose their links to all replicas. Callers keep their connections until they end, and take up broken streams.
+listings of the store send bytes without end; requests come in parts while their host stops; some hosts lose their links to all replicas. Callers keep their connections until they end, and take up broken streams;
+some send requests before the one before is answered, read slowly and sit behind a link of some length (pipelining.py). Seeds from 20,000 on play planned work alone, beside a store that closes its connections or is away.
 Checked from what callers and replicas see: answers are whole and the caller's own, nothing runs twice that must not, a refusal is true,
 orders of one holder at a time, no stream holds events of two software versions, a crashing request reaches few replicas once it is known, few brittle replicas fall over, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
 The time of day can't be set without privileges; nothing here depends on it but the numbers of runs, which only grow.
@@ -28,7 +29,8 @@
 import hostedtest  # noqa: E402
 from hostedtest import Blackhole, Host, ask, wait_until  # noqa: E402
 from hosting import EndlessReplica, Replica, Store, configuration  # noqa: E402
-from proxy import Proxy  # noqa: E402
+from pipelining import PipeliningCaller, check_connection  # noqa: E402
+from proxy import Link, Proxy  # noqa: E402
 
 CALM_SECONDS = 4.0  # a host counts as undisturbed when no fault touched it for so long
 LEASE_SECONDS = hostedtest.LEASE_MS / 1000
@@ -44,6 +46,7 @@
 STREAM_DEADLINE, PLAIN_DEADLINE = 6.0, 1.5
 CONTACT_SECONDS = 3.0  # after the third crash, until all hosts refuse the request
 ONLY_LINKS_FROM = 10_000  # seeds from this one on play cuts, silences and the crashing request alone
+ONLY_PLANNED_FROM = 20_000  # seeds from this one on play planned work, and the store's trouble beside it
 MIN_CUT_TRIES = 20  # first tries at hosts that are cut off, from which on their share is compared
 KNOWN_CRASHES, MOST_LATE_SENDS = 3, 3
 CRASHING_BODY = b"crash"
@@ -211,6 +214,8 @@
         self.are_faults_over = False
         self.story = []
         self.failures = []
+        self.pipelined = []  # connections of PipeliningCaller
+        self.checked_pipelined = 0  # those at hosts that nothing unplanned disturbed
         self.taken_up = []  # (id of the stream's first request, id of a later one, its status)
         self.killed_all_at = []
         self.cuts = []  # (begin, end, names of the hosts that were cut off from all replicas)
@@ -219,6 +224,8 @@
         self.blackhole = Blackhole()
         self.crasher = None
         self.disturbed = {}  # host name -> list of [from, until]; None: every host
+        self.planned = set()  # begins of those that are planned stops, or the store's trouble alone
+        self.only_planned = seed >= ONLY_PLANNED_FROM
         self.store = SoakStore()
         self.version = 3
         self.room = {}  # of the runtime in the configuration, where it differs from the usual one
@@ -239,6 +246,8 @@
         settings["platform"]["address"] = host.store_proxy.address
         host.settings.write_text(json.dumps(settings))
         host.front = Proxy(host.callers)
+        host.far_front = Link(host.callers)
+        host.far_front.delay = random.Random("far %d %d" % (self.seed, number)).uniform(0.0, 0.2)
         while True:  # the proxy's address takes the place of the host's in its announcement, which needs the same length
             host.peer_proxy = Proxy(host.peers)
             if len(host.peer_proxy.address) == len(host.peers):
@@ -264,7 +273,9 @@
 
     def kill(self, host, number):
         seconds = self.random.uniform(0.1, 2.0)
-        self.note("%s gets signal %d, starts again after %.1f s" % (host.name, number, seconds), [host], seconds + 7)
+        begin = self.note("%s gets signal %d, starts again after %.1f s" % (host.name, number, seconds), [host], seconds + 7)
+        if number == signal.SIGTERM and time.monotonic() - host.started > START_SECONDS:
+            self.planned.add(begin)
         self.stop(host, number)
         time.sleep(seconds)
         self.start(host)
@@ -365,7 +376,7 @@
     def store_fault(self):
         seconds = self.random.uniform(0.5, 5.0)
         how = self.random.choice(["down", "slow", "losing"])
-        self.note("store %s for %.1f s" % (how, seconds), None, seconds + 3)
+        self.planned.add(self.note("store %s for %.1f s" % (how, seconds), None, seconds + 3))
         value = 0.4 if how == "slow" else True
         setattr(self.store, how, value)
         time.sleep(seconds)
@@ -540,9 +551,22 @@
             if answer[9:12] == b"503" and ran.get(attempt, 0) > 0:
                 self.failures.append("%s was refused during a planned stop, but it ran" % attempt)
 
+    def close_store_connections(self, host):
+        self.note("the store closes the connections of %s" % host.name, [], 0)
+        for _ in range(3):
+            host.store_proxy.reset_all()
+            time.sleep(0.3)
+
     def draw(self):
         host = self.random.choice(self.hosts)
         faults = [
+            (5, lambda: self.kill(host, signal.SIGTERM)),
+            (2, lambda: self.reload(host)),
+            (2, lambda: self.close_store_connections(host)),
+            (1, self.store_fault),
+            (1, self.release),
+            (2, self.configure),
+        ] if self.only_planned else [
             (3, lambda: self.kill(host, signal.SIGKILL)),
             (2, lambda: self.kill(host, signal.SIGTERM)),
             (3, lambda: self.pause(host)),
@@ -560,6 +584,9 @@
         return self.random.choices([fault for _weight, fault in faults], [weight for weight, _fault in faults])[0], host
 
     def play(self):
+        if self.only_planned:
+            for replica in self.replicas:
+                replica.event_seconds, replica.places = 0.04, 40
         for host in self.hosts:
             host.lock.acquire()
             self.start(host)
@@ -567,8 +594,10 @@
             self.failures.append("not ready at the start")
             return []
         callers = [Caller(self, number) for number in range(self.random.randint(4, 8))]
-        self.note("start: %d hosts, %d replicas, %d callers" % (len(self.hosts), len(self.replicas), len(callers)), None, 3)
-        if self.random.random() < 0.5:
+        pipelining = [PipeliningCaller(self, number) for number in range(12 if self.only_planned else 2)]
+        begin = self.note("start: %d hosts, %d replicas, %d callers" % (len(self.hosts), len(self.replicas), len(callers)), None, 3)
+        self.planned |= {begin} if self.only_planned else set()
+        if self.random.random() < 0.5 and not self.only_planned:
             self.crasher = CrashingCaller(self)
             for shop in self.shops:
                 shop.crashing_body = CRASHING_BODY
@@ -576,20 +605,17 @@
             for shop in self.shops:
                 shop.crashing_body = CRASHING_BODY
             self.crasher.start()
-        for caller in callers:
+        for caller in (*callers, *pipelining):
             caller.start()
-        links = threading.Thread(target=self.harm_links, daemon=True)
-        links.start()
-
-
-        brittle = threading.Thread(target=self.brittle_times, daemon=True)
-        brittle.start()
+        beside = [] if self.only_planned else [threading.Thread(target=work, daemon=True) for work in (self.harm_links, self.brittle_times)]
+        for thread in beside:
+            thread.start()
         busy = {}
         end = time.monotonic() + self.seconds
         others = random.Random("others %d" % self.seed)  # of its own, so that the faults that a seed draws stay as they were
-        if others.random() < 0.5:
+        if others.random() < 0.5 and not self.only_planned:
             self.repeat_refusals(others)
-        if others.random() < 0.5:
+        if others.random() < 0.5 and not self.only_planned:
             busy["other writer"] = threading.Thread(target=self.write_odd_entries, args=(others, end), daemon=True)
             busy["other writer"].start()
         if self.seed < ONLY_LINKS_FROM and others.random() < 0.5:
@@ -599,7 +625,7 @@
             busy["more configurations"] = threading.Thread(target=self.configure_more, args=(others, end), daemon=True)
             busy["more configurations"].start()
         while time.monotonic() < end:
-            if self.seed >= ONLY_LINKS_FROM:  # no other faults, so that the shares of hosts that are cut off can be compared
+            if ONLY_LINKS_FROM <= self.seed < ONLY_PLANNED_FROM:  # no other faults, so that the shares of hosts that are cut off can be compared
                 time.sleep(0.1)
                 continue
             fault, host = self.draw()
@@ -609,17 +635,19 @@
             busy[host.name] = threading.Thread(target=fault, daemon=True)
             busy[host.name].start()
             time.sleep(self.random.uniform(0.1, 1.5))
-        for thread in (*busy.values(), links):
+        for thread in (*busy.values(), *beside[:1]):
             thread.join()
         for replica in self.replicas + self.shops:
             replica.refused_share, replica.repeats_refusals = 0.0, None
         self.are_faults_over = True
-        brittle.join()
+        for thread in beside:
+            thread.join()
         self.note("faults are over", None, 0)
         time.sleep(SETTLE_SECONDS)
         self.is_over = True
-        for caller in callers:
+        for caller in (*callers, *pipelining):
             caller.join()
+        self.pipelined = [connection for caller in pipelining for connection in caller.connections]
         return [result for caller in callers for result in caller.results]
 
     # ---- What must hold ----
@@ -638,6 +666,7 @@
         for cut in self.cuts:
             self.check_cut(results, *cut)
         self.check_parts(ran)
+        self.check_pipelined(ran)
         if self.has_second_service:
             self.check_second_service()
         if self.crasher:
@@ -671,6 +700,15 @@
         if result["end"] - result["begin"] > limit and self.is_calm(result["host"], result["begin"], result["end"]):
             self.fail(result, "held beyond its time at a host that nothing disturbed")
 
+    def check_pipelined(self, ran):
+        """Planned work, and the store's trouble beside it, excuse nothing."""
+        finished = set().union(*(replica.finished for replica in self.replicas + self.shops))
+        for connection in self.pipelined:
+            if self.is_calm(connection["host"], connection["begin"], connection["end"], self.planned):
+                self.checked_pipelined += 1
+                at = "%s, %.2f to %.2f s" % (connection["host"], connection["begin"] - self.started, connection["end"] - self.started)
+                self.failures += ["%s (%s)" % (fault, at) for fault in check_connection(connection, ran, finished)]
+
     def check_versions(self, result):
         """All events that a caller got of one stream, over all its requests, come from one software version."""
         versions = set(line for line in result["body"].split(b"\n") if line.startswith(b"version: "))
@@ -758,7 +796,7 @@
             host.end(signal.SIGKILL)
             for stream in (host.process.stdout, host.process.stderr) if host.process else ():
                 stream.close()
-            for proxy in (host.front, host.store_proxy, host.peer_proxy):
+            for proxy in (host.front, host.far_front, host.store_proxy, host.peer_proxy):
                 proxy.close()
         for server in (*self.replicas, *self.shops, self.store, self.blackhole):
             server.close()
@@ -776,6 +814,7 @@
             world.close()
     ends = collections.Counter(str(result["status"]) + ("" if result.get("whole") else " cut") for result in results)
     ends.update("%d to streams taken up" % status for _first, _again, status in world.taken_up)
+    ends["pipelined connections checked"] = world.checked_pipelined
     if world.crasher:
         ends["crashes by one request"] = sum(len(shop.crashed) for shop in world.shops)
     ends.update({"%s first tries at hosts cut off" % name: count for name, count in zip(("served", "all"), world.tries_at_cut)})
@@ -805,6 +844,13 @@
     assert len(world.failures) == len(forged), world.failures
     world.check_versions(good | {"body": b"id: 1\nversion: v1\n\nid: 2\nversion: v1.1\n\n"})
     assert len(world.failures) == len(forged) + 1
+    whole = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nid 1\r\n0\r\n\r\n"
+    refused = b"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n"
+    seen = {"host": "entry-1", "begin": 10.0, "end": 11.0, "sent": ["a", "b"], "received": whole % b"a" + refused, "is_orderly": True}
+    assert not check_connection(seen, {"a": 1}, {"a"}), check_connection(seen, {"a": 1}, {"a"})
+    assert not check_connection(seen | {"received": b"", "is_orderly": False}, {}, set()), "nobody listened"
+    for change, ran in (({"is_orderly": False}, "a"), ({"received": (whole % b"a")[:-6]}, "a"), ({}, "ab"), ({"received": whole % b"b"}, "a")):
+        assert len(check_connection(seen | change, dict.fromkeys(ran, 1), {"a"})) == 1, (change, check_connection(seen | change, dict.fromkeys(ran, 1), {"a"}))
     world.killed_all_at, world.crasher = [50.0], type("Crasher", (), {"sent": {str(n): "entry-1" for n in range(20)}})
     world.check_crashes([(float(n), str(n)) for n in range(6)] + [(60.0 + n, str(10 + n)) for n in range(3)])
     assert len(world.failures) == len(forged) + 1, world.failures
