--- a/packages/logging/logging.h
+++ b/packages/logging/logging.h
@@ -16,8 +16,9 @@
 // can end a line or begin another.
 //
 // Limits. To standard output (file "-") lines are bounded by settings and never waited for; dropped ones are counted in a line
-// "log_lines_dropped". Closing the log waits up to 0.3 s for a reader that is behind. To standard error or a file writing is synchronous and flushed for each line; at level "debug" a busy daemon spends noticeable time on
-// it. The file is appended to and not rotated: the platform's collector does that, or use standard error. Safe to call from any thread.
+// "log_lines_dropped". Closing the log waits up to 0.3 s for a reader that is behind; what is left then is lost. To standard error or a file writing is
+// synchronous and flushed for each line; at level "debug" a busy daemon spends noticeable time on it. The file is appended to and not rotated: the platform's
+// collector does that, or use standard error. Safe to call from any thread.
 #pragma once
 
 #include <cstdint>
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -285,10 +285,11 @@
     if (buffer_.size() == 0) {
         constexpr std::size_t firstRead = 4096; // bytes
         isIdle_ = true;
-        stream_.expires_after(chronoOf(server_->limits.idleTimeout));
+        cancelReadsAfter(server_->limits.idleTimeout);
         const auto [failed, count] = co_await stream_.async_read_some(buffer_.prepare(firstRead), tuple);
+        readTimer_.cancel();
         isIdle_ = false;
-        if (failed) {
+        if (failed || isLate_) {
             co_return http::make_error_code(http::error::end_of_stream);
         }
         buffer_.commit(count);
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -235,6 +235,32 @@
     EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, bodyBytes);
 }
 
+// The same where the server closes the connection as idle and the caller sends just then.
+TEST_F(HttpTest, an_answer_reaches_a_slow_caller_whole_though_its_next_request_crosses_the_idle_timeout)
+{
+    constexpr std::size_t bodyBytes = 30'000;
+    const auto address = serve([](Exchange &exchange) -> Task<void> { co_await exchange.respond(HttpResponse::json(200, std::string(bodyBytes, 'x'))); },
+                               {.idleTimeout = core::Milliseconds(100)});
+    asio::ip::tcp::socket socket(io_, asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(4'096));
+    socket.connect({asio::ip::make_address(address.ip), address.port});
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    io_.run_for(std::chrono::milliseconds(200));
+    asio::write(socket, asio::buffer(request));
+    io_.run_for(std::chrono::milliseconds(50));
+    std::string answer;
+    boost::system::error_code end;
+    asio::async_read(socket, asio::dynamic_buffer(answer), [this, &end](boost::system::error_code failed, std::size_t) {
+        end = failed;
+        io_.stop();
+    });
+    io_.restart();
+    io_.run();
+    EXPECT_EQ(end, asio::error::eof) << end.message();
+    EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, bodyBytes);
+}
+
 TEST_F(HttpTest, refuses_headers_over_the_limit)
 {
     const auto address = serve(echo, {.maxHeaderBytes = 512});
--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -12,6 +12,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <core/clock.h>
 #include <net/asio.h>
 
 namespace baobabstall::peers {
@@ -740,7 +741,9 @@
     }
     close();
     constexpr core::Milliseconds interval{5};
-    for (core::Milliseconds waited(0); waited < patience; waited = waited + interval) {
+    const core::SteadyClock clock;
+    const auto until = clock.now() + patience;
+    while (clock.now() < until) {
         std::erase_if(open, [](const std::function<bool()> &isClosed) { return !isClosed || isClosed(); });
         if (open.empty()) {
             co_return;
--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -117,6 +117,7 @@
     void onException(std::string why)
     {
         detail_ = std::move(why);
+        onDisconnect_ = nullptr; // of a handler that is gone
         cause_ = ConnectionCause::Exception;
         endSoon();
     }
@@ -130,7 +131,7 @@
                 .requests = requests_,
                 .bytesRead = bytesRead_,
                 .bytesWritten = bytesWritten_,
-                .bytesUnread = buffer_.size() + bytesDropped_ + socket_.available(ignored),
+                .bytesUnread = buffer_.size() + socket_.available(ignored),
                 .isStopping = server_->isStopping,
                 .detail = detail_};
     }
@@ -223,15 +224,18 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         parser.body_limit(limits.maxBodyBytes);
-        watchdog_.arm(request.arrivedAt + limits.headerTimeout, [this] { close(ConnectionCause::HeaderTimeout); });
+        watchdog_.arm(request.arrivedAt + limits.headerTimeout, [this] { endUnread(ConnectionCause::HeaderTimeout); });
         auto [failed, count] = co_await http::async_read_header(socket_, buffer_, parser, net::tuple);
         bytesRead_ += count;
         if (!failed && !parser.is_done()) {
-            watchdog_.arm(core::SteadyClock().now() + server_->options.bodyTimeout, [this] { close(ConnectionCause::BodyTimeout); });
+            watchdog_.arm(core::SteadyClock().now() + server_->options.bodyTimeout, [this] { endUnread(ConnectionCause::BodyTimeout); });
             std::tie(failed, count) = co_await http::async_read(socket_, buffer_, parser, net::tuple);
             bytesRead_ += count;
         }
         watchdog_.disarm();
+        if (isFinishing_) {
+            co_return false;
+        }
         if (failed) {
             cause_ = failed == http::error::end_of_stream ? ConnectionCause::CallerClosed : ConnectionCause::Unreadable;
             isBusy_ = cause_ != ConnectionCause::CallerClosed;
@@ -286,7 +290,7 @@
             }
             if (failed) {
                 self->isDisconnected_ = true;
-                self->cause_ = ConnectionCause::CallerClosed;
+                self->cause_ = self->isFinishing_ ? self->cause_ : ConnectionCause::CallerClosed;
                 const auto callback = std::exchange(self->onDisconnect_, nullptr);
                 callback();
             }
@@ -321,6 +325,15 @@
             server_->io, [self = shared_from_this()] { return self->finish(); }, asio::detached);
     }
 
+    /// In the middle of a request that takes too long to arrive.
+    void endUnread(ConnectionCause cause)
+    {
+        cause_ = cause;
+        endSoon();
+        error_code ignored; // what has arrived may be handled already
+        socket_.cancel(ignored);
+    }
+
     net::Task<void> finish()
     {
         if (std::exchange(isFinishing_, true)) {
@@ -328,7 +341,7 @@
         }
         if (socket_.is_open() && cause_ != ConnectionCause::CallerClosed) {
             watchdog_.disarm();
-            bytesDropped_ = co_await net::finishSending(socket_);
+            co_await net::finishSending(socket_);
         }
         close(cause_);
     }
@@ -364,7 +377,6 @@
     std::size_t requests_ = 0;
     std::uint64_t bytesRead_ = 0;
     std::uint64_t bytesWritten_ = 0;
-    std::size_t bytesDropped_ = 0;
     std::string detail_;
 };
 
--- a/packages/serving/tests/callerstest.cpp
+++ b/packages/serving/tests/callerstest.cpp
@@ -30,7 +30,7 @@
 
     CallersTest()
         : server_(io_,
-                  {.limits = [] { return CallerLimits(); },
+                  {.limits = [this] { return limits_; },
                    .onInvalidRequest = [](int, std::string_view) {},
                    .onClosed = [this](const ConnectionEnd &end) { ends_.push_back(end); }},
                   [this](CallerConnection &caller, CallerRequest &request) { return handle(caller, request); })
@@ -100,6 +100,7 @@
         EXPECT_EQ(received.bytes.size() - received.bytes.find("\r\n\r\n") - 4, bodyBytes);
     }
 
+    CallerLimits limits_;
     asio::io_context io_;
     asio::executor_work_guard<asio::io_context::executor_type> work_{io_.get_executor()};
     std::vector<ConnectionEnd> ends_;
@@ -209,6 +210,57 @@
     EXPECT_EQ(requests_, 1);
 }
 
+// The same where the next request comes late: its caller reads on, slowly, for longer than a caller that takes nothing is waited for.
+TEST_F(CallersTest, a_response_reaches_a_caller_whole_that_reads_steadily_for_seconds_and_sends_once_more)
+{
+    const auto caller = connect();
+    send(*caller, request("/1", "Connection: close\r\n"));
+    runFor(Milliseconds(50));
+    asio::steady_timer later(io_, std::chrono::milliseconds(2'600));
+    later.async_wait([caller](error_code) { send(*caller, request("/2")); });
+    expectWhole(readAll(caller, Milliseconds(40)), longBody);
+}
+
+TEST_F(CallersTest, a_response_reaches_a_slow_caller_whole_though_the_head_of_its_next_request_takes_too_long)
+{
+    constexpr std::size_t body = 30'000;
+    limits_.headerTimeout = Milliseconds(100);
+    onRequest_ = [](CallerConnection &caller, CallerRequest &) { return respond(caller, std::string(body, 'x')); };
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(50));
+    send(*caller, "GET /2 HT");
+    runFor(Milliseconds(200));
+    send(*caller, "TP/1.1\r\n\r\n");
+    runFor(Milliseconds(50));
+    expectWhole(readAll(caller, Milliseconds(1)), body);
+    EXPECT_EQ(requests_, 1);
+}
+
+// Guards against a request that is read and dropped: one that crosses the close of its connection stays unread, so that its caller may send it again
+// (issue 46, LOST).
+TEST_F(CallersTest, a_request_that_crosses_the_close_of_an_idle_connection_is_not_read)
+{
+    onRequest_ = [](CallerConnection &caller, CallerRequest &) { return respond(caller, "ok"); };
+    const auto caller = connect();
+    const auto first = request("/1");
+    const auto second = request("/2");
+    send(*caller, first);
+    runFor(Milliseconds(50));
+    server_.beginStop();
+    server_.closeIdle();
+    send(*caller, second);
+    runFor(Milliseconds(50));
+    EXPECT_TRUE(ends_.empty());
+    server_.reportOpen();
+    ASSERT_EQ(ends_.size(), 1U);
+    EXPECT_EQ(ends_.front().bytesRead, first.size());
+    EXPECT_EQ(ends_.front().bytesUnread, second.size());
+    caller->close();
+    runFor(Milliseconds(2'500));
+    EXPECT_EQ(server_.connections(), 0U);
+}
+
 // Guards against a close that the response before it did not announce: a caller may have sent its next request (issue 46, LOST).
 TEST_F(CallersTest, a_connection_whose_last_response_did_not_announce_its_end_serves_one_more_request)
 {
@@ -262,6 +314,24 @@
     EXPECT_EQ(server_.connections(), 0U);
 }
 
+// Guards against a callback into a handler that an exception has ended: its connection lives on until the caller closes (issue 46).
+TEST_F(CallersTest, a_handler_that_threw_is_not_told_that_its_caller_left)
+{
+    const auto isTold = std::make_shared<bool>(false);
+    onRequest_ = [this, isTold](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
+        caller.onDisconnect([isTold] { *isTold = true; });
+        co_await net::sleep(io_, Milliseconds(50));
+        throw std::runtime_error("a fault of the handler");
+    };
+    const auto caller = connect();
+    send(*caller, request("/1"));
+    runFor(Milliseconds(150));
+    caller->close();
+    runFor(Milliseconds(100));
+    EXPECT_FALSE(*isTold);
+    EXPECT_EQ(server_.connections(), 0U);
+}
+
 TEST_F(CallersTest, the_end_of_a_connection_says_what_was_left_unread_and_which_request_was_in_it)
 {
     onRequest_ = [this](CallerConnection &caller, CallerRequest &) -> net::Task<void> {
