--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -13,6 +13,7 @@
 #include <serving/events.h>
 #include <serving/gracefulstop.h>
 #include <serving/requestkey.h>
+#include <serving/sendend.h>
 #include <serving/watchdog.h>
 #include <settings/json.h>
 
@@ -101,7 +102,7 @@
         }
         caller_.onDisconnect([this] {
             isDisconnected_ = true;
-            cancelSend();
+            endSend(EndedBy::Caller);
         });
         watchdog_.arm(deadline_, [this] { onDeadline(); });
         const GracefulStop::Registration registration(node_.stop, *this);
@@ -174,7 +175,8 @@
         }
         if (isPassedOn()) {
             if (node_.now() >= node_.stop.answerBy()) {
-                onDeadline(); // what it does is not known in time
+                isDeadlineReached_ = true; // what it does is not known in time
+                endSend(EndedBy::Host);
             }
             return;
         }
@@ -197,7 +199,7 @@
             caller_.endWith(refusalHead(status_, mayHaveRun_ ? std::nullopt : std::optional(stopRetryAfter())));
         }
         logRequest();
-        cancelSend();
+        endSend(EndedBy::Host);
     }
 
     [[nodiscard]] Milliseconds stopRetryAfter() const { return std::max(overloadRetryAfter, node_.stop.untilUnbalanced(node_.now())); }
@@ -783,6 +785,7 @@
     {
         wasSent_ = false;
         mayRetrySame_ = false;
+        endedBy_.reset();
         if (!co_await takeSendPermit(replica)) {
             excluded_.push_back(replica.id);
             co_return false;
@@ -814,6 +817,7 @@
             isAllowed = co_await takeProbe();
         }
         if (isFinished() || !node_.mayContact(replica.id) || !isAllowed) {
+            giveUpSend();
             recordSend(
                 replica, SendOutcome::Abandoned, "not_sent", "the upstream left or asked for a backoff, the request was blamed, or it ended while connecting");
             releaseConnection(true);
@@ -821,11 +825,13 @@
         }
         const bool isProven = co_await proveRun(replica);
         if (isProven && isGoneNow()) {
+            giveUpSend();
             recordSend(replica, SendOutcome::Abandoned, "not_sent", "the caller has left, or its time is over");
             releaseConnection(true);
             co_return false;
         }
         if (!isProven || isFinished()) {
+            giveUpSend();
             recordSend(replica, SendOutcome::Abandoned, "not_sent", "the upstream may have started again since its record was written");
             releaseConnection(false);
             excluded_.push_back(replica.id);
@@ -999,16 +1005,48 @@
         const bool canAfford = node_.retryBudgetFor(*service_).available(node_.now()) >= 1;
         if (canAfford && !hasResponseBegun_ && hasOtherUpstream()) {
             isResponseOverdue_ = true;
-            cancelSend();
+            endSend(EndedBy::Host);
         }
     }
 
     void onDeadline()
     {
         isDeadlineReached_ = true;
+        endSend(EndedBy::Deadline);
+    }
+
+    /// The first to end a send is named in its line.
+    void endSend(EndedBy who)
+    {
+        endedBy_ = endedBy_.value_or(who);
         cancelSend();
     }
 
+    /// This host ends the send, unless its caller or its deadline has.
+    void giveUpSend()
+    {
+        const bool isLate = !isRefusedForStop_ && timeLeft() < minSendTime;
+        endedBy_ = isCallerFault() ? endedBy() : endedBy_.value_or(isLate ? EndedBy::Deadline : EndedBy::Host);
+    }
+
+    /// An upstream that ends a connection leaves this host's socket open.
+    [[nodiscard]] EndedBy endedBy() const
+    {
+        if (endedBy_) {
+            return *endedBy_;
+        }
+        if (isRefusedForStop_) {
+            return EndedBy::Host;
+        }
+        if (isDisconnected_ || caller_.isDisconnected()) {
+            return EndedBy::Caller;
+        }
+        if (isDeadlineReached_) {
+            return EndedBy::Deadline;
+        }
+        return connection_ && !connection_->socket.is_open() ? EndedBy::Host : EndedBy::Upstream;
+    }
+
     void cancelSend()
     {
         if (connection_) {
@@ -1076,6 +1114,7 @@
                 node_.metrics.beliefChanges.add({"foreign_answer"});
                 std::string ignored;
                 if (!co_await readBody(parser, ignored)) {
+                    endedBy_ = endedBy();
                     co_return onTruncated(replica, "a response to another request was truncated");
                 }
                 continue;
@@ -1349,6 +1388,7 @@
                 version_ = replica.version;
             }
             if (!events.empty() && !co_await writeEvents(head, events)) {
+                endedBy_ = endedBy_.value_or(EndedBy::Caller);
                 recordSend(replica, SendOutcome::Abandoned, "caller_gone", {});
                 releaseConnection(false);
                 finishDisconnected();
@@ -1443,6 +1483,7 @@
     /// Handles a send that ended without a complete response. Returns false: sendTo() has no response for the caller.
     bool onTruncated(const ReplicaRecord &replica, const std::string &reason)
     {
+        giveUpSend();
         const bool wasSent = !connection_ || connection_->isWriting || connection_->written > 0 || !connection_->writeError;
         recordSend(replica,
                    isCallerFault()          ? SendOutcome::Abandoned
@@ -1466,6 +1507,7 @@
     /// The same, where the upstream broke off the response unless this host ended it itself.
     bool onCut(const ReplicaRecord &replica, const std::string &reason)
     {
+        endedBy_ = isTooLarge_ ? EndedBy::Host : endedBy();
         if (isCallerFault() || isResponseOverdue_) {
             node_.crashes.onUnanswered(replica.id, causes_, sentAt_, node_.now());
         } else if (!isTooLarge_) {
@@ -1615,6 +1657,7 @@
                             {"version", replica.version},
                             {"outcome", outcome},
                             {"why", reason},
+                            {"ended_by", endedByText(endedBy())},
                             {"request_key", requestKey_},
                             {"shared_parts", partsText()},
                             {"events", events_},
@@ -1734,6 +1777,7 @@
     bool isDisconnected_ = false;
     bool isDeadlineReached_ = false;
     bool isResponseOverdue_ = false;
+    std::optional<EndedBy> endedBy_; // the current send; empty: nobody here
     bool isTooLarge_ = false;        // the response exceeds what this host holds
     std::vector<CrashCause> causes_; // what upstreams may crash on: the request itself, the parts of its prompt
     bool needsProbe_ = false;        // one of causes_ is blamed, and a probe is due
