--- a/packages/serving/tests/upstreamstest.cpp
+++ b/packages/serving/tests/upstreamstest.cpp
@@ -1,5 +1,7 @@
 #include <serving/upstreams.h>
 
+#include <thread>
+
 #include <linux/filter.h>
 #include <netinet/tcp.h>
 
@@ -178,6 +180,28 @@
     EXPECT_EQ(world.failures, 1);
 }
 
+// Guards against a host that stood still for longer than a connection may take to open, and then closed the one that had opened, with a request on it.
+TEST(Upstreams, a_connection_that_opened_while_the_host_stood_still_stays_open)
+{
+    World world;
+    core::Error why;
+    const net::Address address{"127.0.0.1", world.acceptor.local_endpoint().port()};
+    asio::co_spawn(
+        world.io,
+        [&]() -> net::Task<void> {
+            world.connection = co_await world.pool.open(
+                id, address, [](const ConnectionPtr &) {}, why);
+            world.isDone = true;
+        },
+        asio::detached);
+    world.io.poll_one();
+    std::this_thread::sleep_for(net::chronoOf(PoolOptions().connectTimeout + Milliseconds(50)));
+    world.run(Milliseconds(1'000), [&] { return world.isDone; });
+    world.run(Milliseconds(50), [] { return false; });
+    ASSERT_TRUE(world.connection) << why.reason;
+    EXPECT_TRUE(world.connection->socket.is_open());
+}
+
 TEST(Upstreams, a_connection_that_the_caller_cancels_says_nothing_of_the_upstream)
 {
     World world;
--- a/packages/serving/upstreams.cpp
+++ b/packages/serving/upstreams.cpp
@@ -62,19 +62,21 @@
     onOpening(connection);
     error_code error;
     const auto isTimedOut = std::make_shared<bool>(false);
+    const auto isOver = std::make_shared<bool>(false); // also for a timer that has expired and whose handler has not run yet
     const auto ip = asio::ip::make_address(address.ip, error);
     if (!error) {
         connection->socket.open(ip.is_v4() ? tcp::v4() : tcp::v6(), error);
     }
     if (!error) {
         asio::steady_timer timer(io_, net::chronoOf(options_.connectTimeout));
-        timer.async_wait([connection, isTimedOut](error_code timerError) {
-            if (!timerError) {
+        timer.async_wait([connection, isTimedOut, isOver](error_code timerError) {
+            if (!timerError && !*isOver) {
                 *isTimedOut = true;
                 connection->close();
             }
         });
         std::tie(error) = co_await connection->socket.async_connect(tcp::endpoint(ip, address.port), net::tuple);
+        *isOver = true;
     }
     if (error || !connection->socket.is_open()) {
         if (*isTimedOut || (error && error != asio::error::operation_aborted)) {
