--- a/packages/engines/loadbudget.cpp
+++ b/packages/engines/loadbudget.cpp
@@ -126,6 +126,7 @@
 
 FallbackBudget::FallbackBudget(const settings::Loads &loads, Instant startedAt)
     : loadsPerMs_(loads.perSecond / millisecondsPerSecond)
+    , refillPerMs_(loadsPerMs_)
     , timeout_(loads.timeout)
     , refilledAt_(startedAt)
     , nextPermit_(fallbackBit + 1)
@@ -134,12 +135,14 @@
 void FallbackBudget::setRate(double loadsPerSecond)
 {
     loadsPerMs_ = loadsPerSecond / millisecondsPerSecond;
+    refillPerMs_ = std::min(refillPerMs_, loadsPerMs_);
 }
 
 std::optional<PermitId> FallbackBudget::tryAcquire(int owners, Instant now)
 {
     const double elapsed = static_cast<double>((now - refilledAt_).count());
-    tokens_ = std::min(1.0, tokens_ + elapsed * loadsPerMs_ / std::max(1, owners));
+    tokens_ = std::min(1.0, tokens_ + elapsed * refillPerMs_ / std::max(1, owners));
+    refillPerMs_ = loadsPerMs_;
     refilledAt_ = now;
     const bool busy = inFlight_ && now < inFlightUntil_;
     if (busy || tokens_ < 1.0) {
--- a/packages/engines/loadbudget.h
+++ b/packages/engines/loadbudget.h
@@ -106,7 +106,7 @@
 public:
     FallbackBudget(const settings::Loads &loads, Instant startedAt); // starts empty, so that switching back and forth gains no extra loads
 
-    /// From the next attempt on.
+    /// The time since the last attempt counts at the lowest rate that was set meanwhile.
     void setRate(double loadsPerSecond);
     [[nodiscard]] std::optional<PermitId> tryAcquire(int owners, Instant now); // nothing if it is too early or a load is in flight
     void release(PermitId permit);
@@ -114,6 +114,7 @@
 
 private:
     double loadsPerMs_;
+    double refillPerMs_; // for the time since refilledAt_
     Milliseconds timeout_;
     double tokens_ = 0; // at most 1
     Instant refilledAt_;
--- a/packages/engines/tests/loadbudgettest.cpp
+++ b/packages/engines/tests/loadbudgettest.cpp
@@ -135,4 +135,85 @@
     EXPECT_GT(acquiredAt.size(), 150U);
 }
 
+TEST(FallbackBudget, a_rate_that_goes_up_is_followed_at_once)
+{
+    FallbackBudget budget({.perSecond = 0.01}, Instant(0));
+    EXPECT_FALSE(budget.tryAcquire(1, Instant(1'000)));
+    budget.setRate(4);
+    std::vector<Instant> acquiredAt;
+    for (Instant now(1'000); now < Instant(5'000); now = now + Milliseconds(10)) {
+        if (const auto permit = budget.tryAcquire(1, now)) {
+            acquiredAt.push_back(now);
+            budget.release(*permit);
+        }
+    }
+    EXPECT_GE(acquiredAt.size(), 14U);
+    EXPECT_LE(acquiredAt.size(), 17U);
+}
+
+TEST(FallbackBudget, a_rate_that_goes_down_is_followed_at_once)
+{
+    FallbackBudget budget({.perSecond = 5}, Instant(0));
+    const auto first = budget.tryAcquire(1, Instant(200));
+    ASSERT_TRUE(first);
+    budget.release(*first);
+    budget.setRate(0.1);
+    for (Instant now(210); now < Instant(9'900); now = now + Milliseconds(10)) {
+        ASSERT_FALSE(budget.tryAcquire(1, now)) << now.sinceOrigin();
+    }
+    EXPECT_TRUE(budget.tryAcquire(1, Instant(10'300)));
+}
+
+// Guards against a load right after the last one when the configuration raises the rate, because the higher rate counts for the time before it
+// (issue 42, CONFIG).
+TEST(FallbackBudget, time_at_a_lower_rate_counts_as_such_after_the_rate_has_gone_up)
+{
+    FallbackBudget budget({.perSecond = 0.2}, Instant(0));
+    const auto first = budget.tryAcquire(1, Instant(5'000));
+    ASSERT_TRUE(first);
+    budget.release(*first);
+    budget.setRate(4); // known right before the next attempt
+    EXPECT_FALSE(budget.tryAcquire(1, Instant(6'000))) << "a fifth of a load, at the rate until this attempt";
+    EXPECT_FALSE(budget.tryAcquire(1, Instant(6'190)));
+    EXPECT_TRUE(budget.tryAcquire(1, Instant(6'210)));
+}
+
+TEST(FallbackBudget, all_owners_together_stay_within_the_bound_of_each_rate_while_the_rate_changes)
+{
+    constexpr Milliseconds step{10};
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        const int owners = seed % 2 == 0 ? 1 : 4;
+        std::mt19937 random(seed);
+        const auto pick = [&random](int count) { return std::uniform_int_distribution<>(0, count - 1)(random); };
+        double rate = 0.2;
+        std::vector<FallbackBudget> budgets(static_cast<std::size_t>(owners), FallbackBudget({.perSecond = rate}, Instant(0)));
+        std::vector<Instant> nextAttempts(budgets.size());
+        double allowed = 0;           // by the rates so far
+        std::vector<double> acquired; // what was allowed by then
+        for (Instant now(0); now < Instant(60'000); now = now + step) {
+            if (pick(300) == 0) {
+                rate = pick(2) == 0 ? 0.2 : 5;
+            }
+            for (std::size_t each = 0; each < budgets.size(); ++each) {
+                if (now < nextAttempts[each]) {
+                    continue;
+                }
+                nextAttempts[each] = now + Milliseconds(10 + pick(3'000));
+                budgets[each].setRate(rate);
+                if (const auto permit = budgets[each].tryAcquire(owners, now)) {
+                    acquired.push_back(allowed);
+                    budgets[each].release(*permit);
+                }
+            }
+            allowed += rate * static_cast<double>(step.count()) / 1'000;
+        }
+        for (std::size_t first = 0; first < acquired.size(); ++first) {
+            for (std::size_t last = first; last < acquired.size(); ++last) {
+                ASSERT_LE(static_cast<double>(last - first + 1), acquired[last] - acquired[first] + owners + 1e-6) << "seed " << seed;
+            }
+        }
+        EXPECT_GE(acquired.size(), 7U) << "one in 8 s: 5 s at the lower rate, and 3 s until the next attempt; seed " << seed;
+    }
+}
+
 } // namespace baobabstall::engines
--- a/packages/serving/tests/residencycapacitytest.cpp
+++ b/packages/serving/tests/residencycapacitytest.cpp
@@ -355,6 +355,109 @@
     EXPECT_FALSE(residency_.needsReport(now_)) << "the report is read when it is newer than the order";
 }
 
+// Guards against orders to load while a replica holds more than a configuration that went down allows (issue 42, CONFIG).
+TEST_F(ResidencyCapacityTest, nothing_more_is_ordered_until_it_fits_a_configuration_that_went_down)
+{
+    const auto before = engineOf(67'000, 16, {model("m1", 60'000, 600)});
+    auto lessMemory = before;
+    lessMemory.weightsMemoryMb = 63'000;
+    auto fewerPlaces = before;
+    fewerPlaces.adapterSlots = 5;
+    auto largerAdapters = before;
+    largerAdapters.models[0].adapterMb = 1'300;
+    for (const auto &after : {lessMemory, fewerPlaces, largerAdapters}) {
+        SCOPED_TRACE(std::to_string(after.weightsMemoryMb) + " MB, " + std::to_string(after.adapterSlots) + " places");
+        residency_ = Residency{ResidencyOptions()};
+        useEngine(before);
+        replica_->hold("m1");
+        for (int i = 0; i < 11; ++i) {
+            ask("m1", i);
+        }
+        run(Milliseconds(2'000));
+        ASSERT_EQ(replica_->adapters(), 11U);
+        replica_->setEngine(after); // from now on it crashes at any load that leaves it with too much
+        residency_.setEngine(after, now_);
+        run(Milliseconds(5'000));
+        EXPECT_EQ(replica_->adapters(), 11U) << "nobody asks for anything else";
+        for (int i = 20; i < 25; ++i) {
+            ask("m1", i);
+        }
+        run(Milliseconds(8'000));
+        EXPECT_FALSE(replica_->hasCrashed);
+        EXPECT_EQ(replica_->adapters(), 5U) << "filled again as far as the configuration allows";
+        for (int i = 20; i < 25; ++i) {
+            EXPECT_TRUE(residency_.isHeld({BaseModel("m1"), AdapterName("a" + std::to_string(i))})) << i;
+        }
+    }
+}
+
+// The same for adapters that are on their way when the configuration changes: they count, and nothing joins them.
+TEST_F(ResidencyCapacityTest, loads_on_their_way_count_when_a_configuration_goes_down)
+{
+    const auto before = engineOf(67'000, 16, {model("m1", 60'000, 600)});
+    auto after = before;
+    after.weightsMemoryMb = 61'800;
+    useEngine(before);
+    replica_->hold("m1");
+    residency_.onReport(replica_->report(now_), now_);
+    for (int i = 0; i < 4; ++i) {
+        ask("m1", i);
+        const auto order = residency_.nextOrder(true, now_);
+        ASSERT_TRUE(order && order->kind == OrderKind::LoadAdapter);
+        residency_.onOrderOutcome(*order, replica_->execute(*order, now_), now_);
+    }
+    residency_.setEngine(after, now_);
+    replica_->setEngine(after);
+    for (int i = 10; i < 13; ++i) {
+        ask("m1", i);
+    }
+    run(Milliseconds(8'000));
+    EXPECT_FALSE(replica_->hasCrashed);
+    EXPECT_EQ(replica_->adapters(), 3U);
+}
+
+// A base model that is added to the list of a service whose replica is full is not loaded beside it.
+TEST_F(ResidencyCapacityTest, no_base_model_is_ordered_while_the_replica_holds_more_than_is_configured)
+{
+    const auto before = engineOf(67'000, 16, {model("m1", 60'000, 600)});
+    useEngine(before);
+    replica_->hold("m1");
+    replica_->known = before.models;
+    run(Milliseconds(100));
+    const auto after = engineOf(50'000, 16, {model("m2", 20'000, 600)});
+    residency_.setEngine(after, now_);
+    replica_->setEngine(after);
+    ask("m2", 1);
+    run(Milliseconds(5'000));
+    EXPECT_EQ(replica_->models(), 1U);
+    EXPECT_EQ(replica_->adapters(), 0U);
+}
+
+// Newer revisions take the place of those that are held, so a full replica gets them; adapters that are held are replaced, not unloaded first.
+TEST_F(ResidencyCapacityTest, adapters_that_are_held_are_replaced_by_newer_revisions_in_a_replica_that_is_over_full)
+{
+    auto engine = engineOf(67'000, 16, {model("m1", 60'000, 600)});
+    useEngine(engine);
+    replica_->hold("m1");
+    for (int i = 0; i < 11; ++i) {
+        ask("m1", i);
+    }
+    run(Milliseconds(2'000));
+    ASSERT_EQ(replica_->adapters(), 11U);
+    engine.weightsMemoryMb = 63'000;
+    residency_.setEngine(engine, now_);
+    const AdapterKey replaced{BaseModel("m1"), AdapterName("a3")};
+    residency_.onRevision(replaced, AdapterRevision(2));
+    const auto order = residency_.nextOrder(true, now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, OrderKind::LoadAdapter);
+    EXPECT_EQ(order->weights, replaced);
+    residency_.onOrderOutcome(*order, OrderOutcome::Accepted, now_);
+    ask("m1", 20);
+    const auto next = residency_.nextOrder(true, now_);
+    EXPECT_FALSE(next && next->kind == OrderKind::LoadAdapter && next->weights != replaced) << "the replacement holds its place";
+}
+
 // Random orders of events: requests, configurations, owners that come and go, lost answers.
 TEST_F(ResidencyCapacityTest, no_order_of_events_makes_a_replica_hold_more_than_fits)
 {
@@ -405,5 +508,32 @@
     }
 }
 
+// The same with configurations that go up and down: an order never makes a replica that holds too much hold more.
+TEST_F(ResidencyCapacityTest, no_order_of_configurations_makes_a_replica_load_beyond_the_one_in_force)
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        std::mt19937 random(seed);
+        const auto pick = [&random](int count) { return std::uniform_int_distribution<>(0, count - 1)(random); };
+        auto engine = engineOf(67'000, 12, {model("m1", 30'000, 600), model("m2", 20'000, 300)});
+        residency_ = Residency{ResidencyOptions()};
+        useEngine(engine);
+        replica_->known = engine.models;
+        replica_->hold("m1");
+        replica_->hold("m2");
+        for (int event = 0; event < 200 && !replica_->hasCrashed; ++event) {
+            if (pick(12) == 0) {
+                engine.weightsMemoryMb = 52'000 + 1'000 * pick(16);
+                engine.adapterSlots = 1 + pick(16);
+                engine.models[0].adapterMb = 200 + 100 * pick(8);
+                replica_->setEngine(engine);
+                residency_.setEngine(engine, now_);
+            }
+            ask(pick(2) == 0 ? "m1" : "m2", pick(30));
+            run(Milliseconds(10 + pick(150)));
+        }
+        ASSERT_FALSE(replica_->hasCrashed) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace baobabstall::serving
