--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1329,7 +1329,13 @@
         live.push_back(announced == announcedHosts_.end() ? GroupedHost{member.host, member.zone, 0}
                                                           : GroupedHost{member.host, announced->second.zone, announced->second.linkMbps});
     }
-    relayExchange_.setHosts(live);
+    std::vector<HostId> leaving;
+    for (const auto &member : membership_.members()) {
+        if (member.state == peers::MemberState::Leaving) {
+            leaving.push_back(member.host);
+        }
+    }
+    relayExchange_.setHosts(live, std::move(leaving));
     const bool isAlone = live.size() < 2 && announcedHosts_.size() > 1;
     groups_.assign(std::move(live), node_.settings.host);
     if (isAlone && node_.now() - startedAt_ < node_.settings.hosting.configApply) {
--- a/packages/serving/relayexchange.h
+++ b/packages/serving/relayexchange.h
@@ -3,7 +3,7 @@
 //
 //   RelayExchange exchange(node, forwarder, {.isCutOff = ..., .reaches = ...});
 //   exchange.setLinks(links);
-//   exchange.setHosts(hosts);                            // whenever the set of live hosts changes
+//   exchange.setHosts(hosts, leaving);                   // whenever one of the sets changes
 //   exchange.tick(interval);                             // periodically
 //   co_await exchange.serve(call, body);                 // a peer hands a request over
 //   exchange.onCredit(from, notice);
@@ -45,7 +45,7 @@
     ~RelayExchange() override;
 
     void setLinks(peers::Links &links) { links_ = &links; }
-    void setHosts(const std::vector<GroupedHost> &hosts) { peers_.setHosts(hosts); }
+    void setHosts(const std::vector<GroupedHost> &hosts, std::vector<HostId> leaving = {}) { peers_.setHosts(hosts, std::move(leaving)); }
     void tick(Milliseconds interval) { gate_.onTick(interval, node_.now()); }
     [[nodiscard]] bool isNeeded() const override;
     net::Task<void> relay(CallerConnection &caller, const CallerRequest &request, RelayTask &task) override;
--- a/packages/serving/relaypeers.cpp
+++ b/packages/serving/relaypeers.cpp
@@ -6,9 +6,10 @@
 
 namespace baobabstall::serving {
 
-void RelayPeers::setHosts(const std::vector<GroupedHost> &hosts)
+void RelayPeers::setHosts(const std::vector<GroupedHost> &hosts, std::vector<HostId> leaving)
 {
     peers_ = hosts;
+    leaving_ = std::move(leaving);
     std::erase_if(peers_, [this](const GroupedHost &each) { return each.host == ownHost_; });
     const auto rank = [this](const GroupedHost &each) { return core::hashText(ownHost_.value() + " " + each.host.value(), 0); };
     std::sort(peers_.begin(), peers_.end(), [&](const GroupedHost &a, const GroupedHost &b) { return rank(a) < rank(b); });
@@ -43,7 +44,8 @@
 
 bool RelayPeers::isLive(const HostId &host) const
 {
-    return std::any_of(peers_.begin(), peers_.end(), [&](const GroupedHost &each) { return each.host == host; });
+    return std::any_of(peers_.begin(), peers_.end(), [&](const GroupedHost &each) { return each.host == host; })
+        || std::find(leaving_.begin(), leaving_.end(), host) != leaving_.end();
 }
 
 void RelayPeers::onRefused(const HostId &host, std::optional<Milliseconds> retryAfter, Instant now)
--- a/packages/serving/relaypeers.h
+++ b/packages/serving/relaypeers.h
@@ -5,7 +5,7 @@
 //   RelayGate    at the host that sends: bounds what it takes on for others
 //
 //   RelayPeers peers(ownHost, ownZone);
-//   peers.setHosts(hosts);                               // whenever the set of live hosts changes
+//   peers.setHosts(hosts, leaving);                      // whenever one of the sets changes
 //   auto host = peers.pick({tried, reaches, isLinked}, now);
 //   RelayPeers::Use use(peers, *host);                   // while the request is there
 //   peers.onRefused(*host, retryAfter, now);             // it is cut off itself, busy or stopping
@@ -70,9 +70,11 @@
         HostId host_;
     };
 
-    void setHosts(const std::vector<GroupedHost> &hosts); // may include this one
+    /// `hosts` may include this one. `leaving`: those that have announced their stop; they get no new request and answer until they are gone.
+    void setHosts(const std::vector<GroupedHost> &hosts, std::vector<HostId> leaving = {});
     /// The peer with the fewest requests in flight from this host, of its own zone when they are about as few. Nothing when no peer is left.
     [[nodiscard]] std::optional<HostId> pick(const Wanted &wanted, Instant now);
+    /// Whether the peer goes on with what it has taken on.
     [[nodiscard]] bool isLive(const HostId &host) const;
     /// `retryAfter`: what the peer named.
     void onRefused(const HostId &host, std::optional<Milliseconds> retryAfter, Instant now);
@@ -83,7 +85,8 @@
     HostId ownHost_;
     ZoneId ownZone_;
     std::vector<GroupedHost> peers_; // in an order that differs from host to host
-    std::size_t next_ = 0;           // among equal ones
+    std::vector<HostId> leaving_;
+    std::size_t next_ = 0; // among equal ones
     std::map<HostId, int> inFlight_;
     std::map<HostId, Instant> pausedUntil_;
 };
--- a/packages/serving/tests/relaypeerstest.cpp
+++ b/packages/serving/tests/relaypeerstest.cpp
@@ -34,6 +34,19 @@
     RelayPeers peers_{HostId("host-0"), ZoneId("a")};
 };
 
+// Guards against streams that are cut at a pause, as the peer that runs them has announced its stop and is taken for lost (issue 46, LOST).
+TEST_F(RelayPeersTest, a_peer_that_leaves_gets_no_new_request_and_goes_on_with_those_that_it_has)
+{
+    setHosts({"a", "a", "a"});
+    peers_.setHosts({hostOf(0, "a"), hostOf(1, "a")}, {HostId("host-2")});
+    EXPECT_TRUE(peers_.isLive(HostId("host-2")));
+    for (int request = 0; request < 4; ++request) {
+        EXPECT_EQ(peers_.pick(anyPeer(), start), HostId("host-1"));
+    }
+    peers_.setHosts({hostOf(0, "a"), hostOf(1, "a")});
+    EXPECT_FALSE(peers_.isLive(HostId("host-2"))) << "it is gone";
+}
+
 TEST_F(RelayPeersTest, never_picks_this_host_and_spreads_over_the_others)
 {
     setHosts({"a", "a", "a", "a"});
--- a/tests/hosted/stoptest.py
+++ b/tests/hosted/stoptest.py
@@ -140,6 +140,9 @@
                 return caller
         return caller.read()
 
+    def relayed_stream(self, host, number):
+        return self.new_connection(host, "for%d-%d" % (host.number, number), 0, "relayed", "Connection: close\r\n", 7900)
+
     def threads_of(self, *works):
         return self.in_threads(lambda number: works[number](), len(works))
 
@@ -225,6 +228,37 @@
         self.assertGreaterEqual(counts["relayed", "whole"], 40, counts)
         self.assertTrue([line for line in host.events("request") if line["relayed_for"] == first.name], "some ran at the host that stopped")
 
+    # Guards against streams that are cut at a pause of half a second, as the host that runs them for another one has announced its stop and is
+    # taken for lost (issue 46, LOST).
+    def test_streams_of_two_hosts_that_run_them_for_each_other_are_whole_when_both_stop(self):
+        hosts, servers = self.more_hosts(2, 8), (*self.replicas, *self.shops)
+        blackhole = Blackhole()
+        self.addCleanup(blackhole.close)
+        for replica in self.replicas:
+            replica.event_seconds = 0.55  # longer than the relaying host may be silent without being looked at
+        threads, callers = [], []
+        for host, how in zip(hosts, ("reset", "live on")):  # so the second one's runs for the first go on
+            host.cut_off(servers, how, blackhole)
+            self.assertTrue(wait_until(lambda host=host: host.events("cut_off"), 6), host.state())
+            more, ended = self.threads_of(*(lambda host=host, n=n: self.relayed_stream(host, n) for n in range(8)))
+            threads += more
+            callers.append(ended)
+            time.sleep(0.2)
+            if host is hosts[0]:
+                host.mend(servers)
+                self.assertTrue(wait_until(lambda host=host: host.events("reaches_upstreams"), 6), host.state())
+        begin = time.monotonic()
+        for host in hosts:
+            host.process.send_signal(signal.SIGTERM)
+        for host in hosts:
+            self.check_end(host, begin, 8)
+        for thread in threads:
+            thread.join()
+        self.check([caller for ended in callers for caller in ended])
+        for host, other in zip(hosts, reversed(hosts)):
+            lines = [line for line in host.events("request") if line["relayed_for"] == other.name]
+            self.assertTrue(lines, "%s ran none for %s" % (host.name, other.name))
+
     # Guards against a stop that is begun, lengthened or shortened by a second SIGTERM or by another grace_s before or amid it (issue 46, LOST).
     def test_a_second_signal_and_another_grace_before_and_amid_a_stop_cut_no_stream(self):
         hosts = self.more_hosts(3, 8)
