--- a/packages/serving/tests/sendendtest.cpp
+++ b/packages/serving/tests/sendendtest.cpp
@@ -96,6 +96,48 @@
     EXPECT_EQ(endedBy(), "host");
 }
 
+TEST_F(SendEndTest, a_stream_whose_first_event_does_not_come_in_time_was_ended_by_the_host_and_goes_elsewhere)
+{
+    setUpService(route(RetryPolicy::Resumable, true, 2), {{Script{{streamHead()}}}, {Script{{streamHead() + chunk(event(1)) + finalChunk}}}});
+    const auto response = sendRequest(getRequest("q"), "\r\n0\r\n\r\n");
+    EXPECT_TRUE(response.hasFinalChunk() && response.contains(event(1)));
+    EXPECT_EQ(endedBy(), "host");
+}
+
+TEST_F(SendEndTest, a_stream_without_its_first_event_when_its_host_stops_was_ended_by_the_host)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{streamHead()}}}});
+    asio::steady_timer timer(io_, std::chrono::milliseconds(50));
+    timer.async_wait([this](boost::system::error_code) { node_.stop.begin({.answerBy = node_.now() + Milliseconds(200), .unbalancedAt = node_.now()}); });
+    EXPECT_EQ(sendRequest(getRequest("q"), "\r\n\r\n").status(), 504);
+    EXPECT_EQ(endedBy(), "host");
+}
+
+// Guards against a stopping host that ends a stream whose caller has events (issue 46, hypothesis 3).
+TEST_F(SendEndTest, a_stream_that_has_begun_when_its_host_stops_is_ended_by_nobody)
+{
+    setUpStream({{chunk(event(2)), chunk(event(3)) + finalChunk}}, Milliseconds(200));
+    asio::steady_timer timer(io_, std::chrono::milliseconds(250));
+    timer.async_wait([this](boost::system::error_code) { node_.stop.begin({.answerBy = node_.now() + Milliseconds(100), .unbalancedAt = node_.now()}); });
+    EXPECT_TRUE(sendRequest(getRequest("q"), "\r\n0\r\n\r\n").hasFinalChunk());
+    EXPECT_EQ(endedBy(), "0 sends");
+}
+
+// Guards against a stream whose connection is closed as idle as its replica's record goes (issue 46, hypothesis 3).
+TEST_F(SendEndTest, a_stream_whose_replica_is_forgotten_is_ended_by_nobody)
+{
+    setUpStream({{chunk(event(2)), chunk(event(3)) + finalChunk}}, Milliseconds(200));
+    asio::steady_timer timer(io_, std::chrono::milliseconds(250));
+    timer.async_wait([this](boost::system::error_code) {
+        node_.pool.forget(UpstreamId("r1"));
+        node_.pool.expire(node_.now() + Milliseconds(3'600'000));
+        node_.chooser.remove(UpstreamId("r1"));
+        node_.leases.drop(UpstreamId("r1"));
+    });
+    EXPECT_TRUE(sendRequest(getRequest("q"), "\r\n0\r\n\r\n").hasFinalChunk());
+    EXPECT_EQ(endedBy(), "0 sends");
+}
+
 TEST_F(SendEndTest, a_request_whose_host_stops_was_ended_by_the_host)
 {
     setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{}}}});
