--- a/packages/logging/logging.cpp
+++ b/packages/logging/logging.cpp
@@ -118,7 +118,7 @@
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
     }
     ~BoundedOutput() override { destructorImpl(); }
-    /// What is still kept is the end of the story: its reader gets closePatience.
+    /// Waits up to closePatience for a reader that is behind, as the last lines say how the process ended.
     void close() override
     {
         tellDropped();
