--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -261,7 +261,7 @@
     EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, bodyBytes);
 }
 
-// Guards against a connection that a stopping server closes though the answer on it did not say so (issue 46); known to be red.
+// Guards against a connection that a stopping server closes though the answer on it did not say so (issue 46).
 TEST_F(HttpTest, a_connection_whose_answer_did_not_announce_its_end_serves_the_next_request)
 {
     int served = 0;
@@ -285,7 +285,7 @@
     EXPECT_TRUE(served == 2 || answer.find("Connection: close") != std::string::npos) << served << " served: " << answer;
 }
 
-// Guards against an answer that a drained process loses at its end, as a daemon of the product's own mode ends (issue 46, LOST); known to be red.
+// Guards against an answer that a drained process loses at its end, as a daemon of the product's own mode ends (issue 46, LOST).
 TEST(ProcessEnd, an_answer_to_a_slow_caller_is_whole_when_a_drained_process_ends)
 {
     constexpr std::size_t bodyBytes = 30'000;
--- a/packages/serving/tests/callerstest.cpp
+++ b/packages/serving/tests/callerstest.cpp
@@ -332,7 +332,7 @@
     EXPECT_EQ(server_.connections(), 0U);
 }
 
-// Guards against work for a caller that has left (GONE): its end lies behind the request that it sent before; known to be red.
+// Guards against work for a caller that has left (GONE): its end lies behind the request that it sent before.
 TEST_F(CallersTest, a_caller_that_has_sent_its_next_request_and_leaves_is_noticed)
 {
     const auto isNoticed = std::make_shared<bool>(false);
