--- a/packages/core/types.h
+++ b/packages/core/types.h
@@ -50,6 +50,7 @@
 using ServiceName = Id<struct ServiceNameTag>;       // a group of plain service replicas
 using PromptPart = Id<struct PromptPartTag>;         // a part of a prompt that requests may share
 using RequestId = Id<struct RequestTag>;             // unique for each request of a caller
+using WorkspaceId = Id<struct WorkspaceTag>;         // a customer's keys, rank and quota
 
 /// A counter that only rises. Zero means "none yet".
 template<typename Tag>
@@ -70,11 +71,12 @@
     std::uint64_t value_ = 0;
 };
 
-using Offset = Ordinal<struct OffsetTag>;           // place of a record in a stream of the platform's log; the first record is 1
-using StoreEra = Ordinal<struct StoreEraTag>;       // rises each time the platform's log comes back as an earlier copy of itself
-using Epoch = Ordinal<struct EpochTag>;             // offset of the claim that made an owner; serves as the fencing number
-using Incarnation = Ordinal<struct IncarnationTag>; // one run of a daemon's process; a later run has a higher one
-using EngineStart = Ordinal<struct EngineStartTag>; // one run of an engine; changes when it forgets what it held
+using Offset = Ordinal<struct OffsetTag>;               // place of a record in a stream of the platform's log; the first record is 1
+using StoreEra = Ordinal<struct StoreEraTag>;           // rises each time the platform's log comes back as an earlier copy of itself
+using Epoch = Ordinal<struct EpochTag>;                 // offset of the claim that made an owner; serves as the fencing number
+using Incarnation = Ordinal<struct IncarnationTag>;     // one run of a daemon's process; a later run has a higher one
+using EngineStart = Ordinal<struct EngineStartTag>;     // one run of an engine; changes when it forgets what it held
+using ConfigVersion = Ordinal<struct ConfigVersionTag>; // version of the operators' configuration; increases, may skip values
 
 // A log that comes back as an earlier copy gives out some offsets a second time, for other records. An Offset therefore carries the era in
 // its upper bits: offsets of a later era are greater than all earlier ones, and so are the epochs and fencing numbers made from them. A log
--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -90,6 +90,7 @@
         }
         setReachable(true, why);
         applyListing(*listing);
+        tellCaughtUp(schedule_.begunAt());
         co_return;
     }
     bool isExpired = false;
@@ -120,6 +121,25 @@
         }
         callbacks_.onRead({from, *page, node_.settings.host, schedule_.begunAt()});
     }
+    if (extent != PageExtent::Cut) {
+        tellCaughtUp(schedule_.begunAt());
+    }
+}
+
+/// Not while records may have been passed over.
+void TopicFollower::tellCaughtUp(Instant askedAt)
+{
+    if (hasListing_ && !needsListing_ && callbacks_.onCaughtUp) {
+        callbacks_.onCaughtUp(askedAt);
+    }
+}
+
+void TopicFollower::onPageDated(Instant readAt, bool isToEnd)
+{
+    schedule_.onPage(readAt);
+    if (isToEnd) {
+        tellCaughtUp(readAt);
+    }
 }
 
 void TopicFollower::chooseListing(const StorePage &page)
@@ -174,6 +194,9 @@
         source_ = shared.sender;
         try {
             applyPage(shared.page);
+            if (shared.readAt && shared.isToEnd()) {
+                tellCaughtUp(*shared.readAt);
+            }
         } catch (const std::exception &thrown) {
             onException(thrown.what());
             hurry();
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -33,6 +33,7 @@
     HostId sender{};                 // the host that this page came from
     std::optional<Instant> readAt{}; // when the read began at the latest, by this host's clock; nothing: not known, so the page proves no freshness
 
+    [[nodiscard]] bool isToEnd() const { return page.nextOffset >= page.endOffset; }                // of the topic, at the read
     [[nodiscard]] bool isLeftOut() const { return page.records.empty() && page.nextOffset > from; } // the records are too large to pass on
 };
 
@@ -42,6 +43,7 @@
     std::function<void(const StorePage &page)> onPage;    // also called for empty pages
     std::function<void(bool isReachable)> onReached;      // after each read or listing; false if it failed
     std::function<void(const SharedPage &shared)> onRead; // a page to share with the other hosts
+    std::function<void(Instant askedAt)> onCaughtUp{};    // all that the topic had at that moment has been applied; may be empty
 };
 
 class TopicFollower
@@ -71,8 +73,8 @@
     /// Returns whether the page was applied. A page that leaves a gap, or whose records are left out because of their size, makes this host
     /// read them itself soon.
     bool feed(const SharedPage &shared);
-    /// A page that was applied without its time was read at `readAt`.
-    void onPageDated(Instant readAt) { schedule_.onPage(readAt); }
+    /// A page that was applied without its time was read at `readAt`. `isToEnd`: SharedPage::isToEnd() of it.
+    void onPageDated(Instant readAt, bool isToEnd = false);
     /// The same for a host that has just started (ReadSchedule::setFirstTurn()).
     void setFirstTurn(Milliseconds readDelay, Milliseconds spread, double linkMbps);
     void setTurn(Milliseconds readDelay, Milliseconds longestTurn, double slowestLinkMbps = 0); // see ReadSchedule, also for the next two
@@ -82,8 +84,9 @@
 private:
     net::Task<void> step();
     void onException(const std::string &what); // records may have been passed over: the topic is listed again
-    void readSoon(core::Offset end);           // the topic is known to have records up to there
-    void wakeIfEarlier(Instant before);        // the next read was due then before the schedule changed
+    void tellCaughtUp(Instant askedAt);
+    void readSoon(core::Offset end);    // the topic is known to have records up to there
+    void wakeIfEarlier(Instant before); // the next read was due then before the schedule changed
     /// `page` ended before the topic: lists it instead of reading on where that is sooner.
     void chooseListing(const StorePage &page);
     void applyListing(const StoreListing &listing);
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include <core/hash.h>
+#include <serving/access.h>
 #include <serving/events.h>
 #include <serving/gracefulstop.h>
 #include <serving/requestkey.h>
@@ -65,8 +66,10 @@
 constexpr Milliseconds briefOriginWait{150};         // the same while every stream of the service began at one version: only for its upstream
 constexpr double shrinkingFill
     = 0.75; // running requests per slot; beyond it a version whose upstreams leave takes new streams only when no other has a free slot
-constexpr Milliseconds unknownStreamRetryAfter{300}; // Retry-After when this host can't know a stream's version: another host may
-constexpr double freeSlotFill = 1;                   // running requests per slot; below it a request starts immediately
+constexpr Milliseconds unknownStreamRetryAfter{300};   // Retry-After when this host can't know a stream's version: another host may
+constexpr std::string_view unknownKey = "unknown_key"; // reasons of refusals
+constexpr std::string_view configurationUnproven = "configuration_unproven";
+constexpr double freeSlotFill = 1; // running requests per slot; below it a request starts immediately
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
 
@@ -237,6 +240,12 @@
             logRequest();
             co_return false;
         }
+        if (const auto access = accessOf(*routes_, *route_, metadata_.key, node_.isConfigurationProven()); !isAdmitted(access.verdict)) {
+            co_await refuseAccess(access.verdict);
+            co_return false;
+        } else {
+            setWorkspace(access.workspace);
+        }
         service_ = &RouteTable::serviceOf(*route_, metadata_.id);
         serviceSpec_ = routes_->service(*service_);
         deadline_ = request_.arrivedAt + std::min(route_->timeout, metadata_.deadline.value_or(route_->timeout));
@@ -269,6 +278,44 @@
         co_return true;
     }
 
+    // ---- Workspaces ----
+
+    void setWorkspace(const Workspace *workspace)
+    {
+        workspace_ = workspace == nullptr ? WorkspaceId() : workspace->name;
+        rank_ = workspace == nullptr ? std::nullopt : workspace->priority;
+        workspaceLabel_ = workspace == nullptr ? std::string() : std::string(routes_->labelOf(*workspace));
+    }
+
+    /// On arrival. Another host's configuration may be another one, so it decides what becomes of its request.
+    net::Task<void> refuseAccess(AccessVerdict verdict)
+    {
+        const bool isUnproven = verdict == AccessVerdict::Unproven;
+        const std::string_view reason = isUnproven ? configurationUnproven : unknownKey;
+        if (request_.relayedFrom != nullptr) {
+            declineAtOnce(reason);
+            co_return;
+        }
+        constexpr int unauthorized = 401;
+        constexpr int unavailable = 503;
+        co_await refuse(isUnproven ? unavailable : unauthorized, reason, isUnproven ? std::optional(unavailableRetryAfter) : std::nullopt);
+        logRequest();
+    }
+
+    /// Right before a send, by the configuration in force now.
+    bool isAccessLost()
+    {
+        const auto routes = node_.routes;
+        const auto access = accessOf(*routes, *route_, metadata_.key, node_.isConfigurationProven());
+        const auto name = access.workspace == nullptr ? WorkspaceId() : access.workspace->name;
+        isAccessLost_ = !isAdmitted(access.verdict) || name != workspace_;
+        if (isAccessLost_) {
+            refusalReason_ = access.verdict == AccessVerdict::Unproven ? configurationUnproven : unknownKey;
+            isFinal_ = true;
+        }
+        return isAccessLost_;
+    }
+
     /// Right before a send: the caller may have left though this host, being late, has not seen it yet.
     bool isGoneNow()
     {
@@ -830,6 +877,12 @@
             releaseConnection(true);
             co_return false;
         }
+        if (isProven && isAccessLost()) {
+            giveUpSend();
+            recordSend(replica, SendOutcome::Abandoned, "not_sent", "the caller's key was withdrawn, or the configuration may be an old one");
+            releaseConnection(true);
+            co_return false;
+        }
         if (!isProven || isFinished()) {
             giveUpSend();
             recordSend(replica, SendOutcome::Abandoned, "not_sent", "the upstream may have started again since its record was written");
@@ -964,12 +1017,13 @@
         out.clear();
         out.append(request_.method).append(" ").append(request_.target).append(" HTTP/1.1\r\n");
         for (const auto &[name, value] : request_.headers) {
-            if (!CallerRequest::isHopByHopHeader(name) && node_.codec.isForwardedField(name)) {
+            const bool isOfWorkspaces = routes_->hasWorkspaces() && node_.codec.isWorkspaceField(name);
+            if (!CallerRequest::isHopByHopHeader(name) && node_.codec.isForwardedField(name) && !isOfWorkspaces) {
                 out.append(name).append(": ").append(value).append("\r\n");
             }
         }
-        const int priority = version_ ? 0 : route_->priority; // a stream that goes on has no other upstreams to go to
-        ForwardHeaders headers{timeLeft(), replica.id, priority, revision_, lastEventId_};
+        const int priority = version_ ? 0 : rank_.value_or(route_->priority); // a stream that goes on has no other upstreams to go to
+        ForwardHeaders headers{timeLeft(), replica.id, priority, revision_, lastEventId_, workspace_};
         node_.codec.appendForwardHeaders(headers, out);
         if (!request_.body.empty() || (request_.method != "GET" && request_.method != "HEAD")) {
             out.append("Content-Length: ").append(std::to_string(request_.body.size())).append("\r\n");
@@ -1547,7 +1601,10 @@
         }
         const bool isDeadlinePassed = timeLeft() < minSendTime;
         const auto retryAfter = retryAfterNow();
-        if (mayHaveRun_) {
+        if (isAccessLost_ && !mayHaveRun_) {
+            const bool isUnproven = refusalReason_ == configurationUnproven;
+            co_await refuse(isUnproven ? 503 : 401, refusalReason_, isUnproven ? std::optional(unavailableRetryAfter) : std::nullopt);
+        } else if (mayHaveRun_) {
             co_await refuse(isDeadlinePassed ? 504 : 502, isDeadlinePassed ? "deadline" : refusalReason_, std::nullopt);
         } else {
             co_await refuse(503, isDeadlinePassed ? "deadline" : refusalReason_, retryAfter);
@@ -1557,7 +1614,7 @@
     /// When an upstream may take the request. Sets the reason when all of them pause.
     Milliseconds retryAfterNow()
     {
-        if (const auto pause = shortestPause(); pause && timeLeft() >= minSendTime) {
+        if (const auto pause = shortestPause(); pause && timeLeft() >= minSendTime && !isAccessLost_) {
             refusalReason_ = "upstreams_pausing";
             retryAfter_ = pause;
         }
@@ -1614,6 +1671,10 @@
         if (!metadata_.id.empty()) {
             head.append(node_.codec.requestIdField()).append(": ").append(metadata_.id.value()).append("\r\n");
         }
+        constexpr int unauthorized = 401;
+        if (status == unauthorized) {
+            head.append("WWW-Authenticate: Bearer\r\n");
+        }
         if (retryAfter) {
             head.append("Retry-After: ").append(secondsText(*retryAfter)).append("\r\n");
         }
@@ -1690,6 +1751,10 @@
         if (service_ != nullptr && request_.relayedFrom == nullptr) {
             node_.metrics.requestDuration.observe({service}, took);
         }
+        if (!workspaceLabel_.empty() && request_.relayedFrom == nullptr) {
+            node_.metrics.workspaceRequests.add({workspaceLabel_, std::to_string(status_)});
+            node_.metrics.workspaceDuration.observe({workspaceLabel_}, took);
+        }
         if (isTakenUp_) {
             logTakenUpStream();
         }
@@ -1697,6 +1762,7 @@
                        {{"request_id", metadata_.id},
                         {"service", service},
                         {"route", route_ == nullptr ? std::string_view() : std::string_view(route_->name)},
+                        {"workspace", workspace_},
                         {"adapter", metadata_.weights.adapter},
                         {"upstream", upstream_},
                         {"relayed_by", relayedBy_},
@@ -1750,6 +1816,10 @@
     const ServiceName *service_ = nullptr;
     const ServiceSpec *serviceSpec_ = nullptr;
     RequestMetadata metadata_;
+    WorkspaceId workspace_;      // empty: the caller has none
+    std::optional<int> rank_;    // of the workspace
+    std::string workspaceLabel_; // in metrics
+    bool isAccessLost_ = false;  // since the request arrived
     RequestKey requestKey_;
     Instant deadline_;
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -113,7 +113,8 @@
                       {.onListing = [this](const StoreListing &listing) { applyOperatorRecords(listing.records); },
                        .onPage = [this](const StorePage &page) { applyOperatorRecords(page.records); },
                        .onReached = [](bool) {},
-                       .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Operators, shared); }})
+                       .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Operators, shared); },
+                       .onCaughtUp = [this](Instant askedAt) { node_.configurationProof.onCaughtUp(askedAt, operatorsTopic_.era()); }})
     , upstreamsTopic_(
           node_,
           store,
@@ -259,6 +260,7 @@
     metrics.configVersion.set(node_.routes ? static_cast<double>(node_.routes->version().value()) : 0);
     metrics.configAge.set(static_cast<double>((now - node_.routesActiveSince).count()) / msPerSecond);
     metrics.operatorsAge.set(static_cast<double>((now - node_.operatorsReadAt).count()) / msPerSecond);
+    metrics.configProofAge.set(static_cast<double>(node_.configurationProof.age(now).value_or(Milliseconds(-msPerSecond)).count()) / msPerSecond);
     metrics.upstreamsAge.set(static_cast<double>((now - node_.replicasReadAt).count()) / msPerSecond);
     metrics.knownUpstreams.set(static_cast<double>(node_.replicas.size()));
     metrics.ownedUpstreams.set(static_cast<double>(ownedReplicas_.size()));
@@ -325,6 +327,7 @@
 void HostedDaemon::applyConfiguration(PlacedConfiguration newest, Instant begin)
 {
     const auto before = node_.routes ? node_.routes->version() : ConfigVersion();
+    node_.configurationProof.onRead(newest.configuration.version, operatorsTopic_.era());
     if (node_.routes && newest.configuration.version <= before) {
         return;
     }
@@ -340,7 +343,11 @@
                     {"own_read_took_ms", operatorsTopic_.readTime()},
                     {"records_left", operatorsTopic_.recordsLeft()},
                     {"routes", node_.routes->size()},
+                    {"workspaces", node_.routes->workspaces().size()},
                     {"took_ms", node_.now() - begin}});
+    for (const auto &part : node_.routes->refusedParts()) {
+        node_.log.warn("configuration_part_refused", {.step = Step::Lists, .reason = part}, {{"version", node_.routes->version()}});
+    }
     node_.longestStream = node_.routes->longestStream() + streamMargin;
     resourcesVersion_ = ~std::uint64_t(0);
     updateResources();
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -2,7 +2,7 @@
 //
 // Index
 //   AdapterKey, AdapterRevision   identify the weights that a request names, and their version
-//   Route, ServiceSpec, EngineSpec, CallerLimits, Configuration   the operators' configuration
+//   Route, ServiceSpec, EngineSpec, Workspace, CallerLimits, Configuration   the operators' configuration
 //   ReplicaRecord                 an upstream as it describes itself
 //   Occupancy                     running requests and pending prefill of an upstream
 //   RequestMetadata               parsed request headers
@@ -22,6 +22,7 @@
 
 using core::AdapterName;
 using core::BaseModel;
+using core::ConfigVersion;
 using core::HostId;
 using core::Instant;
 using core::Milliseconds;
@@ -29,10 +30,10 @@
 using core::RequestId;
 using core::ServiceName;
 using core::UpstreamId;
+using core::WorkspaceId;
 using core::ZoneId;
 
 using AdapterRevision = core::Ordinal<struct AdapterRevisionTag>; // version of an adapter's weights; increases
-using ConfigVersion = core::Ordinal<struct ConfigVersionTag>;     // version of the configuration; increases, may skip values
 using OrderSequence = core::Ordinal<struct OrderSequenceTag>;     // number of orders that a replica has accepted since its start
 using SoftwareVersion = core::Id<struct SoftwareVersionTag>;      // of an upstream's own software; two versions can't go on with each other's streams
 using ReplicaStartTime = core::Ordinal<struct ReplicaStartTag>;   // Unix time in milliseconds; 0: unknown
@@ -109,11 +110,29 @@
     Milliseconds idleTimeout{15'000};
 };
 
+/// What a workspace may use up, over all hosts together.
+struct WorkspaceQuota {
+    double perSecond = 0; // 0: no limit
+    double burst = 0;
+    bool countsTokens = false; // of prompt and output; else requests
+    double flatTokens = 0;     // of a request that names no tokens
+};
+
+/// Callers that act for one customer.
+struct Workspace {
+    WorkspaceId name;
+    std::vector<std::string> keys;
+    std::optional<int> priority; // goes before the route's
+    WorkspaceQuota quota;
+};
+
 struct Configuration {
     ConfigVersion version;
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
+    std::optional<std::vector<Workspace>> workspaces; // nothing: callers need no key
     CallerLimits limits;
+    std::vector<std::string> refusedParts; // what of it was not taken, and why; names no key
 };
 
 struct HeldAdapter {
@@ -161,8 +180,10 @@
 struct RequestMetadata {
     RequestId id;
     std::string caller;                   // what tells callers apart for the upstream; empty: nothing does
+    std::string key;                      // of the caller's workspace; empty: none, or more than one
     std::optional<Milliseconds> deadline; // relative to the arrival
     AdapterKey weights;                   // empty model: the request names no weights
+    bool namesTokens = false;             // the next two are the caller's
     double promptTokens = 0;
     double maxOutputTokens = 0;
     std::string promptPrefix;                 // shared prefix of the prompt; empty: none
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -37,10 +37,18 @@
     , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
     , unreadableRequests(registry.counter({"unreadable_total", "requests that could not be read", {"status"}, 8}))
     , beliefChanges(registry.counter({"belief_changes_total", "changes of what this host believes", {"what"}, 32}))
+    , workspaceRequests(registry.counter({"workspace_requests_total", "requests of the largest workspaces, the others together", {"workspace", "status"}, 512}))
+    , workspaceDuration(registry.histogram({"workspace_request_duration_seconds",
+                                            "from a request's arrival to the end of its answer, of the largest workspaces, the others together",
+                                            {"workspace"},
+                                            64},
+                                           latencyBounds))
     , retryBudget(registry.gauge({"retry_budget_left", "repeats allowed now", {"service"}, 32}))
     , configVersion(registry.gauge({"configuration_version", "version in force", {}, 1}))
     , configAge(registry.gauge({"configuration_age_seconds", "since the version in force was read", {}, 1}))
     , operatorsAge(registry.gauge({"operators_age_seconds", "since the configuration and revisions were last read", {}, 1}))
+    , configProofAge(
+          registry.gauge({"configuration_proof_age_seconds", "since the store was asked for the proof that the version in force is the newest", {}, 1}))
     , upstreamsAge(registry.gauge({"upstreams_age_seconds", "since upstreams' records were last read", {}, 1}))
     , knownUpstreams(registry.gauge({"upstreams", "upstreams known", {}, 1}))
     , ownedUpstreams(registry.gauge({"owned_upstreams", "upstreams that this host may order about", {}, 1}))
@@ -79,6 +87,13 @@
     return hasStoodStill || !isReadSince ? std::nullopt : versions.only(service, longestStream, time);
 }
 
+bool Node::isConfigurationProven() const
+{
+    constexpr Milliseconds margin{100}; // of the bound: clocks of two machines drift apart, and a send takes a moment
+    const auto bound = settings.hosting.revocation;
+    return bound.count() == 0 || configurationProof.isWithin(bound - margin, now());
+}
+
 admission::RetryBudget &Node::retryBudgetFor(const ServiceName &service)
 {
     const auto found = budgets_.find(service);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -36,6 +36,7 @@
 #include <serving/upstreams.h>
 #include <serving/versionhistory.h>
 #include <settings/settings.h>
+#include <workspaces/configurationproof.h>
 
 namespace baobabstall::serving {
 
@@ -43,25 +44,28 @@
     ServingMetrics();
 
     metrics::Registry registry;
-    metrics::Counter &requests;           // service, status, reason
-    metrics::Histogram &requestDuration;  // service
-    metrics::Histogram &firstEvent;       // service
-    metrics::Histogram &eventPause;       // service
-    metrics::Histogram &residencyWait;    // outcome
-    metrics::Histogram &prefillWait;      // where
-    metrics::Counter &sends;              // service, outcome
-    metrics::Counter &takenUpStreams;     // record, age, reason
-    metrics::Counter &sendPermits;        // outcome
-    metrics::Counter &relays;             // side, outcome
-    metrics::Counter &brittleRefusals;    // service
-    metrics::Counter &orders;             // kind, outcome
-    metrics::Counter &storeCalls;         // call, outcome
-    metrics::Counter &unreadableRequests; // status
-    metrics::Counter &beliefChanges;      // what
-    metrics::Gauge &retryBudget;          // service
+    metrics::Counter &requests;            // service, status, reason
+    metrics::Histogram &requestDuration;   // service
+    metrics::Histogram &firstEvent;        // service
+    metrics::Histogram &eventPause;        // service
+    metrics::Histogram &residencyWait;     // outcome
+    metrics::Histogram &prefillWait;       // where
+    metrics::Counter &sends;               // service, outcome
+    metrics::Counter &takenUpStreams;      // record, age, reason
+    metrics::Counter &sendPermits;         // outcome
+    metrics::Counter &relays;              // side, outcome
+    metrics::Counter &brittleRefusals;     // service
+    metrics::Counter &orders;              // kind, outcome
+    metrics::Counter &storeCalls;          // call, outcome
+    metrics::Counter &unreadableRequests;  // status
+    metrics::Counter &beliefChanges;       // what
+    metrics::Counter &workspaceRequests;   // workspace, status
+    metrics::Histogram &workspaceDuration; // workspace
+    metrics::Gauge &retryBudget;           // service
     metrics::Gauge &configVersion;
     metrics::Gauge &configAge;
     metrics::Gauge &operatorsAge;
+    metrics::Gauge &configProofAge;
     metrics::Gauge &upstreamsAge;
     metrics::Gauge &knownUpstreams;
     metrics::Gauge &ownedUpstreams;
@@ -183,6 +187,8 @@
     /// The same for the answer to an order or a report.
     void applyUpstreamState(const ReplicaRecord &replica, const net::HttpResponse &answer);
     void applyLimit(const UpstreamId &id, const ResponseMetadata &answer);
+    /// Whether the configuration in force is known to be the newest one, as far as the settings ask for that.
+    [[nodiscard]] bool isConfigurationProven() const;
     /// Whether the upstream is known to have started again since its record was written.
     [[nodiscard]] bool isOutdated(const ReplicaRecord &replica) const;
     [[nodiscard]] std::vector<AdapterKey> weightsInUse(const UpstreamId &upstream) const; // by requests of this host
@@ -194,6 +200,7 @@
     ServingMetrics metrics;
     std::shared_ptr<const RouteTable> routes; // null until the first configuration has been read
     Instant routesActiveSince;
+    workspaces::ConfigurationProof configurationProof;
     Instant operatorsReadAt; // when the operators topic was last read, by this host or the one whose page it applied
     ReplicaBook replicas;
     Instant replicasReadAt;
--- a/packages/serving/protocol.h
+++ b/packages/serving/protocol.h
@@ -32,6 +32,7 @@
     int priority = 0;                         // 0 to 9; 0 is the most urgent
     std::optional<AdapterRevision> revision;  // the upstream refuses any other
     std::optional<std::uint64_t> lastEventId; // last event that the caller received; the stream continues after it
+    WorkspaceId workspace = {};               // of the caller; empty: none
 };
 
 /// One record of the store.
@@ -59,6 +60,8 @@
     [[nodiscard]] virtual std::string_view requestIdField() const = 0;
     /// Whether a caller's header field is forwarded; false for fields that only the system may set.
     [[nodiscard]] virtual bool isForwardedField(std::string_view field) const = 0;
+    /// Whether the field holds a caller's key, or the name of a workspace. Not forwarded where workspaces are configured.
+    [[nodiscard]] virtual bool isWorkspaceField(std::string_view field) const = 0;
     /// Appends the system's own header fields to `head`, each with its line end.
     virtual void appendForwardHeaders(const ForwardHeaders &facts, std::string &head) const = 0;
     [[nodiscard]] virtual ResponseMetadata readAnswer(int status, std::span<const HeaderView> headers) const = 0;
--- a/packages/serving/routes.cpp
+++ b/packages/serving/routes.cpp
@@ -35,6 +35,53 @@
         std::stable_sort(
             indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) { return routes[a].pathPrefix.size() > routes[b].pathPrefix.size(); });
     }
+    indexWorkspaces();
+}
+
+void RouteTable::indexWorkspaces()
+{
+    if (!configuration_.workspaces) {
+        return;
+    }
+    auto &all = *configuration_.workspaces;
+    auto &keys = keys_.emplace();
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        for (const auto &key : std::exchange(all[i].keys, {})) {
+            if (!keys.add(key, workspaces::KeyOwner(i))) {
+                configuration_.refusedParts.push_back("workspace \"" + all[i].name.value() + "\": a key is empty or too long");
+            }
+        }
+    }
+    for (const auto &[first, second] : keys.ambiguous()) {
+        configuration_.refusedParts.push_back("workspaces \"" + all[first.value()].name.value() + "\" and \"" + all[second.value()].name.value()
+                                              + "\": have a key in common, which opens neither");
+    }
+    std::vector<const Workspace *> largest;
+    for (const auto &each : all) {
+        largest.push_back(&each);
+    }
+    std::stable_sort(largest.begin(), largest.end(), [](const auto *a, const auto *b) { return a->quota.perSecond > b->quota.perSecond; });
+    largest.resize(std::min(largest.size(), maxLabelledWorkspaces));
+    for (const auto *each : largest) {
+        labelled_.insert(each->name);
+    }
+}
+
+const std::vector<Workspace> &RouteTable::workspaces() const
+{
+    static const std::vector<Workspace> none;
+    return configuration_.workspaces ? *configuration_.workspaces : none;
+}
+
+const Workspace *RouteTable::workspaceOf(std::string_view key) const
+{
+    const auto owner = keys_ ? keys_->find(key) : std::nullopt;
+    return owner ? &(*configuration_.workspaces)[owner->value()] : nullptr;
+}
+
+std::string_view RouteTable::labelOf(const Workspace &workspace) const
+{
+    return labelled_.contains(workspace.name) ? std::string_view(workspace.name.value()) : std::string_view("other");
 }
 
 Milliseconds RouteTable::shortestPause(const ServiceName &service) const
--- a/packages/serving/storepages.cpp
+++ b/packages/serving/storepages.cpp
@@ -75,7 +75,7 @@
     }
     undatedPages_.erase(follower);
     if (!readAt && page.ageMs >= 0) {
-        undatedPages_[follower] = {from, Instant(page.sentAt), Milliseconds(page.ageMs)};
+        undatedPages_[follower] = {from, Instant(page.sentAt), Milliseconds(page.ageMs), shared.isToEnd(), core::eraOf(shared.page.nextOffset)};
     }
 }
 
@@ -114,7 +114,7 @@
         const auto &[follower, page] = *it;
         const auto sentAt = page.sender == from ? clocks_.earliest(from, page.sentAt, now) : std::nullopt;
         if (sentAt) {
-            follower->onPageDated(*sentAt - page.age);
+            follower->onPageDated(*sentAt - page.age, page.isToEnd && page.era == follower->era());
         }
         it = sentAt ? undatedPages_.erase(it) : std::next(it);
     }
--- a/packages/serving/storepages.h
+++ b/packages/serving/storepages.h
@@ -39,6 +39,8 @@
         HostId sender;
         Instant sentAt; // by the sender's clock
         Milliseconds age;
+        bool isToEnd = false;
+        core::StoreEra era;
     };
 
     void send(const peers::StorePageNotice &page, const std::vector<HostId> &hosts);
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -25,8 +25,8 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields of requests and responses: Id, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, After (last event), Resumes, Last, Seal, Not-Run,
-/// Replica, Leaving, Backoff (ms), Limit (a second), Brittle (refusals a second). Set by the forwarder: To, Left, Revision.
+/// Fields of requests and responses: Id, Key, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, After (last event), Resumes, Last, Seal, Not-Run,
+/// Replica, Leaving, Backoff (ms), Limit (a second), Brittle (refusals a second). Set by the forwarder: To, Left, Revision, Workspace.
 class FakeCodec : public Codec
 {
 public:
@@ -40,6 +40,8 @@
                 facts.deadline = Milliseconds(std::stoll(std::string(value)));
             } else if (name == "Tokens") {
                 facts.promptTokens = std::stod(std::string(value));
+            } else if (name == "Key") {
+                facts.key = std::string(value);
             } else if (name == "After") {
                 facts.lastEventId = std::stoull(std::string(value));
             } else if (name == "Resumes") {
@@ -65,9 +67,11 @@
     }
     std::string_view requestIdField() const override { return "Id"; }
     bool isForwardedField(std::string_view field) const override { return field != "To" && field != "Secret"; }
+    bool isWorkspaceField(std::string_view field) const override { return field == "Key" || field == "Workspace"; }
     void appendForwardHeaders(const ForwardHeaders &facts, std::string &head) const override
     {
         head += "To: " + facts.replica.value() + "\r\nLeft: " + std::to_string(facts.remaining.count()) + "\r\n";
+        head += facts.workspace.empty() ? "" : "Workspace: " + facts.workspace.value() + "\r\n";
         head += facts.lastEventId ? "Last: " + std::to_string(*facts.lastEventId) + "\r\n" : "";
         head += facts.revision ? "Revision: " + std::to_string(facts.revision->value()) + "\r\n" : "";
     }
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -78,8 +78,9 @@
 constexpr TextRule freeText = {[](std::string_view text) { return text.size() <= 4096; }, "text of at most 4096 characters"};
 
 constexpr double day = 86'400'000;
-constexpr NumberRule anyLength = {1, day};         // milliseconds
-constexpr NumberRule shortLength = {1, 3'600'000}; // milliseconds
+constexpr NumberRule anyLength = {1, day};          // milliseconds
+constexpr NumberRule shortLength = {1, 3'600'000};  // milliseconds
+constexpr NumberRule lengthOrNone = {0, 3'600'000}; // milliseconds; 0: none
 constexpr NumberRule byteCount = {256, 1'073'741'824};
 constexpr NumberRule itemCount = {1, 1'000'000};
 
@@ -211,6 +212,7 @@
     return std::make_tuple(field("metrics", &Hosting::metrics, peerText),
                            field("configuration_ms", &Hosting::configApply, shortLength),
                            field("drain_ms", &Hosting::drain, shortLength),
+                           field("revocation_ms", &Hosting::revocation, lengthOrNone),
                            field("grace_s", &Hosting::graceSeconds, NumberRule{0.1, 3'600}),
                            field("retry_share", &Hosting::retryShare, NumberRule{0, 1}),
                            field("retry_slack", &Hosting::retrySlack, NumberRule{0, 1'000'000}),
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -130,6 +130,7 @@
     std::string metrics;             // ip:port of /metrics; empty: none
     Milliseconds configApply{2'000}; // a configuration is in force on all hosts so long after the store has it
     Milliseconds drain{2'000};       // an upstream that leaves takes requests so long after the store knows
+    Milliseconds revocation{0};      // a key that was withdrawn opens nothing so long after the store knows, at any host; 0: as soon as the host knows
     double graceSeconds = 8;         // from SIGTERM to SIGKILL
     double retryShare = 0.2;         // repeats as a share of a service's requests, over all hosts
     double retrySlack = 56;          // repeats beyond that in one window, over all hosts
