--- a/packages/serving/access.h
+++ b/packages/serving/access.h
@@ -1,7 +1,7 @@
 // serving/access.h: whether a caller's key admits a request. No I/O.
 //
 //   const auto access = accessOf(*node.routes, *route, metadata.key, node.isConfigurationProven());
-//   if (isAdmitted(access.verdict)) { ...access.workspace, null for a caller without one... }
+//   if (admits(access.verdict)) { ...access.workspace, null for a caller without one... }
 //
 // Asked when a request arrives and again right before each send, by the configuration in force then: a request may have waited meanwhile,
 // or the host may have stood still.
@@ -25,7 +25,7 @@
     const Workspace *workspace = nullptr; // valid as long as the route table
 };
 
-[[nodiscard]] constexpr bool isAdmitted(AccessVerdict verdict)
+[[nodiscard]] constexpr bool admits(AccessVerdict verdict)
 {
     return verdict == AccessVerdict::Open || verdict == AccessVerdict::Granted;
 }
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -240,7 +240,7 @@
             logRequest();
             co_return false;
         }
-        if (const auto access = accessOf(*routes_, *route_, metadata_.key, node_.isConfigurationProven()); !isAdmitted(access.verdict)) {
+        if (const auto access = accessOf(*routes_, *route_, metadata_.key, node_.isConfigurationProven()); !admits(access.verdict)) {
             co_await refuseAccess(access.verdict);
             co_return false;
         } else {
@@ -308,7 +308,7 @@
         const auto routes = node_.routes;
         const auto access = accessOf(*routes, *route_, metadata_.key, node_.isConfigurationProven());
         const auto name = access.workspace == nullptr ? WorkspaceId() : access.workspace->name;
-        isAccessLost_ = !isAdmitted(access.verdict) || name != workspace_;
+        isAccessLost_ = !admits(access.verdict) || name != workspace_;
         if (isAccessLost_) {
             refusalReason_ = access.verdict == AccessVerdict::Unproven ? configurationUnproven : unknownKey;
             isFinal_ = true;
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -70,6 +70,7 @@
     Milliseconds latencyObjective{1'000}; // a response, or first event, within this time counts as on time
     Milliseconds maxEventPause{0};        // a longer pause between events counts as late; 0: not a stream
     int priority = 0;                     // 0: highest
+    bool isAnonymous = false;             // callers need no key
     int maxUpstreams = 1;                 // distinct upstreams that one request may be sent to
     std::vector<WeightedService> services;
 };
