--- a/packages/quotas/tests/quotaboundtest.cpp
+++ b/packages/quotas/tests/quotaboundtest.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <cstdlib>
-#include <deque>
 #include <memory>
 #include <random>
 
@@ -13,7 +13,7 @@
 
 constexpr double msPerSecond = 1'000;
 constexpr Milliseconds step{10};
-constexpr Milliseconds scheduleTime{9'000};
+constexpr Milliseconds scheduleTime{12'000};
 constexpr Milliseconds longestConfigDelay{400};
 constexpr std::uint64_t defaultSeeds = 10'000;
 
@@ -143,7 +143,11 @@
     };
 
     int integer(int low, int high) { return std::uniform_int_distribution<int>(low, high)(random_); }
-    double real(double low, double high) { return std::uniform_real_distribution<double>(low, high)(random_); }
+    double real(double low, double high)
+    {
+        constexpr int droppedBits = 11; // of a 64-bit number, so that the rest is exact in a double
+        return low + (high - low) * std::ldexp(static_cast<double>(random_() >> droppedBits), droppedBits - 64);
+    }
     bool chance(double share) { return real(0, 1) < share; }
     Instant in(int low, int high) { return now_ + Milliseconds(integer(low, high)); }
 
@@ -316,7 +320,7 @@
             host.ownerRole->setQuotas(quotasOf(host), clock);
             host.ownerRole->setHostCount(hostCount_, clock);
         }
-        if (host.ownerRole && now_.sinceOrigin() % 500 == 0) {
+        if (host.ownerRole && now_.sinceOrigin() % 500 < step.count()) {
             host.ownerRole->expire(clock);
         }
         if (host.knownTerm != term_ && now_ >= host.learnsOwnerAt) {
