--- a/packages/quotas/credit.h
+++ b/packages/quotas/credit.h
@@ -45,8 +45,8 @@
     static_assert(fallbackAfter + grantLifetime < settleTime);
 };
 
-constexpr double stockSeconds = 0.25;    // of perSecond: what may be out or in stock beyond the burst
-constexpr double fallbackSeconds = 0.25; // of a host's share: the most that it saves up while it hears no owner
+constexpr double stockSeconds = 0.3;    // of perSecond: what may be out or in stock beyond the burst
+constexpr double fallbackSeconds = 0.2; // of a host's share: the most that it saves up while it hears no owner
 constexpr double slackSeconds = 2 * stockSeconds + fallbackSeconds;
 constexpr double unitAmount = 1; // the smallest request
 
@@ -59,10 +59,18 @@
 /// The most that is out at hosts.
 [[nodiscard]] inline double maxOutstanding(const Quota &quota)
 {
-    constexpr double burstShare = 0.5;
+    constexpr double burstShare = 0.75;
     return std::max(burstShare * quota.burst + stockSeconds * quota.perSecond, unitAmount);
 }
 
+/// The most that is out at hosts when one is granted more in advance; the rest is for requests that wait.
+[[nodiscard]] inline double maxInAdvance(const Quota &quota)
+{
+    constexpr double burstShare = 0.3;
+    constexpr double stockShare = 0.6;
+    return std::max(burstShare * quota.burst + stockShare * stockSeconds * quota.perSecond, unitAmount);
+}
+
 struct AskEntry {
     WorkspaceId workspace;
     double held = 0;        // credit at the host when it asked
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -67,10 +67,10 @@
     /// Typical time from an ask to its grant; for the caller's waits.
     [[nodiscard]] Milliseconds expectedWait() const { return expectedWait_; }
 
-    static constexpr Milliseconds quickReport{100}; // after use, where little more than the rate may be out
-    static constexpr Milliseconds slowReport{250};  // after use, elsewhere
-    static constexpr Milliseconds askGap{20};       // between asks for requests that wait
-    static constexpr Milliseconds emptyGap{100};    // the same after a grant that gave nothing
+    static constexpr Milliseconds quickReport{40}; // after use, where little more than the rate may be out
+    static constexpr Milliseconds slowReport{250}; // after use, elsewhere
+    static constexpr Milliseconds askGap{20};      // between asks for requests that wait
+    static constexpr Milliseconds emptyGap{100};   // the same after a grant that gave nothing
 
 private:
     struct Account {
--- a/packages/quotas/quotaowner.cpp
+++ b/packages/quotas/quotaowner.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr double msPerSecond = 1'000;
-constexpr double prefetchShare = 0.6;           // of what may be out: in advance; the rest is for requests that wait
 constexpr Milliseconds wantLifetime{500};       // a host that still wants something asks again sooner
 constexpr Milliseconds longestWait{30'000};     // a longer one is said to be this
 constexpr Milliseconds forgetHostAfter{60'000}; // no message is under way that long
@@ -208,7 +207,7 @@
         return answer;
     }
     setWant(bucket, from, Want{wanted, now});
-    const double mayBeOut = maxOutstanding(bucket.quota) * (entry.isWaiting ? 1 : prefetchShare);
+    const double mayBeOut = entry.isWaiting ? maxOutstanding(bucket.quota) : maxInAdvance(bucket.quota);
     const double free = std::floor(std::min(bucket.stock, mayBeOut - bucket.outstanding));
     const double part = std::floor(bucket.stock * std::min(1.0, wanted / bucket.wanted));
     const double granted = std::min({wanted, free, std::max(part, entry.least)});
