--- a/packages/quotas/credit.h
+++ b/packages/quotas/credit.h
@@ -36,11 +36,12 @@
 using Quotas = std::map<WorkspaceId, Quota>;
 
 struct Timing {
-    static constexpr Milliseconds grantLifetime{500};   // since the ask was sent, by the host's clock; a later grant is void
-    static constexpr Milliseconds servedTime{1'200};    // of a host at the owner, since it received an ask that was answered in time
-    static constexpr Milliseconds fallbackAfter{1'800}; // of a host, since it sent the last ask that was answered in time
-    static constexpr Milliseconds settleTime{2'500};    // then credit that an earlier owner granted is spent or dropped
-    static constexpr Milliseconds heartbeat{400};       // between asks without use
+    static constexpr Milliseconds grantLifetime{500};    // since the ask was sent, by the host's clock; a later grant is void
+    static constexpr Milliseconds servedTime{1'200};     // of a host at the owner, since it received an ask that was answered in time
+    static constexpr Milliseconds fallbackAfter{1'800};  // of a host, since it sent the last ask that was answered in time
+    static constexpr Milliseconds settleTime{2'500};     // then credit that an earlier owner granted is spent or dropped
+    static constexpr Milliseconds heartbeat{400};        // between asks without use
+    static constexpr Milliseconds giveBackWithin{1'500}; // of a charge; a later one stays spent
     static_assert(servedTime + grantLifetime < fallbackAfter, "an owner must not fill for a host that spends its fallback share");
     static_assert(fallbackAfter + grantLifetime < settleTime);
 };
@@ -73,11 +74,12 @@
 
 struct AskEntry {
     WorkspaceId workspace;
-    double held = 0;        // credit at the host when it asked
-    double wanted = 0;      // more
-    double least = 0;       // a smaller grant is of no use
-    double returned = 0;    // credit that the host gives up
-    bool isWaiting = false; // a request waits for it; else it is asked for in advance
+    double held = 0;      // credit at the host when it asked
+    double urgent = 0;    // more, for requests that wait
+    double inAdvance = 0; // more, besides
+    double least = 0;     // a smaller grant is of no use
+    double returned = 0;  // credit that the host gives up
+    double givenBack = 0; // charges that were not run
 
     friend bool operator==(const AskEntry &, const AskEntry &) = default;
 };
--- a/packages/quotas/quotahost.cpp
+++ b/packages/quotas/quotahost.cpp
@@ -90,6 +90,7 @@
     for (auto &[id, account] : accounts_) {
         account.held = 0;
         account.toReturn = 0;
+        account.givenBack = 0;
         account.spentSinceAsk = 0;
         account.fallbackStock = 0;
         account.fallbackFilledAt = now;
@@ -165,7 +166,7 @@
     return {.mayAsk = !isEmpty || wait <= emptyGap, .retryAfter = wait};
 }
 
-void QuotaHost::giveBack(const WorkspaceId &workspace, double amount, Instant now)
+void QuotaHost::giveBack(const WorkspaceId &workspace, double amount, Instant chargedAt, Instant now)
 {
     const auto found = accounts_.find(workspace);
     if (found == accounts_.end()) {
@@ -175,14 +176,15 @@
     auto &account = found->second;
     amount = std::max(0.0, std::ceil(amount));
     counts_.givenBack += amount;
-    if (isInFallback_) {
-        account.fallbackStock = std::min(fallbackSeconds * share(account), account.fallbackStock + amount);
+    if (isInFallback_ || chargedAt < creditSince_) {
         return;
     }
     const double stillHeld = std::min(amount, account.spentSinceAsk); // the owner was not told of its use
     account.spentSinceAsk -= stillHeld;
     account.held += stillHeld;
-    account.toReturn += amount - stillHeld;
+    if (now - chargedAt <= Timing::giveBackWithin) {
+        account.givenBack += amount - stillHeld;
+    }
     account.isDirty = true;
 }
 
@@ -260,17 +262,17 @@
 AskEntry QuotaHost::entryFor(const WorkspaceId &id, const Account &account, Instant now)
 {
     AskEntry entry{id, account.held};
-    const bool isWaiting = account.waitingSum > account.held;
-    const double wanted = target(account, now) + account.waitingSum;
-    if (isWaiting) {
-        entry.wanted = std::ceil(wanted - account.held);
-        entry.least = std::max(unitAmount, *account.waiting.begin() - account.held);
-        entry.isWaiting = true;
-    } else if (account.held < wanted) {
-        entry.wanted = std::ceil(wanted - account.held);
-        entry.least = std::max(unitAmount, std::ceil(std::min(account.typical - account.held, entry.wanted)));
+    const double ahead = target(account, now);
+    if (account.waitingSum > account.held) {
+        entry.urgent = std::ceil(account.waitingSum - account.held);
+        entry.inAdvance = ahead;
+        entry.least = std::max(unitAmount, std::ceil(*account.waiting.begin() - account.held));
+    } else if (const double free = account.held - account.waitingSum; free < ahead) {
+        entry.inAdvance = std::ceil(ahead - free);
+        entry.least = std::max(unitAmount, std::ceil(std::min(account.typical - free, entry.inAdvance)));
     }
     entry.returned = account.toReturn;
+    entry.givenBack = account.givenBack;
     return entry;
 }
 
@@ -287,7 +289,7 @@
         }
         returnUnused(account, now);
         ask.entries.push_back(entryFor(id, account, now));
-        account.toReturn = 0; // lost with the ask: whether the owner has it can't be known
+        account.toReturn = account.givenBack = 0; // lost with the ask: whether the owner has it can't be known
         account.spentSinceAsk = 0;
         account.isDirty = false;
     }
@@ -308,6 +310,7 @@
     askSentAt_.reset();
     if (isInFallback_) {
         isInFallback_ = false;
+        creditSince_ = now;
         isAskWanted_ = true;
         return true;
     }
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -5,7 +5,7 @@
 //   host.setHostCount(announced);
 //   host.onNewOwner();                               // another host owns the partition
 //   const auto charge = host.tryTake(workspace, amount, now);
-//   if (charge.isTaken) ...                          // send it; host.giveBack(workspace, amount, now) when it was not run
+//   if (charge.isTaken) ...                          // send it; host.giveBack(workspace, amount, chargedAt, now) when it was not run
 //   else if (charge.mayAsk) ...                      // host.wait(workspace, amount), ask, try again after the grant, host.endWait()
 //   else ...                                         // refuse; credit is there after charge.retryAfter
 //   if (host.isAskDue(now)) send(host.makeAsk(now)); // every tick, and at once when a request begins to wait; only if an owner is known
@@ -50,7 +50,8 @@
     void onNewOwner();
 
     [[nodiscard]] Charge tryTake(const WorkspaceId &workspace, double amount, Instant now);
-    void giveBack(const WorkspaceId &workspace, double amount, Instant now);
+    /// A charge of `chargedAt` was not run.
+    void giveBack(const WorkspaceId &workspace, double amount, Instant chargedAt, Instant now);
     /// A request of this amount waits for credit, from wait() until endWait().
     void wait(const WorkspaceId &workspace, double amount, Instant now);
     void endWait(const WorkspaceId &workspace, double amount);
@@ -78,6 +79,7 @@
         double held = 0;
         double spentSinceAsk = 0; // of `held`; the owner still counts it as held
         double toReturn = 0;
+        double givenBack = 0; // of charges that the owner was told of
         double fallbackStock = 0;
         Instant fallbackFilledAt;
         double perSecond = 0; // recent demand
@@ -112,6 +114,7 @@
     Instant answeredAskSentAt_;        // or the start of this run
     std::optional<Instant> askSentAt_; // of the ask under way
     Instant lastAskAt_;
+    Instant creditSince_; // earlier charges were not of an owner's credit
     bool isInFallback_ = false;
     bool isAskWanted_ = false; // a heartbeat at once: a new owner, or the end of a fallback
     int hostCount_ = 0;
--- a/packages/quotas/quotaowner.cpp
+++ b/packages/quotas/quotaowner.cpp
@@ -1,14 +1,17 @@
 #include <quotas/quotaowner.h>
 
 #include <cmath>
+#include <limits>
 
 namespace baobabstall::quotas {
 
 namespace {
 
 constexpr double msPerSecond = 1'000;
-constexpr Milliseconds wantLifetime{500};       // a host that still wants something asks again sooner
-constexpr Milliseconds longestWait{30'000};     // a longer one is said to be this
+constexpr Milliseconds wantLifetime{500};   // a host that still wants something asks again sooner
+constexpr Milliseconds longestWait{30'000}; // a longer one is said to be this
+constexpr Milliseconds peakTime{3'000};     // in which a charge that is given back was made
+constexpr Milliseconds recentAsk = peakTime - Timing::giveBackWithin;
 constexpr Milliseconds forgetHostAfter{60'000}; // no message is under way that long
 
 double seconds(Milliseconds time)
@@ -34,6 +37,8 @@
             bucket->second.quota = quota;
             if (isNew) {
                 bucket->second.filledAt = servedSeconds_;
+                bucket->second.peakSince = now;
+                bucket->second.peakBefore = std::numeric_limits<double>::infinity(); // what was before isn't known
             }
             fill(bucket->second, now); // a lower limit takes effect on the stock
         }
@@ -93,6 +98,30 @@
     bucket.stock += bucket.quota.perSecond * (servedSeconds_ - bucket.filledAt);
     bucket.filledAt = servedSeconds_;
     bucket.stock = std::max(0.0, std::min(bucket.stock, limitOf(bucket, now) - bucket.outstanding));
+    notePeak(bucket, now);
+}
+
+void QuotaOwner::notePeak(Bucket &bucket, Instant now) const
+{
+    if (now - bucket.peakSince >= peakTime) {
+        const bool isOld = now - bucket.peakSince >= peakTime * 2; // it was not looked at; it has only risen since
+        bucket.peakBefore = isOld ? bucket.stock + bucket.outstanding : bucket.peak;
+        bucket.peak = 0;
+        bucket.peakSince = now;
+    }
+    bucket.peak = std::max(bucket.peak, bucket.stock + bucket.outstanding);
+}
+
+/// Adds credit of charges that were not run, as if it had not been spent.
+void QuotaOwner::restore(Bucket &bucket, double amount, Instant now)
+{
+    const double room = depthOf(bucket.quota) - std::max(bucket.peak, bucket.peakBefore);
+    const double back = std::max(0.0, std::min(amount, room));
+    bucket.stock += back;
+    counts_.returned += back;
+    bucket.peakBefore += back;
+    bucket.peak += back;
+    fill(bucket, now);
 }
 
 void QuotaOwner::setOutstanding(Bucket &bucket, const HostId &host, double amount) const
@@ -164,10 +193,12 @@
         dropOutstanding(from); // the run that held it has ended
         host = Host{.session = ask.session};
     }
-    if (ask.isInFallback) { // it has dropped what it held
+    const bool isConfirmed = ask.answered == host.sequence && host.sequence > 0;
+    const bool isRecent = isConfirmed && now - host.askedAt <= recentAsk; // it was sent after the last one had come
+    if (ask.isInFallback) {                                               // it has dropped what it held
         setServed(from, host, std::nullopt);
         dropOutstanding(from);
-    } else if (ask.answered == host.sequence && host.sequence > 0) {
+    } else if (isConfirmed) {
         const auto until = host.askedAt + Timing::servedTime;
         setServed(from, host, until > now ? std::optional(until) : std::nullopt);
     } else {
@@ -179,7 +210,7 @@
     host.lastGrant.clear();
     Grant grant{ask.session, ask.sequence};
     for (const auto &entry : ask.isInFallback ? std::vector<AskEntry>() : ask.entries) {
-        if (const auto answer = serve(from, entry, now); answer.granted > 0 || answer.wait > Milliseconds(0)) {
+        if (const auto answer = serve(from, entry, isRecent, now); answer.granted > 0 || answer.wait > Milliseconds(0)) {
             grant.entries.push_back(answer);
         }
     }
@@ -187,7 +218,7 @@
     return grant;
 }
 
-GrantEntry QuotaOwner::serve(const HostId &from, const AskEntry &entry, Instant now)
+GrantEntry QuotaOwner::serve(const HostId &from, const AskEntry &entry, bool isRecent, Instant now)
 {
     GrantEntry answer{entry.workspace};
     const auto found = buckets_.find(entry.workspace);
@@ -201,19 +232,23 @@
     bucket.stock += back;
     counts_.returned += back;
     fill(bucket, now);
-    const double wanted = std::max(0.0, entry.wanted);
+    if (isRecent && entry.givenBack > 0) {
+        restore(bucket, entry.givenBack, now);
+    }
+    const double urgent = std::max(0.0, entry.urgent);
+    const double wanted = urgent + std::max(0.0, entry.inAdvance);
     if (wanted <= 0) {
         setWant(bucket, from, std::nullopt);
         return answer;
     }
     setWant(bucket, from, Want{wanted, now});
-    const double mayBeOut = entry.isWaiting ? maxOutstanding(bucket.quota) : maxInAdvance(bucket.quota);
+    const double mayBeOut = std::max(std::min(bucket.outstanding + urgent, maxOutstanding(bucket.quota)), maxInAdvance(bucket.quota));
     const double free = std::floor(std::min(bucket.stock, mayBeOut - bucket.outstanding));
     const double part = std::floor(bucket.stock * std::min(1.0, wanted / bucket.wanted));
     const double granted = std::min({wanted, free, std::max(part, entry.least)});
     if (granted <= 0 || granted < entry.least) {
         ++counts_.refused;
-        answer.wait = entry.isWaiting ? waitFor(bucket, from, std::max(unitAmount, entry.least)) : Milliseconds(0);
+        answer.wait = urgent > 0 ? waitFor(bucket, from, std::max(unitAmount, entry.least)) : Milliseconds(0);
         return answer;
     }
     bucket.stock -= granted;
--- a/packages/quotas/quotaowner.h
+++ b/packages/quotas/quotaowner.h
@@ -12,6 +12,9 @@
 // Stock and outstanding credit together stay below depthOf(). While credit of an earlier owner may be out that this one doesn't know of, for
 // Timing::settleTime, they stay below that by what may be out.
 //
+// A charge that was not run gets its credit back as far as the bucket would have held it all the time since: a full bucket takes nothing, so
+// that returned credit doesn't add to what a window allows.
+//
 // Limits: the first to ask gets what is there, by its part of what all want; requests of a workspace that are many times the others' size
 // seldom find enough while more is wanted than the limit gives.
 #pragma once
@@ -58,7 +61,10 @@
     struct Bucket {
         Quota quota;
         double stock = 0;
-        double filledAt = 0; // servedSeconds_
+        double filledAt = 0;   // servedSeconds_
+        double peak = 0;       // of stock and outstanding together, since peakSince
+        double peakBefore = 0; // the same, in the time before that
+        Instant peakSince;
         double outstanding = 0;
         std::map<HostId, double> outstandingByHost;
         std::map<HostId, Want> wants; // that were not met in full
@@ -82,7 +88,9 @@
     static void setWant(Bucket &bucket, const HostId &host, std::optional<Want> want);
     void takeBack(const HostId &id, const Host &host, Instant now);
     void dropOutstanding(const HostId &id);
-    GrantEntry serve(const HostId &from, const AskEntry &entry, Instant now);
+    GrantEntry serve(const HostId &from, const AskEntry &entry, bool isRecent, Instant now);
+    void restore(Bucket &bucket, double amount, Instant now);
+    void notePeak(Bucket &bucket, Instant now) const;
     [[nodiscard]] Milliseconds waitFor(const Bucket &bucket, const HostId &host, double least) const;
     [[nodiscard]] double servedPart() const;
 
--- a/packages/quotas/tests/quotaboundtest.cpp
+++ b/packages/quotas/tests/quotaboundtest.cpp
@@ -383,7 +383,7 @@
             auto &spend = spends_[i - 1];
             if (owners_[i - 1] == &host && sessions_[i - 1] == host.session && !spend.isGivenBack && chance(0.3)) {
                 spend.isGivenBack = true;
-                host.quotas->giveBack(workspace, spend.amount, clock);
+                host.quotas->giveBack(workspace, spend.amount, spend.at + host.clockOffset, clock);
             }
         }
     }
--- a/packages/quotas/tests/quotatest.cpp
+++ b/packages/quotas/tests/quotatest.cpp
@@ -205,13 +205,22 @@
 TEST(Quota, demand_below_the_quota_is_not_refused)
 {
     constexpr int hosts = 76;
+    constexpr Milliseconds patience{60};
     Site site(hosts, {{workspace, {30'000, 30'000}}});
     auto demands = demandsOf(hosts, 30'000 * 0.8 / hosts, 650);
+    std::vector<std::vector<Instant>> waiting(hosts); // until when
     int refused = 0;
     const auto step = [&](int host) {
+        auto &waits = waiting.at(static_cast<std::size_t>(host));
         for (int i = demands.at(static_cast<std::size_t>(host)).due(); i > 0; --i) {
-            refused += site.request(host, workspace, 650) ? 0 : 1;
+            waits.push_back(site.now() + patience);
         }
+        std::erase_if(waits, [&](Instant until) {
+            const bool isTaken = site.request(host, workspace, 650);
+            const bool isRefused = !isTaken && (site.now() >= until || !site.last().mayAsk);
+            refused += isRefused ? 1 : 0;
+            return isTaken || isRefused;
+        });
     };
     site.run(Milliseconds(6'000), step);
     refused = 0;
@@ -271,18 +280,17 @@
 {
     Site site(1, {{workspace, {100, 0}}});
     site.run(Milliseconds(5'000), [](int) {});
-    while (site.request(0, workspace, 20)) { }
-    while (site.last().mayAsk) {
+    const double amount = 28; // of 30 that the bucket holds
+    while (site.request(0, workspace, amount) || site.last().mayAsk) {
         site.run(Milliseconds(2), [](int) {});
-        site.request(0, workspace, 20);
     }
     const auto wait = site.last().retryAfter;
-    EXPECT_GT(wait, Milliseconds(20));
-    EXPECT_LE(wait, Milliseconds(400));
+    EXPECT_GT(wait, Milliseconds(100));
+    EXPECT_LE(wait, Milliseconds(280));
     site.run(wait / 2, [](int) {});
-    EXPECT_FALSE(site.request(0, workspace, 20));
-    site.run(wait / 2 + Milliseconds(104), [](int) {});
-    EXPECT_TRUE(site.request(0, workspace, 20));
+    EXPECT_FALSE(site.request(0, workspace, amount));
+    site.run(wait / 2 + Milliseconds(104), [](int) {}); // and a tick
+    EXPECT_TRUE(site.request(0, workspace, amount));
 }
 
 TEST(Quota, a_lower_limit_takes_credit_at_once)
@@ -319,7 +327,7 @@
     double spent = 0;
     site.run(Milliseconds(10'000), [&](int) {
         if (site.request(0, workspace, 1)) {
-            site.host(0).giveBack(workspace, 1, site.now());
+            site.host(0).giveBack(workspace, 1, site.now(), site.now());
         } else {
             ++spent; // a refusal, though nothing was spent
         }
@@ -409,9 +417,9 @@
     owner.setQuotas({{workspace, {100, 1'000}}}, at(0));
     owner.setHostCount(1, at(0));
     ASSERT_TRUE(owner.onAsk(hostA, {1, 1, 0}, at(0)));
-    ASSERT_TRUE(owner.onAsk(hostA, {1, 3, 1, false, {{workspace, 0, 0, 0, 5}}}, at(100)));
-    EXPECT_FALSE(owner.onAsk(hostA, {1, 3, 1, false, {{workspace, 0, 0, 0, 5}}}, at(100)));
-    EXPECT_FALSE(owner.onAsk(hostA, {1, 2, 1, false, {{workspace, 0, 0, 0, 5}}}, at(100)));
+    ASSERT_TRUE(owner.onAsk(hostA, {1, 3, 1, false, {{workspace, 0, 0, 0, 0, 5}}}, at(100)));
+    EXPECT_FALSE(owner.onAsk(hostA, {1, 3, 1, false, {{workspace, 0, 0, 0, 0, 5}}}, at(100)));
+    EXPECT_FALSE(owner.onAsk(hostA, {1, 2, 1, false, {{workspace, 0, 0, 0, 0, 5}}}, at(100)));
     EXPECT_NEAR(owner.stock(workspace, at(100)), 5, 0.01);
 }
 
@@ -425,7 +433,7 @@
     for (; sequence < 10; ++sequence) {
         ASSERT_TRUE(owner.onAsk(hostA, {1, sequence + 1, sequence}, at(static_cast<std::int64_t>(sequence) * 400)));
     }
-    const auto grant = owner.onAsk(hostA, {1, 11, 10, false, {{workspace, 0, 100, 1, 0, true}}}, at(4'000));
+    const auto grant = owner.onAsk(hostA, {1, 11, 10, false, {{workspace, 0, 100, 0, 1, 0}}}, at(4'000));
     ASSERT_TRUE(grant && !grant->entries.empty());
     EXPECT_EQ(grant->entries.front().granted, 100);
     EXPECT_EQ(owner.outstanding(workspace), 100);
@@ -444,8 +452,8 @@
         ASSERT_TRUE(owner.onAsk(hostA, {1, i, i - 1}, at(static_cast<std::int64_t>(i) * 400)));
     }
     const double stock = owner.stock(workspace, at(4'000));
-    ASSERT_TRUE(owner.onAsk(hostB, {1, 1, 0, false, {{workspace, 0, 3'000, 3'000, 0, true}}}, at(4'000))); // nothing for it yet
-    const auto grant = owner.onAsk(hostA, {1, 11, 10, false, {{workspace, 0, 1'000, 1, 0, true}}}, at(4'000));
+    ASSERT_TRUE(owner.onAsk(hostB, {1, 1, 0, false, {{workspace, 0, 3'000, 0, 3'000, 0}}}, at(4'000))); // nothing for it yet
+    const auto grant = owner.onAsk(hostA, {1, 11, 10, false, {{workspace, 0, 1'000, 0, 1, 0}}}, at(4'000));
     ASSERT_TRUE(grant);
     EXPECT_NEAR(grant->entries.at(0).granted, stock / 4, 1);
 }
