--- a/packages/quotas/quotahost.cpp
+++ b/packages/quotas/quotahost.cpp
@@ -163,7 +163,9 @@
     }
     const bool isEmpty = account.emptyUntil && now < *account.emptyUntil;
     const auto wait = isEmpty ? *account.emptyUntil - now : timeFor(amount - account.held, account.quota.perSecond);
-    return {.mayAsk = !isEmpty || wait <= emptyGap, .retryAfter = wait};
+    const bool isSoonAsked = !account.askAgainAt || *account.askAgainAt - now <= emptyGap;
+    counts_.refused += isSoonAsked ? 0 : 1;
+    return {.mayAsk = isSoonAsked, .retryAfter = wait};
 }
 
 void QuotaHost::giveBack(const WorkspaceId &workspace, double amount, Instant chargedAt, Instant now)
@@ -329,7 +331,7 @@
             account.askAgainAt.reset();
         } else {
             account.emptyUntil = now + entry.wait;
-            account.askAgainAt = now + std::max(entry.wait, emptyGap);
+            account.askAgainAt = now + std::clamp(entry.wait, emptyGap, longestEmptyGap);
         }
     }
     return true;
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -36,8 +36,8 @@
 public:
     struct Counts {
         double spent = 0;
-        double givenBack = 0; // charges that were not run
-        std::uint64_t refused = 0;
+        double givenBack = 0;      // charges that were not run
+        std::uint64_t refused = 0; // without a question to the owner
     };
 
     QuotaHost(std::uint64_t session, Instant now)
@@ -68,10 +68,11 @@
     /// Typical time from an ask to its grant; for the caller's waits.
     [[nodiscard]] Milliseconds expectedWait() const { return expectedWait_; }
 
-    static constexpr Milliseconds quickReport{40}; // after use, where little more than the rate may be out
-    static constexpr Milliseconds slowReport{250}; // after use, elsewhere
-    static constexpr Milliseconds askGap{20};      // between asks for requests that wait
-    static constexpr Milliseconds emptyGap{100};   // the same after a grant that gave nothing
+    static constexpr Milliseconds quickReport{40};      // after use, where little more than the rate may be out
+    static constexpr Milliseconds slowReport{250};      // after use, elsewhere
+    static constexpr Milliseconds askGap{20};           // between asks for requests that wait
+    static constexpr Milliseconds emptyGap{100};        // the same after a grant that gave nothing
+    static constexpr Milliseconds longestEmptyGap{400}; // others may want less by then than the owner thought
 
 private:
     struct Account {
