--- a/packages/core/types.h
+++ b/packages/core/types.h
@@ -50,7 +50,7 @@
 using ServiceName = Id<struct ServiceNameTag>;       // a group of plain service replicas
 using PromptPart = Id<struct PromptPartTag>;         // a part of a prompt that requests may share
 using RequestId = Id<struct RequestTag>;             // unique for each request of a caller
-using WorkspaceId = Id<struct WorkspaceTag>;           // a customer's keys, rank and quota
+using WorkspaceId = Id<struct WorkspaceTag>;         // a customer's keys, rank and quota
 
 /// A counter that only rises. Zero means "none yet".
 template<typename Tag>
--- a/packages/ownership/claims.cpp
+++ b/packages/ownership/claims.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::string_view enginePrefix = "engine/";
 constexpr std::string_view callsPrefix = "calls/";
+constexpr std::string_view quotaPrefix = "quota/";
 
 std::string_view kindName(ClaimKind kind)
 {
@@ -119,6 +120,21 @@
     return (to.kind == ClaimKind::Claim) == (*epoch == 0);
 }
 
+std::optional<int> partitionAfter(std::string_view prefix, const Resource &resource)
+{
+    const auto &text = resource.value();
+    if (!text.starts_with(prefix)) {
+        return {};
+    }
+    int partition = 0;
+    const char *end = text.data() + text.size();
+    auto [stop, error] = std::from_chars(text.data() + prefix.size(), end, partition);
+    if (error != std::errc() || stop != end || partition < 0) {
+        return {};
+    }
+    return partition;
+}
+
 } // namespace
 
 Resource engineResource(const core::UpstreamId &engine)
@@ -131,6 +147,11 @@
     return Resource(std::string(callsPrefix) + std::to_string(partition));
 }
 
+Resource quotaResource(int partition)
+{
+    return Resource(std::string(quotaPrefix) + std::to_string(partition));
+}
+
 Resource loadBudgetResource()
 {
     return Resource("loads");
@@ -146,17 +167,12 @@
 
 std::optional<int> partitionOf(const Resource &resource)
 {
-    const auto &text = resource.value();
-    if (!text.starts_with(callsPrefix)) {
-        return {};
-    }
-    int partition = 0;
-    const char *end = text.data() + text.size();
-    auto [stop, error] = std::from_chars(text.data() + callsPrefix.size(), end, partition);
-    if (error != std::errc() || stop != end || partition < 0) {
-        return {};
-    }
-    return partition;
+    return partitionAfter(callsPrefix, resource);
+}
+
+std::optional<int> quotaPartitionOf(const Resource &resource)
+{
+    return partitionAfter(quotaPrefix, resource);
 }
 
 std::string toJson(const ClaimRecord &record)
--- a/packages/ownership/claims.h
+++ b/packages/ownership/claims.h
@@ -1,7 +1,7 @@
 // ownership/claims.h: the claim records of a region's stream, and the ownership table that every reader derives from it. No I/O.
 //
 // Index
-//   Resource         what has one owner at a time: "engine/ID", "calls/PARTITION", "loads"
+//   Resource         what has one owner at a time: "engine/ID", "calls/PARTITION", "loads", "quota/PARTITION"
 //   ClaimRecord      Claim, Refresh, Release, Retire; JSON text
 //   Owner, Holder    the owner of a resource, the holder of an epoch
 //   ClaimTable       apply() records in stream order; ownerOf(), holderOf()
@@ -43,8 +43,10 @@
 [[nodiscard]] Resource engineResource(const core::UpstreamId &engine);            // "engine/ID"
 [[nodiscard]] Resource partitionResource(int partition);                          // "calls/N"
 [[nodiscard]] Resource loadBudgetResource();                                      // "loads"
+[[nodiscard]] Resource quotaResource(int partition);                              // "quota/N"
 [[nodiscard]] std::optional<core::UpstreamId> engineOf(const Resource &resource); // nullopt when it is not an engine
 [[nodiscard]] std::optional<int> partitionOf(const Resource &resource);           // nullopt when it is not a partition
+[[nodiscard]] std::optional<int> quotaPartitionOf(const Resource &resource);      // nullopt when it is not a partition of the quotas
 
 /// The holder of one epoch of a resource.
 struct Holder {
--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -148,6 +148,72 @@
     from.at(place++).get_to(to.probesLeft);
 }
 
+// Every host sends these several times a second: numbers at the end that are 0 are left out.
+void to_json(nlohmann::json &to, const QuotaAskEntry &from)
+{
+    to = nlohmann::json::array({from.workspace, from.held, from.urgent, from.inAdvance, from.least, from.returned, from.givenBack});
+    while (to.size() > 1 && to.back() == 0) {
+        to.erase(to.size() - 1);
+    }
+}
+
+void from_json(const nlohmann::json &from, QuotaAskEntry &to)
+{
+    std::size_t place = 0;
+    from.at(place++).get_to(to.workspace);
+    for (auto *number : {&to.held, &to.urgent, &to.inAdvance, &to.least, &to.returned, &to.givenBack}) {
+        if (place < from.size()) {
+            from.at(place++).get_to(*number);
+        }
+    }
+}
+
+void to_json(nlohmann::json &to, const QuotaGrantEntry &from)
+{
+    to = nlohmann::json::array({from.workspace, from.granted});
+    if (from.waitMs != 0) {
+        to.push_back(from.waitMs);
+    }
+}
+
+void from_json(const nlohmann::json &from, QuotaGrantEntry &to)
+{
+    constexpr std::size_t waitPlace = 2;
+    from.at(0).get_to(to.workspace);
+    from.at(1).get_to(to.granted);
+    to.waitMs = from.size() > waitPlace ? from.at(waitPlace).get<std::int64_t>() : 0;
+}
+
+void to_json(nlohmann::json &to, const QuotaAskNotice &from)
+{
+    to = nlohmann::json::array({from.partition, from.session, from.sequence, from.answered, from.isInFallback ? 1 : 0, from.entries});
+}
+
+void from_json(const nlohmann::json &from, QuotaAskNotice &to)
+{
+    std::size_t place = 0;
+    from.at(place++).get_to(to.partition);
+    from.at(place++).get_to(to.session);
+    from.at(place++).get_to(to.sequence);
+    from.at(place++).get_to(to.answered);
+    to.isInFallback = from.at(place++).get<int>() != 0;
+    from.at(place++).get_to(to.entries);
+}
+
+void to_json(nlohmann::json &to, const QuotaGrantNotice &from)
+{
+    to = nlohmann::json::array({from.partition, from.session, from.sequence, from.entries});
+}
+
+void from_json(const nlohmann::json &from, QuotaGrantNotice &to)
+{
+    std::size_t place = 0;
+    from.at(place++).get_to(to.partition);
+    from.at(place++).get_to(to.session);
+    from.at(place++).get_to(to.sequence);
+    from.at(place++).get_to(to.entries);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashEntry, upstream, ageMs, cuts)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashReportNotice, crashes, served, refused, held)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashVerdictsNotice, verdicts)
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -4,7 +4,8 @@
 //   Hello, Proof     the handshake: the first two frames of each side; any other frame before them is rejected
 //   Gossip           a membership message
 //   Notice           one-way message: WidthNotice, PrefetchNotice, UsesNotice, LoadsNotice, StorePageNotice, ClockQuery, ClockAnswer, LimitEndNotice,
-//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice, ReachNotice, RelayCreditNotice, SendRefusedNotice, BrittleNotice
+//                    CrashReportNotice, CrashVerdictsNotice, StreamOriginNotice, ReachNotice, RelayCreditNotice, SendRefusedNotice, BrittleNotice,
+//                    QuotaAskNotice, QuotaGrantNotice
 //   Call, Reply, Cancel   calls with any number of replies
 //     ProbeCall      how soon could this engine serve this adapter?   -> HintReply
 //     RunCall        run this request on this engine                  -> StartedReply, DataReply..., EndReply
@@ -397,6 +398,43 @@
     std::int64_t bytes = 0;
 };
 
+/// quotas::AskEntry.
+struct QuotaAskEntry {
+    core::WorkspaceId workspace;
+    std::int64_t held = 0;
+    std::int64_t urgent = 0;
+    std::int64_t inAdvance = 0;
+    std::int64_t least = 0;
+    std::int64_t returned = 0;
+    std::int64_t givenBack = 0;
+};
+
+/// Asks the owner of a partition of the workspaces for credit; quotas::Ask. Only sent to hosts that have claimed such a partition, so that no
+/// host of an earlier build gets one.
+struct QuotaAskNotice {
+    int partition = 0;
+    std::uint64_t session = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t answered = 0;
+    bool isInFallback = false;
+    std::vector<QuotaAskEntry> entries;
+};
+
+/// quotas::GrantEntry.
+struct QuotaGrantEntry {
+    core::WorkspaceId workspace;
+    std::int64_t granted = 0;
+    std::int64_t waitMs = 0;
+};
+
+/// Answers a QuotaAskNotice; quotas::Grant.
+struct QuotaGrantNotice {
+    int partition = 0;
+    std::uint64_t session = 0;
+    std::uint64_t sequence = 0;
+    std::vector<QuotaGrantEntry> entries;
+};
+
 struct Notice {
     std::variant<WidthNotice,
                  PrefetchNotice,
@@ -412,7 +450,9 @@
                  ReachNotice,
                  RelayCreditNotice,
                  SendRefusedNotice,
-                 BrittleNotice>
+                 BrittleNotice,
+                 QuotaAskNotice,
+                 QuotaGrantNotice>
         body;
 };
 
--- a/packages/quotas/quotahost.cpp
+++ b/packages/quotas/quotahost.cpp
@@ -117,7 +117,7 @@
     if (account.fallbackStock >= amount) {
         account.fallbackStock -= amount;
         counts_.spent += amount;
-        return {.isTaken = true};
+        return {.isTaken = true, .amount = amount};
     }
     ++counts_.refused;
     const bool isPossible = amount <= fallbackSeconds * share(account);
@@ -138,15 +138,25 @@
 }
 
 Charge QuotaHost::tryTake(const WorkspaceId &workspace, double amount, Instant now)
+{
+    if (const auto found = accounts_.find(workspace); found != accounts_.end()) {
+        noteDemand(found->second, std::max(0.0, std::ceil(amount)), now);
+    }
+    return tryAgain(workspace, amount, now);
+}
+
+Charge QuotaHost::tryAgain(const WorkspaceId &workspace, double amount, Instant now)
 {
     const auto found = accounts_.find(workspace);
     if (found == accounts_.end()) {
         return {.isTaken = true};
     }
     update(now);
-    auto &account = found->second;
-    amount = std::max(0.0, std::ceil(amount));
-    noteDemand(account, amount, now);
+    return take(found->second, std::max(0.0, std::ceil(amount)), now);
+}
+
+Charge QuotaHost::take(Account &account, double amount, Instant now)
+{
     if (amount > depthOf(account.quota)) {
         ++counts_.refused;
         return {.retryAfter = neverRetry};
@@ -159,7 +169,7 @@
         account.spentSinceAsk += amount;
         account.isDirty = true;
         counts_.spent += amount;
-        return {.isTaken = true};
+        return {.isTaken = true, .amount = amount};
     }
     const bool isEmpty = account.emptyUntil && now < *account.emptyUntil;
     const auto wait = isEmpty ? *account.emptyUntil - now : timeFor(amount - account.held, account.quota.perSecond);
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -6,7 +6,7 @@
 //   host.onNewOwner();                               // another host owns the partition
 //   const auto charge = host.tryTake(workspace, amount, now);
 //   if (charge.isTaken) ...                          // send it; host.giveBack(workspace, amount, chargedAt, now) when it was not run
-//   else if (charge.mayAsk) ...                      // host.wait(workspace, amount), ask, try again after the grant, host.endWait()
+//   else if (charge.mayAsk) ...                      // host.wait(workspace, amount), ask, tryAgain() after the grant, endWait()
 //   else ...                                         // refuse; credit is there after charge.retryAfter
 //   if (host.isAskDue(now)) send(host.makeAsk(now)); // every tick, and at once when a request begins to wait; only if an owner is known
 //   host.onGrant(grant, now);
@@ -27,6 +27,7 @@
 
 struct Charge {
     bool isTaken = false;
+    double amount = 0;          // taken; 0 of a workspace without a quota
     bool mayAsk = false;        // the owner may have credit; waiting for its answer makes sense
     Milliseconds retryAfter{0}; // of a refusal
 };
@@ -50,6 +51,8 @@
     void onNewOwner();
 
     [[nodiscard]] Charge tryTake(const WorkspaceId &workspace, double amount, Instant now);
+    /// The same for a request that was tried before.
+    [[nodiscard]] Charge tryAgain(const WorkspaceId &workspace, double amount, Instant now);
     /// A charge of `chargedAt` was not run.
     void giveBack(const WorkspaceId &workspace, double amount, Instant chargedAt, Instant now);
     /// A request of this amount waits for credit, from wait() until endWait().
@@ -99,6 +102,7 @@
     void beginFallback(Instant now);
     void fillFallback(Account &account, Instant now) const;
     [[nodiscard]] double share(const Account &account) const;
+    [[nodiscard]] Charge take(Account &account, double amount, Instant now);
     [[nodiscard]] Charge takeInFallback(Account &account, double amount, Instant now);
     static void noteDemand(Account &account, double amount, Instant now);
     [[nodiscard]] static double demand(const Account &account, Instant now);
--- a/packages/quotas/tests/quotaboundtest.cpp
+++ b/packages/quotas/tests/quotaboundtest.cpp
@@ -341,7 +341,7 @@
         }
         auto &quotas = *host.quotas;
         std::erase_if(host.waits, [&](const Wait &wait) {
-            const bool isTaken = take(host, wait.amount, clock).isTaken;
+            const bool isTaken = take(host, wait.amount, clock, true).isTaken;
             if (isTaken || now_ >= wait.until) {
                 quotas.endWait(workspace, wait.amount);
                 return true;
@@ -366,9 +366,9 @@
         }
     }
 
-    Charge take(Host &host, double amount, Instant clock)
+    Charge take(Host &host, double amount, Instant clock, bool isAgain = false)
     {
-        const auto charge = host.quotas->tryTake(workspace, amount, clock);
+        const auto charge = isAgain ? host.quotas->tryAgain(workspace, amount, clock) : host.quotas->tryTake(workspace, amount, clock);
         if (charge.isTaken) {
             spends_.push_back({now_, amount});
             owners_.push_back(&host);
--- a/packages/quotas/tests/quotatest.cpp
+++ b/packages/quotas/tests/quotatest.cpp
@@ -63,7 +63,7 @@
             asked.wait(id, amount, now_);
             exchange(host, true);
             asked.endWait(id, amount);
-            charge = asked.tryTake(id, amount, now_);
+            charge = asked.tryAgain(id, amount, now_);
         }
         last_ = charge;
         return charge.isTaken;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -95,6 +95,7 @@
                       .reaches = [this](const HostId &host) { return node_.reachability.reaches(host, node_.now()); }})
     , prefillGate_(node_)
     , sendGate_(node_, [this](const UpstreamId &id) { return reportedLoad(id); })
+    , quotaExchange_(node_, incarnation, quotaOwnership())
     , callerServer_(io,
                     {.limits = [this] { return node_.routes ? node_.routes->limits() : CallerLimits(); },
                      .onInvalidRequest =
@@ -159,6 +160,7 @@
     node_.residency = this;
     node_.streams = &streamExchange_;
     node_.relays = &relayExchange_;
+    node_.quotas = &quotaExchange_;
     node_.onNoContact = [this](const UpstreamId &id) {
         if (const auto owned = ownedReplicas_.find(id); owned != ownedReplicas_.end()) {
             owned->second->onNoContact();
@@ -463,6 +465,9 @@
             resources.push_back({ownership::engineResource(id), node_.replicas.find(id)->zone});
         }
     }
+    for (auto &resource : quotaExchange_.resources()) {
+        resources.push_back({std::move(resource), ZoneId()});
+    }
     planner_.setResources(std::move(resources));
     std::vector<Reachability::Upstream> upstreams;
     for (const auto &id : node_.replicas.all()) {
@@ -632,6 +637,7 @@
     crashExchange_.setLinks(*links_);
     streamExchange_.setLinks(*links_);
     relayExchange_.setLinks(*links_);
+    quotaExchange_.setLinks(*links_);
     for (const auto &[host, announced] : announcedHosts_) {
         if (host != node_.settings.host) {
             links_->setAddress(host, announced.peerAddress);
@@ -828,6 +834,8 @@
     crashExchange_.tick();
     streamExchange_.tick();
     relayExchange_.tick(tickInterval);
+    quotaExchange_.setHosts(static_cast<int>(announcedHosts_.size()));
+    quotaExchange_.tick();
     if (now >= nextHousekeeping_) {
         nextHousekeeping_ = now + housekeepingInterval;
         node_.pool.expire(now);
@@ -1104,6 +1112,21 @@
 }
 
 /// Without an owner that answers nothing is sent: what a host by itself takes for its share does not bound the sum.
+QuotaExchange::Ownership HostedDaemon::quotaOwnership() const
+{
+    return {.ownerOf = [this](int partition) -> std::optional<ownership::Owner> {
+                const auto owner = planner_.ownerOf(ownership::quotaResource(partition));
+                const bool isOwn = owner && owner->host == node_.settings.host && owner->incarnation == incarnation_;
+                return owner && (isOwn || planner_.isUsable(*owner)) ? owner : std::nullopt;
+            },
+            .actingEpoch = [this](int partition) -> std::optional<core::Epoch> {
+                const auto resource = ownership::quotaResource(partition);
+                const auto owner = planner_.ownerOf(resource);
+                const bool mayAct = owner && owner->host == node_.settings.host && planner_.mayAct(resource, owner->epoch, node_.now());
+                return mayAct ? std::optional(owner->epoch) : std::nullopt;
+            }};
+}
+
 net::Task<SendPermit> HostedDaemon::takeSendPermit(SendRequest request)
 {
     const SendPermit refusal{.wait = unownedSendWait, .isAnswered = false};
@@ -1309,6 +1332,10 @@
         node_.reachability.onPeer(from, reach->reaches, node_.now());
     } else if (const auto *credit = std::get_if<peers::RelayCreditNotice>(&notice.body)) {
         relayExchange_.onCredit(from, *credit);
+    } else if (const auto *ask = std::get_if<peers::QuotaAskNotice>(&notice.body)) {
+        quotaExchange_.onAsk(from, *ask);
+    } else if (const auto *grant = std::get_if<peers::QuotaGrantNotice>(&notice.body)) {
+        quotaExchange_.onGrant(from, *grant);
     } else if (const auto *update = std::get_if<peers::LoadsNotice>(&notice.body)) {
         UpstreamLoads loads;
         for (const auto &[id, running, prefillMs] : update->loads) {
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -28,6 +28,7 @@
 #include <serving/newestconfiguration.h>
 #include <serving/ownedreplica.h>
 #include <serving/prefillgate.h>
+#include <serving/quotaexchange.h>
 #include <serving/relayexchange.h>
 #include <serving/sendgate.h>
 #include <serving/storepages.h>
@@ -125,6 +126,7 @@
     [[nodiscard]] std::optional<int> reportedLoad(const UpstreamId &id) const; // requests of all hosts at the upstream
     [[nodiscard]] bool mayGrantSends(const UpstreamId &id) const;              // this host owns the upstream, and the ownership is valid now
     [[nodiscard]] std::optional<HostId> ownerOf(const UpstreamId &replica) const;
+    [[nodiscard]] QuotaExchange::Ownership quotaOwnership() const;
     // Peers.
     [[nodiscard]] peers::LinkHandlers linkHandlers();
     net::Task<void> handleCall(std::shared_ptr<peers::IncomingCall> call);
@@ -152,6 +154,7 @@
     RelayExchange relayExchange_;
     PrefillGate prefillGate_;
     SendGate sendGate_;
+    QuotaExchange quotaExchange_;
     CallerServer callerServer_;
     net::HttpServer operatorServer_;
     net::HttpServer metricsServer_;
--- a/packages/serving/model.h
+++ b/packages/serving/model.h
@@ -29,6 +29,7 @@
 using core::RequestId;
 using core::ServiceName;
 using core::UpstreamId;
+using core::WorkspaceId;
 using core::ZoneId;
 
 using AdapterRevision = core::Ordinal<struct AdapterRevisionTag>; // version of an adapter's weights; increases
@@ -59,6 +60,13 @@
     double weight = 1; // share of the route's requests, relative to the other services
 };
 
+struct WorkspaceQuota {
+    double perSecond = 0; // 0: none
+    double burst = 0;
+    bool countsTokens = false;
+    double flatTokens = 0; // of a request that names no tokens
+};
+
 struct Route {
     std::string name;
     std::string host;       // without a port
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   ServingMetrics    all metric families of a hosted daemon
+//   QuotaSource       charges requests to their workspace's quota
 //   ResidencySource   gets weights loaded on a replica, which another host may own
 //   Node              all shared state
 #pragma once
@@ -43,17 +44,21 @@
     ServingMetrics();
 
     metrics::Registry registry;
-    metrics::Counter &requests;           // service, status, reason
-    metrics::Histogram &requestDuration;  // service
-    metrics::Histogram &firstEvent;       // service
-    metrics::Histogram &eventPause;       // service
-    metrics::Histogram &residencyWait;    // outcome
-    metrics::Histogram &prefillWait;      // where
-    metrics::Counter &sends;              // service, outcome
-    metrics::Counter &takenUpStreams;     // record, age, reason
-    metrics::Counter &sendPermits;        // outcome
-    metrics::Counter &relays;             // side, outcome
-    metrics::Counter &brittleRefusals;    // service
+    metrics::Counter &requests;          // service, status, reason
+    metrics::Histogram &requestDuration; // service
+    metrics::Histogram &firstEvent;      // service
+    metrics::Histogram &eventPause;      // service
+    metrics::Histogram &residencyWait;   // outcome
+    metrics::Histogram &prefillWait;     // where
+    metrics::Counter &sends;             // service, outcome
+    metrics::Counter &takenUpStreams;    // record, age, reason
+    metrics::Counter &sendPermits;       // outcome
+    metrics::Counter &relays;            // side, outcome
+    metrics::Counter &brittleRefusals;   // service
+    metrics::Counter &quotaCredit;       // what
+    metrics::Counter &quotaRefusals;     // where
+    metrics::Gauge &quotaFallback;
+    metrics::Gauge &quotaServedHosts;     // partition
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
     metrics::Counter &unreadableRequests; // status
@@ -138,6 +143,30 @@
     virtual net::Task<FoundStream> find(RequestId id, Milliseconds patience) = 0;
 };
 
+/// Credit of a workspace that a request was charged with.
+struct QuotaCharge {
+    WorkspaceId workspace;
+    double amount = 0; // 0: nothing was charged
+    Instant at;
+};
+
+struct QuotaDecision {
+    bool isGranted = false;
+    Milliseconds retryAfter{0}; // of a refusal: until credit is there
+    QuotaCharge charge = {};
+};
+
+/// The quotas of workspaces over all hosts.
+class QuotaSource
+{
+public:
+    virtual ~QuotaSource() = default;
+    /// Charges one request; it waits `maxWait` at most. A workspace without a quota is granted at once.
+    virtual net::Task<QuotaDecision> take(WorkspaceId workspace, double amount, Milliseconds maxWait) = 0;
+    /// The request was not run.
+    virtual void giveBack(const QuotaCharge &charge) = 0;
+};
+
 struct ActiveRevision {
     AdapterRevision revision;
     Instant since;
@@ -222,6 +251,7 @@
     std::map<BaseModel, admission::DecayingCount> demand;      // recent requests of this host by base model
     ResidencySource *residency = nullptr;                      // set before the first request
     StreamDirectory *streams = nullptr;                        // the same
+    QuotaSource *quotas = nullptr;                             // null: no workspace is limited
     RelaySource *relays = nullptr;                             // null: requests are sent by this host only
     int hostCount = 1;
 
