--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -67,6 +67,8 @@
 constexpr double shrinkingFill
     = 0.75; // running requests per slot; beyond it a version whose upstreams leave takes new streams only when no other has a free slot
 constexpr Milliseconds unknownStreamRetryAfter{300};   // Retry-After when this host can't know a stream's version: another host may
+constexpr Milliseconds maxQuotaWait{150};              // for the answer of the quota's owner: some round trips and a busy host
+constexpr std::int64_t quotaWaitDivisor = 4;           // of the latency objective, for the same
 constexpr std::string_view unknownKey = "unknown_key"; // reasons of refusals
 constexpr std::string_view configurationUnproven = "configuration_unproven";
 constexpr double freeSlotFill = 1; // running requests per slot; below it a request starts immediately
@@ -119,6 +121,7 @@
         watchdog_.disarm();
         stopWatchdog_.reset();
         releaseConnection(false);
+        settleQuota();
         if (!isRefusedForStop_) {
             logRequest();
         }
@@ -275,7 +278,7 @@
             lastWrite_ = node_.now();
             status_ = 200;
         }
-        co_return true;
+        co_return co_await chargeQuota();
     }
 
     // ---- Workspaces ----
@@ -284,9 +287,42 @@
     {
         workspace_ = workspace == nullptr ? WorkspaceId() : workspace->name;
         rank_ = workspace == nullptr ? std::nullopt : workspace->priority;
+        quota_ = workspace == nullptr ? WorkspaceQuota() : workspace->quota;
         workspaceLabel_ = workspace == nullptr ? std::string() : std::string(routes_->labelOf(*workspace));
     }
 
+    /// Charged where the caller arrived, before anything else waits: what counts is when requests are sent to this system.
+    net::Task<bool> chargeQuota()
+    {
+        if (node_.quotas == nullptr || quota_.perSecond <= 0 || request_.relayedFrom != nullptr) {
+            co_return true;
+        }
+        const double tokens = metadata_.namesTokens ? metadata_.promptTokens + metadata_.maxOutputTokens : quota_.flatTokens;
+        const auto maxWait = std::min(maxQuotaWait, route_->latencyObjective / quotaWaitDivisor);
+        const auto decision = co_await node_.quotas->take(workspace_, quota_.countsTokens ? tokens : 1, maxWait);
+        if (decision.isGranted) {
+            charge_ = decision.charge;
+            co_return true;
+        }
+        constexpr int tooManyRequests = 429;
+        co_await refuse(tooManyRequests, "over_quota", decision.retryAfter);
+        logRequest();
+        co_return false;
+    }
+
+    /// A charge counts only for what may run.
+    void settleQuota()
+    {
+        constexpr int unauthorized = 401;
+        constexpr int unavailable = 503;
+        const bool isOwnAnswer = reason_ != std::string_view("upstream_status") && reason_ != std::string_view("relayed");
+        const bool isRefused = isOwnAnswer && (status_ == unavailable || status_ == unauthorized);
+        const bool isUnsent = status_ == 0 && tries_.used() == 0;
+        if (charge_.amount > 0 && !mayHaveRun_ && !hasResponseBegun_ && (isRefused || isUnsent)) {
+            node_.quotas->giveBack(std::exchange(charge_, {}));
+        }
+    }
+
     /// On arrival. Another host's configuration may be another one, so it decides what becomes of its request.
     net::Task<void> refuseAccess(AccessVerdict verdict)
     {
@@ -1818,6 +1854,8 @@
     RequestMetadata metadata_;
     WorkspaceId workspace_;      // empty: the caller has none
     std::optional<int> rank_;    // of the workspace
+    WorkspaceQuota quota_;       // the same
+    QuotaCharge charge_;         // given back when the request does not run
     std::string workspaceLabel_; // in metrics
     bool isAccessLost_ = false;  // since the request arrived
     RequestKey requestKey_;
--- a/packages/serving/routes.cpp
+++ b/packages/serving/routes.cpp
@@ -73,6 +73,17 @@
     return configuration_.workspaces ? *configuration_.workspaces : none;
 }
 
+std::map<WorkspaceId, WorkspaceQuota> RouteTable::quotas() const
+{
+    std::map<WorkspaceId, WorkspaceQuota> found;
+    for (const auto &each : workspaces()) {
+        if (each.quota.perSecond > 0) {
+            found[each.name] = each.quota;
+        }
+    }
+    return found;
+}
+
 const Workspace *RouteTable::workspaceOf(std::string_view key) const
 {
     const auto owner = keys_ ? keys_->find(key) : std::nullopt;
--- a/packages/serving/routes.h
+++ b/packages/serving/routes.h
@@ -45,6 +45,8 @@
     [[nodiscard]] bool hasWorkspaces() const { return keys_.has_value(); }
     /// Without their keys.
     [[nodiscard]] const std::vector<Workspace> &workspaces() const;
+    /// Of the workspaces that have one.
+    [[nodiscard]] std::map<WorkspaceId, WorkspaceQuota> quotas() const;
     /// Nullptr for a key of no workspace or of several. The result is valid as long as the table.
     [[nodiscard]] const Workspace *workspaceOf(std::string_view key) const;
     /// The workspace's name for metrics: that of one of the largest by quota, or "other".
