--- a/packages/quotas/quotahost.cpp
+++ b/packages/quotas/quotahost.cpp
@@ -10,6 +10,7 @@
 constexpr double demandSeconds = 0.5;        // over which recent demand is averaged
 constexpr double typicalWeight = 0.1;        // of the newest request in the typical amount
 constexpr Milliseconds answerMargin{50};     // credit in advance lasts this much longer than until the next ask
+constexpr Milliseconds quickIdleAfter{500};  // the same where little is there for all
 constexpr Milliseconds idleAfter{2'000};     // credit of a workspace without requests goes back
 constexpr Milliseconds fallbackRetry{1'000}; // Retry-After of what can't be served without the owner
 constexpr Milliseconds neverRetry{60'000};   // Retry-After of a request that the quota never allows
@@ -222,17 +223,27 @@
     }
 }
 
-Milliseconds QuotaHost::reportInterval(const Account &account)
+bool QuotaHost::isIdle(const Account &account, Instant now)
+{
+    return now - account.usedAt >= (hasLittleBurst(account) ? quickIdleAfter : idleAfter);
+}
+
+bool QuotaHost::hasLittleBurst(const Account &account)
 {
     constexpr double littleBurstSeconds = 0.5;
-    return account.quota.burst < littleBurstSeconds * account.quota.perSecond ? quickReport : slowReport;
+    return account.quota.burst < littleBurstSeconds * account.quota.perSecond;
+}
+
+Milliseconds QuotaHost::reportInterval(const Account &account)
+{
+    return hasLittleBurst(account) ? quickReport : slowReport;
 }
 
 /// Credit to have at hand: for the requests until the next ask is answered. One request where they come one by one.
 double QuotaHost::target(const Account &account, Instant now)
 {
     const double expected = demand(account, now) * seconds(reportInterval(account) + answerMargin);
-    const bool isRecent = now - account.usedAt < idleAfter && account.usedAt != Instant();
+    const bool isRecent = !isIdle(account, now) && account.usedAt != Instant();
     return std::floor(std::max(expected, isRecent ? std::ceil(account.typical) : 0));
 }
 
@@ -262,9 +273,8 @@
 void QuotaHost::returnUnused(Account &account, Instant now)
 {
     const double wanted = target(account, now) + account.waitingSum;
-    const bool isIdle = now - account.usedAt >= idleAfter;
     const bool isRemainder = account.waiting.empty() && account.held < account.typical / 2 && wanted <= std::ceil(account.typical);
-    const double kept = isIdle || isRemainder ? 0 : 2 * wanted;
+    const double kept = isIdle(account, now) || isRemainder ? 0 : 2 * wanted;
     if (account.held > kept) {
         account.toReturn += account.held - kept;
         account.held = kept;
@@ -293,9 +303,9 @@
     update(now);
     Ask ask{session_, ++sequence_, answered_, isInFallback_};
     for (auto &[id, account] : accounts_) {
-        const bool isIdle = account.held > 0 && now - account.usedAt >= idleAfter;
+        const bool isUnused = account.held > 0 && isIdle(account, now);
         const bool isWaiting = account.waitingSum > account.held;
-        account.isListed = !isInFallback_ && (account.isDirty || isIdle || isWaiting);
+        account.isListed = !isInFallback_ && (account.isDirty || isUnused || isWaiting);
         if (!account.isListed) {
             continue;
         }
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -106,6 +106,8 @@
     [[nodiscard]] Charge takeInFallback(Account &account, double amount, Instant now);
     static void noteDemand(Account &account, double amount, Instant now);
     [[nodiscard]] static double demand(const Account &account, Instant now);
+    [[nodiscard]] static bool isIdle(const Account &account, Instant now);
+    [[nodiscard]] static bool hasLittleBurst(const Account &account);
     [[nodiscard]] static Milliseconds reportInterval(const Account &account);
     [[nodiscard]] static double target(const Account &account, Instant now);
     [[nodiscard]] bool isUrgent(const Account &account, Instant now) const;
--- a/packages/quotas/quotaowner.cpp
+++ b/packages/quotas/quotaowner.cpp
@@ -86,7 +86,7 @@
 
 double QuotaOwner::limitOf(const Bucket &bucket, Instant now) const
 {
-    const double depth = depthOf(bucket.quota);
+    const double depth = std::max(unitAmount, depthOf(bucket.quota) * servedPart());
     if (now - ownedSince_ >= Timing::settleTime) {
         return depth;
     }
@@ -193,6 +193,9 @@
         dropOutstanding(from); // the run that held it has ended
         host = Host{.session = ask.session};
     }
+    if (ask.answered > host.sequence || host.sequence == 0) { // another owner may have answered it
+        host.countsFrom = ask.isInFallback ? now : now + Timing::servedTime;
+    }
     const bool isConfirmed = ask.answered == host.sequence && host.sequence > 0;
     const bool isRecent = isConfirmed && now - host.askedAt <= recentAsk; // it was sent after the last one had come
     if (ask.isInFallback) {                                               // it has dropped what it held
@@ -200,7 +203,7 @@
         dropOutstanding(from);
     } else if (isConfirmed) {
         const auto until = host.askedAt + Timing::servedTime;
-        setServed(from, host, until > now ? std::optional(until) : std::nullopt);
+        setServed(from, host, until > now && now >= host.countsFrom ? std::optional(until) : std::nullopt);
     } else {
         takeBack(from, host, now);
     }
--- a/packages/quotas/quotaowner.h
+++ b/packages/quotas/quotaowner.h
@@ -9,7 +9,10 @@
 // Timing::servedTime. Hosts that hear no owner spend just that share by themselves, so the sum holds without knowing which of them do.
 // A served time counts from an ask whose answer the host says to have; so it has ended before the host's own wait for an answer has.
 //
-// Stock and outstanding credit together stay below depthOf(). While credit of an earlier owner may be out that this one doesn't know of, for
+// Two hosts may act as owners at one time, for one that has lost the store can't know that it was replaced. Each host asks one of them. An owner
+// counts a host that had its answers elsewhere only after Timing::servedTime, and its stock is bounded by the part of the hosts that it counts.
+//
+// Stock and outstanding credit together stay below depthOf() times that part. While credit of an earlier owner may be out that this one doesn't know of, for
 // Timing::settleTime, they stay below that by what may be out.
 //
 // A charge that was not run gets its credit back as far as the bucket would have held it all the time since: a full bucket takes nothing, so
@@ -75,6 +78,7 @@
         std::uint64_t session = 0;
         std::uint64_t sequence = 0;
         Instant askedAt;
+        Instant countsFrom; // before that another owner may still fill for it
         std::optional<Instant> servedUntil;
         std::vector<GrantEntry> lastGrant;
         bool isDropped = false; // what it held no longer counts
--- a/packages/quotas/tests/quotaboundtest.cpp
+++ b/packages/quotas/tests/quotaboundtest.cpp
@@ -128,6 +128,7 @@
         Instant deadUntil;
         Instant cutUntil;
         bool isCutOneWay = false; // it still sends
+        Instant actsOnUntil;      // although it was replaced
         std::vector<Wait> waits;
         Quota quota;
         Instant learnsQuotaAt;
@@ -167,6 +168,7 @@
         host.quotas->setQuotas(quotasOf(host), clockOf(host));
         host.quotas->setHostCount(hostCount_);
         host.ownerRole.reset();
+        host.actsOnUntil = Instant(0);
         host.ownerTerm = -1;
         host.knownOwner = -1;
         host.knownTerm = -1;
@@ -187,11 +189,14 @@
     /// The planner lets nobody act for a while, then another host, or the same one again.
     void endTerm(int least, int longest)
     {
+        if (owner_ >= 0 && chance(0.4)) {
+            hosts_[static_cast<std::size_t>(owner_)].actsOnUntil = in(0, longest + 4'000);
+        }
         owner_ = integer(0, hostCount_ - 1);
         ++term_;
         termBegins_ = in(least, longest);
         for (auto &host : hosts_) {
-            host.learnsOwnerAt = in(least, longest + 1'000);
+            host.learnsOwnerAt = in(least, longest + (chance(0.5) ? 1'000 : 5'000));
         }
     }
 
@@ -286,7 +291,12 @@
         }
     }
 
-    [[nodiscard]] bool mayAct(const Host &host, int index) const { return index == owner_ && now_ >= termBegins_ && host.ownerTerm == term_; }
+    /// A host that has lost the store goes on as the owner until it learns of the next one.
+    [[nodiscard]] bool mayAct(const Host &host, int index) const
+    {
+        const bool isOwner = index == owner_ && now_ >= termBegins_ && host.ownerTerm == term_;
+        return isOwner || (host.ownerRole && now_ < host.actsOnUntil);
+    }
 
     void receive(Host &to, const Message &message)
     {
--- a/packages/quotas/tests/quotatest.cpp
+++ b/packages/quotas/tests/quotatest.cpp
@@ -382,6 +382,15 @@
     EXPECT_EQ(host.held(workspace), 10);
 }
 
+/// Asks without entries every 400 ms, the first one numbered 1; returns the number of the last.
+std::uint64_t heartbeats(QuotaOwner &owner, const HostId &host, std::uint64_t count)
+{
+    for (std::uint64_t i = 1; i <= count; ++i) {
+        EXPECT_TRUE(owner.onAsk(host, {1, i, i - 1}, at(static_cast<std::int64_t>(i) * 400)));
+    }
+    return count;
+}
+
 // Failure: a host hears no owner, so it spends by itself; the owner must not fill for it, before it knows that this has ended.
 TEST(Quota, the_owner_fills_nothing_for_a_host_that_spends_by_itself)
 {
@@ -393,21 +402,49 @@
         ASSERT_TRUE(owner.onAsk(hostB, {1, i, 0, true}, at(static_cast<std::int64_t>(i) * 400)));
     }
     EXPECT_EQ(owner.servedHosts(at(4'000)), 1);
-    EXPECT_NEAR(owner.stock(workspace, at(4'000)), 50 * 3.2, 1); // since A's second ask
+    EXPECT_NEAR(owner.stock(workspace, at(4'000)), 50 * 2.4, 1); // since A has asked for 1.2 s
     ASSERT_TRUE(owner.onAsk(hostB, {1, 11, 10}, at(4'000)));
     EXPECT_EQ(owner.servedHosts(at(4'000)), 2);
     EXPECT_EQ(owner.servedHosts(at(5'200)), 0);
 }
 
-// Failure: the owner stands still for a while; what it fills afterwards is only for the time in which hosts were served.
+// Failure: a host was served by another owner a moment ago, which may still fill for it.
+TEST(Quota, a_host_that_comes_from_another_owner_counts_when_that_one_has_ceased_to_count_it)
+{
+    QuotaOwner owner(at(0));
+    owner.setQuotas({{workspace, {100, 1'000}}}, at(0));
+    owner.setHostCount(1, at(0));
+    ASSERT_TRUE(owner.onAsk(hostA, {1, 21, 20}, at(0)));
+    ASSERT_TRUE(owner.onAsk(hostA, {1, 22, 21}, at(400)));
+    EXPECT_EQ(owner.servedHosts(at(400)), 0);
+    ASSERT_TRUE(owner.onAsk(hostA, {1, 23, 22}, at(800)));
+    ASSERT_TRUE(owner.onAsk(hostA, {1, 24, 23}, at(1'200)));
+    EXPECT_EQ(owner.servedHosts(at(1'200)), 1);
+    ASSERT_TRUE(owner.onAsk(hostA, {1, 31, 30}, at(1'600))) << "it was elsewhere in between";
+    ASSERT_TRUE(owner.onAsk(hostA, {1, 32, 31}, at(2'000)));
+    EXPECT_EQ(owner.servedHosts(at(2'000)), 0);
+}
+
+// Failure: an owner that can't know that it was replaced goes on for some hosts; two owners together must not save up two bursts.
+TEST(Quota, the_stock_is_bounded_by_the_part_of_the_hosts_that_ask)
+{
+    QuotaOwner owner(at(0));
+    owner.setQuotas({{workspace, {100, 100}}}, at(0));
+    owner.setHostCount(4, at(0));
+    heartbeats(owner, hostA, 100);
+    EXPECT_LE(owner.stock(workspace, at(40'000)), depthOf({100, 100}) / 4);
+}
+
+// Failure: the owner stands still for a while; it does not fill for the time in which nobody was served.
 TEST(Quota, a_thawed_owner_fills_only_for_the_served_time)
 {
     QuotaOwner owner(at(0));
     owner.setQuotas({{workspace, {100, 10'000}}}, at(0));
     owner.setHostCount(1, at(0));
-    ASSERT_TRUE(owner.onAsk(hostA, {1, 1, 0}, at(0)));
-    ASSERT_TRUE(owner.onAsk(hostA, {1, 2, 1}, at(100))); // served until 1,200 ms
-    EXPECT_NEAR(owner.stock(workspace, at(60'000)), 110, 1);
+    heartbeats(owner, hostA, 10);
+    const double before = owner.stock(workspace, at(4'000));
+    EXPECT_NEAR(before, 240, 1);
+    EXPECT_LE(owner.stock(workspace, at(60'000)), before + 80);
 }
 
 // Failure: messages come twice and in another order.
@@ -416,11 +453,13 @@
     QuotaOwner owner(at(0));
     owner.setQuotas({{workspace, {100, 1'000}}}, at(0));
     owner.setHostCount(1, at(0));
-    ASSERT_TRUE(owner.onAsk(hostA, {1, 1, 0}, at(0)));
-    ASSERT_TRUE(owner.onAsk(hostA, {1, 3, 1, false, {{workspace, 0, 0, 0, 0, 5}}}, at(100)));
-    EXPECT_FALSE(owner.onAsk(hostA, {1, 3, 1, false, {{workspace, 0, 0, 0, 0, 5}}}, at(100)));
-    EXPECT_FALSE(owner.onAsk(hostA, {1, 2, 1, false, {{workspace, 0, 0, 0, 0, 5}}}, at(100)));
-    EXPECT_NEAR(owner.stock(workspace, at(100)), 5, 0.01);
+    const auto last = heartbeats(owner, hostA, 10);
+    const double before = owner.stock(workspace, at(4'000));
+    const Ask ask{1, last + 2, last, false, {{workspace, 0, 0, 0, 0, 5}}};
+    ASSERT_TRUE(owner.onAsk(hostA, ask, at(4'000)));
+    EXPECT_FALSE(owner.onAsk(hostA, ask, at(4'000)));
+    EXPECT_FALSE(owner.onAsk(hostA, {1, last + 1, last, false, ask.entries}, at(4'000)));
+    EXPECT_NEAR(owner.stock(workspace, at(4'000)), before + 5, 0.01);
 }
 
 // Failure: a grant is lost; the next ask says so, and its credit is there again.
@@ -429,20 +468,30 @@
     QuotaOwner owner(at(0));
     owner.setQuotas({{workspace, {100, 1'000}}}, at(0));
     owner.setHostCount(1, at(0));
-    std::uint64_t sequence = 0;
-    for (; sequence < 10; ++sequence) {
-        ASSERT_TRUE(owner.onAsk(hostA, {1, sequence + 1, sequence}, at(static_cast<std::int64_t>(sequence) * 400)));
-    }
-    const auto grant = owner.onAsk(hostA, {1, 11, 10, false, {{workspace, 0, 100, 0, 1, 0}}}, at(4'000));
+    const auto last = heartbeats(owner, hostA, 10);
+    const auto grant = owner.onAsk(hostA, {1, last + 1, last, false, {{workspace, 0, 100, 0, 1, 0}}}, at(4'000));
     ASSERT_TRUE(grant && !grant->entries.empty());
     EXPECT_EQ(grant->entries.front().granted, 100);
     EXPECT_EQ(owner.outstanding(workspace), 100);
     const double left = owner.stock(workspace, at(4'000));
-    ASSERT_TRUE(owner.onAsk(hostA, {1, 12, 10}, at(4'000)));
+    ASSERT_TRUE(owner.onAsk(hostA, {1, last + 2, last}, at(4'000)));
     EXPECT_EQ(owner.outstanding(workspace), 0);
     EXPECT_NEAR(owner.stock(workspace, at(4'000)), left + 100, 0.01);
 }
 
+// Failure: requests are refused after their charge; credit that comes back to a full bucket must not let a window spend more.
+TEST(Quota, charges_given_back_fill_no_more_than_they_would_have)
+{
+    QuotaOwner owner(at(0));
+    owner.setQuotas({{workspace, {100, 100}}}, at(0));
+    owner.setHostCount(1, at(0));
+    auto last = heartbeats(owner, hostA, 20);
+    ASSERT_NEAR(owner.stock(workspace, at(8'000)), depthOf({100, 100}), 0.01);
+    ASSERT_TRUE(owner.onAsk(hostA, {1, last + 1, last, false, {{workspace, 0, 100, 0, 1}}}, at(8'000)));
+    ASSERT_TRUE(owner.onAsk(hostA, {1, last + 2, last + 1, false, {{workspace, 0, 0, 0, 0, 0, 50}}}, at(8'100)));
+    EXPECT_NEAR(owner.stock(workspace, at(8'100)), depthOf({100, 100}) - 100, 0.5) << "the bucket was full when they were charged";
+}
+
 TEST(Quota, hosts_that_want_more_than_there_is_get_parts_in_proportion)
 {
     QuotaOwner owner(at(0));
