--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -1,3 +1,4 @@
+#include <net/answerstatus.h>
 #include <net/asio.h>
 #include <net/http.h>
 
@@ -22,7 +23,6 @@
 constexpr std::size_t chunkBytes = 16 * 1024;
 constexpr std::size_t maxHeadBytes = 16 * 1024;
 constexpr std::size_t maxUnparsedBytes = 128 * 1024; // of an answer; the framing of one chunk and a trailer have to fit
-constexpr int minFinalStatus = 200;
 constexpr int minRefusal = 400;
 
 using Stream = std::unique_ptr<beast::tcp_stream>;
@@ -79,11 +79,6 @@
     return failed.message();
 }
 
-std::string interimFailure(int status)
-{
-    return "an interim answer of status " + std::to_string(status);
-}
-
 /// An idle connection that has something to read was closed by its peer or is out of step.
 bool isReusable(beast::tcp_stream &stream)
 {
@@ -205,8 +200,8 @@
         why = errorAt(core::Step::Receive, address, readFailure(failed, options.maxBodyBytes));
         co_return std::nullopt;
     }
-    if (parser.get().result_int() < minFinalStatus) {
-        why = errorAt(core::Step::Receive, address, interimFailure(parser.get().result_int()));
+    if (const auto fault = faultOfStatus(parser.get().result_int())) {
+        why = errorAt(core::Step::Receive, address, *fault);
         co_return std::nullopt;
     }
     HttpResponse response = headOf(parser.get());
@@ -235,8 +230,8 @@
         why = errorAt(core::Step::Receive, address, readFailure(failed, options.maxBodyBytes));
         co_return std::nullopt;
     }
-    if (parser.get().result_int() < minFinalStatus) {
-        why = errorAt(core::Step::Receive, address, interimFailure(parser.get().result_int()));
+    if (const auto fault = faultOfStatus(parser.get().result_int())) {
+        why = errorAt(core::Step::Receive, address, *fault);
         co_return std::nullopt;
     }
     HttpResponse response = headOf(parser.get());
--- a/packages/net/orderlyclose.cpp
+++ b/packages/net/orderlyclose.cpp
@@ -21,13 +21,6 @@
 constexpr Milliseconds progressInterval{100};
 constexpr Milliseconds endInterval{20}; // while the peer's end can't be waited for, as it lies behind unread bytes
 
-/// Bytes that the peer's side has not acknowledged; 0 where that can't be told.
-int bytesOnTheWay(tcp::socket &socket)
-{
-    int bytes = 0;
-    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
-}
-
 enum class PeerState : std::uint8_t { Open, Sending, Closed };
 
 PeerState stateOf(tcp::socket &socket)
@@ -39,10 +32,7 @@
     if (failed) {
         return failed == asio::error::would_block ? PeerState::Open : PeerState::Closed;
     }
-    tcp_info info{};
-    socklen_t length = sizeof info;
-    const bool isKnown = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
-    return isKnown && (info.tcpi_state == TCP_CLOSE || info.tcpi_state == TCP_TIME_WAIT) ? PeerState::Closed : PeerState::Sending;
+    return isOver(socket) ? PeerState::Closed : PeerState::Sending;
 }
 
 /// Until something can be read.
@@ -62,6 +52,20 @@
 
 } // namespace
 
+int bytesOnTheWay(tcp::socket &socket)
+{
+    int bytes = 0;
+    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+bool isOver(tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    const bool isKnown = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    return isKnown && (info.tcpi_state == TCP_CLOSE || info.tcpi_state == TCP_TIME_WAIT);
+}
+
 asio::awaitable<void> finishSending(tcp::socket &socket, Milliseconds timeout)
 {
     error_code failed; // of a connection that its peer has reset
--- a/packages/net/orderlyclose.h
+++ b/packages/net/orderlyclose.h
@@ -14,4 +14,11 @@
 /// (RFC 9112, 9.6). What the peer sends meanwhile stays unread. The socket stays valid until the end; it may be closed before.
 boost::asio::awaitable<void> finishSending(boost::asio::ip::tcp::socket &socket, core::Milliseconds timeout = finishTimeout);
 
+/// Bytes that the peer's side has not acknowledged; 0 where that can't be told.
+[[nodiscard]] int bytesOnTheWay(boost::asio::ip::tcp::socket &socket);
+
+/// Whether the connection has ended for both sides, as after a reset. The kernel gives a reset's error to one operation only, often to a write;
+/// a read after it returns the end of the data, as after an orderly end.
+[[nodiscard]] bool isOver(boost::asio::ip::tcp::socket &socket);
+
 } // namespace baobabstall::net
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <net/answerstatus.h>
 #include <net/http.h>
 
 #include "endlessserver.h"
@@ -170,6 +171,76 @@
     }
 }
 
+// Guards against a part of an answer that passes for whole because the write of the request took the reset's error (issue 49, MIXED).
+TEST_F(HttpTest, an_answer_that_is_reset_while_its_request_is_written_is_an_error)
+{
+    constexpr std::size_t bodyBytes = 8'000'000; // more than the buffers of both sides hold
+    asio::ip::tcp::acceptor acceptor(io_, asio::ip::tcp::v4());
+    acceptor.set_option(asio::socket_base::receive_buffer_size(4'096));
+    acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor.listen();
+    const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+    const auto serve = [&]() -> asio::awaitable<void> {
+        while (true) {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            std::string head;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\npart")), asio::use_awaitable);
+            co_await sleep(io_, core::Milliseconds(20));
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+        }
+    };
+    asio::co_spawn(io_, serve(), [](const std::exception_ptr &) {});
+    HttpRequest request{.method = "POST", .target = "/", .headers = {}, .body = std::string(bodyBytes, 'b')};
+    EXPECT_FALSE(run(client_.call(address, request, {}, why_)));
+    EXPECT_EQ(why_.outcome, core::Outcome::Unknown);
+    int pieces = 0;
+    const auto onChunk = [&](std::string_view) -> Task<bool> {
+        ++pieces;
+        co_return true;
+    };
+    EXPECT_FALSE(run(client_.stream(address, request, {}, onChunk, why_)));
+    EXPECT_EQ(pieces, 0);
+}
+
+// Guards against an answer whose status nobody knows (issue 49, MIXED).
+TEST_F(HttpTest, an_answer_whose_status_is_outside_100_to_599_is_refused_by_name)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        asio::ip::tcp::acceptor acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
+        const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+        const std::string answer = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody";
+        const auto serve = [&]() -> asio::awaitable<void> {
+            while (true) {
+                auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+                std::string head;
+                co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+            }
+        };
+        asio::co_spawn(io_, serve(), [](const std::exception_ptr &) {});
+        EXPECT_FALSE(run(client_.call(address, {}, {}, why_)));
+        EXPECT_EQ(why_.reason, "status " + status + ", outside 100 to 599");
+        const auto onChunk = [](std::string_view) -> Task<bool> { co_return true; };
+        why_ = {};
+        EXPECT_FALSE(run(client_.stream(address, {}, {}, onChunk, why_)));
+        EXPECT_EQ(why_.reason, "status " + status + ", outside 100 to 599");
+        acceptor.close();
+    }
+}
+
+TEST(FaultOfStatus, names_what_is_refused)
+{
+    EXPECT_EQ(faultOfStatus(0), "status 000, outside 100 to 599");
+    EXPECT_EQ(faultOfStatus(99), "status 099, outside 100 to 599");
+    EXPECT_EQ(faultOfStatus(100), "an interim answer of status 100");
+    EXPECT_EQ(faultOfStatus(199), "an interim answer of status 199");
+    EXPECT_EQ(faultOfStatus(200), std::nullopt);
+    EXPECT_EQ(faultOfStatus(599), std::nullopt);
+    EXPECT_EQ(faultOfStatus(600), "status 600, outside 100 to 599");
+}
+
 TEST_F(HttpTest, tells_the_handler_when_the_caller_is_gone)
 {
     bool isGone = false;
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http.hpp>
 
 #include <core/hash.h>
+#include <net/answerstatus.h>
+#include <serving/connectionend.h>
 #include <serving/events.h>
 #include <serving/gracefulstop.h>
 #include <serving/requestkey.h>
@@ -34,7 +36,7 @@
 constexpr std::uint32_t maxHeadBytes = 16 * 1024;          // of a response
 constexpr std::size_t maxRefusalBytes = 64 * 1024;         // of the body of a refusal, which is read only for the connection to be used again
 constexpr Milliseconds refusalBodyTimeout{100};            // the same
-constexpr int minFinalStatus = 200;
+
 constexpr int maxChoices = 8;                      // upstream choices for one request, whether or not it is sent
 constexpr int maxRelayedChoices = 2;               // the same of a request of another host, while no connection opens: this host may be cut off as well
 constexpr int maxWeightsMisses = 2;                // after more responses that the upstream lacks weights reported as held, its owner counts as wrong
@@ -1097,8 +1099,8 @@
                 responseHeaders_.push_back({{field.name_string().data(), field.name_string().size()}, {field.value().data(), field.value().size()}});
             }
             const int status = head.result_int();
-            if (status < minFinalStatus) {
-                co_return onTruncated(replica, "an interim answer of status " + std::to_string(status));
+            if (const auto fault = net::faultOfStatus(head.result_int())) {
+                co_return onTruncated(replica, *fault);
             }
             response_ = node_.codec.readAnswer(status, responseHeaders_);
             node_.applyUpstreamState(replica, response_);
@@ -1298,7 +1300,16 @@
             }
             body.append(*bytes);
         }
-        co_return true;
+        co_return co_await endsWhole(parser);
+    }
+
+    /// After the last byte of a body. One without a length is whole only if its connection has ended in order.
+    net::Task<bool> endsWhole(const Parser &parser)
+    {
+        const auto connection = connection_;
+        const bool isWhole = !parser.need_eof() || (connection && co_await endsInOrder(connection));
+        truncationReason_ = isWhole ? truncationReason_ : "its connection ended before the request was sent";
+        co_return isWhole;
     }
 
     /// Reads the rest of a refusal when it is there or close: its status alone decides, and the caller may be served elsewhere meanwhile.
@@ -1401,6 +1412,9 @@
                 co_return onTruncated(replica, "an event exceeds " + std::to_string(EventScanner::maxEventBytes) + " bytes");
             }
         }
+        if (!co_await endsWhole(parser)) {
+            co_return onCut(replica, "the stream was cut: " + truncationReason_);
+        }
         if (scanner.hasRest()) {
             co_return onCut(replica, "the stream ended in the middle of an event");
         }
