A connection that a response ended is not kept as idle

The header alone (parser.get().keep_alive()) says that a connection of HTTP/1.1 stays, also where the end of the connection ends the response; such a connection lay in the pool, closed by its upstream, until it expired or the next request found it closed and took the upstream for restarted. The parser's own keep_alive() counts the missing length.

--- a/packages/net/httpclient.cpp
+++ b/packages/net/httpclient.cpp
@@ -206,7 +206,7 @@
     }
     HttpResponse response = headOf(parser.get());
     response.body = std::move(parser.get().body());
-    if (parser.get().keep_alive() && !(options.closesAfterRefusal && response.status >= minRefusal)) {
+    if (parser.keep_alive() && !(options.closesAfterRefusal && response.status >= minRefusal)) {
         state->putIdle(address, std::move(stream));
     }
     co_return response;
@@ -260,7 +260,7 @@
             co_return response;
         }
     }
-    if (parser.get().keep_alive() && !(options.closesAfterRefusal && response.status >= minRefusal)) {
+    if (parser.keep_alive() && !(options.closesAfterRefusal && response.status >= minRefusal)) {
         state->putIdle(address, std::move(stream));
     }
     co_return response;
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -416,7 +416,7 @@
         parser.body_limit(maxReportBytes);
         parser.header_limit(maxHeadBytes);
         const auto [readFailed, count] = co_await http::async_read(connection.socket, connection.buffer, parser, net::tuple);
-        if (readFailed || !parser.get().keep_alive() || connection.buffer.size() > 0) {
+        if (readFailed || !parser.keep_alive() || connection.buffer.size() > 0) {
             co_return std::nullopt;
         }
         Error why;
@@ -1152,7 +1152,7 @@
         if (!co_await readBody(parser, body)) {
             co_return onCut(replica, "the response body was truncated: " + truncationReason_);
         }
-        const bool isReusable = parser.get().keep_alive();
+        const bool isReusable = parser.keep_alive();
         if (hasResponseBegun_) { // resuming the stream returned an error
             connection_->refused.push_back(metadata_.id);
             recordSend(replica, SendOutcome::Failed, "failed", "status " + std::to_string(status) + " to a resumed stream");
@@ -1227,7 +1227,7 @@
         connection->refused.push_back(metadata_.id);
         connection->namesRefused = connection->namesRefused || !response_.id.empty();
         const bool isComplete = co_await drainRefusal(parser);
-        const bool isReusable = isComplete && parser.get().keep_alive() && !response_.id.empty(); // a late copy without an id could be of any request
+        const bool isReusable = isComplete && parser.keep_alive() && !response_.id.empty(); // a late copy without an id could be of any request
         constexpr int badRequest = 400;
         if (status == badRequest) {
             recordSend(replica, SendOutcome::NotRun, "not_run", "status 400");
@@ -1419,7 +1419,7 @@
             co_return onCut(replica, "the stream ended in the middle of an event");
         }
         recordSend(replica, SendOutcome::Succeeded, "good", {});
-        releaseConnection(parser.get().keep_alive());
+        releaseConnection(parser.keep_alive());
         earnRepeat();
         recordServed(parser);
         status_ = status;
