--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -2,6 +2,7 @@
 #include <net/http.h>
 #include <net/orderlyclose.h>
 
+#include <algorithm>
 #include <array>
 #include <set>
 
@@ -169,7 +170,12 @@
     }
 
     [[nodiscard]] const std::string &peer() const { return peer_; }
-    [[nodiscard]] bool keepsAlive() const { return keepAlive_ && !server_->isStopping; }
+    /// Whether the connection stays open after the answer whose head is being written. Decided once: what the head says holds.
+    [[nodiscard]] bool decideKeepAlive()
+    {
+        staysOpen_ = keepAlive_ && !server_->isStopping;
+        return staysOpen_;
+    }
 
 private:
     Task<bool> serveOne();
@@ -190,6 +196,7 @@
     bool isLate_ = false;
     bool isPeerGone_ = false;
     bool keepAlive_ = true;
+    bool staysOpen_ = true;
 };
 
 namespace {
@@ -228,7 +235,7 @@
     {
         answered_ = true;
         complete_ = true;
-        std::string text = headText(response.status, response.headers, connection_.keepsAlive(), response.body.size());
+        std::string text = headText(response.status, response.headers, connection_.decideKeepAlive(), response.body.size());
         if (request_.method != "HEAD") {
             text += response.body;
         }
@@ -238,7 +245,7 @@
     Task<bool> begin(int status, Headers headers) override
     {
         answered_ = true;
-        co_return co_await connection_.send(headText(status, headers, connection_.keepsAlive(), std::nullopt));
+        co_return co_await connection_.send(headText(status, headers, connection_.decideKeepAlive(), std::nullopt));
     }
 
     Task<bool> write(std::string data) override
@@ -285,7 +292,7 @@
     if (buffer_.size() == 0) {
         constexpr std::size_t firstRead = 4096; // bytes
         isIdle_ = true;
-        cancelReadsAfter(server_->limits.idleTimeout);
+        cancelReadsAfter(server_->isStopping ? std::min(server_->limits.idleTimeout, finishTimeout) : server_->limits.idleTimeout);
         const auto [failed, count] = co_await stream_.async_read_some(buffer_.prepare(firstRead), tuple);
         readTimer_.cancel();
         isIdle_ = false;
@@ -366,7 +373,7 @@
     ++exchangeCount_;
     onGone_ = nullptr;
     stream_.cancel();
-    co_return exchange.isComplete() && !isFault && !isPeerGone_ && keepsAlive();
+    co_return exchange.isComplete() && !isFault && !isPeerGone_ && staysOpen_;
 }
 
 void Connection::checkPeer()
