--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -89,6 +89,10 @@
         node_.log.info("request_unreadable", {{"request_id", id}});
         return id.value();
     });
+    callersServer_.onLimit([this](net::CallerPart part, int status) {
+        node_.metrics.callerLimits.add({net::callerPartText(part), std::to_string(status)});
+        node_.log.info("caller_limit", {{"why", net::callerPartText(part)}, {"status", status}});
+    });
     const peers::Links::Self self{settings.host, incarnation, settings.region};
     node_.links = std::make_unique<peers::Links>(io, self, std::move(key), linkHandlers());
 }
--- a/packages/metrics/metrics.h
+++ b/packages/metrics/metrics.h
@@ -62,6 +62,7 @@
     // Control.
     Gauge &listVersion;        // list ("customers", "plans"): offset of the version in force
     Gauge &listSince;          // list: unix time since when it is in force here
+    Counter &callerLimits;     // part, status
     Counter &listRejections;   // list ("customers", "plans", "unreadable"); the reason is in the log
     Gauge &ownedThings;        // kind ("engine", "calls", "loads")
     Counter &ownershipChanges; // kind, change ("claimed", "released", "superseded")
--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -26,6 +26,7 @@
 
 #include <core/error.h>
 #include <core/types.h>
+#include <net/callerbudget.h>
 
 namespace baobabstall::net {
 
@@ -46,7 +47,7 @@
 /// Opens, binds and listens. Returns the address with the port that was taken; error: step Connect.
 [[nodiscard]] std::optional<Address> openListener(boost::asio::ip::tcp::acceptor &acceptor, const Address &address, int backlog, core::Error &why);
 
-/// The status that answers a request which could not be read: 400, 408, 413 or 431. Nothing: the connection just ended.
+/// The status that answers a request which could not be read: 400, 408, 413, 431 or 503. Nothing: the connection just ended.
 [[nodiscard]] std::optional<int> statusOfReadError(boost::system::error_code failed);
 
 /// Header fields in order; names compare without case.
@@ -87,6 +88,7 @@
     std::size_t maxHeaderBytes = 16 * 1024;    // over it: 431
     std::size_t maxBodyBytes = 1024 * 1024;    // over it: 413
     std::size_t maxConnections = 1024;         // over it: closed at accept
+    std::size_t memoryBytes = 0;               // of the host, for CallerBudget; 0: not told
     core::Milliseconds idleTimeout{60'000};    // between requests of one connection
     core::Milliseconds receiveTimeout{10'000}; // for one whole request; over it: 408
     core::Milliseconds sendTimeout{10'000};    // for one write that the caller does not read; over it: cut off
@@ -126,6 +128,8 @@
 
     /// Called for each request that can't be read and is refused without the handler; gives its id for X-Request-Id.
     void onUnreadable(std::function<std::string()> newRequestId);
+    /// Called for each caller that ran into a limit of CallerBudget or RequestReader; status 0: its connection was closed without an answer.
+    void onLimit(std::function<void(CallerPart part, int status)> callback);
     /// Opens the port and begins to accept; port 0 lets the kernel choose. Gives the address in use.
     [[nodiscard]] std::optional<Address> listen(const Address &address, core::Error &why);
     /// Accepts nothing more; open exchanges go on, and their connections close when they end.
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -1,6 +1,7 @@
 #include <net/asio.h>
 #include <net/http.h>
 #include <net/orderlyclose.h>
+#include <net/requestreader.h>
 
 #include <array>
 #include <set>
@@ -22,6 +23,7 @@
 
 namespace {
 
+constexpr int unavailable = 503;
 constexpr core::Milliseconds acceptPause{50}; // after a failed accept, such as no free descriptor
 
 /// The answer to a request that could not be read. Nothing: the connection just ended.
@@ -42,7 +44,12 @@
     case 413:
         return error(*status, "too_large", "the body is over the limit; send a shorter one");
     case 431:
-        return error(*status, "too_large", "the headers are over the limit; send fewer or shorter ones");
+        return error(*status, "too_large", "the headers, the trailer or the framing of chunks are over the limit; send fewer or shorter ones");
+    case unavailable: {
+        auto answer = error(*status, "unavailable", "callers make this daemon hold too much; send the request again later");
+        answer.headers.set("Retry-After", "1");
+        return answer;
+    }
     default:
         return error(*status, "bad_request", "this is not HTTP/1.1");
     }
@@ -61,6 +68,9 @@
     if (failed == http::error::header_limit) {
         return 431;
     }
+    if (failed == asio::error::no_memory) {
+        return unavailable;
+    }
     const bool isHttp = failed.category() == http::make_error_code(http::error::bad_value).category();
     const bool isEnd = failed == http::error::end_of_stream || failed == http::error::partial_message;
     return isHttp && !isEnd ? std::optional(400) : std::nullopt;
@@ -97,6 +107,7 @@
         , limits(serverLimits)
         , handler(std::move(requestHandler))
         , acceptor(context)
+        , budget(CallerBudget::limitsFor(limits.memoryBytes, limits.maxConnections))
     { }
 
     Task<void> acceptLoop();
@@ -107,6 +118,8 @@
     Handler handler;
     std::function<std::string()> newRequestId; // may be empty
     tcp::acceptor acceptor;
+    CallerBudget budget;
+    std::function<void(CallerPart part, int status)> onLimit; // may be empty
     std::set<Connection *> connections;
     std::size_t openExchanges = 0;
     bool isStopping = false;
@@ -120,6 +133,10 @@
         : server_(std::move(server))
         , stream_(std::move(socket))
         , readTimer_(server_->io)
+        , holder_(
+              server_->budget,
+              [this](CallerPart part) { giveWay(part); },
+              core::SteadyClock().now())
     {
         error_code failed;
         const auto endpoint = stream_.socket().remote_endpoint(failed);
@@ -163,9 +180,18 @@
             co_return false;
         }
         stream_.expires_after(chronoOf(server_->limits.sendTimeout));
-        const auto [failed, count] = co_await asio::async_write(stream_, asio::buffer(data), tuple);
-        isPeerGone_ = isPeerGone_ || failed;
-        co_return !failed;
+        const core::SteadyClock clock;
+        holder_.awaitCaller(clock.now());
+        isPeerGone_ = !holder_.resize(CallerPart::Answer, data.size(), clock.now());
+        for (std::size_t sent = 0; sent < data.size() && !isPeerGone_;) {
+            const auto [failed, count] = co_await stream_.async_write_some(asio::buffer(data) + sent, tuple);
+            sent += count;
+            holder_.onProgress(count, clock.now());
+            isPeerGone_ = isPeerGone_ || failed;
+        }
+        const bool isEmpty = holder_.resize(CallerPart::Answer, 0, clock.now());
+        holder_.rest();
+        co_return isEmpty && !isPeerGone_;
     }
 
     [[nodiscard]] const std::string &peer() const { return peer_; }
@@ -173,8 +199,11 @@
 
 private:
     Task<bool> serveOne();
-    Task<error_code> receive(http::request_parser<http::string_body> &parser);
-    Task<error_code> receiveMessage(http::request_parser<http::string_body> &parser);
+    using Reader = RequestReader<beast::tcp_stream>;
+
+    Task<error_code> receive(Reader &reader);
+    Task<error_code> receiveMessage(Reader &reader);
+    void giveWay(CallerPart part);
     void cancelReadsAfter(core::Milliseconds time);
     Task<void> refuse(HttpResponse response);
     void checkPeer();
@@ -183,11 +212,13 @@
     beast::tcp_stream stream_;
     asio::steady_timer readTimer_; // a time-out of tcp_stream would close the socket before the 408 is sent
     beast::flat_buffer buffer_;
+    CallerBudget::Holder holder_;
     std::string peer_;
     std::function<void()> onGone_;
     std::uint64_t exchangeCount_ = 0; // tells a late wait of an earlier exchange from the current one
     bool isIdle_ = false;
     bool isLate_ = false;
+    bool isReceiving_ = false;
     bool isPeerGone_ = false;
     bool keepAlive_ = true;
 };
@@ -280,7 +311,7 @@
 
 } // namespace
 
-Task<error_code> Connection::receive(http::request_parser<http::string_body> &parser)
+Task<error_code> Connection::receive(Reader &reader)
 {
     if (buffer_.size() == 0) {
         constexpr std::size_t firstRead = 4096; // bytes
@@ -295,8 +326,14 @@
         buffer_.commit(count);
     }
     cancelReadsAfter(server_->limits.receiveTimeout);
-    const error_code failed = co_await receiveMessage(parser);
+    holder_.awaitCaller(core::SteadyClock().now());
+    isReceiving_ = true;
+    const error_code failed = co_await receiveMessage(reader);
+    isReceiving_ = false;
     readTimer_.cancel();
+    if (failed && reader.limit() && server_->onLimit) {
+        server_->onLimit(*reader.limit(), statusOfReadError(failed).value_or(0));
+    }
     co_return isLate_ ? make_error_code(beast::error::timeout) : failed;
 }
 
@@ -312,33 +349,53 @@
     });
 }
 
-Task<error_code> Connection::receiveMessage(http::request_parser<http::string_body> &parser)
+Task<error_code> Connection::receiveMessage(Reader &reader)
 {
-    const auto [failedHeader, headerCount] = co_await http::async_read_header(stream_, buffer_, parser, tuple);
-    if (failedHeader) {
-        co_return failedHeader;
+    if (const auto failed = co_await reader.readHeader()) {
+        co_return failed;
     }
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !co_await send("HTTP/1.1 100 Continue\r\n\r\n")) {
+    const bool isExpected = beast::iequals(reader.parser().get()[http::field::expect], "100-continue");
+    if (isExpected && !co_await send("HTTP/1.1 100 Continue\r\n\r\n")) {
         co_return http::make_error_code(http::error::end_of_stream);
     }
     stream_.expires_never();
-    const auto [failedBody, bodyCount] = co_await http::async_read(stream_, buffer_, parser, tuple);
-    co_return failedBody;
+    holder_.awaitCaller(core::SteadyClock().now());
+    co_return co_await reader.readBody();
+}
+
+/// While a request arrives it is refused with 408, as when it takes too long; an answer that its caller doesn't read is cut off.
+void Connection::giveWay(CallerPart part)
+{
+    constexpr int timeout = 408;
+    if (server_->onLimit) {
+        server_->onLimit(part, isReceiving_ ? timeout : 0);
+    }
+    isLate_ = true;
+    if (isReceiving_ && part != CallerPart::Connections) {
+        stream_.cancel();
+        return;
+    }
+    isPeerGone_ = true;
+    error_code ignored; // the descriptor is free all the same
+    stream_.socket().close(ignored);
 }
 
 Task<void> Connection::refuse(HttpResponse response)
 {
     keepAlive_ = false;
-    co_await send(headText(response.status, response.headers, false, response.body.size()) + response.body);
+    if (!stream_.socket().is_open()) {
+        co_return;
+    }
+    stream_.expires_after(chronoOf(server_->limits.sendTimeout)); // not by send(), as what is refused for its memory holds nothing any more
+    const std::string text = headText(response.status, response.headers, false, response.body.size()) + response.body;
+    co_await asio::async_write(stream_, asio::buffer(text), tuple);
 }
 
 Task<bool> Connection::serveOne()
 {
     const auto self = shared_from_this();
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(server_->limits.maxHeaderBytes));
-    parser.body_limit(server_->limits.maxBodyBytes);
-    const error_code failed = co_await receive(parser);
+    Reader reader(stream_, buffer_, holder_, {.maxHeaderBytes = server_->limits.maxHeaderBytes, .maxBodyBytes = server_->limits.maxBodyBytes});
+    const error_code failed = co_await receive(reader);
     if (failed) {
         if (auto answer = answerToReadError(failed)) {
             if (server_->newRequestId) {
@@ -348,7 +405,8 @@
         }
         co_return false;
     }
-    auto message = parser.release();
+    auto message = reader.parser().release();
+    holder_.rest();
     keepAlive_ = message.keep_alive();
     stream_.expires_never();
     ServerExchange exchange(*this, requestOf(std::move(message)));
@@ -366,7 +424,10 @@
     ++exchangeCount_;
     onGone_ = nullptr;
     stream_.cancel();
-    co_return exchange.isComplete() && !isFault && !isPeerGone_ && keepsAlive();
+    const auto now = core::SteadyClock().now();
+    const bool keepsMemory = holder_.resize(CallerPart::Body, 0, now);
+    holder_.idle(now);
+    co_return keepsMemory &&exchange.isComplete() && !isFault && !isPeerGone_ && keepsAlive();
 }
 
 void Connection::checkPeer()
@@ -396,7 +457,10 @@
             co_await sleep(io, acceptPause);
             continue;
         }
-        if (connections.size() >= limits.maxConnections) {
+        if (!budget.makeRoomForConnection(core::SteadyClock().now())) {
+            if (onLimit) {
+                onLimit(CallerPart::Connections, 0);
+            }
             socket.close(failed);
             continue;
         }
@@ -437,6 +501,11 @@
     return bound;
 }
 
+void HttpServer::onLimit(std::function<void(CallerPart part, int status)> callback)
+{
+    state_->onLimit = std::move(callback);
+}
+
 void HttpServer::stopAccepting()
 {
     error_code ignored;
--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include <net/orderlyclose.h>
+#include <net/requestreader.h>
 
 namespace baobabstall::serving {
 
@@ -24,16 +25,27 @@
 constexpr Milliseconds acceptPause{50};     // after a failed accept, for example without a free file descriptor
 constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; twice the pause after which callers give up
 constexpr int backlog = 1'024;
+constexpr int unavailable = 503;
+constexpr int requestTimeout = 408;
+constexpr std::size_t keptInput = 8 * 1024; // of a connection between its requests
+
+std::string refusalOf(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Refused\r\n" + (status == unavailable ? "Retry-After: 1\r\n" : "")
+        + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+}
 
 std::string_view reasonOf(int status)
 {
     constexpr int bodyLimit = 413;
     constexpr int headerLimit = 431;
     switch (status) {
+    case unavailable:
+        return "callers make this host hold too much";
     case bodyLimit:
         return "the body exceeds the size limit";
     case headerLimit:
-        return "the headers exceed the size limit";
+        return "the headers, the trailer or the framing of chunks exceed the size limit";
     default:
         return "not a valid HTTP/1.1 request";
     }
@@ -43,7 +55,7 @@
 
 std::string_view connectionCauseText(ConnectionCause cause)
 {
-    constexpr std::array<std::string_view, 13> texts = {"response_ended",
+    constexpr std::array<std::string_view, 14> texts = {"response_ended",
                                                         "idle",
                                                         "stopping",
                                                         "caller_closed",
@@ -55,6 +67,7 @@
                                                         "body_timeout",
                                                         "unreadable",
                                                         "exception",
+                                                        "gave_way",
                                                         "process_end"};
     return texts.at(static_cast<std::size_t>(cause));
 }
@@ -74,12 +87,14 @@
         , options(std::move(serverOptions))
         , handler(std::move(requestHandler))
         , acceptor(context)
+        , budget(options.budget)
     { }
 
     asio::io_context &io;
     CallerServerOptions options;
     Handler handler;
     tcp::acceptor acceptor;
+    net::CallerBudget budget;
     std::unordered_set<Connection *> open;
     std::size_t busyConnections = 0;
     std::optional<Instant> lastAcceptedAt;
@@ -93,6 +108,10 @@
         : server_(std::move(server))
         , socket_(std::move(socket))
         , watchdog_(server_->io)
+        , holder_(
+              server_->budget,
+              [this](net::CallerPart part) { giveWay(part); },
+              core::SteadyClock().now())
     {
         server_->open.insert(this);
     }
@@ -143,9 +162,23 @@
         if (isDisconnected_ || !mayContinue_ || !socket_.is_open()) {
             co_return false;
         }
-        watchdog_.arm(core::SteadyClock().now() + writeTimeout, [this] { close(ConnectionCause::WriteTimeout); });
-        const auto [failed, count] = co_await asio::async_write(socket_, asio::buffer(bytes), net::tuple);
-        bytesWritten_ += count;
+        const core::SteadyClock clock;
+        const auto begin = clock.now();
+        watchdog_.arm(begin + writeTimeout, [this] { close(ConnectionCause::WriteTimeout); });
+        holder_.awaitCaller(begin);
+        error_code failed;
+        failed = holder_.resize(net::CallerPart::Answer, bytes.size(), begin) ? failed : asio::error::no_memory;
+        for (std::size_t written = 0; written < bytes.size() && !failed;) {
+            std::size_t count = 0;
+            std::tie(failed, count) = co_await socket_.async_write_some(asio::buffer(bytes) + written, net::tuple);
+            written += count;
+            bytesWritten_ += count;
+            if (written < bytes.size()) {
+                holder_.onProgress(count, clock.now());
+            }
+        }
+        std::ignore = holder_.resize(net::CallerPart::Answer, 0, begin); // false: it has given way, and failed
+        holder_.rest();
         watchdog_.disarm();
         if (failed) {
             close(ConnectionCause::WriteFailed);
@@ -204,6 +237,8 @@
     }
 
 private:
+    using Reader = net::RequestReader<tcp::socket>;
+
     net::Task<bool> serveOne()
     {
         if (!mayContinue_) {
@@ -221,17 +256,17 @@
         request_ = RequestId();
         CallerRequest request;
         request.arrivedAt = core::SteadyClock().now();
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-        parser.body_limit(limits.maxBodyBytes);
+        holder_.awaitCaller(request.arrivedAt);
+        Reader reader(socket_, buffer_, holder_, {.maxHeaderBytes = limits.maxHeaderBytes, .maxBodyBytes = limits.maxBodyBytes});
         watchdog_.arm(request.arrivedAt + limits.headerTimeout, [this] { endUnread(ConnectionCause::HeaderTimeout); });
-        auto [failed, count] = co_await http::async_read_header(socket_, buffer_, parser, net::tuple);
-        bytesRead_ += count;
-        if (!failed && !parser.is_done()) {
+        isReading_ = true;
+        auto failed = co_await reader.readHeader();
+        if (!failed && !reader.parser().is_done()) {
             watchdog_.arm(core::SteadyClock().now() + server_->options.bodyTimeout, [this] { endUnread(ConnectionCause::BodyTimeout); });
-            std::tie(failed, count) = co_await http::async_read(socket_, buffer_, parser, net::tuple);
-            bytesRead_ += count;
+            failed = co_await reader.readBody();
         }
+        isReading_ = false;
+        bytesRead_ += reader.bytesRead();
         watchdog_.disarm();
         if (isFinishing_) {
             co_return false;
@@ -239,11 +274,13 @@
         if (failed) {
             cause_ = failed == http::error::end_of_stream ? ConnectionCause::CallerClosed : ConnectionCause::Unreadable;
             isBusy_ = cause_ != ConnectionCause::CallerClosed;
+            noteLimit(reader.limit(), net::statusOfReadError(failed).value_or(0));
             co_await refuseInvalid(failed);
             co_return false;
         }
         ++requests_;
-        co_return co_await handle(request, parser.get());
+        holder_.rest();
+        co_return co_await handle(request, reader.parser().get());
     }
 
     net::Task<bool> handle(CallerRequest &request, http::request<http::string_body> &message)
@@ -264,9 +301,50 @@
         setIdle();
         isBusy_ = false;
         onDisconnect_ = nullptr;
+        beIdle();
         co_return mayContinue_ && !isDisconnected_ && socket_.is_open() && !isCloseAnnounced_;
     }
 
+    void beIdle()
+    {
+        const auto now = core::SteadyClock().now();
+        if (buffer_.size() == 0 && buffer_.capacity() > keptInput) {
+            buffer_.shrink_to_fit();
+        }
+        const bool isHeld = holder_.resize(net::CallerPart::Body, 0, now) && holder_.resize(net::CallerPart::Input, buffer_.capacity(), now);
+        holder_.idle(now);
+        mayContinue_ = mayContinue_ && isHeld;
+    }
+
+    void noteLimit(std::optional<net::CallerPart> part, int status)
+    {
+        if (part) {
+            server_->options.onCallerLimit(*part, status);
+        }
+    }
+
+    /// For want of memory, or of connections. A request that is still arriving is refused as one that takes too long; an answer that its caller doesn't
+    /// read is cut off.
+    void giveWay(net::CallerPart part)
+    {
+        if (!socket_.is_open()) {
+            return;
+        }
+        noteLimit(part, isReading_ ? requestTimeout : 0);
+        cause_ = ConnectionCause::GaveWay;
+        mayContinue_ = false;
+        if (isReading_ && !isFinishing_) {
+            error_code failed; // of a caller that is gone, or that doesn't read
+            socket_.non_blocking(true, failed);
+            bytesWritten_ += socket_.write_some(asio::buffer(refusalOf(requestTimeout)), failed);
+        }
+        if (part == net::CallerPart::Connections || !isReading_) {
+            close(cause_);
+        } else {
+            endUnread(cause_);
+        }
+    }
+
     void setIdle()
     {
         if (std::exchange(isHandling_, false)) {
@@ -314,7 +392,7 @@
             co_return;
         }
         server_->options.onInvalidRequest(*status, reasonOf(*status));
-        co_await write("HTTP/1.1 " + std::to_string(*status) + " Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        co_await write(refusalOf(*status));
     }
 
     /// The connection ends whatever its handler still does.
@@ -361,10 +439,12 @@
     tcp::socket socket_;
     beast::flat_buffer buffer_;
     Watchdog watchdog_;
+    net::CallerBudget::Holder holder_;
     std::function<void()> onDisconnect_;
     bool isWatching_ = false;
     bool isDisconnected_ = false;
     bool isBusy_ = false;
+    bool isReading_ = false;
     bool isHandling_ = false;
     bool isKeepAlive_ = true;
     bool mayContinue_ = true;
@@ -393,7 +473,8 @@
             co_await net::sleep(state->io, acceptPause);
             continue;
         }
-        if (state->open.size() >= state->options.maxConnections) {
+        if (state->open.size() >= state->options.maxConnections || !state->budget.makeRoomForConnection(core::SteadyClock().now())) {
+            state->options.onCallerLimit(net::CallerPart::Connections, 0);
             continue;
         }
         state->lastAcceptedAt = core::SteadyClock().now();
@@ -415,6 +496,17 @@
 
 } // namespace
 
+net::CallerBudgetLimits callerBudgetOf(const settings::Hosting &hosting)
+{
+    constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
+    constexpr int otherDescriptors = 200; // files, listeners, connections to peers and to the store
+    constexpr int callersPart = 3;
+    constexpr int allParts = 4;
+    const int sockets = std::max(allParts, hosting.maxDescriptors - otherDescriptors);
+    const auto connections = hosting.maxDescriptors > 0 ? static_cast<std::size_t>(sockets) * callersPart / allParts : 0;
+    return net::CallerBudget::limitsFor(static_cast<std::size_t>(hosting.memoryMb * static_cast<double>(bytesPerMegabyte)), connections);
+}
+
 CallerServer::CallerServer(asio::io_context &io, CallerServerOptions options, Handler handler)
     : state_(std::make_shared<State>(io, std::move(options), std::move(handler)))
 { }
--- a/packages/serving/callers.h
+++ b/packages/serving/callers.h
@@ -20,9 +20,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <net/asio.h>
+#include <net/callerbudget.h>
 #include <serving/protocol.h>
 #include <serving/relay.h>
 #include <serving/watchdog.h>
+#include <settings/settings.h>
 
 namespace baobabstall::serving {
 
@@ -74,6 +76,7 @@
     BodyTimeout,
     Unreadable, // not a valid request
     Exception,  // of the handler
+    GaveWay,    // for want of memory or connections, see net::CallerBudget
     ProcessEnd, // still open when the host ends
 };
 [[nodiscard]] std::string_view connectionCauseText(ConnectionCause cause);
@@ -97,10 +100,15 @@
     std::function<CallerLimits()> limits; // current limits
     std::function<void(int status, std::string_view reason)> onInvalidRequest;
     std::function<void(const ConnectionEnd &)> onClosed = [](const ConnectionEnd &) {};
+    std::function<void(net::CallerPart, int status)> onCallerLimit = [](net::CallerPart, int) {}; // of net::CallerBudget; status 0: closed without an answer
     Milliseconds bodyTimeout{10'000};   // for a complete body; headers have CallerLimits::headerTimeout
     std::size_t maxConnections = 3'000; // leaves file descriptors for upstream connections
+    net::CallerBudgetLimits budget = net::CallerBudget::limitsFor(0, 0);
 };
 
+/// What callers may make a host hold, by its own limits: a fourth of its memory, and three of four sockets.
+[[nodiscard]] net::CallerBudgetLimits callerBudgetOf(const settings::Hosting &hosting);
+
 class CallerServer
 {
 public:
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -102,7 +102,9 @@
                              node_.metrics.unreadableRequests.add({std::to_string(status)});
                              node_.log.info("request_unreadable", {{"status", status}, {"why", reason}});
                          },
-                     .onClosed = [this](const ConnectionEnd &end) { logClosedConnection(end); }},
+                     .onClosed = [this](const ConnectionEnd &end) { logClosedConnection(end); },
+                     .onCallerLimit = [this](net::CallerPart part, int status) { node_.noteCallerLimit(part, status); },
+                     .budget = callerBudgetOf(settings.hosting)},
                     [this](CallerConnection &caller, CallerRequest &request) { return forwarder_.handle(caller, request); })
     , operatorServer_(io, {}, [this](net::Exchange &exchange) { return handleOperatorRequest(exchange); })
     , metricsServer_(io, {}, [this](net::Exchange &exchange) { return handleMetricsRequest(exchange); })
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -36,6 +36,7 @@
     , orders(registry.counter({"orders_total", "orders to model replicas", {"kind", "outcome"}, 32}))
     , storeCalls(registry.counter({"store_calls_total", "calls to the store", {"call", "outcome"}, 32}))
     , unreadableRequests(registry.counter({"unreadable_total", "requests that could not be read", {"status"}, 8}))
+    , callerLimits(registry.counter({"caller_limits_total", "callers that ran into a limit of what they may make this host hold", {"part", "status"}, 32}))
     , beliefChanges(registry.counter({"belief_changes_total", "changes of what this host believes", {"what"}, 32}))
     , retryBudget(registry.gauge({"retry_budget_left", "repeats allowed now", {"service"}, 32}))
     , configVersion(registry.gauge({"configuration_version", "version in force", {}, 1}))
@@ -79,6 +80,12 @@
     return hasStoodStill || !isReadSince ? std::nullopt : versions.only(service, longestStream, time);
 }
 
+void Node::noteCallerLimit(net::CallerPart part, int status)
+{
+    metrics.callerLimits.add({std::string(net::callerPartText(part)), std::to_string(status)});
+    log.info("caller_limit", {{"why", net::callerPartText(part)}, {"status", status}});
+}
+
 admission::RetryBudget &Node::retryBudgetFor(const ServiceName &service)
 {
     const auto found = budgets_.find(service);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -17,6 +17,7 @@
 #include <core/clock.h>
 #include <logging/logging.h>
 #include <metrics/registry.h>
+#include <net/callerbudget.h>
 #include <serving/backoffs.h>
 #include <serving/chooser.h>
 #include <serving/crashwatch.h>
@@ -57,6 +58,7 @@
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
     metrics::Counter &unreadableRequests; // status
+    metrics::Counter &callerLimits;       // part, status
     metrics::Counter &beliefChanges;      // what
     metrics::Gauge &retryBudget;          // service
     metrics::Gauge &configVersion;
@@ -152,6 +154,8 @@
     [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const ServiceName &service) const;
     /// What this host knew before `now` may be out of date until the upstreams are read again.
     void setOutOfStep() { outOfStepAt = now(); }
+    /// A caller ran into a limit of what it may make this host hold; status 0: its connection was closed without an answer.
+    void noteCallerLimit(net::CallerPart part, int status);
     [[nodiscard]] admission::RetryBudget &retryBudgetFor(const ServiceName &service);
     [[nodiscard]] std::optional<ActiveRevision> activeRevision(const AdapterKey &weights) const;
     void setHostCount(int count); // serving hosts, including this one
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -214,7 +214,9 @@
                            field("grace_s", &Hosting::graceSeconds, NumberRule{0.1, 3'600}),
                            field("retry_share", &Hosting::retryShare, NumberRule{0, 1}),
                            field("retry_slack", &Hosting::retrySlack, NumberRule{0, 1'000'000}),
-                           field("link_mbps", &Hosting::linkMbps, NumberRule{0, 1'000'000}));
+                           field("link_mbps", &Hosting::linkMbps, NumberRule{0, 1'000'000}),
+                           field("memory_mb", &Hosting::memoryMb, NumberRule{0, 1'000'000}),
+                           field("max_descriptors", &Hosting::maxDescriptors, NumberRule{0, 1'000'000}));
 }
 
 constexpr auto fieldsOf(const Settings *)
--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -157,12 +157,14 @@
     file.erase("key_env");
     core::Error why;
     EXPECT_FALSE(parseSettings(file.dump(), "daemon.json", why));
-    file["hosting"] = {{"metrics", "127.0.0.1:9464"}, {"grace_s", 8}, {"drain_ms", 3'000}, {"retry_share", 0.2}};
+    file["hosting"] = {{"metrics", "127.0.0.1:9464"}, {"grace_s", 8}, {"drain_ms", 3'000}, {"retry_share", 0.2}, {"memory_mb", 120}, {"max_descriptors", 4'096}};
     file["ownership"] = {{"claim_delay_ms", 1'500}, {"lease_wait_ms", 3'000}};
     const auto settings = parseHostedSettings(file.dump(), "daemon.json", why);
     ASSERT_TRUE(settings) << why.reason;
     EXPECT_EQ(settings->hosting.graceSeconds, 8);
     EXPECT_EQ(settings->ownership.leaseWait, Milliseconds(3'000));
+    EXPECT_EQ(settings->hosting.memoryMb, 120);
+    EXPECT_EQ(settings->hosting.maxDescriptors, 4'096);
     file["hosting"]["retry_share"] = 7;
     EXPECT_FALSE(parseHostedSettings(file.dump(), "daemon.json", why));
     EXPECT_EQ(why.reason, "daemon.json: hosting.retry_share: found the number 7; allowed: a number from 0 to 1");
