--- a/packages/net/callerbudget.h
+++ b/packages/net/callerbudget.h
@@ -31,7 +31,7 @@
 
 /// What a connection makes a host hold.
 enum class CallerPart : std::uint8_t {
-    Input,       // read and not yet understood
+    Input,       // read and not yet understood, and the head of a request
     Body,        // of a request
     Framing,     // chunk extensions of a request; they are counted, not kept
     Answer,      // written and not yet taken by the caller
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -3,6 +3,7 @@
 #include <net/orderlyclose.h>
 #include <net/requestreader.h>
 
+#include <algorithm>
 #include <array>
 #include <set>
 
@@ -317,7 +318,7 @@
         constexpr std::size_t firstRead = 4096; // bytes
         isIdle_ = true;
         cancelReadsAfter(server_->limits.idleTimeout);
-        const auto [failed, count] = co_await stream_.async_read_some(buffer_.prepare(firstRead), tuple);
+        const auto [failed, count] = co_await stream_.async_read_some(buffer_.prepare(std::min(firstRead, buffer_.max_size())), tuple);
         readTimer_.cancel();
         isIdle_ = false;
         if (failed || isLate_) {
@@ -425,7 +426,7 @@
     onGone_ = nullptr;
     stream_.cancel();
     const auto now = core::SteadyClock().now();
-    const bool keepsMemory = holder_.resize(CallerPart::Body, 0, now);
+    const bool keepsMemory = holder_.resize(CallerPart::Body, 0, now) && holder_.resize(CallerPart::Input, buffer_.capacity(), now);
     holder_.idle(now);
     co_return keepsMemory &&exchange.isComplete() && !isFault && !isPeerGone_ && keepsAlive();
 }
--- a/packages/net/requestreader.h
+++ b/packages/net/requestreader.h
@@ -94,7 +94,15 @@
         if (buffer_.size() == 0) {
             return boost::beast::http::error::need_more;
         }
-        buffer_.consume(parser_.put(buffer_.data(), failed));
+        const bool isHead = !parser_.is_header_done();
+        const auto used = parser_.put(buffer_.data(), failed);
+        buffer_.consume(used);
+        if (isHead) {
+            headBytes_ += used;
+            if (!failed && !holder_.resize(CallerPart::Input, buffer_.capacity() + headBytes_, core::SteadyClock().now())) {
+                return refused(CallerPart::Input);
+            }
+        }
         const auto bodyBytes = parser_.get().body().size();
         if (bodyBytes > 0 && !holder_.resize(CallerPart::Body, bodyBytes, core::SteadyClock().now())) {
             return refused(CallerPart::Body);
@@ -110,7 +118,7 @@
             co_return boost::beast::http::error::header_limit;
         }
         const auto space = buffer_.prepare(std::min(room, std::max(least, buffer_.capacity() - buffer_.size())));
-        if (!holder_.resize(CallerPart::Input, buffer_.capacity(), core::SteadyClock().now())) {
+        if (!holder_.resize(CallerPart::Input, buffer_.capacity() + headBytes_, core::SteadyClock().now())) {
             co_return refused(CallerPart::Input);
         }
         auto [failed, count] = co_await stream_.async_read_some(space, tuple);
@@ -151,6 +159,7 @@
     CallerBudget::Holder &holder_;
     Parser parser_;
     ChunkLine onChunk_{*this};
+    std::size_t headBytes_ = 0;
     std::size_t framing_ = 0;
     std::size_t maxFraming_;
     std::size_t maxInput_;
--- a/packages/net/tests/callerbudgettest.cpp
+++ b/packages/net/tests/callerbudgettest.cpp
@@ -43,7 +43,7 @@
 
     CallerBudget budget_{CallerBudgetLimits{.totalBytes = total}};
     std::vector<std::unique_ptr<Caller>> callers_;
-    Instant now_{Milliseconds(1'000)};
+    Instant now_{1'000};
 };
 
 TEST_F(CallerBudgetTest, what_a_connection_holds_is_freed_with_it)
--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -268,7 +268,7 @@
         isReading_ = false;
         bytesRead_ += reader.bytesRead();
         watchdog_.disarm();
-        if (isFinishing_) {
+        if (isFinishing_ || cause_ == ConnectionCause::GaveWay) {
             co_return false;
         }
         if (failed) {
@@ -419,6 +419,7 @@
         }
         if (socket_.is_open() && cause_ != ConnectionCause::CallerClosed) {
             watchdog_.disarm();
+            holder_.awaitCaller(core::SteadyClock().now());
             co_await net::finishSending(socket_);
         }
         close(cause_);
