--- a/packages/net/tests/requestlimitstest.cpp
+++ b/packages/net/tests/requestlimitstest.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <core/clock.h>
 #include <net/asio.h>
 #include <net/http.h>
 
