--- a/packages/net/callerbudget.h
+++ b/packages/net/callerbudget.h
@@ -50,7 +50,7 @@
     static constexpr std::size_t memoryShare = 4;                        // callers may hold the fourth part of a host's memory
     static constexpr std::size_t minTotalBytes = 8 * 1024 * 1024;        // two of the longest usual bodies
     static constexpr std::size_t defaultMemoryBytes = 512 * 1024 * 1024; // of a host whose settings don't name it
-    static constexpr std::size_t smallBytes = 16 * 1024;                 // of a connection; the usual request
+    static constexpr std::size_t smallBytes = 32 * 1024;                 // of a connection; the usual request
     static constexpr std::size_t reserveShare = 4;                       // of the total, for connections that hold up to smallBytes
     static constexpr std::size_t stepBytes = 16 * 1024;
     static constexpr Milliseconds calm{1'000}; // for a step of a caller on a slow link
--- a/packages/net/requestreader.h
+++ b/packages/net/requestreader.h
@@ -40,6 +40,7 @@
     static constexpr std::size_t inputShare = 2; // of the header limit
     static constexpr std::size_t minRead = 512;
     static constexpr std::size_t bodyRead = 16 * 1024;
+    static constexpr std::size_t chunkRead = 4 * 1024;
 
     RequestReader(Stream &stream, boost::beast::flat_buffer &buffer, CallerBudget::Holder &holder, RequestLimits limits)
         : stream_(stream)
@@ -80,13 +81,20 @@
         while (!failed && !parser_.is_done()) {
             failed = parse();
             if (failed == boost::beast::http::error::need_more || (!failed && !parser_.is_done() && buffer_.size() == 0)) {
-                failed = co_await receive(bodyRead);
+                failed = co_await receive(bodyRoom());
             }
         }
         co_return failed;
     }
 
 private:
+    /// Announced bytes are read in long pieces; a short request holds little.
+    [[nodiscard]] std::size_t bodyRoom() const
+    {
+        const auto left = parser_.content_length_remaining();
+        return left ? std::clamp(static_cast<std::size_t>(std::min<std::uint64_t>(*left, bodyRead)), minRead, bodyRead) : chunkRead;
+    }
+
     /// need_more: what has been read doesn't suffice.
     error_code parse()
     {
