--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -77,7 +77,24 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingReply, expectedMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UpstreamUses, upstream, adapters)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UsesNotice, uses)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadsNotice, scope, loads)
+
+void to_json(nlohmann::json &to, const LoadsNotice &from)
+{
+    to = {{"scope", from.scope}, {"loads", from.loads}};
+    if (from.paces) {
+        to["paces"] = *from.paces;
+    }
+}
+
+void from_json(const nlohmann::json &from, LoadsNotice &to)
+{
+    from.at("scope").get_to(to.scope);
+    from.at("loads").get_to(to.loads);
+    if (from.contains("paces")) {
+        to.paces = from.at("paces").get<std::vector<UpstreamPace>>();
+    }
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StorePageNotice, topic, from, first, next, readTo, records, sentAt, ageMs)
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SendRefusedNotice, upstream)
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -304,10 +304,14 @@
 /// An upstream, its running requests, and the milliseconds that the prompts still being processed take.
 using UpstreamLoad = std::tuple<core::UpstreamId, int, int>;
 
+/// An upstream, the weight of what is known of its pace in tenths of a sample, and the mean logarithm of its pace in thousandths.
+using UpstreamPace = std::tuple<core::UpstreamId, std::int64_t, std::int64_t>;
+
 /// Load by requests of the sender, of its group of hosts, or of all hosts.
 struct LoadsNotice {
     int scope = 0; // serving::LoadScope
     std::vector<UpstreamLoad> loads;
+    std::optional<std::vector<UpstreamPace>> paces = {}; // that changed; nothing: the sender has no report of them now, or is of an older build
 };
 
 /// The result of one read of a store topic, shared by the host that made the read.
--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -1,6 +1,7 @@
 #include <serving/chooser.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numbers>
 
 #include <core/hash.h>
@@ -28,7 +29,7 @@
     std::vector<std::pair<std::uint64_t, const Candidate *>> ranked;
     ranked.reserve(request.candidates.size());
     for (const auto &each : request.candidates) {
-        ranked.emplace_back(core::hashText(each.replica->id.value(), request.affinityKey), &each);
+        ranked.emplace_back(preference(each.replica->id, request.affinityKey), &each);
     }
     const auto count = std::min(std::max(options_.minPreferred, ranked.size() / options_.preferredDivisor), ranked.size());
     std::partial_sort(
@@ -40,6 +41,26 @@
     return preferred;
 }
 
+/// Weighted rendezvous hashing: an upstream of pace 0.5 comes first for half as many keys. The order of the others stays as it is.
+std::uint64_t Chooser::preference(const UpstreamId &id, std::uint64_t affinityKey) const
+{
+    const auto hash = core::hashText(id.value(), affinityKey);
+    const double weight = pace(id);
+    if (weight >= 1) {
+        return hash;
+    }
+    constexpr int hashBits = 64;
+    const double value = std::ldexp(std::pow(std::ldexp(static_cast<double>(hash), -hashBits), 1 / weight), hashBits);
+    return value < std::ldexp(1.0, hashBits) ? static_cast<std::uint64_t>(value) : hash;
+}
+
+/// Draws only where a slow upstream is considered.
+bool Chooser::explores(const std::vector<const Candidate *> &considered)
+{
+    const bool isAnySlow = std::any_of(considered.begin(), considered.end(), [this](const Candidate *each) { return pace(each->replica->id) < 1; });
+    return isAnySlow && std::bernoulli_distribution(options_.explorationShare)(random_);
+}
+
 const Candidate *Chooser::pick(const PickRequest &request, Instant now)
 {
     if (request.candidates.empty()) {
@@ -58,10 +79,12 @@
             considered.push_back(&each);
         }
     }
+    const bool isExploring = explores(considered);
     std::vector<ScoredCandidate> choices;
     choices.reserve(considered.size());
     for (std::size_t rank = 0; rank < considered.size(); ++rank) {
-        choices.push_back(score(*considered[rank], request.affinityKey == 0 ? 0 : rank, request, now));
+        const double pace = isExploring ? 1 : this->pace(considered[rank]->replica->id);
+        choices.push_back(score(*considered[rank], pace, request.affinityKey == 0 ? 0 : rank, request, now));
     }
     const auto cheapest = [&]() -> ScoredCandidate & {
         const auto cost = [this](const ScoredCandidate &each) { return each.baseCost + each.fillCost(options_); };
@@ -80,15 +103,16 @@
 double Chooser::ScoredCandidate::fillCost(const ChooserOptions &options) const
 {
     const double fill = static_cast<double>(running + 1) / std::max(1, candidate->replica->slots);
-    return fill * options.fillCost + std::max(0.0, fill - options.crowdedFillRatio) * options.crowdedCost;
+    return (fill * options.fillCost + std::max(0.0, fill - options.crowdedFillRatio) * options.crowdedCost) / pace;
 }
 
-Chooser::ScoredCandidate Chooser::score(const Candidate &candidate, std::size_t rank, const PickRequest &request, Instant now)
+Chooser::ScoredCandidate Chooser::score(const Candidate &candidate, double pace, std::size_t rank, const PickRequest &request, Instant now)
 {
     const auto &replica = *candidate.replica;
     const auto occupied = occupancy(replica.id, now);
     double cost = static_cast<double>(rank) * options_.preferenceRankCost;
-    cost += occupied.prefillMs * options_.prefillWaitFraction;
+    cost += occupied.prefillMs * options_.prefillWaitFraction / pace;
+    cost += static_cast<double>(request.expectedFirst.count()) * (1 / pace - 1);
     cost += failureShare(replica.id, now) * options_.failureCost;
     cost += replica.zone == request.zone ? 0 : options_.otherZoneCost;
     cost += isBlocked(replica.id, now) ? blockedCost : 0;
@@ -97,7 +121,7 @@
         cost += candidate.canLoad ? loadCost : options_.noOwnerCost;
     }
     cost += std::uniform_real_distribution<double>(0, tieSpread)(random_);
-    return {&candidate, cost, occupied.running};
+    return {&candidate, cost, occupied.running, pace};
 }
 
 int Chooser::unreportedSends(std::uint64_t affinityKey, Instant now) const
@@ -150,6 +174,28 @@
     }
 }
 
+void Chooser::onEvent(const UpstreamId &id)
+{
+    const auto found = upstreams_.find(id);
+    if (found != upstreams_.end() && found->second.consecutiveBlocks > 0) {
+        found->second.consecutiveBlocks = 0;
+        found->second.blockedUntil = Instant();
+    }
+}
+
+void Chooser::setPace(const UpstreamId &id, double pace)
+{
+    if (pace != this->pace(id)) {
+        upstreamState(id).pace = pace;
+    }
+}
+
+double Chooser::pace(const UpstreamId &id) const
+{
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? 1 : found->second.pace;
+}
+
 void Chooser::remove(const UpstreamId &id)
 {
     const auto found = upstreams_.find(id);
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -16,6 +16,10 @@
 // hot ones spread. The occupancy reported by other hosts is several reports old. For hot adapters the choice is therefore drawn
 // at random from the choices that all hosts together make in that time; otherwise all hosts would pick the upstream that was last
 // reported free. Costs are in milliseconds of expected wait, so that different criteria can be compared.
+//
+// An upstream that is slower than the others of its service (paces.h) takes longer for what it has and for the request, so these costs grow with
+// 1 / pace, and it is the first preferred upstream of fewer adapters, in proportion to its pace. A small share of the requests is chosen as if all
+// were alike, so that one that has become faster is noticed.
 #pragma once
 
 #include <functional>
@@ -58,6 +62,7 @@
     Milliseconds healthHalfLife{3'000};
     Milliseconds occupancyAge{200};     // mean age of remote occupancy when used: three reporting steps of 100 ms, each half on average, and network latency
     Milliseconds demandHalfLife{1'000}; // of this host's requests per affinity key
+    double explorationShare = 0.05;     // of the requests with a slow upstream among the preferred ones, chosen as if it were none
     Milliseconds remoteOccupancyTimeout{1'500}; // older remote occupancy is replaced by an estimate
 };
 
@@ -72,6 +77,7 @@
     std::span<const Candidate> candidates; // without those already tried
     std::uint64_t affinityKey = 0;         // hash of the weights or prompt; 0: no affinity
     ZoneId zone;
+    Milliseconds expectedFirst{0}; // until the first event, at an upstream of pace 1; 0: not known
 };
 
 class Chooser
@@ -85,16 +91,20 @@
 
     void beginSend(const UpstreamId &id) { ++upstreamState(id).local.running; }
     void endSend(const UpstreamId &id, SendOutcome outcome, Instant now);
+    /// Part of a response came. An upstream that gave no answer in time has stalled, but is not lost: it is blocked no longer.
+    void onEvent(const UpstreamId &id);
     void remove(const UpstreamId &id);
     /// The upstream starts the prefill of a prompt, which takes `ms`. Call endPrefill() when the response starts, and in any case
     /// before endSend().
     void beginPrefill(const UpstreamId &id, int ms) { upstreamState(id).local.prefillMs += ms; }
     void endPrefill(const UpstreamId &id, int ms) { upstreamState(id).local.prefillMs -= ms; }
     void setRemoteOccupancy(const UpstreamId &id, Occupancy occupancy, Instant now); // sum over the other hosts
+    void setPace(const UpstreamId &id, double pace);                                 // 1: as the others of its service; 0.5: half as fast
     void setHostCount(int count) { hostCount_ = std::max(1, count); }                // serving hosts, this one included
 
     [[nodiscard]] Occupancy localOccupancy(const UpstreamId &id) const;
     [[nodiscard]] Occupancy occupancy(const UpstreamId &id, Instant now) const; // of all hosts, reported or estimated
+    [[nodiscard]] double pace(const UpstreamId &id) const;
     [[nodiscard]] double failureShare(const UpstreamId &id, Instant now) const;
     [[nodiscard]] bool isBlocked(const UpstreamId &id, Instant now) const;
 
@@ -112,16 +122,20 @@
         admission::DecayingCount failures;
         Instant blockedUntil;
         int consecutiveBlocks = 0; // without a success in between
+        double pace = 1;
     };
 
     struct ScoredCandidate {
         const Candidate *candidate = nullptr;
         double baseCost = 0; // ms; all except the cost of running requests
         int running = 0;     // requests, including those expected to be sent before the occupancy is updated
+        double pace = 1;
         double fillCost(const ChooserOptions &options) const;
     };
 
-    [[nodiscard]] ScoredCandidate score(const Candidate &candidate, std::size_t rank, const PickRequest &request, Instant now);
+    [[nodiscard]] ScoredCandidate score(const Candidate &candidate, double pace, std::size_t rank, const PickRequest &request, Instant now);
+    [[nodiscard]] std::uint64_t preference(const UpstreamId &id, std::uint64_t affinityKey) const; // the highest comes first
+    [[nodiscard]] bool explores(const std::vector<const Candidate *> &considered);
     [[nodiscard]] int unreportedSends(std::uint64_t affinityKey, Instant now) const; // by all hosts, not yet in the remote occupancy
     void recordDemand(std::uint64_t affinityKey, Instant now);
     UpstreamState &upstreamState(const UpstreamId &id) { return upstreams_.try_emplace(id, options_.healthHalfLife).first->second; }
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -501,6 +501,11 @@
         return shortest && shortest->count() > 0 ? shortest : std::nullopt;
     }
 
+    [[nodiscard]] PickRequest pickRequest(std::span<const Candidate> from) const
+    {
+        return {from, affinityKey(), node_.settings.zone, node_.paces.expectedFirst(*service_, metadata_.promptTokens)};
+    }
+
     const ReplicaRecord *chooseUpstream()
     {
         auto all = candidates();
@@ -519,9 +524,9 @@
         }
         auto open = all;
         std::erase_if(open, [this](const Candidate &each) { return isReserved(*each.replica); });
-        const auto *best = open.size() < all.size() ? node_.chooser.pick({open, affinityKey(), node_.settings.zone}, node_.now()) : nullptr;
+        const auto *best = open.size() < all.size() ? node_.chooser.pick(pickRequest(open), node_.now()) : nullptr;
         if (best == nullptr || fillOf(*best->replica) >= freeSlotFill) {
-            best = node_.chooser.pick({all, affinityKey(), node_.settings.zone}, node_.now());
+            best = node_.chooser.pick(pickRequest(all), node_.now());
         }
         if (!version_ && fillOf(*best->replica) >= maxFill()) { // a stream that goes on has no other upstreams; the upstream admits it first or refuses it
             refusalReason_ = "crowded";
@@ -1437,6 +1442,7 @@
     {
         const auto now = node_.now();
         endPrefill(upstream_);
+        node_.chooser.onEvent(upstream_);
         if (!hasResponseBegun_) {
             hasResponseBegun_ = true;
             status_ = 200;
@@ -1475,6 +1481,7 @@
         }
         const auto now = node_.now();
         const auto firstAt = firstEvent_ ? request_.arrivedAt + *firstEvent_ : now;
+        node_.learnPace({upstream_, *service_, metadata_.promptTokens, 0, firstAt - sentAt_, now - firstAt, longestPause_, events_});
         node_.runTimes[*service_].add({.untilFirst = firstAt - sentAt_, .rest = now - firstAt, .size = metadata_.maxOutputTokens});
     }
 
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -155,6 +155,7 @@
     , crashExchange_(node_, groups_)
     , streamExchange_(node_, groups_)
     , loadExchange_(settings.host)
+    , paceExchange_(node_)
 {
     node_.residency = this;
     node_.streams = &streamExchange_;
@@ -272,6 +273,7 @@
     metrics.blamedRequests.set(static_cast<double>(node_.crashes.blamed(CrashCause::Kind::Request)));
     metrics.cutOff.set(node_.reachability.isCutOff() ? 1 : 0);
     metrics.cutOffPeers.set(static_cast<double>(node_.reachability.cutOffPeers(now).size()));
+    paceExchange_.updateGauge();
     metrics.residencyLeases.set(static_cast<double>(node_.leases.size()));
     metrics.logLinesDropped.set(static_cast<double>(logging::Log::droppedLines()));
     if (node_.routes) {
@@ -439,6 +441,7 @@
         node_.leases.drop(id);
         node_.pool.forget(id);
         node_.chooser.remove(id);
+        node_.paces.forget(id);
     }
     const auto owned = ownedReplicas_.find(id);
     const auto *record = node_.replicas.find(id);
@@ -823,6 +826,7 @@
     tick();
     sendAdapterUses();
     exchangeLoads();
+    paceExchange_.tick();
     sendGate_.tick();
     tellBrittle();
     crashExchange_.tick();
@@ -1315,6 +1319,7 @@
             loads[id] = {running, prefillMs};
         }
         loadExchange_.onReport(from, static_cast<LoadScope>(update->scope), std::move(loads), node_.now());
+        paceExchange_.onReport(from, *update);
         applyLoads();
     }
 }
@@ -1486,8 +1491,10 @@
             own[id] = load;
         }
     }
-    for (const auto &update : loadExchange_.tick(own, groups_.members(loadsPurpose), groups_.leaders(loadsPurpose), node_.now())) {
-        peers::LoadsNotice notice{static_cast<int>(update.scope), {}};
+    const auto updates = loadExchange_.tick(own, groups_.members(loadsPurpose), groups_.leaders(loadsPurpose), node_.now());
+    paceExchange_.prepare(updates);
+    for (const auto &update : updates) {
+        peers::LoadsNotice notice{static_cast<int>(update.scope), {}, paceExchange_.entries(update.scope)};
         for (const auto &[id, load] : update.loads) {
             notice.loads.emplace_back(id, load.running, load.prefillMs);
         }
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -27,6 +27,7 @@
 #include <serving/loadexchange.h>
 #include <serving/newestconfiguration.h>
 #include <serving/ownedreplica.h>
+#include <serving/paceexchange.h>
 #include <serving/prefillgate.h>
 #include <serving/relayexchange.h>
 #include <serving/sendgate.h>
@@ -171,6 +172,7 @@
     CrashExchange crashExchange_;
     StreamExchange streamExchange_;
     LoadExchange loadExchange_;
+    PaceExchange paceExchange_;
     std::uint64_t loadExchangeTicks_ = 0;
     std::map<HostId, Instant> silentOwners_;                          // until when; see takeSendPermit()
     std::map<UpstreamId, Instant> brittleToldAt_;                     // owned upstreams, to all hosts
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -51,6 +51,7 @@
     , brittleUpstreams(registry.gauge({"brittle_upstreams", "upstreams that fall over when they refuse too many requests for want of room", {}, 1}))
     , blamedParts(registry.gauge({"blamed_parts", "parts of prompts that crash upstreams; requests with them are refused", {}, 1}))
     , blamedRequests(registry.gauge({"blamed_requests", "requests that crash upstreams; they are refused when they come again", {}, 1}))
+    , upstreamPace(registry.gauge({"upstream_pace", "learnt pace of a model replica, relative to the median one of its service", {"upstream"}}))
     , upstreamConnections(registry.gauge({"upstream_connections", "connections to upstreams", {"state"}, 4}))
     , callerConnections(registry.gauge({"caller_connections", "connections of callers", {"state"}, 4}))
     , closedConnections(registry.counter({"caller_connections_closed_total", "connections of callers that this host closed", {"cause"}, 16}))
@@ -98,6 +99,17 @@
     return found == activeRevisions.end() ? std::nullopt : std::optional(found->second);
 }
 
+void Node::learnPace(Paces::Answer answer)
+{
+    const auto *record = replicas.find(answer.upstream);
+    const auto *service = routes ? routes->service(answer.service) : nullptr;
+    if (record == nullptr || service == nullptr || !service->engine) {
+        return;
+    }
+    answer.fill = static_cast<double>(chooser.occupancy(record->id, now()).running) / std::max(1, record->slots);
+    paces.add(answer, now());
+}
+
 void Node::addDemand(const BaseModel &model)
 {
     demand.try_emplace(model, demandHalfLife).first->second.add(now());
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -21,6 +21,7 @@
 #include <serving/chooser.h>
 #include <serving/crashwatch.h>
 #include <serving/gracefulstop.h>
+#include <serving/paces.h>
 #include <serving/prefillturns.h>
 #include <serving/protocol.h>
 #include <serving/reachability.h>
@@ -72,6 +73,7 @@
     metrics::Gauge &brittleUpstreams;
     metrics::Gauge &blamedParts;
     metrics::Gauge &blamedRequests;
+    metrics::Gauge &upstreamPace;        // upstream
     metrics::Gauge &upstreamConnections; // state
     metrics::Gauge &callerConnections;   // state
     metrics::Counter &closedConnections; // cause
@@ -153,6 +155,8 @@
     /// What this host knew before `now` may be out of date until the upstreams are read again.
     void setOutOfStep() { outOfStepAt = now(); }
     [[nodiscard]] admission::RetryBudget &retryBudgetFor(const ServiceName &service);
+    /// An answer of a model replica came whole; `answer` without occupancy.
+    void learnPace(Paces::Answer answer);
     [[nodiscard]] std::optional<ActiveRevision> activeRevision(const AdapterKey &weights) const;
     void setHostCount(int count); // serving hosts, including this one
     void addDemand(const BaseModel &model);
@@ -219,6 +223,7 @@
     std::map<AdapterKey, ActiveRevision> activeRevisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> useCounts; // running requests of this host, by the weights that they use
     std::map<ServiceName, PrefillRate> prefillRates;           // learnt from the requests of this host
+    Paces paces;                                               // of model replicas
     std::map<BaseModel, admission::DecayingCount> demand;      // recent requests of this host by base model
     ResidencySource *residency = nullptr;                      // set before the first request
     StreamDirectory *streams = nullptr;                        // the same
