--- a/packages/peers/tests/buildstest.cpp
+++ b/packages/peers/tests/buildstest.cpp
@@ -128,5 +128,29 @@
     EXPECT_EQ(account->version, "v1");
 }
 
+// Guards against links that hosts of two builds close on each other's loads: those of older builds name no paces, and those of this one may.
+TEST(Builds, loads_with_and_without_paces_are_read)
+{
+    core::Error error;
+    const nlohmann::json old = nlohmann::json::array({3, {{"scope", 2}, {"loads", {{"i-1", 4, 120}}}}});
+    const auto bytes = nlohmann::json::to_cbor(old);
+    const auto read = decode(std::string(1, '\6') + std::string(bytes.begin(), bytes.end()), error);
+    ASSERT_TRUE(read) << error.text();
+    const auto &loads = std::get<LoadsNotice>(std::get<Notice>(*read).body);
+    EXPECT_EQ(loads.loads.size(), 1U);
+    EXPECT_FALSE(loads.paces);
+    EXPECT_EQ(payloadOf(encode(Notice{loads})), old) << "without paces the same bytes as before";
+
+    LoadsNotice sent{2, loads.loads, std::vector<UpstreamPace>{{core::UpstreamId("i-1"), 125, -798}}};
+    expectReadableByOld(old.at(1), payloadOf(encode(Notice{sent})).at(1), "LoadsNotice");
+    const auto again = decode(encode(Notice{sent}), error);
+    ASSERT_TRUE(again) << error.text();
+    EXPECT_EQ(std::get<LoadsNotice>(std::get<Notice>(*again).body).paces, sent.paces);
+    sent.paces->clear();
+    const auto none = decode(encode(Notice{sent}), error);
+    ASSERT_TRUE(none) << error.text();
+    EXPECT_TRUE(std::get<LoadsNotice>(std::get<Notice>(*none).body).paces);
+}
+
 } // namespace
 } // namespace baobabstall::peers
--- a/packages/serving/tests/choosertest.cpp
+++ b/packages/serving/tests/choosertest.cpp
@@ -280,5 +280,96 @@
     EXPECT_EQ(chooser_.pick({{}, affinityKey, ZoneId("a")}, now_), nullptr);
 }
 
+// Load: cold adapters come one request at a time. Homes on slow upstreams would make each of their callers wait.
+TEST_F(ChooserTest, a_slow_upstream_is_the_first_preferred_one_of_fewer_adapters_and_the_others_keep_their_homes)
+{
+    useGrownUpstreams();
+    std::map<std::uint64_t, UpstreamId> homes;
+    const auto homeOf = [this](std::uint64_t key) { return chooser_.preferredCandidates({candidates_, key, ZoneId("a")}).front()->replica->id; };
+    constexpr int keys = 7'200;
+    for (std::uint64_t key = 1; key <= keys; ++key) {
+        homes[key] = homeOf(key);
+    }
+    const UpstreamId slow("n5");
+    chooser_.setPace(slow, 0.42);
+    int left = 0;
+    int before = 0;
+    for (const auto &[key, home] : homes) {
+        before += home == slow ? 1 : 0;
+        left += homeOf(key) == slow ? 1 : 0;
+        EXPECT_TRUE(homeOf(key) == home || home == slow) << key;
+    }
+    EXPECT_NEAR(static_cast<double>(left) / before, 0.42, 0.12) << left << " of " << before;
+    chooser_.setPace(slow, 1);
+    for (const auto &[key, home] : homes) {
+        EXPECT_EQ(homeOf(key), home);
+    }
+}
+
+// Load: an unusual adapter whose first preferred upstream is slow, while the others are free.
+TEST_F(ChooserTest, a_cold_adapter_is_not_loaded_on_a_slow_upstream_while_fast_ones_are_free)
+{
+    for (auto &each : candidates_) {
+        each.holdsWeights = false;
+    }
+    const auto affinityKey = core::hashText("rare", 1);
+    const PickRequest request{candidates_, affinityKey, ZoneId("a"), Milliseconds(150)};
+    const auto home = chooser_.preferredCandidates(request).front()->replica->id;
+    chooser_.setPace(home, 0.42);
+    int atSlow = 0;
+    constexpr int requests = 400;
+    for (int i = 0; i < requests; ++i) {
+        atSlow += chooser_.pick(request, now_)->replica->id == home ? 1 : 0;
+        now_ = now_ + Milliseconds(20'000);
+    }
+    EXPECT_LT(atSlow, requests / 10);
+}
+
+// Some requests still go to a slow upstream that holds the weights, so that one that has become faster is noticed.
+TEST_F(ChooserTest, a_slow_upstream_still_gets_a_few_requests)
+{
+    const auto affinityKey = core::hashText("held", 1);
+    const PickRequest request{candidates_, affinityKey, ZoneId("a"), Milliseconds(150)};
+    const auto home = chooser_.preferredCandidates(request).front()->replica->id;
+    for (const auto &record : records_) {
+        chooser_.setPace(record.id, record.id == home ? 0.6 : 1);
+    }
+    const auto first = chooser_.preferredCandidates(request).front()->replica->id;
+    int atSlow = 0;
+    constexpr int requests = 1'000;
+    for (int i = 0; i < requests; ++i) {
+        now_ = now_ + Milliseconds(20'000);
+        atSlow += chooser_.pick(request, now_)->replica->id == home ? 1 : 0;
+    }
+    EXPECT_GT(atSlow, first == home ? requests / 50 : -1);
+    EXPECT_LT(atSlow, requests / 5);
+}
+
+// Failure: an upstream stands still for 600 ms, so requests are given up, and then goes on with its streams. It isn't lost.
+TEST_F(ChooserTest, a_block_ends_with_the_next_event_of_the_upstream)
+{
+    const UpstreamId id("r0");
+    for (int i = 0; i < 3; ++i) {
+        chooser_.beginSend(id);
+    }
+    chooser_.endSend(id, SendOutcome::NoAnswer, now_);
+    chooser_.endSend(id, SendOutcome::NoAnswer, now_);
+    EXPECT_TRUE(chooser_.isBlocked(id, now_));
+    chooser_.onEvent(id);
+    EXPECT_FALSE(chooser_.isBlocked(id, now_));
+    chooser_.endSend(id, SendOutcome::NoAnswer, now_);
+    EXPECT_FALSE(chooser_.isBlocked(id, now_ + Milliseconds(400))) << "the first block again";
+}
+
+// An upstream that refused for want of room pauses for the time of that, whatever its streams bring.
+TEST_F(ChooserTest, an_event_does_not_end_the_pause_of_a_full_upstream)
+{
+    const UpstreamId id("r0");
+    chooser_.beginSend(id);
+    chooser_.endSend(id, SendOutcome::Full, now_);
+    chooser_.onEvent(id);
+    EXPECT_TRUE(chooser_.isBlocked(id, now_));
+}
+
 } // namespace
 } // namespace baobabstall::serving
