--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -83,7 +83,7 @@
     std::vector<ScoredCandidate> choices;
     choices.reserve(considered.size());
     for (std::size_t rank = 0; rank < considered.size(); ++rank) {
-        const double pace = isExploring ? 1 : this->pace(considered[rank]->replica->id);
+        const double pace = isExploring && considered[rank]->holdsWeights ? 1 : this->pace(considered[rank]->replica->id);
         choices.push_back(score(*considered[rank], pace, request.affinityKey == 0 ? 0 : rank, request, now));
     }
     const auto cheapest = [&]() -> ScoredCandidate & {
@@ -112,12 +112,12 @@
     const auto occupied = occupancy(replica.id, now);
     double cost = static_cast<double>(rank) * options_.preferenceRankCost;
     cost += occupied.prefillMs * options_.prefillWaitFraction / pace;
-    cost += static_cast<double>(request.expectedFirst.count()) * (1 / pace - 1);
+    cost += static_cast<double>(request.expectedFirst.count()) * options_.firstEventShare * (1 / pace - 1);
     cost += failureShare(replica.id, now) * options_.failureCost;
     cost += replica.zone == request.zone ? 0 : options_.otherZoneCost;
     cost += isBlocked(replica.id, now) ? blockedCost : 0;
     if (!candidate.holdsWeights) {
-        const double loadCost = options_.missingWeightsCost + (rank > 0 ? options_.newHomeCost : 0);
+        const double loadCost = options_.missingWeightsCost + (rank > 0 || pace < 1 ? options_.newHomeCost : 0);
         cost += candidate.canLoad ? loadCost : options_.noOwnerCost;
     }
     cost += std::uniform_real_distribution<double>(0, tieSpread)(random_);
@@ -160,6 +160,9 @@
         break;
     case SendOutcome::NoAnswer: {
         state.failures.add(now);
+        if (state.local.running > 0 && now - state.eventAt >= options_.stallSilence) {
+            ++state.silentFailures;
+        }
         const auto blockTime = options_.initialBlockTime * (std::int64_t(1) << std::min(state.consecutiveBlocks, maxBlockDoublings));
         state.blockedUntil = now + std::min(blockTime, options_.maxBlockTime);
         ++state.consecutiveBlocks;
@@ -174,12 +177,19 @@
     }
 }
 
-void Chooser::onEvent(const UpstreamId &id)
+void Chooser::onEvent(const UpstreamId &id, Instant now)
 {
     const auto found = upstreams_.find(id);
-    if (found != upstreams_.end() && found->second.consecutiveBlocks > 0) {
-        found->second.consecutiveBlocks = 0;
-        found->second.blockedUntil = Instant();
+    if (found == upstreams_.end()) {
+        return;
+    }
+    auto &state = found->second;
+    state.eventAt = now;
+    if (state.silentFailures > 0) {
+        state.failures.add(now, -std::min<double>(state.silentFailures, state.failures.value(now)));
+        state.silentFailures = 0;
+        state.consecutiveBlocks = 0;
+        state.blockedUntil = Instant();
     }
 }
 
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -62,6 +62,8 @@
     Milliseconds healthHalfLife{3'000};
     Milliseconds occupancyAge{200};     // mean age of remote occupancy when used: three reporting steps of 100 ms, each half on average, and network latency
     Milliseconds demandHalfLife{1'000}; // of this host's requests per affinity key
+    double firstEventShare = 0.1;       // of the time that a slow upstream takes longer until the first event; more of it fills the fast ones up
+    Milliseconds stallSilence{300};     // without any event of an upstream's streams: longer than a step with a prompt in it
     double explorationShare = 0.05;     // of the requests with a slow upstream among the preferred ones, chosen as if it were none
     Milliseconds remoteOccupancyTimeout{1'500}; // older remote occupancy is replaced by an estimate
 };
@@ -91,8 +93,9 @@
 
     void beginSend(const UpstreamId &id) { ++upstreamState(id).local.running; }
     void endSend(const UpstreamId &id, SendOutcome outcome, Instant now);
-    /// Part of a response came. An upstream that gave no answer in time has stalled, but is not lost: it is blocked no longer.
-    void onEvent(const UpstreamId &id);
+    /// Part of a response came. Where sends were given up while the upstream was silent on all its streams, it has stalled and isn't lost: what
+    /// they counted is taken back. One that goes on with its streams and leaves some sends unanswered stays blamed.
+    void onEvent(const UpstreamId &id, Instant now);
     void remove(const UpstreamId &id);
     /// The upstream starts the prefill of a prompt, which takes `ms`. Call endPrefill() when the response starts, and in any case
     /// before endSend().
@@ -123,6 +126,8 @@
         Instant blockedUntil;
         int consecutiveBlocks = 0; // without a success in between
         double pace = 1;
+        Instant eventAt;        // of the last part of a response
+        int silentFailures = 0; // sends given up since, while other streams were silent, too
     };
 
     struct ScoredCandidate {
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -1442,7 +1442,7 @@
     {
         const auto now = node_.now();
         endPrefill(upstream_);
-        node_.chooser.onEvent(upstream_);
+        node_.chooser.onEvent(upstream_, now);
         if (!hasResponseBegun_) {
             hasResponseBegun_ = true;
             status_ = 200;
