--- a/packages/serving/tests/pacestest.cpp
+++ b/packages/serving/tests/pacestest.cpp
@@ -170,6 +170,20 @@
     EXPECT_EQ(paces_.refresh(replicas_, now_).size(), 3U);
 }
 
+// Load: a slow replica whose pace wanders. Each step that decisions see moves homes of adapters.
+TEST_F(PacesTest, the_pace_that_decisions_use_holds_while_the_estimate_wanders)
+{
+    run(20, [](int i) { return i == 0 ? 0.43 : 1; });
+    const double held = paces_.pace(replicaId(0));
+    int moves = 0;
+    for (int i = 0; i < 60; ++i) {
+        const double wandering = 0.43 + 0.05 * std::sin(0.7 * i);
+        run(5, [wandering](int replica) { return replica == 0 ? wandering : 1; });
+        moves += paces_.pace(replicaId(0)) != held ? 1 : 0;
+    }
+    EXPECT_EQ(moves, 0);
+}
+
 TEST_F(PacesTest, a_new_replica_and_one_that_restarted_begin_as_the_others)
 {
     run(10, [](int i) { return i == 0 ? 0.45 : 1; });
