--- a/packages/serving/paces.cpp
+++ b/packages/serving/paces.cpp
@@ -176,7 +176,10 @@
 std::vector<Paces::Change> Paces::refresh(std::span<const Replica> replicas, Instant now)
 {
     forgetOthers(replicas);
-    const auto evidence = hasLeader(now) ? leader_ : normalized(allEvidence(now));
+    if (!hasLeader(now) || !hosts_.empty()) { // others may take this host for their leader
+        merged_ = normalized(allEvidence(now));
+    }
+    const auto &evidence = hasLeader(now) ? leader_ : merged_;
     std::vector<Change> changes;
     for (const auto &[id, service] : replicas) {
         const auto found = evidence.find(id);
@@ -231,6 +234,7 @@
     own_.erase(id);
     lateAt_.erase(id);
     leader_.erase(id);
+    merged_.erase(id);
     learnt_.erase(id);
     for (auto *tables : {&hosts_, &groups_}) {
         for (auto &[host, table] : *tables) {
@@ -347,10 +351,11 @@
     if (scope == LoadScope::Host) {
         addAll(all, own_, now);
     } else {
-        all = scope == LoadScope::Group ? groupEvidence(now) : normalized(allEvidence(now));
+        all = scope == LoadScope::Group ? groupEvidence(now) : merged_;
     }
     std::vector<PaceEntry> entries;
-    for (const auto &[id, evidence] : all) {
+    for (const auto &[id, known] : all) {
+        const auto evidence = known.agedTo(now);
         auto &last = sent.evidence[id];
         if (entries.size() < maxEntries && isDue(scope, evidence, last.agedTo(now))) {
             last = evidence;
--- a/packages/serving/paces.h
+++ b/packages/serving/paces.h
@@ -159,6 +159,7 @@
     std::map<HostId, Table> hosts_;
     std::map<HostId, Table> groups_;
     Table leader_;
+    Table merged_; // of all hosts, by the last refresh()
     bool isLeading_ = false;
     std::optional<Instant> leaderHeardAt_;
     std::map<UpstreamId, Learnt> learnt_;
