--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -23,6 +23,7 @@
 #include <serving/chooser.h>
 #include <serving/crashwatch.h>
 #include <serving/gracefulstop.h>
+#include <serving/paces.h>
 #include <serving/prefillturns.h>
 #include <serving/protocol.h>
 #include <serving/reachability.h>
@@ -83,6 +84,7 @@
     metrics::Gauge &brittleUpstreams;
     metrics::Gauge &blamedParts;
     metrics::Gauge &blamedRequests;
+    metrics::Gauge &upstreamPace;        // upstream
     metrics::Gauge &upstreamConnections; // state
     metrics::Gauge &callerConnections;   // state
     metrics::Counter &closedConnections; // cause
@@ -190,6 +192,8 @@
     /// A caller ran into a limit of what it may make this host hold; status 0: its connection was closed without an answer.
     void noteCallerLimit(net::CallerPart part, int status);
     [[nodiscard]] admission::RetryBudget &retryBudgetFor(const ServiceName &service);
+    /// An answer of a model replica came whole; `answer` without occupancy.
+    void learnPace(Paces::Answer answer);
     [[nodiscard]] std::optional<ActiveRevision> activeRevision(const AdapterKey &weights) const;
     void setHostCount(int count); // serving hosts, including this one
     void addDemand(const BaseModel &model);
@@ -259,6 +263,7 @@
     std::map<AdapterKey, ActiveRevision> activeRevisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> useCounts; // running requests of this host, by the weights that they use
     std::map<ServiceName, PrefillRate> prefillRates;           // learnt from the requests of this host
+    Paces paces;                                               // of model replicas
     std::map<BaseModel, admission::DecayingCount> demand;      // recent requests of this host by base model
     ResidencySource *residency = nullptr;                      // set before the first request
     StreamDirectory *streams = nullptr;                        // the same
