--- a/packages/serving/tests/plainfleet.h
+++ b/packages/serving/tests/plainfleet.h
@@ -92,13 +92,13 @@
     [[nodiscard]] PlainCounts &counts(int kind) { return counts_[kind]; }
     [[nodiscard]] int ownerCalls() const { return ownerCalls_; }
     [[nodiscard]] int replicaRefusals() const { return replicaRefusals_; }
-    [[nodiscard]] const std::vector<Milliseconds> &turns() const { return turns_; }
 
 private:
     struct Host {
         WorkTimes work;
         std::map<std::size_t, Instant> silentUntil;
     };
+    enum class Wait : std::uint8_t { None, FirstAnswer, Turn };
     struct Request {
         PlainCall call;
         std::size_t host = 0;
@@ -109,7 +109,9 @@
         int owners = 0;
         SendHoldId hold;
         std::size_t holdAt = 0;
-        bool isAnswered = false; // by its owner, or the host waits no longer
+        Wait wait = Wait::None;
+        Instant lastWord;
+        bool isByOwnCount = false; // an owner was silent
     };
     using RequestPtr = std::shared_ptr<Request>;
     struct Replica {
@@ -146,6 +148,11 @@
     {
         for (std::size_t i = 0; i < replicas_.size(); ++i) {
             settle(i);
+            for (const auto &[id, request] : replicas_[i].waiters) {
+                if (!replicas_[i].isSilent) {
+                    sayThatItWaits(request, i);
+                }
+            }
         }
         after(reportInterval, [this] { tickRooms(); });
     }
@@ -190,12 +197,12 @@
         const int usable = static_cast<int>(std::count_if(replicas_.begin(), replicas_.end(), [](const auto &each) { return !each.isGone; }));
         host.work.noteLoad(running, usable * slots, time_.now());
         constexpr int maxOwners = 2;
-        if (open.empty() || request->owners >= maxOwners) {
+        if (open.empty() || request->owners >= maxOwners || (retryAfter_ && *retryAfter_ >= ScarceRoom::longestTurn)) {
             refuse(request, std::nullopt);
             return;
         }
         std::shuffle(open.begin(), open.end(), random_);
-        if (rule_ == Rule::Owners && host.work.isScarce(time_.now())) {
+        if (rule_ == Rule::Owners && !request->isByOwnCount && host.work.isScarce(time_.now())) {
             askOwner(request, open.front());
             return;
         }
@@ -215,50 +222,74 @@
         send(request, replica);
     }
 
+    /// A silent owner, or one that fell silent while the request waits: the host goes by its own count.
+    void fallBack(const RequestPtr &request, std::size_t replica, Wait wait)
+    {
+        constexpr Milliseconds silentTime{1'000};
+        if (request->wait != wait || request->holdAt != replica) {
+            return;
+        }
+        request->wait = Wait::None;
+        hosts_[request->host].silentUntil[replica] = time_.now() + silentTime;
+        request->isByOwnCount = true;
+        choose(request);
+    }
+
     void askOwner(const RequestPtr &request, std::size_t replica)
     {
-        auto &host = hosts_[request->host];
-        ++request->owners;
-        request->tried.push_back(replica);
-        if (time_.now() < host.silentUntil[replica]) {
-            sendByOwnCount(request, replica);
+        const auto &host = hosts_[request->host];
+        const auto silent = host.silentUntil.find(replica);
+        if (silent != host.silentUntil.end() && time_.now() < silent->second) {
+            request->isByOwnCount = true;
+            choose(request);
             return;
         }
         ++ownerCalls_;
         constexpr Milliseconds patience{60};
-        request->isAnswered = false;
-        after(patience, [this, request, replica, owners = request->owners] {
-            constexpr Milliseconds silentTime{1'000};
-            if (!request->isAnswered && request->owners == owners) {
-                request->isAnswered = true;
-                hosts_[request->host].silentUntil[replica] = time_.now() + silentTime;
-                sendByOwnCount(request, replica);
-            }
-        });
-        const auto there = way();
-        after(there, [this, request, replica, there] {
-            if (replicas_[replica].isSilent) {
+        request->wait = Wait::FirstAnswer;
+        request->holdAt = replica;
+        after(patience, [this, request, replica] { fallBack(request, replica, Wait::FirstAnswer); });
+        after(way(), [this, request, replica] { beAsked(request, replica); });
+    }
+
+    void beAsked(const RequestPtr &request, std::size_t replica)
+    {
+        auto &owned = replicas_[replica];
+        if (owned.isSilent) {
+            return;
+        }
+        constexpr Milliseconds roundTrip{11};
+        owned.room.learn(hosts_[request->host].work.expected(), roundTrip);
+        const auto onTimeBy = request->arrivedAt + request->call.objective;
+        request->hold = owned.room.request(
+            {request->call.rank, request->call.mayRepeat, onTimeBy, request->arrivedAt + request->call.timeout, request->hash}, time_.now());
+        owned.waiters[request->hold] = request;
+        settle(replica);
+        if (!owned.waiters.contains(request->hold)) {
+            return;
+        }
+        sayThatItWaits(request, replica);
+        if (request->call.leaves) {
+            constexpr Milliseconds patienceOfCaller{20};
+            after(patienceOfCaller, [this, request, replica] { leave(request, replica); });
+        }
+    }
+
+    /// Of the owner, at once and with each tick.
+    void sayThatItWaits(const RequestPtr &request, std::size_t replica)
+    {
+        after(way(), [this, request, replica] {
+            static constexpr Milliseconds patience{250};
+            if (request->wait == Wait::None || request->holdAt != replica) {
                 return;
             }
-            auto &room = replicas_[replica].room;
-            constexpr Milliseconds roundTrip{11};
-            room.learn(hosts_[request->host].work.expected(), roundTrip);
-            const auto sentAt = time_.now() - there;
-            (void)sentAt;
-            request->hold = room.request({request->call.rank,
-                                          request->call.mayRepeat,
-                                          request->arrivedAt + request->call.objective,
-                                          request->arrivedAt + request->call.timeout,
-                                          request->hash},
-                                         time_.now());
-            request->holdAt = replica;
-            replicas_[replica].waiters[request->hold] = request;
-            settle(replica);
-            after(way(), [request] { request->isAnswered = true; }); // also that it waits
-            if (request->call.leaves && replicas_[replica].waiters.contains(request->hold)) {
-                constexpr Milliseconds patienceOfCaller{20};
-                after(patienceOfCaller, [this, request, replica] { leave(request, replica); });
-            }
+            request->wait = Wait::Turn;
+            request->lastWord = time_.now();
+            after(patience, [this, request, replica] {
+                if (time_.now() - request->lastWord >= patience) {
+                    fallBack(request, replica, Wait::Turn);
+                }
+            });
         });
     }
 
@@ -267,6 +298,7 @@
         auto &owned = replicas_[replica];
         if (owned.waiters.erase(request->hold) != 0) {
             ++counts_[request->call.kind].left;
+            request->wait = Wait::None;
             owned.room.end(request->hold, time_.now());
             settle(replica);
         }
@@ -285,20 +317,30 @@
             }
             const auto request = waiter->second;
             owned.waiters.erase(waiter);
-            after(way(), [this, request, replica, each] {
-                request->isAnswered = true;
-                if (each.isGranted) {
-                    send(request, replica);
-                    return;
-                }
-                turns_.push_back(each.turn);
-                request->hold = SendHoldId();
-                retryAfter_ = each.turn;
-                choose(request);
-            });
+            after(way(), [this, request, replica, each] { onOutcome(request, replica, each); });
         }
     }
 
+    void onOutcome(const RequestPtr &request, std::size_t replica, const ScarceRoom::Outcome &outcome)
+    {
+        if (request->wait == Wait::None) { // too late: the host went by its own count, and cancels
+            if (outcome.isGranted && request->hold != outcome.id) {
+                replicas_[replica].room.end(outcome.id, time_.now());
+            }
+            return;
+        }
+        request->wait = Wait::None;
+        if (outcome.isGranted) {
+            send(request, replica);
+            return;
+        }
+        ++request->owners;
+        request->tried.push_back(replica);
+        request->hold = SendHoldId();
+        retryAfter_ = outcome.turn;
+        choose(request);
+    }
+
     void send(const RequestPtr &request, std::size_t replica)
     {
         ++replicas_[replica].sent;
@@ -384,7 +426,6 @@
     std::mt19937_64 random_;
     std::map<int, PlainCounts> counts_;
     std::optional<Milliseconds> retryAfter_; // of the refusal that is being handled
-    std::vector<Milliseconds> turns_;
     int ownerCalls_ = 0;
     int replicaRefusals_ = 0;
 };
