--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -434,7 +434,7 @@
     const auto now = core::SteadyClock().now();
     const bool keepsMemory = holder_.resize(CallerPart::Body, 0, now) && holder_.resize(CallerPart::Input, buffer_.capacity(), now);
     holder_.idle(now);
-    co_return keepsMemory && exchange.isComplete() && !isFault && !isPeerGone_ && staysOpen_;
+    co_return keepsMemory &&exchange.isComplete() && !isFault && !isPeerGone_ && staysOpen_;
 }
 
 void Connection::checkPeer()
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -38,6 +38,7 @@
 #include <serving/upstreamlimits.h>
 #include <serving/upstreams.h>
 #include <serving/versionhistory.h>
+#include <serving/worktimes.h>
 #include <settings/settings.h>
 #include <workspaces/configurationproof.h>
 
@@ -61,7 +62,10 @@
     metrics::Counter &quotaCredit;       // what
     metrics::Counter &quotaRefusals;     // where
     metrics::Gauge &quotaFallback;
-    metrics::Gauge &quotaServedHosts;      // partition
+    metrics::Gauge &quotaServedHosts; // partition
+    metrics::Counter &scarceAsks;     // outcome
+    metrics::Histogram &scarceWait;   // outcome
+    metrics::Histogram &scarceTurn;
     metrics::Counter &orders;              // kind, outcome
     metrics::Counter &storeCalls;          // call, outcome
     metrics::Counter &unreadableRequests;  // status
@@ -250,7 +254,8 @@
     UpstreamLimits limits;
     ResponseBudget responseBudget;
     GracefulStop stop;
-    std::map<ServiceName, RunTimes> runTimes; // learnt from the requests of this host
+    std::map<ServiceName, RunTimes> runTimes;   // learnt from the requests of this host
+    std::map<ServiceName, WorkTimes> workTimes; // the same, of plain services
     CrashWatch crashes;
     Reachability reachability;
     VersionHistory versions;
