--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include <net/answerstatus.h>
+#include <net/asio.h>
 #include <net/http.h>
 
 #include "endlessserver.h"
@@ -204,6 +205,35 @@
     EXPECT_EQ(pieces, 0);
 }
 
+// Guards against connections that lie idle after the answer on them ended with them (issue 49).
+TEST_F(HttpTest, a_connection_that_an_answer_ended_is_closed_at_once)
+{
+    asio::ip::tcp::acceptor acceptor(io_, {asio::ip::make_address("127.0.0.1"), 0});
+    const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+    int closed = 0;
+    const auto serve = [&]() -> asio::awaitable<void> {
+        while (true) {
+            auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+            std::string head;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\nwhole")), asio::use_awaitable);
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(head), "never", tuple);
+            ++closed;
+        }
+    };
+    asio::co_spawn(io_, serve(), [](const std::exception_ptr &) {});
+    EXPECT_TRUE(run(client_.call(address, {}, {}, why_)));
+    const auto onChunk = [](std::string_view) -> Task<bool> { co_return true; };
+    io_.run_for(std::chrono::milliseconds(100));
+    io_.restart();
+    EXPECT_EQ(closed, 1);
+    EXPECT_TRUE(run(client_.stream(address, {}, {}, onChunk, why_)));
+    io_.run_for(std::chrono::milliseconds(100));
+    io_.restart();
+    EXPECT_EQ(closed, 2);
+}
+
 // Guards against an answer whose status nobody knows (issue 49, MIXED).
 TEST_F(HttpTest, an_answer_whose_status_is_outside_100_to_599_is_refused_by_name)
 {
