--- a/packages/serving/tests/upstreamcopytest.cpp
+++ b/packages/serving/tests/upstreamcopytest.cpp
@@ -146,6 +146,30 @@
     EXPECT_FALSE(restarted.isUsable(UpstreamId("r2")));
 }
 
+// Guards against an upstream that had left and is in use again after its hosts have started anew (issue 49, reports of other operators).
+TEST(UpstreamCopy, does_not_bring_back_what_left_before_the_hosts_started)
+{
+    const Instant now(10'000);
+    ReplicaBook replicas;
+    for (const auto *id : {"stays", "said-so", "record-says-so", "gone"}) {
+        replicas.apply(record(id, std::string_view(id) == "record-says-so"));
+    }
+    replicas.markLeaving(UpstreamId("said-so"), record("said-so").startTime);
+    replicas.markLeaving(UpstreamId("gone"), record("gone").startTime);
+    replicas.remove(UpstreamId("gone"), now);
+    core::Error error;
+    const auto copy = decodeUpstreamCopy(encodeUpstreamCopy(replicas, {}, civilNow), civilNow, error);
+    ASSERT_TRUE(copy) << error.text();
+    ReplicaBook restarted;
+    for (const auto &upstream : copy->records) {
+        restarted.apply(upstream);
+    }
+    const std::vector<UpstreamId> onlyOne{UpstreamId("stays")};
+    EXPECT_EQ(restarted.usable(ServiceName("llm")), onlyOne);
+    restarted.assign({record("stays"), record("said-so"), record("record-says-so")}, now);
+    EXPECT_EQ(restarted.usable(ServiceName("llm")), onlyOne) << "records that were written before they left";
+}
+
 // Guards against numbers that fit no int and ports that are none in a copy that another version or writer stored (issue 32).
 TEST(UpstreamCopy, rejects_numbers_out_of_range)
 {
