--- a/packages/net/tests/callerbudgettest.cpp
+++ b/packages/net/tests/callerbudgettest.cpp
@@ -106,6 +106,7 @@
 TEST_F(CallerBudgetTest, in_a_burst_of_quick_callers_the_one_that_asks_is_refused)
 {
     std::vector<Caller *> quick;
+    quick.reserve(3);
     for (int number = 0; number < 3; ++number) {
         quick.push_back(&addWith(body));
     }
--- a/packages/net/tests/requestlimitstest.cpp
+++ b/packages/net/tests/requestlimitstest.cpp
@@ -180,6 +180,7 @@
 {
     serve({.maxConnections = 3});
     std::vector<std::shared_ptr<tcp::socket>> waiting;
+    waiting.reserve(3);
     for (int number = 0; number < 3; ++number) {
         waiting.push_back(send("P"));
     }
--- a/packages/serving/tests/callerlimitstest.cpp
+++ b/packages/serving/tests/callerlimitstest.cpp
@@ -153,6 +153,7 @@
 TEST_F(CallerLimitsTest, a_connection_that_waits_gives_way_to_a_new_one_when_all_are_taken)
 {
     std::vector<std::shared_ptr<Caller>> waiting;
+    waiting.reserve(3);
     for (int number = 0; number < 3; ++number) {
         waiting.push_back(send("P"));
     }
