--- a/packages/serving/paceexchange.cpp
+++ b/packages/serving/paceexchange.cpp
@@ -15,6 +15,7 @@
 std::vector<peers::UpstreamPace> PaceExchange::encoded(const std::vector<PaceEntry> &entries)
 {
     std::vector<peers::UpstreamPace> result;
+    result.reserve(entries.size());
     for (const auto &[id, weight, meanLog] : entries) {
         result.emplace_back(id, std::llround(weight * weightUnit), std::llround(meanLog * logUnit));
     }
@@ -24,6 +25,7 @@
 std::vector<PaceEntry> PaceExchange::decoded(const std::vector<peers::UpstreamPace> &entries)
 {
     std::vector<PaceEntry> result;
+    result.reserve(entries.size());
     for (const auto &[id, weight, meanLog] : entries) {
         result.push_back({id, static_cast<double>(weight) / weightUnit, static_cast<double>(meanLog) / logUnit});
     }
