--- a/packages/serving/tests/pacestest.cpp
+++ b/packages/serving/tests/pacestest.cpp
@@ -22,6 +22,7 @@
 std::vector<Paces::Replica> replicaList(int count)
 {
     std::vector<Paces::Replica> list;
+    list.reserve(count);
     for (int i = 0; i < count; ++i) {
         list.push_back({replicaId(i), service});
     }
@@ -270,6 +271,7 @@
     void send(int from, LoadScope scope, const std::vector<int> &to)
     {
         std::vector<HostId> receivers;
+        receivers.reserve(to.size());
         for (const int each : to) {
             receivers.push_back(name(each));
         }
