Places at crowded plain services come from the replicas' owners

While a service is crowded a request asks the owner of a replica, which orders all that wait; a silent owner is told by its missing word and the host goes by its own count, with the learnt work time.

--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -92,6 +92,14 @@
           {"maxRefusals", from.maxRefusals},
           {"holdMs", from.holdMs},
           {"tokens", from.tokens}};
+    if (from.workMs > 0) {
+        to.update({{"workMs", from.workMs},
+                   {"roundTripMs", from.roundTripMs},
+                   {"untilLateMs", from.untilLateMs},
+                   {"rank", from.rank},
+                   {"mayRepeat", from.mayRepeat},
+                   {"spread", from.spread}});
+    }
 }
 
 void from_json(const nlohmann::json &from, SendCall &to)
@@ -103,6 +111,12 @@
     to.maxRefusals = from.value("maxRefusals", to.maxRefusals);
     to.holdMs = from.value("holdMs", to.holdMs);
     to.tokens = from.value("tokens", to.tokens);
+    to.workMs = from.value("workMs", to.workMs);
+    to.roundTripMs = from.value("roundTripMs", to.roundTripMs);
+    to.untilLateMs = from.value("untilLateMs", to.untilLateMs);
+    to.rank = from.value("rank", to.rank);
+    to.mayRepeat = from.value("mayRepeat", to.mayRepeat);
+    to.spread = from.value("spread", to.spread);
 }
 
 void to_json(nlohmann::json &to, const SendReply &from)
--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -11,6 +11,7 @@
 
 constexpr int maxBlockDoublings = 6;
 constexpr double blockedCost = 5'000;        // ms; blocked upstreams are picked only when no other is left
+constexpr double drawSpread = 200;           // ms; random, far above the cost of another zone and below that of an upstream that fails
 constexpr double tieSpread = 1;              // ms; random, so that requests spread over equal upstreams
 constexpr int maxUnreportedSends = 64;       // bounds the time of one pick()
 constexpr std::size_t maxDemandKeys = 4'096; // affinity keys with a demand count; beyond it those not requested recently are removed
@@ -77,6 +78,20 @@
     return cheapest().candidate;
 }
 
+const Candidate *Chooser::draw(const PickRequest &request, Instant now)
+{
+    const Candidate *drawn = nullptr;
+    double least = 0;
+    for (const auto &each : request.candidates) {
+        const double cost = score(each, 0, request, now).baseCost + std::uniform_real_distribution<double>(0, drawSpread)(random_);
+        if (drawn == nullptr || cost < least) {
+            drawn = &each;
+            least = cost;
+        }
+    }
+    return drawn;
+}
+
 double Chooser::ScoredCandidate::fillCost(const ChooserOptions &options) const
 {
     const double fill = static_cast<double>(running + 1) / std::max(1, candidate->replica->slots);
--- a/packages/serving/chooser.h
+++ b/packages/serving/chooser.h
@@ -80,6 +80,8 @@
     Chooser(ChooserOptions options, std::uint64_t seed);
 
     [[nodiscard]] const Candidate *pick(const PickRequest &request, Instant now);
+    /// Any healthy one, drawn at random: of a crowded service the occupancy says no more, and all hosts would pick the one last reported free.
+    [[nodiscard]] const Candidate *draw(const PickRequest &request, Instant now);
     /// The preferred upstreams of the affinity key among the candidates, best first.
     [[nodiscard]] std::vector<const Candidate *> preferredCandidates(const PickRequest &request) const;
 
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -13,6 +13,7 @@
 #include <serving/events.h>
 #include <serving/gracefulstop.h>
 #include <serving/requestkey.h>
+#include <serving/scarceroom.h>
 #include <serving/sendend.h>
 #include <serving/watchdog.h>
 #include <settings/json.h>
@@ -56,6 +57,7 @@
 constexpr double lateTurnWaitShare = 0.1;            // the same of the remaining time of a request that is late
 constexpr double permitWaitShare = 0.5;              // of the time until a request is late, for waiting for a permit when every upstream is limited
 constexpr Milliseconds untoldWait{20};               // for a place at an upstream of which this host, just started, does not know whether it is brittle
+constexpr int maxScarceRefusals = 2;                 // by owners of replicas of a crowded plain service
 constexpr int maxPlacesAskedFor = 3;                 // at brittle upstreams; the request waits at the last
 constexpr Milliseconds maxPermitDelay{250};          // a permit that this host comes to use later than this after its time is not used
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
@@ -485,9 +487,7 @@
         if (isEngine()) {
             return maxEngineFill;
         }
-        constexpr double minFill = 2;
-        constexpr double typicalWorkMs = 60; // of a request to a plain service
-        return std::max(minFill, static_cast<double>(route_->latencyObjective.count()) / typicalWorkMs);
+        return node_.workTimes[*service_].maxFill(route_->latencyObjective, node_.now());
     }
 
     /// Until the first upstream of the service accepts requests again; nullopt unless all of them back off or are at their limits.
@@ -501,14 +501,21 @@
         return shortest && shortest->count() > 0 ? shortest : std::nullopt;
     }
 
+    /// Whether the request needs a place that the replica's owner gives: the plain service is crowded, and owners answer.
+    [[nodiscard]] bool needsScarcePlace() const { return !isEngine() && !version_ && !isByOwnCount_ && node_.workTimes[*service_].isScarce(node_.now()); }
+
     const ReplicaRecord *chooseUpstream()
     {
+        if (scarceRefusals_ >= maxScarceRefusals) {
+            refusalReason_ = "crowded";
+            return nullptr;
+        }
         auto all = candidates();
         if (all.empty() && onlyHolders_) {
             return nullptr; // keep the reason from waiting for the weights
         }
         if (all.empty()) {
-            refusalReason_ = placesAskedFor_ > 0 && sends_ == 0 && !isUnconnected_ ? "upstream_brittle" : noCandidateReason();
+            refusalReason_ = scarceRefusals_ > 0 ? "crowded" : placesAskedFor_ > 0 && sends_ == 0 && !isUnconnected_ ? "upstream_brittle" : noCandidateReason();
             return nullptr;
         }
         if (announcedVersion_) { // other hosts know it already
@@ -517,6 +524,9 @@
                 std::erase_if(all, isOther);
             }
         }
+        if (needsScarcePlace()) {
+            return node_.chooser.draw({all, 0, node_.settings.zone}, node_.now())->replica;
+        }
         auto open = all;
         std::erase_if(open, [this](const Candidate &each) { return isReserved(*each.replica); });
         const auto *best = open.size() < all.size() ? node_.chooser.pick({open, affinityKey(), node_.settings.zone}, node_.now()) : nullptr;
@@ -787,6 +797,9 @@
         mayRetrySame_ = false;
         endedBy_.reset();
         if (!co_await takeSendPermit(replica)) {
+            if (std::exchange(isChosenAnew_, false)) {
+                co_return false;
+            }
             excluded_.push_back(replica.id);
             co_return false;
         }
@@ -858,7 +871,7 @@
             limit = UpstreamLimits::Limit{UpstreamLimits::unlimited, node_.now(), std::nullopt};
         }
         if (!limit) {
-            co_return true;
+            co_return !needsScarcePlace() || co_await takeScarcePlace(replica);
         }
         const bool mayGoElsewhere = limit->isRate() ? hasUnlimitedCandidate() : ++placesAskedFor_ < maxPlacesAskedFor && candidates().size() > 1;
         auto permit = co_await node_.residency->takeSendPermit({.upstream = replica.id,
@@ -895,6 +908,34 @@
         co_return isUsable;
     }
 
+    /// False: the replica's owner refuses the request, or is silent and this host goes by its own count from now on.
+    net::Task<bool> takeScarcePlace(const ReplicaRecord &replica)
+    {
+        const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - node_.now();
+        auto permit = co_await node_.residency->takeSendPermit({.upstream = replica.id,
+                                                                .limit = {UpstreamLimits::unlimited, node_.now(), std::nullopt},
+                                                                .timeLeft = timeLeft(),
+                                                                .scarce = ScarceTerms{.rank = route_->priority,
+                                                                                      .mayRepeat = route_->retryPolicy != RetryPolicy::AtMostOnce,
+                                                                                      .untilLate = timeUntilLate,
+                                                                                      .work = node_.workTimes[*service_].expected(),
+                                                                                      .spread = core::hashText(metadata_.id.value(), 0),
+                                                                                      .isWanted = [this] { return !isFinished(); }}});
+        if (!permit.isAnswered || !permit.isLimited) {
+            isByOwnCount_ = isChosenAnew_ = true;
+            co_return false;
+        }
+        if (!permit.isGranted) {
+            refusalReason_ = "crowded";
+            retryAfter_ = permit.wait;
+            scarceRefusals_ += permit.wait < ScarceRoom::longestTurn ? 1 : maxScarceRefusals; // no turn is in sight
+            co_return false;
+        }
+        const bool isUsable = !isFinished() && node_.mayContact(replica.id);
+        hold_ = isUsable ? std::move(permit.hold) : nullptr;
+        co_return isUsable;
+    }
+
     /// Nobody can tell this host, just started, whether the upstream is brittle: its first request there finds out, others wait a while for the answer.
     net::Task<bool> awaitFirstAnswer(const ReplicaRecord &replica)
     {
@@ -933,6 +974,9 @@
     /// The owner of a brittle upstream counts what it refuses, also of requests without a permit.
     void tellRefused(const ReplicaRecord &replica)
     {
+        if (!isEngine() && !response_.isLeaving) {
+            node_.workTimes[*service_].onFull(node_.now());
+        }
         const auto limit = response_.isLeaving ? std::nullopt : node_.sendLimit(replica);
         if (limit && limit->maxRefusals) {
             node_.metrics.brittleRefusals.add({service_->value()});
@@ -1475,6 +1519,9 @@
         }
         const auto now = node_.now();
         const auto firstAt = firstEvent_ ? request_.arrivedAt + *firstEvent_ : now;
+        if (!isEngine()) {
+            node_.workTimes[*service_].add(now - sentAt_);
+        }
         node_.runTimes[*service_].add({.untilFirst = firstAt - sentAt_, .rest = now - firstAt, .size = metadata_.maxOutputTokens});
     }
 
@@ -1806,6 +1853,9 @@
     Milliseconds residencyWait_;
     std::shared_ptr<void> hold_; // of the permit for a brittle upstream, while the request may be there
     int placesAskedFor_ = 0;     // at brittle upstreams
+    int scarceRefusals_ = 0;     // by owners of replicas of a crowded plain service
+    bool isByOwnCount_ = false;  // an owner was silent: this host judges by itself whether the request may be sent
+    bool isChosenAnew_ = false;  // the same, just now
     PrefillTurn turn_;           // while the upstream processes the prompt
     Milliseconds turnWait_;      // for turns
     std::optional<Milliseconds> firstEvent_;
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -35,6 +35,7 @@
 #include <serving/upstreamlimits.h>
 #include <serving/upstreams.h>
 #include <serving/versionhistory.h>
+#include <serving/worktimes.h>
 #include <settings/settings.h>
 
 namespace baobabstall::serving {
@@ -54,6 +55,9 @@
     metrics::Counter &sendPermits;        // outcome
     metrics::Counter &relays;             // side, outcome
     metrics::Counter &brittleRefusals;    // service
+    metrics::Counter &scarceAsks;         // outcome
+    metrics::Histogram &scarceWait;       // outcome
+    metrics::Histogram &scarceTurn;
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
     metrics::Counter &unreadableRequests; // status
@@ -206,7 +210,8 @@
     UpstreamLimits limits;
     ResponseBudget responseBudget;
     GracefulStop stop;
-    std::map<ServiceName, RunTimes> runTimes; // learnt from the requests of this host
+    std::map<ServiceName, RunTimes> runTimes;   // learnt from the requests of this host
+    std::map<ServiceName, WorkTimes> workTimes; // the same, of plain services
     CrashWatch crashes;
     Reachability reachability;
     VersionHistory versions;
--- a/packages/serving/sendgate.cpp
+++ b/packages/serving/sendgate.cpp
@@ -63,6 +63,9 @@
 
 net::Task<SendPermit> SendGate::request(SendRequest request)
 {
+    if (request.scarce) {
+        co_return co_await scarce_.request(std::move(request));
+    }
     const auto id = request.upstream;
     const auto &limit = request.limit;
     if (limit.maxRefusals) {
@@ -132,8 +135,11 @@
                    node_.now());
 }
 
-net::Task<std::optional<SendPermit>> SendGate::requestAtOwner(peers::Links &links, HostId owner, SendRequest request) const
+net::Task<std::optional<SendPermit>> SendGate::requestAtOwner(peers::Links &links, HostId owner, SendRequest request)
 {
+    if (request.scarce) {
+        co_return co_await scarce_.requestAtOwner(links, std::move(owner), std::move(request));
+    }
     const auto &limit = request.limit;
     auto hold = std::make_shared<RemoteHold>();
     hold->call = links.call(owner,
@@ -159,6 +165,10 @@
 
 net::Task<void> SendGate::serve(std::shared_ptr<peers::IncomingCall> call, peers::SendCall request)
 {
+    if (request.workMs > 0) {
+        scarce_.serve(call, request);
+        co_return;
+    }
     const bool isSound = std::isfinite(request.perSecond) && request.perSecond >= 0 && request.ageMs >= 0 && !std::isnan(request.maxRefusals)
         && std::isfinite(request.tokens) && request.tokens >= 0;
     if (!isSound) {
@@ -219,12 +229,14 @@
 void SendGate::remove(const UpstreamId &id)
 {
     onRestarted(id);
+    scarce_.remove(id);
     ownedSince_.erase(id);
     owned_.erase(id);
 }
 
 void SendGate::tick()
 {
+    scarce_.tick(reportedLoad_);
     for (auto &[id, owned] : owned_) {
         const auto refusals = owned.queue ? maxRefusals(id) : std::nullopt;
         if (refusals) {
--- a/packages/serving/sendgate.h
+++ b/packages/serving/sendgate.h
@@ -17,6 +17,7 @@
 
 #include <peers/link.h>
 #include <serving/node.h>
+#include <serving/scarcegate.h>
 #include <serving/sendrate.h>
 #include <serving/sendroom.h>
 
@@ -30,11 +31,12 @@
 
     SendGate(Node &node, ReportedLoad reportedLoad)
         : node_(node)
+        , scarce_(node)
         , reportedLoad_(std::move(reportedLoad))
     { }
 
     net::Task<SendPermit> request(SendRequest request);
-    net::Task<std::optional<SendPermit>> requestAtOwner(peers::Links &links, HostId owner, SendRequest request) const;
+    net::Task<std::optional<SendPermit>> requestAtOwner(peers::Links &links, HostId owner, SendRequest request);
     net::Task<void> serve(std::shared_ptr<peers::IncomingCall> call, peers::SendCall request);
     /// An answer of the upstream named no limit.
     void onLimitEnded(const UpstreamId &id);
@@ -73,6 +75,7 @@
     net::Task<SendPermit> takePlace(UpstreamId id, SendRequest request);
 
     Node &node_;
+    ScarceGate scarce_; // at crowded plain services
     ReportedLoad reportedLoad_;
     std::map<UpstreamId, Owned> owned_; // upstreams that were asked for
     std::map<UpstreamId, Instant> ownedSince_;
--- a/packages/serving/sendrate.h
+++ b/packages/serving/sendrate.h
@@ -11,6 +11,7 @@
 // permits, so a change of the owner adds nothing. A permit that is not used is lost.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -26,13 +27,24 @@
     std::shared_ptr<void> hold = {}; // at a brittle upstream: to be kept until the request has ended
 };
 
-/// One request that is to be sent to a limited upstream.
+/// A place that is asked for at a replica of a crowded plain service (scarceroom.h).
+struct ScarceTerms {
+    int rank = 0;               // lower: more urgent
+    bool mayRepeat = false;     // it may run twice
+    Milliseconds untilLate{0};  // below 0: it is late
+    Milliseconds work{1};       // of the service, as this host learnt it
+    std::uint64_t spread = 0;   // a hash of the request
+    std::function<bool()> isWanted = [] { return true; }; // asked while it waits
+};
+
+/// One request that is to be sent to a limited upstream, or to a replica of a crowded plain service.
 struct SendRequest {
     UpstreamId upstream;
     UpstreamLimits::Limit limit; // as the asking host knows it, with times of this host's clock
     Milliseconds maxWait{0};     // for the permit
     Milliseconds timeLeft{0};    // until the request ends at the latest
     double tokens = 0;           // of memory that it holds at the upstream meanwhile
+    std::optional<ScarceTerms> scarce{};
 };
 
 class SendRate
--- a/packages/serving/worktimes.h
+++ b/packages/serving/worktimes.h
@@ -36,6 +36,10 @@
     void onFull(Instant now) { fullAt_ = scarceAt_ = now; }
     void noteLoad(int running, int places, Instant now);
 
+    /// The same as isScarce(), kept for isNotedScarce().
+    bool noteScarce(Instant now) { return isNotedScarce_ = isScarce(now); }
+    [[nodiscard]] bool isNotedScarce() const { return isNotedScarce_; }
+
     [[nodiscard]] Milliseconds expected() const;
     [[nodiscard]] bool isLearnt() const { return count_ >= minAnswers; }
     [[nodiscard]] bool isScarce(Instant now) const { return scarceAt_ && now - *scarceAt_ < scarceMemory; }
@@ -48,6 +52,7 @@
     std::size_t count_ = 0;
     std::optional<Instant> scarceAt_;
     std::optional<Instant> fullAt_;
+    bool isNotedScarce_ = false;
 };
 
 } // namespace baobabstall::serving
