--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -126,12 +126,12 @@
     double tokens = 0;          // of memory that it holds at the upstream
 
     // A place at a replica of a crowded plain service. Older hosts skip these and know of no limit.
-    std::int64_t workMs = 0;       // of the service, as the caller learnt it; 0: no such place is asked for
-    std::int64_t roundTripMs = 0;  // to the owner
-    std::int64_t untilLateMs = 0;  // below 0: it is late
-    int rank = 0;                  // lower: more urgent
-    bool mayRepeat = false;        // it may run twice
-    std::uint64_t spread = 0;      // a hash of the request
+    std::int64_t workMs = 0;      // of the service, as the caller learnt it; 0: no such place is asked for
+    std::int64_t roundTripMs = 0; // to the owner
+    std::int64_t untilLateMs = 0; // below 0: it is late
+    int rank = 0;                 // lower: more urgent
+    bool mayRepeat = false;       // it may run twice
+    std::uint64_t spread = 0;     // a hash of the request
 };
 
 /// serving::CrashCause, as [kind, id].
--- a/packages/peers/tests/buildstest.cpp
+++ b/packages/peers/tests/buildstest.cpp
@@ -102,6 +102,30 @@
     EXPECT_EQ(payloadOf(encode(Notice{RelayCreditNotice{}})).at(0), payloadOf(bytesOf(oldRelayCredit)).at(0)) << "the kinds of notices have moved";
 }
 
+// A place at a crowded plain service: older builds skip its fields and answer that they know of no limit, what is not asked for isn't written.
+TEST(Builds, a_place_that_is_asked_for_survives_encoding_and_is_not_written_otherwise)
+{
+    SendCall asked{.upstream = core::UpstreamId("i-1"), .perSecond = 5, .holdMs = 2'000};
+    EXPECT_FALSE(messageOf(encode(Call{7, asked})).contains("workMs"));
+    asked.workMs = 30;
+    asked.roundTripMs = 11;
+    asked.untilLateMs = -20;
+    asked.rank = 2;
+    asked.mayRepeat = true;
+    asked.spread = 1ULL << 63U;
+    core::Error error;
+    const auto frame = decode(encode(Call{7, asked}), error);
+    ASSERT_TRUE(frame) << error.text();
+    const auto &read = std::get<SendCall>(std::get<Call>(*frame).body);
+    EXPECT_EQ(read.workMs, 30);
+    EXPECT_EQ(read.roundTripMs, 11);
+    EXPECT_EQ(read.untilLateMs, -20);
+    EXPECT_EQ(read.rank, 2);
+    EXPECT_TRUE(read.mayRepeat);
+    EXPECT_EQ(read.spread, 1ULL << 63U);
+    EXPECT_EQ(read.holdMs, 2'000);
+}
+
 TEST(Builds, tries_and_accounts_survive_encoding_and_decoding)
 {
     core::Error error;
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -886,7 +886,8 @@
             co_return co_await awaitFirstAnswer(replica);
         }
         if (limit->isUnknown() && !permit.isLimited) {
-            co_return !isFinished() && node_.mayContact(replica.id);
+            const bool isUsable = !isFinished() && node_.mayContact(replica.id);
+            co_return isUsable && (!needsScarcePlace() || co_await takeScarcePlace(replica));
         }
         if (!permit.isLimited) {
             node_.endLimit(replica.id);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -44,19 +44,19 @@
     ServingMetrics();
 
     metrics::Registry registry;
-    metrics::Counter &requests;           // service, status, reason
-    metrics::Histogram &requestDuration;  // service
-    metrics::Histogram &firstEvent;       // service
-    metrics::Histogram &eventPause;       // service
-    metrics::Histogram &residencyWait;    // outcome
-    metrics::Histogram &prefillWait;      // where
-    metrics::Counter &sends;              // service, outcome
-    metrics::Counter &takenUpStreams;     // record, age, reason
-    metrics::Counter &sendPermits;        // outcome
-    metrics::Counter &relays;             // side, outcome
-    metrics::Counter &brittleRefusals;    // service
-    metrics::Counter &scarceAsks;         // outcome
-    metrics::Histogram &scarceWait;       // outcome
+    metrics::Counter &requests;          // service, status, reason
+    metrics::Histogram &requestDuration; // service
+    metrics::Histogram &firstEvent;      // service
+    metrics::Histogram &eventPause;      // service
+    metrics::Histogram &residencyWait;   // outcome
+    metrics::Histogram &prefillWait;     // where
+    metrics::Counter &sends;             // service, outcome
+    metrics::Counter &takenUpStreams;    // record, age, reason
+    metrics::Counter &sendPermits;       // outcome
+    metrics::Counter &relays;            // side, outcome
+    metrics::Counter &brittleRefusals;   // service
+    metrics::Counter &scarceAsks;        // outcome
+    metrics::Histogram &scarceWait;      // outcome
     metrics::Histogram &scarceTurn;
     metrics::Counter &orders;             // kind, outcome
     metrics::Counter &storeCalls;         // call, outcome
--- a/packages/serving/scarcegate.cpp
+++ b/packages/serving/scarcegate.cpp
@@ -16,11 +16,11 @@
     std::unique_ptr<peers::OutgoingCall> call;
 };
 
-constexpr std::int64_t longestMs = 3'600'000;        // in messages
-constexpr Milliseconds assumedRoundTrip{5};          // until one is measured
-constexpr double roundTripWeight = 0.1;              // of the last in the mean
-constexpr Milliseconds longestRoundTrip{200};        // a longer one is a host that stood still
-constexpr Milliseconds wantedInterval{100};          // between two looks whether a request still wants its place
+constexpr std::int64_t longestMs = 3'600'000; // in messages
+constexpr Milliseconds assumedRoundTrip{5};   // until one is measured
+constexpr double roundTripWeight = 0.1;       // of the last in the mean
+constexpr Milliseconds longestRoundTrip{200}; // a longer one is a host that stood still
+constexpr Milliseconds wantedInterval{100};   // between two looks whether a request still wants its place
 const SendPermit unwanted{.isLimited = true, .isGranted = false};
 
 Milliseconds bounded(std::int64_t ms, std::int64_t least = 0)
@@ -108,12 +108,8 @@
     const auto &terms = *request.scarce;
     const auto at = owned(request.upstream);
     at->room.learn(terms.work, Milliseconds(0));
-    const auto id = at->room.request({.rank = terms.rank,
-                                      .mayRepeat = terms.mayRepeat,
-                                      .onTimeBy = now + terms.untilLate,
-                                      .deadline = now + request.timeLeft,
-                                      .spread = terms.spread},
-                                     now);
+    const auto id = at->room.request(
+        {.rank = terms.rank, .mayRepeat = terms.mayRepeat, .onTimeBy = now + terms.untilLate, .deadline = now + request.timeLeft, .spread = terms.spread}, now);
     auto hold = std::make_shared<Hold>(at, id);
     const auto outcome = std::make_shared<std::optional<ScarceRoom::Outcome>>();
     const auto timer = std::make_shared<asio::steady_timer>(node_.io);
@@ -202,9 +198,7 @@
                                       .spread = request.spread},
                                      now);
     call->onCancel([at, id, call] { at->end(id, call->isLinkLost()); }); // the link itself does not keep the call
-    const auto onOutcome = [call](const ScarceRoom::Outcome &each) {
-        call->send(peers::SendReply{true, each.isGranted, each.turn.count(), each.isGranted});
-    };
+    const auto onOutcome = [call](const ScarceRoom::Outcome &each) { call->send(peers::SendReply{true, each.isGranted, each.turn.count(), each.isGranted}); };
     begin(*at, id, {.onOutcome = onOutcome, .onWait = [call](Milliseconds expected) { call->send(peers::WaitingReply{expected.count()}); }});
 }
 
--- a/packages/serving/scarcegate.h
+++ b/packages/serving/scarcegate.h
@@ -65,7 +65,7 @@
     [[nodiscard]] Milliseconds roundTrip(const HostId &owner) const;
 
     Node &node_;
-    std::map<UpstreamId, OwnedPtr> owned_;  // replicas that were asked for
+    std::map<UpstreamId, OwnedPtr> owned_; // replicas that were asked for
     std::map<HostId, double> roundTripMs_; // to owners
 };
 
--- a/packages/serving/scarceroom.h
+++ b/packages/serving/scarceroom.h
@@ -41,13 +41,13 @@
     struct Outcome {
         SendHoldId id;
         bool isGranted = false;
-        Milliseconds turn{0};    // of a refused request: when it would have had its turn, spread
+        Milliseconds turn{0}; // of a refused request: when it would have had its turn, spread
     };
 
-    static constexpr std::size_t maxWaiting = 512;       // those last in the order are refused beyond it
-    static constexpr Milliseconds rateHalfLife{500};     // of what is known of overtaking requests
-    static constexpr Milliseconds longestTurn{1'000};    // a later turn is no better known
-    static constexpr Milliseconds leastTurn{50};         // before a refused request comes again
+    static constexpr std::size_t maxWaiting = 512;    // those last in the order are refused beyond it
+    static constexpr Milliseconds rateHalfLife{500};  // of what is known of overtaking requests
+    static constexpr Milliseconds longestTurn{1'000}; // a later turn is no better known
+    static constexpr Milliseconds leastTurn{50};      // before a refused request comes again
 
     void setSlots(int slots) { slots_ = std::max(1, slots); }
     void learn(Milliseconds work, Milliseconds roundTrip);
@@ -100,7 +100,7 @@
     SendHoldId last_;
     std::vector<Waiter> waiting_; // in order after order()
     std::map<SendHoldId, Hold> held_;
-    std::map<int, Rates> granted_;                          // recently, by rank
+    std::map<int, Rates> granted_;                         // recently, by rank
     std::map<int, std::array<double, classCount>> shares_; // of the places, which these take
 };
 
--- a/packages/serving/sendrate.h
+++ b/packages/serving/sendrate.h
@@ -29,11 +29,11 @@
 
 /// A place that is asked for at a replica of a crowded plain service (scarceroom.h).
 struct ScarceTerms {
-    int rank = 0;               // lower: more urgent
-    bool mayRepeat = false;     // it may run twice
-    Milliseconds untilLate{0};  // below 0: it is late
-    Milliseconds work{1};       // of the service, as this host learnt it
-    std::uint64_t spread = 0;   // a hash of the request
+    int rank = 0;                                         // lower: more urgent
+    bool mayRepeat = false;                               // it may run twice
+    Milliseconds untilLate{0};                            // below 0: it is late
+    Milliseconds work{1};                                 // of the service, as this host learnt it
+    std::uint64_t spread = 0;                             // a hash of the request
     std::function<bool()> isWanted = [] { return true; }; // asked while it waits
 };
 
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -2,6 +2,7 @@
 #include <net/tests/endlessserver.h>
 #include <serving/events.h>
 #include <serving/responsebudget.h>
+#include <serving/scarcegate.h>
 
 #include "servingfixture.h"
 
@@ -432,6 +433,92 @@
     EXPECT_EQ(asked, 1);
 }
 
+// Load: a plain service is asked for more than it serves; its replicas' owners order what waits (issue 50).
+TEST_F(ForwarderTest, a_request_to_a_crowded_plain_service_holds_its_place_until_it_has_ended)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("ok")}}}});
+    std::weak_ptr<void> hold;
+    int asked = 0;
+    residency_.onScarce = [&](SendRequest request) -> net::Task<SendPermit> {
+        ++asked;
+        EXPECT_FALSE(request.scarce->mayRepeat);
+        EXPECT_GT(request.scarce->untilLate, Milliseconds(0));
+        EXPECT_TRUE(request.scarce->isWanted());
+        SendPermit permit{.isGranted = true};
+        permit.hold = std::make_shared<int>(0);
+        hold = permit.hold;
+        co_return permit;
+    };
+    EXPECT_EQ(sendRequest(getRequest("a"), "ok").status(), 200);
+    EXPECT_EQ(asked, 0) << "the service is calm";
+    node_.workTimes[ServiceName("s")].onFull(node_.now());
+    EXPECT_EQ(sendRequest(getRequest("b"), "ok").status(), 200);
+    EXPECT_EQ(asked, 1);
+    EXPECT_TRUE(hold.expired()) << "the request has ended";
+}
+
+TEST_F(ForwarderTest, a_request_without_a_place_at_a_crowded_plain_service_is_refused_with_its_turn)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 3),
+                 {{Script{{completeResponse("a")}}}, {Script{{completeResponse("b")}}}, {Script{{completeResponse("c")}}}});
+    node_.workTimes[ServiceName("s")].onFull(node_.now());
+    int asked = 0;
+    auto turn = Milliseconds(234);
+    residency_.onScarce = [&](SendRequest) -> net::Task<SendPermit> {
+        ++asked;
+        co_return SendPermit{.wait = turn};
+    };
+    const auto response = sendRequest(getRequest("a"), "\r\n\r\n");
+    EXPECT_EQ(response.status(), 503);
+    EXPECT_TRUE(response.contains("Retry-After: 0.234"));
+    EXPECT_EQ(asked, 2) << "another owner may have room";
+    turn = Milliseconds(1'500);
+    EXPECT_TRUE(sendRequest(getRequest("b"), "\r\n\r\n").contains("Retry-After: 1.500"));
+    EXPECT_EQ(asked, 3) << "no turn is in sight";
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+// Guards against requests that hang on an owner which is killed, frozen or cut off.
+TEST_F(ForwarderTest, where_no_owner_answers_a_request_to_a_crowded_plain_service_goes_by_the_hosts_own_count)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("ok")}}}});
+    node_.workTimes[ServiceName("s")].onFull(node_.now());
+    int asked = 0;
+    residency_.onScarce = [&](SendRequest) -> net::Task<SendPermit> {
+        ++asked;
+        co_return SendPermit{.isAnswered = false};
+    };
+    EXPECT_EQ(sendRequest(getRequest("a"), "ok").status(), 200);
+    EXPECT_EQ(asked, 1);
+}
+
+TEST_F(ForwarderTest, the_owner_of_a_crowded_replica_gives_its_places_back_and_refuses_what_has_no_turn)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("ok")}}}});
+    ScarceGate gate(node_);
+    const auto ask = [&](Milliseconds timeLeft) {
+        std::optional<SendPermit> permit;
+        SendRequest request{.upstream = UpstreamId("r1"), .timeLeft = timeLeft};
+        request.scarce = ScarceTerms{.untilLate = timeLeft, .work = Milliseconds(100)};
+        const auto run = [&]() -> net::Task<void> { permit = co_await gate.request(request); };
+        asio::co_spawn(io_, run(), asio::detached);
+        runFor(Milliseconds(50));
+        return permit;
+    };
+    std::vector<SendPermit> held;
+    const auto slots = node_.replicas.find(UpstreamId("r1"))->slots;
+    for (int i = 0; i < slots; ++i) {
+        held.push_back(ask(Milliseconds(2'000)).value_or(SendPermit()));
+        EXPECT_TRUE(held.back().isGranted);
+    }
+    const auto refused = ask(Milliseconds(20));
+    ASSERT_TRUE(refused);
+    EXPECT_FALSE(refused->isGranted);
+    EXPECT_GT(refused->wait, Milliseconds(0));
+    held.pop_back();
+    EXPECT_TRUE(ask(Milliseconds(2'000)).value_or(SendPermit()).isGranted);
+}
+
 // Guards against requests that are sent to a brittle upstream without a place there (issue 32, LIMIT).
 TEST_F(ForwarderTest, a_request_to_a_brittle_upstream_holds_its_permit_until_it_has_ended)
 {
--- a/packages/serving/tests/plainfleet.h
+++ b/packages/serving/tests/plainfleet.h
@@ -27,7 +27,7 @@
     bool mayRepeat = true;
     Milliseconds objective{150};
     Milliseconds timeout{2'000};
-    int repeats = 0; // by the caller, after a refusal
+    int repeats = 0;     // by the caller, after a refusal
     bool leaves = false; // the caller leaves before its answer
 };
 
@@ -214,7 +214,8 @@
     void sendByOwnCount(const RequestPtr &request, std::size_t replica)
     {
         const auto &work = hosts_[request->host].work;
-        const double maxFill = rule_ == Rule::Assumed ? WorkTimes().maxFill(request->call.objective, time_.now()) : work.maxFill(request->call.objective, time_.now());
+        const double maxFill
+            = rule_ == Rule::Assumed ? WorkTimes().maxFill(request->call.objective, time_.now()) : work.maxFill(request->call.objective, time_.now());
         if (static_cast<double>(reported(request->host, replica)) / slots >= maxFill) {
             refuse(request, std::nullopt);
             return;
@@ -261,8 +262,8 @@
         constexpr Milliseconds roundTrip{11};
         owned.room.learn(hosts_[request->host].work.expected(), roundTrip);
         const auto onTimeBy = request->arrivedAt + request->call.objective;
-        request->hold = owned.room.request(
-            {request->call.rank, request->call.mayRepeat, onTimeBy, request->arrivedAt + request->call.timeout, request->hash}, time_.now());
+        request->hold = owned.room.request({request->call.rank, request->call.mayRepeat, onTimeBy, request->arrivedAt + request->call.timeout, request->hash},
+                                           time_.now());
         owned.waiters[request->hold] = request;
         settle(replica);
         if (!owned.waiters.contains(request->hold)) {
--- a/packages/serving/tests/scarceroomtest.cpp
+++ b/packages/serving/tests/scarceroomtest.cpp
@@ -205,7 +205,10 @@
     const auto play = [](Rule rule) {
         PlainFleet fleet(rule, hosts, replicas);
         fleet.play({.kind = urgentKind, .rank = 0}, capacity / 2, begin, end);
-        fleet.play({.kind = deferrableKind, .rank = 1, .objective = Milliseconds(1'500), .timeout = Milliseconds(4'000)}, capacity * 2, Instant(4'000), Instant(6'000));
+        fleet.play({.kind = deferrableKind, .rank = 1, .objective = Milliseconds(1'500), .timeout = Milliseconds(4'000)},
+                   capacity * 2,
+                   Instant(4'000),
+                   Instant(6'000));
         fleet.runUntil(end + Milliseconds(5'000));
         return std::pair(fleet.counts(urgentKind), fleet.counts(deferrableKind));
     };
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -131,6 +131,9 @@
     net::Task<SendPermit> takeSendPermit(SendRequest request) override
     {
         co_await waitAt(Wait::SendPermit);
+        if (request.scarce && onScarce) {
+            co_return co_await onScarce(request);
+        }
         if (request.limit.isUnknown()) {
             co_return onUntold(request.upstream);
         }
@@ -140,6 +143,7 @@
         co_return onSendPermit(request.upstream, request.limit, request.maxWait);
     }
     std::function<SendPermit(const UpstreamId &)> onUntold = [](const auto &) { return SendPermit{.isLimited = false}; }; // the host has just started
+    std::function<net::Task<SendPermit>(SendRequest)> onScarce;        // of crowded plain services; empty: no owner counts their places
     std::function<net::Task<SendPermit>(SendRequest)> onBrittlePermit; // of upstreams that are brittle; empty: as for the others
     std::function<SendPermit(const UpstreamId &, const UpstreamLimits::Limit &, Milliseconds)> onSendPermit
         = [](const auto &...) { return SendPermit{.isGranted = true}; };
--- a/packages/serving/worktimes.h
+++ b/packages/serving/worktimes.h
@@ -25,12 +25,12 @@
 {
 public:
     static constexpr Milliseconds assumed{60};
-    static constexpr std::size_t minAnswers = 8;        // before the work time is learnt
-    static constexpr std::size_t keptAnswers = 32;      // the latest
-    static constexpr double minFill = 2;                // requests per slot that are always sent: load reports are old
-    static constexpr double scarceShare = 0.75;         // of the places, from which on a service is crowded
-    static constexpr Milliseconds scarceMemory{2'000};  // a service counts as crowded for so long after it was; several load reports
-    static constexpr Milliseconds fullMemory{2'000};    // after a replica had no room, for so long no more is sent than by the assumed work time
+    static constexpr std::size_t minAnswers = 8;       // before the work time is learnt
+    static constexpr std::size_t keptAnswers = 32;     // the latest
+    static constexpr double minFill = 2;               // requests per slot that are always sent: load reports are old
+    static constexpr double scarceShare = 0.75;        // of the places, from which on a service is crowded
+    static constexpr Milliseconds scarceMemory{2'000}; // a service counts as crowded for so long after it was; several load reports
+    static constexpr Milliseconds fullMemory{2'000};   // after a replica had no room, for so long no more is sent than by the assumed work time
 
     void add(Milliseconds took);
     void onFull(Instant now) { fullAt_ = scarceAt_ = now; }
