--- a/packages/serving/chooser.cpp
+++ b/packages/serving/chooser.cpp
@@ -106,7 +106,7 @@
     const Candidate *drawn = nullptr;
     double least = 0;
     for (const auto &each : request.candidates) {
-        const double cost = score(each, 0, request, now).baseCost + std::uniform_real_distribution<double>(0, drawSpread)(random_);
+        const double cost = score(each, pace(each.replica->id), 0, request, now).baseCost + std::uniform_real_distribution<double>(0, drawSpread)(random_);
         if (drawn == nullptr || cost < least) {
             drawn = &each;
             least = cost;
