--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -157,7 +157,8 @@
     file.erase("key_env");
     core::Error why;
     EXPECT_FALSE(parseSettings(file.dump(), "daemon.json", why));
-    file["hosting"] = {{"metrics", "127.0.0.1:9464"}, {"grace_s", 8}, {"drain_ms", 3'000}, {"retry_share", 0.2}, {"memory_mb", 120}, {"max_descriptors", 4'096}};
+    file["hosting"]
+        = {{"metrics", "127.0.0.1:9464"}, {"grace_s", 8}, {"drain_ms", 3'000}, {"retry_share", 0.2}, {"memory_mb", 120}, {"max_descriptors", 4'096}};
     file["ownership"] = {{"claim_delay_ms", 1'500}, {"lease_wait_ms", 3'000}};
     const auto settings = parseHostedSettings(file.dump(), "daemon.json", why);
     ASSERT_TRUE(settings) << why.reason;
