--- a/packages/serving/scarcegate.cpp
+++ b/packages/serving/scarcegate.cpp
@@ -227,14 +227,18 @@
     }
 }
 
+void ScarceGate::logCrowd(bool isBegun, const ServiceName &service, const ServiceLoad &load, const WorkTimes &work) const
+{
+    if (isBegun) {
+        node_.log.info("crowd_begun", {{"service", service}, {"running", load.running}, {"places", load.places}, {"work_ms", work.expected()}});
+    } else {
+        node_.log.info("crowd_ended", {{"service", service}, {"running", load.running}, {"places", load.places}});
+    }
+}
+
 void ScarceGate::noteLoads(const ReportedLoad &reportedLoad)
 {
-    struct Load {
-        int running = 0;
-        int places = 0;
-        bool isKnown = true;
-    };
-    std::map<ServiceName, Load> loads;
+    std::map<ServiceName, ServiceLoad> loads;
     for (const auto &id : node_.replicas.all()) {
         const auto *record = node_.replicas.find(id);
         const auto *service = node_.routes ? node_.routes->service(record->service) : nullptr;
@@ -255,8 +259,7 @@
             work.noteLoad(load.running, load.places, now);
         }
         if (work.noteScarce(now) != wasScarce) {
-            node_.log.info(wasScarce ? "crowd_ended" : "crowd_begun",
-                           {{"service", service}, {"running", load.running}, {"places", load.places}, {"work_ms", work.expected()}});
+            logCrowd(!wasScarce, service, load, work);
         }
     }
 }
--- a/packages/serving/scarcegate.h
+++ b/packages/serving/scarcegate.h
@@ -61,7 +61,13 @@
     void settle(Owned &owned);
     /// The new request has its outcome, or is told that it waits.
     void begin(Owned &owned, SendHoldId id, Waiter waiter);
+    struct ServiceLoad {
+        int running = 0;
+        int places = 0;
+        bool isKnown = true;
+    };
     void noteLoads(const ReportedLoad &reportedLoad);
+    void logCrowd(bool isBegun, const ServiceName &service, const ServiceLoad &load, const WorkTimes &work) const;
     [[nodiscard]] Milliseconds roundTrip(const HostId &owner) const;
 
     Node &node_;
--- a/packages/serving/scarceroom.h
+++ b/packages/serving/scarceroom.h
@@ -65,8 +65,8 @@
     [[nodiscard]] Milliseconds holdTime() const { return Milliseconds(static_cast<std::int64_t>(holdMs_)); }
 
 private:
-    enum Class : std::uint8_t { OnceOnTime, OnTime, Late, classCount };
-    using Rates = std::array<admission::DecayingCount, classCount>;
+    enum Class : std::uint8_t { OnceOnTime, OnTime, Late, ClassCount };
+    using Rates = std::array<admission::DecayingCount, ClassCount>;
 
     struct Waiter {
         SendHoldId id;
@@ -101,7 +101,7 @@
     std::vector<Waiter> waiting_; // in order after order()
     std::map<SendHoldId, Hold> held_;
     std::map<int, Rates> granted_;                         // recently, by rank
-    std::map<int, std::array<double, classCount>> shares_; // of the places, which these take
+    std::map<int, std::array<double, ClassCount>> shares_; // of the places, which these take
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/tests/scarceroomtest.cpp
+++ b/packages/serving/tests/scarceroomtest.cpp
@@ -10,7 +10,6 @@
 namespace baobabstall::serving {
 namespace {
 
-using tests::PlainCall;
 using tests::PlainCounts;
 using tests::PlainFleet;
 using tests::Rule;
