--- a/packages/quotas/tests/quotaboundtest.cpp
+++ b/packages/quotas/tests/quotaboundtest.cpp
@@ -28,7 +28,7 @@
         , hostCount_(integer(1, 6))
     {
         quota_ = randomQuota();
-        limits_.push_back({Instant(0), quota_});
+        limits_.emplace_back(Instant(0), quota_);
         for (int i = 0; i < hostCount_; ++i) {
             auto &host = hosts_.emplace_back();
             host.id = HostId("h" + std::to_string(i));
@@ -250,7 +250,7 @@
     {
         const double perSecond = quota_.perSecond > 0 ? quota_.perSecond : 100;
         quota_ = chance(0.2) ? Quota() : Quota{perSecond * real(0.1, 3), quota_.burst * real(0, 2)};
-        limits_.push_back({now_, quota_});
+        limits_.emplace_back(now_, quota_);
         for (auto &host : hosts_) {
             host.learnsQuotaAt = in(0, static_cast<int>(longestConfigDelay.count()));
         }
--- a/packages/quotas/tests/quotatest.cpp
+++ b/packages/quotas/tests/quotatest.cpp
@@ -142,6 +142,7 @@
 {
     constexpr double goldenRatio = 0.618034;
     std::vector<Demand> demands;
+    demands.reserve(static_cast<std::size_t>(hosts));
     for (int i = 0; i < hosts; ++i) {
         demands.emplace_back(perSecond, amount, std::fmod(i * goldenRatio, 1.0));
     }
--- a/packages/serving/routes.cpp
+++ b/packages/serving/routes.cpp
@@ -57,6 +57,7 @@
                                               + "\": have a key in common, which opens neither");
     }
     std::vector<const Workspace *> largest;
+    largest.reserve(all.size());
     for (const auto &each : all) {
         largest.push_back(&each);
     }
