--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -564,7 +564,7 @@
             applyUpstreamCopy(record.value);
         }
         ownership::StreamRecord claim{record.offset, core::civilMilliseconds(), std::nullopt};
-        if (ownership::engineOf(ownership::Resource(record.key))) {
+        if (const ownership::Resource resource(record.key); ownership::engineOf(resource) || ownership::quotaPartitionOf(resource)) {
             Error why;
             claim.claim = ownership::claimFromJson(record.value, why);
             if (!claim.claim) {
--- a/tests/hosted/workspacestest.py
+++ b/tests/hosted/workspacestest.py
@@ -172,6 +172,36 @@
         self.store.put("keyed.op", "config", with_workspaces(8, alpha=[KEY]))
         self.assertTrue(wait_until(lambda: all(self.call(host, KEY)[0] == 200 for host in self.hosts), 10))
 
+    # Guards against quotas without an owner: each host then spends its own share only.
+    def test_callers_at_one_host_get_the_quota_of_all_hosts_and_no_more(self):
+        per_second, seconds = 30, 5.0
+        made = with_workspaces(5)
+        made["tenants"][0] |= {"limit_per_s": per_second, "burst": per_second}
+        self.store.put("keyed.op", "config", made)
+        self.start_all()
+        time.sleep(6.0)  # the partitions of the workspaces are claimed, and a lease passes
+        answers, stop, lock = [], threading.Event(), threading.Lock()
+
+        def work():
+            while not stop.is_set():
+                status, attempt = self.call(self.hosts[0], KEY)
+                with lock:
+                    answers.append((status, attempt))
+                time.sleep(0.02)
+
+        threads = [threading.Thread(target=work) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        time.sleep(seconds)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        ran = sum(attempt in self.shop.ran_at for _, attempt in answers)
+        self.assertGreaterEqual(ran, 0.85 * per_second * seconds)
+        self.assertLessEqual(ran, per_second * (seconds + 0.5) + per_second + 0.8 * per_second + 1)
+        self.assertEqual({status for status, attempt in answers if attempt not in self.shop.ran_at}, {429})
+        self.assertEqual(self.call(self.hosts[1], OTHER_KEY)[0], 200, "a workspace without a quota")
+
     def test_a_key_that_is_taken_away_and_given_back_at_once_stays_in_use(self):
         self.start_all()
         self.store.put("keyed.op", "config", with_workspaces(6, alpha=[KEY]))
