--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -1741,7 +1741,7 @@
         account.sentTo = tries_.own();
         account.mayHaveRun = mayHaveRun_ && sends_ > 0;
         account.cuts = cuts_ - request_.relayedFrom->cuts;
-        if (isDeclined_ && route_ != nullptr) {
+        if (isDeclined_ && service_ != nullptr) {
             account.isFinal = sends_ == 0 && !mayBeServedElsewhere() && timeLeft() >= minSendTime;
             account.retryAfter = retryAfterNow();
         }
--- a/packages/serving/tests/relayedtriestest.cpp
+++ b/packages/serving/tests/relayedtriestest.cpp
@@ -196,6 +196,34 @@
     EXPECT_EQ(reached(), 1);
 }
 
+std::shared_ptr<const RouteTable> tableWithKey(Route route, const std::string &key)
+{
+    route.host = "h";
+    route.pathPrefix = "/";
+    route.services = {{ServiceName("s"), 1}};
+    ServiceSpec service;
+    service.name = ServiceName("s");
+    Configuration configuration;
+    configuration.version = ConfigVersion(2);
+    configuration.routes = {std::move(route)};
+    configuration.services = {std::move(service)};
+    configuration.workspaces = std::vector<Workspace>{{.name = WorkspaceId("w"), .keys = {key}, .priority = std::nullopt, .quota = {}}};
+    return std::make_shared<const RouteTable>(std::move(configuration));
+}
+
+// Guards against a host that ends when it gives back a request whose key it does not know, and against a refusal that ends the search for a peer.
+TEST_F(RelayedTriesTest, a_peer_that_does_not_know_the_key_yet_gives_the_request_back_and_the_next_one_serves)
+{
+    const auto plain = route(RetryPolicy::Idempotent, false, 2);
+    setUpPeers(plain, 1, {{{{completeResponse("never")}}}, {{{completeResponse("second")}}}, {{{completeResponse("never")}}}});
+    first_.node.routes = peer(2).node.routes = tableWithKey(plain, "k1");
+    peer(1).node.routes = tableWithKey(plain, "k0");
+    EXPECT_TRUE(sendRequest(getRequest("q1", "Key: k1\r\nWorkspace: forged\r\n"), "second").contains("second"));
+    EXPECT_EQ(reached(), 1);
+    EXPECT_TRUE(upstream(2).requests.at(0).hasLine("Workspace: w"));
+    EXPECT_EQ(upstream(2).requests.at(0).head.find("k1"), std::string::npos);
+}
+
 // Guards against a peer that sends what the first host has given up, and is not known to have it (issue 35, BUDGET).
 TEST_F(RelayedTriesTest, a_peer_that_reads_a_call_after_it_was_given_up_sends_nothing)
 {
