--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -572,7 +572,7 @@
         if (isEngine()) {
             return maxEngineFill;
         }
-        return node_.workTimes[*service_].maxFill(route_->latencyObjective, node_.now());
+        return (givesPlaces() ? node_.workTimes[*service_] : WorkTimes()).maxFill(route_->latencyObjective, node_.now());
     }
 
     /// Until the first upstream of the service accepts requests again; nullopt unless all of them back off or are at their limits.
@@ -591,8 +591,13 @@
         return {from, affinityKey(), node_.settings.zone, node_.paces.expectedFirst(*service_, metadata_.promptTokens)};
     }
 
+    [[nodiscard]] bool givesPlaces() const { return node_.settings.hosting.ownerPlaces > 0; }
+
     /// Whether the request needs a place that the replica's owner gives: the plain service is crowded, and owners answer.
-    [[nodiscard]] bool needsScarcePlace() const { return !isEngine() && !version_ && !isByOwnCount_ && node_.workTimes[*service_].isScarce(node_.now()); }
+    [[nodiscard]] bool needsScarcePlace() const
+    {
+        return givesPlaces() && !isEngine() && !version_ && !isByOwnCount_ && node_.workTimes[*service_].isScarce(node_.now());
+    }
 
     const ReplicaRecord *chooseUpstream()
     {
@@ -1591,7 +1596,9 @@
     {
         const auto now = node_.now();
         endPrefill(upstream_);
-        node_.chooser.onEvent(upstream_, now);
+        if (node_.settings.hosting.learnPaces > 0) {
+            node_.chooser.onEvent(upstream_, now);
+        }
         if (!hasResponseBegun_) {
             hasResponseBegun_ = true;
             status_ = 200;
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -133,7 +133,7 @@
     const auto *record = replicas.find(answer.upstream);
     const auto *service = routes ? routes->service(answer.service) : nullptr;
     const bool isStream = answer.events > 0; // the time of another answer depends on its length
-    if (record == nullptr || service == nullptr || !service->engine || !isStream) {
+    if (settings.hosting.learnPaces == 0 || record == nullptr || service == nullptr || !service->engine || !isStream) {
         return;
     }
     answer.fill = static_cast<double>(chooser.occupancy(record->id, now()).running) / std::max(1, record->slots);
--- a/packages/serving/paceexchange.cpp
+++ b/packages/serving/paceexchange.cpp
@@ -36,7 +36,7 @@
 {
     due_.clear();
     const auto now = node_.now();
-    if (now - preparedAt_ < Paces::reportInterval) {
+    if (node_.settings.hosting.learnPaces == 0 || now - preparedAt_ < Paces::reportInterval) {
         return;
     }
     preparedAt_ = now;
@@ -61,7 +61,7 @@
 {
     const auto scope = static_cast<LoadScope>(notice.scope);
     const bool isKnown = scope == LoadScope::Host || scope == LoadScope::Group || scope == LoadScope::All;
-    if (notice.paces && isKnown) {
+    if (node_.settings.hosting.learnPaces > 0 && notice.paces && isKnown) {
         node_.paces.onReport(from, scope, decoded(*notice.paces), node_.now());
     }
 }
@@ -82,7 +82,7 @@
 void PaceExchange::tick()
 {
     const auto now = node_.now();
-    if (now - refreshedAt_ < Paces::reportInterval) {
+    if (node_.settings.hosting.learnPaces == 0 || now - refreshedAt_ < Paces::reportInterval) {
         return;
     }
     refreshedAt_ = now;
--- a/packages/serving/sendgate.cpp
+++ b/packages/serving/sendgate.cpp
@@ -236,7 +236,9 @@
 
 void SendGate::tick()
 {
-    scarce_.tick(reportedLoad_);
+    if (node_.settings.hosting.ownerPlaces > 0) {
+        scarce_.tick(reportedLoad_);
+    }
     for (auto &[id, owned] : owned_) {
         const auto refusals = owned.queue ? maxRefusals(id) : std::nullopt;
         if (refusals) {
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -389,6 +389,8 @@
         settings::Settings settings;
         settings.host = HostId("entry-1");
         settings.zone = ZoneId("a");
+        settings.hosting.ownerPlaces = 1;
+        settings.hosting.learnPaces = 1;
         return settings;
     }
 
