--- a/packages/net/requestreader.h
+++ b/packages/net/requestreader.h
@@ -74,6 +74,9 @@
             }
         }
         parser_.eager(true);
+        if (!failed && !parser_.chunked() && parser_.get().count(boost::beast::http::field::transfer_encoding) > 0) {
+            failed = boost::beast::http::error::bad_transfer_encoding; // nobody knows where its body ends
+        }
         co_return failed;
     }
 
--- a/packages/net/tests/requestlimitstest.cpp
+++ b/packages/net/tests/requestlimitstest.cpp
@@ -143,6 +143,26 @@
     EXPECT_TRUE(noted_.empty());
 }
 
+// Guards against a second request made of a body whose end nobody knows: it was read as a request without one.
+TEST_F(RequestLimitsTest, a_body_in_a_coding_that_does_not_end_with_chunked_is_refused_and_no_request_is_made_of_it)
+{
+    for (const std::string coding : {"gzip", "chunked, gzip", "identity", "xchunked", "gzip\r\nContent-Length: 0"}) {
+        requests_ = 0;
+        serve({});
+        const auto answer = readAll(
+            send("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\nPOST /hidden HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << coding << ": " << answer;
+        EXPECT_EQ(requests_, 0) << coding;
+    }
+}
+
+TEST_F(RequestLimitsTest, a_body_in_chunks_beneath_which_is_another_coding_is_served)
+{
+    serve({});
+    const auto answer = readAll(send("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200") && answer.ends_with("x")) << answer;
+}
+
 TEST_F(RequestLimitsTest, a_body_that_comes_slowly_gives_way_with_408_when_memory_is_short_and_the_next_caller_is_served)
 {
     serve({.maxBodyBytes = 32 * 1024 * 1024, .memoryBytes = 1});
