--- a/packages/net/requestreader.h
+++ b/packages/net/requestreader.h
@@ -7,14 +7,15 @@
 //   reader.parser().release()
 //
 // The limits of a Beast parser cover the head and the body, not what stands between and behind chunks. Here a chunk's line, the trailer and the head have to
-// fit the buffer, twice the header limit, and all chunk extensions of a request together the header limit. What a request holds counts at its
-// CallerBudget::Holder as it comes.
+// fit the buffer, twice the header limit, and all chunk extensions of a request together the header limit. Fields of a trailer are left out. What a request
+// holds counts at its CallerBudget::Holder as it comes.
 #pragma once
 
 #include <algorithm>
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -110,6 +111,10 @@
         const bool isHead = !parser_.is_header_done();
         const auto used = parser_.put(buffer_.data(), failed);
         buffer_.consume(used);
+        if (head_) {
+            parser_.get().base() = std::move(*head_);
+            head_.reset();
+        }
         if (isHead) {
             headBytes_ += used;
             if (!failed && !holder_.resize(CallerPart::Input, buffer_.capacity() + headBytes_, core::SteadyClock().now())) {
@@ -160,13 +165,16 @@
 
     struct ChunkLine {
         RequestReader &reader;
-        void operator()(std::uint64_t /*size*/, std::string_view extensions, error_code &failed) const
+        void operator()(std::uint64_t size, std::string_view extensions, error_code &failed) const
         {
             reader.framing_ += extensions.size();
             if (reader.framing_ > reader.maxFraming_) {
                 reader.limit_ = CallerPart::Framing;
                 failed = boost::beast::http::error::header_limit;
             }
+            if (size == 0) { // the parser adds the fields of the trailer to those that are there
+                reader.head_ = std::move(reader.parser_.get().base());
+            }
         }
     };
 
@@ -175,6 +183,7 @@
     CallerBudget::Holder &holder_;
     Parser parser_;
     ChunkLine onChunk_{*this};
+    std::optional<boost::beast::http::request_header<>> head_; // while the trailer is parsed
     std::size_t headBytes_ = 0;
     std::size_t framing_ = 0;
     std::size_t maxFraming_;
--- a/packages/net/tests/requestlimitstest.cpp
+++ b/packages/net/tests/requestlimitstest.cpp
@@ -29,6 +29,7 @@
         limits.maxHeaderBytes = headerBytes;
         server_ = std::make_unique<HttpServer>(io_, limits, [this](Exchange &exchange) -> Task<void> {
             ++requests_;
+            headers_ = exchange.request().headers;
             co_await exchange.respond({.status = 200, .headers = {}, .body = exchange.request().body});
         });
         server_->onLimit([this](CallerPart part, int status) { noted_.emplace_back(part, status); });
@@ -94,6 +95,7 @@
     std::vector<std::pair<CallerPart, int>> noted_;
     error_code end_;
     int requests_ = 0;
+    Headers headers_; // of the last request
 };
 
 // Each of the following guards against a daemon that keeps what has no end behind a chunked body until its memory is used up (issue 49).
@@ -163,6 +165,17 @@
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 200") && answer.ends_with("x")) << answer;
 }
 
+// Guards against fields that were sent behind the body and counted as those of the head, such as a second deadline.
+TEST_F(RequestLimitsTest, fields_of_a_trailer_are_not_fields_of_the_request)
+{
+    serve({});
+    const auto answer = readAll(send(std::string(chunked) + "1\r\nx\r\n0\r\nHost: other\r\nX-Trailer: field\r\n\r\n"));
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200") && answer.ends_with("x")) << answer;
+    EXPECT_EQ(headers_.find("Host"), "h");
+    EXPECT_EQ(headers_.find("X-Trailer"), std::nullopt);
+    EXPECT_EQ(headers_.all().size(), 3);
+}
+
 TEST_F(RequestLimitsTest, a_body_that_comes_slowly_gives_way_with_408_when_memory_is_short_and_the_next_caller_is_served)
 {
     serve({.maxBodyBytes = 32 * 1024 * 1024, .memoryBytes = 1});
