--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -24,6 +24,7 @@
 
 constexpr Milliseconds acceptPause{50};     // after a failed accept, for example without a free file descriptor
 constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; twice the pause after which callers give up
+constexpr Milliseconds readerInterval{500};
 constexpr int backlog = 1'024;
 constexpr int unavailable = 503;
 constexpr int requestTimeout = 408;
@@ -164,7 +165,7 @@
         }
         const core::SteadyClock clock;
         const auto begin = clock.now();
-        watchdog_.arm(begin + writeTimeout, [this] { close(ConnectionCause::WriteTimeout); });
+        waitForReader(net::bytesOnTheWay(socket_), clock.now() + writeTimeout);
         holder_.awaitCaller(begin);
         error_code failed;
         failed = holder_.resize(net::CallerPart::Answer, bytes.size(), begin) ? failed : asio::error::no_memory;
@@ -173,8 +174,9 @@
             std::tie(failed, count) = co_await socket_.async_write_some(asio::buffer(bytes) + written, net::tuple);
             written += count;
             bytesWritten_ += count;
-            if (written < bytes.size()) {
+            if (written < bytes.size() && !failed) {
                 holder_.onProgress(count, clock.now());
+                waitForReader(net::bytesOnTheWay(socket_), clock.now() + writeTimeout);
             }
         }
         std::ignore = holder_.resize(net::CallerPart::Answer, 0, begin); // false: it has given way, and failed
@@ -305,6 +307,21 @@
         co_return mayContinue_ && !isDisconnected_ && socket_.is_open() && !isCloseAnnounced_;
     }
 
+    /// The kernel takes more bytes only once much of what it has is gone; a caller that reads slowly shows in what is on its way.
+    void waitForReader(int onTheWay, Instant until)
+    {
+        watchdog_.arm(std::min(until, core::SteadyClock().now() + readerInterval), [this, onTheWay, until] {
+            const auto now = core::SteadyClock().now();
+            if (const int left = net::bytesOnTheWay(socket_); left < onTheWay) {
+                waitForReader(left, now + writeTimeout);
+            } else if (now < until) {
+                waitForReader(onTheWay, until);
+            } else {
+                close(ConnectionCause::WriteTimeout);
+            }
+        });
+    }
+
     void beIdle()
     {
         const auto now = core::SteadyClock().now();
