--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -7,6 +7,7 @@
 among those of the replicas; configurations change, also the room for adapters, and name a service whose replica was there before; a replica and the
 listings of the store send bytes without end; requests come in parts while their host stops; some hosts lose their links to all replicas. Callers keep their connections until they end, and take up broken streams;
 some send requests before the one before is answered, read slowly and sit behind a link of some length (pipelining.py). Seeds from 20,000 on play planned work alone, beside a store that closes its connections or is away.
+Seeds from 30,000 on play all faults beside workspaces with keys and a quota (soakworkspaces.py), replicas of uneven pace, callers that read slowly and some that keep to no limit (soakcallers.py).
 Checked from what callers and replicas see: answers are whole and the caller's own, nothing runs twice that must not, a refusal is true,
 orders of one holder at a time, no stream holds events of two software versions, a crashing request reaches few replicas once it is known, few brittle replicas fall over, nobody waits beyond the time limit at a host that nothing disturbs, and all is served once the faults are over.
 The time of day can't be set without privileges; nothing here depends on it but the numbers of runs, which only grow.
@@ -31,6 +32,10 @@
 from hosting import EndlessReplica, Replica, Store, configuration  # noqa: E402
 from pipelining import PipeliningCaller, check_connection  # noqa: E402
 from proxy import Link, Proxy  # noqa: E402
+import soakcallers  # noqa: E402
+import soakworkspaces  # noqa: E402
+from soakcallers import HostileCaller, SlowReader  # noqa: E402
+from soakworkspaces import Workspaces  # noqa: E402
 
 CALM_SECONDS = 4.0  # a host counts as undisturbed when no fault touched it for so long
 LEASE_SECONDS = hostedtest.LEASE_MS / 1000
@@ -47,6 +52,8 @@
 CONTACT_SECONDS = 3.0  # after the third crash, until all hosts refuse the request
 ONLY_LINKS_FROM = 10_000  # seeds from this one on play cuts, silences and the crashing request alone
 ONLY_PLANNED_FROM = 20_000  # seeds from this one on play planned work, and the store's trouble beside it
+WORKSPACES_FROM = 30_000  # seeds from this one on play all faults beside workspaces and hostile callers
+PACES = (1, 1, 2, 4)  # of replicas, from this seed on
 MIN_PIPELINED = 10  # connections that a run of planned work alone must be able to check
 MIN_CUT_TRIES = 20  # first tries at hosts that are cut off, from which on their share is compared
 KNOWN_CRASHES, MOST_LATE_SENDS = 3, 3
@@ -88,6 +95,7 @@
         self.cutting = 0.0  # share of answers
         self.random = random.Random(name)
         self.proxy = None
+        self.on_run = None
         super().__init__(store, name, service, zone, **more)
         self.names_version = True
 
@@ -99,6 +107,8 @@
         self.address = inner
 
     def run(self, request):
+        if self.on_run:
+            self.on_run(self, request)
         if self.random.random() < self.cutting:
             self.ran.append(request.headers.get("X-Attempt-Id"))
             if self.random.random() < 0.5:
@@ -154,6 +164,7 @@
         if is_stream:
             headers["X-Model-Id"] = "base/a%d" % int(self.random.paretovariate(1.2))
             headers |= {"Resumes": resumes, "Last-Event-Id": str(after)} if resumes else {}
+        headers |= self.world.fields_for(attempt, self.random, resumes)
         connection = self.connections.pop(host.name, None) or http.client.HTTPConnection(host.front.address, timeout=FIRST_BYTE_SECONDS)
         result = {"id": attempt, "host": host.name, "stream": is_stream, "begin": time.monotonic(), "status": 0, "body": b"", "seal": None, "after": None}
         try:
@@ -203,7 +214,8 @@
             host = chooser.choice(self.world.hosts)
             attempt = "x%d" % len(self.sent)
             self.sent[attempt] = host.name
-            ask(host.front.address, "POST", "/look/x", {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "1500"}, CRASHING_BODY, PLAIN_LIMIT)
+            headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "1500"} | self.world.fields_for(attempt, chooser)
+            ask(host.front.address, "POST", "/look/x", headers, CRASHING_BODY, PLAIN_LIMIT)
             time.sleep(chooser.uniform(0.05, 0.8))
 
 
@@ -226,25 +238,46 @@
         self.crasher = None
         self.disturbed = {}  # host name -> list of [from, until]; None: every host
         self.planned = set()  # begins of those that are planned stops, or the store's trouble alone
-        self.only_planned = seed >= ONLY_PLANNED_FROM
+        self.only_planned = ONLY_PLANNED_FROM <= seed < WORKSPACES_FROM
+        self.workspaces = Workspaces(seed) if seed >= WORKSPACES_FROM else None
+        self.paces = random.Random("paces %d" % seed)
+        self.keyed = []  # results of the callers of Workspaces
+        self.hostile, self.slow_readers = [], []
+        self.over_at = 0.0
+        self.configuring = threading.Lock()
         self.store = SoakStore()
         self.version = 3
         self.room = {}  # of the runtime in the configuration, where it differs from the usual one
         self.has_second_service = False
-        self.store.put("keyed.op", "config", configuration(self.version))
+        self.store.put("keyed.op", "config", self.made_configuration(self.version))
         self.replicas = [self.replica(n) for n in range(self.random.randint(2, 4))]
-        self.shops = [SoakReplica(self.store, "i-shop%d" % n, "shop", "a") for n in range(self.random.randint(1, 2))]
+        self.shops = [self.shop("i-shop%d" % n) for n in range(self.random.randint(1, 2))]
         self.hosts = [self.host(n + 1) for n in range(self.random.randint(2, 5))]
         self.started = time.monotonic()
 
     def replica(self, number):
-        return SoakReplica(self.store, "i-llm%d" % number, "llm", "a", model="base", event_seconds=0.01)
+        made = SoakReplica(self.store, "i-llm%d" % number, "llm", "a", model="base", event_seconds=0.01)
+        if self.workspaces:
+            made.on_run = self.workspaces.on_run
+            made.event_seconds *= self.paces.choice(PACES)
+        return made
+
+    def shop(self, name):
+        made = SoakReplica(self.store, name, "shop", "a")
+        if self.workspaces:
+            made.on_run = self.workspaces.on_run
+            made.work_seconds = 0.01 * (self.paces.choice(PACES) - 1)
+        return made
+
+    def fields_for(self, attempt, draws, resumes=None):
+        return self.workspaces.fields_for(attempt, draws, resumes) if self.workspaces else {}
 
     def host(self, number):
         host = Host(number, self.store, self.folder)
         settings = json.loads(host.settings.read_text())
         host.store_proxy = Proxy(self.store.address)
         settings["platform"]["address"] = host.store_proxy.address
+        settings["hosting"] = self.workspaces.settings if self.workspaces else settings["hosting"]
         host.settings.write_text(json.dumps(settings))
         host.front = Proxy(host.callers)
         host.far_front = Link(host.callers)
@@ -310,7 +343,8 @@
         return threads
 
     def send_parts(self, connection, attempt, first, second):
-        head = "POST /book/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: 6\r\n\r\nse" % attempt
+        fields = soakcallers.fields_text(self.fields_for(attempt, random.Random(attempt)))
+        head = "POST /book/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 1500\r\n%sContent-Length: 6\r\n\r\nse" % (attempt, fields)
         try:
             time.sleep(first)
             connection.sendall(head[:20].encode())
@@ -493,15 +527,26 @@
             if shop:
                 shop.register()
 
-    def configure(self):
-        self.version += self.random.randint(1, 5)
-        self.note("configuration %d" % self.version, [], 0)
-        self.store.put("keyed.op", "config", self.made_configuration(self.version))
-        if self.random.random() < 0.3:
-            self.store.put("keyed.op", "config", self.made_configuration(self.version - 2))  # an old one
-            self.store.put("keyed.op", "config", b"[broken")
-            self.version += 1
+    def configure(self, draws=None):
+        draws = draws or self.random
+        with self.configuring:
+            self.version += draws.randint(1, 5)
+            self.note("configuration %d" % self.version, [], 0)
+            gone = self.workspaces.change_keys() if self.workspaces else []
             self.store.put("keyed.op", "config", self.made_configuration(self.version))
+            if gone:
+                self.workspaces.note_taken(gone)
+            if draws.random() < 0.3:
+                self.store.put("keyed.op", "config", self.made_configuration(self.version - 2))  # an old one
+                self.store.put("keyed.op", "config", b"[broken")
+                self.version += 1
+                self.store.put("keyed.op", "config", self.made_configuration(self.version))
+
+    def change_keys(self):
+        draws = random.Random("keys %d" % self.seed)
+        while not self.are_faults_over:
+            self.configure(draws)
+            time.sleep(draws.uniform(0.3, 2.0))
 
     def send_without_end(self, others, end):
         """A faulty replica of the plain service, and now and then a store whose listings have no end."""
@@ -531,6 +576,10 @@
     def made_configuration(self, version):
         made = configuration(version)
         made["services"][0]["runtime"] |= self.room
+        if self.workspaces:
+            made["tenants"] = self.workspaces.tenants()
+            for route in made["routes"]:
+                route["anonymous"] = False
         if self.has_second_service:
             made["services"].append(made["services"][0] | {"name": "second"})
             made["routes"].append(made["routes"][0] | {"name": "r4", "path_prefix": "/second/", "service": "second"})
@@ -602,11 +651,16 @@
             self.crasher = CrashingCaller(self)
             for shop in self.shops:
                 shop.crashing_body = CRASHING_BODY
-            self.shops += [SoakReplica(self.store, "i-spare%d" % n, "shop", "a") for n in range(4)]
+            self.shops += [self.shop("i-spare%d" % n) for n in range(4)]
             for shop in self.shops:
                 shop.crashing_body = CRASHING_BODY
             self.crasher.start()
-        for caller in (*callers, *pipelining):
+        beside_callers = []
+        if self.workspaces:
+            self.hostile = [HostileCaller(self, number) for number in range(soakcallers.HOSTILE_CALLERS)]
+            self.slow_readers = [SlowReader(self, number) for number in range(soakcallers.SLOW_READERS)]
+            beside_callers = [*self.hostile, *self.slow_readers, *self.workspaces.callers(self), threading.Thread(target=self.change_keys, daemon=True)]
+        for caller in (*callers, *pipelining, *beside_callers):
             caller.start()
         beside = [] if self.only_planned else [threading.Thread(target=work, daemon=True) for work in (self.harm_links, self.brittle_times)]
         for thread in beside:
@@ -645,8 +699,8 @@
             thread.join()
         self.note("faults are over", None, 0)
         time.sleep(SETTLE_SECONDS)
-        self.is_over = True
-        for caller in (*callers, *pipelining):
+        self.is_over, self.over_at = True, time.monotonic()
+        for caller in (*callers, *pipelining, *beside_callers):
             caller.join()
         self.pipelined = [connection for caller in pipelining for connection in caller.connections]
         return [result for caller in callers for result in caller.results]
@@ -660,8 +714,12 @@
                 ran[attempt] = ran.get(attempt, 0) + 1
             self.failures += ["%s: %s" % (replica.name, violation) for violation in replica.violations]
             self.check_orders(replica)
-        for result in results:
+        for result in (*results, *self.keyed):
             self.check_answer(result, ran)
+        if self.workspaces:
+            self.failures += self.workspaces.faults(self.keyed, ran, self.started, self.over_at)
+            self.failures += soakcallers.slow_faults([answer for reader in self.slow_readers for answer in reader.answers], ran)
+            self.failures += ["%s ran and was never whole" % attempt for caller in self.hostile for attempt in caller.sent if attempt in ran]
         for result in results:
             self.check_versions(result)
         for cut in self.cuts:
@@ -818,6 +876,10 @@
     ends = collections.Counter(str(result["status"]) + ("" if result.get("whole") else " cut") for result in results)
     ends.update("%d to streams taken up" % status for _first, _again, status in world.taken_up)
     ends["pipelined connections checked"] = world.checked_pipelined
+    if world.workspaces:
+        ends |= world.workspaces.counts()
+        ends["hostile connections"] = sum(len(caller.sent) for caller in world.hostile)
+        ends["whole answers of slow readers"] = sum(soakcallers.is_whole(received) for reader in world.slow_readers for _attempt, received in reader.answers)
     if world.crasher:
         ends["crashes by one request"] = sum(len(shop.crashed) for shop in world.shops)
     ends.update({"%s first tries at hosts cut off" % name: count for name, count in zip(("served", "all"), world.tries_at_cut)})
@@ -832,6 +894,8 @@
 
 def check_the_checks():
     """Each forged result must be found; a check that finds nothing proves nothing."""
+    soakworkspaces.check_the_checks()
+    soakcallers.check_the_checks()
     world = World.__new__(World)
     world.started, world.failures, world.disturbed = 0.0, [], {}
     good = {"id": "q", "host": "entry-1", "stream": False, "begin": 10.0, "end": 10.1, "status": 200, "whole": True, "seal": "seal-of-q", "after": None}
--- a/tests/hosted/pipelining.py
+++ b/tests/hosted/pipelining.py
@@ -85,6 +85,7 @@
     def request(self, attempt):
         is_stream = self.random.random() < 0.7
         target, more = ("/gen/x", "X-Model-Id: base/a1\r\nX-Deadline-Ms: 6000\r\n") if is_stream else ("/book/x", "X-Deadline-Ms: 1500\r\n")
+        more += "".join("%s: %s\r\n" % field for field in self.world.fields_for(attempt, self.random).items())
         return ("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\n%sContent-Length: 6\r\n\r\nseat 4" % (target, attempt, more)).encode()
 
     def read(self, caller, connection, slow):
