--- a/tests/hosted/boundstest.py
+++ b/tests/hosted/boundstest.py
@@ -61,6 +61,40 @@
             number += 1
 
 
+class ImpatientReplica(FlowingReplica):
+    """Its streams have an end, and it cuts one off of which nothing is taken for a while."""
+
+    STREAM_BYTES, PATIENCE_SECONDS, SEND_BUFFER = 10_000_000, 2.0, 65_536
+
+    def __init__(self, *arguments, **named):
+        self.cuts = []  # bytes of the stream that had been taken
+        super().__init__(*arguments, **named)
+
+    def run(self, request):
+        if not self.flows or request.path.startswith("/baobabstall/"):
+            Replica.run(self, request)
+            return
+        attempt = request.headers.get("X-Attempt-Id").encode()
+        request.close_connection = True
+        request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.SEND_BUFFER)
+        request.connection.settimeout(self.PATIENCE_SECONDS)
+        rest = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-of-%s\r\n" % (attempt, attempt)
+        rest += b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sent = number = 0
+        try:
+            while sent < self.STREAM_BYTES:
+                number += 1
+                event = b"id: %d\ndata: %s\n\n" % (number, attempt * 100)
+                rest += b"%x\r\n%s\r\n" % (len(event), event)
+                while len(rest) > 4_096:
+                    count = request.connection.send(rest)
+                    sent, rest = sent + count, rest[count:]
+            request.connection.sendall(rest + b"0\r\n\r\n")
+        except TimeoutError:
+            self.cuts.append(sent)
+            raise
+
+
 def body_of(received):
     """Of a chunked answer: what came of its body, and whether its end came."""
     rest = received.partition(b"\r\n\r\n")[2]
@@ -158,6 +192,32 @@
             connection.close()
         self.assertTrue(relayed_for or wait_until(lambda: any(line["relayed_for"] for host in self.hosts[1:] for line in host.events("request"))), "relayed")
 
+    # Guards against a stream that its replica cuts off because the host waits for a slow caller, though it has room for the rest (issue 50, E).
+    def test_a_replica_that_cuts_off_what_remains_unread_is_read_on_while_the_host_has_room(self):
+        for replica in self.replicas:
+            replica.close()
+            self.store.put("keyed.servers", replica.name, None)
+        self.replicas = [ImpatientReplica(self.store, "i-impatient", "llm", "a", model="base")]
+        made = configuration(4)
+        made["routes"][0]["timeout_ms"] = 30_000
+        self.store.put("keyed.op", "config", made)
+        self.start_all()
+        self.replicas[0].flows = True
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        caller.settimeout(5)
+        address, port = self.hosts[0].callers.split(":")
+        caller.connect((address, int(port)))
+        caller.sendall(b"POST /gen/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: slow\r\nX-Model-Id: base/a1\r\nX-Deadline-Ms: 29000\r\nContent-Length: 2\r\n\r\nhi")
+        received, until = 0, time.monotonic() + 10
+        while time.monotonic() < until:
+            received += len(caller.recv(8_192))
+            time.sleep(0.05)
+        print(self.peaks(), "bytes received:", received)
+        self.assertGreater(received, 500_000, "the stream flows")
+        self.assertEqual(self.replicas[0].cuts, [])
+
     # Guards against an owner that keeps an answer to an order, or a report, that has no end, and serves no other replica meanwhile (issue 42, first further
     # report).
     def check_owner_with_endless(self, kind):
