--- a/tests/hosted/faultsoak.py
+++ b/tests/hosted/faultsoak.py
@@ -14,7 +14,6 @@
 Every seed that ever failed stands in faultseeds.txt with its cause and runs each time."""
 import argparse
 import collections
-import http.client
 import json
 import multiprocessing
 import pathlib
@@ -34,6 +33,7 @@
 from proxy import Link, Proxy  # noqa: E402
 import soakcallers  # noqa: E402
 import soakworkspaces  # noqa: E402
+from ordinarycallers import CRASHING_BODY, PLAIN_DEADLINE, STREAM_DEADLINE, Caller, CrashingCaller  # noqa: E402
 from soakcallers import HostileCaller, SlowReader  # noqa: E402
 from soakworkspaces import Workspaces  # noqa: E402
 
@@ -44,11 +44,8 @@
 SETTLE_SECONDS = 6.0  # after the last fault: a lease, a claim, and records that come back
 START_SECONDS = 1.0  # until a process has surely set up its signals
 FINAL_CALLS = 12
-FIRST_BYTE_SECONDS = 30  # a caller gives up long after every limit, so that a host that holds a request is seen
 MEMORY_LIMIT_KB = 200_000  # the smallest host has 160 MB; sanitizers and the like are not run here
 PROMISES = (408, 421, 429, 503)  # not run, and never will be
-STREAM_LIMIT, PLAIN_LIMIT = 8.0, 2.0  # seconds; timeout_ms of the two routes
-STREAM_DEADLINE, PLAIN_DEADLINE = 6.0, 1.5
 CONTACT_SECONDS = 3.0  # after the third crash, until all hosts refuse the request
 ONLY_LINKS_FROM = 10_000  # seeds from this one on play cuts, silences and the crashing request alone
 ONLY_PLANNED_FROM = 20_000  # seeds from this one on play planned work, and the store's trouble beside it
@@ -57,7 +54,6 @@
 MIN_PIPELINED = 10  # connections that a run of planned work alone must be able to check
 MIN_CUT_TRIES = 20  # first tries at hosts that are cut off, from which on their share is compared
 KNOWN_CRASHES, MOST_LATE_SENDS = 3, 3
-CRASHING_BODY = b"crash"
 VERSIONS = ("v1", "v1.1", "v1.2")
 
 
@@ -138,87 +134,6 @@
         super().close()
 
 
-class Caller(threading.Thread):
-    """Sends one request after the other on connections that it keeps while they last."""
-
-    def __init__(self, world, number):
-        super().__init__(daemon=True)
-        self.world, self.number = world, number
-        self.random = random.Random(world.seed * 1000 + number)
-        self.connections = {}
-        self.results = []
-
-    def run(self):
-        count = 0
-        while not self.world.is_over:
-            count += 1
-            host = self.random.choice(self.world.hosts)
-            result = self.one(host, "c%d-%d" % (self.number, count), self.random.random() < 0.6)
-            self.results.append(result)
-            if result["stream"] and result["status"] == 200 and not result["whole"]:
-                self.take_up(result)
-            time.sleep(self.random.random() * 0.05)
-
-    def one(self, host, attempt, is_stream, resumes=None, after=0):
-        headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": str(int((STREAM_DEADLINE if is_stream else PLAIN_DEADLINE) * 1000))}
-        if is_stream:
-            headers["X-Model-Id"] = "base/a%d" % int(self.random.paretovariate(1.2))
-            headers |= {"Resumes": resumes, "Last-Event-Id": str(after)} if resumes else {}
-        headers |= self.world.fields_for(attempt, self.random, resumes)
-        connection = self.connections.pop(host.name, None) or http.client.HTTPConnection(host.front.address, timeout=FIRST_BYTE_SECONDS)
-        result = {"id": attempt, "host": host.name, "stream": is_stream, "begin": time.monotonic(), "status": 0, "body": b"", "seal": None, "after": None}
-        try:
-            connection.request("POST", "/gen/x" if is_stream else "/book/x", body=b"seat 4", headers=headers)
-            answer = connection.getresponse()
-            result["status"], result["seal"], result["after"] = answer.status, answer.headers.get("X-Response-Seal"), answer.headers.get("Retry-After")
-            while is_stream and (part := answer.read1(65536)):
-                result["body"] += part
-            result["body"] += answer.read()
-            result["whole"] = True
-            if not answer.will_close:
-                self.connections[host.name] = connection
-        except (OSError, http.client.HTTPException) as failure:
-            result["whole"] = False
-            result["why"] = repr(failure)
-            connection.close()
-        result["end"] = time.monotonic()
-        return result
-
-
-    def take_up(self, first):
-        """Goes on with a broken stream, each time at another host, as a caller of the product does."""
-        for step in range(2):
-            events = [int(line[4:]) for line in first["body"].split(b"\n") if line.startswith(b"id: ")]
-            if not events:
-                return
-            host = self.random.choice([host for host in self.world.hosts if host.name != first["host"]])
-            result = self.one(host, "%s-%d" % (first["id"], step), True, first["id"], events[-1])
-            self.world.taken_up.append((first["id"], result["id"], result["status"]))
-            if result["status"] == 200:
-                first["body"] += result["body"]  # what the caller holds of the stream
-            if result["whole"]:
-                return
-
-
-class CrashingCaller(threading.Thread):
-    """Sends one request again and again, at any host, under new ids."""
-
-    def __init__(self, world):
-        super().__init__(daemon=True)
-        self.world = world
-        self.sent = {}  # id -> host
-
-    def run(self):
-        chooser = random.Random(self.world.seed)
-        while not self.world.are_faults_over:
-            host = chooser.choice(self.world.hosts)
-            attempt = "x%d" % len(self.sent)
-            self.sent[attempt] = host.name
-            headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": "1500"} | self.world.fields_for(attempt, chooser)
-            ask(host.front.address, "POST", "/look/x", headers, CRASHING_BODY, PLAIN_LIMIT)
-            time.sleep(chooser.uniform(0.05, 0.8))
-
-
 class World:
     def __init__(self, seed, seconds, folder):
         self.seed, self.seconds, self.folder = seed, seconds, folder
