--- a/packages/gateway/daemon.cpp
+++ b/packages/gateway/daemon.cpp
@@ -158,10 +158,11 @@
     co_return isClean;
 }
 
-/// Nothing that this daemon began goes on: no caller's request, no run or order under an owned epoch.
+/// Nothing that this daemon began goes on: no caller's request or answer, no run or order under an owned epoch.
 bool Daemon::isDrained() const
 {
-    return callersServer_.openExchanges() == 0 && std::all_of(owned_.begin(), owned_.end(), [](const auto &each) { return each.second.host->isIdle(); });
+    const bool isAnswered = callersServer_.openExchanges() == 0 && callersServer_.unreceivedAnswers() == 0;
+    return isAnswered && std::all_of(owned_.begin(), owned_.end(), [](const auto &each) { return each.second.host->isIdle(); });
 }
 
 net::Task<void> Daemon::pause(Milliseconds time)
--- a/packages/net/http.h
+++ b/packages/net/http.h
@@ -136,6 +136,9 @@
     void stopAccepting();
     /// Exchanges whose handler has not returned.
     [[nodiscard]] std::size_t openExchanges() const;
+    /// Connections on which bytes are still on their way to the caller, whose end with the process would lose them. One whose caller has taken
+    /// nothing for finishTimeout (net/orderlyclose.h) doesn't count.
+    [[nodiscard]] std::size_t unreceivedAnswers() const;
 
     struct State; // in httpserver.cpp
 
--- a/packages/net/httpserver.cpp
+++ b/packages/net/httpserver.cpp
@@ -164,6 +164,13 @@
         }
     }
 
+    [[nodiscard]] bool isDelivering(core::Instant now)
+    {
+        const int before = std::exchange(onTheWay_, bytesOnTheWay(stream_.socket()));
+        progressAt_ = onTheWay_ != before ? now : progressAt_;
+        return onTheWay_ > 0 && now - progressAt_ < finishTimeout;
+    }
+
     /// Watches for the caller closing its side while its request is being answered.
     void watchPeer(std::function<void()> callback)
     {
@@ -222,6 +229,8 @@
     std::string peer_;
     std::function<void()> onGone_;
     std::uint64_t exchangeCount_ = 0; // tells a late wait of an earlier exchange from the current one
+    int onTheWay_ = 0;                // bytes, at the last isDelivering()
+    core::Instant progressAt_;
     bool isIdle_ = false;
     bool isLate_ = false;
     bool isReceiving_ = false;
@@ -526,4 +535,11 @@
     return state_->openExchanges;
 }
 
+std::size_t HttpServer::unreceivedAnswers() const
+{
+    const auto now = core::SteadyClock().now();
+    const auto &connections = state_->connections;
+    return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(), [now](Connection *each) { return each->isDelivering(now); }));
+}
+
 } // namespace baobabstall::net
--- a/packages/net/tests/httptest.cpp
+++ b/packages/net/tests/httptest.cpp
@@ -11,6 +11,7 @@
 #include <net/answerstatus.h>
 #include <net/asio.h>
 #include <net/http.h>
+#include <net/orderlyclose.h>
 
 #include "endlessserver.h"
 
@@ -402,17 +403,38 @@
     asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
     io->run_for(std::chrono::milliseconds(50));
     EXPECT_EQ(server->openExchanges(), 0U);
+    EXPECT_EQ(server->unreceivedAnswers(), 1U) << "not drained";
+    std::string answer;
+    for (char bytes[1'024]; server->unreceivedAnswers() > 0 && answer.size() < bodyBytes;) { // slower than the answer was written
+        answer.append(bytes, socket.read_some(asio::buffer(bytes)));
+        io->run_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_LT(answer.size(), bodyBytes) << "the rest lies unread at the caller's side";
     server->stopAccepting();
     server.reset();
     io.reset();
     boost::system::error_code end;
     asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")), end);
-    std::string answer;
     asio::read(socket, asio::dynamic_buffer(answer), end);
     EXPECT_EQ(end, asio::error::eof) << end.message();
     EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, bodyBytes);
 }
 
+// Guards against a stop that a caller delays for as long as it doesn't read.
+TEST_F(HttpTest, an_answer_that_its_caller_does_not_take_is_not_waited_for)
+{
+    constexpr std::size_t bodyBytes = 30'000;
+    const auto address = serve([](Exchange &exchange) -> Task<void> { co_await exchange.respond(HttpResponse::json(200, std::string(bodyBytes, 'x'))); });
+    asio::ip::tcp::socket socket(io_, asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(4'096));
+    socket.connect({asio::ip::make_address(address.ip), address.port});
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    io_.run_for(std::chrono::milliseconds(50));
+    EXPECT_EQ(server_->unreceivedAnswers(), 1U);
+    io_.run_for(chronoOf(finishTimeout));
+    EXPECT_EQ(server_->unreceivedAnswers(), 0U);
+}
+
 TEST_F(HttpTest, refuses_headers_over_the_limit)
 {
     const auto address = serve(echo, {.maxHeaderBytes = 512});
