--- a/packages/ownership/planner.cpp
+++ b/packages/ownership/planner.cpp
@@ -38,6 +38,7 @@
         auto known = states_.extract(placed.resource);
         auto &state = known ? states.insert(std::move(known)).position->second : states[placed.resource];
         state.zone = std::move(placed.zone);
+        state.needsStrength = placed.needsStrength;
         choosePreferredHost(placed.resource, state);
     }
     for (const auto &[resource, state] : states_) {
@@ -61,6 +62,19 @@
     setCandidates(candidatesAmong(members_));
 }
 
+void OwnershipPlanner::setStrengths(std::map<HostId, double> strengths)
+{
+    if (strengths == strengths_) {
+        return;
+    }
+    strengths_ = std::move(strengths);
+    for (auto &[resource, state] : states_) {
+        if (state.needsStrength) {
+            choosePreferredHost(resource, state);
+        }
+    }
+}
+
 void OwnershipPlanner::setCutOff(std::set<HostId> hosts, Instant now)
 {
     cutOff_ = std::move(hosts);
@@ -123,10 +137,16 @@
     return !candidatesPerZone_.contains(state.zone) || state.zone == zone;
 }
 
+OwnershipPlanner::Weight OwnershipPlanner::weightOf(const Resource &resource, const ResourceState &state, const HostId &host) const
+{
+    const auto strength = state.needsStrength ? strengths_.find(host) : strengths_.end();
+    return {strength == strengths_.end() ? 0 : strength->second, core::rendezvousWeight(resource.value(), host.value())};
+}
+
 void OwnershipPlanner::choosePreferredHost(const Resource &resource, ResourceState &state) const
 {
     state.preferredHost = HostId();
-    state.preferredWeight = 0;
+    state.preferredWeight = Weight();
     updatePreferredHost(resource, state, candidates_, {});
 }
 
@@ -144,7 +164,7 @@
         if (!isEligible(state, zone)) {
             continue;
         }
-        auto weight = core::rendezvousWeight(resource.value(), host.value());
+        const auto weight = weightOf(resource, state, host);
         bool better = state.preferredHost.empty() || weight > state.preferredWeight || (weight == state.preferredWeight && host < state.preferredHost);
         if (better) {
             state.preferredHost = host;
--- a/packages/ownership/planner.h
+++ b/packages/ownership/planner.h
@@ -49,7 +49,8 @@
 
 struct PlacedResource {
     Resource resource;
-    ZoneId zone; // its owner is chosen from this zone while a daemon is alive there; empty: from the region
+    ZoneId zone;                // its owner is chosen from this zone while a daemon is alive there; empty: from the region
+    bool needsStrength = false; // its owner answers many calls: the strongest of these daemons is chosen, see setStrengths()
 
     friend bool operator==(const PlacedResource &, const PlacedResource &) = default;
 };
@@ -102,6 +103,7 @@
     // Resources and members.
     void setResources(std::vector<PlacedResource> resources);         // all resources of the region; the engines change, partitions and "loads" are constant
     void setMembers(const std::vector<peers::Member> &members);       // all members, as returned by the membership
+    void setStrengths(std::map<HostId, double> strengths);            // what is known of daemons' hosts; others count as 0
     void setCutOff(std::set<HostId> hosts, Instant now);              // live hosts that reach no upstream, also this one; after each change
     void setHostListTime(std::int64_t asOf) { hostListTime_ = asOf; } // as_of_ms of the newest host list
 
@@ -135,7 +137,7 @@
     [[nodiscard]] bool isDraining(const Resource &resource) const;    // owned by this daemon, but takes no new work
     [[nodiscard]] std::optional<Owner> ownerOf(const Resource &resource) const { return table_.ownerOf(resource); } // also when the owner is not alive
     [[nodiscard]] bool isUsable(const Owner &owner) const;                          // may get new work: not suspect, dead, released or restarted
-    [[nodiscard]] HostId preferredOwner(const Resource &resource) const;            // by rendezvous hashing; empty when no daemon is alive
+    [[nodiscard]] HostId preferredOwner(const Resource &resource) const;            // by strength and rendezvous hashing; empty when no daemon is alive
     [[nodiscard]] Evidence evidence(const Resource &resource, Epoch epoch) const;   // for an earlier epoch; None for the current one
     [[nodiscard]] std::vector<Holding> holdings() const;                            // of this daemon, also draining ones
     [[nodiscard]] Offset lastReadOffset() const { return table_.lastReadOffset(); } // the next read starts at lastReadOffset().next()
@@ -151,11 +153,12 @@
     static constexpr std::int64_t hostListLagMs = 600'000;   // a host list this much newer than a claim is known to include the claim's host
 
 private:
-    using Weight = std::uint64_t;
+    using Weight = std::pair<double, std::uint64_t>; // strength, where the resource needs it; rendezvous weight
     struct ResourceState {
         ZoneId zone;
-        HostId preferredHost;           // by rendezvous hashing
-        Weight preferredWeight = 0;     // rendezvous weight of preferredHost
+        bool needsStrength = false;
+        HostId preferredHost;           // by strength and rendezvous hashing
+        Weight preferredWeight;         // of preferredHost
         HostId lastPreferredHost;       // as of the last tick
         Instant preferredSince;         // when a tick saw it first
         Epoch lastEpoch;                // current epoch as of the last tick
@@ -192,6 +195,7 @@
     [[nodiscard]] bool reachesUpstreams(const HostId &host) const { return !cutOff_.contains(host); }
     [[nodiscard]] bool isCutOffForLong(Instant now) const; // this daemon, while others reach upstreams
     [[nodiscard]] bool isEligible(const ResourceState &state, const ZoneId &zone) const;
+    [[nodiscard]] Weight weightOf(const Resource &resource, const ResourceState &state, const HostId &host) const;
     void setCandidates(std::map<HostId, ZoneId> candidates);
     void choosePreferredHost(const Resource &resource, ResourceState &state) const;
     void
@@ -217,6 +221,7 @@
     std::optional<Instant> cutOffSince_;  // this daemon
     std::map<HostId, ZoneId> candidates_; // alive hosts that reach upstreams, for rendezvous hashing
     std::map<ZoneId, int> candidatesPerZone_;
+    std::map<HostId, double> strengths_;
     std::unordered_map<std::string, PendingAppend> pending_; // by record id
     std::unordered_map<Resource, std::string> pendingByResource_;
     std::int64_t hostListTime_ = 0;
--- a/packages/ownership/tests/plannertest.cpp
+++ b/packages/ownership/tests/plannertest.cpp
@@ -1089,3 +1089,29 @@
         EXPECT_EQ(servedCount(), resources.size()) << "seed " << seed;
     }
 }
+
+// Load: requests of a whole service ask the owner of a replica; a weak host that is late by some tens of ms takes the gain away.
+TEST_F(Planner, ResourcesThatNeedStrengthGoToTheStrongestHostOfTheirZone)
+{
+    const auto busy = [](int at) { return engineResource(UpstreamId("busy" + std::to_string(at))); };
+    const auto calm = engineResource(UpstreamId("calm"));
+    for (int zone = 0; zone < 2; ++zone) {
+        resources.push_back({busy(zone), ZoneId("z" + std::to_string(zone)), true});
+    }
+    resources.push_back({calm, ZoneId("z0")});
+    startAll(12, 2, 0);
+    const auto preferred = [this](const Resource &resource) { return daemons.begin()->second->planner.preferredOwner(resource).value(); };
+    const auto calmOwner = preferred(calm);
+    for (const auto &[host, daemon] : daemons) {
+        daemon->planner.setStrengths({{HostId("h4"), 25}, {HostId("h6"), 200}, {HostId("h7"), 200}, {HostId("h9"), 25}});
+    }
+    EXPECT_EQ(preferred(busy(0)), "h6");
+    EXPECT_EQ(preferred(busy(1)), "h7");
+    EXPECT_EQ(preferred(calm), calmOwner);
+    run(options.handoverDelay + Milliseconds(10'000));
+    EXPECT_EQ(daemons.begin()->second->planner.ownerOf(busy(0))->host.value(), "h6");
+    kill("h6");
+    run(Milliseconds(10'000));
+    EXPECT_EQ(daemons.begin()->second->planner.ownerOf(busy(0))->host.value(), "h4");
+    EXPECT_EQ(daemons.begin()->second->planner.ownerOf(busy(1))->host.value(), "h7");
+}
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -473,21 +473,18 @@
     resourcesVersion_ = node_.replicas.version();
     node_.versions.update(node_.replicas, node_.now());
     std::vector<ownership::PlacedResource> resources;
+    std::vector<Reachability::Upstream> upstreams;
     for (const auto &id : node_.replicas.all()) {
         if (node_.replicas.isUsable(id)) {
-            resources.push_back({ownership::engineResource(id), node_.replicas.find(id)->zone});
+            const auto &record = *node_.replicas.find(id);
+            resources.push_back({ownership::engineResource(id), record.zone, ScarceGate::needsStrongOwner(node_, record)});
+            upstreams.push_back({id, record.service});
         }
     }
     for (auto &resource : quotaExchange_.resources()) {
         resources.push_back({std::move(resource), ZoneId()});
     }
     planner_.setResources(std::move(resources));
-    std::vector<Reachability::Upstream> upstreams;
-    for (const auto &id : node_.replicas.all()) {
-        if (node_.replicas.isUsable(id)) {
-            upstreams.push_back({id, node_.replicas.find(id)->service});
-        }
-    }
     node_.reachability.setUpstreams(upstreams, node_.now());
     updateOwnedReplicas();
 }
@@ -619,13 +616,16 @@
         announcedHosts_[host] = {*address, ZoneId(zone), linkMbps};
     }
     std::vector<peers::HostEntry> hosts;
+    std::map<HostId, double> strengths; // the widest links stand for the strongest hosts, as in HostGroups
     for (const auto &[each, announced] : announcedHosts_) {
         hosts.push_back({each, announced.zone, false});
+        strengths[each] = announced.linkMbps;
         if (links_ && each != node_.settings.host) {
             links_->setAddress(each, announced.peerAddress);
         }
     }
     membership_.setHostList(hosts, node_.now());
+    planner_.setStrengths(std::move(strengths));
     planner_.setMembers(membership_.members());
 }
 
--- a/packages/serving/scarcegate.cpp
+++ b/packages/serving/scarcegate.cpp
@@ -216,6 +216,12 @@
     }
 }
 
+bool ScarceGate::needsStrongOwner(const Node &node, const ReplicaRecord &record)
+{
+    const auto *service = node.routes ? node.routes->service(record.service) : nullptr;
+    return node.settings.hosting.ownerPlaces > 0 && service != nullptr && !service->engine;
+}
+
 void ScarceGate::tick(const ReportedLoad &reportedLoad)
 {
     noteLoads(reportedLoad);
--- a/packages/serving/scarcegate.h
+++ b/packages/serving/scarcegate.h
@@ -41,6 +41,9 @@
     void remove(const UpstreamId &id); // no longer owned
     void tick(const ReportedLoad &reportedLoad);
 
+    /// The replica's owner may be asked for every request, and is of no use when it is late itself.
+    [[nodiscard]] static bool needsStrongOwner(const Node &node, const ReplicaRecord &record);
+
 private:
     struct Waiter {
         std::function<void(const ScarceRoom::Outcome &)> onOutcome;
--- a/packages/serving/tests/plainfleet.h
+++ b/packages/serving/tests/plainfleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <memory>
@@ -80,6 +81,8 @@
     void runUntil(Instant end) { time_.runUntil(end); }
     void at(Instant when, std::function<void()> action) { time_.at(when, std::move(action)); }
     void killReplica(std::size_t index) { replicas_[index].isGone = true; }
+    /// The owner's own host is late: what it hears and says waits for up to twice this time.
+    void delayOwner(std::size_t index, Milliseconds mean) { replicas_[index].lateness = mean; }
     void silenceOwner(std::size_t index) { replicas_[index].isSilent = true; }
     /// Another host owns the replica from now on, and knows nothing of what was granted.
     void replaceOwner(std::size_t index)
@@ -97,6 +100,7 @@
     struct Host {
         WorkTimes work;
         std::map<std::size_t, Instant> silentUntil;
+        std::map<std::size_t, double> roundTripMs; // to the replicas' owners
     };
     enum class Wait : std::uint8_t { None, FirstAnswer, Turn };
     struct Request {
@@ -110,6 +114,7 @@
         SendHoldId hold;
         std::size_t holdAt = 0;
         Wait wait = Wait::None;
+        Instant askedAt; // an owner
         Instant lastWord;
         bool isByOwnCount = false; // an owner was silent
     };
@@ -123,6 +128,7 @@
         std::map<SendHoldId, RequestPtr> waiters;
         bool isGone = false;
         bool isSilent = false;
+        Milliseconds lateness{0}; // of its owner's host, mean
     };
 
     Milliseconds way()
@@ -131,6 +137,12 @@
         constexpr std::int64_t most = 10;
         return Milliseconds(std::uniform_int_distribution<std::int64_t>(least, most)(random_));
     }
+    /// To a replica's owner.
+    Milliseconds wayTo(std::size_t replica)
+    {
+        const auto most = replicas_[replica].lateness * 2;
+        return way() + (most.count() == 0 ? most : Milliseconds(std::uniform_int_distribution<std::int64_t>(0, most.count())(random_)));
+    }
     void after(Milliseconds delay, std::function<void()> action) { time_.at(time_.now() + delay, std::move(action)); }
 
     void countLoads()
@@ -248,9 +260,23 @@
         ++ownerCalls_;
         constexpr Milliseconds patience{60};
         request->wait = Wait::FirstAnswer;
+        request->askedAt = time_.now();
         request->holdAt = replica;
         after(patience, [this, request, replica] { fallBack(request, replica, Wait::FirstAnswer); });
-        after(way(), [this, request, replica] { beAsked(request, replica); });
+        after(wayTo(replica), [this, request, replica] { beAsked(request, replica); });
+    }
+
+    [[nodiscard]] Milliseconds roundTrip(std::size_t host, std::size_t replica)
+    {
+        constexpr double assumedMs = 11;
+        return Milliseconds(std::llround(hosts_[host].roundTripMs.try_emplace(replica, assumedMs).first->second));
+    }
+    /// The owner's first answer.
+    void learnRoundTrip(const Request &request)
+    {
+        constexpr double weight = 0.1;
+        auto &known = hosts_[request.host].roundTripMs[request.holdAt];
+        known += (static_cast<double>((time_.now() - request.askedAt).count()) - known) * weight;
     }
 
     void beAsked(const RequestPtr &request, std::size_t replica)
@@ -259,8 +285,7 @@
         if (owned.isSilent) {
             return;
         }
-        constexpr Milliseconds roundTrip{11};
-        owned.room.learn(hosts_[request->host].work.expected(), roundTrip);
+        owned.room.learn(hosts_[request->host].work.expected(), roundTrip(request->host, replica));
         const auto onTimeBy = request->arrivedAt + request->call.objective;
         request->hold = owned.room.request({request->call.rank, request->call.mayRepeat, onTimeBy, request->arrivedAt + request->call.timeout, request->hash},
                                            time_.now());
@@ -284,6 +309,9 @@
             if (request->wait == Wait::None || request->holdAt != replica) {
                 return;
             }
+            if (request->wait == Wait::FirstAnswer) {
+                learnRoundTrip(*request);
+            }
             request->wait = Wait::Turn;
             request->lastWord = time_.now();
             after(patience, [this, request, replica] {
@@ -330,6 +358,9 @@
             }
             return;
         }
+        if (request->wait == Wait::FirstAnswer) {
+            learnRoundTrip(*request);
+        }
         request->wait = Wait::None;
         if (outcome.isGranted) {
             send(request, replica);
@@ -402,7 +433,7 @@
         if (request->hold == SendHoldId() || request->holdAt != replica) {
             return;
         }
-        after(way(), [this, hold = std::exchange(request->hold, SendHoldId()), replica] {
+        after(wayTo(replica), [this, hold = std::exchange(request->hold, SendHoldId()), replica] {
             replicas_[replica].room.end(hold, time_.now());
             settle(replica);
         });
--- a/packages/serving/tests/scarceroomtest.cpp
+++ b/packages/serving/tests/scarceroomtest.cpp
@@ -302,5 +302,23 @@
     EXPECT_EQ(fleet.counts(0).asked, fleet.counts(0).onTime + fleet.counts(0).late + fleet.counts(0).refused) << "nothing hangs";
 }
 
+// Load: twice what the service serves, while the owners' hosts are late by some ms, as strong ones are; then by as much as weak ones are.
+TEST(PlainFleet, owners_that_are_late_cost_what_they_gain)
+{
+    const auto play = [](Milliseconds lateness) {
+        PlainFleet fleet(Rule::Owners, hosts, replicas);
+        for (int i = 0; i < replicas; ++i) {
+            fleet.delayOwner(static_cast<std::size_t>(i), lateness);
+        }
+        fleet.play({}, capacity * 2, begin, end);
+        fleet.runUntil(end + Milliseconds(3'000));
+        return fleet.counts(0).onTime;
+    };
+    const int own = playAt(Rule::Assumed, 2).onTime;
+    EXPECT_GE(play(Milliseconds(10)), 0.88 * capacity * 10);
+    EXPECT_LE(play(Milliseconds(30)), own) << "so owners are chosen among the strongest hosts (ScarceGate::needsStrongOwner)";
+    EXPECT_GE(play(Milliseconds(80)), 0.85 * own);
+}
+
 } // namespace
 } // namespace baobabstall::serving
