--- a/packages/serving/tests/gracefulstoptest.cpp
+++ b/packages/serving/tests/gracefulstoptest.cpp
@@ -18,13 +18,14 @@
         residency_.onWait = [this]() -> net::Task<void> { co_await net::sleep(io_, longTime); };
     }
 
+    /// The end is fixed from here on, whatever a busy machine does to the delay.
     void stopAfter(Milliseconds delay, Milliseconds left = graceLeft)
     {
+        stoppedAt_ = node_.now() + delay;
         asio::co_spawn(
             io_,
             [this, delay, left]() -> net::Task<void> {
                 co_await net::sleep(io_, delay);
-                stoppedAt_ = node_.now();
                 server_.beginStop();
                 node_.stop.begin({.answerBy = stoppedAt_ + left, .unbalancedAt = stoppedAt_ + Milliseconds(400)});
             },
