--- a/packages/net/orderlyclose.cpp
+++ b/packages/net/orderlyclose.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <memory>
+#include <optional>
 
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -21,6 +22,15 @@
 constexpr Milliseconds progressInterval{100};
 constexpr Milliseconds endInterval{20}; // while the peer's end can't be waited for, as it lies behind unread bytes
 
+/// Nothing where it can't be told.
+std::optional<int> kernelState(tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    const bool isKnown = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    return isKnown ? std::optional<int>(info.tcpi_state) : std::nullopt;
+}
+
 enum class PeerState : std::uint8_t { Open, Sending, Closed };
 
 PeerState stateOf(tcp::socket &socket)
@@ -60,10 +70,14 @@
 
 bool isOver(tcp::socket &socket)
 {
-    tcp_info info{};
-    socklen_t length = sizeof info;
-    const bool isKnown = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
-    return isKnown && (info.tcpi_state == TCP_CLOSE || info.tcpi_state == TCP_TIME_WAIT);
+    const auto state = kernelState(socket);
+    return state == TCP_CLOSE || state == TCP_TIME_WAIT;
+}
+
+bool hasPeerClosed(tcp::socket &socket)
+{
+    const auto state = kernelState(socket);
+    return isOver(socket) || state == TCP_CLOSE_WAIT || state == TCP_LAST_ACK || state == TCP_CLOSING;
 }
 
 asio::awaitable<void> finishSending(tcp::socket &socket, Milliseconds timeout)
--- a/packages/net/orderlyclose.h
+++ b/packages/net/orderlyclose.h
@@ -21,4 +21,7 @@
 /// a read after it returns the end of the data, as after an orderly end.
 [[nodiscard]] bool isOver(boost::asio::ip::tcp::socket &socket);
 
+/// Whether the peer has closed its side, also where its end lies behind unread bytes.
+[[nodiscard]] bool hasPeerClosed(boost::asio::ip::tcp::socket &socket);
+
 } // namespace baobabstall::net
--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -24,6 +24,7 @@
 
 constexpr Milliseconds acceptPause{50};     // after a failed accept, for example without a free file descriptor
 constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; twice the pause after which callers give up
+constexpr Milliseconds endInterval{50};     // while a caller's end can't be waited for, as it lies behind unread bytes
 constexpr int backlog = 1'024;
 constexpr int unavailable = 503;
 constexpr int requestTimeout = 408;
@@ -112,6 +113,7 @@
               server_->budget,
               [this](net::CallerPart part) { giveWay(part); },
               core::SteadyClock().now())
+        , endWatch_(server_->io)
     {
         server_->open.insert(this);
     }
@@ -195,11 +197,7 @@
     }
 
     [[nodiscard]] bool isDisconnected() const override { return isDisconnected_; }
-    [[nodiscard]] bool isGone() override
-    {
-        const auto end = peek();
-        return isDisconnected_ || (end && end != asio::error::would_block);
-    }
+    [[nodiscard]] bool isGone() override { return isDisconnected_ || hasCallerEnded(); }
 
     void breakOff() override
     {
@@ -352,27 +350,38 @@
         }
     }
 
-    /// A caller that has sent more data is still connected; the read of its next request then detects the disconnect.
+    /// The end of a caller that has sent its next request lies behind it, where no read finds it before this request has ended.
     void watchForDisconnect()
     {
         isWatching_ = true;
-        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
-            self->isWatching_ = false;
-            if (failed || !self->onDisconnect_) {
-                return;
-            }
-            failed = self->peek();
-            if (failed == asio::error::would_block) {
-                self->watchForDisconnect();
-                return;
-            }
-            if (failed) {
-                self->isDisconnected_ = true;
-                self->cause_ = self->isFinishing_ ? self->cause_ : ConnectionCause::CallerClosed;
-                const auto callback = std::exchange(self->onDisconnect_, nullptr);
-                callback();
-            }
-        });
+        if (!peek()) {
+            endWatch_.expires_after(net::chronoOf(endInterval));
+            endWatch_.async_wait([self = shared_from_this()](error_code failed) { self->onWatched(failed); });
+            return;
+        }
+        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code failed) { self->onWatched(failed); });
+    }
+
+    void onWatched(error_code failed)
+    {
+        isWatching_ = false;
+        if (failed || !onDisconnect_ || !socket_.is_open()) {
+            return;
+        }
+        if (!hasCallerEnded()) {
+            watchForDisconnect();
+            return;
+        }
+        isDisconnected_ = true;
+        cause_ = isFinishing_ ? cause_ : ConnectionCause::CallerClosed;
+        const auto callback = std::exchange(onDisconnect_, nullptr);
+        callback();
+    }
+
+    [[nodiscard]] bool hasCallerEnded()
+    {
+        const auto failed = peek();
+        return failed ? failed != asio::error::would_block : net::hasPeerClosed(socket_);
     }
 
     /// would_block: the caller is connected and has sent nothing more.
@@ -442,6 +451,7 @@
     Watchdog watchdog_;
     net::CallerBudget::Holder holder_;
     std::function<void()> onDisconnect_;
+    asio::steady_timer endWatch_;
     bool isWatching_ = false;
     bool isDisconnected_ = false;
     bool isBusy_ = false;
