--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -289,7 +289,8 @@
           {"version", from.version},
           {"tries", from.tries},
           {"keptTries", from.keptTries},
-          {"cuts", from.cuts}};
+          {"cuts", from.cuts},
+          {"confirms", from.confirms}};
 }
 
 void from_json(const nlohmann::json &from, RelayCall &to)
@@ -310,10 +311,25 @@
     to.tries = from.value("tries", to.tries);
     to.keptTries = from.value("keptTries", to.keptTries);
     to.cuts = from.value("cuts", to.cuts);
+    to.confirms = from.value("confirms", to.confirms);
+}
+
+void to_json(nlohmann::json &to, const RelayCreditNotice &from)
+{
+    to = {{"id", from.id}, {"bytes", from.bytes}};
+    if (from.ageMs >= 0) {
+        to["ageMs"] = from.ageMs;
+    }
+}
+
+void from_json(const nlohmann::json &from, RelayCreditNotice &to)
+{
+    from.at("id").get_to(to.id);
+    from.at("bytes").get_to(to.bytes);
+    to.ageMs = from.value("ageMs", to.ageMs);
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayHeadReply, status, fields)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayCreditNotice, id, bytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockQuery, askedAt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClockAnswer, askedAt, clock)
 
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -178,6 +178,7 @@
     int tries = -1;                       // further upstreams that the peer may send to; negative: the caller is an older host that does not count
     int keptTries = 0;                    // that the calling host has left for itself and its next peers
     int cuts = 0;                         // sends that their upstream broke off. This and the two before are missing from older hosts
+    bool confirms = false;                // the calling host says once the call is accepted that its caller is still there (RelayCreditNotice::ageMs)
 };
 
 using CallBody
@@ -408,6 +409,7 @@
 struct RelayCreditNotice {
     std::uint64_t id = 0;
     std::int64_t bytes = 0;
+    std::int64_t ageMs = -1; // from 0 on: the caller is still there, and sent the first byte so long ago
 };
 
 /// quotas::AskEntry.
--- a/packages/serving/relayexchange.cpp
+++ b/packages/serving/relayexchange.cpp
@@ -72,6 +72,25 @@
 
     [[nodiscard]] bool isWhole() const { return hasHead_ && !isDisconnected(); }
 
+    void onConfirmed(Milliseconds age)
+    {
+        age_ = age_.value_or(age);
+        signal_.cancel();
+    }
+
+    /// How long ago the caller sent its first byte, by its host's word in time. What the host said before may have been long on its way, with the word that
+    /// the caller has left behind it.
+    net::Task<std::optional<Milliseconds>> awaitConfirmation()
+    {
+        const auto until = core::SteadyClock().now() + RelayExchange::confirmTimeout;
+        while (!age_ && !isDisconnected() && core::SteadyClock().now() < until) {
+            signal_.expires_after(net::chronoOf(until - core::SteadyClock().now()));
+            co_await signal_.async_wait(net::tuple);
+        }
+        const bool isInTime = core::SteadyClock().now() < until + RelayExchange::maxLateWait;
+        co_return isInTime && !isDisconnected() ? age_ : std::nullopt;
+    }
+
 private:
     /// Returns the length of the head in `bytes`.
     std::size_t sendHead(const std::string &bytes)
@@ -106,13 +125,16 @@
     RelayGate &gate_;
     asio::steady_timer signal_;
     std::function<void()> onDisconnect_;
-    std::size_t unread_ = 0; // bytes that the first host has not passed on yet
-    bool hasHead_;           // the first host has it
+    std::optional<Milliseconds> age_; // as the first host confirmed it
+    std::size_t unread_ = 0;          // bytes that the first host has not passed on yet
+    bool hasHead_;                    // the first host has it
     bool isAborted_ = false;
 };
 
 namespace {
 
+constexpr std::string_view reasonUnconfirmed = "caller_not_confirmed"; // of a refusal
+
 std::size_t bytesOf(const CallerRequest &request)
 {
     std::size_t bytes = request.method.size() + request.target.size() + request.host.size() + request.body.size();
@@ -209,7 +231,8 @@
                              task.version ? task.version->value() : std::string(),
                              lent,
                              task.tries.left(),
-                             task.cuts};
+                             task.cuts,
+                             true};
     for (const auto &[name, value] : request.headers) {
         message.fields.emplace_back(name, value);
     }
@@ -297,6 +320,9 @@
         }
         if (std::holds_alternative<peers::StartedReply>(*reply)) {
             isAccepted = true;
+            if (!caller.isGone()) {
+                links_->notify(host, {peers::RelayCreditNotice{id, 0, (node_.now() - arrivedAt).count()}});
+            }
         } else if (auto *answerHead = std::get_if<peers::RelayHeadReply>(&*reply); answerHead != nullptr && !isContinued) {
             head = std::move(*answerHead);
             task.firstBytes = node_.now() - arrivedAt;
@@ -448,6 +474,15 @@
     from.returnNow = giveBack;
     {
         const Served served(*this, *call, message, *caller);
+        if (message.confirms) {
+            const auto age = co_await caller->awaitConfirmation();
+            if (!age) {
+                node_.metrics.relays.add({"sender", reasonUnconfirmed});
+                call->send(peers::ErrorReply{errorOf(reasonUnconfirmed, Outcome::NotRun, RelayGate::busyRetryAfter)});
+                co_return;
+            }
+            request.arrivedAt = node_.now() - std::max(*age, Milliseconds(message.ageMs));
+        }
         co_await forwarder_.handle(*caller, request);
         caller->onDisconnect(nullptr);
     }
@@ -484,7 +519,14 @@
 
 void RelayExchange::onCredit(const HostId &from, const peers::RelayCreditNotice &notice)
 {
-    if (const auto found = served_.find({from, notice.id}); found != served_.end() && notice.bytes > 0) {
+    const auto found = served_.find({from, notice.id});
+    if (found == served_.end()) {
+        return;
+    }
+    if (notice.ageMs >= 0) {
+        found->second->onConfirmed(Milliseconds(notice.ageMs));
+    }
+    if (notice.bytes > 0) {
         found->second->addCredit(static_cast<std::size_t>(notice.bytes));
     }
 }
--- a/packages/serving/relayexchange.h
+++ b/packages/serving/relayexchange.h
@@ -31,6 +31,7 @@
     static constexpr std::size_t pieceBytes = 16 * 1024;  // of an answer in one reply
     static constexpr std::size_t frameMargin = 64 * 1024; // of a frame, for what is not the request itself
     static constexpr Milliseconds acceptTimeout{300};     // for a peer to accept a request: some round trips and a busy host
+    static constexpr Milliseconds confirmTimeout{300};    // for the calling host's word, after the call was accepted, that its caller is still there
     static constexpr Milliseconds maxLateWait{50};        // after the end of a wait; a wait that ends later proves no silence
     static constexpr Milliseconds livenessInterval{500};  // between two looks whether the peer still counts as live
     static constexpr Milliseconds creditTimeout{5'000};   // for the caller to read
--- a/packages/serving/tests/relayexchangetest.cpp
+++ b/packages/serving/tests/relayexchangetest.cpp
@@ -1,6 +1,7 @@
 #include <serving/relayexchange.h>
 
 #include "servingfixture.h"
+#include "slowlink.h"
 
 namespace baobabstall::serving::tests {
 namespace {
@@ -24,6 +25,7 @@
         const auto sender = *links_.listen({"127.0.0.1", 0}, why);
         const auto cut = *cutLinks_.listen({"127.0.0.1", 0}, why);
         cutLinks_.setAddress(HostId("entry-1"), sender);
+        peerAddress_ = sender;
         links_.setAddress(HostId("cut"), cut);
         const std::vector<GroupedHost> hosts = {{HostId("entry-1"), ZoneId("a"), 0}, {HostId("cut"), ZoneId("a"), 0}};
         exchange_.setLinks(links_);
@@ -37,6 +39,8 @@
         address_ = *cutServer_.listen({"127.0.0.1", 0}, why); // callers of the fixture use the host that is cut off
     }
 
+    ~RelayExchangeTest() override { runFor(Milliseconds(100)); } // requests that are under way refer to the hosts
+
     void setUp(Route route, std::vector<std::vector<ScriptedUpstream::Script>> upstreams)
     {
         setUpService(std::move(route), std::move(upstreams));
@@ -83,6 +87,7 @@
     RelayExchange cutExchange_;
     peers::Links cutLinks_;
     CallerServer cutServer_;
+    net::Address peerAddress_;
 };
 
 std::string postRequest(const std::string &id, const std::string &body, const std::string &extraHeaders = {})
@@ -214,6 +219,21 @@
     EXPECT_EQ(exchange_.running(), 0);
 }
 
+// Guards against a send for a caller that left while its request was on its way to the peer, with the word of that behind it (issue 50, GONE): seen
+// after all hosts had started at once, where calls took up to three seconds.
+TEST_F(RelayExchangeTest, a_peer_that_gets_a_request_late_sends_it_only_when_the_first_host_says_that_its_caller_is_still_there)
+{
+    setUp(route(RetryPolicy::Idempotent, false, 2), {{{{completeResponse("first")}}, {{completeResponse("never")}}}});
+    SlowLink slow(io_, peerAddress_);
+    cutLinks_.setAddress(HostId("entry-1"), slow.address());
+    EXPECT_TRUE(sendRequest(getRequest("q1"), "first").contains("first"));
+    slow.setDelay(Milliseconds(700));
+    sendRequest(getRequest("q2"), {}, Milliseconds(200)); // closes its connection then
+    runFor(Milliseconds(2'500));
+    EXPECT_EQ(requestCount(), 1U);
+    EXPECT_EQ(exchange_.running(), 0);
+}
+
 TEST_F(RelayExchangeTest, the_loss_of_the_link_closes_the_upstreams_connection_and_leaves_the_outcome_unknown)
 {
     setUp(route(RetryPolicy::AtMostOnce, false, 2), {{{{completeResponse("late")}, false, false, Milliseconds(600)}}, {{{completeResponse("never")}}}});
