--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -89,8 +89,11 @@
             co_return;
         }
         setReachable(true, why);
-        applyListing(*listing);
-        tellCaughtUp(schedule_.begunAt());
+        if (applyListing(std::move(*listing))) {
+            tellCaughtUp(schedule_.begunAt());
+        } else {
+            schedule_.requestRead();
+        }
         co_return;
     }
     bool isExpired = false;
@@ -153,7 +156,9 @@
 }
 
 /// Offsets of another era say nothing about this one, so whatever was read before is replaced by the listing.
-void TopicFollower::applyListing(const StoreListing &listing)
+/// Records appended while it was listed are left to the reads that follow, which have them in order: later pages hold only some of them, and
+/// their offsets would make the others look as if they had been applied. Returns false if there are any.
+bool TopicFollower::applyListing(StoreListing listing)
 {
     const auto before = era();
     needsListing_ = false;
@@ -172,7 +177,9 @@
         }
     }
     hasListing_ = true;
+    const auto newer = std::erase_if(listing.records, [this](const StoreRecord &record) { return record.offset >= nextOffset_; });
     callbacks_.onListing(listing);
+    return newer == 0;
 }
 
 bool TopicFollower::feed(const SharedPage &shared)
--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -89,7 +89,7 @@
     void wakeIfEarlier(Instant before); // the next read was due then before the schedule changed
     /// `page` ended before the topic: lists it instead of reading on where that is sooner.
     void chooseListing(const StorePage &page);
-    void applyListing(const StoreListing &listing);
+    [[nodiscard]] bool applyListing(StoreListing listing);
     void applyPage(const StorePage &page); // skips records before nextOffset_
     void setReachable(bool isReachable, const core::Error &why);
     net::Task<void> pause(Milliseconds time);
--- a/packages/serving/protocol.h
+++ b/packages/serving/protocol.h
@@ -87,7 +87,7 @@
 /// The newest record of each key.
 struct StoreListing {
     std::vector<StoreRecord> records;
-    core::Offset nextOffset; // reading on from here returns every record that the listing lacks
+    core::Offset nextOffset; // reading on from here returns every record that the listing lacks, and those of its records that came meanwhile
 };
 
 struct StorePage {
--- a/packages/serving/tests/followertest.cpp
+++ b/packages/serving/tests/followertest.cpp
@@ -39,7 +39,11 @@
         for (auto &each : listed) {
             each.offset = inEra(each.offset);
         }
-        co_return isDown ? std::nullopt : std::optional(StoreListing{listed, inEra(Offset(records.size() + 1))});
+        const auto end = inEra(missedByListing.value_or(Offset(records.size() + 1)));
+        if (missedByListing) {
+            std::erase_if(listed, [end](const StoreRecord &record) { return record.offset == end; });
+        }
+        co_return isDown ? std::nullopt : std::optional(StoreListing{listed, end});
     }
     net::Task<std::optional<StorePage>> read(Topic, Offset from, Milliseconds wait, bool &isGone, core::Error &why) override
     {
@@ -90,6 +94,7 @@
     std::vector<StoreRecord> records; // with offsets of era 0
     core::StoreEra era;
     Milliseconds delay = shortDelay;
+    std::optional<Offset> missedByListing; // appended after the page with its key; later records are on pages that were read after it
     int missedReads = 0;
     int readCount = 0;
     int listingCount = 0;
@@ -177,6 +182,17 @@
     EXPECT_EQ(receivedOffsets_, (std::vector<std::uint64_t>{1, 2, 3}));
 }
 
+// Guards against losing records that were appended while a listing of many pages was read: claims of other hosts were lost for good (ONE).
+TEST_F(FollowerTest, records_appended_during_a_listing_are_delivered_once_and_in_order)
+{
+    store_.records = {makeRecord(1), makeRecord(2), makeRecord(3), makeRecord(4)};
+    store_.missedByListing = Offset(3);
+    startFollower({.wait = Milliseconds(0), .pause = Milliseconds(60'000)}); // the read after the listing comes at once all the same
+    ASSERT_TRUE(runUntil([this] { return receivedOffsets_.size() >= 4; }));
+    runFor(shortDelay * 5);
+    EXPECT_EQ(receivedOffsets_, (std::vector<std::uint64_t>{1, 2, 3, 4}));
+}
+
 // Guards against losing a record that was appended when a long poll started and that the poll didn't return
 // (vloerwerk-plan trouble-1: CONFIG).
 TEST_F(FollowerTest, a_record_missed_by_a_long_poll_is_returned_by_the_next_read)
