--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -174,7 +174,8 @@
 
 /// The WebSocket of a link, opened by either side.
 struct Socket {
-    std::function<bool(const std::string &bytes)> send; // false: nothing was queued
+    std::function<bool(const std::string &bytes)> send;   // false: nothing was queued
+    std::function<void(core::Milliseconds timeout)> ping; // answered by the peer's WebSocket; else the pong timeout handler is called
     std::function<void(const std::string &reason)> close;
     std::function<void(std::size_t bytes)> setMaxFrameBytes; // of received frames
     std::function<bool()> isClosed;                          // by both sides
@@ -188,6 +189,12 @@
                     return connection->get_buffered_amount() + bytes.size() <= Links::maxQueuedBytes
                         && !connection->send(bytes, websocketpp::frame::opcode::binary);
                 },
+            .ping =
+                [connection](core::Milliseconds timeout) {
+                    websocketpp::lib::error_code ignored; // a connection that is closing is lost soon
+                    connection->set_pong_timeout(static_cast<long>(timeout.count()));
+                    connection->ping(std::string(), ignored);
+                },
             .close =
                 [connection](const std::string &reason) {
                     websocketpp::lib::error_code ignored;
@@ -212,6 +219,8 @@
     void setUpEndpoints();
     std::shared_ptr<Link> findOrOpenLink(const HostId &host);
     void connect(const HostId &host, const std::shared_ptr<Link> &link);
+    /// Frames for the host go over another link from now on; `link` stays open for the replies to its calls.
+    void replace(const HostId &host, const std::shared_ptr<Link> &link);
     void handleCall(const std::shared_ptr<ServedCall> &call);
     std::unique_ptr<OutgoingCall> callLocally(CallBody body);
 
@@ -224,6 +233,8 @@
     std::map<HostId, net::Address> addresses;
     std::map<HostId, std::shared_ptr<Link>> outgoing; // links this daemon opened
     std::map<HostId, std::chrono::steady_clock::time_point> retryAt;
+    std::map<HostId, core::Milliseconds> pongTimeouts; // of hosts whose links were replaced and have not answered since
+    std::set<std::shared_ptr<Link>> replaced;
     std::map<connection_hdl, std::shared_ptr<Link>, std::owner_less<connection_hdl>> incoming;
     std::uint64_t gossipBytes = 0;
     bool isListening = false;
@@ -236,15 +247,15 @@
 public:
     Link(std::shared_ptr<Links::State> links, HostId expected)
         : links_(std::move(links))
-        , handshakeTimer_(links_->io)
+        , timer_(links_->io)
         , expectedPeer_(std::move(expected))
     { }
 
     /// Starts the timeout of the handshake; the socket may still be connecting.
     void start()
     {
-        handshakeTimer_.expires_after(chronoOf(Links::handshakeTimeout));
-        handshakeTimer_.async_wait([self = weak_from_this()](error_code cancelled) {
+        timer_.expires_after(chronoOf(Links::handshakeTimeout));
+        timer_.async_wait([self = weak_from_this()](error_code cancelled) {
             if (const auto link = self.lock(); link && !cancelled) {
                 link->reject("the handshake timed out");
             }
@@ -269,6 +280,8 @@
 
     void onReceived(const std::string &bytes);
     void onLost(const std::string &reason);
+    void onPong();
+    void onPongTimeout();
 
     void sendGossip(const MembershipMessage &message)
     {
@@ -329,9 +342,14 @@
             pendingFrames_.push_back({bytes, call});
             return true;
         }
-        return socket_.send(bytes);
+        const bool isQueued = socket_.send(bytes);
+        pingIfDue();
+        return isQueued;
     }
 
+    void pingIfDue();
+    void closeWhenIdle();
+
     void reject(const std::string &reason)
     {
         if (links_->handlers.onRejected && !isLost_) {
@@ -351,13 +369,16 @@
     void handleFrame(const Notice &notice);
 
     std::shared_ptr<Links::State> links_;
-    asio::steady_timer handshakeTimer_;
-    HostId expectedPeer_; // empty on links that a peer opened
+    asio::steady_timer timer_; // of the handshake; of a replaced link's end
+    HostId expectedPeer_;      // empty on links that a peer opened
     Socket socket_;
     Hello ownHello_;
     std::optional<Hello> peerHello_;
     bool isAuthenticated_ = false;
     bool isLost_ = false;
+    bool awaitsPong_ = false;
+    core::Instant pingedAt_;
+    core::Milliseconds pongTimeout_{0}; // of the newest ping
     std::deque<PendingFrame> pendingFrames_;
     std::uint64_t nextCallId_ = 1;
     std::unordered_map<std::uint64_t, std::weak_ptr<CallState>> outgoingCalls_;
@@ -414,7 +435,7 @@
     }
     isAuthenticated_ = true;
     socket_.setMaxFrameBytes(Links::maxFrameBytes);
-    handshakeTimer_.cancel();
+    timer_.cancel();
     if (links_->handlers.onAuthenticated) {
         links_->handlers.onAuthenticated(peerHello_->host, peerHello_->incarnation);
     }
@@ -426,6 +447,66 @@
     for (const auto &frame : std::exchange(pendingFrames_, {})) {
         socket_.send(frame.bytes);
     }
+    pingIfDue();
+}
+
+/// A link that this daemon opened is asked for a sign of life while it is used: gossip is answered over the peer's own link, and a connection can fall
+/// silent for good without a reset.
+void Link::pingIfDue()
+{
+    const auto now = core::SteadyClock().now();
+    if (expectedPeer_.empty() || awaitsPong_ || isLost_ || now - pingedAt_ < Links::pingInterval) {
+        return;
+    }
+    const auto known = links_->pongTimeouts.find(expectedPeer_);
+    pongTimeout_ = known == links_->pongTimeouts.end() ? Links::pongTimeout : known->second;
+    pingedAt_ = now;
+    awaitsPong_ = true;
+    socket_.ping(pongTimeout_);
+}
+
+void Link::onPong()
+{
+    awaitsPong_ = false;
+    links_->pongTimeouts.erase(expectedPeer_);
+}
+
+void Link::onPongTimeout()
+{
+    const auto self = shared_from_this();
+    if (!awaitsPong_ || isLost_) {
+        return;
+    }
+    awaitsPong_ = false;
+    constexpr core::Milliseconds lateBy{200};
+    if (core::SteadyClock().now() - pingedAt_ > pongTimeout_ + lateBy) { // this process stood still; the pong may wait unread
+        pingedAt_ = core::Instant();
+        pingIfDue();
+        return;
+    }
+    links_->pongTimeouts[expectedPeer_] = std::min(pongTimeout_ * 2, Links::longestPongTimeout); // a peer that is only slow isn't asked to open link after link
+    if (links_->handlers.onSilent) {
+        links_->handlers.onSilent(expectedPeer_, core::SteadyClock().now() - pingedAt_);
+    }
+    links_->replace(expectedPeer_, self);
+    closeWhenIdle();
+}
+
+/// Replies may still come: from a peer that is only slow, or where one direction is silent.
+void Link::closeWhenIdle()
+{
+    constexpr core::Milliseconds interval{1'000};
+    std::erase_if(outgoingCalls_, [](const auto &each) { return each.second.expired(); });
+    if (outgoingCalls_.empty()) {
+        close("replaced by another link");
+        return;
+    }
+    timer_.expires_after(chronoOf(interval));
+    timer_.async_wait([self = weak_from_this()](error_code cancelled) {
+        if (const auto link = self.lock(); link && !cancelled) {
+            link->closeWhenIdle();
+        }
+    });
 }
 
 void Link::handleFrame(const Gossip &gossip)
@@ -494,7 +575,7 @@
         return;
     }
     const auto self = shared_from_this();
-    handshakeTimer_.cancel();
+    timer_.cancel();
     socket_ = {}; // the WebSocket's handlers own this link; releasing the WebSocket breaks the cycle
     pendingFrames_.clear();
     for (const auto &[id, call] : std::exchange(outgoingCalls_, {})) {
@@ -507,7 +588,7 @@
             served->cancel(true);
         }
     }
-    if (!expectedPeer_.empty()) {
+    if (links_->replaced.erase(self) == 0 && !expectedPeer_.empty()) {
         links_->retryAt[expectedPeer_] = std::chrono::steady_clock::now() + chronoOf(reconnectDelay);
         links_->outgoing.erase(expectedPeer_);
     }
@@ -565,6 +646,14 @@
     return link;
 }
 
+void Links::State::replace(const HostId &host, const std::shared_ptr<Link> &link)
+{
+    if (const auto current = outgoing.find(host); current != outgoing.end() && current->second == link) {
+        replaced.insert(link);
+        outgoing.erase(current);
+    }
+}
+
 void Links::State::connect(const HostId &host, const std::shared_ptr<Link> &link)
 {
     websocketpp::lib::error_code errorCode;
@@ -581,6 +670,8 @@
     });
     connection->set_message_handler([link](const connection_hdl &, const Client::message_ptr &message) { link->onReceived(message->get_payload()); });
     connection->set_close_handler([link](const connection_hdl &) { link->onLost("closed"); });
+    connection->set_pong_handler([link](const connection_hdl &, const std::string &) { link->onPong(); });
+    connection->set_pong_timeout_handler([link](const connection_hdl &, const std::string &) { link->onPongTimeout(); });
     connection->set_fail_handler([link, weak](const connection_hdl &) {
         const auto failing = weak.lock();
         link->onLost(failing ? failing->get_ec().message() : std::string("could not connect"));
@@ -708,6 +799,7 @@
     for (const auto &[handle, link] : state_->incoming) {
         links.push_back(link);
     }
+    links.insert(links.end(), state_->replaced.begin(), state_->replaced.end());
     for (const auto &link : links) {
         link->close("the key changed");
     }
@@ -728,6 +820,9 @@
     for (const auto &[handle, link] : std::exchange(state_->incoming, {})) {
         link->close("stopping");
     }
+    for (const auto &link : std::exchange(state_->replaced, {})) {
+        link->close("stopping");
+    }
 }
 
 net::Task<void> Links::finish(core::Milliseconds patience)
--- a/packages/peers/link.h
+++ b/packages/peers/link.h
@@ -14,8 +14,9 @@
 //   auto reply = co_await call->next(timeout, error);  // until isLastReply(*reply)
 //
 // Each side proves that it holds the deployment's key before any other frame is accepted from it; a peer that can't is disconnected.
-// A link opens with the first frame for a host and stays open. A call to this daemon itself needs no link and works the same way.
-// Limit: frames after the handshake are neither encrypted nor signed; keep peers' addresses on a private network of the deployment.
+// A link opens with the first frame for a host and stays open. One that is used and on which nothing comes back is replaced by another. A call to this daemon
+// itself needs no link and works the same way. Limit: frames after the handshake are neither encrypted nor signed; keep peers' addresses on a private network
+// of the deployment.
 #pragma once
 
 #include <cstdint>
@@ -68,6 +69,7 @@
     std::function<net::Task<void>(std::shared_ptr<IncomingCall> call)> onCall;
     std::function<void(const HostId &host, Incarnation incarnation)> onAuthenticated;  // a peer completed the handshake
     std::function<void(const std::string &peer, const core::Error &error)> onRejected; // a link was closed for a violation of the protocol
+    std::function<void(const HostId &host, core::Milliseconds silentFor)> onSilent{};  // nothing comes back on the link to it; another one is opened
 };
 
 class Links
@@ -104,6 +106,9 @@
     [[nodiscard]] std::size_t openLinks() const;
 
     static constexpr core::Milliseconds handshakeTimeout{3'000};    // from the start of the connection to the peer's proof
+    static constexpr core::Milliseconds pingInterval{500};          // at the most one ping in this time, and only of a link that is used
+    static constexpr core::Milliseconds pongTimeout{1'000};         // then the link is replaced, before a host counts as dead (settings::Membership)
+    static constexpr core::Milliseconds longestPongTimeout{8'000};  // it doubles while the links to a host stay without an answer
     static constexpr std::size_t maxHandshakeBytes = 16 * 1024;     // of a frame before the peer's proof
     static constexpr std::size_t maxFrameBytes = 8 * 1024 * 1024;   // the link is closed beyond it
     static constexpr std::size_t maxQueuedBytes = 32 * 1024 * 1024; // not yet read by the peer; frames beyond it are refused
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1270,7 +1270,7 @@
         = [this](const HostId &from, const peers::MembershipMessage &message) { sendMessages(membership_.onMessage(from, message, node_.now())); };
     handlers.onNotice = [this](const HostId &from, const peers::Notice &notice) { handleNotice(from, notice); };
     handlers.onRejected = [this](const std::string &peer, const Error &error) { node_.log.warn("link_rejected", error, {{"from", peer}}); };
-    handlers.onAuthenticated = [](const HostId &, core::Incarnation) {};
+    handlers.onSilent = [this](const HostId &peer, Milliseconds silentFor) { node_.log.warn("link_silent", {{"peer", peer}, {"silent_ms", silentFor}}); };
     handlers.onCall = [this](std::shared_ptr<peers::IncomingCall> call) { return handleCall(std::move(call)); };
     return handlers;
 }
