--- a/review/lib/stands.py
+++ b/review/lib/stands.py
@@ -408,7 +408,7 @@
 
 
 def render(text, values):
-    """The template language as far as the deploy file's template uses it: values, also as JSON."""
+    """The template language as far as the deploy file's template uses it: values, also as JSON, and sections of a value that may be missing."""
 
     def value_of(path):
         value = values
@@ -416,11 +416,19 @@
             value = value[int(part)] if isinstance(value, list) else value[part]
         return value
 
+    def section(found):
+        try:
+            value = value_of(found[1])
+        except KeyError:
+            return ""
+        return "" if value is None or value is False else found[2]
+
     def replaced(found):
         path, _, form = found[1].partition("|")
         value = value_of(path)
         return json.dumps(value) if form == "json" else str(value)
 
+    text = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.S)
     return re.sub(r"\{\{([^}]+)\}\}", replaced, text)
 
 
@@ -455,7 +463,7 @@
             "region": "local",
             "listeners_map": {"frontend": "%s:%d" % (self.ip, self.FRONTEND), "ready": "%s:%d" % (self.ip, self.READY)},
             "ephemeral_ports": [self.PEERS, self.PEERS + 15],
-            "limits": {"bandwidth_mbps": 1000.0},
+            "limits": {"bandwidth_mbps": 1000.0, "memory_limit_mb": 260, "max_fds": 4100},
             "bounds": BOUNDS,
             "platform": {"address": self.world.store.address},
         }
