--- a/packages/quotas/quotaowner.cpp
+++ b/packages/quotas/quotaowner.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace baobabstall::quotas {
 
@@ -86,11 +87,12 @@
 
 double QuotaOwner::limitOf(const Bucket &bucket, Instant now) const
 {
-    const double depth = std::max(unitAmount, depthOf(bucket.quota) * servedPart());
-    if (now - ownedSince_ >= Timing::settleTime) {
-        return depth;
-    }
-    return std::min(depth, std::max({depth - maxOutstanding(bucket.quota), stockSeconds * bucket.quota.perSecond, unitAmount}));
+    constexpr double majority = 0.5; // so that one of several owners keeps the smallest request
+    const double part = servedPart();
+    const double depth = depthOf(bucket.quota);
+    const bool isSettled = now - ownedSince_ >= Timing::settleTime;
+    const double whole = isSettled ? depth : std::min(depth, std::max(depth - maxOutstanding(bucket.quota), stockSeconds * bucket.quota.perSecond));
+    return std::max(part > majority ? unitAmount : 0, whole * part);
 }
 
 void QuotaOwner::fill(Bucket &bucket, Instant now)
@@ -184,6 +186,9 @@
 std::optional<Grant> QuotaOwner::onAsk(const HostId &from, const Ask &ask, Instant now)
 {
     advance(now);
+    if (now - std::exchange(lastAskAt_, now) >= Timing::settleTime) { // others were asked meanwhile
+        ownedSince_ = now;
+    }
     auto &host = hosts_[from];
     if (ask.session < host.session || (ask.session == host.session && ask.sequence <= host.sequence)) {
         return std::nullopt;
--- a/packages/quotas/quotaowner.h
+++ b/packages/quotas/quotaowner.h
@@ -3,13 +3,13 @@
 //   QuotaOwner owner(now);                    // when the ownership begins; a new one begins with empty buckets and no hosts
 //   owner.setQuotas(quotas, now);             // after each change of the configuration
 //   owner.setHostCount(announced, now);
-//   if (mayAct) send(owner.onAsk(from, ask, now)); // at most once for each ask; nothing for one that is out of date
+//   send(owner.onAsk(from, ask, now));        // at most once for each ask; nothing for one that is out of date
 //
 // A bucket fills only for hosts that are served: each counts for perSecond / hosts while it is known to have had an answer within
 // Timing::servedTime. Hosts that hear no owner spend just that share by themselves, so the sum holds without knowing which of them do.
 // A served time counts from an ask whose answer the host says to have; so it has ended before the host's own wait for an answer has.
 //
-// Two hosts may act as owners at one time, for one that has lost the store can't know that it was replaced. Each host asks one of them. An owner
+// Several hosts may act as owners at one time: whoever is asked. Each host asks one of them. An owner
 // counts a host that had its answers elsewhere only after Timing::servedTime, and its stock is bounded by the part of the hosts that it counts.
 //
 // Stock and outstanding credit together stay below depthOf() times that part. While credit of an earlier owner may be out that this one doesn't know of, for
@@ -41,6 +41,7 @@
 
     explicit QuotaOwner(Instant ownedSince)
         : ownedSince_(ownedSince)
+        , lastAskAt_(ownedSince)
         , servedAt_(ownedSince)
     { }
 
@@ -98,7 +99,8 @@
     [[nodiscard]] Milliseconds waitFor(const Bucket &bucket, const HostId &host, double least) const;
     [[nodiscard]] double servedPart() const;
 
-    Instant ownedSince_;
+    Instant ownedSince_; // or since when it is asked again
+    Instant lastAskAt_;
     Instant servedAt_;         // servedSeconds_ counts up to here
     double servedSeconds_ = 0; // integral of the served part of all hosts
     int hostCount_ = 0;
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -612,11 +612,13 @@
     }
     if (record.value.empty()) {
         announcedHosts_.erase(host);
+        quotaExchange_.noteHost(host, false);
     } else if (!address) {
         logUnreadableRecord(Topic::Control, record, why);
         return;
     } else {
         announcedHosts_[host] = {*address, ZoneId(zone), linkMbps};
+        quotaExchange_.noteHost(host, value->contains("quotas"));
     }
     std::vector<peers::HostEntry> hosts;
     for (const auto &[each, announced] : announcedHosts_) {
@@ -757,6 +759,7 @@
         const nlohmann::json value = {{"peers", node_.settings.listen.peers},
                                       {"zone", node_.settings.zone.value()},
                                       {"link_mbps", node_.settings.hosting.linkMbps},
+                                      {"quotas", true},
                                       {"incarnation", incarnation_.value()}};
         const auto outcome
             = co_await store_.append(Topic::Control, {{std::string(hostPrefix) + node_.settings.host.value(), value.dump()}}, Offset(0), offset, why);
@@ -1129,16 +1132,10 @@
 QuotaExchange::Ownership HostedDaemon::quotaOwnership() const
 {
     return {.ownerOf = [this](int partition) -> std::optional<ownership::Owner> {
-                const auto owner = planner_.ownerOf(ownership::quotaResource(partition));
-                const bool isOwn = owner && owner->host == node_.settings.host && owner->incarnation == incarnation_;
-                return owner && (isOwn || planner_.isUsable(*owner)) ? owner : std::nullopt;
-            },
-            .actingEpoch = [this](int partition) -> std::optional<core::Epoch> {
-                const auto resource = ownership::quotaResource(partition);
-                const auto owner = planner_.ownerOf(resource);
-                const bool mayAct = owner && owner->host == node_.settings.host && planner_.mayAct(resource, owner->epoch, node_.now());
-                return mayAct ? std::optional(owner->epoch) : std::nullopt;
-            }};
+        const auto owner = planner_.ownerOf(ownership::quotaResource(partition));
+        const bool isOwn = owner && owner->host == node_.settings.host && owner->incarnation == incarnation_;
+        return owner && (isOwn || planner_.isUsable(*owner)) ? owner : std::nullopt;
+    }};
 }
 
 net::Task<SendPermit> HostedDaemon::takeSendPermit(SendRequest request)
--- a/packages/serving/quotaexchange.cpp
+++ b/packages/serving/quotaexchange.cpp
@@ -42,7 +42,7 @@
 {
     parts_.reserve(partitions); // requests that wait keep references
     for (int i = 0; i < partitions; ++i) {
-        parts_.emplace_back(quotas::QuotaHost(incarnation.value(), node.now()));
+        parts_.emplace_back(quotas::QuotaHost(incarnation.value(), node.now()), quotas::OwnerChoice(ownership::quotaResource(i).value(), node.now()));
     }
 }
 
@@ -71,6 +71,15 @@
     }
 }
 
+void QuotaExchange::noteHost(const HostId &host, bool understandsAsks)
+{
+    if (understandsAsks) {
+        standIns_.insert(host);
+    } else {
+        standIns_.erase(host);
+    }
+}
+
 void QuotaExchange::setWorkspaces(const std::map<WorkspaceId, WorkspaceQuota> &workspaces)
 {
     for (auto &part : parts_) {
@@ -101,55 +110,44 @@
         followOwner(i);
         askIfDue(i);
         logFallback(i);
-        if (auto *owned = acting(i); owned != nullptr && ticks_ % expireEveryTicks == 0) {
+        if (auto &owned = parts_.at(static_cast<std::size_t>(i)).owned; owned && ticks_ % expireEveryTicks == 0) {
             owned->expire(node_.now());
         }
         countCredit(i);
     }
 }
 
-quotas::QuotaOwner *QuotaExchange::acting(int index)
-{
-    auto &part = parts_.at(static_cast<std::size_t>(index));
-    const auto epoch = ownership_.actingEpoch(index);
-    if (!epoch) {
-        return nullptr;
-    }
-    if (!part.owned || part.ownedEpoch != *epoch) {
-        part.owned = std::make_unique<quotas::QuotaOwner>(node_.now());
-        part.ownedEpoch = *epoch;
-        part.ownedTold = {};
-        part.owned->setHostCount(hostCount_, node_.now());
-        part.owned->setQuotas(part.limits, node_.now());
-    }
-    return part.owned.get();
-}
-
 void QuotaExchange::followOwner(int index)
 {
     auto &part = parts_.at(static_cast<std::size_t>(index));
-    auto owner = ownership_.ownerOf(index);
-    if (owner && (!part.owner || part.owner->host != owner->host || part.owner->epoch != owner->epoch)) {
-        part.host.onNewOwner();
-        part.owner = std::move(owner);
-    } else if (!owner) {
-        part.owner.reset();
+    const auto owner = ownership_.ownerOf(index);
+    const auto named = owner ? std::optional(quotas::OwnerChoice::Named{owner->host, owner->epoch}) : std::nullopt;
+    const auto asked = part.choice.choose(named, node_.now(), [this] { return std::vector<HostId>(standIns_.begin(), standIns_.end()); });
+    const bool isNewEpoch = named && asked == named->host && named->epoch != std::exchange(part.namedEpoch, named->epoch);
+    if (asked == part.asked && !isNewEpoch) {
+        return;
+    }
+    if (part.asked && asked != part.asked) {
+        node_.log.info("quota_owner_changed",
+                       {{"partition", index}, {"before", *part.asked}, {"owner", asked.value_or(HostId())}, {"claimed", named && asked == named->host}});
     }
+    part.asked = asked;
+    part.host.onNewOwner();
 }
 
 void QuotaExchange::askIfDue(int index)
 {
     auto &part = parts_.at(static_cast<std::size_t>(index));
-    if (!part.owner || !part.host.isAskDue(node_.now())) {
+    if (!part.asked || !part.host.isAskDue(node_.now())) {
         return;
     }
-    const bool isOwn = part.owner->host == node_.settings.host;
+    const bool isOwn = *part.asked == node_.settings.host;
     if (!isOwn && links_ == nullptr) {
         return;
     }
     const auto ask = part.host.makeAsk(node_.now());
     if (!isOwn) {
-        links_->notify(part.owner->host, {noticeOf(index, ask)});
+        links_->notify(*part.asked, {noticeOf(index, ask)});
     } else if (const auto grant = answer(index, node_.settings.host, ask)) {
         apply(part, *grant);
     }
@@ -157,8 +155,13 @@
 
 std::optional<quotas::Grant> QuotaExchange::answer(int index, const HostId &from, const quotas::Ask &ask)
 {
-    auto *owned = acting(index);
-    return owned == nullptr ? std::nullopt : owned->onAsk(from, ask, node_.now());
+    auto &part = parts_.at(static_cast<std::size_t>(index));
+    if (!part.owned) {
+        part.owned.emplace(node_.now());
+        part.owned->setHostCount(hostCount_, node_.now());
+        part.owned->setQuotas(part.limits, node_.now());
+    }
+    return part.owned->onAsk(from, ask, node_.now());
 }
 
 void QuotaExchange::onAsk(const HostId &from, const peers::QuotaAskNotice &notice)
@@ -177,7 +180,7 @@
         return;
     }
     auto &part = parts_.at(static_cast<std::size_t>(notice.partition));
-    if (part.owner && part.owner->host == from) {
+    if (part.asked == from) {
         apply(part, grantOf(notice));
         askIfDue(notice.partition);
     }
@@ -188,6 +191,7 @@
     if (!part.host.onGrant(grant, node_.now())) {
         return;
     }
+    part.choice.onAnswer(node_.now());
     for (const auto &waiter : std::exchange(part.waiters, {})) {
         waiter->cancel();
     }
@@ -199,7 +203,7 @@
     auto &part = parts_.at(static_cast<std::size_t>(index));
     const auto until = node_.now() + maxWait;
     auto charge = part.host.tryTake(workspace, amount, node_.now());
-    if (!charge.isTaken && charge.mayAsk && part.owner) {
+    if (!charge.isTaken && charge.mayAsk && part.asked) {
         const Waiting waiting(part.host, workspace, amount, node_.now());
         while (true) {
             askIfDue(index); // answered at once where this host is the owner
@@ -233,7 +237,7 @@
     if (isInFallback == std::exchange(part.wasInFallback, isInFallback)) {
         return;
     }
-    const auto owner = part.owner ? part.owner->host : HostId();
+    const auto owner = part.asked.value_or(HostId());
     if (isInFallback) {
         node_.log.warn("quota_fallback_began", {{"partition", index}, {"owner", owner}, {"hosts", hostCount_}});
     } else {
@@ -261,8 +265,7 @@
     add("granted", owned.granted, part.ownedTold.granted);
     add("returned", owned.returned, part.ownedTold.returned);
     part.ownedTold = owned;
-    const bool isActing = ownership_.actingEpoch(index).has_value();
-    node_.metrics.quotaServedHosts.set({std::to_string(index)}, isActing ? part.owned->servedHosts(node_.now()) : 0);
+    node_.metrics.quotaServedHosts.set({std::to_string(index)}, part.owned->servedHosts(node_.now()));
 }
 
 } // namespace baobabstall::serving
