--- a/packages/quotas/quotahost.cpp
+++ b/packages/quotas/quotahost.cpp
@@ -112,11 +112,15 @@
 
 void QuotaHost::fillFallback(Account &account, Instant now) const
 {
-    const double perSecond = share(account);
-    account.fallbackStock = std::min(fallbackDepth(account), account.fallbackStock + perSecond * seconds(now - account.fallbackFilledAt));
+    account.fallbackStock = fallbackStockAt(account, now);
     account.fallbackFilledAt = now;
 }
 
+double QuotaHost::fallbackStockAt(const Account &account, Instant now) const
+{
+    return std::min(fallbackDepth(account), account.fallbackStock + share(account) * seconds(now - account.fallbackFilledAt));
+}
+
 Charge QuotaHost::takeInFallback(Account &account, double amount, Instant now)
 {
     fillFallback(account, now);
@@ -374,4 +378,13 @@
     return found == accounts_.end() ? 0 : found->second.held;
 }
 
+double QuotaHost::spendable(const WorkspaceId &workspace, Instant now) const
+{
+    const auto found = accounts_.find(workspace);
+    if (found == accounts_.end()) {
+        return 0;
+    }
+    return isInFallback_ ? fallbackStockAt(found->second, now) : found->second.held;
+}
+
 } // namespace baobabstall::quotas
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -14,7 +14,8 @@
 //
 // Credit is asked for in advance by recent use, so that a request finds it here as a rule; what is not used goes back. Without an answer for
 // Timing::fallbackAfter the host drops its credit and spends perSecond / hosts, from nothing on and without saving much (fallbackSeconds and its part of
-// fallbackReserve()). A request of more than that depth is refused meanwhile. Before it is served again it tells the owner, which fills nothing for it until then.
+// fallbackReserve()). A request of more than that depth is refused meanwhile. Before it is served again it tells the owner, which fills nothing for it until
+// then.
 //
 // A workspace without a quota is not limited.
 #pragma once
@@ -69,6 +70,8 @@
     [[nodiscard]] bool isInFallback(Instant now);
     [[nodiscard]] bool hasQuotas() const { return !accounts_.empty(); }
     [[nodiscard]] double held(const WorkspaceId &workspace) const;
+    /// What requests could take at once: credit, or in fallback what is saved.
+    [[nodiscard]] double spendable(const WorkspaceId &workspace, Instant now) const;
     [[nodiscard]] const Counts &counts() const { return counts_; }
     /// Typical time from an ask to its grant; for the caller's waits.
     [[nodiscard]] Milliseconds expectedWait() const { return expectedWait_; }
@@ -102,6 +105,7 @@
 
     void update(Instant now);
     void beginFallback(Instant now);
+    [[nodiscard]] double fallbackStockAt(const Account &account, Instant now) const;
     void fillFallback(Account &account, Instant now) const;
     [[nodiscard]] double share(const Account &account) const;
     [[nodiscard]] double fallbackDepth(const Account &account) const;
