--- a/packages/quotas/tests/quotaschedule.h
+++ b/packages/quotas/tests/quotaschedule.h
@@ -18,6 +18,15 @@
 
 inline const WorkspaceId workspace("w");
 
+/// What the bound allows beyond the burst, in seconds of perSecond: slackSeconds without a burst. With one, what a new owner keeps while an earlier one's
+/// credit is out lies within the burst.
+inline double slackOf(const Quota &quota)
+{
+    const double newOwner = std::max(depthOf(quota) - maxOutstanding(quota), stockSeconds * quota.perSecond);
+    const double owners = std::max(depthOf(quota), maxOutstanding(quota) + newOwner);
+    return std::min(slackSeconds, fallbackSeconds + (owners - quota.burst) / quota.perSecond);
+}
+
 /// One random schedule of demand, messages and failures over a few hosts, in steps of virtual time.
 class Schedule
 {
@@ -62,9 +71,9 @@
         }
     }
 
-    /// The most that was spent, or could have been at any moment with what hosts and owners had, beyond perSecond x W + burst in any window, in seconds of
-    /// perSecond; the unit that the bound allows is taken off. Windows over changes of the limit are held against the highest of all limits, others against the
-    /// limit that binds in them.
+    /// As if every quota were allowed slackSeconds: what slackOf() allows less is added. The most that was spent, or could have been at any moment with what
+    /// hosts and owners had, beyond perSecond x W + burst in any window, in seconds of perSecond; the unit that the bound allows is taken off. Windows over
+    /// changes of the limit are held against the highest of all limits, others against the limit that binds in them.
     [[nodiscard]] double excessSeconds() const
     {
         Quota highest;
@@ -75,13 +84,14 @@
             reserve = std::max(reserve, fallbackReserve(quota, allowance_));
             highest = {std::max(highest.perSecond, quota.perSecond), std::max(highest.burst, quota.burst)};
         }
-        double worst = isAlwaysLimited ? excessSeconds(highest, reserve, Instant(0), now_) : 0;
+        const double tighter = limits_.size() == 1 ? slackSeconds - slackOf(quota_) : 0;
+        double worst = isAlwaysLimited ? excessSeconds(highest, reserve, Instant(0), now_) + tighter : 0;
         for (std::size_t i = 0; limits_.size() > 1 && i < limits_.size(); ++i) {
             const auto &[since, quota] = limits_[i];
             const auto begin = i == 0 ? since : since + longestConfigDelay + Timing::grantLifetime;
             const auto end = i + 1 < limits_.size() ? limits_[i + 1].first : now_;
             if (!quota.isNone() && begin < end) {
-                worst = std::max(worst, excessSeconds(quota, fallbackReserve(quota, allowance_), begin, end));
+                worst = std::max(worst, excessSeconds(quota, fallbackReserve(quota, allowance_), begin, end) + slackSeconds - slackOf(quota));
             }
         }
         return worst;
