--- a/packages/quotas/credit.h
+++ b/packages/quotas/credit.h
@@ -37,13 +37,15 @@
 using Quotas = std::map<WorkspaceId, Quota>;
 
 struct Timing {
-    static constexpr Milliseconds grantLifetime{500};    // since the ask was sent, by the host's clock; a later grant is void
-    static constexpr Milliseconds servedTime{1'200};     // of a host at the owner, since it received an ask that was answered in time
-    static constexpr Milliseconds fallbackAfter{1'800};  // of a host, since it sent the last ask that was answered in time
-    static constexpr Milliseconds settleTime{2'500};     // then credit that an earlier owner granted is spent or dropped
-    static constexpr Milliseconds heartbeat{400};        // between asks without use
-    static constexpr Milliseconds giveBackWithin{1'500}; // of a charge; a later one stays spent
+    static constexpr Milliseconds grantLifetime{500};        // since the ask was sent, by the host's clock; a later grant is void
+    static constexpr Milliseconds servedTime{1'200};         // of a host at the owner, since it received an ask that was answered in time
+    static constexpr Milliseconds fallbackAfter{1'800};      // of a host, since it sent the last ask that was answered in time
+    static constexpr Milliseconds fallbackAfterStart{1'300}; // of a run; an owner had answered the former one before that ended
+    static constexpr Milliseconds settleTime{2'500};         // then credit that an earlier owner granted is spent or dropped
+    static constexpr Milliseconds heartbeat{400};            // between asks without use
+    static constexpr Milliseconds giveBackWithin{1'500};     // of a charge; a later one stays spent
     static_assert(servedTime + grantLifetime < fallbackAfter, "an owner must not fill for a host that spends its fallback share");
+    static_assert(servedTime < fallbackAfterStart && fallbackAfterStart <= fallbackAfter);
     static_assert(fallbackAfter + grantLifetime < settleTime);
 };
 
--- a/packages/quotas/ownerchoice.h
+++ b/packages/quotas/ownerchoice.h
@@ -33,7 +33,7 @@
         friend bool operator==(const Named &, const Named &) = default;
     };
 
-    static constexpr Milliseconds firstWait{2'000};    // for an owner to be named after the start; in fallback by then
+    static constexpr Milliseconds firstWait{1'500};    // for an owner to be named after the start; in fallback by then
     static constexpr Milliseconds silentAfter{1'000};  // without an answer of the named owner: more than two asks
     static constexpr Milliseconds standInAfter{600};   // the same of others, or when the owner is named no more: more than one ask
     static constexpr Milliseconds returnAfter{20'000}; // to a named owner that was silent; each change costs a time without credit
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -45,7 +45,7 @@
 
     QuotaHost(std::uint64_t session, Instant now)
         : session_(session)
-        , answeredAskSentAt_(now)
+        , answeredAskSentAt_(now - (Timing::fallbackAfter - Timing::fallbackAfterStart))
     { }
 
     void setQuotas(const Quotas &quotas, Instant now);
@@ -125,7 +125,7 @@
     std::uint64_t session_;
     std::uint64_t sequence_ = 0;
     std::uint64_t answered_ = 0;
-    Instant answeredAskSentAt_;        // or the start of this run
+    Instant answeredAskSentAt_;        // of a former run: as late as it can have been
     std::optional<Instant> askSentAt_; // of the ask under way
     Instant lastAskAt_;
     Instant creditSince_; // earlier charges were not of an owner's credit
