--- a/packages/quotas/credit.h
+++ b/packages/quotas/credit.h
@@ -4,9 +4,10 @@
 //   Quota          limit of one workspace over all hosts
 //   Ask, Grant     a host's question to the owner, and its answer
 //   Timing         the times that both sides rely on
+//   Allowance      what windows may hold beyond the quotas
 //
 // Bound. Over every window of W seconds all hosts together spend at most
-//     perSecond x W + burst + slackSeconds x perSecond, and one unit more,
+//     perSecond x W + burst + slackSeconds x perSecond + fallbackReserve(), and one unit more,
 // whatever is delayed, lost, frozen or killed. docs/design/quotas.md has the argument.
 #pragma once
 
@@ -36,13 +37,15 @@
 using Quotas = std::map<WorkspaceId, Quota>;
 
 struct Timing {
-    static constexpr Milliseconds grantLifetime{500};    // since the ask was sent, by the host's clock; a later grant is void
-    static constexpr Milliseconds servedTime{1'200};     // of a host at the owner, since it received an ask that was answered in time
-    static constexpr Milliseconds fallbackAfter{1'800};  // of a host, since it sent the last ask that was answered in time
-    static constexpr Milliseconds settleTime{2'500};     // then credit that an earlier owner granted is spent or dropped
-    static constexpr Milliseconds heartbeat{400};        // between asks without use
-    static constexpr Milliseconds giveBackWithin{1'500}; // of a charge; a later one stays spent
+    static constexpr Milliseconds grantLifetime{500};        // since the ask was sent, by the host's clock; a later grant is void
+    static constexpr Milliseconds servedTime{1'200};         // of a host at the owner, since it received an ask that was answered in time
+    static constexpr Milliseconds fallbackAfter{1'800};      // of a host, since it sent the last ask that was answered in time
+    static constexpr Milliseconds fallbackAfterStart{1'300}; // of a run; an owner had answered the former one before that ended
+    static constexpr Milliseconds settleTime{2'500};         // then credit that an earlier owner granted is spent or dropped
+    static constexpr Milliseconds heartbeat{400};            // between asks without use
+    static constexpr Milliseconds giveBackWithin{1'500};     // of a charge; a later one stays spent
     static_assert(servedTime + grantLifetime < fallbackAfter, "an owner must not fill for a host that spends its fallback share");
+    static_assert(servedTime < fallbackAfterStart && fallbackAfterStart <= fallbackAfter);
     static_assert(fallbackAfter + grantLifetime < settleTime);
 };
 
@@ -51,6 +54,25 @@
 constexpr double slackSeconds = 2 * stockSeconds + fallbackSeconds;
 constexpr double unitAmount = 1; // the smallest request
 
+/// What a window may hold beyond perSecond x window + burst, as the deployment's settings say. None: nothing is known of it.
+struct Allowance {
+    double windowSeconds = 0;
+    double tolerance = 0; // in the quotas' unit
+    double overage = 0;   // as a share of the quota
+
+    friend bool operator==(const Allowance &, const Allowance &) = default;
+};
+
+/// What all hosts together may save up while they hear no owner, besides fallbackSeconds: half of the tolerance at most, and less where requests
+/// that are sent up to sendLagSeconds after their charge need the rest.
+[[nodiscard]] inline double fallbackReserve(const Quota &quota, const Allowance &allowance)
+{
+    constexpr double usedShare = 0.5;
+    constexpr double sendLagSeconds = 0.2;
+    const double spareSeconds = allowance.overage * allowance.windowSeconds - slackSeconds - sendLagSeconds;
+    return std::clamp(allowance.tolerance + spareSeconds * quota.perSecond, 0.0, usedShare * allowance.tolerance);
+}
+
 /// The most that is in the owner's stock and out at hosts together. A request of more can't be served.
 [[nodiscard]] inline double depthOf(const Quota &quota)
 {
--- a/packages/quotas/quotahost.h
+++ b/packages/quotas/quotahost.h
@@ -3,6 +3,7 @@
 //   QuotaHost host(session, now);                    // one for each partition of the workspaces; the session rises with each run
 //   host.setQuotas(quotas, now);                     // after each change of the configuration; a lower limit takes effect at once
 //   host.setHostCount(announced);
+//   host.setAllowance(allowance);                    // of the deployment's settings
 //   host.onNewOwner();                               // another host owns the partition
 //   const auto charge = host.tryTake(workspace, amount, now);
 //   if (charge.isTaken) ...                          // send it; host.giveBack(workspace, amount, chargedAt, now) when it was not run
@@ -12,8 +13,9 @@
 //   host.onGrant(grant, now);
 //
 // Credit is asked for in advance by recent use, so that a request finds it here as a rule; what is not used goes back. Without an answer for
-// Timing::fallbackAfter the host drops its credit and spends perSecond / hosts, from nothing on and without saving much (fallbackSeconds). A
-// request of more than that depth is refused meanwhile. Before it is served again it tells the owner, which fills nothing for it until then.
+// Timing::fallbackAfter the host drops its credit and spends perSecond / hosts, from nothing on and without saving much (fallbackSeconds and its part of
+// fallbackReserve()). A request of more than that depth is refused meanwhile. Before it is served again it tells the owner, which fills nothing for it until
+// then.
 //
 // A workspace without a quota is not limited.
 #pragma once
@@ -43,11 +45,12 @@
 
     QuotaHost(std::uint64_t session, Instant now)
         : session_(session)
-        , answeredAskSentAt_(now)
+        , answeredAskSentAt_(now - (Timing::fallbackAfter - Timing::fallbackAfterStart))
     { }
 
     void setQuotas(const Quotas &quotas, Instant now);
     void setHostCount(int hosts) { hostCount_ = hosts; }
+    void setAllowance(const Allowance &allowance) { allowance_ = allowance; }
     void onNewOwner();
 
     [[nodiscard]] Charge tryTake(const WorkspaceId &workspace, double amount, Instant now);
@@ -67,6 +70,8 @@
     [[nodiscard]] bool isInFallback(Instant now);
     [[nodiscard]] bool hasQuotas() const { return !accounts_.empty(); }
     [[nodiscard]] double held(const WorkspaceId &workspace) const;
+    /// What requests could take at once: credit, or in fallback what is saved.
+    [[nodiscard]] double spendable(const WorkspaceId &workspace, Instant now) const;
     [[nodiscard]] const Counts &counts() const { return counts_; }
     /// Typical time from an ask to its grant; for the caller's waits.
     [[nodiscard]] Milliseconds expectedWait() const { return expectedWait_; }
@@ -100,8 +105,10 @@
 
     void update(Instant now);
     void beginFallback(Instant now);
+    [[nodiscard]] double fallbackStockAt(const Account &account, Instant now) const;
     void fillFallback(Account &account, Instant now) const;
     [[nodiscard]] double share(const Account &account) const;
+    [[nodiscard]] double fallbackDepth(const Account &account) const;
     [[nodiscard]] Charge take(Account &account, double amount, Instant now);
     [[nodiscard]] Charge takeInFallback(Account &account, double amount, Instant now);
     static void noteDemand(Account &account, double amount, Instant now);
@@ -118,13 +125,14 @@
     std::uint64_t session_;
     std::uint64_t sequence_ = 0;
     std::uint64_t answered_ = 0;
-    Instant answeredAskSentAt_;        // or the start of this run
+    Instant answeredAskSentAt_;        // of a former run: as late as it can have been
     std::optional<Instant> askSentAt_; // of the ask under way
     Instant lastAskAt_;
     Instant creditSince_; // earlier charges were not of an owner's credit
     bool isInFallback_ = false;
     bool isAskWanted_ = false; // a heartbeat at once: a new owner, or the end of a fallback
     int hostCount_ = 0;
+    Allowance allowance_;
     Milliseconds expectedWait_{10};
     std::unordered_map<WorkspaceId, Account> accounts_;
     Counts counts_;
