--- a/packages/serving/callers.cpp
+++ b/packages/serving/callers.cpp
@@ -25,7 +25,7 @@
 constexpr Milliseconds acceptPause{50};     // after a failed accept, for example without a free file descriptor
 constexpr Milliseconds writeTimeout{5'000}; // for a caller that does not read; twice the pause after which callers give up
 constexpr Milliseconds readerInterval{500};
-constexpr Milliseconds endInterval{50};     // while a caller's end can't be waited for, as it lies behind unread bytes
+constexpr Milliseconds endInterval{50}; // while a caller's end can't be waited for, as it lies behind unread bytes
 constexpr int backlog = 1'024;
 constexpr int unavailable = 503;
 constexpr int requestTimeout = 408;
