--- a/packages/peers/messages.cpp
+++ b/packages/peers/messages.cpp
@@ -70,8 +70,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Cancel, id)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WidthNotice, adapter, width, validMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefetchNotice, engine, adapter)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyCall, replica, model, adapter, revision, waitMs, onTimeMs)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrefillCall, replica, promptTokens, waitMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LimitEndNotice, upstream)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ResidencyReply, revision, leaseMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaitingReply, expectedMs)
@@ -100,6 +98,49 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SendRefusedNotice, upstream)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BrittleNotice, upstreams)
 
+void to_json(nlohmann::json &to, const ResidencyCall &from)
+{
+    to = {{"replica", from.replica},
+          {"model", from.model},
+          {"adapter", from.adapter},
+          {"revision", from.revision},
+          {"waitMs", from.waitMs},
+          {"onTimeMs", from.onTimeMs}};
+    if (from.rank != 0 || !from.workspace.empty()) {
+        to.update({{"rank", from.rank}, {"workspace", from.workspace}});
+    }
+}
+
+void from_json(const nlohmann::json &from, ResidencyCall &to)
+{
+    from.at("replica").get_to(to.replica);
+    from.at("model").get_to(to.model);
+    from.at("adapter").get_to(to.adapter);
+    from.at("revision").get_to(to.revision);
+    from.at("waitMs").get_to(to.waitMs);
+    from.at("onTimeMs").get_to(to.onTimeMs);
+    to.rank = from.value("rank", to.rank);
+    to.workspace = from.value("workspace", to.workspace);
+}
+
+void to_json(nlohmann::json &to, const PrefillCall &from)
+{
+    to = {{"replica", from.replica}, {"promptTokens", from.promptTokens}, {"waitMs", from.waitMs}};
+    if (from.rank != 0 || !from.workspace.empty() || from.isLate) {
+        to.update({{"rank", from.rank}, {"workspace", from.workspace}, {"isLate", from.isLate}});
+    }
+}
+
+void from_json(const nlohmann::json &from, PrefillCall &to)
+{
+    from.at("replica").get_to(to.replica);
+    from.at("promptTokens").get_to(to.promptTokens);
+    from.at("waitMs").get_to(to.waitMs);
+    to.rank = from.value("rank", to.rank);
+    to.workspace = from.value("workspace", to.workspace);
+    to.isLate = from.value("isLate", to.isLate);
+}
+
 void to_json(nlohmann::json &to, const SendCall &from)
 {
     to = {{"upstream", from.upstream},
--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -107,6 +107,10 @@
     std::uint64_t revision = 0; // minimum; 0: any
     std::int64_t waitMs = 0;    // how long the caller waits for the reply
     std::int64_t onTimeMs = 0;  // until the caller's request misses its objective
+
+    // Written where the configuration ranks callers. Older hosts skip these.
+    int rank = 0; // lower: more urgent
+    core::WorkspaceId workspace;
 };
 
 /// Asks the owner of a model replica for the turn of a prompt. A GrantReply starts the turn; it lasts until the call is cancelled.
@@ -114,6 +118,11 @@
     core::UpstreamId replica;
     double promptTokens = 0;
     std::int64_t waitMs = 0; // the turn starts after this at the latest
+
+    // Written where the configuration ranks callers. Older hosts skip these.
+    int rank = 0; // lower: more urgent
+    core::WorkspaceId workspace;
+    bool isLate = false; // it can't be on time any more
 };
 
 /// Asks the owner of an upstream that named a limit for all hosts together, or is brittle, whether one request may be sent to it.
--- a/packages/peers/tests/buildstest.cpp
+++ b/packages/peers/tests/buildstest.cpp
@@ -126,6 +126,34 @@
     EXPECT_EQ(read.holdMs, 2'000);
 }
 
+// The order of callers at model replicas: older builds skip its fields, and what asks without them goes with the most urgent.
+TEST(Builds, ranks_and_workspaces_of_asks_survive_encoding_and_are_not_written_otherwise)
+{
+    ResidencyCall load{.replica = core::UpstreamId("r-1"), .onTimeMs = 300};
+    PrefillCall prompt{.replica = core::UpstreamId("r-1"), .promptTokens = 700, .waitMs = 250};
+    EXPECT_EQ(messageOf(encode(Call{7, load})).size(), 6U);
+    EXPECT_EQ(messageOf(encode(Call{7, prompt})).size(), 3U);
+    core::Error error;
+    const auto old = decode(encode(Call{7, prompt}), error);
+    ASSERT_TRUE(old) << error.text();
+    EXPECT_EQ(std::get<PrefillCall>(std::get<Call>(*old).body).rank, 0);
+    load.rank = 2;
+    load.workspace = core::WorkspaceId("alpha");
+    prompt.workspace = core::WorkspaceId("alpha");
+    prompt.isLate = true;
+    const auto loadFrame = decode(encode(Call{7, load}), error);
+    const auto promptFrame = decode(encode(Call{7, prompt}), error);
+    ASSERT_TRUE(loadFrame && promptFrame) << error.text();
+    const auto &readLoad = std::get<ResidencyCall>(std::get<Call>(*loadFrame).body);
+    EXPECT_EQ(readLoad.rank, 2);
+    EXPECT_EQ(readLoad.workspace, load.workspace);
+    EXPECT_EQ(readLoad.onTimeMs, 300);
+    const auto &readPrompt = std::get<PrefillCall>(std::get<Call>(*promptFrame).body);
+    EXPECT_EQ(readPrompt.workspace, prompt.workspace);
+    EXPECT_TRUE(readPrompt.isLate);
+    EXPECT_EQ(readPrompt.waitMs, 250);
+}
+
 TEST(Builds, tries_and_accounts_survive_encoding_and_decoding)
 {
     core::Error error;
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -49,7 +49,6 @@
 constexpr double streamResponseTimeoutShare = 1.2; // the same for streams: prefill of a long prompt may take the whole objective
 constexpr Milliseconds minResponseTimeout{250};
 constexpr double maxPrefillMs = 10'000;              // limit on the prefill time that a caller's headers imply: the longest deadline of both deployments
-constexpr double maxEngineFill = 1.6;                // running requests per slot; beyond it a request would wait longer than most objectives
 constexpr Milliseconds revisionGrace{1'000};         // after a new revision is published, before requests demand it; until then both revisions are accepted
 constexpr Milliseconds overloadRetryAfter{300};      // Retry-After when all upstreams are overloaded: some requests have ended by then
 constexpr Milliseconds unavailableRetryAfter{1'000}; // Retry-After when nothing can be served yet: a failed listing of the store has been retried by then
@@ -290,7 +289,7 @@
     void setWorkspace(const Workspace *workspace)
     {
         workspace_ = workspace == nullptr ? WorkspaceId() : workspace->name;
-        rank_ = workspace == nullptr ? std::nullopt : workspace->priority;
+        rank_ = workspace == nullptr ? route_->priority : workspace->priority.value_or(route_->priority);
         quota_ = workspace == nullptr ? WorkspaceQuota() : workspace->quota;
         workspaceLabel_ = workspace == nullptr ? std::string() : std::string(routes_->labelOf(*workspace));
     }
@@ -570,7 +569,7 @@
     [[nodiscard]] double maxFill() const
     {
         if (isEngine()) {
-            return maxEngineFill;
+            return node_.modelFills[*service_].most(claimant(), node_.now());
         }
         return (givesPlaces() ? node_.workTimes[*service_] : WorkTimes()).maxFill(route_->latencyObjective, node_.now());
     }
@@ -591,6 +590,7 @@
         return {from, affinityKey(), node_.settings.zone, node_.paces.expectedFirst(*service_, metadata_.promptTokens)};
     }
 
+    [[nodiscard]] Claimant claimant(bool isLate = false) const { return node_.claimant(*routes_, {rank_, workspace_, isLate}); }
     [[nodiscard]] bool givesPlaces() const { return node_.settings.hosting.ownerPlaces > 0; }
 
     /// Whether the request needs a place that the replica's owner gives: the plain service is crowded, and owners answer.
@@ -629,7 +629,7 @@
             best = node_.chooser.pick(pickRequest(all), node_.now());
         }
         if (!version_ && fillOf(*best->replica) >= maxFill()) { // a stream that goes on has no other upstreams; the upstream admits it first or refuses it
-            refusalReason_ = "crowded";
+            refusalReason_ = isEngine() && fillOf(*best->replica) < ModelFill::mostFill ? "gave_way" : "crowded";
             return nullptr;
         }
         return best->replica;
@@ -813,7 +813,7 @@
                                                                   : static_cast<double>(timeLeft().count()) * residencyWaitShare;
         const auto maxWait = boundedWait(Milliseconds(std::max<std::int64_t>(0, static_cast<std::int64_t>(maxWaitMs))));
         Error why;
-        const auto grant = co_await node_.residency->ensure({replica.id, metadata_.weights, minRevision, maxWait, timeUntilLate}, why);
+        const auto grant = co_await node_.residency->ensure({replica.id, metadata_.weights, minRevision, maxWait, timeUntilLate, claimant()}, why);
         const auto took = node_.now() - now;
         residencyWait_ = residencyWait_ + took;
         node_.metrics.residencyWait.observe({grant ? "held" : "failed"}, took);
@@ -900,6 +900,7 @@
         }
         Error why;
         node_.chooser.beginSend(replica.id);
+        node_.modelFills[*service_].onSend(claimant(), node_.now());
         if (namesAdapter()) {
             node_.adjustUseCount(replica.id, metadata_.weights, 1);
         }
@@ -1013,13 +1014,12 @@
     /// False: the replica's owner refuses the request, or is silent and this host goes by its own count from now on.
     net::Task<bool> takeScarcePlace(const ReplicaRecord &replica)
     {
-        const auto timeUntilLate = request_.arrivedAt + route_->latencyObjective - node_.now();
         auto permit = co_await node_.residency->takeSendPermit({.upstream = replica.id,
                                                                 .limit = {UpstreamLimits::unlimited, node_.now(), std::nullopt},
                                                                 .timeLeft = timeLeft(),
-                                                                .scarce = ScarceTerms{.rank = rank_.value_or(route_->priority),
+                                                                .scarce = ScarceTerms{.rank = rank_,
                                                                                       .mayRepeat = route_->retryPolicy != RetryPolicy::AtMostOnce,
-                                                                                      .untilLate = timeUntilLate,
+                                                                                      .untilLate = request_.arrivedAt + route_->latencyObjective - node_.now(),
                                                                                       .work = node_.workTimes[*service_].expected(),
                                                                                       .spread = core::hashText(metadata_.id.value(), 0),
                                                                                       .isWanted = [this] { return !isFinished(); }}});
@@ -1100,7 +1100,7 @@
         const bool isLate = timeUntilLate.count() <= 0;
         const double maxWaitMs = static_cast<double>(isLate ? timeLeft().count() : timeUntilLate.count()) * (isLate ? lateTurnWaitShare : turnWaitShare);
         turn_ = co_await node_.residency->takePrefillTurn(
-            {std::move(replica), metadata_.promptTokens, boundedWait(Milliseconds(static_cast<std::int64_t>(maxWaitMs)))});
+            {std::move(replica), metadata_.promptTokens, boundedWait(Milliseconds(static_cast<std::int64_t>(maxWaitMs))), claimant(isLate)});
         turnWait_ = turnWait_ + (node_.now() - begin);
     }
 
@@ -1115,8 +1115,8 @@
                 out.append(name).append(": ").append(value).append("\r\n");
             }
         }
-        const int priority = version_ ? 0 : rank_.value_or(route_->priority); // a stream that goes on has no other upstreams to go to
-        ForwardHeaders headers{timeLeft(), replica.id, priority, revision_, lastEventId_, workspace_};
+        // A stream that goes on has no other upstreams to go to.
+        ForwardHeaders headers{timeLeft(), replica.id, version_ ? 0 : rank_, revision_, lastEventId_, workspace_};
         node_.codec.appendForwardHeaders(headers, out);
         if (!request_.body.empty() || (request_.method != "GET" && request_.method != "HEAD")) {
             out.append("Content-Length: ").append(std::to_string(request_.body.size())).append("\r\n");
@@ -1929,7 +1929,7 @@
     const ServiceSpec *serviceSpec_ = nullptr;
     RequestMetadata metadata_;
     WorkspaceId workspace_;      // empty: the caller has none
-    std::optional<int> rank_;    // of the workspace
+    int rank_ = 0;               // of the workspace, else of the route
     WorkspaceQuota quota_;       // the same
     QuotaCharge charge_;         // given back when the request does not run
     std::string workspaceLabel_; // in metrics
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <core/hash.h>
+#include <serving/residencycalls.h>
 #include <serving/upstreamcopy.h>
 #include <settings/json.h>
 
@@ -1105,7 +1106,7 @@
         co_return nullptr;
     }
     if (*owner == node_.settings.host) {
-        co_return co_await prefillGate_.enter(request.replica, request.promptTokens, request.maxWait);
+        co_return co_await prefillGate_.enter(request);
     }
     const auto backoff = turnBackoffUntil_.find(*owner);
     if (!links_ || (backoff != turnBackoffUntil_.end() && node_.now() < backoff->second)) {
@@ -1227,10 +1228,7 @@
 net::Task<std::optional<ResidencyGrant>> HostedDaemon::ensureAtOwner(HostId owner, ResidencyRequest request, Error &why)
 {
     const auto begin = node_.now();
-    const auto &weights = request.weights;
-    const peers::ResidencyCall residencyCall{
-        request.replica, weights.model, weights.adapter, request.minRevision.value(), request.maxWait.count(), request.timeUntilLate.count()};
-    const auto call = links_->call(owner, residencyCall);
+    const auto call = links_->call(owner, callOf(request));
     auto timeout = firstReplyTimeout;
     while (true) {
         const auto reply = co_await call->next(timeout, why);
@@ -1301,12 +1299,7 @@
     Error why{.step = Step::Load, .peer = node_.settings.host.value(), .reason = "a hosted daemon does not support this call, or does not own the upstream"};
     if (residencyCall != nullptr) {
         const auto onWaiting = [&call](Milliseconds expected) { call->send(peers::WaitingReply{expected.count()}); };
-        const ResidencyRequest request{residencyCall->replica,
-                                       {residencyCall->model, residencyCall->adapter},
-                                       AdapterRevision(residencyCall->revision),
-                                       Milliseconds(residencyCall->waitMs),
-                                       Milliseconds(residencyCall->onTimeMs)};
-        const auto grant = co_await ensureLocally(request, onWaiting, why);
+        const auto grant = co_await ensureLocally(requestOf(*residencyCall), onWaiting, why);
         if (grant) {
             call->send(peers::ResidencyReply{grant->revision.value(), (grant->until - node_.now()).count()});
             co_return;
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds demandHalfLife{10'000}; // of request counts by base model; spans several loads of base weights
 constexpr double holderOffset = 0.1;           // holders; makes a model without a holder about ten times as needed as one with a single holder
 constexpr double prefillPauseShare = 0.3;      // of the longest pause that counts as on time: two groups of prompts may follow each other within one pause
+constexpr std::size_t maxGaveWaySeries = 320;  // two rooms, three reasons, the labelled workspaces, the others and none
 constexpr int maxRetryAttempts = 16;           // high enough that the route's own limit applies
 
 } // namespace
@@ -27,6 +28,8 @@
     , eventPause(registry.histogram({"event_pause_seconds", "between two writes of one stream", {"service"}, 32}, pauseBounds))
     , residencyWait(registry.histogram({"residency_wait_seconds", "wait until weights were held", {"outcome"}, 8}, latencyBounds))
     , prefillWait(registry.histogram({"prefill_wait_seconds", "wait of a prompt for its turn at a replica", {"where"}, 8}, latencyBounds))
+    , gaveWay(registry.counter(
+          {"gave_way_total", "requests that waited at an owned model replica and others went before", {"room", "why", "workspace"}, maxGaveWaySeries}))
     , sends(registry.counter({"sends_total", "sends to upstreams by how they ended", {"service", "outcome"}, 256}))
     , takenUpStreams(
           registry.counter({"taken_up_streams_total", "streams that callers took up, by how their record was found", {"record", "age", "reason"}, 512}))
@@ -168,6 +171,40 @@
     return found != outdatedRecords.end() && found->second == replica.startTime;
 }
 
+Claimant Node::claimant(const RouteTable &table, Claimant asked) const
+{
+    constexpr int byRoutes = 2;
+    const int order = settings.hosting.callerOrder;
+    const bool isRanked = (order > 0 && table.hasWorkspaces()) || (order >= byRoutes && table.hasSeveralPriorities());
+    if (!isRanked) {
+        return {};
+    }
+    asked.rank = std::max(0, asked.rank - table.mostUrgentRank());
+    return asked;
+}
+
+void Node::noteGivenWay(std::string_view room, const UpstreamId &replica, const std::vector<GivenWay> &all)
+{
+    for (const auto &each : all) {
+        const auto &workspace = each.from.workspace;
+        const std::string_view label = workspace.empty() || !routes ? std::string_view() : routes->labelOf(workspace);
+        metrics.gaveWay.add({std::string(room), std::string(textOf(each.why)), std::string(label)});
+        givenWay.add(room, each);
+    }
+    for (const auto &line : givenWay.take(now())) {
+        const auto &[from, to, why] = line.way;
+        log.info("gave_way",
+                 {{"room", line.room},
+                  {"upstream", replica},
+                  {"workspace", from.workspace},
+                  {"rank", from.rank},
+                  {"to_workspace", to.workspace},
+                  {"to_rank", to.rank},
+                  {"why", textOf(why)},
+                  {"requests", line.count}});
+    }
+}
+
 double Node::prefillLimit(const UpstreamId &replica) const
 {
     const auto *record = replicas.find(replica);
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -22,7 +22,9 @@
 #include <serving/backoffs.h>
 #include <serving/chooser.h>
 #include <serving/crashwatch.h>
+#include <serving/givenway.h>
 #include <serving/gracefulstop.h>
+#include <serving/modelfill.h>
 #include <serving/paces.h>
 #include <serving/prefillturns.h>
 #include <serving/protocol.h>
@@ -54,6 +56,7 @@
     metrics::Histogram &eventPause;      // service
     metrics::Histogram &residencyWait;   // outcome
     metrics::Histogram &prefillWait;     // where
+    metrics::Counter &gaveWay;           // room, why, workspace
     metrics::Counter &sends;             // service, outcome
     metrics::Counter &takenUpStreams;    // record, age, reason
     metrics::Counter &sendPermits;       // outcome
@@ -109,6 +112,7 @@
     AdapterRevision minRevision;
     Milliseconds maxWait;       // for the grant
     Milliseconds timeUntilLate; // until the request misses its objective
+    Claimant claimant = {};     // of Node::claimant()
 };
 
 /// A request's prompt is being processed by a replica, as far as its owner counts. Ends with its destruction.
@@ -123,7 +127,8 @@
 struct PrefillRequest {
     UpstreamId replica;
     double promptTokens = 0;
-    Milliseconds maxWait; // the prompt is sent after this at the latest
+    Milliseconds maxWait;   // the prompt is sent after this at the latest
+    Claimant claimant = {}; // of Node::claimant()
 };
 
 class ResidencySource
@@ -198,6 +203,10 @@
     [[nodiscard]] admission::RetryBudget &retryBudgetFor(const ServiceName &service);
     /// An answer of a model replica came whole; `answer` without occupancy.
     void learnPace(Paces::Answer answer);
+    /// As what a request counts where callers compete for model replicas: nothing where the configuration and the settings rank nobody.
+    [[nodiscard]] Claimant claimant(const RouteTable &table, Claimant asked) const;
+    /// For logs and metrics. `room`: "prompt" or "load".
+    void noteGivenWay(std::string_view room, const UpstreamId &replica, const std::vector<GivenWay> &all);
     [[nodiscard]] std::optional<ActiveRevision> activeRevision(const AdapterKey &weights) const;
     void setHostCount(int count); // serving hosts, including this one
     void addDemand(const BaseModel &model);
@@ -268,6 +277,7 @@
     std::map<AdapterKey, ActiveRevision> activeRevisions;
     std::map<UpstreamId, std::map<AdapterKey, int>> useCounts; // running requests of this host, by the weights that they use
     std::map<ServiceName, PrefillRate> prefillRates;           // learnt from the requests of this host
+    std::map<ServiceName, ModelFill> modelFills;               // of the requests of this host
     Paces paces;                                               // of model replicas
     std::map<BaseModel, admission::DecayingCount> demand;      // recent requests of this host by base model
     ResidencySource *residency = nullptr;                      // set before the first request
@@ -275,6 +285,7 @@
     QuotaSource *quotas = nullptr;                             // null: no workspace is limited
     RelaySource *relays = nullptr;                             // null: requests are sent by this host only
     int hostCount = 1;
+    GivenWayLog givenWay; // at owned replicas
 
 private:
     std::optional<Instant> servingSince_;
--- a/packages/serving/ownedreplica.cpp
+++ b/packages/serving/ownedreplica.cpp
@@ -134,18 +134,19 @@
     const auto until = node_.now() + request.maxWait;
     const auto &weights = request.weights;
     const auto onTimeBy = node_.now() + request.timeUntilLate;
-    auto reply = residency_.requestLease(weights, request.minRevision, onTimeBy, true, node_.now());
+    auto reply = residency_.requestLease(weights, request.minRevision, onTimeBy, true, node_.now(), request.claimant);
     if (reply.status == Residency::LeaseStatus::Ready) {
         co_return reply;
     }
     if (!canOrder()) {
-        residency_.cancelRequest(weights, onTimeBy);
+        residency_.cancelRequest(weights, onTimeBy, request.claimant);
         why = core::Error{.step = core::Step::Admit, .peer = record_.id.value(), .reason = "the replica does not accept orders now"};
         co_return std::nullopt;
     }
     why = core::Error{.step = core::Step::Load, .peer = record_.id.value(), .reason = "the weights were not held in time"};
     const auto setTooLong = [&](Milliseconds expected) {
-        why.reason = "the weights can't be held in time: " + std::to_string(expected.count()) + " ms are expected";
+        why.reason = "the weights can't be held in time: " + std::to_string(expected.count()) + " ms are expected"
+            + (residency_.hasGivenWay(weights) ? "; loads of callers with a lower rank, or within their usual, go first" : "");
         why.retryAfter = expected;
     };
     const auto setNoRoom = [&] {
@@ -153,12 +154,12 @@
         why.retryAfter.reset();
     };
     if (!residency_.canHold(weights)) {
-        residency_.cancelRequest(weights, onTimeBy);
+        residency_.cancelRequest(weights, onTimeBy, request.claimant);
         setNoRoom();
         co_return std::nullopt;
     }
     if (const auto expectedWait = residency_.expectedWaitBeyond(weights, until, node_.now())) {
-        residency_.cancelRequest(weights, onTimeBy);
+        residency_.cancelRequest(weights, onTimeBy, request.claimant);
         setTooLong(*expectedWait);
         co_return std::nullopt;
     }
@@ -171,7 +172,7 @@
         waiters_.push_back(timer);
         co_await timer->async_wait(net::tuple);
         std::erase(waiters_, timer);
-        reply = residency_.requestLease(weights, request.minRevision, onTimeBy, false, node_.now());
+        reply = residency_.requestLease(weights, request.minRevision, onTimeBy, false, node_.now(), request.claimant);
         if (reply.status == Residency::LeaseStatus::Ready) {
             co_return reply;
         }
@@ -184,13 +185,14 @@
             setNoRoom();
             break;
         }
-        const auto expectedWait = node_.now() >= nextCheck ? residency_.expectedWaitBeyond(weights, until, node_.now()) : std::nullopt;
+        const bool mayBeOvertaken = request.claimant != Claimant(); // by whoever asked meanwhile
+        const auto expectedWait = node_.now() >= nextCheck || mayBeOvertaken ? residency_.expectedWaitBeyond(weights, until, node_.now()) : std::nullopt;
         if (expectedWait) { // late requests rank behind others, so the wait has grown
             setTooLong(*expectedWait);
             break;
         }
     }
-    residency_.cancelRequest(weights, onTimeBy);
+    residency_.cancelRequest(weights, onTimeBy, request.claimant);
     co_return std::nullopt;
 }
 
@@ -256,6 +258,7 @@
         permit_ = callbacks_.acquireLoadPermit(permitService_);
     }
     const auto order = residency_.nextOrder(permit_.has_value(), now);
+    node_.noteGivenWay("load", record_.id, residency_.takeGivenWay());
     if (!order) {
         co_return false;
     }
--- a/packages/serving/prefillgate.cpp
+++ b/packages/serving/prefillgate.cpp
@@ -1,5 +1,7 @@
 #include <serving/prefillgate.h>
 
+#include <serving/residencycalls.h>
+
 namespace baobabstall::serving {
 
 namespace asio = boost::asio;
@@ -48,24 +50,31 @@
     }
 }
 
-net::Task<PrefillTurn> PrefillGate::enter(UpstreamId replica, double promptTokens, Milliseconds maxWait)
+void PrefillGate::start(const UpstreamId &replica, Queue &queue)
+{
+    queue.start(node_.now());
+    node_.noteGivenWay("prompt", replica, queue.turns.takeGivenWay());
+}
+
+net::Task<PrefillTurn> PrefillGate::enter(PrefillRequest request)
 {
-    auto &place = queues_[replica];
+    const auto maxWait = request.maxWait;
+    auto &place = queues_[request.replica];
     if (!place) {
         place = std::make_shared<Queue>();
     }
     const auto queue = place;
     const auto begin = node_.now();
-    queue->turns.setLimit(node_.prefillLimit(replica));
-    const auto id = queue->turns.request(promptTokens, begin + maxWait, begin);
+    queue->turns.setLimit(node_.prefillLimit(request.replica));
+    const auto id = queue->turns.request(request.promptTokens, begin + maxWait, begin, request.claimant);
     auto turn = std::make_unique<QueueTurn>(queue, id);
-    queue->start(begin);
+    start(request.replica, *queue);
     if (!queue->turns.isStarted(id)) {
         const auto timer = std::make_shared<asio::steady_timer>(node_.io, net::chronoOf(maxWait));
         queue->waiters[id] = timer;
         co_await timer->async_wait(net::tuple);
         queue->waiters.erase(id);
-        queue->start(node_.now());
+        start(request.replica, *queue);
     }
     node_.metrics.prefillWait.observe({"owner"}, node_.now() - begin);
     co_return turn;
@@ -74,7 +83,7 @@
 net::Task<PrefillTurn> PrefillGate::enterAtOwner(peers::Links &links, HostId owner, PrefillRequest request)
 {
     auto turn = std::make_unique<RemoteTurn>();
-    turn->call = links.call(owner, peers::PrefillCall{request.replica, request.promptTokens, request.maxWait.count()});
+    turn->call = links.call(owner, callOf(request));
     core::Error why;
     const auto begin = node_.now();
     const auto reply = co_await turn->call->next(request.maxWait + replyMargin, why);
@@ -88,7 +97,7 @@
 
 net::Task<void> PrefillGate::serve(std::shared_ptr<peers::IncomingCall> call, peers::PrefillCall request)
 {
-    auto turn = std::make_shared<PrefillTurn>(co_await enter(request.replica, request.promptTokens, Milliseconds(request.waitMs)));
+    auto turn = std::make_shared<PrefillTurn>(co_await enter(requestOf(request)));
     call->onCancel([turn, call] { turn->reset(); }); // the link itself does not keep the call
     call->send(peers::GrantReply{});
 }
--- a/packages/serving/prefillgate.h
+++ b/packages/serving/prefillgate.h
@@ -1,6 +1,6 @@
 // serving/prefillgate.h: gets a request its turn at a model replica, from the replica's owner. I/O; one thread.
 //
-//   auto turn = co_await gate.enter(replica, promptTokens, maxWait);     // at the owner itself
+//   auto turn = co_await gate.enter(request);                           // at the owner itself
 //   auto turn = co_await gate.enterAtOwner(links, owner, request);       // at any other host; nullptr without an answer in time
 //   ... send the request ...
 //   turn.reset();                                                        // its first event arrived, or the send ended
@@ -25,7 +25,7 @@
 public:
     explicit PrefillGate(Node &node);
 
-    net::Task<PrefillTurn> enter(UpstreamId replica, double promptTokens, Milliseconds maxWait);
+    net::Task<PrefillTurn> enter(PrefillRequest request);
     net::Task<PrefillTurn> enterAtOwner(peers::Links &links, HostId owner, PrefillRequest request);
     /// Answers a peer's call and holds its turn until the peer ends the call.
     net::Task<void> serve(std::shared_ptr<peers::IncomingCall> call, peers::PrefillCall request);
@@ -40,6 +40,8 @@
     };
     class QueueTurn;
 
+    void start(const UpstreamId &replica, Queue &queue);
+
     Node &node_;
     std::map<UpstreamId, std::shared_ptr<Queue>> queues_;
 };
--- a/packages/serving/prefillturns.cpp
+++ b/packages/serving/prefillturns.cpp
@@ -24,10 +24,10 @@
     return std::clamp(tokenSpread / covariance, minTokensPerMs, maxTokensPerMs);
 }
 
-TurnId PrefillTurns::request(double promptTokens, Instant startBy, Instant now)
+TurnId PrefillTurns::request(double promptTokens, Instant startBy, Instant now, Claimant claimant)
 {
     newest_ = newest_.next();
-    waiting_.emplace(std::pair(std::max(startBy, now), newest_), promptTokens);
+    waiting_.emplace(std::pair(std::max(startBy, now), newest_), Waiter{.tokens = promptTokens, .claimant = std::move(claimant)});
     return newest_;
 }
 
@@ -46,20 +46,68 @@
     endOverdue(now);
     std::vector<TurnId> starting;
     while (!waiting_.empty()) {
-        const auto &[key, tokens] = *waiting_.begin();
-        const auto [startBy, id] = key;
-        const bool mayStart = limit_ <= 0 || started_.empty() || startedTokens_ + tokens <= limit_ || startBy <= now;
-        if (!mayStart) {
-            break; // nothing overtakes it, else long prompts would only start when their time is up
+        const auto above = usual_.above(now);
+        const auto first = next(above, now);
+        if (first == waiting_.end()) {
+            break;
         }
-        started_[id] = {tokens, now + maxTurn};
-        startedTokens_ += tokens;
+        noteGivenWay(first, above);
+        const auto id = first->first.second;
+        const auto &waiter = first->second;
+        usual_.take(waiter.claimant.workspace, now, waiter.tokens);
+        started_[id] = {waiter.tokens, now + maxTurn, standingOf(waiter, above)};
+        startedTokens_ += waiter.tokens;
         starting.push_back(id);
-        waiting_.erase(waiting_.begin());
+        waiting_.erase(first);
     }
     return starting;
 }
 
+PrefillTurns::Waiting::iterator PrefillTurns::next(const Above &above, Instant now)
+{
+    auto first = waiting_.begin();
+    auto standing = standingOf(first->second, above);
+    for (auto each = std::next(first); each != waiting_.end(); ++each) {
+        const auto other = standingOf(each->second, above);
+        if (other < standing) {
+            first = each;
+            standing = other;
+        }
+    }
+    if (limit_ <= 0 || hasRoom(first->second.tokens, standing)) {
+        return first; // nothing overtakes it, else long prompts would only start when their time is up
+    }
+    const bool isTimeUp = waiting_.begin()->first.first <= now;
+    return isTimeUp ? waiting_.begin() : waiting_.end();
+}
+
+bool PrefillTurns::hasRoom(double tokens, const Standing &standing) const
+{
+    double ahead = 0;
+    bool isFirst = true;
+    for (const auto &[id, turn] : started_) {
+        if (turn.standing <= standing) {
+            ahead += turn.tokens;
+            isFirst = false;
+        }
+    }
+    return isFirst || ahead + tokens <= limit_;
+}
+
+void PrefillTurns::noteGivenWay(Waiting::const_iterator starting, const Above &above)
+{
+    const auto &to = starting->second;
+    const auto standing = standingOf(to, above);
+    for (auto each = waiting_.begin(); each != waiting_.end() && each->first < starting->first; ++each) {
+        auto &from = each->second;
+        const auto other = standingOf(from, above);
+        if (!from.hasGivenWay && standing < other) {
+            from.hasGivenWay = true;
+            givenWay_.push_back({from.claimant, to.claimant, whyAfter(other, standing)});
+        }
+    }
+}
+
 void PrefillTurns::endOverdue(Instant now)
 {
     std::vector<TurnId> overdue;
--- a/packages/serving/residency.cpp
+++ b/packages/serving/residency.cpp
@@ -12,7 +12,6 @@
 constexpr double idleRequestCount = 0.05;      // decayed request count below which an adapter counts as not requested recently
 constexpr Milliseconds reportRetryDelay{300};  // after a failed report or a refused order
 constexpr double msPerSecond = 1'000;
-constexpr Milliseconds assumedTimeUntilLate{60'000}; // of the request that expectedWait() assumes when none waits
 
 } // namespace
 
@@ -168,10 +167,16 @@
     return first == nullptr ? std::nullopt : std::optional(first->name);
 }
 
-Residency::LeaseReply Residency::requestLease(const AdapterKey &key, AdapterRevision minRevision, Instant onTimeBy, bool isNew, Instant now)
+Residency::LeaseReply
+Residency::requestLease(const AdapterKey &key, AdapterRevision minRevision, Instant onTimeBy, bool isNew, Instant now, const Claimant &claimant)
 {
     if (isNew) {
         recordRequest(key, now);
+        askedBy_[key] = claimant;
+        if (claimant.rank <= urgentRank_ || now >= urgentRankUntil_) {
+            urgentRank_ = claimant.rank;
+            urgentRankUntil_ = now + options_.urgentRankTime;
+        }
     }
     auto &newest = newestRevisions_[key];
     newest = std::max(newest, minRevision);
@@ -185,25 +190,26 @@
     }
     if (isNew) {
         auto &waiters = waiters_[key];
-        if (waiters.onTimeBy.empty()) {
+        if (waiters.requests.empty()) {
             waiters.arrival = ++arrivalCount_;
         }
-        waiters.onTimeBy.push_back(onTimeBy);
+        waiters.requests.push_back({onTimeBy, claimant});
     }
     return {LeaseStatus::Waiting, {}, {}};
 }
 
-void Residency::cancelRequest(const AdapterKey &key, Instant onTimeBy)
+void Residency::cancelRequest(const AdapterKey &key, Instant onTimeBy, const Claimant &claimant)
 {
     const auto found = waiters_.find(key);
     if (found == waiters_.end()) {
         return;
     }
-    auto &times = found->second.onTimeBy;
-    if (const auto waiter = std::find(times.begin(), times.end(), onTimeBy); waiter != times.end()) {
-        times.erase(waiter);
+    auto &requests = found->second.requests;
+    const auto isIt = [&](const Waiter &each) { return each.onTimeBy == onTimeBy && each.claimant == claimant; };
+    if (const auto waiter = std::find_if(requests.begin(), requests.end(), isIt); waiter != requests.end()) {
+        requests.erase(waiter);
     }
-    if (times.empty()) {
+    if (requests.empty()) {
         waiters_.erase(found);
     }
 }
@@ -325,55 +331,6 @@
     return std::nullopt;
 }
 
-std::optional<Order> Residency::nextLoad(Instant now) const
-{
-    if (loadingCount() >= options_.maxConcurrentLoads) {
-        return std::nullopt;
-    }
-    const bool mayLoadFromStore = storeLoadCount() < storeLoadLimit();
-    const AdapterKey *first = nullptr;
-    LoadPriority firstPriority;
-    for (const auto &[key, waiters] : waiters_) {
-        const auto slot = slots_.find(key);
-        const bool isOutdated = slot != slots_.end() && slot->second.state == State::Held && slot->second.revision < newestRevision(key);
-        const auto priority = loadPriority(key, waiters, now);
-        if ((slot == slots_.end() || isOutdated) && canHold(key) && (!needsStoreLoad(key) || mayLoadFromStore)
-            && (first == nullptr || priority.isBefore(firstPriority))) {
-            first = &key;
-            firstPriority = priority;
-        }
-    }
-    if (first != nullptr) {
-        if (slots_.contains(*first) || fits(*first)) {
-            return makeOrder(OrderKind::LoadAdapter, *first, newestRevision(*first));
-        }
-        if (const auto evicted = victim(now)) {
-            return makeOrder(OrderKind::UnloadAdapter, *evicted, {});
-        }
-    }
-    for (const auto &[key, slot] : slots_) { // newer revisions of held adapters are loaded even if no request waits
-        if (slot.state == State::Held && slot.revision < newestRevision(key) && heldModels_.contains(key.model)) {
-            return makeOrder(OrderKind::LoadAdapter, key, newestRevision(key));
-        }
-    }
-    return std::nullopt;
-}
-
-std::optional<AdapterKey> Residency::victim(Instant now) const
-{
-    std::optional<AdapterKey> lowest;
-    double lowestRate = 0;
-    for (const auto &[key, slot] : slots_) {
-        const bool isEvictable = slot.state == State::Held && !waiters_.contains(key) && now >= evictableAt(key, slot);
-        const double rate = isEvictable ? requestRate(key, now) : 0;
-        if (isEvictable && (!lowest || rate < lowestRate)) {
-            lowest = key;
-            lowestRate = rate;
-        }
-    }
-    return lowest;
-}
-
 void Residency::invalidateState(Instant now, Milliseconds wait)
 {
     if (unansweredSends_ > 0) {
@@ -481,6 +438,9 @@
         slot.checkAt = now + std::max(options_.minRecheckInterval, interval);
         return;
     }
+    if (const auto waiting = waiters_.find(key); waiting != waiters_.end()) {
+        usual_.take(mostUrgent(waiting->second, usual_.above(now)).workspace, now);
+    }
     slot.isReplacement = slot.state == State::Held;
     slot.isStoreLoad = slot.isReplacement || !isCached(key);
     sequence_ = sequence_.next();
@@ -515,71 +475,11 @@
     return needsStoreLoad(key) ? Milliseconds(static_cast<std::int64_t>(storeLoadMs())) : options_.cachedLoadTime;
 }
 
-Residency::LoadPriority Residency::loadPriority(const AdapterKey &key, const Waiters &waiters, Instant now) const
-{
-    const auto loadTime = expectedLoadTime(key);
-    double served = 0;
-    for (const auto &onTimeBy : waiters.onTimeBy) {
-        served += now + loadTime <= onTimeBy ? 1 : options_.lateRequestWeight;
-    }
-    return {served * msPerSecond / static_cast<double>((loadTime + options_.slotUseTime).count()), waiters.arrival};
-}
-
 double Residency::storeLoadMs() const
 {
     return std::max(meanStoreLoadMs_, static_cast<double>(options_.storeLoadTime.count()));
 }
 
-bool Residency::isSlotShort() const
-{
-    return std::any_of(
-        waiters_.begin(), waiters_.end(), [this](const auto &each) { return !slots_.contains(each.first) && canHold(each.first) && !fits(each.first); });
-}
-
-Milliseconds Residency::expectedSlotWait(const AdapterKey &key, std::size_t loadsAhead, Instant now) const
-{
-    const auto free = freePlaces(key.model);
-    if (loadsAhead < free) {
-        return Milliseconds(0);
-    }
-    std::vector<Milliseconds> waits; // until each slot may be reused
-    for (const auto &[each, slot] : slots_) {
-        if (slot.state == State::Held && !waiters_.contains(each)) {
-            waits.push_back(std::max(Milliseconds(0), evictableAt(each, slot) - now));
-        }
-    }
-    const auto index = loadsAhead - free;
-    if (waits.empty()) {
-        return options_.slotUseTime * static_cast<std::int64_t>(index + 1);
-    }
-    std::sort(waits.begin(), waits.end());
-    return waits[index % waits.size()] + options_.slotUseTime * static_cast<std::int64_t>(index / waits.size());
-}
-
-Milliseconds Residency::expectedWait(const AdapterKey &key, Instant now) const
-{
-    const auto own = waiters_.find(key);
-    const auto ownPriority = loadPriority(key, own == waiters_.end() ? Waiters{{now + assumedTimeUntilLate}, arrivalCount_ + 1} : own->second, now);
-    int storeLoads = storeLoadCount();
-    int cachedLoads = 0;
-    for (const auto &[each, waiters] : waiters_) {
-        if (!slots_.contains(each) && loadPriority(each, waiters, now).isBefore(ownPriority)) {
-            ++(needsStoreLoad(each) ? storeLoads : cachedLoads);
-        }
-    }
-    const double cachedMs = static_cast<double>(options_.cachedLoadTime.count()) * (1 + cachedLoads);
-    const double storeMs = needsStoreLoad(key) ? storeLoadMs() * (1 + static_cast<double>(storeLoads) / storeLoadLimit()) : 0;
-    const auto slotWait
-        = slots_.contains(key) ? Milliseconds(0) : expectedSlotWait(key, static_cast<std::size_t>(cachedLoads + storeLoads - storeLoadCount()), now);
-    return slotWait + Milliseconds(static_cast<std::int64_t>(cachedMs + storeMs));
-}
-
-std::optional<Milliseconds> Residency::expectedWaitBeyond(const AdapterKey &key, Instant until, Instant now) const
-{
-    const auto expected = expectedWait(key, now);
-    return now + expected > until ? std::optional(expected) : std::nullopt;
-}
-
 std::optional<Instant> Residency::nextDue() const
 {
     std::optional<Instant> due;
@@ -669,6 +569,7 @@
 void Residency::removeIdleRates(Instant now)
 {
     std::erase_if(requestRates_, [&](const auto &each) { return each.second.value(now) < idleRequestCount; });
+    std::erase_if(askedBy_, [this](const auto &each) { return !requestRates_.contains(each.first); });
 }
 
 void Residency::markCached(const AdapterKey &key)
--- a/packages/serving/residency.h
+++ b/packages/serving/residency.h
@@ -15,6 +15,8 @@
 // Each order carries the number of orders that the replica has accepted so far. If the response to an order is lost, either
 // the order was carried out and the replica's count has changed, or the replica refuses the order if it arrives late.
 //
+// Waiting loads go in the order of claims.h, by their most urgent callers; those alike by the requests that they serve on time.
+//
 // What fits is worked out anew for each order, from the configuration in force and from what the replica holds and loads: all its base models,
 // also those that are no longer configured, and its adapters, each with the size of its model's. A base model whose load another owner ordered
 // may be any of them, and counts as the largest until a report shows it.
@@ -28,6 +30,8 @@
 #include <vector>
 
 #include <admission/rates.h>
+#include <admission/usualrates.h>
+#include <serving/claims.h>
 #include <serving/model.h>
 
 namespace baobabstall::serving {
@@ -72,6 +76,7 @@
     double lateRequestWeight = 0.2;         // of a request that is already late, relative to one that can be on time
     Milliseconds conflictReportDelay{400};  // after a conflict or unanswered order: the replica's report lags its orders by some hundred ms
     Milliseconds modelRecheckInterval{250}; // between checks of a load of base weights
+    Milliseconds urgentRankTime{30'000};    // that less urgent loads leave a place for a more urgent rank
 };
 
 class Residency
@@ -93,8 +98,9 @@
 
     /// Requests a lease on the weights for a request that is late after `onTimeBy`. `isNew`: false when a waiting caller asks
     /// again, so that it is counted once.
-    [[nodiscard]] LeaseReply requestLease(const AdapterKey &key, AdapterRevision minRevision, Instant onTimeBy, bool isNew, Instant now);
-    void cancelRequest(const AdapterKey &key, Instant onTimeBy); // removes one waiter; `onTimeBy` as in its request
+    [[nodiscard]] LeaseReply
+    requestLease(const AdapterKey &key, AdapterRevision minRevision, Instant onTimeBy, bool isNew, Instant now, const Claimant &claimant = {});
+    void cancelRequest(const AdapterKey &key, Instant onTimeBy, const Claimant &claimant = {}); // removes one waiter; as in its request
     /// Expected time until weights that are not held become available: waiting for an adapter slot, loads with higher priority, and
     /// the load itself.
     [[nodiscard]] Milliseconds expectedWait(const AdapterKey &key, Instant now) const;
@@ -126,6 +132,10 @@
     [[nodiscard]] bool isHeld(const AdapterKey &key) const;
     [[nodiscard]] std::size_t adapterSlotsTaken() const { return slots_.size(); }
     [[nodiscard]] std::size_t waitingAdapters() const { return waiters_.size(); }
+    /// Whether loads that were asked for later went before this one, which still waits.
+    [[nodiscard]] bool hasGivenWay(const AdapterKey &key) const;
+    /// Loads that others which were asked for later went before, each once, since the last call.
+    [[nodiscard]] std::vector<GivenWay> takeGivenWay() { return std::exchange(givenWay_, {}); }
 
 private:
     enum class State : std::uint8_t { Loading, Held, Unloading };
@@ -143,16 +153,26 @@
     {
         return slot.state == State::Unloading || (slot.state == State::Loading && slot.isReplacement);
     }
+    struct Waiter {
+        Instant onTimeBy;
+        Claimant claimant;
+    };
     struct Waiters {
-        std::vector<Instant> onTimeBy; // one per waiting request
-        std::uint64_t arrival = 0;     // of the first waiting request, counted; the earlier goes first among equals
+        std::vector<Waiter> requests;
+        std::uint64_t arrival = 0; // of the first waiting request, counted; the earlier goes first among equals
+        bool hasGivenWay = false;
     };
-    /// Loads that serve more on-time requests per second of adapter slot use go first, then those requested earlier.
+    /// Loads go by the standing of their most urgent requests. Of those alike, loads that serve more of these on time per second of adapter slot use
+    /// go first, then those requested earlier.
     struct LoadPriority {
+        Standing standing;          // never late: one load serves all that wait, so late requests count less instead
         double servedPerSecond = 0; // requests/s
         std::uint64_t arrival = 0;
         [[nodiscard]] bool isBefore(const LoadPriority &other) const
         {
+            if (standing != other.standing) {
+                return standing < other.standing;
+            }
             return servedPerSecond != other.servedPerSecond ? servedPerSecond > other.servedPerSecond : arrival < other.arrival;
         }
     };
@@ -177,10 +197,16 @@
     [[nodiscard]] bool isCached(const AdapterKey &key) const;
     [[nodiscard]] Order makeOrder(OrderKind kind, const AdapterKey &key, AdapterRevision revision) const;
     [[nodiscard]] std::optional<Order> nextRecheck(Instant now) const;
-    [[nodiscard]] std::optional<Order> nextLoad(Instant now) const;
+    [[nodiscard]] std::optional<Order> nextLoad(Instant now);
+    [[nodiscard]] bool mayLoadNow(const AdapterKey &key) const;
+    void noteGivenWay(const AdapterKey &first, const std::set<core::WorkspaceId> &above, Instant now);
+    /// The most urgent request that waits for the weights.
+    [[nodiscard]] static const Claimant &mostUrgent(const Waiters &waiters, const std::set<core::WorkspaceId> &above);
+    /// As what the adapter counts when room is made; the last is unloaded first. Nothing: it is idle, and goes before all others.
+    [[nodiscard]] std::optional<Standing> evictionStanding(const AdapterKey &key, double rate, const std::set<core::WorkspaceId> &above) const;
     [[nodiscard]] std::optional<AdapterKey> victim(Instant now) const;
     [[nodiscard]] Instant evictableAt(const AdapterKey &key, const AdapterSlot &slot) const; // by the leases and uses known so far
-    [[nodiscard]] LoadPriority loadPriority(const AdapterKey &key, const Waiters &waiters, Instant now) const;
+    [[nodiscard]] LoadPriority loadPriority(const AdapterKey &key, const Waiters &waiters, const std::set<core::WorkspaceId> &above, Instant now) const;
     [[nodiscard]] bool needsStoreLoad(const AdapterKey &key) const; // rather than from the replica's cache
     [[nodiscard]] Milliseconds expectedLoadTime(const AdapterKey &key) const;
     [[nodiscard]] Milliseconds expectedSlotWait(const AdapterKey &key,
@@ -220,6 +246,11 @@
     std::map<HostId, HostUsage> hostUsage_;
     std::deque<AdapterKey> cached_; // held recently, the latest last; assumed to be in the replica's cache
     std::uint64_t arrivalCount_ = 0;
+    admission::UsualRates usual_;            // loads by workspace
+    std::map<AdapterKey, Claimant> askedBy_; // the last; as many as have a request rate
+    int urgentRank_ = 0;                     // the most urgent that asked lately
+    Instant urgentRankUntil_;
+    std::vector<GivenWay> givenWay_;
     int conflicts_ = 0;                    // in a row, while a slot is draining
     int unansweredSends_ = 0;              // consecutive sends without a response
     std::optional<Order> unansweredOrder_; // sent again until it is answered or given up
--- a/packages/serving/routes.cpp
+++ b/packages/serving/routes.cpp
@@ -36,6 +36,16 @@
             indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) { return routes[a].pathPrefix.size() > routes[b].pathPrefix.size(); });
     }
     indexWorkspaces();
+    std::set<int> ranks;
+    for (const auto &route : routes) {
+        ranks.insert(route.priority);
+    }
+    for (const auto &workspace : workspaces()) {
+        if (workspace.priority) {
+            ranks.insert(*workspace.priority);
+        }
+    }
+    mostUrgentRank_ = ranks.empty() ? 0 : *ranks.begin();
 }
 
 void RouteTable::indexWorkspaces()
@@ -91,9 +101,16 @@
     return owner ? &(*configuration_.workspaces)[owner->value()] : nullptr;
 }
 
-std::string_view RouteTable::labelOf(const Workspace &workspace) const
+std::string_view RouteTable::labelOf(const WorkspaceId &name) const
 {
-    return labelled_.contains(workspace.name) ? std::string_view(workspace.name.value()) : std::string_view("other");
+    const auto found = labelled_.find(name);
+    return found == labelled_.end() ? std::string_view("other") : std::string_view(found->value());
+}
+
+bool RouteTable::hasSeveralPriorities() const
+{
+    const auto &routes = configuration_.routes;
+    return std::any_of(routes.begin(), routes.end(), [&](const Route &each) { return each.priority != routes.front().priority; });
 }
 
 Milliseconds RouteTable::shortestPause(const ServiceName &service) const
--- a/packages/serving/routes.h
+++ b/packages/serving/routes.h
@@ -50,7 +50,10 @@
     /// Nullptr for a key of no workspace or of several. The result is valid as long as the table.
     [[nodiscard]] const Workspace *workspaceOf(std::string_view key) const;
     /// The workspace's name for metrics: that of one of the largest by quota, or "other".
-    [[nodiscard]] std::string_view labelOf(const Workspace &workspace) const;
+    [[nodiscard]] std::string_view labelOf(const Workspace &workspace) const { return labelOf(workspace.name); }
+    [[nodiscard]] std::string_view labelOf(const WorkspaceId &name) const;
+    [[nodiscard]] bool hasSeveralPriorities() const;                     // of its routes
+    [[nodiscard]] int mostUrgentRank() const { return mostUrgentRank_; } // of its routes and workspaces
     /// What of the configuration was not taken; names no key.
     [[nodiscard]] const std::vector<std::string> &refusedParts() const { return configuration_.refusedParts; }
 
@@ -62,6 +65,7 @@
     Configuration configuration_;
     std::map<ServiceName, Milliseconds> shortestPauses_;
     std::optional<workspaces::KeyTable> keys_;
+    int mostUrgentRank_ = 0;
     std::set<WorkspaceId> labelled_;                                         // workspaces that have metrics of their own
     std::unordered_map<std::string, std::vector<std::size_t>> routesByHost_; // indices into the configuration's routes, longest path prefix first
 };
--- a/packages/serving/scarceroom.cpp
+++ b/packages/serving/scarceroom.cpp
@@ -86,6 +86,7 @@
     held_[next.id] = {.since = now, .until = until};
     const admission::DecayingCount none(rateHalfLife);
     granted_.try_emplace(next.ask.rank, Rates{none, none, none}).first->second.at(classOf(next)).add(now);
+    usual_.take(next.ask.workspace, now);
     outcomes.push_back({next.id, true});
 }
 
@@ -96,8 +97,12 @@
     for (auto &each : waiting_) {
         each.isLate = now > latestStart(each);
     }
-    const auto key = [](const Waiter &each) {
-        return std::tuple(each.ask.rank, each.isLate, each.ask.mayRepeat, each.isLate ? each.ask.deadline : each.ask.onTimeBy, each.id);
+    const auto above = usual_.above(now);
+    const auto key = [&above](const Waiter &each) {
+        return std::tuple(Standing({each.ask.rank, each.ask.workspace}, each.isLate, above),
+                          each.ask.mayRepeat,
+                          each.isLate ? each.ask.deadline : each.ask.onTimeBy,
+                          each.id);
     };
     const auto sort = [&] { std::sort(waiting_.begin(), waiting_.end(), [&](const Waiter &a, const Waiter &b) { return key(a) < key(b); }); };
     sort();
--- a/packages/serving/scarceroom.h
+++ b/packages/serving/scarceroom.h
@@ -9,7 +9,7 @@
 //   room.end(id, now);                                // the request has ended or its caller has left; then settle()
 //   room.lose(id, now);                               // its host can't be reached; the request may still be at the replica
 //
-// Order: lower rank; then what can be on time; then what may not be repeated; then what is due earliest. A request that is not expected to end
+// Order: that of claims.h; then what may not be repeated; then what is due earliest. A request that is not expected to end
 // within its deadline is refused at once, also one that waits and was overtaken. What is expected counts those ahead, the time that a place is
 // held, and the share of the places that recently went to requests which overtake it.
 //
@@ -22,6 +22,8 @@
 #include <vector>
 
 #include <admission/rates.h>
+#include <admission/usualrates.h>
+#include <serving/claims.h>
 #include <serving/sendroom.h>
 
 namespace baobabstall::serving {
@@ -33,6 +35,7 @@
     Instant onTimeBy;         // when its host has to have the answer
     Instant deadline;         // the same, for it to be of any use
     std::uint64_t spread = 0; // a hash; spreads the times of refused requests
+    WorkspaceId workspace = {};
 };
 
 class ScarceRoom
@@ -100,6 +103,7 @@
     SendHoldId last_;
     std::vector<Waiter> waiting_; // in order after order()
     std::map<SendHoldId, Hold> held_;
+    admission::UsualRates usual_;                          // places by workspace
     std::map<int, Rates> granted_;                         // recently, by rank
     std::map<int, std::array<double, ClassCount>> shares_; // of the places, which these take
 };
--- a/packages/serving/tests/accesstest.cpp
+++ b/packages/serving/tests/accesstest.cpp
@@ -123,6 +123,26 @@
     ReceivedResponse send() { return sendRequest(getRequest("q", "Key: k1\r\nWeights: m/a1\r\n"), "\r\n\r\n"); }
 };
 
+TEST_F(AccessTest, callers_compete_for_weights_by_rank_and_workspace_only_where_the_configuration_names_workspaces)
+{
+    const std::string fields = "Key: k1\r\nWeights: m/a1\r\n";
+    isEngine_ = true;
+    setUpUpstream();
+    (void)sendRequest(getRequest("q1", fields), "hello");
+    ASSERT_EQ(residency_.requests.size(), 1U);
+    EXPECT_EQ(residency_.requests.back().claimant, Claimant());
+    configure(2, {workspace("alpha", {"k1"}, 5), workspace("beta", {"k2"}, 2)});
+    (void)sendRequest(getRequest("q2", fields), "hello");
+    ASSERT_EQ(residency_.requests.size(), 1U) << "leased";
+    node_.leases.drop(residency_.requests.back().replica);
+    (void)sendRequest(getRequest("q3", fields), "hello");
+    ASSERT_EQ(residency_.requests.size(), 2U);
+    EXPECT_EQ(residency_.requests.back().claimant.workspace, WorkspaceId("alpha"));
+    EXPECT_EQ(residency_.requests.back().claimant.rank, 5) << "the route's priority is 0";
+    node_.settings.hosting.callerOrder = 0;
+    EXPECT_EQ(node_.claimant(*node_.routes, {5, WorkspaceId("alpha")}), Claimant());
+}
+
 // Guards against requests that run by a key that was withdrawn while they waited for weights.
 TEST_F(AccessAtSendTest, a_key_that_is_withdrawn_during_a_wait_is_refused_at_the_send)
 {
--- a/packages/serving/tests/prefillgatetest.cpp
+++ b/packages/serving/tests/prefillgatetest.cpp
@@ -84,7 +84,11 @@
     ASSERT_TRUE(runUntil([&] { return remote.has_value(); }));
     std::optional<PrefillTurn> local;
     asio::co_spawn(
-        io_, [&]() -> net::Task<void> { local = co_await gate_.enter(replica_, wholeLimit, patience); }, asio::detached);
+        io_,
+        [&]() -> net::Task<void> {
+            local = co_await gate_.enter({replica_, wholeLimit, patience});
+        },
+        asio::detached);
     runFor(Milliseconds(100));
     EXPECT_FALSE(local.has_value());
     links_.close();
--- a/packages/serving/tests/prefillturnstest.cpp
+++ b/packages/serving/tests/prefillturnstest.cpp
@@ -89,6 +89,102 @@
     EXPECT_EQ(turns_.start(start).size(), 2U);
 }
 
+Claimant claimantOf(int rank, const std::string &workspace = "", bool isLate = false)
+{
+    return {rank, core::WorkspaceId(workspace), isLate};
+}
+
+TEST_F(PrefillTurnsTest, the_lower_rank_goes_first_then_what_can_be_on_time_then_what_has_to_start_first)
+{
+    turns_.request(2'000, start + Milliseconds(400), start, claimantOf(0));
+    ASSERT_EQ(turns_.start(start).size(), 1U);
+    const auto second = turns_.request(100, start + Milliseconds(500), start, claimantOf(1));
+    const auto late = turns_.request(100, start + Milliseconds(300), start, claimantOf(1, "", true));
+    const auto first = turns_.request(100, start + Milliseconds(900), start, claimantOf(0));
+    EXPECT_TRUE(turns_.start(start).empty());
+    turns_.setLimit(4'000);
+    EXPECT_EQ(turns_.start(start), (std::vector{first, second, late}));
+    const auto given = turns_.takeGivenWay();
+    ASSERT_EQ(given.size(), 2U);
+    EXPECT_EQ(given[0].why, GivenWay::Why::Rank);
+    EXPECT_EQ(given[0].from.rank, 1);
+    EXPECT_TRUE(turns_.takeGivenWay().empty());
+}
+
+// Guards against urgent prompts that wait for deferrable ones which are being read.
+TEST_F(PrefillTurnsTest, an_urgent_prompt_does_not_wait_for_less_urgent_ones_that_are_processed)
+{
+    turns_.request(2'000, start + Milliseconds(400), start, claimantOf(2));
+    ASSERT_EQ(turns_.start(start).size(), 1U);
+    const auto urgent = turns_.request(2'000, start + Milliseconds(400), start, claimantOf(0));
+    turns_.request(100, start + Milliseconds(400), start, claimantOf(2));
+    turns_.request(100, start + Milliseconds(400), start, claimantOf(0));
+    EXPECT_EQ(turns_.start(start), std::vector{urgent});
+}
+
+/// As before ranks: by time alone.
+class TurnsByTime
+{
+public:
+    void request(TurnId id, double tokens, Instant startBy) { waiting_[{startBy, id}] = tokens; }
+    void end(TurnId id)
+    {
+        started_.erase(id);
+        std::erase_if(waiting_, [id](const auto &each) { return each.first.second == id; });
+    }
+    std::vector<TurnId> start(Instant now)
+    {
+        std::erase_if(started_, [now](const auto &each) { return each.second.second <= now; });
+        std::vector<TurnId> starting;
+        while (!waiting_.empty()) {
+            const auto [key, tokens] = *waiting_.begin();
+            double sum = 0;
+            for (const auto &[id, each] : started_) {
+                sum += each.first;
+            }
+            if (!started_.empty() && sum + tokens > limit && key.first > now) {
+                break;
+            }
+            started_[key.second] = {tokens, now + PrefillTurns::maxTurn};
+            starting.push_back(key.second);
+            waiting_.erase(waiting_.begin());
+        }
+        return starting;
+    }
+
+private:
+    std::map<std::pair<Instant, TurnId>, double> waiting_;
+    std::map<TurnId, std::pair<double, Instant>> started_; // tokens, until
+};
+
+TEST_F(PrefillTurnsTest, without_ranks_and_workspaces_the_order_is_by_time_alone)
+{
+    std::mt19937 random(11);
+    TurnsByTime byTime;
+    std::vector<TurnId> all;
+    Instant now = start;
+    int started = 0;
+    for (int i = 0; i < 5'000; ++i) {
+        now = now + Milliseconds(random() % 4);
+        if (random() % 2 == 0 || all.empty()) {
+            const double tokens = 100 + random() % 1'500;
+            const Milliseconds wait(random() % 400);
+            all.push_back(turns_.request(tokens, now + wait, now));
+            byTime.request(all.back(), tokens, now + wait);
+        } else {
+            const auto place = all.begin() + static_cast<std::ptrdiff_t>(random() % all.size());
+            turns_.end(*place);
+            byTime.end(*place);
+            all.erase(place);
+        }
+        const auto starting = turns_.start(now);
+        ASSERT_EQ(starting, byTime.start(now)) << i;
+        started += static_cast<int>(starting.size());
+    }
+    EXPECT_GT(started, 1'000);
+    EXPECT_TRUE(turns_.takeGivenWay().empty());
+}
+
 /// One replica that processes prompts between the tokens of its streams, in steps of at most 4,096 prompt tokens. Returns the share of
 /// windows of one event (three steps) that last longer than `longestPause`, as running streams see them.
 double latePauseShare(PrefillTurns &turns, double promptsPerSecond, double longestPause)
--- a/packages/serving/tests/residencytest.cpp
+++ b/packages/serving/tests/residencytest.cpp
@@ -1,9 +1,9 @@
 #include <serving/residency.h>
 
-#include <set>
-
 #include <gtest/gtest.h>
 
+#include "adapterreplica.h"
+
 namespace baobabstall::serving {
 namespace {
 
@@ -16,88 +16,6 @@
     return {BaseModel("m"), AdapterName(name)};
 }
 
-/// A replica by the platform's rules: limited adapter slots, load times, one draining order at a time, a count of accepted orders.
-class FakeReplica
-{
-public:
-    FakeReplica(int adapterSlots, Milliseconds storeLoadTime, Milliseconds cachedLoadTime)
-        : adapterSlots_(adapterSlots)
-        , storeLoadTime_(storeLoadTime)
-        , cachedLoadTime_(cachedLoadTime)
-    { }
-
-    OrderOutcome execute(const Order &order, Instant now)
-    {
-        finishDraining(now);
-        if (order.expectedSequence != sequence_ || isBusy(now)) {
-            return OrderOutcome::Conflict;
-        }
-        const auto held = loadedAt_.find(order.weights);
-        if (order.kind == OrderKind::UnloadAdapter) {
-            if (held == loadedAt_.end()) {
-                return OrderOutcome::Completed;
-            }
-            sequence_ = sequence_.next();
-            if (running_[order.weights] > 0) {
-                draining_ = order.weights;
-                return OrderOutcome::Accepted;
-            }
-            loadedAt_.erase(held);
-            return OrderOutcome::Completed;
-        }
-        if (held != loadedAt_.end()) {
-            return held->second <= now ? OrderOutcome::Completed : OrderOutcome::Accepted;
-        }
-        EXPECT_LT(loadedAt_.size(), static_cast<std::size_t>(adapterSlots_)) << "a replica crashes when its adapter slots are exceeded";
-        sequence_ = sequence_.next();
-        loadedAt_[order.weights] = now + (cached_.contains(order.weights) ? cachedLoadTime_ : storeLoadTime_);
-        cached_.insert(order.weights);
-        return OrderOutcome::Accepted;
-    }
-
-    [[nodiscard]] bool holds(const AdapterKey &key, Instant now) const
-    {
-        const auto held = loadedAt_.find(key);
-        return held != loadedAt_.end() && held->second <= now;
-    }
-    void addRunning(const AdapterKey &key, int change) { running_[key] += change; }
-    [[nodiscard]] ReplicaReport report(Instant now)
-    {
-        finishDraining(now);
-        ReplicaReport report;
-        report.sequence = sequence_;
-        HeldModel model{BaseModel("m"), {}};
-        for (const auto &[key, at] : loadedAt_) {
-            if (at <= now) {
-                model.adapters.push_back({key.adapter, AdapterRevision(1)});
-            } else {
-                report.loadingAdapters.emplace_back(key, AdapterRevision(1));
-            }
-        }
-        report.models.push_back(model);
-        return report;
-    }
-
-private:
-    [[nodiscard]] bool isBusy(Instant) const { return draining_.has_value(); }
-    void finishDraining(Instant)
-    {
-        if (draining_ && running_[*draining_] == 0) {
-            loadedAt_.erase(*draining_);
-            draining_.reset();
-        }
-    }
-
-    int adapterSlots_;
-    Milliseconds storeLoadTime_;
-    Milliseconds cachedLoadTime_;
-    OrderSequence sequence_;
-    std::map<AdapterKey, Instant> loadedAt_; // time at which the load is complete
-    std::set<AdapterKey> cached_;
-    std::map<AdapterKey, int> running_;
-    std::optional<AdapterKey> draining_;
-};
-
 class ResidencyTest : public ::testing::Test
 {
 protected:
@@ -484,5 +402,76 @@
     EXPECT_FALSE(book.find(UpstreamId("r"), adapter("a"), now));
 }
 
+Claimant claimantOf(int rank, const std::string &workspace = "")
+{
+    return {rank, core::WorkspaceId(workspace)};
+}
+
+TEST_F(ResidencyTest, loads_go_by_the_most_urgent_that_wait_and_only_these_count)
+{
+    const auto onTimeBy = now_ + timeUntilLate;
+    for (int i = 0; i < 5; ++i) {
+        (void)residency_.requestLease(adapter("many"), {}, onTimeBy, true, now_, claimantOf(2));
+    }
+    (void)residency_.requestLease(adapter("one"), {}, onTimeBy, true, now_, claimantOf(0));
+    for (int i = 0; i < 2; ++i) {
+        (void)residency_.requestLease(adapter("two"), {}, onTimeBy, true, now_, claimantOf(0));
+    }
+    for (int i = 0; i < 3; ++i) {
+        (void)residency_.requestLease(adapter("one"), {}, onTimeBy, true, now_, claimantOf(2));
+    }
+    std::vector<std::string> order;
+    while (const auto next = residency_.nextOrder(true, now_)) {
+        order.push_back(next->weights.adapter.value());
+        residency_.onOrderOutcome(*next, replica_.execute(*next, now_), now_);
+    }
+    EXPECT_EQ(order, (std::vector<std::string>{"two", "one", "many"}));
+    EXPECT_TRUE(residency_.hasGivenWay(adapter("many")));
+    const auto given = residency_.takeGivenWay();
+    ASSERT_FALSE(given.empty());
+    EXPECT_EQ(given[0].from.rank, 2);
+    EXPECT_EQ(given[0].to.rank, 0);
+    EXPECT_EQ(given[0].why, GivenWay::Why::Rank);
+}
+
+// Guards against urgent loads that wait for deferrable ones: a replica loads four adapters at a time, and no load is taken back.
+TEST_F(ResidencyTest, less_urgent_loads_leave_a_place_while_more_urgent_callers_asked_lately)
+{
+    waitFor(adapter("urgent"));
+    for (const auto *name : {"a", "b", "c", "d", "e"}) {
+        (void)residency_.requestLease(adapter(name), {}, now_ + Milliseconds(60'000), true, now_, claimantOf(2));
+    }
+    const auto loading = [this] { return replica_.report(now_).loadingAdapters.size(); };
+    advance(Milliseconds(20));
+    EXPECT_EQ(loading(), 3U);
+    now_ = now_ + ResidencyOptions().urgentRankTime;
+    advance(Milliseconds(1));
+    EXPECT_EQ(loading(), 1U) << "the others are held, and the fifth has the last place of the replica";
+}
+
+TEST_F(ResidencyTest, adapters_of_less_urgent_callers_make_room_first_but_after_idle_ones)
+{
+    const auto hold = [this](const char *name, int rank) {
+        const auto onTimeBy = now_ + timeUntilLate;
+        (void)residency_.requestLease(adapter(name), {}, onTimeBy, true, now_, claimantOf(rank));
+        advance(Milliseconds(260));
+        (void)residency_.requestLease(adapter(name), {}, onTimeBy, true, now_, claimantOf(rank));
+    };
+    hold("idle", 0);
+    advance(Milliseconds(30'000));
+    hold("urgent", 0);
+    hold("batch", 2);
+    hold("batch", 2);
+    hold("urgent-too", 0);
+    advance(Milliseconds(400));
+    hold("new", 0);
+    advance(Milliseconds(400));
+    EXPECT_FALSE(residency_.isHeld(adapter("idle")));
+    EXPECT_TRUE(residency_.isHeld(adapter("batch")));
+    hold("newer", 0);
+    EXPECT_FALSE(residency_.isHeld(adapter("batch"))) << "though it was asked for more often than the others";
+    EXPECT_TRUE(residency_.isHeld(adapter("urgent")));
+}
+
 } // namespace
 } // namespace baobabstall::serving
--- a/packages/serving/tests/scarceroomtest.cpp
+++ b/packages/serving/tests/scarceroomtest.cpp
@@ -80,6 +80,41 @@
     EXPECT_EQ(order, (std::vector{payment, sooner, later, late, last}));
 }
 
+TEST(ScarceRoom, a_workspace_that_takes_far_more_than_usual_goes_behind_others_of_its_rank)
+{
+    auto room = roomOf(1);
+    Instant now(0);
+    const auto askOf = [&now](const std::string &workspace, Milliseconds onTimeBy) {
+        return ScarceAsk{.onTimeBy = now + onTimeBy, .deadline = now + Milliseconds(5'000), .workspace = WorkspaceId(workspace)};
+    };
+    const auto serve = [&](const std::string &workspace, Milliseconds until) {
+        const auto id = room.request(askOf(workspace, Milliseconds(200)), now);
+        EXPECT_EQ(grantedOf(room.settle(now)), std::vector{id});
+        room.end(id, now + Milliseconds(10));
+        now = now + until;
+    };
+    for (int i = 0; i < 100; ++i) {
+        serve("hot", Milliseconds(50));
+        serve("other", Milliseconds(50));
+    }
+    const auto nextAfterOne = [&] {
+        const auto running = room.request(askOf("other", Milliseconds(200)), now);
+        (void)room.settle(now);
+        const auto hot = room.request(askOf("hot", Milliseconds(200)), now);
+        const auto other = room.request(askOf("other", Milliseconds(300)), now);
+        room.end(running, now);
+        const auto granted = grantedOf(room.settle(now));
+        room.end(hot, now);
+        room.end(other, now);
+        return !granted.empty() && granted.front() == hot ? "hot" : "other";
+    };
+    EXPECT_EQ(nextAfterOne(), std::string("hot")) << "due first";
+    for (int i = 0; i < 150; ++i) {
+        serve("hot", Milliseconds(15));
+    }
+    EXPECT_EQ(nextAfterOne(), std::string("other"));
+}
+
 TEST(ScarceRoom, what_is_not_served_within_its_deadline_is_refused_at_once_with_its_turn)
 {
     auto room = roomOf(1);
--- a/packages/settings/settings.cpp
+++ b/packages/settings/settings.cpp
@@ -218,6 +218,7 @@
                            field("retry_slack", &Hosting::retrySlack, NumberRule{0, 1'000'000}),
                            field("link_mbps", &Hosting::linkMbps, NumberRule{0, 1'000'000}),
                            field("owner_places", &Hosting::ownerPlaces, NumberRule{0, 1}),
+                           field("caller_order", &Hosting::callerOrder, NumberRule{0, 2}),
                            field("learn_paces", &Hosting::learnPaces, NumberRule{0, 1}),
                            field("memory_mb", &Hosting::memoryMb, NumberRule{0, 1'000'000}),
                            field("max_descriptors", &Hosting::maxDescriptors, NumberRule{0, 1'000'000}));
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -136,9 +136,10 @@
     double retrySlack = 56;          // repeats beyond that in one window, over all hosts
     double linkMbps = 0;             // of this host; those with the widest links do common work first; 0: not told
     int ownerPlaces = 0;             // 1: owners of replicas give places at crowded plain services; 0: each host goes by its own count
-    int learnPaces = 0;              // 1: slow replicas get less; 0: all replicas of a service count as alike
-    double memoryMb = 0;             // that this host may use; callers may make it hold a fourth of it; 0: not told, as for 512
-    int maxDescriptors = 0;          // that this host may open; bounds the connections of callers; 0: not told, up to 3,000 connections
+    int callerOrder = 1;    // callers of model replicas are ordered by rank and workspace: 0: never; 1: with workspaces; 2: with routes' priorities too
+    int learnPaces = 0;     // 1: slow replicas get less; 0: all replicas of a service count as alike
+    double memoryMb = 0;    // that this host may use; callers may make it hold a fourth of it; 0: not told, as for 512
+    int maxDescriptors = 0; // that this host may open; bounds the connections of callers; 0: not told, up to 3,000 connections
 };
 
 struct Settings {
