--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -16,6 +16,7 @@
 #include <serving/events.h>
 #include <serving/gracefulstop.h>
 #include <serving/requestkey.h>
+#include <serving/runproof.h>
 #include <serving/scarceroom.h>
 #include <serving/sendend.h>
 #include <serving/watchdog.h>
@@ -34,7 +35,6 @@
 
 constexpr std::size_t chunkBytes = 16 * 1024;
 constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024; // of a response that is not a stream; a larger one counts as truncated
-constexpr std::size_t maxReportBytes = 1024 * 1024;        // of an upstream's word on itself
 constexpr std::uint32_t maxHeadBytes = 16 * 1024;          // of a response
 constexpr std::size_t maxRefusalBytes = 64 * 1024;         // of the body of a refusal, which is read only for the connection to be used again
 constexpr Milliseconds refusalBodyTimeout{100};            // the same
@@ -64,7 +64,6 @@
 constexpr int maxPlacesAskedFor = 3;                 // at brittle upstreams; the request waits at the last
 constexpr Milliseconds maxPermitDelay{250};          // a permit that this host comes to use later than this after its time is not used
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
-constexpr Milliseconds reportTimeout{300};           // for the upstream's word on its run, before a stream begins there
 constexpr double originWaitShare = 1.0 / 3;          // of the remaining time, for learning where a stream began
 constexpr Milliseconds maxOriginWait{1'500};         // the same; callers leave after two seconds without an event
 constexpr Milliseconds briefOriginWait{150};         // the same while every stream of the service began at one version: only for its upstream
@@ -469,9 +468,16 @@
             co_return true;
         }
         const auto connection = connection_;
-        watchdog_.arm(std::min(deadline_, node_.now() + reportTimeout), [this] { cancelSend(); });
-        const auto report = co_await askReport(*connection, replica.id);
+        bool isSilent = false;
+        watchdog_.arm(std::min(deadline_, node_.now() + boundedWait(proofs_.patience(timeLeft()))), [this, &isSilent] {
+            isSilent = true;
+            cancelSend();
+        });
+        const auto report = co_await askReport(*connection, node_.codec, replica.id);
         watchdog_.arm(deadline_, [this] { onDeadline(); });
+        if (isSilent) {
+            proofs_.onSilent(replica.id);
+        }
         if (report) {
             connection->provenRun = replica.startTime;
         }
@@ -481,31 +487,7 @@
                            {{"upstream", replica.id}, {"version", replica.version}, {"record_start", replica.startTime}, {"start", report->startTime}});
             co_return false;
         }
-        co_return report.has_value();
-    }
-
-    /// Nothing when the upstream did not answer as one that makes reports.
-    net::Task<std::optional<ReplicaReport>> askReport(UpstreamConnection &connection, const UpstreamId &id) const
-    {
-        const auto request = node_.codec.reportRequest(id);
-        std::string out = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + id.value() + "\r\n";
-        for (const auto &[name, value] : request.headers.all()) {
-            out.append(name).append(": ").append(value).append("\r\n");
-        }
-        out.append("\r\n");
-        const auto [writeFailed, written] = co_await asio::async_write(connection.socket, asio::buffer(out), net::tuple);
-        if (writeFailed) {
-            co_return std::nullopt;
-        }
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxReportBytes);
-        parser.header_limit(maxHeadBytes);
-        const auto [readFailed, count] = co_await http::async_read(connection.socket, connection.buffer, parser, net::tuple);
-        if (readFailed || !parser.keep_alive() || connection.buffer.size() > 0) {
-            co_return std::nullopt;
-        }
-        Error why;
-        co_return node_.codec.readReport({.status = static_cast<int>(parser.get().result_int()), .headers = {}, .body = parser.get().body()}, why);
+        co_return report.has_value() && !isSilent;
     }
 
     // ---- Choosing an upstream ----
@@ -520,7 +502,7 @@
         const bool needsModel = isEngine() && !model.empty() && node_.replicas.holders(model) > 0;
         for (const auto &id : node_.replicas.usable(*service_)) {
             const auto *record = node_.replicas.find(id);
-            const bool isExcluded = std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
+            const bool isExcluded = proofs_.isSilent(id) || std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
             const bool isFull = serviceSpec_ != nullptr && serviceSpec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.localOccupancy(id).running >= connectionShare();
             const bool isWrongVersion = (version_ && record->version != *version_) || (isResumable() && node_.isOutdated(*record));
@@ -606,6 +588,7 @@
             return nullptr;
         }
         auto all = candidates();
+        all = all.empty() && proofs_.askAgain() ? candidates() : all;
         if (all.empty() && onlyHolders_) {
             return nullptr; // keep the reason from waiting for the weights
         }
@@ -946,10 +929,15 @@
         }
         if (!isProven || isFinished()) {
             giveUpSend();
-            recordSend(replica, SendOutcome::Abandoned, "not_sent", "the upstream may have started again since its record was written");
+            const bool isSilent = proofs_.isSilent(replica.id);
+            const auto *detail
+                = isSilent ? "the upstream didn't say in time which run it is" : "the upstream may have started again since its record was written";
+            recordSend(replica, SendOutcome::Abandoned, "not_sent", detail);
             releaseConnection(false);
-            excluded_.push_back(replica.id);
-            refusalReason_ = "upstream_restarted";
+            if (!isSilent) {
+                excluded_.push_back(replica.id);
+            }
+            refusalReason_ = isSilent ? "upstream_silent" : "upstream_restarted";
             co_return false;
         }
         tries_.add(replica.id);
@@ -1954,6 +1942,7 @@
     int paidAfter_ = -1;                              // arrivals at upstreams when the retry budget was last charged
     bool isDeclined_ = false;                         // the host that relays the request through this one decides what becomes of it
     std::vector<UpstreamId> excluded_;                // upstreams that must not be chosen again
+    RunProofs proofs_;                                // and those that are chosen again when no other is left
     bool mayRetrySame_ = false;                       // the last upstream did not run the request, but may after its weights are loaded again
     bool wasSent_ = false;                            // the last attempt sent the request
     bool isInFlight_ = false;                         // it has no outcome yet
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -1005,6 +1005,53 @@
     EXPECT_EQ(upstream(1).requests.size(), 1U) << "nothing but the question for its run";
 }
 
+/// An upstream that is late with its word on its run, and the same word in time.
+class SlowProofTest : public TakenUpStreamTest
+{
+protected:
+    static constexpr auto word = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n77";
+    void setUpUpstreams(std::vector<std::vector<Script>> scripts)
+    {
+        auto slowRoute = route(RetryPolicy::Resumable, true, 2);
+        slowRoute.timeout = Milliseconds(6'000);
+        const auto count = scripts.size();
+        setUpService(slowRoute, std::move(scripts), true, std::vector<std::string>(count, "v1"));
+        for (std::size_t i = 1; i <= count; ++i) {
+            auto record = *node_.replicas.find(UpstreamId("r" + std::to_string(i)));
+            record.startTime = ReplicaStartTime(77);
+            node_.replicas.apply(record);
+        }
+    }
+    Script late_{{word}, false, false, Milliseconds(500)};
+    Script inTime_{{word}};
+};
+
+// Guards against streams refused, though their caller has seconds left, because the only upstream of their version is busy (issue 43, LOST).
+TEST_F(SlowProofTest, an_upstream_that_is_late_with_its_word_is_asked_again_when_no_other_is_left)
+{
+    setUpUpstreams({{late_, late_, rest()}});
+    EXPECT_EQ(takeUp().status(), 200);
+    EXPECT_EQ(upstream(1).requests.size(), 3U) << "two questions and the stream";
+}
+
+TEST_F(SlowProofTest, an_upstream_that_is_late_with_its_word_is_left_for_another)
+{
+    setUpUpstreams({{late_, late_, rest()}, {inTime_, rest()}});
+    streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("s"), keyOf("/x"), 1};
+    EXPECT_EQ(takeUp("Weights: m/a\r\nResumes: first\r\n").status(), 200);
+    EXPECT_EQ(upstream(1).requests.size(), 1U);
+    EXPECT_EQ(upstream(2).requests.size(), 2U);
+}
+
+// Guards against a request that asks silent upstreams again until its deadline.
+TEST_F(SlowProofTest, an_upstream_that_stays_silent_is_asked_twice)
+{
+    late_.delay = Milliseconds(3'000);
+    setUpUpstreams({{late_, late_, late_}});
+    EXPECT_EQ(takeUp().status(), 503);
+    EXPECT_EQ(upstream(1).requests.size(), 2U);
+}
+
 TEST_F(ForwarderTest, an_unterminated_event_counts_as_truncation_and_the_stream_resumes_elsewhere)
 {
     const auto endless = streamHead() + chunk(event(1)) + chunk("id: 2\ndata: " + std::string(EventScanner::maxEventBytes, 'x'));
