--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -15,6 +15,7 @@
 #include <serving/connectionend.h>
 #include <serving/events.h>
 #include <serving/gracefulstop.h>
+#include <serving/ownerwait.h>
 #include <serving/requestkey.h>
 #include <serving/runproof.h>
 #include <serving/scarceroom.h>
@@ -644,7 +645,13 @@
             }
             const auto *record = chooseUpstream();
             if (record == nullptr) {
-                break;
+                const auto isOver = [this] { return isFinished(); };
+                const auto owned = co_await ownerWait_.untilOwned(node_.io, *node_.residency, boundedWait(OwnerWait::longest(timeLeft())), isOver);
+                if (owned.empty()) {
+                    break;
+                }
+                std::erase_if(excluded_, [&owned](const UpstreamId &id) { return std::find(owned.begin(), owned.end(), id) != owned.end(); });
+                continue;
             }
             const ReplicaRecord replica = *record; // the table may change during co_await
             if (!co_await ensureWeights(replica)) {
@@ -804,6 +811,9 @@
             co_return true; // its owner may have gone with the host that began the stream; the upstream refuses what it does not hold
         }
         if (!grant) {
+            if (OwnerWait::isOwnerSilent(why)) {
+                ownerWait_.onOwnerless(replica.id);
+            }
             refusalReason_ = "weights_not_held";
             reasonDetail_ = why.reason;
             // Another preferred upstream would load the same weights once more, so try only upstreams that hold them, unless nobody could issue orders here.
@@ -1943,6 +1953,7 @@
     bool isDeclined_ = false;                         // the host that relays the request through this one decides what becomes of it
     std::vector<UpstreamId> excluded_;                // upstreams that must not be chosen again
     RunProofs proofs_;                                // and those that are chosen again when no other is left
+    OwnerWait ownerWait_;                             // the same, when an owner answers again
     bool mayRetrySame_ = false;                       // the last upstream did not run the request, but may after its weights are loaded again
     bool wasSent_ = false;                            // the last attempt sent the request
     bool isInFlight_ = false;                         // it has no outcome yet
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -1074,12 +1074,13 @@
     const auto &replica = request.replica;
     const auto owner = ownerOf(replica);
     const auto begin = node_.now();
-    why = Error{.step = Step::Peer, .peer = owner ? owner->value() : std::string(), .reason = "no reachable host owns the upstream"};
+    const auto named = planner_.ownerOf(ownership::engineResource(replica));
+    const bool mayReturn = named && membership_.stateOf(named->host) != peers::MemberState::Dead;
+    why = Error{.step = Step::Peer, .peer = mayReturn ? named->host.value() : std::string(), .reason = "no reachable host owns the upstream"};
     if (owner && links_ && canOrder(replica)) {
-        const bool isLocal = *owner == node_.settings.host;
-        const auto grant = isLocal ? co_await ensureLocally(
+        const auto grant = *owner == node_.settings.host ? co_await ensureLocally(
                                request, [](Milliseconds) {}, why)
-                                   : co_await ensureAtOwner(*owner, request, why);
+                                                         : co_await ensureAtOwner(*owner, request, why);
         if (grant || why.step == Step::Load) {
             co_return grant;
         }
@@ -1088,8 +1089,7 @@
         if (now >= backoffUntil) { // concurrent requests log the same error once
             node_.log.warn("owner_without_orders", why, {{"owner", *owner}, {"upstream", replica}});
         }
-        const bool wasUnlinked = why.step == Step::Peer && now - begin < firstReplyTimeout;
-        backoffUntil = now + (wasUnlinked ? unlinkedOwnerBackoff : ownerBackoff);
+        backoffUntil = now + (why.step == Step::Peer && now - begin < firstReplyTimeout ? unlinkedOwnerBackoff : ownerBackoff); // without a link at once
     }
     const auto *record = node_.replicas.find(replica); // fall back to what the upstream last reported of itself
     const bool isHeld = record != nullptr && record->holds(request.weights);
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -1052,6 +1052,59 @@
     EXPECT_EQ(upstream(1).requests.size(), 2U);
 }
 
+/// No owner orders weights, for a while or for good.
+class SilentOwnerTest : public TakenUpStreamTest
+{
+protected:
+    SilentOwnerTest()
+    {
+        residency_.isGranting = false;
+        residency_.failure = core::Error{.step = core::Step::Peer, .peer = "entry-2", .reason = "no reachable host owns the upstream"};
+    }
+    void setUpEngines()
+    {
+        auto longRoute = route(RetryPolicy::Resumable, true, 2);
+        longRoute.timeout = Milliseconds(6'000);
+        setUpService(longRoute, {{rest()}, {rest()}}, true);
+    }
+    ReceivedResponse begin() { return sendRequest(getRequest("new", "Weights: m/a\r\n"), "\r\n\r\n"); }
+};
+
+// Guards against streams refused at once by a host that suspects, for half a second, the only host that owns their upstreams (issue 43, LOST).
+TEST_F(SilentOwnerTest, a_stream_begins_once_the_owner_of_its_upstreams_answers_again)
+{
+    setUpEngines();
+    asio::co_spawn(
+        io_,
+        [this]() -> net::Task<void> {
+            co_await net::sleep(io_, Milliseconds(400));
+            residency_.isGranting = true;
+        },
+        asio::detached);
+    EXPECT_EQ(begin().status(), 200);
+    EXPECT_EQ(requestCount(), 1U);
+}
+
+TEST_F(SilentOwnerTest, an_owner_that_stays_silent_is_waited_for_once_and_not_until_the_deadline)
+{
+    setUpEngines();
+    const auto before = node_.now();
+    EXPECT_EQ(begin().status(), 503);
+    EXPECT_GE(node_.now() - before, Milliseconds(1'400));
+    EXPECT_LT(node_.now() - before, Milliseconds(2'500));
+    EXPECT_EQ(requestCount(), 0U);
+}
+
+// Guards against requests that are held where nobody can tell whether they will be served.
+TEST_F(SilentOwnerTest, a_stream_whose_upstreams_no_host_has_claimed_is_refused_at_once)
+{
+    residency_.failure.peer.clear();
+    setUpEngines();
+    const auto before = node_.now();
+    EXPECT_EQ(begin().status(), 503);
+    EXPECT_LT(node_.now() - before, Milliseconds(500));
+}
+
 TEST_F(ForwarderTest, an_unterminated_event_counts_as_truncation_and_the_stream_resumes_elsewhere)
 {
     const auto endless = streamHead() + chunk(event(1)) + chunk("id: 2\ndata: " + std::string(EventScanner::maxEventBytes, 'x'));
