--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -28,8 +28,7 @@
     , eventPause(registry.histogram({"event_pause_seconds", "between two writes of one stream", {"service"}, 32}, pauseBounds))
     , residencyWait(registry.histogram({"residency_wait_seconds", "wait until weights were held", {"outcome"}, 8}, latencyBounds))
     , prefillWait(registry.histogram({"prefill_wait_seconds", "wait of a prompt for its turn at a replica", {"where"}, 8}, latencyBounds))
-    , gaveWay(registry.counter(
-          {"gave_way_total", "requests that waited at an owned model replica and others went before", {"room", "why", "workspace"}, maxGaveWaySeries}))
+    , gaveWay(registry.counter({"gave_way_total", "requests that others went before at model replicas", {"room", "why", "workspace"}, maxGaveWaySeries}))
     , sends(registry.counter({"sends_total", "sends to upstreams by how they ended", {"service", "outcome"}, 256}))
     , takenUpStreams(
           registry.counter({"taken_up_streams_total", "streams that callers took up, by how their record was found", {"record", "age", "reason"}, 512}))
