--- a/standins/hosting/hosting.py
+++ b/standins/hosting/hosting.py
@@ -208,7 +208,6 @@
         self.names_version = False  # in each event, as a line of its own
         self.left = False  # for the tests
         self.streams = []  # (id, id of the stream that it goes on with, version) of streams that got an event here
-        self.work_seconds = 0  # of a request to a plain service
         self.limit = None  # requests a second, named in all answers
         self.brittle = None  # refusals a second, named in all answers: more of them and it falls over
         self.brittle_since = 0.0
@@ -363,7 +362,6 @@
             self.crash_under(request)
             return
         if not wanted:
-            time.sleep(self.work_seconds)
             request.answer_json(200, {"by": self.name, "echo": request.body.decode()}, seal)
             self.finished.add(attempt)
             return
