--- a/packages/peers/messages.h
+++ b/packages/peers/messages.h
@@ -421,8 +421,8 @@
     std::int64_t givenBack = 0;
 };
 
-/// Asks the owner of a partition of the workspaces for credit; quotas::Ask. Only sent to hosts that have claimed such a partition, so that no
-/// host of an earlier build gets one.
+/// Asks the owner of a partition of the workspaces for credit; quotas::Ask. Only sent to hosts that have claimed such a partition or announce
+/// quotas, so that no host of an earlier build gets one.
 struct QuotaAskNotice {
     int partition = 0;
     std::uint64_t session = 0;
