--- a/packages/serving/follower.cpp
+++ b/packages/serving/follower.cpp
@@ -81,7 +81,7 @@
 {
     core::Error why;
     if (needsListing_) {
-        const auto listing = co_await store_.newest(topic_, why);
+        auto listing = co_await store_.newest(topic_, why);
         node_.metrics.storeCalls.add({"newest", listing ? "good" : "failed"});
         if (!listing || !isRunning_) {
             schedule_.onReadFailed(node_.now(), false);
