--- a/packages/serving/tests/stalledstreamtest.cpp
+++ b/packages/serving/tests/stalledstreamtest.cpp
@@ -1,9 +1,23 @@
+#include <algorithm>
+#include <iterator>
+
 #include "servingfixture.h"
 
 namespace baobabstall::serving::tests {
 namespace {
 
-using StalledStreamTest = ServingFixture;
+class StalledStreamTest : public ServingFixture
+{
+protected:
+    /// Before another setUpService(). The answers of these are still on their way.
+    void replaceUpstreams()
+    {
+        std::move(upstreams_.begin(), upstreams_.end(), std::back_inserter(formerUpstreams_));
+        upstreams_.clear();
+    }
+
+    std::vector<std::unique_ptr<ScriptedUpstream>> formerUpstreams_;
+};
 
 constexpr int manyPieces = 200;
 constexpr Milliseconds pieceInterval{20}; // 4 s for all of them, beyond each deadline here
@@ -20,7 +34,7 @@
 TEST_F(StalledStreamTest, of_single_bytes_amid_an_event_is_cut_at_its_deadline)
 {
     for (const std::string piece : {"x", ":\n", "\n"}) {
-        upstreams_.clear();
+        replaceUpstreams();
         setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{{piecesAfter(streamHead() + chunk(event(1)), chunk(piece)), false, false, pieceInterval}}});
         const auto begin = node_.now();
         const auto response = sendRequest(getRequest("q", "Deadline: 500\r\n"));
@@ -35,7 +49,7 @@
 TEST_F(StalledStreamTest, without_a_first_event_or_of_a_plain_answer_is_a_504_at_the_deadline)
 {
     for (const bool isStream : {true, false}) {
-        upstreams_.clear();
+        replaceUpstreams();
         setUpService(route(RetryPolicy::AtMostOnce, isStream, 1), {{{piecesAfter(streamHead(), chunk("x")), false, false, pieceInterval}}});
         const auto begin = node_.now();
         EXPECT_EQ(sendRequest(getRequest("q", "Deadline: 500\r\n"), "\r\n\r\n").status(), 504);
