--- a/packages/serving/tests/limitedupstreamtest.cpp
+++ b/packages/serving/tests/limitedupstreamtest.cpp
@@ -36,6 +36,12 @@
 class LimitedUpstreamTest : public ServingFixture
 {
 protected:
+    ~LimitedUpstreamTest() override // requests that are under way refer to the hosts
+    {
+        isEnding_ = true;
+        runFor(Milliseconds(700));
+    }
+
     static ScriptedUpstream::Script limitedAnswer(double perSecond)
     {
         return {.pieces = {"HTTP/1.1 200 OK\r\nSeal: s\r\nId: @ID\r\nLimit: " + std::to_string(perSecond) + "\r\nContent-Length: 2\r\n\r\nok"}};
@@ -55,7 +61,7 @@
     /// One request after the other at each host, `interval` apart.
     net::Task<void> keepSending(EntryHost &host, Milliseconds interval)
     {
-        for (int number = 0;; ++number) {
+        for (int number = 0; !isEnding_; ++number) {
             tcp::socket socket(io_);
             co_await socket.async_connect(tcp::endpoint(asio::ip::make_address(host.address.ip), host.address.port), net::tuple);
             const auto id = host.address.text() + "-" + std::to_string(number);
@@ -79,6 +85,7 @@
     std::vector<std::unique_ptr<EntryHost>> hosts_;
     int served_ = 0;
     int refused_ = 0;
+    bool isEnding_ = false;
 };
 
 } // namespace
