--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -29,6 +29,9 @@
 
 constexpr core::Milliseconds reconnectDelay{100}; // after a link failed or was lost
 constexpr std::size_t maxPendingFrames = 1'024;   // per link, until its handshake is complete
+// A ping costs both hosts more than most frames. One that is heard is mostly reached as well; that a single direction or link is silent is found later.
+constexpr core::Milliseconds unheardTime{700};
+constexpr core::Milliseconds heardPingInterval{5'000};
 
 core::Error linkError(const HostId &host, std::string reason, core::Outcome outcome)
 {
@@ -235,6 +238,7 @@
     std::map<HostId, std::chrono::steady_clock::time_point> retryAt;
     std::map<HostId, core::Milliseconds> pongTimeouts; // of hosts whose links were replaced and have not answered since
     std::set<std::shared_ptr<Link>> replaced;
+    std::map<HostId, core::Instant> heardAt; // on any link
     std::map<connection_hdl, std::shared_ptr<Link>, std::owner_less<connection_hdl>> incoming;
     std::uint64_t gossipBytes = 0;
     bool isListening = false;
@@ -402,6 +406,9 @@
     if (std::holds_alternative<Gossip>(*frame)) {
         links_->gossipBytes += bytes.size();
     }
+    if (isAuthenticated_) {
+        links_->heardAt[peerHello_->host] = core::SteadyClock().now();
+    }
     std::visit([this](auto &message) { handleFrame(message); }, *frame);
 }
 
@@ -458,6 +465,9 @@
     if (expectedPeer_.empty() || awaitsPong_ || isLost_ || now - pingedAt_ < Links::pingInterval) {
         return;
     }
+    if (now - links_->heardAt[expectedPeer_] < unheardTime && now - pingedAt_ < heardPingInterval) {
+        return;
+    }
     const auto known = links_->pongTimeouts.find(expectedPeer_);
     pongTimeout_ = known == links_->pongTimeouts.end() ? Links::pongTimeout : known->second;
     pingedAt_ = now;
@@ -469,6 +479,7 @@
 {
     awaitsPong_ = false;
     links_->pongTimeouts.erase(expectedPeer_);
+    links_->heardAt[expectedPeer_] = core::SteadyClock().now();
 }
 
 void Link::onPongTimeout()
