review/7: a smaller release and a shorter time without the store

Change: one replica of eight is replaced, and leaves again; the store turns the host away for 7 s; 96 callers in place of 32.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,5 @@
-"""The store turns one machine away while a release is begun and rolled back: replicas of another version of their software join, serve and leave again. All
-processes of the system are killed at the same moment. Callers take their broken streams up. A stream may go on only at the version that began it."""
+"""The store turns one machine away while a release replaces one replica of a service by one of another version of its software, which serves and leaves again.
+All processes of the system are killed at the same moment. Callers take their broken streams up. A stream may go on only at the version that began it."""
 import pathlib
 import signal
 import socket
@@ -11,16 +11,16 @@
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 from harness import BOUNDS, HEARTBEAT_SECONDS, TROUBLE, CouldNotRun, Host, hosting, run_case, wait_until  # noqa: E402
 
-HOSTS, REPLICAS = 3, 4  # replicas of each version
-CALLERS = 32
+HOSTS, REPLICAS = 3, 8  # of which the release replaces one
+CALLERS = 96
 EVENTS, EVENT_SECONDS = 80, 0.06
 TIMEOUT_MS = 12_000  # of the route, and of its callers
 LOAD_SECONDS = 2.5  # load_time_s of the base model; a new replica starts empty
 STEADY_SECONDS = 21.0  # longer than any stream
-AWAY_SECONDS = 9.0  # the store turns one machine away
-JOIN_SECONDS = 0.3  # after that, until the new replicas join
-SERVE_SECONDS = 7.6  # the same, until they are drained again
-KILL_SECONDS = 8.8  # the same, until all processes are killed
+AWAY_SECONDS = 7.0  # the store turns one machine away
+JOIN_SECONDS = 0.3  # after that, until the new replica joins and the one that it replaces is drained
+SERVE_SECONDS = 6.0  # the same, until it is drained again
+KILL_SECONDS = 6.9  # the same, until all processes are killed
 DRAIN_SECONDS = BOUNDS["drain_ms"] / 1000 + 0.2
 DOWN_SECONDS = 1.4
 PAUSE_SECONDS = 1.0  # between a caller's tries
@@ -88,6 +88,16 @@
     return int(received[9:12]) if received.startswith(b"HTTP/1.1 ") else 0, received, received.endswith(b"\r\n0\r\n\r\n"), float(retry[0]) if retry else 0.0
 
 
+def drain(model):
+    model.state = "draining"
+    model.register("draining")
+
+
+def leave(store, model):
+    model.left = True
+    store.put("keyed.servers", model.name, b"")
+
+
 def play(record, folder, hosts):
     Model.record = record
     store = hosting.Store()
@@ -151,16 +161,17 @@
         fronts[leader].turns_away = True
         record.note("the store turns %s away" % hosts[leader].name)
     time.sleep(JOIN_SECONDS)
-    new = [Model(store, "i-new%d" % n, "llm", "a", model=None, events=EVENTS, event_seconds=EVENT_SECONDS, version="v2") for n in range(REPLICAS)]
-    for model in new:
-        model.names_version, model.state, model.model_load_seconds = True, "ready", LOAD_SECONDS
-        threading.Thread(target=beat, args=(model,), daemon=True).start()
-    record.note("replicas of v2 join")
+    new = Model(store, "i-new", "llm", "a", model=None, events=EVENTS, event_seconds=EVENT_SECONDS, version="v2")
+    new.names_version, new.state, new.model_load_seconds = True, "ready", LOAD_SECONDS
+    threading.Thread(target=beat, args=(new,), daemon=True).start()
+    old = models[0]
+    drain(old)
+    record.note("a replica of v2 joins, one of v1 is draining")
+    time.sleep(max(0.0, begin + JOIN_SECONDS + DRAIN_SECONDS - time.monotonic()))
+    leave(store, old)
     time.sleep(max(0.0, begin + SERVE_SECONDS - time.monotonic()))
-    for model in new:
-        model.state = "draining"
-        model.register("draining")
-    record.note("the release is rolled back: the replicas of v2 are draining")
+    drain(new)
+    record.note("the replica of v2 is draining")
     time.sleep(max(0.0, begin + KILL_SECONDS - time.monotonic()))
     if TROUBLE:
         for host in hosts:
@@ -170,10 +181,8 @@
     time.sleep(max(0.0, begin + AWAY_SECONDS - time.monotonic()))
     fronts[leader].turns_away = False
     time.sleep(max(0.0, begin + SERVE_SECONDS + DRAIN_SECONDS - time.monotonic()))
-    for model in new:
-        model.left = True
-        store.put("keyed.servers", model.name, b"")
-    record.note("the replicas of v2 have left")
+    leave(store, new)
+    record.note("the replica of v2 has left")
     if TROUBLE:
         time.sleep(max(0.0, begin + KILL_SECONDS + DOWN_SECONDS - time.monotonic()))
         for host in hosts:
@@ -182,7 +191,7 @@
     over.set()
     for thread in threads:
         thread.join(15)
-    if not any(model.streams for model in new):
+    if not new.streams:
         raise CouldNotRun("no stream began at v2")
     record.note("%d streams, of which %d hold events of two versions: %s" % (len(ended), len(mixed), mixed))
     return ["ORDER: %d streams hold events of replicas of two software versions of one service: %s" % (len(mixed), ", ".join(mixed[:6]))] if len(mixed) > MOST_MIXED else []
