--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -157,16 +157,11 @@
     }
     [[nodiscard]] bool isPassedOn() const { return isInFlight_ || relayTask_ != nullptr; }
 
-    /// The last moment at which the request may be sent, so that its response is expected to be whole before a stopping host ends.
     [[nodiscard]] Instant lastSendAt() const
     {
-        const auto answerBy = node_.stop.answerBy();
-        if (deadline_ <= answerBy) {
-            return deadline_;
-        }
         const auto known = node_.runTimes.find(*service_);
-        const auto expected = known == node_.runTimes.end() ? std::nullopt : known->second.expected(metadata_.maxOutputTokens);
-        return expected ? answerBy - *expected : Instant();
+        const auto expected = known == node_.runTimes.end() ? std::nullopt : known->second.expected(metadata_.maxOutputTokens, isResumable());
+        return node_.stop.lastSendAt(readAt_, deadline_, expected);
     }
 
     /// Whether the host ends too soon for a request that is not sent yet.
@@ -954,6 +949,9 @@
         tries_.add(replica.id);
         ++sends_;
         announceStream(replica);
+        if (node_.stop.hasBegun()) {
+            node_.log.info("sent_while_stopping", {{"request_id", metadata_.id}, {"latest_ms", lastSendAt() - node_.now()}, {"left_ms", timeLeft()}});
+        }
         wasSent_ = true;
         isInFlight_ = true;
         sentAt_ = node_.now();
@@ -1639,7 +1637,7 @@
         if (!isEngine()) {
             node_.workTimes[*service_].add(now - sentAt_);
         }
-        node_.runTimes[*service_].add({.untilFirst = firstAt - sentAt_, .rest = now - firstAt, .size = metadata_.maxOutputTokens});
+        node_.runTimes[*service_].add({.untilFirst = firstAt - sentAt_, .rest = now - firstAt, .events = events_});
     }
 
     [[nodiscard]] bool isCallerFault() const { return isDisconnected_ || caller_.isDisconnected() || isDeadlineReached_; }
@@ -1921,6 +1919,7 @@
     Watchdog watchdog_;
     std::optional<Watchdog> stopWatchdog_; // while the host stops
     bool isRefusedForStop_ = false;
+    const Instant readAt_ = node_.now(); // as a whole
     std::shared_ptr<const RouteTable> routes_;
     const Route *route_ = nullptr;
     const ServiceName *service_ = nullptr;
--- a/packages/serving/hoststop.cpp
+++ b/packages/serving/hoststop.cpp
@@ -9,12 +9,8 @@
 
 namespace {
 
-constexpr Milliseconds balancerDetectionTime{2'600}; // two failed health checks of the load balancer, one per second
-constexpr Milliseconds stopMargin{600};              // before the platform sends SIGKILL
-constexpr Milliseconds maxAnswerMargin{300};         // before the host ends: for the last answers
-constexpr int answerMarginDivisor = 4;               // of the time that a stop takes; the shorter of both applies
-constexpr Milliseconds drainPollInterval{20};        // while stopping
-constexpr Milliseconds linkFinishTimeout{100};       // for peers that are slow to read the last replies
+constexpr Milliseconds drainPollInterval{20};  // while stopping
+constexpr Milliseconds linkFinishTimeout{100}; // for peers that are slow to read the last replies
 
 } // namespace
 
@@ -22,20 +18,19 @@
 {
     const auto begin = node_.now();
     constexpr double msPerSecond = 1'000;
-    const auto limit = begin + Milliseconds(static_cast<std::int64_t>(node_.settings.hosting.graceSeconds * msPerSecond)) - stopMargin;
-    const auto answerMargin = std::clamp((limit - begin) / answerMarginDivisor, Milliseconds(0), maxAnswerMargin);
+    const auto times = GracefulStop::timesOf(begin, Milliseconds(static_cast<std::int64_t>(node_.settings.hosting.graceSeconds * msPerSecond)));
     node_.log.info("stopping", {{"busy", callerServer_.busyConnections()}, {"connections", callerServer_.connections()}, {"owned", ownedReplicas_.size()}});
     callerServer_.beginStop();
-    node_.stop.begin({.answerBy = limit - answerMargin, .unbalancedAt = begin + balancerDetectionTime});
+    node_.stop.begin(times);
     if (links_) {
         sendMessages(membership_.leave(node_.now()));
     }
     planner_.stop();
     tick();
-    while (node_.now() < std::min(limit, begin + balancerDetectionTime)) {
+    while (node_.now() < std::min(times.endsAt, times.unbalancedAt)) {
         co_await net::sleep(node_.io, drainPollInterval);
     }
-    HostEnd end(limit);
+    HostEnd end(times.endsAt);
     const auto open = [this] {
         callerServer_.closeIdle();
         return HostEnd::Open{callerServer_.connections() + static_cast<std::size_t>(relayExchange_.running()), planner_.holdings().size()};
--- a/packages/serving/runtimes.cpp
+++ b/packages/serving/runtimes.cpp
@@ -12,22 +12,25 @@
     count_ = std::min(count_ + 1, keptRuns);
 }
 
-std::optional<Milliseconds> RunTimes::expected(double size) const
+std::optional<Milliseconds> RunTimes::expected(double maxTokens, bool mayGoOnElsewhere) const
 {
     if (count_ < minRuns) {
         return std::nullopt;
     }
     Milliseconds slowestStart{0};
     Milliseconds longestRest{0};
-    double msPerToken = 0;
+    double msPerEvent = 0; // 0: responses come as a whole
     for (std::size_t i = 0; i < count_; ++i) {
         const auto &run = runs_.at(i);
         slowestStart = std::max(slowestStart, run.untilFirst);
         longestRest = std::max(longestRest, run.rest);
-        msPerToken = std::max(msPerToken, run.size > 0 ? static_cast<double>(run.rest.count()) / run.size : 0);
+        msPerEvent = std::max(msPerEvent, static_cast<double>(run.rest.count()) / std::max(1, run.events - 1));
     }
-    const bool isPaceKnown = size > 0 && msPerToken > 0;
-    return slowestStart + (isPaceKnown ? Milliseconds(static_cast<std::int64_t>(std::ceil(msPerToken * size))) : longestRest);
+    const bool isBounded = maxTokens > 0 || longestRest.count() == 0;
+    if (!isBounded && !mayGoOnElsewhere) {
+        return std::nullopt;
+    }
+    return slowestStart + (isBounded ? Milliseconds(static_cast<std::int64_t>(std::ceil(msPerEvent * maxTokens))) : longestRest);
 }
 
 } // namespace baobabstall::serving
--- a/packages/serving/runtimes.h
+++ b/packages/serving/runtimes.h
@@ -1,11 +1,11 @@
 // serving/runtimes.h: how long requests to a service are expected to run, from the runs that this host has seen. No I/O.
 //
 //   RunTimes times;                                       // one for each service
-//   times.add({.untilFirst = ..., .rest = ..., .size = 120}); // a run has ended
-//   const auto expected = times.expected(300);            // nothing: too few runs are known
+//   times.add({.untilFirst = ..., .rest = ..., .events = 12}); // a run has ended
+//   const auto expected = times.expected(300, false);     // nothing: too few runs are known, or nothing bounds the length of the response
 //
-// An estimate is an upper one: the slowest start plus the slowest pace of the last runs. A host that stops sends only what it expects to
-// end before it does, so that an estimate that is too high causes a refusal, and one that is too low a broken response.
+// The slowest start of the last runs, plus their slowest pace for each output token that the caller allows; an event has one token or more. This is an
+// estimate and no bound: an upstream may become slower than in all of the last runs. What must not be cut goes by its deadline (gracefulstop.h).
 #pragma once
 
 #include <array>
@@ -27,12 +27,13 @@
     struct Run {
         Milliseconds untilFirst{0}; // from the send to the first event, or to the whole response of a request that is no stream
         Milliseconds rest{0};       // from the first event to the last
-        double size = 0;            // output tokens that the caller asked for; 0: not known
+        int events = 0;             // of a stream
     };
 
     void add(const Run &run);
-    /// From the send of a request of this size to the end of its response.
-    [[nodiscard]] std::optional<Milliseconds> expected(double size) const;
+    /// From the send of a request to the end of its response. `maxTokens`: output tokens that the caller allows; 0: not known, then a stream that
+    /// may go on elsewhere is expected to take as long as the longest of the last ones.
+    [[nodiscard]] std::optional<Milliseconds> expected(double maxTokens, bool mayGoOnElsewhere) const;
 
 private:
     std::array<Run, keptRuns> runs_;
--- a/packages/serving/tests/gracefulstoptest.cpp
+++ b/packages/serving/tests/gracefulstoptest.cpp
@@ -33,13 +33,26 @@
     }
 
     /// So that runs of the service are expected to take about this long.
-    void learn(Milliseconds untilFirst, Milliseconds rest = Milliseconds(0), double size = 0)
+    void learn(Milliseconds untilFirst, Milliseconds rest = Milliseconds(0), int events = 0)
     {
         for (std::size_t i = 0; i < RunTimes::minRuns; ++i) {
-            node_.runTimes[ServiceName("s")].add({.untilFirst = untilFirst, .rest = rest, .size = size});
+            node_.runTimes[ServiceName("s")].add({.untilFirst = untilFirst, .rest = rest, .events = events});
         }
     }
 
+    /// A stream that takes far longer than those before it. Nothing of it may reach the upstream.
+    void expectLongStreamRefused(const std::string &headers)
+    {
+        setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{streamHead() + chunk(event(1)), chunk(event(2)) + finalChunk}, false, false, longTime}}});
+        learn(Milliseconds(10), Milliseconds(40), 5);
+        stopAfter(Milliseconds(0), Milliseconds(1'500));
+        runFor(arrivesAfter_);
+        const auto response = sendRequest(getRequest("q", headers), "\r\n\r\n");
+        EXPECT_EQ(response.status(), 503) << response.bytes;
+        EXPECT_TRUE(response.contains("Retry-After: ")) << response.bytes;
+        EXPECT_EQ(requestCount(), 0U);
+    }
+
     void expectRefusedAsNotRun(const ReceivedResponse &response, std::size_t requestsBefore = 0)
     {
         EXPECT_EQ(response.status(), 503) << response.bytes;
@@ -62,6 +75,7 @@
     }
 
     Instant stoppedAt_;
+    Milliseconds arrivesAfter_{20}; // of the SIGTERM
 };
 
 // Each test guards against a request that waits at the SIGTERM of its host and ends without an answer (issue 42, LOST).
@@ -217,6 +231,62 @@
     EXPECT_TRUE(response.contains("Connection: close\r\n"));
 }
 
+// Each guards against a stream that a host passes on late in its stop, by an estimate, and cuts as it ends (review/6, LOST).
+TEST_F(GracefulStopTest, a_stream_that_arrives_late_in_a_stop_is_refused_unless_its_deadline_ends_in_time)
+{
+    arrivesAfter_ = Milliseconds(500);
+    expectLongStreamRefused("Most-Tokens: 5\r\n");
+}
+
+TEST_F(GracefulStopTest, a_stream_that_may_become_longer_than_all_before_it_is_refused)
+{
+    expectLongStreamRefused("Most-Tokens: 500\r\n");
+}
+
+TEST_F(GracefulStopTest, a_stream_of_unknown_length_is_refused)
+{
+    expectLongStreamRefused({});
+}
+
+TEST_F(GracefulStopTest, a_stream_that_names_no_tokens_as_its_length_is_refused)
+{
+    expectLongStreamRefused("Most-Tokens: 0\r\n");
+}
+
+TEST_F(GracefulStopTest, a_request_that_arrives_late_in_a_stop_is_served_when_its_deadline_ends_in_time)
+{
+    setUpService(route(RetryPolicy::AtMostOnce, false, 1), {{Script{{completeResponse("in time")}}}});
+    stopAfter(Milliseconds(0), Milliseconds(1'500));
+    runFor(Milliseconds(500));
+    EXPECT_EQ(sendRequest(getRequest("q", "Deadline: 800\r\n"), "in time").status(), 200);
+}
+
+// Guards against a host that ends before the last sixth of its grace, where a stream that was sent early may be cut, or at its very end.
+TEST(GracefulStop, the_end_of_a_host_follows_from_its_grace)
+{
+    for (const int seconds : {1, 4, 8, 60}) {
+        const Instant begin(5'000);
+        const Milliseconds grace(1'000 * seconds);
+        const auto times = GracefulStop::timesOf(begin, grace);
+        EXPECT_GE(times.endsAt - begin, grace * 5 / 6) << seconds << " s";
+        EXPECT_LE(times.endsAt - begin, grace - std::min(grace / 8, Milliseconds(600))) << seconds << " s";
+        EXPECT_LT(times.answerBy, times.endsAt) << seconds << " s";
+    }
+}
+
+TEST(GracefulStop, an_estimate_is_enough_only_while_the_load_balancer_chooses_the_host)
+{
+    GracefulStop stop;
+    const Instant begin(5'000);
+    stop.begin(GracefulStop::timesOf(begin, Milliseconds(8'000)));
+    const auto late = begin + GracefulStop::balancerDetectionTime;
+    const auto deadline = begin + Milliseconds(20'000);
+    EXPECT_EQ(stop.lastSendAt(begin, deadline, Milliseconds(1'000)), stop.answerBy() - Milliseconds(1'000));
+    EXPECT_EQ(stop.lastSendAt(begin, deadline, std::nullopt), Instant());
+    EXPECT_EQ(stop.lastSendAt(late, deadline, Milliseconds(1)), Instant());
+    EXPECT_EQ(stop.lastSendAt(late, stop.answerBy(), std::nullopt), stop.answerBy());
+}
+
 // A host that has just started knows no runs: the deadline of the request says when it ends at the latest.
 TEST_F(GracefulStopTest, a_host_that_knows_no_runs_serves_only_what_its_deadline_ends_in_time)
 {
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -25,7 +25,7 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields of requests and responses: Id, Key, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, After (last event), Resumes, Last, Seal, Not-Run,
+/// Fields of requests and responses: Id, Key, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, Most-Tokens, After (last event), Resumes, Last, Seal, Not-Run,
 /// Replica, Leaving, Backoff (ms), Limit (a second), Brittle (refusals a second). Set by the forwarder: To, Left, Revision, Workspace.
 class FakeCodec : public Codec
 {
@@ -40,6 +40,8 @@
                 facts.deadline = Milliseconds(std::stoll(std::string(value)));
             } else if (name == "Tokens") {
                 facts.promptTokens = std::stod(std::string(value));
+            } else if (name == "Most-Tokens") {
+                facts.maxOutputTokens = std::stod(std::string(value));
             } else if (name == "Key") {
                 facts.key = std::string(value);
             } else if (name == "After") {
--- a/tests/hosted/stoptest.py
+++ b/tests/hosted/stoptest.py
@@ -320,6 +320,48 @@
         counts = self.check(callers)
         self.assertGreaterEqual(counts["pipelined", "whole"], 20, counts)
 
+    # Guards against streams that a stopping host passes on late, by what far shorter ones took, and cuts as it ends (review/6, LOST).
+    def test_streams_that_last_longer_than_all_before_them_are_whole_or_refused_late_in_a_stop(self):
+        (host,) = self.more_hosts(1, 8)
+        begin = time.monotonic() + 4.0
+        usage = "X-Token-Usage: 60,500\r\n"
+
+        def answered(count):
+            return lambda received: len([answer for answer in answers_of(received) if answer.is_whole]) >= count
+
+        def work(number):
+            caller = Caller("kept", host)
+            for count in range(1, 9):
+                caller.send("short%d-%d" % (number, count), usage, deadline_ms=8000)
+                caller.read(answered(count))
+            sleep_until(begin - 0.3)
+            caller.send("before%d" % number, usage, deadline_ms=8000)
+            caller.read(answered(9))  # its head didn't announce the end of the connection
+            caller.send("late%d" % number, usage, deadline_ms=8000)
+            return caller.read()
+
+        threads, callers = self.in_threads(work, 8)
+        for moment, events in ((begin - 0.6, int(3.5 / EVENT_SECONDS)), (begin + 1, int(4.5 / EVENT_SECONDS))):  # of streams that begin afterwards
+            sleep_until(moment)
+            for replica in self.replicas:
+                replica.events = events
+            if moment < begin:
+                sleep_until(begin)
+                host.process.send_signal(signal.SIGTERM)
+        self.check_end(host, begin, 8)
+        for thread in threads:
+            thread.join()
+        runs = {attempt for replica in self.replicas for attempt in replica.ran}
+        ends = collections.Counter()
+        for caller in callers:
+            answers = {answer.attempt: answer for answer in answers_of(caller.received)}
+            late = answers.get(caller.sent[-1])
+            cut = late is not None and late.status == b"200" and not late.is_whole
+            ends["cut" if cut else "whole" if late and late.status == b"200" else "refused" if late else "unread", caller.sent[-1] in runs] += 1
+        self.assertEqual(sum(ends.values()), 8)
+        self.assertTrue(all(caller.sent[-1].startswith("late") for caller in callers), ends)
+        self.assertLessEqual(set(ends), {("whole", True), ("refused", False), ("unread", False)}, ends)
+
     # Guards against the last lines of a host that stops, which were lost when its standard output was read slowly (issue 46).
     def test_the_last_lines_of_a_host_whose_log_is_read_slowly_are_all_there(self):
         host = Host(9, self.store, pathlib.Path(self.folder.name), {"hosting": {"grace_s": 6}})
