--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -500,7 +500,8 @@
             const bool isExcluded = proofs_.isSilent(id) || std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
             const bool isFull = serviceSpec_ != nullptr && serviceSpec_->maxConnections > 0 && node_.pool.openTo(id) >= connectionShare()
                 && node_.chooser.localOccupancy(id).running >= connectionShare();
-            const bool isWrongVersion = (version_ && record->version != *version_) || (isResumable() && node_.isOutdated(*record));
+            const bool isHeldBack = isResumable() && !version_ && !node_.ledger.mayBegin(*service_, record->version);
+            const bool isWrongVersion = isHeldBack || (version_ && record->version != *version_) || (isResumable() && node_.isOutdated(*record));
             const bool isBeyondTries = !mayBeNew && !tries_.has(id);
             if (isExcluded || isBeyondTries || isFull || isWrongVersion || !node_.maySend(id) || (needsModel && !record->holds(model))
                 || (onlyHolders_ && !isHeld(*record))) {
--- a/packages/serving/hostcopy.cpp
+++ b/packages/serving/hostcopy.cpp
@@ -18,8 +18,8 @@
         return;
     }
     copiedContent_ = std::move(copy->content);
-    if (!std::exchange(hasVersionHistory_, true)) {
-        node_.versions.adopt(copy->past, node_.now());
+    if (!std::exchange(hasVersionHistory_, true)) { // that no other version came since is for the ledger to say
+        node_.versions.adopt({Milliseconds(0), std::move(copy->past.gone)}, node_.now());
     }
     copiedUpstreams_ = std::move(copy->records);
     loadUpstreamCopy();
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -155,6 +155,7 @@
                          },
                      .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Control, shared); }})
     , incarnation_(incarnation)
+    , versionWriter_(node_, store, groups_)
     , storePages_(node_, groups_, {&operatorsTopic_, &upstreamsTopic_, &controlTopic_})
     , crashExchange_(node_, groups_)
     , streamExchange_(node_, groups_)
@@ -472,6 +473,7 @@
     }
     resourcesVersion_ = node_.replicas.version();
     node_.versions.update(node_.replicas, node_.now());
+    versionWriter_.onUpstreamsChanged();
     std::vector<ownership::PlacedResource> resources;
     std::vector<Reachability::Upstream> upstreams;
     for (const auto &id : node_.replicas.all()) {
@@ -496,7 +498,9 @@
     const bool isFirstListing = !std::exchange(hasControlListing_, true);
     auto records = listing.records;
     std::sort(records.begin(), records.end(), [](const auto &a, const auto &b) { return a.offset < b.offset; });
+    versionWriter_.beginListing();
     applyControlRecords(records, listing.nextOffset);
+    versionWriter_.endListing(core::eraOf(listing.nextOffset));
     const bool isFirst = planner_.table().ownedResources().empty();
     claimsStartAt_ = isFirst ? node_.now() + node_.settings.ownership.claimDelay : node_.now();
     claimStagger_ = isFirst ? firstClaimStagger : claimStagger;
@@ -559,6 +563,8 @@
             settledEra_ = core::StoreEra(era);
         } else if (record.key == upstreamCopyKey) {
             applyUpstreamCopy(record.value);
+        } else if (Error why; !versionWriter_.apply(record, why) && !why.reason.empty()) {
+            logUnreadableRecord(Topic::Control, record, why);
         }
         ownership::StreamRecord claim{record.offset, core::civilMilliseconds(), std::nullopt};
         if (const ownership::Resource resource(record.key); ownership::engineOf(resource) || ownership::quotaPartitionOf(resource)) {
@@ -796,6 +802,9 @@
     relayExchange_.tick(tickInterval);
     quotaExchange_.setHosts(static_cast<int>(announcedHosts_.size()));
     quotaExchange_.tick();
+    if (versionWriter_.isDue(upstreamsTopic_.isKnown() && upstreamsTopic_.isReached())) {
+        spawn(node_, "versions", [this] { return versionWriter_.write(); });
+    }
     if (now >= nextHousekeeping_) {
         nextHousekeeping_ = now + housekeepingInterval;
         node_.pool.expire(now);
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -35,6 +35,7 @@
 #include <serving/storepages.h>
 #include <serving/streamexchange.h>
 #include <serving/unreadablerecords.h>
+#include <serving/versionwriter.h>
 
 namespace baobabstall::serving {
 
@@ -171,6 +172,7 @@
     std::map<UpstreamId, Instant> orderBackoffUntil_; // upstreams whose owner could not issue orders
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> ownedReplicas_;
     HostGroups groups_; // hosts that share store reads and counts of running requests
+    VersionWriter versionWriter_;
     StorePages storePages_;
     CrashExchange crashExchange_;
     StreamExchange streamExchange_;
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -40,6 +40,7 @@
 #include <serving/upstreamlimits.h>
 #include <serving/upstreams.h>
 #include <serving/versionhistory.h>
+#include <serving/versionledger.h>
 #include <serving/worktimes.h>
 #include <settings/settings.h>
 #include <workspaces/configurationproof.h>
@@ -268,6 +269,7 @@
     CrashWatch crashes;
     Reachability reachability;
     VersionHistory versions;
+    VersionLedger ledger;                                   // of the versions that the store names
     Milliseconds longestStream{60'000};                     // that a caller may still take up
     std::map<UpstreamId, ReplicaStartTime> outdatedRecords; // runs that ended though the upstream's record still names them
     std::function<void(const UpstreamId &)> onNoContact;    // the upstream is leaving or asked this host to back off; may be empty
--- a/packages/serving/tests/gracefulstoptest.cpp
+++ b/packages/serving/tests/gracefulstoptest.cpp
@@ -43,7 +43,8 @@
     /// A stream that takes far longer than those before it. Nothing of it may reach the upstream.
     void expectLongStreamRefused(const std::string &headers)
     {
-        setUpService(route(RetryPolicy::AtMostOnce, true, 1), {{Script{{streamHead() + chunk(event(1)), chunk(event(2)) + finalChunk}, false, false, longTime}}});
+        setUpService(route(RetryPolicy::AtMostOnce, true, 1),
+                     {{Script{{streamHead() + chunk(event(1)), chunk(event(2)) + finalChunk}, false, false, longTime}}});
         learn(Milliseconds(10), Milliseconds(40), 5);
         stopAfter(Milliseconds(0), Milliseconds(1'500));
         runFor(arrivesAfter_);
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -25,8 +25,8 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-/// Fields of requests and responses: Id, Key, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, Most-Tokens, After (last event), Resumes, Last, Seal, Not-Run,
-/// Replica, Leaving, Backoff (ms), Limit (a second), Brittle (refusals a second). Set by the forwarder: To, Left, Revision, Workspace.
+/// Fields of requests and responses: Id, Key, Deadline, Weights (MODEL/ADAPTER), Parts (shared ones), Tokens, Most-Tokens, After (last event), Resumes, Last,
+/// Seal, Not-Run, Replica, Leaving, Backoff (ms), Limit (a second), Brittle (refusals a second). Set by the forwarder: To, Left, Revision, Workspace.
 class FakeCodec : public Codec
 {
 public:
--- a/packages/serving/tests/versionhistorytest.cpp
+++ b/packages/serving/tests/versionhistorytest.cpp
@@ -48,6 +48,20 @@
     EXPECT_EQ(history.only(llm, span, Instant(66'000)), v2);
 }
 
+// Guards against a host that takes what was known some time ago for what holds now (review/7, ORDER).
+TEST(VersionHistory, nothing_is_known_beyond_the_moment_to_which_somebody_vouches)
+{
+    ReplicaBook replicas;
+    replicas.apply(recordOf("r1", v1));
+    for (const int unvouchedMs : {0, 1, 7'000}) {
+        VersionHistory history(Instant(100'000));
+        history.update(replicas, Instant(100'000));
+        history.adopt({.coveredFor = Milliseconds(60'000), .gone = {}, .unvouched = Milliseconds(unvouchedMs)}, Instant(100'000));
+        EXPECT_EQ(history.only(llm, span, Instant(100'000)).has_value(), unvouchedMs == 0) << unvouchedMs;
+        EXPECT_EQ(history.only(llm, span, Instant(115'000)), v1);
+    }
+}
+
 TEST(VersionHistory, a_host_that_starts_goes_on_from_what_others_knew)
 {
     ReplicaBook replicas;
--- a/packages/serving/upstreamcopy.cpp
+++ b/packages/serving/upstreamcopy.cpp
@@ -84,6 +84,7 @@
     const auto ageOf
         = [civilNow](const json &at) { return Milliseconds(std::max<std::int64_t>(0, civilNow - wholeNumber(at, 0, maxUnixMs).value_or(civilNow))); };
     VersionHistory::Past past{ageOf(from.at("versions_known_since")), {}};
+    past.unvouched = Milliseconds(std::max<std::int64_t>(0, civilNow - wholeNumber(from.value("written_at", json(0)), 0, maxUnixMs).value_or(0)));
     for (const auto &each : from.at("gone")) {
         past.gone.push_back({ServiceName(each.at(0).get<std::string>()), SoftwareVersion(each.at(1).get<std::string>()), ageOf(each.at(2))});
     }
@@ -107,7 +108,8 @@
     for (const auto &each : past.gone) {
         gone.push_back(json::array({each.service.value(), each.version.value(), civilNow - each.age.count()}));
     }
-    const json copy = {{"upstreams", recordsOf(replicas)}, {"versions_known_since", civilNow - past.coveredFor.count()}, {"gone", std::move(gone)}};
+    const json copy = {
+        {"upstreams", recordsOf(replicas)}, {"versions_known_since", civilNow - past.coveredFor.count()}, {"written_at", civilNow}, {"gone", std::move(gone)}};
     return textOf(copy);
 }
 
--- a/packages/serving/versionhistory.cpp
+++ b/packages/serving/versionhistory.cpp
@@ -28,9 +28,18 @@
     }
 }
 
+void VersionHistory::onNamed(const ServiceName &service, const SoftwareVersion &version, Instant now)
+{
+    if (!present_[service].contains(version)) {
+        goneAt_[service][version] = now;
+    }
+}
+
 void VersionHistory::adopt(const Past &past, Instant now)
 {
-    coveredSince_ = std::min(coveredSince_, now - past.coveredFor);
+    if (past.unvouched.count() == 0) {
+        coveredSince_ = std::min(coveredSince_, now - past.coveredFor);
+    }
     for (const auto &[service, version, age] : past.gone) {
         auto &goneAt = goneAt_[service].try_emplace(version, now - age).first->second;
         goneAt = std::max(goneAt, now - age);
--- a/packages/serving/versionhistory.h
+++ b/packages/serving/versionhistory.h
@@ -3,6 +3,7 @@
 //   VersionHistory history(now);
 //   history.update(replicas, now);                   // whenever the known upstreams changed
 //   history.onLeaving(service, version, now);        // an upstream says that it will stop
+//   history.onNamed(service, version, now);          // other hosts may have begun streams at it up to now
 //   history.only(service, span, now)                 // the one version that it had throughout the last `span`; nothing: several, or not known
 //   history.isShrinking(service, version, now)       // its upstreams leave, and those of another version stay
 //   history.adopt(past, now);                        // what another host knew before this one started
@@ -32,8 +33,9 @@
             friend bool operator==(const Gone &, const Gone &) = default;
         };
 
-        Milliseconds coveredFor; // without a gap
+        Milliseconds coveredFor; // without a gap, up to `unvouched` ago
         std::vector<Gone> gone;
+        Milliseconds unvouched{0}; // up to now, a time of which nobody says that no other version came and left
     };
 
     explicit VersionHistory(Instant startedAt)
@@ -42,6 +44,7 @@
 
     void update(const ReplicaBook &replicas, Instant now);
     void onLeaving(const ServiceName &service, const SoftwareVersion &version, Instant now) { leftAt_[service][version] = now; }
+    void onNamed(const ServiceName &service, const SoftwareVersion &version, Instant now);
     void adopt(const Past &past, Instant now);
     [[nodiscard]] Past past(Instant now) const;
 
--- /dev/null
+++ b/tests/hosted/versionstest.py
@@ -0,0 +1,165 @@
+"""Streams of several software versions around the loss of all hosts. Usage: versionstest.py BAOBABSTALLD [Versions.NAME...]"""
+import http.client
+import pathlib
+import signal
+import sys
+import threading
+import time
+import unittest
+
+import hostedtest
+from hostedtest import Host, wait_until
+
+from hosting import Replica, Server
+
+LONGEST_STREAM_SECONDS = 13.5  # the route's time limit, and what streams may last beyond it
+DEADLINE_SECONDS = 8.0
+EVENTS = 60
+
+
+class Front(Server):
+    """One host's way to the store, which may turn it away."""
+
+    def __init__(self, store):
+        self.store, self.turns_away = store, False
+        self.copied_at = 0.0  # when the host last wrote the copy of the upstreams
+        super().__init__()
+
+    def common_headers(self):
+        return self.store.common_headers()
+
+    def handle(self, request):
+        if self.turns_away:
+            request.answer(503)
+            return
+        if "log-append" in request.path and b"\x09upstreams" in request.body:
+            self.copied_at = time.monotonic()
+        self.store.handle(request)
+
+
+class Stream:
+    """A stream whose caller takes it up when it breaks off."""
+
+    def __init__(self, name, hosts):
+        self.name, self.hosts = name, hosts
+        self.begun_at = time.monotonic()
+        self.attempts, self.events = [], 0
+        self.statuses = []
+        self.is_whole = False
+
+    def left(self):
+        return DEADLINE_SECONDS - (time.monotonic() - self.begun_at)
+
+    def read(self, host):
+        """One try. Returns when to come back."""
+        attempt = "%s-%d" % (self.name, len(self.attempts))
+        headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base", "X-Deadline-Ms": str(int(1000 * self.left())), "X-Token-Usage": "60,480"}
+        if self.events:
+            headers |= {"Resumes": self.attempts[0], "Last-Event-Id": str(self.events)}
+        connection = http.client.HTTPConnection(host.callers, timeout=DEADLINE_SECONDS + 1)
+        retry, status = 0.2, 0
+        try:
+            connection.request("POST", "/gen/x", body=b"prompt of " + self.name.encode(), headers=headers)
+            answer = connection.getresponse()
+            status, retry = answer.status, float(answer.headers.get("Retry-After") or retry)
+            for line in answer if status == 200 else ():
+                if line.startswith(b"id: "):
+                    self.attempts += [] if attempt in self.attempts else [attempt]
+                    self.events = int(line[4:])
+            self.is_whole = self.events == EVENTS
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            connection.close()
+        self.statuses.append(status)
+        return retry
+
+    def run(self):
+        turn = 0
+        while not self.is_whole and self.left() > 0.3:
+            retry = self.read(self.hosts[turn % len(self.hosts)])
+            turn += 1
+            if not self.is_whole:
+                time.sleep(max(0.0, min(retry, self.left())))
+
+
+class Versions(hostedtest.Hosted):
+    HOSTS = 3
+
+    def setUp(self):
+        super().setUp()
+        self.fronts = [Front(self.store) for _ in range(self.HOSTS)]
+        self.hosts = [Host(n + 1, front, pathlib.Path(self.folder.name)) for n, front in enumerate(self.fronts)]
+        for front in self.fronts:
+            self.addCleanup(front.close)
+        for replica in self.replicas:
+            replica.events, replica.event_seconds, replica.slots = EVENTS, 0.08, 24
+
+    def add_replica(self, name, version):
+        replica = Replica(self.store, name, "llm", "a", model="base", version=version, events=EVENTS, event_seconds=0.08)
+        replica.slots = 24
+        replica.register()
+        self.replicas.append(replica)
+        return replica
+
+    def start_hosts(self):
+        for host in self.hosts:
+            host.start()
+        self.assertTrue(wait_until(lambda: all(host.ready() for host in self.hosts)), self.states("not ready"))
+
+    def begin(self, count):
+        """Streams that last 4.8 s, through all hosts."""
+        streams = [Stream("s%d" % next(self.numbers), self.hosts[n % self.HOSTS :] + self.hosts[: n % self.HOSTS]) for n in range(count)]
+        threads = [threading.Thread(target=stream.run) for stream in streams]
+        for thread in threads:
+            thread.start()
+        return streams, threads
+
+    def kill_all(self, down_seconds):
+        for host in self.hosts:
+            host.process.send_signal(signal.SIGKILL)
+        for host in self.hosts:
+            host.process.wait(10)
+        time.sleep(down_seconds)
+
+    def versions_of(self, stream):
+        """Of the replicas that gave it events."""
+        return {version for replica in self.replicas for ran, _resumes, version in replica.streams if ran in stream.attempts}
+
+    def attempts_at(self, version):
+        return {ran for replica in self.replicas for ran, _resumes, its in replica.streams if its == version}
+
+    def expect_unmixed(self, streams):
+        mixed = [(stream.name, stream.attempts) for stream in streams if len(self.versions_of(stream)) > 1]
+        self.assertEqual(mixed, [], "%d of %d streams hold events of two versions" % (len(mixed), len(streams)))
+
+    # Guards against streams that go on at another version after all hosts were killed, as theirs came and left while the store turned the one host
+    # away that wrote down which versions there are (review/7, ORDER).
+    def test_streams_of_a_version_that_came_and_left_while_the_store_turned_a_host_away_go_on_at_no_other(self):
+        self.start_hosts()
+        time.sleep(LONGEST_STREAM_SECONDS)
+        self.shops.append(Replica(self.store, "i-shop2", "shop", "a"))  # the copy of the upstreams is written
+        time.sleep(2)
+        max(self.fronts, key=lambda front: front.copied_at).turns_away = True
+        new = self.add_replica("i-new", "v2")
+        time.sleep(3.0)
+        streams, threads = self.begin(36)
+        self.assertTrue(wait_until(lambda: len(self.attempts_at("v2")) >= 6, 3), self.states("no stream began at v2"))
+        time.sleep(0.5)
+        new.left = True
+        new.register("draining")
+        time.sleep(0.3)
+        self.kill_all(0.2)
+        self.store.put("keyed.servers", new.name, b"")
+        for front in self.fronts:
+            front.turns_away = False
+        self.start_hosts()
+        for thread in threads:
+            thread.join()
+        self.expect_unmixed(streams)
+
+if __name__ == "__main__":
+    hostedtest.DAEMON = sys.argv.pop(1)
+    if len(sys.argv) == 1:  # those of the base class run in hostedtest.py
+        sys.argv += ["Versions." + name for name in vars(Versions) if name.startswith("test_")]
+    unittest.main(verbosity=2, warnings="ignore")
