--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -15,6 +15,7 @@
 #include <serving/connectionend.h>
 #include <serving/events.h>
 #include <serving/gracefulstop.h>
+#include <serving/headtext.h>
 #include <serving/ownerwait.h>
 #include <serving/requestkey.h>
 #include <serving/runproof.h>
@@ -78,20 +79,6 @@
 
 enum class ReadEnd : std::uint8_t { Head, Cut, Foreign };
 
-std::string_view statusText(int status)
-{
-    return http::obsolete_reason(static_cast<http::status>(status));
-}
-
-std::string secondsText(Milliseconds time)
-{
-    constexpr double msPerSecond = 1'000;
-    std::array<char, 32> text{};
-    const auto [end, failed]
-        = std::to_chars(text.data(), text.data() + text.size(), static_cast<double>(time.count()) / msPerSecond, std::chars_format::fixed, 3);
-    return {text.data(), end};
-}
-
 /// State of one request, for the duration of Forwarder::handle().
 class Exchange final : public StopListener
 {
