--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -1553,6 +1553,7 @@
         recordServed(parser);
         status_ = status;
         reason_ = sends_ > 1 && events_ > 0 ? "served_after_repeat" : "served";
+        node_.streams->onEnded(metadata_.id);
         co_await caller_.write((hasResponseBegun_ ? std::string() : head) + "0\r\n\r\n");
         co_return true;
     }
@@ -1585,6 +1586,7 @@
         }
         if (!hasResponseBegun_) {
             hasResponseBegun_ = true;
+            node_.streams->onBegun(metadata_.id);
             status_ = 200;
             firstEvent_ = now - request_.arrivedAt;
             if (isEngine() && sends_ == 1) {
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -158,7 +158,7 @@
     , versionWriter_(node_, store, groups_)
     , storePages_(node_, groups_, {&operatorsTopic_, &upstreamsTopic_, &controlTopic_})
     , crashExchange_(node_, groups_)
-    , streamExchange_(node_, groups_)
+    , streamExchange_(node_, store, groups_)
     , loadExchange_(settings.host)
     , paceExchange_(node_)
 {
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -157,6 +157,9 @@
     virtual void announce(const RequestId &id, const StreamOrigin &origin, Instant until) = 0;
     /// Another host sends the request from now on, so the stream may begin elsewhere than announced.
     virtual void handOver(const RequestId &id) = 0;
+    /// The first event of an announced stream has come, so that no other upstream begins it; later, that it has ended whole.
+    virtual void onBegun(const RequestId &id) = 0;
+    virtual void onEnded(const RequestId &id) = 0;
     /// Without an origin: no host that can be reached within `patience` knows the stream.
     virtual net::Task<FoundStream> find(RequestId id, Milliseconds patience) = 0;
 };
--- a/packages/serving/protocol.h
+++ b/packages/serving/protocol.h
@@ -82,6 +82,7 @@
     Operators, // configuration and adapter revisions; written by operators
     Upstreams, // one record for each upstream; written by the upstreams
     Control,   // this system's own records: hosts, claims, the key for links between daemons
+    Streams,   // one record for each host: at which version its streams began; read when it is needed
 };
 
 /// The newest record of each key.
--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -1,5 +1,8 @@
 #include <serving/streamexchange.h>
 
+#include <algorithm>
+#include <iterator>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -61,7 +64,18 @@
 {
     const auto running = std::make_shared<RunningSearch>(node_.io, StreamSearch(records_.lookUp(id, node_.now()), node_.now(), patience));
     auto &search = running->search;
-    while (!search.isDone(node_.now())) {
+    const bool mayBeStored = !sharedServices_.empty();
+    std::optional<StreamOrigin> stored;
+    while (true) {
+        const bool isUnknown = mayBeStored && !search.result().origin;
+        stored = isUnknown ? keeper_.find(id) : std::nullopt;
+        if (isUnknown && !stored) {
+            keeper_.refresh();
+        }
+        const bool awaitsStore = isUnknown && keeper_.isRefreshing() && search.timeLeft(node_.now()) > Milliseconds(1);
+        if (stored || (search.isDone(node_.now()) && !awaitsStore)) {
+            break;
+        }
         if (links_ != nullptr) {
             for (const auto &host : search.takeHosts(records_.keepers(id, StreamRecords::keptHosts), node_.now())) {
                 boost::asio::co_spawn(node_.io, ask(running, host, id), boost::asio::detached);
@@ -70,7 +84,11 @@
         running->signal.expires_after(net::chronoOf(std::min(StreamSearch::stepTime, search.timeLeft(node_.now()))));
         co_await running->signal.async_wait(net::tuple);
     }
-    const auto found = search.result();
+    auto found = search.result();
+    if (stored) {
+        found.origin = stored;
+        found.source = OriginSource::Stored;
+    }
     for (const auto &call : running->calls) {
         call->cancel();
     }
@@ -111,6 +129,36 @@
         }
     }
     sharedServices_ = std::move(shared);
+    storeStreams();
+}
+
+/// Streams that began while their service had one version are written with the first ones of the other version, or before.
+void StreamExchange::storeStreams()
+{
+    const auto now = node_.now();
+    std::set<ServiceName> mixed;
+    std::copy_if(sharedServices_.begin(), sharedServices_.end(), std::inserter(mixed, mixed.end()), [&](const ServiceName &service) {
+        return node_.versions.isMixed(service, node_.longestStream, now);
+    });
+    if (!std::includes(mixedServices_.begin(), mixedServices_.end(), mixed.begin(), mixed.end())) {
+        keeper_.hurry();
+    }
+    mixedServices_ = std::move(mixed);
+    if (sharedServices_.empty()) {
+        keeper_.forget();
+    }
+    if (!keeper_.isDue()) {
+        return;
+    }
+    std::vector<StoredStream> streams;
+    const auto civilNow = core::civilMilliseconds();
+    if (!mixedServices_.empty()) {
+        for (const auto &[id, origin, until] : records_.begun([this](const ServiceName &service) { return mixedServices_.contains(service); }, now)) {
+            // The caller may come back until its deadline, at a host that has been told a longer time.
+            streams.push_back({storedIdOf(id), origin.request, civilNow + (until - now).count(), origin.service, origin.version});
+        }
+    }
+    keeper_.save(std::move(streams));
 }
 
 void StreamExchange::onNotice(const peers::StreamOriginNotice &notice)
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -1,10 +1,11 @@
 // serving/streamexchange.h: tells other hosts where streams of this host began, and asks them where a stream began that a caller takes up. I/O; one
 // thread. What is told to whom: streamrecords.h.
 //
-//   StreamExchange exchange(node, groups);
+//   StreamExchange exchange(node, store, groups);
 //   exchange.setLinks(links);
 //   exchange.announce(id, origin, until);          // before the request is sent to its upstream
-//   auto found = co_await exchange.find(id, patience); // found.origin is nothing: no host that answers knows the stream
+//   exchange.onBegun(id); exchange.onEnded(id);
+//   auto found = co_await exchange.find(id, patience); // found.origin is nothing: neither a host that answers nor the store knows the stream
 //   exchange.tick();                               // every 100 ms
 //   exchange.onNotice(notice); exchange.serve(call, body);   // from peers
 #pragma once
@@ -13,6 +14,7 @@
 
 #include <peers/link.h>
 #include <serving/node.h>
+#include <serving/streamkeeper.h>
 #include <serving/streamsearch.h>
 
 namespace baobabstall::serving {
@@ -20,16 +22,19 @@
 class StreamExchange final : public StreamDirectory
 {
 public:
-    StreamExchange(Node &node, const HostGroups &groups)
+    StreamExchange(Node &node, AbstractStore &store, const HostGroups &groups)
         : node_(node)
         , records_(node.settings.host, groups)
+        , keeper_(node, store)
     { }
 
     void setLinks(peers::Links &links) { links_ = &links; }
     void announce(const RequestId &id, const StreamOrigin &origin, Instant until) override;
     void handOver(const RequestId &id) override { records_.handOver(id); }
+    void onBegun(const RequestId &id) override { records_.onBegun(id); }
+    void onEnded(const RequestId &id) override { records_.onEnded(id); }
     net::Task<FoundStream> find(RequestId id, Milliseconds patience) override;
-    /// Tells the streams that began while their service had one version, once it has several.
+    /// Tells the streams that began while their service had one version, once it has several, and stores those of services with several versions.
     void tick();
     void onNotice(const peers::StreamOriginNotice &notice);
     void serve(peers::IncomingCall &call, const peers::StreamOriginCall &request);
@@ -39,13 +44,16 @@
     struct RunningSearch;
 
     [[nodiscard]] bool isSharedService(const ServiceName &service) const;
+    void storeStreams();
     void tell(const RequestId &id, const StreamOrigin &origin, Instant until);
     net::Task<void> ask(std::shared_ptr<RunningSearch> running, HostId host, RequestId id);
 
     Node &node_;
     StreamRecords records_;
     peers::Links *links_ = nullptr;
+    StreamKeeper keeper_;
     std::set<ServiceName> sharedServices_; // as of the last tick
+    std::set<ServiceName> mixedServices_;  // the same; with several versions, as far as this host knows
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/streamrecords.cpp
+++ b/packages/serving/streamrecords.cpp
@@ -7,7 +7,7 @@
 
 std::string_view originSourceText(OriginSource source)
 {
-    constexpr std::array<std::string_view, 4> texts = {"none", "own", "told", "asked"};
+    constexpr std::array<std::string_view, 5> texts = {"none", "own", "told", "asked", "stored"};
     return texts.at(static_cast<std::size_t>(source));
 }
 
@@ -26,6 +26,31 @@
     }
 }
 
+void StreamRecords::onBegun(const RequestId &id)
+{
+    if (const auto record = records_.find(id); record != records_.end()) {
+        record->second.isBegun = record->second.isOwn;
+    }
+}
+
+void StreamRecords::onEnded(const RequestId &id)
+{
+    if (const auto record = records_.find(id); record != records_.end()) {
+        record->second.isBegun = false;
+    }
+}
+
+std::vector<StreamRecords::Announced> StreamRecords::begun(const std::function<bool(const ServiceName &)> &isWanted, Instant now) const
+{
+    std::vector<Announced> streams;
+    for (const auto &[id, record] : records_) {
+        if (record.isBegun && record.until >= now && isWanted(record.origin.service)) {
+            streams.push_back({id, record.origin, record.until});
+        }
+    }
+    return streams;
+}
+
 std::vector<HostId> StreamRecords::toTell(const RequestId &id, const std::function<bool(const HostId &)> &isLinked) const
 {
     const auto hosts = keepers(id, keptHosts);
--- a/packages/serving/streamrecords.h
+++ b/packages/serving/streamrecords.h
@@ -34,8 +34,8 @@
     friend bool operator==(const StreamOrigin &, const StreamOrigin &) = default;
 };
 
-/// How a host learnt where a stream began. Own: it began there; Told: another host told it; Asked: another host that it asked knew.
-enum class OriginSource : std::uint8_t { None, Own, Told, Asked };
+/// How a host learnt where a stream began. Own: it began there; Told: another host told it; Asked: another host that it asked knew; Stored: the store.
+enum class OriginSource : std::uint8_t { None, Own, Told, Asked, Stored };
 [[nodiscard]] std::string_view originSourceText(OriginSource source);
 
 /// What a host knows of a stream that a caller takes up.
@@ -71,6 +71,10 @@
     void announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now);
     /// Another host may begin the stream instead, at another version: other hosts that hold a record of it decide.
     void handOver(const RequestId &id);
+    void onBegun(const RequestId &id);
+    void onEnded(const RequestId &id);
+    /// Streams that this host began, have an event and have not ended whole.
+    [[nodiscard]] std::vector<Announced> begun(const std::function<bool(const ServiceName &)> &isWanted, Instant now) const;
     [[nodiscard]] std::vector<HostId> toTell(const RequestId &id, const std::function<bool(const HostId &)> &isLinked) const;
     void hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now);
     /// Streams of the service that this host began and told nobody of; the caller tells `toTell()`.
@@ -88,6 +92,7 @@
         Instant since;
         bool isOwn = false;
         bool isUnshared = false;
+        bool isBegun = false;
         std::list<RequestId>::iterator place;
     };
 
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -197,6 +197,8 @@
 public:
     void announce(const RequestId &id, const StreamOrigin &origin, Instant) override { origins[id] = origin; }
     void handOver(const RequestId &id) override { handedOver.push_back(id); }
+    void onBegun(const RequestId &id) override { begun.push_back(id); }
+    void onEnded(const RequestId &id) override { ended.push_back(id); }
     net::Task<FoundStream> find(RequestId id, Milliseconds /*patience*/) override
     {
         if (onFind) {
@@ -208,6 +210,8 @@
     std::function<net::Task<void>()> onFind; // what finding takes; empty: no time
     std::map<RequestId, StreamOrigin> origins;
     std::vector<RequestId> handedOver;
+    std::vector<RequestId> begun;
+    std::vector<RequestId> ended;
 };
 
 /// A request as an upstream received it.
--- a/tests/hosted/versionstest.py
+++ b/tests/hosted/versionstest.py
@@ -21,7 +21,7 @@
     """One host's way to the store, which may turn it away."""
 
     def __init__(self, store):
-        self.store, self.turns_away = store, False
+        self.store, self.turns_away, self.refuses_appends = store, False, False
         self.copied_at = 0.0  # when the host last wrote the copy of the upstreams
         super().__init__()
 
@@ -32,6 +32,9 @@
         if self.turns_away:
             request.answer(503)
             return
+        if self.refuses_appends and "log-append" in request.path:
+            request.answer(507)
+            return
         if "log-append" in request.path and b"\x09upstreams" in request.body:
             self.copied_at = time.monotonic()
         self.store.handle(request)
@@ -157,6 +160,95 @@
         for thread in threads:
             thread.join()
         self.expect_unmixed(streams)
+        whole = [stream for stream in streams if self.versions_of(stream) == {"v1"} and stream.is_whole]
+        at_old = [stream for stream in streams if self.versions_of(stream) == {"v1"}]
+        self.assertGreaterEqual(len(whole), len(at_old) // 2, [stream.statuses for stream in at_old])
+
+    def check_taken_up(self, streams, threads, what=""):
+        """Half of them at least go on, each at its version."""
+        for thread in threads:
+            thread.join()
+        self.expect_unmixed(streams)
+        whole = [stream for stream in streams if stream.is_whole]
+        lost = [(stream.name, self.versions_of(stream), stream.events, stream.statuses) for stream in streams if not stream.is_whole]
+        self.assertGreaterEqual(len(whole), len(streams) // 2, "%s: %d of %d went on; %s" % (what, len(whole), len(streams), lost[:6]))
+        self.assertEqual({version for stream in whole for version in self.versions_of(stream)}, {replica.version for replica in self.replicas if not replica.left})
+
+    def start_two_versions(self):
+        for number in range(2):
+            self.add_replica("i-new%d" % number, "v2")
+        self.start_hosts()
+        time.sleep(1)
+
+    # Guards against streams that are refused after all hosts were killed while two versions serve, as only hosts knew where they began (review/8, LOST).
+    def test_streams_of_two_versions_go_on_after_all_hosts_were_killed(self):
+        self.start_two_versions()
+        streams, threads = self.begin(24)
+        time.sleep(1.5)
+        self.kill_all(0.3)
+        self.start_hosts()
+        self.check_taken_up(streams, threads)
+        found = [line["record"] for host in self.hosts for line in host.events("stream_taken_up") if line["reason"] == "served"]
+        self.assertIn("stored", found)
+
+    # The same, where the first hosts to start are killed again before they have written anything themselves.
+    def test_streams_of_two_versions_go_on_after_all_hosts_were_killed_twice(self):
+        self.start_two_versions()
+        for replica in self.replicas:
+            replica.event_seconds = 0.1
+        streams, threads = self.begin(24)
+        time.sleep(1.5)
+        self.kill_all(0.1)
+        for host in self.hosts:
+            host.start()
+        time.sleep(0.7)
+        self.kill_all(0.1)
+        self.start_hosts()
+        self.check_taken_up(streams, threads)
+
+    # The same in the first second of a release: the streams that run began while their service had one version.
+    def test_streams_go_on_when_all_hosts_are_killed_as_a_release_begins(self):
+        self.start_hosts()
+        time.sleep(1)
+        streams, threads = self.begin(24)
+        time.sleep(1.0)
+        for number in range(2):
+            self.add_replica("i-new%d" % number, "v2").left = True  # it gives no event
+        time.sleep(0.7)
+        self.kill_all(0.3)
+        self.start_hosts()
+        self.check_taken_up(streams, threads)
+
+    # Guards against a host that waits for the store, or goes on wrongly, while the store rejects, is full, or comes back as an earlier copy.
+    def test_streams_begin_while_the_store_takes_no_records_of_them(self):
+        self.start_two_versions()
+        for front in self.fronts:
+            front.refuses_appends = True
+        streams, threads = self.begin(12)
+        for thread in threads:
+            thread.join()
+        self.assertEqual([stream.statuses for stream in streams if stream.statuses != [200]], [])
+        self.assertTrue(any(host.events("streams_not_stored") for host in self.hosts))
+        streams, threads = self.begin(12)
+        time.sleep(1.2)
+        self.kill_all(0.3)
+        for front in self.fronts:
+            front.refuses_appends = False
+        self.store.rewind({"keyed.control": len(self.store.topics["keyed.control"]) // 2})
+        self.start_hosts()
+        for thread in threads:
+            thread.join()
+        self.expect_unmixed(streams)
+
+    # Cost: a service with one version.
+    def test_no_stream_is_stored_while_its_service_has_one_version(self):
+        self.start_hosts()
+        streams, threads = self.begin(12)
+        for thread in threads:
+            thread.join()
+        self.assertEqual([stream.statuses for stream in streams if stream.statuses != [200]], [])
+        self.assertNotIn("keyed.streams", self.store.topics)
+
 
 if __name__ == "__main__":
     hostedtest.DAEMON = sys.argv.pop(1)
