--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -132,7 +132,6 @@
     storeStreams();
 }
 
-/// Streams that began while their service had one version are written with the first ones of the other version, or before.
 void StreamExchange::storeStreams()
 {
     const auto now = node_.now();
@@ -154,7 +153,6 @@
     const auto civilNow = core::civilMilliseconds();
     if (!mixedServices_.empty()) {
         for (const auto &[id, origin, until] : records_.begun([this](const ServiceName &service) { return mixedServices_.contains(service); }, now)) {
-            // The caller may come back until its deadline, at a host that has been told a longer time.
             streams.push_back({storedIdOf(id), origin.request, civilNow + (until - now).count(), origin.service, origin.version});
         }
     }
--- a/packages/serving/tests/versionwritertest.cpp
+++ b/packages/serving/tests/versionwritertest.cpp
@@ -69,7 +69,7 @@
     std::vector<std::size_t> beginStreams(int count)
     {
         for (int i = 0; i < count; ++i) {
-            EXPECT_EQ(sendRequest(getRequest("s" + std::to_string(++streams)), "0\r\n\r\n").status(), 200);
+            EXPECT_EQ(sendRequest(getRequest("s" + std::to_string(++streams_)), "0\r\n\r\n").status(), 200);
         }
         return {upstream(1).requests.size(), upstream(2).requests.size()};
     }
@@ -78,7 +78,7 @@
     AppendStore store_;
     HostGroups groups_;
     VersionWriter writer_;
-    int streams = 0;
+    int streams_ = 0;
 };
 
 // Guards against streams that begin at a version which the store does not name yet, at a host that can't write (review/7, ORDER).
