--- a/review/11/case.py
+++ b/review/11/case.py
@@ -9,14 +9,17 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-3"))
-from fleet import BROKEN, HELD, TROUBLE, CannotRun, CuttableFleet, Replica, configuration, run_case  # noqa: E402
+from fleet import BROKEN, HELD, TROUBLE, CannotRun, CuttableFleet, ReleasedReplica, Replica, configuration, run_case  # noqa: E402
 
+# Of grown/vloerwerk-plan-grown.toml, which has 87 machines.
+BOUNDS = {"contact_ms": 4000, "drain_ms": 3000, "config_apply_ms": 3000, "budget_slack": 214}
+LIMITS = {"cpu_quota": 0.12, "memory_limit_mb": 160, "bandwidth_mbps": 10.0}
+HOSTS, CUT_HOSTS, OLD_REPLICAS = 30, 3, 3
 EVENTS, EVENT_SECONDS = 60, 0.08
 DEADLINE_SECONDS = 8.0
 ONE_VERSION_SECONDS = 15.0  # longer than any stream lasts: the route's 8 s and 5 s for late records
-CUT_SECONDS = 5.5
-LIFE_SECONDS = float(os.environ.get("LIFE", "1.3"))  # of the new replica
-HOSTS, OLD_REPLICAS = 8, 3
+CUT_SECONDS = 12.0
+LEAST_BEGUN, LIFE_SECONDS = 16, 8.0  # streams at the new replica when it crashes; if they are fewer after so long, the case has not run
 MOST_MIXED = 2
 CUT = TROUBLE and os.environ.get("CUT", "1") != "0"
 
@@ -69,52 +72,57 @@
 
 
 def case(record):
-    fleet = CuttableFleet(record, hosts=HOSTS)
+    fleet = CuttableFleet(record, CUT_HOSTS, hosts=HOSTS, bounds=BOUNDS, limits=LIMITS)
     try:
-        fleet.store.put("keyed.op", "config", configuration(3))
+        settings = configuration(3)
+        settings["services"][0]["runtime"]["loads_per_s"] = 29.0
+        fleet.store.put("keyed.op", "config", settings)
 
-        def add_replica(name, version):
-            replica = Replica(fleet.store, name, "llm", "een", model="base", version=version, events=EVENTS, event_seconds=EVENT_SECONDS)
-            replica.slots = 64
-            replica.names_version = True
+        def add(replica):
+            replica.slots, replica.names_version = 64, True
             replica.register()
             fleet.replicas.append(replica)
-            record.note("replica %s of version %s is registered" % (name, version))
+            record.note("replica %s of version %s is registered" % (replica.name, replica.version))
             return replica
 
         for number in range(OLD_REPLICAS):
-            add_replica("i-old%d" % number, "v1")
+            add(Replica(fleet.store, "i-old%d" % number, "llm", "een", model="base", version="v1", events=EVENTS, event_seconds=EVENT_SECONDS))
         fleet.replicas.append(Replica(fleet.store, "i-shop", "shop", "een"))
         fleet.start()
         record.note("all hosts are ready")
         time.sleep(ONE_VERSION_SECONDS)
-        lone = fleet.hosts[-1]
         if CUT:
-            fleet.cut(lone)
-            threading.Timer(CUT_SECONDS, fleet.heal, (lone,)).start()
+            fleet.cut()
+            threading.Timer(CUT_SECONDS, fleet.heal).start()
         time.sleep(0.1)
-        new = add_replica("i-new", "v2")
+        new = add(ReleasedReplica(fleet.store, "i-new", "llm", "een", version="v2", events=EVENTS, event_seconds=EVENT_SECONDS))
         clients, threads = [], []
-        until = time.monotonic() + LIFE_SECONDS
-        while time.monotonic() < until:  # new streams at the hosts that are not cut off
-            client = Client(record, "s%d" % len(clients), fleet.hosts, fleet.hosts[len(clients) % (HOSTS - 1)])
+        begin = time.monotonic()
+        while len(new.streams) < LEAST_BEGUN and time.monotonic() - begin < LIFE_SECONDS:  # new streams at the hosts that are not cut off
+            client = Client(record, "s%d" % len(clients), fleet.hosts, fleet.hosts[len(clients) % (HOSTS - CUT_HOSTS)])
             thread = threading.Thread(target=client.run)
             thread.start()
             clients.append(client)
             threads.append(thread)
-            time.sleep(0.01)
+            time.sleep(0.02 if new.held_models() else 0.2)
+        time.sleep(0.2)
+        record.note("%.2f s after it has registered %d streams have events from i-new" % (time.monotonic() - begin, len(new.streams)))
         if TROUBLE:
             record.note("replica i-new crashes; its entry goes three heartbeats later")
-            new.http.socket.close()
-            new.close_connections()
-            threading.Timer(3.6, fleet.store.put, ("keyed.servers", new.name, b"")).start()
+            new.crash()
         for thread in threads:
             thread.join()
+        if os.environ.get("DEBUG"):
+            record.note("orders at i-new: %s" % [(round(at - begin, 2), *rest) for at, *rest in new.orders[:5]])
+            for host in fleet.hosts:
+                for line in [each for each in host.events("ownership") + host.events("order") if each.get("upstream") == "i-new"][:4]:
+                    record.note("%s %s" % (host.name, {key: line.get(key) for key in ("time", "event", "change", "kind", "outcome", "answer")}))
         mixed = [client for client in clients if len(client.versions) > 1]
         for client in mixed:
             record.note("MIXED: stream %s holds events of %s, by attempts %s" % (client.name, client.versions, client.attempts))
-        for line in lone.events("stream_taken_up"):
-            record.note("log of %s: %s" % (lone.name, {name: line[name] for name in ("request_id", "reason", "record", "asked", "answered", "version")}))
+        for host in fleet.cut_hosts:
+            for line in host.events("stream_taken_up"):
+                record.note("log of %s: %s" % (host.name, {name: line[name] for name in ("request_id", "reason", "record", "asked", "answered", "version")}))
         at_new = sum(1 for client in clients if "v2" in client.versions)
         record.note("%d streams, %d with events of v2, %d of two versions; at most %d may be" % (len(clients), at_new, len(mixed), MOST_MIXED))
         if at_new <= MOST_MIXED:
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,7 +10,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-3"))
-from fleet import BROKEN, HELD, TROUBLE, CannotRun, Fleet, Replica, address_of, configuration, run_case  # noqa: E402
+from fleet import BROKEN, HELD, TROUBLE, CannotRun, Fleet, ReleasedReplica, Replica, address_of, configuration, run_case  # noqa: E402
 
 HOSTS, OLD_REPLICAS, NEW_REPLICAS = 8, 3, 1
 EVENTS, EVENT_SECONDS = 70, 0.1
@@ -104,15 +104,14 @@
         settings["routes"][0] |= {"timeout_ms": 10_000, "target_latency_ms": 1_000, "target_itl_ms": 600}
         fleet.store.put("keyed.op", "config", settings)
 
-        def add_replica(name, version):
-            replica = Replica(fleet.store, name, "llm", "een", model="base", version=version, events=EVENTS, event_seconds=EVENT_SECONDS)
+        def add(replica):
             replica.slots, replica.names_version = 64, True
             replica.register()
             fleet.replicas.append(replica)
-            record.note("replica %s of version %s is registered" % (name, version))
+            record.note("replica %s of version %s is registered" % (replica.name, replica.version))
 
         for number in range(OLD_REPLICAS):
-            add_replica("i-old%d" % number, "v1")
+            add(Replica(fleet.store, "i-old%d" % number, "llm", "een", model="base", version="v1", events=EVENTS, event_seconds=EVENT_SECONDS))
         fleet.replicas.append(Replica(fleet.store, "i-shop", "shop", "een"))
         fleet.start()
         record.note("all hosts are ready")
@@ -125,7 +124,7 @@
         begin = time.monotonic()
         time.sleep(RELEASE_AFTER)
         for number in range(NEW_REPLICAS if RELEASE else 0):
-            add_replica("i-new%d" % number, "v2")
+            add(ReleasedReplica(fleet.store, "i-new%d" % number, "llm", "een", version="v2", events=EVENTS, event_seconds=EVENT_SECONDS))
         time.sleep(max(0.0, begin + ABANDON_SECONDS - time.monotonic()))
         others = [Client(record, "n%d" % number, fleet.hosts[:-1], fleet.hosts[number % (HOSTS - 1)]) for number in range(STREAMS)]
         time.sleep(max(0.0, begin + FREEZE_SECONDS - time.monotonic()))
--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -1,5 +1,6 @@
 """A small deployment for the cases 11 to 15: daemons with the start command and the settings template of deploy/, on loopback addresses and the real
 clock, against the stand-ins of standins/hosting. Scaffolding of review/; not shipped."""
+import copy
 import json
 import os
 import pathlib
@@ -8,6 +9,7 @@
 import shlex
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -148,18 +150,14 @@
         lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
         return {int(line.split()[1].split(":")[1], 16) for line in lines if "socket:[%s]" % line.split()[9] in sockets}
 
-    def owns_port(self, port):
-        """The same for one port, and faster: whoever asks decides on a connection that is just being opened."""
-        needle = b":%04X " % port
-        for line in pathlib.Path("/proc/net/tcp").read_bytes().split(b"\n"):
-            if needle in line[:24]:
-                name = "socket:[%s]" % line.split()[9].decode()
-                folder = "/proc/%d/fd" % self.process.pid
-                try:
-                    return any(os.readlink("%s/%s" % (folder, each)) == name for each in os.listdir(folder))
-                except OSError:
-                    return False  # closed meanwhile
-        return False
+    def owns(self, connection):
+        """Whether this process is at the other end, asked in a fraction of a millisecond: whoever asks decides on a connection just opened."""
+        inode = inode_of(connection.getpeername(), connection.getsockname())
+        folder = "/proc/%d/fd" % self.process.pid
+        try:
+            return any(os.readlink("%s/%s" % (folder, each)) == "socket:[%d]" % inode for each in os.listdir(folder))
+        except OSError:
+            return False  # the process has ended
 
     def events(self, name):
         found = []
@@ -169,6 +167,18 @@
         return found
 
 
+def inode_of(local, remote):
+    """Of the socket that has these addresses (sock_diag(7)); 0: there is none."""
+    sock_diag_by_family, is_request, any_state, no_cookie = 20, 1, 0xFFFFFFFF, 0xFFFFFFFF
+    name = struct.pack("!HH", local[1], remote[1]) + socket.inet_aton(local[0]) + bytes(12) + socket.inet_aton(remote[0]) + bytes(12) + struct.pack("=III", 0, no_cookie, no_cookie)
+    request = struct.pack("=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, any_state) + name
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_DGRAM, 4) as asked:
+        asked.send(struct.pack("=IHHII", 16 + len(request), sock_diag_by_family, is_request, 1, 0) + request)
+        answer = asked.recv(4096)
+    inode_at = 16 + 4 + len(name) + 16  # after the message's head, the socket's state and name, and four counts
+    return struct.unpack_from("=I", answer, inode_at)[0] if len(answer) >= inode_at + 4 else 0
+
+
 def address_of(text):
     host, port = text.rsplit(":", 1)
     return host, int(port)
@@ -270,21 +280,15 @@
 # ---- Cuts between hosts ----
 
 
-class PeerPath(Proxy):
-    """The way to one host's address for peers. Nothing passes for a host that is cut off, old connections and new ones alike."""
-
-    def __init__(self, fleet, host):
-        self.fleet = fleet
-        super().__init__(host.peers)
-
-    def connect(self, near):
-        if self.fleet.is_cut_port(self.port_of(near)):
-            self.silent_ports.add(self.port_of(near))
-        super().connect(near)
+def with_paths(key, value, paths):
+    """The announcement of a host, with the path to it in place of its address for peers."""
+    for near, far in paths.items() if key.startswith("host/") else ():
+        value = value.replace(b'"%s"' % near.encode(), b'"%s"' % far.encode())
+    return value
 
 
 class PathStore(Store):
-    """The store, with the announcements of hosts naming the paths to them."""
+    """The store, in which some hosts' announcements name the path to them."""
 
     def __init__(self):
         self.paths = {}  # address of a host for its peers -> that of the path
@@ -295,47 +299,117 @@
         while body:
             length = int.from_bytes(body[:4], "big")
             content, body = body[4 : 4 + length], body[4 + length :]
-            if content[1:].startswith(b"host/"):
-                for near, far in self.paths.items():
-                    content = content.replace(b'"%s"' % near.encode(), b'"%s"' % far.encode())
+            end = 1 + content[0]
+            content = content[:end] + with_paths(content[1:end].decode(), content[end:], self.paths)
             rewritten += len(content).to_bytes(4, "big") + content
         request.body = rewritten
         super().append(request, query)
 
 
+class View(Server):
+    """The store as hosts see it that reach the others by paths of their own."""
+
+    class Topics:
+        def __init__(self, store, paths):
+            self.store, self.paths = store, paths
+
+        def get(self, name, default):
+            records = self.store.topics.get(name, default)
+            return [(key, with_paths(key, value, self.paths)) for key, value in records] if name == "keyed.control" else records
+
+    def __init__(self, store):
+        self.store, self.paths = store, {}
+        self.shown = copy.copy(store)
+        self.shown.topics = View.Topics(store, self.paths)
+        super().__init__()
+
+    def common_headers(self):
+        return self.store.common_headers()
+
+    def handle(self, request):
+        (self.store if "log-append" in request.path else self.shown).handle(request)
+
+
 class CuttableFleet(Fleet):
-    def __init__(self, record, **more):
+    """The last `cuttable` hosts can be cut off from the store and from all other hosts. Callers, replicas and the platform's questions whether they
+    are ready still reach them."""
+
+    def __init__(self, record, cuttable, **more):
         super().__init__(record, store=PathStore(), **more)
-        self.cut_hosts = set()
+        self.view = View(self.store)
+        self.cut_hosts = self.hosts[-cuttable:]
+        self.paths = []
         for host in self.hosts:
-            host.peer_path = PeerPath(self, host)
-            self.store.paths[host.peers] = host.peer_path.address
-
-    def is_cut_port(self, port):
-        return any(host.owns_port(port) for host in list(self.cut_hosts))
-
-    def cut(self, host):
-        """From the store and from all other hosts. Callers, replicas and the platform's questions whether it is ready still reach it."""
-        self.record.note("%s is cut off from the store and from the other hosts" % host.name)
-        self.cut_hosts.add(host)
-        ports = host.local_ports()
-        host.store_path.silent = {"there", "back"}
-        host.peer_path.silent = {"there", "back"}
-        for other in self.hosts:
-            if other is not host:
-                other.peer_path.silent_ports |= ports
-
-    def heal(self, host):
-        self.record.note("%s is no longer cut off" % host.name)
-        self.cut_hosts.discard(host)
-        host.store_path.heal()
-        host.peer_path.heal()
-        for other in self.hosts:
-            other.peer_path.silent_ports = set()
+            path = Proxy(host.peers)
+            self.paths.append(path)
+            if host in self.cut_hosts:
+                self.store.paths[host.peers] = path.address
+                host.store_path.close()
+                host.store_path = Proxy(self.view.address)
+            else:
+                self.view.paths[host.peers] = path.address
+
+    def start(self):
+        """Those that can be cut off start last, so that they read the announcements of the others themselves."""
+        first = self.hosts[: -len(self.cut_hosts)]
+        super().start(first)
+        announced = lambda: {key for key, _ in list(self.store.topics.get("keyed.control", []))}
+        self.wait("hosts have announced themselves", lambda: all("host/" + host.name in announced() for host in first), 10)
+        super().start(self.cut_hosts)
+
+    def cut(self):
+        self.record.note("%s are cut off from the store and from all other hosts" % ", ".join(host.name for host in self.cut_hosts))
+        for path in (*self.paths, *(host.store_path for host in self.cut_hosts)):
+            path.silent = {"there", "back"}
+
+    def heal(self):
+        self.record.note("they are no longer cut off")
+        for path in (*self.paths, *(host.store_path for host in self.cut_hosts)):
+            path.heal()
 
     def close(self):
-        for host in self.hosts:
-            host.peer_path.close()
+        for path in self.paths:
+            path.close()
+        super().close()
+        self.view.close()
+
+
+# ---- Replicas of a release ----
+
+
+class ReleasedReplica(Replica):
+    """A replica that joins empty: it holds a model once it has been ordered to load it, and says so with a heartbeat."""
+
+    HEARTBEAT_SECONDS = 1.2
+
+    def __init__(self, *arguments, load_seconds=1.9, **named):
+        self.is_alive = True
+        super().__init__(*arguments, model=[], **named)
+        self.model_load_seconds = load_seconds
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        while self.is_alive:
+            time.sleep(self.HEARTBEAT_SECONDS)
+            if self.is_alive:
+                self.register()
+
+    def run(self, request):
+        model = (request.headers.get("X-Model-Id") or "").split("/")[0]
+        if self.base_models.get(model, float("inf")) > time.monotonic():
+            request.answer(421, headers=[("X-Replica-Id", self.name), *self.id_of(request)])
+            return
+        super().run(request)
+
+    def crash(self):
+        """Its entry goes three heartbeats later."""
+        self.is_alive = False
+        self.http.socket.close()
+        self.close_connections()
+        threading.Timer(3 * self.HEARTBEAT_SECONDS, self.store.put, ("keyed.servers", self.name, b"")).start()
+
+    def close(self):
+        self.is_alive = False
         super().close()
 
 
@@ -350,7 +424,7 @@
         super().__init__(replica.address)
 
     def connect(self, near):
-        if self.fleet.is_partitioned_port(self.port_of(near)):
+        if self.fleet.is_partitioned(near):
             self.reset(near)
             return
         super().connect(near)
@@ -379,8 +453,8 @@
         super().__init__(record, **more)
         self.partitioned = set()
 
-    def is_partitioned_port(self, port):
-        return any(host.owns_port(port) for host in list(self.partitioned))
+    def is_partitioned(self, connection):
+        return any(host.owns(connection) for host in list(self.partitioned))
 
     def partition(self, hosts):
         """Partitions the hosts from all replicas. Callers, the store and the other hosts still reach them."""
