--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -1897,6 +1897,7 @@
                         {"origin_ms", originWait_},
                         {"age_ms", found_.age},
                         {"version", version_.value_or(SoftwareVersion())},
+                        {"versions_read_ms_ago", node_.now() - node_.versionsReadAt},
                         {"began_at", firstUpstream_},
                         {"last_refusal", refusalReason_},
                         {"sends", sends_},
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -153,7 +153,8 @@
                                  planner_.onLogDown();
                              }
                          },
-                     .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Control, shared); }})
+                     .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Control, shared); },
+                     .onCaughtUp = [this](Instant askedAt) { node_.versionsReadAt = std::max(node_.versionsReadAt, askedAt); }})
     , incarnation_(incarnation)
     , versionWriter_(node_, store, groups_)
     , storePages_(node_, groups_, {&operatorsTopic_, &upstreamsTopic_, &controlTopic_})
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -258,6 +258,7 @@
     Instant operatorsReadAt; // when the operators topic was last read, by this host or the one whose page it applied
     ReplicaBook replicas;
     Instant replicasReadAt;
+    Instant versionsReadAt; // all that the control topic named at that moment has been applied
     std::optional<Instant> outOfStepAt;            // last time that this host may have missed what others know
     std::optional<Instant> tickedAt;               // by the daemon, every 100 ms
     static constexpr Milliseconds maxTickGap{600}; // a longer one means that the host or process was suspended
