--- a/packages/serving/follower.h
+++ b/packages/serving/follower.h
@@ -62,6 +62,7 @@
     [[nodiscard]] std::string_view name() const { return topicText(topic_); }
     [[nodiscard]] bool isKnown() const { return hasListing_; } // the first listing has been read
     [[nodiscard]] bool isReached() const { return isReachable_; }
+    [[nodiscard]] core::Offset nextOffset() const { return nextOffset_; }         // of the first record that has not been applied
     [[nodiscard]] core::StoreEra era() const { return core::eraOf(nextOffset_); } // of the store, at the last listing
     [[nodiscard]] Instant readAt() const { return schedule_.readAt(); }           // start of the newest read known, including those of other hosts
     [[nodiscard]] Instant ownReadAt() const { return ownReadAt_; }                // last successful read or listing by this host
--- a/packages/serving/forwarder.cpp
+++ b/packages/serving/forwarder.cpp
@@ -67,7 +67,6 @@
 constexpr Milliseconds maxPermitBlock{1'000};        // before the owner is asked again: the limit may have ended
 constexpr double originWaitShare = 1.0 / 3;          // of the remaining time, for learning where a stream began
 constexpr Milliseconds maxOriginWait{1'500};         // the same; callers leave after two seconds without an event
-constexpr Milliseconds briefOriginWait{150};         // the same while every stream of the service began at one version: only for its upstream
 constexpr double shrinkingFill
     = 0.75; // running requests per slot; beyond it a version whose upstreams leave takes new streams only when no other has a free slot
 constexpr Milliseconds unknownStreamRetryAfter{300};   // Retry-After when this host can't know a stream's version: another host may
@@ -386,24 +385,21 @@
         }
         if (!metadata_.resumes.empty()) {
             service_ = &RouteTable::serviceOf(*route_, metadata_.resumes);
-            const auto begin = node_.now();
-            const bool isVersionKnown = node_.onlyVersion(*service_).has_value();
-            const auto patience = std::min(isVersionKnown ? briefOriginWait : maxOriginWait,
-                                           Milliseconds(static_cast<std::int64_t>(static_cast<double>(timeLeft().count()) * originWaitShare)));
-            found_ = co_await node_.streams->find(metadata_.resumes, boundedWait(patience));
-            originWait_ = node_.now() - begin;
-            const auto &origin = found_.origin;
-            if (origin && (origin->request != streamKey() || !useService(origin->service))) {
-                co_await refuse(503, "resumes_other_request", unavailableRetryAfter);
-                co_return false;
-            }
-            if (origin) {
-                version_ = origin->version;
-                firstUpstream_ = origin->upstream;
-            }
         }
-        if (!version_) {
-            version_ = node_.onlyVersion(*service_);
+        const auto begin = node_.now();
+        const auto patience = std::min(maxOriginWait, Milliseconds(static_cast<std::int64_t>(static_cast<double>(timeLeft().count()) * originWaitShare)));
+        found_ = co_await node_.streams->find(metadata_.resumes, *service_, boundedWait(patience));
+        originWait_ = node_.now() - begin;
+        const auto &origin = found_.origin;
+        if (origin && (origin->request != streamKey() || !useService(origin->service))) {
+            co_await refuse(503, "resumes_other_request", unavailableRetryAfter);
+            co_return false;
+        }
+        if (origin) {
+            version_ = origin->version;
+            firstUpstream_ = origin->upstream;
+        } else {
+            version_ = node_.provenVersion(*service_, begin);
         }
         serviceSpec_ = routes_->service(*service_);
         if (!version_) {
--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -154,9 +154,14 @@
                              }
                          },
                      .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Control, shared); },
-                     .onCaughtUp = [this](Instant askedAt) { node_.versionsReadAt = std::max(node_.versionsReadAt, askedAt); }})
+                     .onCaughtUp =
+                         [this](Instant askedAt) {
+                             node_.versionsReadAt = std::max(node_.versionsReadAt, askedAt);
+                             streamExchange_.onVersionsRead();
+                         }})
     , incarnation_(incarnation)
     , versionWriter_(node_, store, groups_)
+    , versionProof_(node_, store, controlTopic_)
     , storePages_(node_, groups_, {&operatorsTopic_, &upstreamsTopic_, &controlTopic_})
     , crashExchange_(node_, groups_)
     , streamExchange_(node_, store, groups_)
@@ -167,6 +172,7 @@
     node_.streams = &streamExchange_;
     node_.relays = &relayExchange_;
     node_.quotas = &quotaExchange_;
+    node_.seekVersions = [this](Instant askedAt) { versionProof_.seek(askedAt); };
     node_.onNoContact = [this](const UpstreamId &id) {
         if (const auto owned = ownedReplicas_.find(id); owned != ownedReplicas_.end()) {
             owned->second->onNoContact();
@@ -786,11 +792,9 @@
     if (now - lastTick_ > Node::maxTickGap) {
         node_.log.warn("host_stood_still", {{"for_ms", now - lastTick_}});
         node_.metrics.beliefChanges.add({"stood_still"});
-        node_.setOutOfStep();
         upstreamsTopic_.hurry();
     }
     lastTick_ = now;
-    node_.tickedAt = now;
     checkReachability();
     tick();
     sendAdapterUses();
@@ -830,10 +834,6 @@
     const auto now = node_.now();
     node_.operatorsReadAt = operatorsTopic_.readAt();
     node_.replicasReadAt = upstreamsTopic_.readAt();
-    const bool isOutOfSight = membership_.live().size() * 2 < announcedHosts_.size() + 1;
-    if (isOutOfSight && now - node_.replicasReadAt > node_.settings.hosting.drain) { // nobody tells it what the store has
-        node_.setOutOfStep();
-    }
     if (links_) {
         sendMessages(membership_.tick(now));
     }
--- a/packages/serving/hosteddaemon.h
+++ b/packages/serving/hosteddaemon.h
@@ -35,6 +35,7 @@
 #include <serving/storepages.h>
 #include <serving/streamexchange.h>
 #include <serving/unreadablerecords.h>
+#include <serving/versionproof.h>
 #include <serving/versionwriter.h>
 
 namespace baobabstall::serving {
@@ -173,6 +174,7 @@
     std::map<UpstreamId, std::shared_ptr<OwnedReplica>> ownedReplicas_;
     HostGroups groups_; // hosts that share store reads and counts of running requests
     VersionWriter versionWriter_;
+    VersionProof versionProof_;
     StorePages storePages_;
     CrashExchange crashExchange_;
     StreamExchange streamExchange_;
--- a/packages/serving/node.cpp
+++ b/packages/serving/node.cpp
@@ -90,14 +90,6 @@
     pool.onNoContact = [this](const UpstreamId &id) { reachability.onNoContact(id, now()); };
 }
 
-std::optional<SoftwareVersion> Node::onlyVersion(const ServiceName &service) const
-{
-    const auto time = now();
-    const bool hasStoodStill = tickedAt && time - *tickedAt > maxTickGap;
-    const bool isReadSince = !outOfStepAt || replicasReadAt > *outOfStepAt;
-    return hasStoodStill || !isReadSince ? std::nullopt : versions.only(service, longestStream, time);
-}
-
 bool Node::isConfigurationProven() const
 {
     constexpr Milliseconds margin{100}; // of the bound: clocks of two machines drift apart, and a send takes a moment
--- a/packages/serving/node.h
+++ b/packages/serving/node.h
@@ -160,8 +160,9 @@
     /// The first event of an announced stream has come, so that no other upstream begins it; later, that it has ended whole.
     virtual void onBegun(const RequestId &id) = 0;
     virtual void onEnded(const RequestId &id) = 0;
-    /// Without an origin: no host that can be reached within `patience` knows the stream.
-    virtual net::Task<FoundStream> find(RequestId id, Milliseconds patience) = 0;
+    /// Where the stream began that a caller takes up now at `service`; an empty `id`: the caller names none. Without an origin: no host that can be
+    /// reached within `patience` knows it. While the service had one version, Node::provenVersion() is known afterwards as far as the patience allows.
+    virtual net::Task<FoundStream> find(RequestId id, ServiceName service, Milliseconds patience) = 0;
 };
 
 /// Credit of a workspace that a request was charged with.
@@ -197,11 +198,15 @@
     Node(boost::asio::io_context &io, const settings::Settings &settings, const Codec &codec, logging::Log log);
 
     [[nodiscard]] Instant now() const { return core::SteadyClock().now(); }
-    /// The version at which every stream of the service began that a caller may still take up. Nothing: there were several, or this host may
-    /// have missed one while it stood still or was cut off.
-    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const ServiceName &service) const;
-    /// What this host knew before `now` may be out of date until the upstreams are read again.
-    void setOutOfStep() { outOfStepAt = now(); }
+    /// The version at which every stream of the service began that a caller may still take up, as far as this host has heard: it may be cut off from
+    /// those that name another one. Nothing: there were several, or this host hasn't watched for long enough.
+    [[nodiscard]] std::optional<SoftwareVersion> onlyVersion(const ServiceName &service) const { return versions.only(service, longestStream, now()); }
+    /// The same, for a stream that was taken up at `askedAt`. Nothing also if this host has not applied all that the control topic named then: a stream
+    /// begins at a version only once the topic names it.
+    [[nodiscard]] std::optional<SoftwareVersion> provenVersion(const ServiceName &service, Instant askedAt) const
+    {
+        return versionsReadAt >= askedAt ? onlyVersion(service) : std::nullopt;
+    }
     /// A caller ran into a limit of what it may make this host hold; status 0: its connection was closed without an answer.
     void noteCallerLimit(net::CallerPart part, int status);
     [[nodiscard]] admission::RetryBudget &retryBudgetFor(const ServiceName &service);
@@ -258,10 +263,9 @@
     Instant operatorsReadAt; // when the operators topic was last read, by this host or the one whose page it applied
     ReplicaBook replicas;
     Instant replicasReadAt;
-    Instant versionsReadAt; // all that the control topic named at that moment has been applied
-    std::optional<Instant> outOfStepAt;            // last time that this host may have missed what others know
-    std::optional<Instant> tickedAt;               // by the daemon, every 100 ms
-    static constexpr Milliseconds maxTickGap{600}; // a longer one means that the host or process was suspended
+    Instant versionsReadAt;                            // all that the control topic named at that moment has been applied
+    std::function<void(Instant askedAt)> seekVersions; // brings versionsReadAt up to that moment if the store can be reached; may be empty
+    static constexpr Milliseconds maxTickGap{600};     // a longer one means that the host or process was suspended
     Chooser chooser;
     LeaseTable leases;
     Backoffs backoffs;
--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -60,23 +60,34 @@
     }
 }
 
-net::Task<FoundStream> StreamExchange::find(RequestId id, Milliseconds patience)
+net::Task<FoundStream> StreamExchange::find(RequestId id, ServiceName service, Milliseconds patience)
 {
-    const auto running = std::make_shared<RunningSearch>(node_.io, StreamSearch(records_.lookUp(id, node_.now()), node_.now(), patience));
+    const auto askedAt = node_.now();
+    const auto running = std::make_shared<RunningSearch>(node_.io, StreamSearch(records_.lookUp(id, askedAt), askedAt, patience));
+    searches_.push_back(running);
     auto &search = running->search;
-    const bool mayBeStored = !sharedServices_.empty();
+    const bool isNamed = !id.empty();
     std::optional<StreamOrigin> stored;
     while (true) {
-        const bool isUnknown = mayBeStored && !search.result().origin;
-        stored = isUnknown ? keeper_.find(id) : std::nullopt;
-        if (isUnknown && !stored) {
+        const bool isUnknown = !search.result().origin;
+        const bool hasOneVersion = isUnknown && node_.onlyVersion(service).has_value();
+        const bool isProven = hasOneVersion && node_.provenVersion(service, askedAt).has_value();
+        if (hasOneVersion && !isProven && node_.seekVersions) {
+            node_.seekVersions(askedAt);
+        }
+        const bool mayBeStored = isNamed && isUnknown && !hasOneVersion;
+        stored = mayBeStored ? keeper_.find(id) : std::nullopt;
+        if (mayBeStored && !stored) {
             keeper_.refresh();
         }
-        const bool awaitsStore = isUnknown && keeper_.isRefreshing() && search.timeLeft(node_.now()) > Milliseconds(1);
-        if (stored || (search.isDone(node_.now()) && !awaitsStore)) {
+        const bool isOver = search.timeLeft(node_.now()) <= Milliseconds(1);
+        const bool awaitsStore = mayBeStored && keeper_.isRefreshing() && !isOver;
+        const bool awaitsVersions = hasOneVersion && !isProven && !isOver;
+        const bool isEnough = !isNamed || search.isDone(node_.now()) || (isProven && node_.now() - askedAt >= StreamSearch::upstreamTime);
+        if (stored || (isEnough && !awaitsStore && !awaitsVersions)) {
             break;
         }
-        if (links_ != nullptr) {
+        if (links_ != nullptr && isNamed) {
             for (const auto &host : search.takeHosts(records_.keepers(id, StreamRecords::keptHosts), node_.now())) {
                 boost::asio::co_spawn(node_.io, ask(running, host, id), boost::asio::detached);
             }
@@ -95,6 +106,16 @@
     co_return found;
 }
 
+void StreamExchange::onVersionsRead()
+{
+    std::erase_if(searches_, [](const auto &each) { return each.expired(); });
+    for (const auto &each : searches_) {
+        if (const auto running = each.lock()) {
+            running->signal.cancel();
+        }
+    }
+}
+
 net::Task<void> StreamExchange::ask(std::shared_ptr<RunningSearch> running, HostId host, RequestId id)
 {
     const std::shared_ptr<peers::OutgoingCall> call = links_->call(host, peers::StreamOriginCall{id});
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -5,7 +5,8 @@
 //   exchange.setLinks(links);
 //   exchange.announce(id, origin, until);          // before the request is sent to its upstream
 //   exchange.onBegun(id); exchange.onEnded(id);
-//   auto found = co_await exchange.find(id, patience); // found.origin is nothing: neither a host that answers nor the store knows the stream
+//   auto found = co_await exchange.find(id, service, patience); // found.origin is nothing: neither a host that answers nor the store knows the stream
+//   exchange.onVersionsRead();                     // Node::versionsReadAt is later than before
 //   exchange.tick();                               // every 100 ms
 //   exchange.onNotice(notice); exchange.serve(call, body);   // from peers
 #pragma once
@@ -33,7 +34,8 @@
     void handOver(const RequestId &id) override { records_.handOver(id); }
     void onBegun(const RequestId &id) override { records_.onBegun(id); }
     void onEnded(const RequestId &id) override { records_.onEnded(id); }
-    net::Task<FoundStream> find(RequestId id, Milliseconds patience) override;
+    net::Task<FoundStream> find(RequestId id, ServiceName service, Milliseconds patience) override;
+    void onVersionsRead();
     /// Tells the streams that began while their service had one version, once it has several, and stores those of services with several versions.
     void tick();
     void onNotice(const peers::StreamOriginNotice &notice);
@@ -54,6 +56,7 @@
     StreamKeeper keeper_;
     std::set<ServiceName> sharedServices_; // as of the last tick
     std::set<ServiceName> mixedServices_;  // the same; with several versions, as far as this host knows
+    std::vector<std::weak_ptr<RunningSearch>> searches_;
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/streamsearch.h
+++ b/packages/serving/streamsearch.h
@@ -27,7 +27,8 @@
     static constexpr Milliseconds settleTime{150}; // for other hosts to contradict the first that knows the stream; then more hosts are asked
     static constexpr Milliseconds retryDelay{100}; // before a host is asked again
     static constexpr Milliseconds stepTime{50};
-    static constexpr int enoughHolders = 2; // that agree
+    static constexpr Milliseconds upstreamTime{150}; // for learning at which upstream a stream began, when its version is known without that
+    static constexpr int enoughHolders = 2;          // that agree
 
     /// `own`: what this host itself knows.
     StreamSearch(const FoundStream &own, Instant now, Milliseconds patience);
--- a/packages/serving/tests/forwardertest.cpp
+++ b/packages/serving/tests/forwardertest.cpp
@@ -811,27 +811,34 @@
     EXPECT_EQ(takeUp().status(), 200);
 }
 
-// Guards against a stream that is refused because the owner of its upstreams is gone with the host that began it.
-// Guards against streams that go on at another version at a host that stood still, or was cut off, while a version came (issue 35, ORDER).
+// Guards against streams that go on at another version at a host that stood still, or was cut off, while a version came (issue 35 and review/11, ORDER).
 TEST_F(TakenUpStreamTest, is_refused_without_a_record_by_a_host_that_may_have_missed_a_version)
 {
     setUpVersions({"v1", "v1"});
-    node_.longestStream = Milliseconds(1'000);
+    const auto learn = std::exchange(streams_.onVersionsRead, nullptr);
+    node_.versionsReadAt = node_.now();
     node_.replicasReadAt = node_.now();
-    node_.tickedAt = node_.now() - Node::maxTickGap - Milliseconds(1); // it goes on before its first tick
-    EXPECT_EQ(takeUp().status(), 503);
-    node_.tickedAt = node_.now();
-    node_.setOutOfStep();
-    EXPECT_EQ(takeUp({}).status(), 503) << "the upstreams were read before that";
+    runFor(Milliseconds(2));
+    EXPECT_EQ(takeUp().status(), 503) << "the versions were read before the stream was taken up";
+    const auto unnamed = takeUp({});
+    EXPECT_EQ(unnamed.status(), 503);
+    EXPECT_TRUE(unnamed.contains("Retry-After: "));
     EXPECT_EQ(requestCount(), 0U);
     streams_.origins[RequestId("first")] = {SoftwareVersion("v1"), UpstreamId("r2"), ServiceName("s"), keyOf("/x"), 1};
-    node_.tickedAt = node_.now();
     EXPECT_EQ(takeUp().status(), 200) << "a record says where it began";
-    node_.tickedAt = node_.now();
-    node_.replicasReadAt = node_.now() + Milliseconds(1);
+    streams_.origins.clear();
+    streams_.onVersionsRead = learn;
+    EXPECT_EQ(takeUp().status(), 200);
     EXPECT_EQ(takeUp({}).status(), 200);
+    streams_.onVersionsRead = [&] {
+        node_.versions.onNamed(ServiceName("s"), SoftwareVersion("v2"), node_.now());
+        learn();
+    };
+    EXPECT_EQ(takeUp().status(), 503) << "it learns that there is another version";
+    EXPECT_EQ(requestCount(), 3U);
 }
 
+// Guards against a stream that is refused because the owner of its upstreams is gone with the host that began it.
 TEST_F(TakenUpStreamTest, goes_on_at_its_first_upstream_while_no_owner_can_say_what_it_holds)
 {
     setUpService(route(RetryPolicy::Resumable, true, 2), {{rest()}, {rest()}, {rest()}}, true, {"v1", "v1", "v1"});
--- a/packages/serving/tests/servingfixture.h
+++ b/packages/serving/tests/servingfixture.h
@@ -199,15 +199,19 @@
     void handOver(const RequestId &id) override { handedOver.push_back(id); }
     void onBegun(const RequestId &id) override { begun.push_back(id); }
     void onEnded(const RequestId &id) override { ended.push_back(id); }
-    net::Task<FoundStream> find(RequestId id, Milliseconds /*patience*/) override
+    net::Task<FoundStream> find(RequestId id, ServiceName /*service*/, Milliseconds /*patience*/) override
     {
         if (onFind) {
             co_await onFind();
         }
+        if (onVersionsRead) {
+            onVersionsRead();
+        }
         co_return origins.contains(id) ? FoundStream{.origin = origins.at(id), .source = OriginSource::Told} : FoundStream();
     }
 
     std::function<net::Task<void>()> onFind; // what finding takes; empty: no time
+    std::function<void()> onVersionsRead;    // the host learns which versions are named; empty: it is cut off
     std::map<RequestId, StreamOrigin> origins;
     std::vector<RequestId> handedOver;
     std::vector<RequestId> begun;
@@ -384,6 +388,7 @@
     {
         node_.residency = &residency_;
         node_.streams = &streams_;
+        streams_.onVersionsRead = [this] { node_.versionsReadAt = node_.now(); };
         residency_.onProbe = [this](std::vector<CrashCause> causes) { return crashExchange_.takeProbe(std::move(causes)); };
         core::Error why;
         address_ = *server_.listen({"127.0.0.1", 0}, why);
--- a/packages/serving/tests/storedstreamstest.cpp
+++ b/packages/serving/tests/storedstreamstest.cpp
@@ -151,7 +151,7 @@
         asio::co_spawn(
             io_,
             [&]() -> net::Task<void> {
-                found = co_await exchange.find(RequestId(id), patience);
+                found = co_await exchange.find(RequestId(id), ServiceName("s"), patience);
                 isDone = true;
             },
             asio::detached);
--- a/tests/hosted/versionstest.py
+++ b/tests/hosted/versionstest.py
@@ -43,8 +43,9 @@
 class Stream:
     """A stream whose caller takes it up when it breaks off."""
 
-    def __init__(self, name, hosts):
+    def __init__(self, name, hosts, patience=DEADLINE_SECONDS + 1):
         self.name, self.hosts = name, hosts
+        self.patience = patience  # seconds without an event, after which the caller leaves
         self.begun_at = time.monotonic()
         self.attempts, self.events = [], 0
         self.statuses = []
@@ -59,7 +60,7 @@
         headers = {"Host": "h.example", "X-Attempt-Id": attempt, "X-Model-Id": "base", "X-Deadline-Ms": str(int(1000 * self.left())), "X-Token-Usage": "60,480"}
         if self.events:
             headers |= {"Resumes": self.attempts[0], "Last-Event-Id": str(self.events)}
-        connection = http.client.HTTPConnection(host.callers, timeout=DEADLINE_SECONDS + 1)
+        connection = http.client.HTTPConnection(host.callers, timeout=self.patience)
         retry, status = 0.2, 0
         try:
             connection.request("POST", "/gen/x", body=b"prompt of " + self.name.encode(), headers=headers)
@@ -110,9 +111,10 @@
             host.start()
         self.assertTrue(wait_until(lambda: all(host.ready() for host in self.hosts)), self.states("not ready"))
 
-    def begin(self, count):
-        """Streams that last 4.8 s, through all hosts."""
-        streams = [Stream("s%d" % next(self.numbers), self.hosts[n % self.HOSTS :] + self.hosts[: n % self.HOSTS]) for n in range(count)]
+    def begin(self, count, hosts_of=None, **more):
+        """Streams that last 4.8 s, through all hosts or those of hosts_of(number), in turn."""
+        hosts_of = hosts_of or (lambda n: self.hosts[n % self.HOSTS :] + self.hosts[: n % self.HOSTS])
+        streams = [Stream("s%d" % next(self.numbers), hosts_of(n), **more) for n in range(count)]
         threads = [threading.Thread(target=stream.run) for stream in streams]
         for thread in threads:
             thread.start()
@@ -164,6 +166,38 @@
         at_old = [stream for stream in streams if self.versions_of(stream) == {"v1"}]
         self.assertGreaterEqual(len(whole), len(at_old) // 2, [stream.statuses for stream in at_old])
 
+    # Guards against a host that is cut off and takes the one version that it has heard of for the only one (review/11, ORDER).
+    def test_streams_of_a_new_version_go_on_at_no_host_that_was_cut_off_before_it_came(self):
+        *others, cut = self.hosts
+        slow_to_notice = {"hosting": {"grace_s": 6, "drain_ms": 8000}}
+        self.hosts[-1] = cut = Host(cut.number, self.fronts[-1], pathlib.Path(self.folder.name), slow_to_notice)
+        port_of = lambda host: host.peers.split(":")[1]
+        cut.links_cut.write_text(" ".join(["0", *map(port_of, others)]))
+        for host in others:
+            host.links_cut.write_text("0 " + port_of(cut))
+        self.start_hosts()
+        time.sleep(LONGEST_STREAM_SECONDS)
+        self.fronts[-1].turns_away = True
+        time.sleep(0.6)  # a read that is held open ends
+        new = self.add_replica("i-new", "v2")
+        streams, threads, begin = [], [], time.monotonic()
+        while len(self.attempts_at("v2")) < 8 and time.monotonic() - begin < 4:
+            more = self.begin(2, lambda n: [others[n], cut] + 40 * [others[n], cut])
+            streams += more[0]
+            threads += more[1]
+            time.sleep(0.1)
+        new.left = True
+        new.handle = new.crash_under
+        new.close_connections()
+        for thread in threads:
+            thread.join()
+        self.assertGreaterEqual(len(self.attempts_at("v2")), 8, self.states("too few streams began at v2"))
+        self.expect_unmixed(streams)
+        came = [line for line in cut.events("stream_taken_up") if line["reason"] == "stream_not_known"]
+        self.assertGreaterEqual(len(came), 8, cut.events("stream_taken_up")[-4:])
+        at_old = [stream for stream in streams if self.versions_of(stream) == {"v1"}]
+        self.assertEqual([stream.statuses for stream in at_old if stream.statuses != [200]], [])
+
     def check_taken_up(self, streams, threads, what=""):
         """Half of them at least go on, each at its version."""
         for thread in threads:
