--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -23,11 +23,6 @@
 
 } // namespace
 
-bool StreamExchange::isSharedService(const ServiceName &service) const
-{
-    return !node_.onlyVersion(service);
-}
-
 /// One search; its calls end with it.
 struct StreamExchange::RunningSearch {
     RunningSearch(boost::asio::io_context &io, const StreamSearch &begun)
@@ -42,15 +37,7 @@
 
 void StreamExchange::announce(const RequestId &id, const StreamOrigin &origin, Instant until)
 {
-    const bool isShared = isSharedService(origin.service);
-    records_.announce(id, origin, until, isShared, node_.now());
-    if (isShared) {
-        tell(id, origin, until);
-    }
-}
-
-void StreamExchange::tell(const RequestId &id, const StreamOrigin &origin, Instant until)
-{
+    records_.announce(id, origin, until, node_.now());
     if (links_ == nullptr) {
         return;
     }
@@ -135,36 +122,20 @@
 
 void StreamExchange::tick()
 {
-    std::set<ServiceName> shared;
+    const auto now = node_.now();
+    bool mayNeedStored = false; // by a stream that nobody knows
+    std::set<ServiceName> mixed;
     for (const auto &service : node_.routes ? node_.routes->services() : std::vector<ServiceSpec>()) {
-        if (!isSharedService(service.name)) {
-            continue;
-        }
-        shared.insert(service.name);
-        if (links_ == nullptr || sharedServices_.contains(service.name)) {
-            continue;
-        }
-        const auto now = node_.now();
-        for (const auto &[id, origin, until] : records_.takeUnshared(service.name, now)) {
-            tell(id, origin, until);
+        mayNeedStored = mayNeedStored || !node_.onlyVersion(service.name);
+        if (node_.versions.isMixed(service.name, node_.longestStream, now)) {
+            mixed.insert(service.name);
         }
     }
-    sharedServices_ = std::move(shared);
-    storeStreams();
-}
-
-void StreamExchange::storeStreams()
-{
-    const auto now = node_.now();
-    std::set<ServiceName> mixed;
-    std::copy_if(sharedServices_.begin(), sharedServices_.end(), std::inserter(mixed, mixed.end()), [&](const ServiceName &service) {
-        return node_.versions.isMixed(service, node_.longestStream, now);
-    });
     if (!std::includes(mixedServices_.begin(), mixedServices_.end(), mixed.begin(), mixed.end())) {
         keeper_.hurry();
     }
     mixedServices_ = std::move(mixed);
-    if (sharedServices_.empty()) {
+    if (!mayNeedStored) {
         keeper_.forget();
     }
     if (!keeper_.isDue()) {
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -36,7 +36,7 @@
     void onEnded(const RequestId &id) override { records_.onEnded(id); }
     net::Task<FoundStream> find(RequestId id, ServiceName service, Milliseconds patience) override;
     void onVersionsRead();
-    /// Tells the streams that began while their service had one version, once it has several, and stores those of services with several versions.
+    /// Stores the streams of services with several versions.
     void tick();
     void onNotice(const peers::StreamOriginNotice &notice);
     void serve(peers::IncomingCall &call, const peers::StreamOriginCall &request);
@@ -45,17 +45,13 @@
 private:
     struct RunningSearch;
 
-    [[nodiscard]] bool isSharedService(const ServiceName &service) const;
-    void storeStreams();
-    void tell(const RequestId &id, const StreamOrigin &origin, Instant until);
     net::Task<void> ask(std::shared_ptr<RunningSearch> running, HostId host, RequestId id);
 
     Node &node_;
     StreamRecords records_;
     peers::Links *links_ = nullptr;
     StreamKeeper keeper_;
-    std::set<ServiceName> sharedServices_; // as of the last tick
-    std::set<ServiceName> mixedServices_;  // the same; with several versions, as far as this host knows
+    std::set<ServiceName> mixedServices_; // with several versions, as far as this host knew at the last tick
     std::vector<std::weak_ptr<RunningSearch>> searches_;
 };
 
--- a/packages/serving/streamrecords.cpp
+++ b/packages/serving/streamrecords.cpp
@@ -11,12 +11,10 @@
     return texts.at(static_cast<std::size_t>(source));
 }
 
-void StreamRecords::announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now)
+void StreamRecords::announce(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now)
 {
     hold(id, origin, until, now);
-    auto &record = records_.at(id);
-    record.isUnshared = !isShared;
-    record.isOwn = true;
+    records_.at(id).isOwn = true;
 }
 
 void StreamRecords::handOver(const RequestId &id)
@@ -92,18 +90,6 @@
     return record->second;
 }
 
-std::vector<StreamRecords::Announced> StreamRecords::takeUnshared(const ServiceName &service, Instant now)
-{
-    std::vector<Announced> announced;
-    for (auto &[id, record] : records_) {
-        if (record.isUnshared && record.origin.service == service && record.until >= now) {
-            record.isUnshared = false;
-            announced.push_back({id, record.origin, record.until});
-        }
-    }
-    return announced;
-}
-
 FoundStream StreamRecords::lookUp(const RequestId &id, Instant now) const
 {
     const auto found = records_.find(id);
--- a/packages/serving/streamrecords.h
+++ b/packages/serving/streamrecords.h
@@ -1,16 +1,16 @@
 // serving/streamrecords.h: where streams began, as one host knows it, and which hosts know it of a stream. No I/O.
 //
 //   StreamRecords records(ownHost, groups);
-//   records.announce(id, origin, until, isShared, now);                // before the request is sent
-//   for (const auto &host : records.toTell(id, isLinked)) { ... }      // if shared
+//   records.announce(id, origin, until, now);                          // before the request is sent
+//   for (const auto &host : records.toTell(id, isLinked)) { ... }      // right after it
 //   records.hold(id, origin, until, now);                              // another host told it
-//   for (auto &[id, origin, until] : records.takeUnshared(service, now)) { ... } // announced before the service had several versions
 //   records.find(id, now), records.keepers(id)                         // what this host knows; the hosts to ask
 //
 // A caller may take up a stream at any host, right after its first event, when the host that began it is gone. The record of a stream is
 // therefore told to a few hosts, in different zones as far as there are any, before the request is sent to its upstream. Which ones follows from
 // the stream's id, so any host finds them, also one that started later. More are asked than were told, as hosts come and go in between, and while
-// there is no link to one of the first, another one is told too.
+// there is no link to one of the first, another one is told too. That holds while the service has one version as well: a host that falls silent just
+// before another version comes can tell nothing any more.
 #pragma once
 
 #include <cstdint>
@@ -67,8 +67,8 @@
         , groups_(groups)
     { }
 
-    /// Holds the origin of a stream that this host begins. `isShared`: the caller tells the hosts of toTell() now.
-    void announce(const RequestId &id, const StreamOrigin &origin, Instant until, bool isShared, Instant now);
+    /// Holds the origin of a stream that this host begins. The caller tells the hosts of toTell() now.
+    void announce(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now);
     /// Another host may begin the stream instead, at another version: other hosts that hold a record of it decide.
     void handOver(const RequestId &id);
     void onBegun(const RequestId &id);
@@ -77,8 +77,6 @@
     [[nodiscard]] std::vector<Announced> begun(const std::function<bool(const ServiceName &)> &isWanted, Instant now) const;
     [[nodiscard]] std::vector<HostId> toTell(const RequestId &id, const std::function<bool(const HostId &)> &isLinked) const;
     void hold(const RequestId &id, const StreamOrigin &origin, Instant until, Instant now);
-    /// Streams of the service that this host began and told nobody of; the caller tells `toTell()`.
-    [[nodiscard]] std::vector<Announced> takeUnshared(const ServiceName &service, Instant now);
     [[nodiscard]] std::optional<StreamOrigin> find(const RequestId &id, Instant now) const { return lookUp(id, now).origin; }
     [[nodiscard]] FoundStream lookUp(const RequestId &id, Instant now) const; // what this host itself knows
     /// The first `count` other hosts that keep the record.
@@ -91,7 +89,6 @@
         Instant until;
         Instant since;
         bool isOwn = false;
-        bool isUnshared = false;
         bool isBegun = false;
         std::list<RequestId>::iterator place;
     };
--- a/packages/serving/tests/storedstreamstest.cpp
+++ b/packages/serving/tests/storedstreamstest.cpp
@@ -247,6 +247,62 @@
     EXPECT_LE(store_.listings, 2);
 }
 
+/// Another host, to which this one has a link.
+class LinkedStreamExchangeTest : public StreamExchangeTest
+{
+protected:
+    LinkedStreamExchangeTest()
+        : other_(node_, store_, otherGroups_)
+        , otherLinks_(io_, self("entry-2"), "key", handlersOf(other_))
+        , links_(io_, self("entry-1"), "key", handlersOf(none_))
+    {
+        groups_.assign({{HostId("entry-1"), ZoneId("a"), 1}, {HostId("entry-2"), ZoneId("b"), 1}}, HostId("entry-1"));
+        core::Error why;
+        links_.setAddress(HostId("entry-2"), *otherLinks_.listen({"127.0.0.1", 0}, why));
+    }
+    ~LinkedStreamExchangeTest() override
+    {
+        links_.close();
+        otherLinks_.close();
+        runFor(Milliseconds(50));
+    }
+    static peers::Links::Self self(const std::string &host) { return {HostId(host), core::Incarnation(1), core::RegionId("r")}; }
+    static peers::LinkHandlers handlersOf(StreamExchange &exchange)
+    {
+        peers::LinkHandlers handlers;
+        handlers.onNotice = [&exchange](const HostId &, const peers::Notice &notice) {
+            if (const auto *origin = std::get_if<peers::StreamOriginNotice>(&notice.body)) {
+                exchange.onNotice(*origin);
+            }
+        };
+        return handlers;
+    }
+
+    HostGroups otherGroups_;
+    StreamExchange other_;
+    StreamExchange none_{node_, store_, otherGroups_};
+    peers::Links otherLinks_;
+    peers::Links links_;
+};
+
+// Guards against a stream that is refused because its host, which ends or falls silent as a release begins, had told nobody where it began while its
+// service had one version (review/13, LOST).
+TEST_F(LinkedStreamExchangeTest, a_stream_is_told_to_other_hosts_while_its_service_has_one_version)
+{
+    setUpVersions({"v1", "v1"});
+    auto exchange = start();
+    exchange->setLinks(links_);
+    begin(*exchange, "opens the link", "v1");
+    runFor(Milliseconds(300));
+    EXPECT_TRUE(node_.onlyVersion(ServiceName("s")));
+    begin(*exchange, "q", "v1");
+    runFor(Milliseconds(100)); // this host does nothing more from here on
+    const auto found = find(other_, "q");
+    ASSERT_TRUE(found.origin);
+    EXPECT_EQ(found.origin->version, SoftwareVersion("v1"));
+    EXPECT_EQ(found.source, OriginSource::Told);
+}
+
 // Wiring: the forwarder tells when the first event of a stream has come, and when it has ended.
 TEST_F(StreamExchangeTest, a_stream_has_begun_with_its_first_event)
 {
--- a/packages/serving/tests/streamrecordstest.cpp
+++ b/packages/serving/tests/streamrecordstest.cpp
@@ -38,7 +38,7 @@
     void begin(const HostId &host, const RequestId &id, const StreamOrigin &origin)
     {
         auto &records = hosts_.at(host)->records;
-        records.announce(id, origin, now() + Milliseconds(15'000), true, now());
+        records.announce(id, origin, now() + Milliseconds(15'000), now());
         for (const auto &target : records.toTell(id, [this](const HostId &each) { return hosts_.at(each)->isAlive; })) {
             ++messages;
             at(now() + latency(), [this, target, id, origin, until = now() + Milliseconds(15'000)] {
@@ -466,31 +466,17 @@
     EXPECT_TRUE(alone.isDone(Instant(1'000)));
 }
 
-// Guards against streams that began just before their service had a second version.
 // A relayed stream went on at the version of the host that had tried it first: that host took its own record for certain, though a peer began the stream.
 TEST(StreamRecords, a_stream_that_another_host_may_begin_is_not_certain)
 {
     HostGroups groups;
     StreamRecords records(HostId("e1"), groups);
     const RequestId id("q1");
-    records.announce(id, {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("llm"), 1, 1}, Instant(10'000), true, Instant(0));
+    records.announce(id, {SoftwareVersion("v1"), UpstreamId("r1"), ServiceName("llm"), 1, 1}, Instant(10'000), Instant(0));
     EXPECT_EQ(records.lookUp(id, Instant(10)).source, OriginSource::Own);
     records.handOver(id);
     EXPECT_EQ(records.lookUp(id, Instant(10)).source, OriginSource::Told);
 }
 
-TEST(StreamRecords, what_was_told_to_nobody_is_told_once_when_it_matters)
-{
-    HostGroups groups;
-    groups.assign({{HostId("a"), ZoneId("z1"), 0}, {HostId("b"), ZoneId("z2"), 0}}, HostId("a"));
-    StreamRecords records(HostId("a"), groups);
-    records.announce(RequestId("1"), originOf("v1"), Instant(9'000), false, Instant(0));
-    records.announce(RequestId("2"), originOf("v1"), Instant(9'000), true, Instant(0));
-    EXPECT_EQ(records.toTell(RequestId("2"), [](const HostId &) { return true; }), std::vector{HostId("b")});
-    EXPECT_TRUE(records.takeUnshared(ServiceName("other"), Instant(100)).empty());
-    EXPECT_EQ(records.takeUnshared(ServiceName("llm"), Instant(100)).size(), 1U);
-    EXPECT_TRUE(records.takeUnshared(ServiceName("llm"), Instant(200)).empty());
-}
-
 } // namespace
 } // namespace baobabstall::serving::tests
--- a/tests/hosted/versionstest.py
+++ b/tests/hosted/versionstest.py
@@ -198,6 +198,26 @@
         at_old = [stream for stream in streams if self.versions_of(stream) == {"v1"}]
         self.assertEqual([stream.statuses for stream in at_old if stream.statuses != [200]], [])
 
+    # Guards against streams that are refused because their host, which fell silent as a release began, had told nobody where they began (review/13, LOST).
+    def test_streams_of_a_host_that_freezes_as_a_release_begins_go_on_at_the_others(self):
+        self.start_hosts()
+        time.sleep(LONGEST_STREAM_SECONDS)
+        *others, frozen = self.hosts
+        streams, threads = self.begin(18, lambda n: [frozen] + 20 * [others[n % 2], others[1 - n % 2]], patience=1.5)
+        time.sleep(1.5)
+        frozen.process.send_signal(signal.SIGSTOP)
+        try:
+            time.sleep(0.3)
+            for number in range(2):
+                self.add_replica("i-new%d" % number, "v2")
+            for thread in threads:
+                thread.join()
+        finally:
+            frozen.process.send_signal(signal.SIGCONT)
+        self.expect_unmixed(streams)
+        refused = [stream.statuses for stream in streams if stream.statuses[1:2] != [200]]
+        self.assertEqual(refused, [], "at the first try at another host; %d of %d" % (len(refused), len(streams)))
+
     def check_taken_up(self, streams, threads, what=""):
         """Half of them at least go on, each at its version."""
         for thread in threads:
