Reads that prove the versions are spaced, and ended searches are dropped

A caller that takes up streams which nobody knows made its host read the control topic as often as an answer came (5 ms here), and at a host that is cut off each search left its memory behind until the topic was read again.

Reads begin at least 50 ms apart, or 5 ms for each host where that is longer: 200 a second for all hosts together of the 2,000 that the smallest store takes. A search takes itself off the list.

VersionProofTest.reads_are_spaced_however_many_ask_one_after_the_other; 51 tests of versions, taken up streams and stored streams pass.

--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -51,7 +51,7 @@
 {
     const auto askedAt = node_.now();
     const auto running = std::make_shared<RunningSearch>(node_.io, StreamSearch(records_.lookUp(id, askedAt), askedAt, patience));
-    searches_.push_back(running);
+    searches_.emplace(running.get(), running);
     auto &search = running->search;
     const bool isNamed = !id.empty();
     std::optional<StreamOrigin> stored;
@@ -82,6 +82,7 @@
         running->signal.expires_after(net::chronoOf(std::min(StreamSearch::stepTime, search.timeLeft(node_.now()))));
         co_await running->signal.async_wait(net::tuple);
     }
+    searches_.erase(running.get());
     auto found = search.result();
     if (stored) {
         found.origin = stored;
@@ -95,8 +96,7 @@
 
 void StreamExchange::onVersionsRead()
 {
-    std::erase_if(searches_, [](const auto &each) { return each.expired(); });
-    for (const auto &each : searches_) {
+    for (const auto &[key, each] : searches_) {
         if (const auto running = each.lock()) {
             running->signal.cancel();
         }
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -11,6 +11,8 @@
 //   exchange.onNotice(notice); exchange.serve(call, body);   // from peers
 #pragma once
 
+#include <map>
+#include <memory>
 #include <set>
 
 #include <peers/link.h>
@@ -52,7 +54,7 @@
     peers::Links *links_ = nullptr;
     StreamKeeper keeper_;
     std::set<ServiceName> mixedServices_; // with several versions, as far as this host knew at the last tick
-    std::vector<std::weak_ptr<RunningSearch>> searches_;
+    std::map<RunningSearch *, std::weak_ptr<RunningSearch>> searches_;
 };
 
 } // namespace baobabstall::serving
--- a/packages/serving/tests/versionprooftest.cpp
+++ b/packages/serving/tests/versionprooftest.cpp
@@ -170,6 +170,21 @@
     EXPECT_EQ(store_.reads, before + 1) << "nothing is read while nobody asks";
 }
 
+// Guards against callers that load the store by naming streams at random.
+TEST_F(VersionProofTest, reads_are_spaced_however_many_ask_one_after_the_other)
+{
+    follower_.stop();
+    runFor(Milliseconds(450));
+    store_.reads = 0;
+    const auto begin = node_.now();
+    int served = 0;
+    for (; node_.now() - begin < Milliseconds(400); ++served) {
+        EXPECT_EQ(takeUp(1).front().version, v1_);
+    }
+    EXPECT_GE(served, 4);
+    EXPECT_LE(store_.reads, (node_.now() - begin).count() / VersionProof::minInterval.count() + 1);
+}
+
 // Guards against a wait beyond the caller's patience, and against a host that is cut off and guesses, however long it has been cut off.
 TEST_F(VersionProofTest, a_host_that_is_cut_off_knows_nothing_and_says_so_in_time)
 {
--- a/packages/serving/versionproof.cpp
+++ b/packages/serving/versionproof.cpp
@@ -1,5 +1,6 @@
 #include <serving/versionproof.h>
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,6 +14,7 @@
         return;
     }
     isReading_ = true;
+    nextTry_ = node_.now() + std::max(minInterval, hostInterval * node_.hostCount);
     boost::asio::co_spawn(node_.io, read(), boost::asio::detached);
 }
 
@@ -30,7 +32,7 @@
         controlTopic_.feed({from, *page, HostId(), begunAt});
         co_return;
     }
-    nextTry_ = node_.now() + retryTime;
+    nextTry_ = std::max(nextTry_, node_.now() + retryTime);
     if (isExpired) {
         controlTopic_.hurry(); // it lists the topic
     } else if (!wasFailing) {
--- a/packages/serving/versionproof.h
+++ b/packages/serving/versionproof.h
@@ -16,7 +16,9 @@
 class VersionProof
 {
 public:
-    static constexpr Milliseconds retryTime{200}; // after a failed read
+    static constexpr Milliseconds retryTime{200};  // after a failed read
+    static constexpr Milliseconds minInterval{50}; // between two reads: callers that name streams at random must not load the store
+    static constexpr Milliseconds hostInterval{5}; // the same for each host: all of them together read 200 times a second at most
 
     VersionProof(Node &node, AbstractStore &store, TopicFollower &controlTopic)
         : node_(node)
