--- a/packages/serving/tests/versionwritertest.cpp
+++ b/packages/serving/tests/versionwritertest.cpp
@@ -125,5 +125,39 @@
     EXPECT_FALSE(node_.onlyVersion(service));
 }
 
+// Guards against a version that came and left while this host read nothing: the topic, listed anew, names it as gone (the class of review/11, ORDER).
+TEST_F(VersionWriterTest, a_version_that_came_and_left_between_two_listings_counts)
+{
+    lead({});
+    list();
+    tickFor(Milliseconds(200));
+    const ServiceName service("s");
+    EXPECT_TRUE(node_.onlyVersion(service));
+    writer_.beginListing();
+    core::Error why;
+    const auto goneAt = std::to_string(core::civilMilliseconds() - 1'000);
+    EXPECT_TRUE(writer_.apply({core::Offset(9), "software/77", R"({"service":"s","version":"v2","gone_at":)" + goneAt + "}"}, why));
+    writer_.endListing(core::StoreEra(1));
+    EXPECT_FALSE(node_.onlyVersion(service));
+}
+
+// The same where the store has lost the name as it came back as an earlier copy.
+TEST_F(VersionWriterTest, no_version_is_the_only_one_until_streams_of_an_earlier_era_have_ended)
+{
+    lead({});
+    list();
+    tickFor(Milliseconds(200));
+    const ServiceName service("s");
+    node_.longestStream = Milliseconds(300);
+    EXPECT_TRUE(node_.onlyVersion(service));
+    writer_.beginListing();
+    writer_.endListing(core::StoreEra(2));
+    EXPECT_FALSE(node_.onlyVersion(service));
+    runFor(Milliseconds(350));
+    EXPECT_TRUE(node_.onlyVersion(service));
+    list();
+    EXPECT_FALSE(node_.onlyVersion(service)) << "yet another copy";
+}
+
 } // namespace
 } // namespace baobabstall::serving::tests
--- a/packages/serving/versionhistory.h
+++ b/packages/serving/versionhistory.h
@@ -46,6 +46,8 @@
     void onLeaving(const ServiceName &service, const SoftwareVersion &version, Instant now) { leftAt_[service][version] = now; }
     void onNamed(const ServiceName &service, const SoftwareVersion &version, Instant now);
     void adopt(const Past &past, Instant now);
+    /// Versions may have come and left before `now` that nobody tells this host of.
+    void beginCoverage(Instant now) { coveredSince_ = now; }
     [[nodiscard]] Past past(Instant now) const;
 
     [[nodiscard]] std::optional<SoftwareVersion> only(const ServiceName &service, Milliseconds span, Instant now) const;
--- a/packages/serving/versionwriter.cpp
+++ b/packages/serving/versionwriter.cpp
@@ -31,11 +31,17 @@
 
 void VersionWriter::endListing(core::StoreEra era)
 {
+    const bool isFirst = !std::exchange(hasAdopted_, true);
+    const bool hasLostRecords = !isFirst && era != era_; // names that this host hasn't read may be among them
     era_ = era;
     node_.ledger.endListing();
-    if (!std::exchange(hasAdopted_, true)) {
-        node_.versions.adopt(node_.ledger.past(era, core::civilMilliseconds()), node_.now());
+    auto past = node_.ledger.past(era, core::civilMilliseconds());
+    if (hasLostRecords) {
+        node_.versions.beginCoverage(node_.now());
+    } else if (!isFirst) {
+        past.coveredFor = Milliseconds(0); // what this host has watched itself counts on; only versions that came and left meanwhile are new to it
     }
+    node_.versions.adopt(past, node_.now());
     noteNamed();
 }
 
