--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -500,7 +500,7 @@
         self.store.down = False
         self.assertTrue(wait_until(restarted.ready))
         self.assertEqual(self.book(restarted)[0], 200)
-        self.assertTrue(any(host.events("store_regained") for host in self.hosts))
+        self.assertTrue(wait_until(lambda: any(host.events("store_regained") for host in self.hosts)))  # a log line is read a moment after it was written
 
     def test_hosts_that_all_start_anew_while_the_upstreams_topic_alone_is_out_serve_from_their_copy(self):
         self.start_all()
