A notice of where a stream began asks for no sign of life

At dozens of hosts two hosts rarely hear of each other within 0.7 s, so each notice brought a ping and its answer too, which cost more than the notice.

That the pings are most of it is read from the code. The records go to three hosts, so that a link which has fallen silent costs one of them; gossip, pages and calls still find it out.

SilentLinkTest.a_notice_that_several_hosts_get_asks_for_no_sign_of_life.

--- a/packages/peers/link.cpp
+++ b/packages/peers/link.cpp
@@ -294,7 +294,11 @@
         transmit(bytes);
     }
 
-    void notify(Notice notice) { transmit(encode(std::move(notice))); }
+    void notify(Notice notice)
+    {
+        const auto use = std::holds_alternative<StreamOriginNotice>(notice.body) ? Use::Spare : Use::Needed;
+        transmit(encode(std::move(notice)), 0, use);
+    }
 
     void startCall(const std::shared_ptr<CallState> &state, CallBody body)
     {
@@ -334,7 +338,10 @@
         std::uint64_t call = 0; // that it begins; 0: none
     };
 
-    bool transmit(const std::string &bytes, std::uint64_t call = 0)
+    /// Spare: several hosts are told the same, so that a link which has fallen silent costs nothing and need not be found out by a ping.
+    enum class Use : std::uint8_t { Needed, Spare };
+
+    bool transmit(const std::string &bytes, std::uint64_t call = 0, Use use = Use::Needed)
     {
         if (isLost_) {
             return false;
@@ -347,7 +354,9 @@
             return true;
         }
         const bool isQueued = socket_.send(bytes);
-        pingIfDue();
+        if (use == Use::Needed) {
+            pingIfDue();
+        }
         return isQueued;
     }
 
--- a/packages/peers/tests/silentlinktest.cpp
+++ b/packages/peers/tests/silentlinktest.cpp
@@ -132,4 +132,22 @@
     EXPECT_EQ(silentLinks_, 0);
 }
 
+// Cost: each stream is told to three hosts, and at dozens of hosts each such notice brought a ping and its answer as well.
+TEST_F(SilentLinkTest, a_notice_that_several_hosts_get_asks_for_no_sign_of_life)
+{
+    ASSERT_TRUE(isServed());
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(100)); // the answer to the ping of that call
+    proxy_->silence(SilentProxy::Direction::ToServer);
+    proxy_->silence(SilentProxy::Direction::ToClient);
+    for (int i = 0; i < 25; ++i) {
+        a_->notify(HostId("b"), {StreamOriginNotice{core::RequestId("q" + std::to_string(i)), {}, 1'000}});
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(100));
+    }
+    EXPECT_EQ(silentLinks_, 0);
+    EXPECT_TRUE(isServedAgain()) << "what needs the link finds out";
+    EXPECT_EQ(silentLinks_, 1);
+}
+
 } // namespace baobabstall::peers::tests
