The moment to which versions are known is kept in one place, and tick() looks at each service once

Read again: the daemon and VersionProofTest both wrote how Node::versionsReadAt advances, and StreamExchange::tick() asked for the versions of each service twice, every 100 ms. A service with one version for certain has no second one, so it is passed over.

--- a/packages/serving/hosteddaemon.cpp
+++ b/packages/serving/hosteddaemon.cpp
@@ -154,11 +154,7 @@
                              }
                          },
                      .onRead = [this](const SharedPage &shared) { storePages_.share(Topic::Control, shared); },
-                     .onCaughtUp =
-                         [this](Instant askedAt) {
-                             node_.versionsReadAt = std::max(node_.versionsReadAt, askedAt);
-                             streamExchange_.onVersionsRead();
-                         }})
+                     .onCaughtUp = [this](Instant askedAt) { streamExchange_.onVersionsRead(askedAt); }})
     , incarnation_(incarnation)
     , versionWriter_(node_, store, groups_)
     , versionProof_(node_, store, controlTopic_)
--- a/packages/serving/streamexchange.cpp
+++ b/packages/serving/streamexchange.cpp
@@ -94,8 +94,9 @@
     co_return found;
 }
 
-void StreamExchange::onVersionsRead()
+void StreamExchange::onVersionsRead(Instant askedAt)
 {
+    node_.versionsReadAt = std::max(node_.versionsReadAt, askedAt);
     for (const auto &[key, each] : searches_) {
         if (const auto running = each.lock()) {
             running->signal.cancel();
@@ -126,7 +127,10 @@
     bool mayNeedStored = false; // by a stream that nobody knows
     std::set<ServiceName> mixed;
     for (const auto &service : node_.routes ? node_.routes->services() : std::vector<ServiceSpec>()) {
-        mayNeedStored = mayNeedStored || !node_.onlyVersion(service.name);
+        if (node_.onlyVersion(service.name)) {
+            continue;
+        }
+        mayNeedStored = true;
         if (node_.versions.isMixed(service.name, node_.longestStream, now)) {
             mixed.insert(service.name);
         }
--- a/packages/serving/streamexchange.h
+++ b/packages/serving/streamexchange.h
@@ -6,7 +6,7 @@
 //   exchange.announce(id, origin, until);          // before the request is sent to its upstream
 //   exchange.onBegun(id); exchange.onEnded(id);
 //   auto found = co_await exchange.find(id, service, patience); // found.origin is nothing: neither a host that answers nor the store knows the stream
-//   exchange.onVersionsRead();                     // Node::versionsReadAt is later than before
+//   exchange.onVersionsRead(askedAt);              // all that the control topic named at that moment has been applied
 //   exchange.tick();                               // every 100 ms
 //   exchange.onNotice(notice); exchange.serve(call, body);   // from peers
 #pragma once
@@ -37,7 +37,7 @@
     void onBegun(const RequestId &id) override { records_.onBegun(id); }
     void onEnded(const RequestId &id) override { records_.onEnded(id); }
     net::Task<FoundStream> find(RequestId id, ServiceName service, Milliseconds patience) override;
-    void onVersionsRead();
+    void onVersionsRead(Instant askedAt);
     /// Stores the streams of services with several versions.
     void tick();
     void onNotice(const peers::StreamOriginNotice &notice);
--- a/packages/serving/tests/versionprooftest.cpp
+++ b/packages/serving/tests/versionprooftest.cpp
@@ -74,11 +74,7 @@
                      .onPage = [this](const StorePage &page) { apply(page.records); },
                      .onReached = [](bool) {},
                      .onRead = [](const SharedPage &) {},
-                     .onCaughtUp =
-                         [this](Instant askedAt) {
-                             node_.versionsReadAt = std::max(node_.versionsReadAt, askedAt);
-                             exchange_.onVersionsRead();
-                         }})
+                     .onCaughtUp = [this](Instant askedAt) { exchange_.onVersionsRead(askedAt); }})
         , proof_(node_, store_, follower_)
         , writer_(node_, store_, groups_)
         , exchange_(node_, store_, groups_)
