A blamed request is let through again where its probe ended well

A host that has seen the request end well after its last crash knows what ends the blame.

Change: CrashWatch::admit() passes over a blamed cause that this host has seen end well since the cause's last crash, by the rule of CrashCounter::onServed(). A crash that it is told of later blocks again.

Measured: the new CrashWatch test was red before. 18 of 18 Crash* tests pass.

--- a/packages/serving/crashwatch.cpp
+++ b/packages/serving/crashwatch.cpp
@@ -15,6 +15,9 @@
             continue;
         }
         const auto &verdict = held->second.verdict;
+        if (const auto served = servedAt(cause); served && *served >= verdict.lastCrash) {
+            continue; // this host has seen what ends the blame; its report is on the way
+        }
         refused_.insert(cause);
         if (verdict.probesLeft > 0 && now >= verdict.until) {
             admission.needsProbe = true;
--- a/packages/serving/tests/crashspreadtest.cpp
+++ b/packages/serving/tests/crashspreadtest.cpp
@@ -258,6 +258,34 @@
     EXPECT_EQ(watch.takeReport(HostId("other"), Instant(10'000)).crashes.size(), 1U);
 }
 
+// Guards against a blamed request that its own host refuses again right after a probe of it ended well, until the host that counts has told so.
+TEST(CrashWatch, a_request_that_ended_well_since_its_last_crash_is_not_refused_where_that_was_seen)
+{
+    CrashWatch watch;
+    const auto causes = CrashSpread::causesOf("sound", {});
+    const Instant crashedAt(1'000);
+    CrashVerdict verdict{.cause = causes.front(),
+                         .state = CrashVerdict::State::Blamed,
+                         .since = crashedAt,
+                         .until = crashedAt + CrashCounter::firstBlameTime,
+                         .crashes = 3,
+                         .lastCrash = crashedAt,
+                         .probesLeft = 1};
+    watch.onVerdicts({verdict}, crashedAt);
+    EXPECT_TRUE(watch.admit(causes, Instant(15'900)).blockedFor);
+    EXPECT_TRUE(watch.admit(causes, Instant(16'000)).needsProbe);
+    verdict.probesLeft = 0; // granted
+    verdict.until = Instant(76'000);
+    watch.onVerdicts({verdict}, Instant(16'050));
+    watch.onServed(causes, Instant(16'100));
+    const auto admission = watch.admit(causes, Instant(16'180));
+    EXPECT_FALSE(admission.blockedFor);
+    EXPECT_FALSE(admission.needsProbe);
+    verdict.lastCrash = Instant(16'150);
+    watch.onVerdicts({verdict}, Instant(16'200));
+    EXPECT_TRUE(watch.admit(causes, Instant(16'300)).blockedFor) << "it crashed an upstream since";
+}
+
 // Guards against blame of sound requests that are cut beside a crashing one, and are repeated and cut beside it again.
 TEST(CrashSpread, sound_requests_beside_a_crashing_one_are_served)
 {
