CrashWatch: one check for what ended well since a crash

admit(), added for a probe that ended well, wrote the condition of knownCrashes() again. Both call isServedSince() now. No change of behaviour.

--- a/packages/serving/crashwatch.cpp
+++ b/packages/serving/crashwatch.cpp
@@ -15,7 +15,7 @@
             continue;
         }
         const auto &verdict = held->second.verdict;
-        if (const auto served = servedAt(cause); served && *served >= verdict.lastCrash) {
+        if (isServedSince(cause, verdict.lastCrash)) {
             continue; // this host has seen what ends the blame; its report is on the way
         }
         refused_.insert(cause);
@@ -122,8 +122,7 @@
 int CrashWatch::knownCrashes(const CrashCause &cause) const
 {
     const auto held = verdicts_.find(cause);
-    const auto servedSince = servedAt(cause);
-    const bool isSuspect = held != verdicts_.end() && !(servedSince && *servedSince >= held->second.verdict.lastCrash);
+    const bool isSuspect = held != verdicts_.end() && !isServedSince(cause, held->second.verdict.lastCrash);
     return isSuspect ? held->second.verdict.crashes : 0;
 }
 
@@ -226,6 +225,12 @@
     return known == served_.end() ? std::nullopt : std::optional(known->second.at);
 }
 
+bool CrashWatch::isServedSince(const CrashCause &cause, Instant at) const
+{
+    const auto served = servedAt(cause);
+    return served && *served >= at;
+}
+
 void CrashWatch::expire(Instant now)
 {
     std::erase_if(sightings_, [now](const auto &each) { return now - each.sighting.at > sightingLifetime; });
--- a/packages/serving/crashwatch.h
+++ b/packages/serving/crashwatch.h
@@ -106,6 +106,7 @@
     void onVerdict(const CrashVerdict &verdict, Instant now);
     void reportHeld(CrashReport &report, Instant now);
     [[nodiscard]] std::optional<Instant> servedAt(const CrashCause &cause) const;
+    [[nodiscard]] bool isServedSince(const CrashCause &cause, Instant at) const; // by what this host saw itself
 
     std::map<CrashCause, HeldVerdict> verdicts_;
     std::deque<HeldSighting> sightings_;
