--- a/packages/serving/tests/versionwritertest.cpp
+++ b/packages/serving/tests/versionwritertest.cpp
@@ -66,6 +66,13 @@
         node_.versions.update(node_.replicas, node_.now());
         writer_.onUpstreamsChanged();
     }
+    /// This host leads, and has named the version of the service's upstreams.
+    void startWithOneVersion()
+    {
+        lead({});
+        list();
+        tickFor(Milliseconds(200));
+    }
     std::vector<std::size_t> beginStreams(int count)
     {
         for (int i = 0; i < count; ++i) {
@@ -74,6 +81,7 @@
         return {upstream(1).requests.size(), upstream(2).requests.size()};
     }
 
+    const ServiceName service_{"s"};
     const ScriptedUpstream::Script whole_{{streamHead() + chunk(event(1)) + finalChunk}};
     AppendStore store_;
     HostGroups groups_;
@@ -84,9 +92,7 @@
 // Guards against streams that begin at a version which the store does not name yet, at a host that can't write (review/7, ORDER).
 TEST_F(VersionWriterTest, streams_begin_at_a_new_version_only_once_the_store_names_it)
 {
-    lead({});
-    list();
-    tickFor(Milliseconds(200));
+    startWithOneVersion();
     EXPECT_EQ(store_.written.size(), 2U);
     store_.outcome = AppendOutcome::Refused;
     setVersion("r1", "v2"); // the first choice of this host's streams
@@ -115,48 +121,39 @@
 // Guards against a taken-up stream of a version that other hosts have named and this one has not seen yet.
 TEST_F(VersionWriterTest, a_version_that_other_hosts_name_counts_before_an_upstream_of_it_is_seen)
 {
-    lead({});
-    list();
-    tickFor(Milliseconds(200));
-    const ServiceName service("s");
-    EXPECT_TRUE(node_.onlyVersion(service));
+    startWithOneVersion();
+    EXPECT_TRUE(node_.onlyVersion(service_));
     core::Error why;
     EXPECT_TRUE(writer_.apply({core::Offset(9), "software/77", R"({"service":"s","version":"v2"})"}, why));
-    EXPECT_FALSE(node_.onlyVersion(service));
+    EXPECT_FALSE(node_.onlyVersion(service_));
 }
 
 // Guards against a version that came and left while this host read nothing: the topic, listed anew, names it as gone (the class of review/11, ORDER).
 TEST_F(VersionWriterTest, a_version_that_came_and_left_between_two_listings_counts)
 {
-    lead({});
-    list();
-    tickFor(Milliseconds(200));
-    const ServiceName service("s");
-    EXPECT_TRUE(node_.onlyVersion(service));
+    startWithOneVersion();
+    EXPECT_TRUE(node_.onlyVersion(service_));
     writer_.beginListing();
     core::Error why;
     const auto goneAt = std::to_string(core::civilMilliseconds() - 1'000);
     EXPECT_TRUE(writer_.apply({core::Offset(9), "software/77", R"({"service":"s","version":"v2","gone_at":)" + goneAt + "}"}, why));
     writer_.endListing(core::StoreEra(1));
-    EXPECT_FALSE(node_.onlyVersion(service));
+    EXPECT_FALSE(node_.onlyVersion(service_));
 }
 
 // The same where the store has lost the name as it came back as an earlier copy.
 TEST_F(VersionWriterTest, no_version_is_the_only_one_until_streams_of_an_earlier_era_have_ended)
 {
-    lead({});
-    list();
-    tickFor(Milliseconds(200));
-    const ServiceName service("s");
+    startWithOneVersion();
     node_.longestStream = Milliseconds(300);
-    EXPECT_TRUE(node_.onlyVersion(service));
+    EXPECT_TRUE(node_.onlyVersion(service_));
     writer_.beginListing();
     writer_.endListing(core::StoreEra(2));
-    EXPECT_FALSE(node_.onlyVersion(service));
+    EXPECT_FALSE(node_.onlyVersion(service_));
     runFor(Milliseconds(350));
-    EXPECT_TRUE(node_.onlyVersion(service));
+    EXPECT_TRUE(node_.onlyVersion(service_));
     list();
-    EXPECT_FALSE(node_.onlyVersion(service)) << "yet another copy";
+    EXPECT_FALSE(node_.onlyVersion(service_)) << "yet another copy";
 }
 
 } // namespace
