Hosted tests and scripts/known-red: one way to pass over listed tests

Checked: each of the five programs chooses the same tests in the same order as before (73 names, listed ones left out).

--- a/tests/hosted/boundstest.py
+++ b/tests/hosted/boundstest.py
@@ -368,8 +368,6 @@
     hostedtest.DAEMON = sys.argv.pop(1)
     groups = {"Memory": Memory, "PlannedChanges": PlannedChanges}
     if sys.argv[1:] and sys.argv[1] in groups:
-        listed = (hostedtest.ROOT / "KNOWN-RED.txt").read_text()
         names = [sys.argv[1] + "." + name for name in unittest.defaultTestLoader.getTestCaseNames(groups[sys.argv[1]])]
-        print("known red, run by scripts/known-red:", [name for name in names if "test " + name + " " in listed])
-        sys.argv[1:2] = [name for name in names if "test " + name + " " not in listed]
+        sys.argv[1:2] = hostedtest.without_known_red(names)
     unittest.main(verbosity=2, warnings="ignore")
--- a/tests/hosted/hostedtest.py
+++ b/tests/hosted/hostedtest.py
@@ -33,6 +33,13 @@
 DRAWN = set()
 
 
+def without_known_red(names):
+    """Those of `names` (SUITE.NAME) that scripts/known-red doesn't run."""
+    listed = (ROOT / "KNOWN-RED.txt").read_text()
+    print("known red, run by scripts/known-red:", [name for name in names if "test " + name + " " in listed])
+    return [name for name in names if "test " + name + " " not in listed]
+
+
 def free_port():
     """Never the same twice in one process; processes that run at the same time draw from slices of their own."""
     begin = FIRST_PORT + os.getpid() % SLICES * SLICE_PORTS
@@ -1318,9 +1325,6 @@
     if "--half" in sys.argv:
         at = sys.argv.index("--half")
         half = int(sys.argv[at + 1])
-        listed = (ROOT / "KNOWN-RED.txt").read_text()
-        names = unittest.defaultTestLoader.getTestCaseNames(Hosted)
-        print("known red, run by scripts/known-red:", [name for name in names if "test Hosted." + name + " " in listed])
-        names = [name for name in names if "test Hosted." + name + " " not in listed]
-        sys.argv[at : at + 2] = ["Hosted." + name for name in names[half - 1 :: 2]]
+        names = without_known_red(["Hosted." + name for name in unittest.defaultTestLoader.getTestCaseNames(Hosted)])
+        sys.argv[at : at + 2] = names[half - 1 :: 2]
     unittest.main(verbosity=2, warnings="ignore")
--- a/tests/hosted/hostiletest.py
+++ b/tests/hosted/hostiletest.py
@@ -10,7 +10,7 @@
 
 import hostedtest
 from boundstest import Fixture
-from hostedtest import ROOT, Host, wait_until
+from hostedtest import Host, wait_until
 
 MEMORY_MB = 120  # of the host, as in its settings; VmHWM stays below it
 MAX_DESCRIPTORS = 800  # the same; open descriptors stay below it
@@ -214,8 +214,5 @@
 if __name__ == "__main__":
     hostedtest.DAEMON = sys.argv.pop(1)
     if sys.argv[1:] == ["Hostile"]:
-        listed = (ROOT / "KNOWN-RED.txt").read_text()
-        names = ["Hostile." + name for name in unittest.defaultTestLoader.getTestCaseNames(Hostile)]
-        print("known red, run by scripts/known-red:", [name for name in names if "test " + name + " " in listed])
-        sys.argv[1:] = [name for name in names if "test " + name + " " not in listed]
+        sys.argv[1:] = hostedtest.without_known_red(["Hostile." + name for name in unittest.defaultTestLoader.getTestCaseNames(Hostile)])
     unittest.main(verbosity=2, warnings="ignore")
--- a/tests/hosted/stoptest.py
+++ b/tests/hosted/stoptest.py
@@ -402,10 +402,8 @@
 
 def load_tests(loader, _tests, _pattern):
     """Without those of the fixture, and those that scripts/known-red runs."""
-    listed = (hostedtest.ROOT / "KNOWN-RED.txt").read_text()
-    names = [name for name in vars(Stops) if name.startswith(loader.testMethodPrefix)]
-    print("known red, run by scripts/known-red:", [name for name in names if "test Stops." + name + " " in listed])
-    return unittest.TestSuite(Stops(name) for name in names if "test Stops." + name + " " not in listed)
+    names = hostedtest.without_known_red(["Stops." + name for name in vars(Stops) if name.startswith(loader.testMethodPrefix)])
+    return unittest.TestSuite(Stops(name.removeprefix("Stops.")) for name in names)
 
 
 if __name__ == "__main__":
--- a/tests/hosted/versionstest.py
+++ b/tests/hosted/versionstest.py
@@ -307,8 +307,5 @@
 if __name__ == "__main__":
     hostedtest.DAEMON = sys.argv.pop(1)
     if len(sys.argv) == 1:  # those of the base class run in hostedtest.py
-        listed = (hostedtest.ROOT / "KNOWN-RED.txt").read_text()
-        names = [name for name in vars(Versions) if name.startswith("test_")]
-        print("known red, run by scripts/known-red:", [name for name in names if "test Versions." + name + " " in listed])
-        sys.argv += ["Versions." + name for name in names if "test Versions." + name + " " not in listed]
+        sys.argv += hostedtest.without_known_red(["Versions." + name for name in vars(Versions) if name.startswith("test_")])
     unittest.main(verbosity=2, warnings="ignore")
